Skeleton: build, style, base types, task loop, router contract

Cause: the parts are built side by side and need one contract to build against. Ran: scripts/test.sh (2 test programs pass), scripts/lint.sh clean.

--- /dev/null
+++ b/src/core/base/reason.h
@@ -0,0 +1,69 @@
+/// \file
+/// Why a request was refused, and what the caller may conclude from the refusal. The names are published:
+/// they stand in the Auburnspread-Reason header, in metrics, in logs and in `auburnspreadctl explain`.
+
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace auburnspread
+{
+
+/// What a refused caller may conclude.
+enum class Outcome {
+    NotRun,      ///< no byte of the request can have reached a backend server, or the server said it did not start it
+    MayHaveRun,  ///< a backend server may have executed the request, wholly or in part
+    Quarantined, ///< the request is withheld because it crashed backend servers; it will not run
+};
+
+enum class Reason {
+    BadRequest,
+    HeaderTooLarge,
+    BodyTooLarge,
+    UnknownWorkspace,
+    UnknownClass,
+    UnknownModel,
+    UnknownService,
+    ForbiddenClass,
+    ForbiddenVersion,
+    TooManyConnections,
+    WorkspaceRequestRate,
+    WorkspaceTokenRate,
+    WorkspaceConcurrency,
+    QueueFull,
+    Shed,
+    DeadlineUnreachable,
+    DeadlinePassed,
+    NoBackendServer,
+    BackendFailed,
+    RetryBudget,
+    StreamBroken,
+    Draining,
+    NoConfiguration,
+    ClaimUnavailable,
+    DuplicateRequest,
+    Quarantined,
+    CallerGone,
+    InternalError,
+};
+
+/// What the table holds of one reason.
+struct ReasonEntry {
+    Reason reason;
+    std::string_view name;        ///< published name
+    int status;                   ///< HTTP status of a refusal before the first byte
+    bool retryHelps;              ///< whether Retry-After is sent
+    std::string_view explanation; ///< one sentence for operators: the cause and what to do
+};
+
+auto reasonTable() -> std::span<const ReasonEntry>;
+auto entryOf(Reason reason) -> const ReasonEntry &;
+auto reasonFromName(std::string_view name) -> std::optional<Reason>;
+
+auto outcomeName(Outcome outcome) -> std::string_view;
+auto outcomeFromName(std::string_view name) -> std::optional<Outcome>;
+
+} // namespace auburnspread
--- /dev/null
+++ b/src/runtime/task/eventloop.cpp
@@ -0,0 +1,126 @@
+#include "runtime/task/eventloop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+
+namespace auburnspread::task
+{
+
+namespace detail
+{
+
+auto EventDeleter::operator()(event *item) const -> void
+{
+    event_free(item);
+}
+
+auto BaseDeleter::operator()(event_base *base) const -> void
+{
+    event_base_free(base);
+}
+
+} // namespace detail
+
+struct Watch::State {
+    std::function<void()> action;
+    EventPointer item;
+};
+
+namespace
+{
+
+auto toTimeval(Duration duration) -> timeval
+{
+    constexpr auto MicrosPerSecond = 1'000'000;
+    return timeval{ .tv_sec = duration.count() / MicrosPerSecond, .tv_usec = duration.count() % MicrosPerSecond };
+}
+
+auto enableThreads() -> void
+{
+    static std::once_flag once;
+    std::call_once(once, []() { evthread_use_pthreads(); });
+}
+
+} // namespace
+
+auto monotonicNow() -> TimePoint
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(now));
+}
+
+EventLoop::EventLoop()
+{
+    enableThreads();
+    base_.reset(event_base_new());
+    if (!base_) {
+        throw std::runtime_error("event loop: event_base_new failed");
+    }
+}
+
+EventLoop::~EventLoop() = default;
+
+auto EventLoop::base() const -> event_base *
+{
+    return base_.get();
+}
+
+namespace
+{
+
+//! NOTE the action may end its own watch, so it runs on a copy that outlives the call
+auto callAction(evutil_socket_t /*descriptor*/, short /*what*/, void *context) -> void
+{
+    const auto action = *static_cast<std::function<void()> *>(context);
+    action();
+}
+
+} // namespace
+
+auto EventLoop::after(Duration delay, std::function<void()> action) -> Watch
+{
+    Watch watch;
+    watch.state_ = std::make_shared<Watch::State>();
+    watch.state_->action = std::move(action);
+    watch.state_->item.reset(event_new(base(), -1, 0, callAction, &watch.state_->action));
+    const auto interval = toTimeval(delay);
+    event_add(watch.state_->item.get(), &interval);
+    return watch;
+}
+
+auto EventLoop::every(Duration interval, std::function<void()> action) -> Watch
+{
+    Watch watch;
+    watch.state_ = std::make_shared<Watch::State>();
+    watch.state_->action = std::move(action);
+    watch.state_->item.reset(event_new(base(), -1, EV_PERSIST, callAction, &watch.state_->action));
+    const auto period = toTimeval(interval);
+    event_add(watch.state_->item.get(), &period);
+    return watch;
+}
+
+auto EventLoop::whenReadable(int descriptor, std::function<void()> action) -> Watch
+{
+    Watch watch;
+    watch.state_ = std::make_shared<Watch::State>();
+    watch.state_->action = std::move(action);
+    watch.state_->item.reset(event_new(base(), descriptor, EV_READ | EV_PERSIST, callAction, &watch.state_->action));
+    event_add(watch.state_->item.get(), nullptr);
+    return watch;
+}
+
+auto EventLoop::run() -> void
+{
+    event_base_loop(base(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+auto EventLoop::stop() -> void
+{
+    event_base_loopbreak(base());
+}
+
+} // namespace auburnspread::task
--- /dev/null
+++ b/src/runtime/task/tests/eventloop_tests.cpp
@@ -0,0 +1,46 @@
+#include "runtime/task/eventloop.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+#include <vector>
+
+using namespace auburnspread;
+
+TEST(EventLoopTests, messagesFromAnotherThreadArriveInOrder)
+{
+    constexpr int Count = 1000;
+    task::EventLoop loop;
+    task::Mailbox<int> mailbox;
+    std::vector<int> got;
+    const auto watch = loop.receive(mailbox, [&](int value) {
+        got.push_back(value);
+        if (value == Count - 1) {
+            loop.stop();
+        }
+    });
+    std::thread sender([&]() {
+        for (int i = 0; i < Count; ++i) {
+            mailbox.post(i);
+        }
+    });
+    loop.run();
+    sender.join();
+    ASSERT_EQ(got.size(), static_cast<std::size_t>(Count));
+    EXPECT_EQ(got.front(), 0);
+    EXPECT_EQ(got.back(), Count - 1);
+}
+
+TEST(EventLoopTests, aTimerMayEndItself)
+{
+    task::EventLoop loop;
+    task::Watch timer;
+    int calls = 0;
+    timer = loop.after(Duration(1), [&]() {
+        ++calls;
+        timer = task::Watch();
+        loop.stop();
+    });
+    loop.run();
+    EXPECT_EQ(calls, 1);
+}
