--- a/src/core/routing/events.h
+++ b/src/core/routing/events.h
@@ -41,8 +41,8 @@
     std::uint32_t promptTokens = 0;   ///< estimated from the body's length
     std::uint32_t maxTokens = 0;      ///< 0: not given
     Fingerprint fingerprint{};
-    std::uint64_t prefixHash = 0;   ///< of the prompt's beginning, for prefix-cache affinity; 0: none
-    std::uint32_t callerRepeat = 0; ///< the caller's own count of repeats, if it says so
+    std::uint64_t prefixHash = 0; ///< of the prompt's beginning, for prefix-cache affinity; 0: none
+    bool stream = true;           ///< false: nothing reaches the caller before the whole answer is there, so it may be restarted from nothing
 };
 
 /// The caller closed its connection.
