Entry: caller, backend and router tasks

Cause: a caller's request must cross every process and come back whole. Change: three tasks with mailboxes. The caller task (libevhtp) reads and answers, the router task hosts the decision core, the backend task (evhttp) runs attempts; tokens go straight from the backend task to the caller task, judged by core/relay. Bounds on headers, body, connections, event length and unsent bytes are options.

--- a/src/core/relay/tests/relaystream_tests.cpp
+++ b/src/core/relay/tests/relaystream_tests.cpp
@@ -14,7 +14,7 @@
 // The caller sees a prefix of its own answer and nothing else.
 // Chunks of this attempt and of another come in any order, twice or not at all.
 // Only those of this attempt that continue exactly may pass.
-RC_GTEST_PROP(RelayStreamTests, whatIsRelayedIsAlwaysAPrefix, (std::vector<std::pair<bool, std::uint8_t>> chunks))
+RC_GTEST_PROP(RelayStreamTests, whatIsRelayedIsAlwaysAPrefix, (const std::vector<std::pair<bool, std::uint8_t>> &chunks))
 {
     relay::RelayStream stream{ .attemptId = "mine" };
     std::uint32_t expected = 0;
--- /dev/null
+++ b/src/entry/backend/internal/attempt.h
@@ -0,0 +1,79 @@
+/// \file
+/// One attempt on a backend server, as plain data, and what may be done with it.
+
+#pragma once
+
+#include "core/relay/relaystream.h"
+#include "entry/backend/internal/connectionpool.h"
+#include "entry/messages/messages.h"
+#include "wire/chat/eventreader.h"
+
+#include <event2/buffer.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+struct evhttp_request;
+
+namespace auburnspread::entry
+{
+
+/// What the attempt's functions need of their task.
+struct AttemptContext {
+    Mailboxes &mailboxes;
+    std::size_t mostEventBytes;
+    /// Called once when the attempt is over; the connection may be kept if \c reusable.
+    std::function<void(AttemptId attempt, bool reusable)> ended;
+};
+
+struct Attempt {
+    Attempt(routing::Dispatch order, PayloadPointer bytes, std::string wireId, AttemptContext &owner);
+
+    routing::Dispatch dispatch;
+    PayloadPointer payload;
+    AttemptContext &context;
+    relay::RelayStream stream;
+    chat::EventReader reader;
+    PooledConnection pooled;
+    evhttp_request *request = nullptr; ///< owned by the library while under way
+    evbuffer_cb_entry *outputWatch = nullptr;
+    bool sent = false;      ///< a byte of the request may have left
+    bool started = false;   ///< AttemptStarted was reported
+    bool committed = false; ///< may relay
+    bool complete = false;  ///< the answer's own terminator was seen
+    bool over = false;      ///< finished, failed or cancelled: later callbacks change nothing
+    bool blocked = false;   ///< the caller reads too slowly
+    int status = 0;
+    TimePoint connectDeadline; ///< by then the connection stands
+    TimePoint deadline;        ///< by then the first or the next token arrives
+    TimePoint lastReport;
+    std::vector<CallerMessage> held; ///< relayed at commit
+};
+
+/// Reports a failure, once.
+auto fail(Attempt &attempt, Failure failure) -> void;
+/// Reports the end of a whole answer, once.
+auto finish(Attempt &attempt) -> void;
+/// Relays to the caller, or holds until the attempt is committed.
+auto relayPart(Attempt &attempt, CallerMessage message) -> void;
+/// Reports the first token or the response headers, once.
+auto reportStarted(Attempt &attempt) -> void;
+/// Reports progress, at intervals.
+auto reportProgress(Attempt &attempt) -> void;
+/// Relays what was held.
+auto commit(Attempt &attempt) -> void;
+/// Takes note of time: something arrived.
+auto extendDeadline(Attempt &attempt) -> void;
+
+/// Answer of an engine.
+auto receiveChatBytes(Attempt &attempt, std::string_view bytes) -> void;
+auto endChatAnswer(Attempt &attempt) -> void;
+
+/// Answer of a plain service.
+auto receiveServiceHeaders(Attempt &attempt, const std::string &contentType) -> void;
+auto receiveServiceBytes(Attempt &attempt, std::string_view bytes) -> void;
+auto endServiceAnswer(Attempt &attempt) -> void;
+
+} // namespace auburnspread::entry
--- /dev/null
+++ b/src/entry/backend/internal/chatattempt.cpp
@@ -0,0 +1,91 @@
+#include "entry/backend/internal/attempt.h"
+
+#include "wire/chat/chatanswer.h"
+
+namespace auburnspread::entry
+{
+
+namespace
+{
+
+auto relayToken(Attempt &attempt, chat::AnswerChunk chunk) -> void
+{
+    switch (relay::acceptChunk(attempt.stream, chunk.id, chunk.offset)) {
+    case relay::Verdict::Discard:
+        return;
+    case relay::Verdict::Gap:
+        fail(attempt, Failure::OffsetGap);
+        return;
+    case relay::Verdict::Relay:
+        break;
+    }
+    reportStarted(attempt);
+    extendDeadline(attempt);
+    AnswerPart part{ .request = attempt.dispatch.request };
+    if (attempt.payload->stream) {
+        part.event = chat::makeCallerEvent(std::move(chunk), attempt.payload->publicId);
+    } else {
+        part.content = std::move(chunk.content);
+    }
+    relayPart(attempt, std::move(part));
+    reportProgress(attempt);
+}
+
+auto relayLast(Attempt &attempt, chat::AnswerChunk chunk) -> void
+{
+    switch (relay::acceptEnd(attempt.stream, chunk.id, chunk.offset)) {
+    case relay::Verdict::Discard:
+        return;
+    case relay::Verdict::Gap:
+        fail(attempt, Failure::OffsetGap);
+        return;
+    case relay::Verdict::Relay:
+        break;
+    }
+    reportStarted(attempt);
+    attempt.complete = true;
+    AnswerPart part{ .request = attempt.dispatch.request, .finishReason = chunk.finishReason };
+    part.usage = chunk.document.value("usage", nlohmann::json::object());
+    if (attempt.payload->stream) {
+        part.event = chat::makeCallerEvent(std::move(chunk), attempt.payload->publicId);
+    }
+    relayPart(attempt, std::move(part));
+}
+
+auto receiveEvent(Attempt &attempt, std::string_view data) -> void
+{
+    if (attempt.over || attempt.complete || data == chat::StreamTerminator) {
+        return;
+    }
+    auto chunk = chat::parseAnswerChunk(data);
+    if (!chunk) {
+        fail(attempt, Failure::BadResponse);
+        return;
+    }
+    if (chunk->finishReason.empty()) {
+        relayToken(attempt, std::move(*chunk));
+    } else {
+        relayLast(attempt, std::move(*chunk));
+    }
+}
+
+} // namespace
+
+auto receiveChatBytes(Attempt &attempt, std::string_view bytes) -> void
+{
+    const auto receive = [&attempt](std::string_view data) { receiveEvent(attempt, data); };
+    if (!attempt.reader.feed(bytes, receive)) {
+        fail(attempt, Failure::BadResponse);
+    }
+}
+
+auto endChatAnswer(Attempt &attempt) -> void
+{
+    if (!attempt.complete) {
+        fail(attempt, Failure::Truncated);
+        return;
+    }
+    finish(attempt);
+}
+
+} // namespace auburnspread::entry
--- /dev/null
+++ b/src/entry/caller/callertask.cpp
@@ -0,0 +1,521 @@
+#include "entry/caller/callertask.h"
+
+#include "entry/caller/internal/exchange.h"
+#include "entry/caller/internal/requestreader.h"
+#include "runtime/task/eventloop.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <evhtp/evhtp.h>
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <functional>
+#include <stdexcept>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace auburnspread::entry
+{
+
+namespace
+{
+
+constexpr Duration SweepInterval = std::chrono::milliseconds(250);
+constexpr int ListenBacklog = 1024;
+constexpr int RedirectStatus = 307;
+constexpr std::size_t HeaderCutFactor = 4; // beyond the answerable bound by this much the connection is cut
+constexpr auto ChatPath = "/v1/chat/completions";
+constexpr auto EntriesPath = "/v1/entries";
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr Duration RedirectRetryAfter = std::chrono::seconds(1);
+
+struct HtpDeleter {
+    auto operator()(evhtp *server) const -> void
+    {
+        evhtp_unbind_socket(server);
+        evhtp_free(server);
+    }
+};
+
+template <typename Callback>
+auto asHook(Callback callback) -> evhtp_hook
+{
+    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(callback));
+}
+
+} // namespace
+
+struct CallerTask::State {
+    /// What is known of a caller's connection.
+    struct Connection {
+        State *owner = nullptr;
+        evhtp_connection *handle = nullptr;
+        TimePoint since;        ///< of the accept, the first header or the end of the last answer
+        bool reading = true;    ///< a request has begun
+        bool answering = false; ///< a request is complete and its answer is due
+        std::size_t headerBytes = 0;
+        std::size_t bodyBytes = 0;
+        RequestId exchange{}; ///< while answering
+    };
+
+    State(CallerTaskOptions taskOptions, Mailboxes &all)
+        : options(std::move(taskOptions))
+        , mailboxes(all)
+        , server(evhtp_new(loop.base(), nullptr))
+    {
+    }
+
+    auto accept(evhtp_connection *handle) -> evhtp_res;
+    auto setHooks(Connection &connection) -> void;
+    auto takeHeader(Connection &connection, std::size_t bytes) const -> evhtp_res;
+    auto takeBody(Connection &connection, evbuffer *bytes) const -> void;
+    auto finiRequest(Connection &connection) -> void;
+
+    auto handle(evhtp_request *request) -> void;
+    auto route(evhtp_request *request, Connection &connection) -> void;
+    auto checkBounds(const Connection &connection) const -> void;
+    auto submit(evhtp_request *request, Connection &connection, Submission submission) -> void;
+    auto watchCaller(Exchange &exchange) -> void;
+    auto answerEntries(evhtp_request *request) -> void;
+    auto answerDraining(evhtp_request *request) -> void;
+    auto refuseInput(evhtp_request *request, const RefusedInput &input) -> void;
+    auto prepareReply(evhtp_request *request) const -> void;
+
+    auto take(const CallerMessage &message) -> void;
+    auto takeRefusal(const routing::Refuse &refuse) -> void;
+    auto end(Exchange &exchange) -> void;
+    auto callerGone(RequestId id) -> void;
+    auto checkBacklog(Exchange &exchange) -> void;
+    auto find(RequestId id) -> Exchange *;
+    auto publicIdOf(RequestId id) const -> std::string;
+    auto sweep() -> void;
+    auto isIdle() const -> bool;
+
+    CallerTaskOptions options;
+    Mailboxes &mailboxes;
+    task::EventLoop loop;
+    std::unordered_map<evhtp_connection *, Connection> connections;
+    std::unordered_map<RequestId, std::unique_ptr<Exchange>> exchanges;
+    std::shared_ptr<const EntriesView> entries = std::make_shared<EntriesView>();
+    std::uint64_t lastId = 0;
+    bool draining = false;
+    std::atomic<bool> stopping = false;
+    std::unique_ptr<evhtp, HtpDeleter> server; //!< NOTE last: ending it calls the hooks, which use the maps
+};
+
+auto CallerTask::State::accept(evhtp_connection *handle) -> evhtp_res
+{
+    auto &connection = connections[handle];
+    connection.owner = this;
+    connection.handle = handle;
+    connection.since = task::monotonicNow();
+    setHooks(connection);
+    const auto noDelay = 1;
+    ::setsockopt(bufferevent_getfd(handle->bev), IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+    return EVHTP_RES_OK;
+}
+
+auto CallerTask::State::setHooks(Connection &connection) -> void
+{
+    auto *handle = connection.handle;
+    const auto onStart = [](evhtp_request * /*request*/, void *context) -> evhtp_res {
+        auto &known = *static_cast<Connection *>(context);
+        known.reading = true;
+        known.since = task::monotonicNow();
+        known.headerBytes = 0;
+        known.bodyBytes = 0;
+        return EVHTP_RES_OK;
+    };
+    const auto onHeader = [](evhtp_request * /*request*/, evhtp_header_t *header, void *context) -> evhtp_res {
+        auto &known = *static_cast<Connection *>(context);
+        return known.owner->takeHeader(known, header->klen + header->vlen);
+    };
+    const auto onRead = [](evhtp_request * /*request*/, evbuffer *bytes, void *context) -> evhtp_res {
+        auto &known = *static_cast<Connection *>(context);
+        known.owner->takeBody(known, bytes);
+        return EVHTP_RES_OK;
+    };
+    const auto onRequestFini = [](evhtp_request * /*request*/, void *context) -> evhtp_res {
+        auto &known = *static_cast<Connection *>(context);
+        known.owner->finiRequest(known);
+        return EVHTP_RES_OK;
+    };
+    const auto onFini = [](evhtp_connection *ended, void *context) -> evhtp_res {
+        static_cast<Connection *>(context)->owner->connections.erase(ended);
+        return EVHTP_RES_OK;
+    };
+    evhtp_connection_set_hook(handle, evhtp_hook_on_headers_start, asHook(+onStart), &connection);
+    evhtp_connection_set_hook(handle, evhtp_hook_on_header, asHook(+onHeader), &connection);
+    evhtp_connection_set_hook(handle, evhtp_hook_on_read, asHook(+onRead), &connection);
+    evhtp_connection_set_hook(handle, evhtp_hook_on_request_fini, asHook(+onRequestFini), &connection);
+    evhtp_connection_set_hook(handle, evhtp_hook_on_connection_fini, asHook(+onFini), &connection);
+}
+
+/// Failure: a caller sends headers without end. Symptom: memory grows. Up to a multiple of the bound the request
+/// is read on, so that its caller gets an answer; beyond it the connection is cut.
+auto CallerTask::State::takeHeader(Connection &connection, std::size_t bytes) const -> evhtp_res
+{
+    connection.headerBytes += bytes;
+    return connection.headerBytes > HeaderCutFactor * options.headerBytes ? EVHTP_RES_FATAL : EVHTP_RES_OK;
+}
+
+/// Failure: a body without end. What exceeds the bound is thrown away as it comes: memory stays bounded, the
+/// caller still gets its 413, and the read timeout bounds how long it may go on.
+auto CallerTask::State::takeBody(Connection &connection, evbuffer *bytes) const -> void
+{
+    connection.bodyBytes += evbuffer_get_length(bytes);
+    if (connection.bodyBytes > options.bodyBytes) {
+        evbuffer_drain(bytes, evbuffer_get_length(bytes));
+    }
+}
+
+auto CallerTask::State::finiRequest(Connection &connection) -> void
+{
+    if (connection.answering) {
+        callerGone(connection.exchange);
+    }
+    connection.answering = false;
+    connection.reading = false;
+    connection.since = task::monotonicNow();
+}
+
+auto CallerTask::State::handle(evhtp_request *request) -> void
+{
+    const auto found = connections.find(request->conn);
+    if (found == connections.end()) {
+        return;
+    }
+    found->second.reading = false;
+    prepareReply(request);
+    try {
+        checkBounds(found->second);
+        route(request, found->second);
+    } catch (const RefusedInput &input) {
+        refuseInput(request, input);
+    }
+}
+
+auto CallerTask::State::checkBounds(const Connection &connection) const -> void
+{
+    if (connection.headerBytes > options.headerBytes) {
+        throw RefusedInput(Reason::HeaderTooLarge, "headers: more than " + std::to_string(options.headerBytes) + " bytes");
+    }
+    if (connection.bodyBytes > options.bodyBytes) {
+        throw RefusedInput(Reason::BodyTooLarge, "body: more than " + std::to_string(options.bodyBytes) + " bytes");
+    }
+    if (connections.size() > options.connections) {
+        throw RefusedInput(Reason::TooManyConnections, "connections: more than " + std::to_string(options.connections));
+    }
+}
+
+auto CallerTask::State::route(evhtp_request *request, Connection &connection) -> void
+{
+    const auto path = pathAndQueryOf(request);
+    const auto bare = path.substr(0, path.find('?'));
+    const auto isPost = evhtp_request_get_method(request) == htp_method_POST;
+    const auto isService = bare.starts_with(ServicesPrefix);
+    if (bare == EntriesPath) {
+        answerEntries(request);
+        return;
+    }
+    if (!(bare == ChatPath && isPost) && !isService) {
+        throw RefusedInput(Reason::BadRequest, "path: no such method and path: " + bare);
+    }
+    if (draining) {
+        answerDraining(request);
+        return;
+    }
+    const auto id = RequestId{ ++lastId };
+    const auto publicId = publicIdOf(id);
+    submit(request, connection, isService ? readServiceSubmission(request, id, publicId) : readChatSubmission(request, id, publicId));
+}
+
+auto CallerTask::State::submit(evhtp_request *request, Connection &connection, Submission submission) -> void
+{
+    const auto id = submission.arrived.request;
+    auto &exchange = *(exchanges[id] = std::make_unique<Exchange>());
+    exchange.id = id;
+    exchange.request = request;
+    exchange.publicId = submission.payload->publicId;
+    exchange.kind = submission.arrived.kind;
+    exchange.stream = submission.payload->stream;
+    exchange.whole.requestId = exchange.publicId;
+    exchange.whole.model = submission.arrived.model;
+    connection.answering = true;
+    connection.exchange = id;
+    evhtp_request_pause(request);
+    watchCaller(exchange);
+    mailboxes.router.post(std::move(submission));
+}
+
+//! NOTE a paused connection is not read, so the library does not see the caller close it; a watch for the closed
+//! state alone does, without taking bytes of a further request
+auto CallerTask::State::watchCaller(Exchange &exchange) -> void
+{
+    auto *connection = exchange.request->conn;
+    const auto onClosed
+        = [](evutil_socket_t /*descriptor*/, short /*what*/, void *context) { evhtp_connection_free(static_cast<evhtp_connection *>(context)); };
+    exchange.closedWatch.reset(event_new(loop.base(), bufferevent_getfd(connection->bev), EV_CLOSED, onClosed, connection));
+    event_add(exchange.closedWatch.get(), nullptr);
+
+    const auto onOutput = [](evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) {
+        if (info->n_deleted > 0) {
+            auto &known = *static_cast<Connection *>(context);
+            if (auto *open = known.owner->find(known.exchange)) {
+                known.owner->checkBacklog(*open);
+            }
+        }
+    };
+    exchange.drainWatch = evbuffer_add_cb(bufferevent_get_output(connection->bev), onOutput, &connections.at(connection));
+}
+
+auto CallerTask::State::answerEntries(evhtp_request *request) -> void
+{
+    auto addresses = entries->addresses;
+    if (!addresses.empty()) {
+        const auto turn = std::hash<std::string>{}(queryOf(request, "workspace")) % addresses.size();
+        std::rotate(addresses.begin(), addresses.begin() + static_cast<std::ptrdiff_t>(turn), addresses.end());
+    }
+    const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(entries->keep).count();
+    const nlohmann::json document = { { "addresses", addresses }, { "keep_ms", keep }, { "membership_version", entries->membershipVersion } };
+    writeDocument(request, EVHTP_RES_OK, "application/json", document.dump());
+}
+
+/// A caller that kept an old answer of /v1/entries is sent to a peer; nothing was run.
+auto CallerTask::State::answerDraining(evhtp_request *request) -> void
+{
+    const routing::Refuse refuse{ .reason = Reason::Draining, .outcome = Outcome::NotRun, .retryAfter = RedirectRetryAfter, .step = "admit" };
+    if (options.refused) {
+        options.refused(refuse, "");
+    }
+    const chat::Refusal refusal{ .reason = refuse.reason, .outcome = refuse.outcome, .retryAfter = refuse.retryAfter, .step = refuse.step };
+    addRefusalHeaders(request, refusal);
+    if (entries->addresses.empty()) {
+        writeDocument(request, entryOf(Reason::Draining).status, "application/json", chat::makeRefusalBody(refusal));
+        return;
+    }
+    const auto turn = static_cast<std::size_t>(++lastId) % entries->addresses.size();
+    addReplyHeader(request, "Location", "http://" + entries->addresses.at(turn) + pathAndQueryOf(request));
+    writeDocument(request, RedirectStatus, "application/json", chat::makeRefusalBody(refusal));
+}
+
+auto CallerTask::State::refuseInput(evhtp_request *request, const RefusedInput &input) -> void
+{
+    const auto &entry = entryOf(input.reason());
+    routing::Refuse refuse{ .reason = input.reason(), .outcome = Outcome::NotRun, .step = "identify" };
+    if (entry.retryHelps) {
+        refuse.retryAfter = RedirectRetryAfter;
+    }
+    if (options.refused) {
+        options.refused(refuse, input.what());
+    }
+    const chat::Refusal refusal{
+        .reason = refuse.reason,
+        .outcome = refuse.outcome,
+        .retryAfter = refuse.retryAfter,
+        .step = refuse.step,
+        .detail = input.what(),
+    };
+    addRefusalHeaders(request, refusal);
+    evhtp_request_set_keepalive(request, 0);
+    writeDocument(request, entry.status, "application/json", chat::makeRefusalBody(refusal));
+}
+
+auto CallerTask::State::prepareReply(evhtp_request *request) const -> void
+{
+    if (draining) {
+        addReplyHeader(request, "Connection", "close");
+        evhtp_request_set_keepalive(request, 0);
+    }
+}
+
+auto CallerTask::State::take(const CallerMessage &message) -> void
+{
+    if (const auto *part = std::get_if<AnswerPart>(&message)) {
+        if (auto *exchange = find(part->request)) {
+            writePart(*exchange, *part);
+            checkBacklog(*exchange);
+        }
+    } else if (const auto *ended = std::get_if<AnswerEnded>(&message)) {
+        if (auto *exchange = find(ended->request)) {
+            writeEnd(*exchange);
+            end(*exchange);
+        }
+    } else if (const auto *refuse = std::get_if<routing::Refuse>(&message)) {
+        takeRefusal(*refuse);
+    } else if (const auto *restarted = std::get_if<AnswerRestarted>(&message)) {
+        if (auto *exchange = find(restarted->request)) {
+            exchange->whole.content.clear();
+        }
+    } else if (const auto *service = std::get_if<ServiceAnswer>(&message)) {
+        if (auto *exchange = find(service->request)) {
+            exchange->serviceStatus = service->status;
+            exchange->serviceContentType = service->contentType;
+        }
+    } else if (const auto *published = std::get_if<EntriesPublished>(&message)) {
+        entries = published->view;
+    } else if (std::holds_alternative<routing::DrainStarted>(message)) {
+        draining = true;
+    }
+}
+
+auto CallerTask::State::takeRefusal(const routing::Refuse &refuse) -> void
+{
+    if (options.refused) {
+        options.refused(refuse, "");
+    }
+    auto *exchange = find(refuse.request);
+    if (exchange == nullptr) {
+        return;
+    }
+    const auto proper = writeRefusal(*exchange,
+                                     {
+                                         .reason = refuse.reason,
+                                         .outcome = refuse.outcome,
+                                         .retryAfter = refuse.retryAfter,
+                                         .step = refuse.step,
+                                         .peer = refuse.peer,
+                                         .requestId = exchange->publicId,
+                                     });
+    if (proper) {
+        end(*exchange);
+        return;
+    }
+    //! NOTE a service's answer that broke off has no error event; ending the connection without the last chunk
+    //! is what tells the caller that the answer is not whole
+    auto *connection = exchange->request->conn;
+    connections.at(connection).answering = false;
+    exchanges.erase(refuse.request);
+    evhtp_connection_free(connection);
+}
+
+auto CallerTask::State::end(Exchange &exchange) -> void
+{
+    auto *request = exchange.request;
+    auto &connection = connections.at(request->conn);
+    connection.answering = false;
+    evbuffer_remove_cb_entry(bufferevent_get_output(request->conn->bev), exchange.drainWatch);
+    exchanges.erase(exchange.id);
+    evhtp_request_resume(request);
+}
+
+auto CallerTask::State::callerGone(RequestId id) -> void
+{
+    exchanges.erase(id);
+    mailboxes.router.post(routing::Event(routing::CallerGone{ .request = id }));
+}
+
+auto CallerTask::State::checkBacklog(Exchange &exchange) -> void
+{
+    const auto waiting = evbuffer_get_length(bufferevent_get_output(exchange.request->conn->bev));
+    const auto blocked = exchange.blocked ? waiting > options.streamBufferBytes / 2 : waiting > options.streamBufferBytes;
+    if (blocked == exchange.blocked) {
+        return;
+    }
+    exchange.blocked = blocked;
+    mailboxes.backend.post(CallerBlocked{ .request = exchange.id, .blocked = blocked });
+}
+
+auto CallerTask::State::find(RequestId id) -> Exchange *
+{
+    const auto found = exchanges.find(id);
+    return found == exchanges.end() ? nullptr : found->second.get();
+}
+
+auto CallerTask::State::publicIdOf(RequestId id) const -> std::string
+{
+    return options.publicPrefix + "-" + std::to_string(static_cast<std::uint64_t>(id));
+}
+
+/// Failure: callers that send a byte now and then, or nothing, hold connections open. Symptom: no connection is
+/// left for others. A request must be complete within a bounded time from its beginning, whatever trickles in.
+auto CallerTask::State::sweep() -> void
+{
+    const auto now = task::monotonicNow();
+    std::vector<evhtp_connection *> late;
+    for (const auto &[handle, connection] : connections) {
+        const auto bound = connection.reading ? options.readTimeout : options.idleTimeout;
+        if (!connection.answering && now - connection.since > bound) {
+            late.push_back(handle);
+        }
+    }
+    for (auto *handle : late) {
+        evhtp_connection_free(handle);
+    }
+    if (stopping && isIdle()) {
+        loop.stop();
+    }
+}
+
+auto CallerTask::State::isIdle() const -> bool
+{
+    if (!exchanges.empty()) {
+        return false;
+    }
+    return std::all_of(
+        connections.begin(), connections.end(), [](const auto &known) { return evbuffer_get_length(bufferevent_get_output(known.second.handle->bev)) == 0; });
+}
+
+CallerTask::CallerTask(CallerTaskOptions options, Mailboxes &mailboxes)
+    : state_(std::make_unique<State>(std::move(options), mailboxes))
+{
+}
+
+CallerTask::~CallerTask() = default;
+
+auto CallerTask::listen() -> void
+{
+    auto &state = *state_;
+    const auto &address = state.options.address;
+    const auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string::npos) {
+        throw std::runtime_error("listen: expected IP:PORT, got " + address);
+    }
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    const auto onRequest = [](evhtp_request *request, void *context) { static_cast<State *>(context)->handle(request); };
+    const auto onAccept = [](evhtp_connection *connection, void *context) -> evhtp_res { return static_cast<State *>(context)->accept(connection); };
+    evhtp_set_gencb(state.server.get(), onRequest, &state);
+    evhtp_set_post_accept_cb(state.server.get(), onAccept, &state);
+    if (evhtp_bind_socket(state.server.get(), address.substr(0, colon).c_str(), port, ListenBacklog) != 0) {
+        throw std::runtime_error("listen: cannot bind " + address + ": " + std::strerror(errno));
+    }
+}
+
+auto CallerTask::address() const -> std::string
+{
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    ::getsockname(evconnlistener_get_fd(state_->server->server), reinterpret_cast<sockaddr *>(&bound), &length);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    ::inet_ntop(AF_INET, &bound.sin_addr, text.data(), text.size());
+    return std::string(text.data()) + ":" + std::to_string(ntohs(bound.sin_port));
+}
+
+auto CallerTask::run() -> void
+{
+    auto &state = *state_;
+    const auto inbox = state.loop.receive(state.mailboxes.caller, [&state](const CallerMessage &message) { state.take(message); });
+    const auto sweeper = state.loop.every(SweepInterval, [&state]() { state.sweep(); });
+    state.loop.run();
+}
+
+auto CallerTask::stopWhenIdle() -> void
+{
+    state_->stopping = true;
+}
+
+} // namespace auburnspread::entry
--- a/src/wire/chat/tests/chat_tests.cpp
+++ b/src/wire/chat/tests/chat_tests.cpp
@@ -68,7 +68,7 @@
     }
 }
 
-RC_GTEST_PROP(ChatRequestTests, anyBytesGiveAnAnswerOrAClearError, (std::string text))
+RC_GTEST_PROP(ChatRequestTests, anyBytesGiveAnAnswerOrAClearError, (const std::string &text))
 {
     takesWithoutCrash(text);
 }
@@ -81,14 +81,14 @@
     takesWithoutCrash(text);
 }
 
-RC_GTEST_PROP(AnswerChunkTests, anyBytesFromABackendServerAreJudgedWithoutCrash, (std::string text))
+RC_GTEST_PROP(AnswerChunkTests, anyBytesFromABackendServerAreJudgedWithoutCrash, (const std::string &text))
 {
     chat::parseAnswerChunk(text);
     chat::parseAnswerChunk(R"({"id":"a","offset":0,"choices":[)" + text + "]}");
 }
 
 // The caller's tokens must not depend on how the network cuts the stream into pieces.
-RC_GTEST_PROP(EventReaderTests, eventsDoNotDependOnHowBytesArrive, (std::vector<std::uint8_t> cuts))
+RC_GTEST_PROP(EventReaderTests, eventsDoNotDependOnHowBytesArrive, (const std::vector<std::uint8_t> &cuts))
 {
     const std::string stream = "data: one\n\n: comment\r\ndata: two\r\n\r\nevent: x\ndata:three\n\n";
     chat::EventReader reader(stream.size());
