Decision core: first whole path of a request

Cause: the entry needs a step function to build on. Change: names are checked, requests queue by tier, class, workspace and deadline, go to the least loaded fitting backend server under its concurrency, are committed, completed, refused with reason and outcome, tried again once where that is safe, and drained.

--- /dev/null
+++ b/src/core/queueing/requestqueue.h
@@ -0,0 +1,151 @@
+/// \file
+/// The requests that wait in one entry, and who goes next: the highest tier first; within it classes by deficit round
+/// robin over tokens, weighted; within a class workspaces likewise; within a workspace the nearest deadline.
+///
+/// Every operation costs O(log n) in the number of waiting requests, and besides that only depends on how many routes
+/// one backend server carries and how many classes share a tier.
+
+#pragma once
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/configuration/document.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace auburnspread::queueing
+{
+
+/// A request class, numbered by the owner of the queue.
+enum class ClassId : std::uint32_t {};
+
+/// A workspace, numbered by the owner of the queue.
+enum class WorkspaceId : std::uint32_t {};
+
+/// What a request needs of a backend server: a model in one version with one adapter, or a service.
+enum class RouteId : std::uint32_t {};
+
+struct WaitingRequest {
+    RequestId request{};
+    ClassId requestClass{};
+    WorkspaceId workspace{};
+    RouteId route{};
+    std::uint32_t workspaceWeight = 1;
+    std::uint64_t order = 0; ///< position among all arrivals; unique
+    std::uint32_t cost = 1;  ///< tokens charged when it is taken; at least 1
+    TimePoint arrived;
+    TimePoint latestStart; ///< started later, the answer cannot be on time any more
+    TimePoint deadline;
+};
+
+namespace detail
+{
+
+/// The waiting requests of one workspace in one band.
+struct Flow {
+    using Key = std::pair<TimePoint, std::uint64_t>; ///< deadline, order
+    std::map<Key, RequestId> requests;
+    std::list<WorkspaceId>::iterator turn;
+    std::int64_t deficit = 0;
+    std::uint32_t weight = 1;
+};
+
+/// Deficit round robin over workspaces.
+struct Band {
+    std::unordered_map<WorkspaceId, Flow> flows;
+    std::list<WorkspaceId> turns;  ///< who is served next, front first
+    std::uint32_t largestCost = 1; ///< the quantum: no smaller than any cost in the band, so that one turn serves one request at least
+};
+
+/// One class on one route.
+struct Lane {
+    Band onTime;
+    Band late;                                  ///< served only while \c onTime is empty
+    std::map<std::uint64_t, RequestId> byOrder; ///< of both bands: oldest first
+    std::uint64_t lastTaken = 0;                ///< when the lane was served last, counted in takes
+};
+
+struct ClassQueue {
+    int tier = configuration::TierCount - 1;
+    std::uint32_t weight = 1;
+    std::uint32_t reservedPlaces = 0;
+    Duration starvationBound{};
+    std::int64_t deficit = 0;
+    std::uint32_t waiting = 0;
+    std::map<RouteId, Lane> lanes; ///< only lanes in which something waits
+};
+
+struct RouteQueue {
+    std::uint32_t waiting = 0;
+    std::array<std::vector<ClassId>, configuration::TierCount> classes; ///< with a lane on this route, by tier
+};
+
+} // namespace detail
+
+struct RequestQueue {
+    std::unordered_map<RequestId, WaitingRequest> requests;
+    std::map<ClassId, detail::ClassQueue> classes;
+    std::unordered_map<RouteId, detail::RouteQueue> routes;
+    std::array<std::uint32_t, configuration::TierCount> evictable{}; ///< waiting beyond the reserved places, by tier
+    std::uint64_t takes = 0;
+};
+
+struct ClassOptions {
+    int tier = configuration::TierCount - 1;
+    std::uint32_t weight = 1;
+    std::uint32_t reservedPlaces = 1; ///< places of the class's own beyond the queue bound
+    Duration starvationBound{};
+};
+
+/// Declares or changes a class. Nothing of the class may be waiting.
+auto setClass(RequestQueue &queue, ClassId requestClass, const ClassOptions &options) -> void;
+
+/// The class must have been declared.
+auto enqueue(RequestQueue &queue, const WaitingRequest &request) -> void;
+
+/// Whether it was waiting.
+auto remove(RequestQueue &queue, RequestId request) -> bool;
+
+/// Marks a waiting request as no longer able to be on time: those of its class that still can go before it.
+auto demote(RequestQueue &queue, RequestId request) -> void;
+
+/// The highest tier that waits on any of \p routes.
+auto highestTier(const RequestQueue &queue, std::span<const RouteId> routes) -> std::optional<int>;
+
+/// Takes the request that goes next on any of \p routes.
+auto takeNext(RequestQueue &queue, std::span<const RouteId> routes) -> std::optional<WaitingRequest>;
+
+/// Takes the request that is furthest past its class's starvation bound on any of \p routes, among classes that \p mayUseFloor allows.
+auto takeStarved(RequestQueue &queue, std::span<const RouteId> routes, TimePoint now, const std::function<bool(ClassId)> &mayUseFloor)
+    -> std::optional<WaitingRequest>;
+
+/// Corrects the class's account once the real cost of a request is known; lengths are not known in advance.
+auto settle(RequestQueue &queue, ClassId requestClass, std::uint32_t charged, std::uint32_t used) -> void;
+
+/// Waiting requests that count towards the queue bound: all but those on their class's reserved places.
+auto boundedLength(const RequestQueue &queue) -> std::uint32_t;
+
+/// Whether a further request of the class would take one of the class's reserved places.
+auto hasReservedPlace(const RequestQueue &queue, ClassId requestClass) -> bool;
+
+/// The request to evict for one of tier \p tier: the newest of the lowest tier below it; nothing if no lower tier holds a place that counts.
+auto findVictim(const RequestQueue &queue, int tier) -> std::optional<RequestId>;
+
+auto waitingOn(const RequestQueue &queue, RouteId route) -> std::uint32_t;
+auto waitingOf(const RequestQueue &queue, ClassId requestClass) -> std::uint32_t;
+
+/// Waiting on the route in tiers not below \p tier: what stands before a new request of that tier.
+auto waitingAhead(const RequestQueue &queue, RouteId route, int tier) -> std::uint32_t;
+
+} // namespace auburnspread::queueing
--- /dev/null
+++ b/src/core/routing/internal/attempts.h
@@ -0,0 +1,17 @@
+/// \file
+/// What happens to attempts on backend servers. An event of an attempt that is not live changes nothing but the waste account.
+
+#pragma once
+
+#include "core/routing/internal/state.h"
+
+namespace auburnspread::routing
+{
+
+auto onStarted(RouterState &state, const AttemptStarted &event, TimePoint now, Actions &actions) -> void;
+auto onProgress(RouterState &state, const AttemptProgress &event) -> void;
+auto onFinished(RouterState &state, const AttemptFinished &event, TimePoint now, Actions &actions) -> void;
+auto onFailed(RouterState &state, const AttemptFailed &event, TimePoint now, Actions &actions) -> void;
+auto onClaimSettled(RouterState &state, const ClaimSettled &event, TimePoint now, Actions &actions) -> void;
+
+} // namespace auburnspread::routing
--- /dev/null
+++ b/src/core/routing/internal/catalog.cpp
@@ -0,0 +1,207 @@
+#include "core/routing/internal/catalog.h"
+
+#include "core/routing/internal/ending.h"
+#include "core/routing/internal/identify.h"
+#include "core/routing/internal/placing.h"
+
+#include <algorithm>
+
+namespace auburnspread::routing
+{
+
+namespace
+{
+
+using configuration::BackendServer;
+using configuration::Document;
+using configuration::ServedModel;
+
+auto serves(const ServedModel &served, const RouteKey &key) -> bool
+{
+    if (served.model != key.name || served.version != key.version) {
+        return false;
+    }
+    return key.adapter.empty() || std::find(served.adapters.begin(), served.adapters.end(), key.adapter) != served.adapters.end();
+}
+
+auto fits(const BackendServer &server, const RouteKey &key) -> bool
+{
+    return std::any_of(server.models.begin(), server.models.end(), [&](const auto &served) { return serves(served, key); });
+}
+
+auto connect(RouterState &state, RouteId route, const std::string &name) -> void
+{
+    auto &server = state.servers.at(name);
+    routeOf(state, route).servers.push_back(&server);
+    server.routes.push_back(route);
+}
+
+/// Finds the backend servers that fit; once for each route and document.
+auto connectRoute(RouterState &state, RouteId route) -> void
+{
+    const auto key = routeOf(state, route).key;
+    if (key.kind == CallKind::Service) {
+        const auto service = state.services.find(key.name);
+        if (service != state.services.end()) {
+            for (const auto &server : service->second->servers) {
+                connect(state, route, server.name);
+            }
+        }
+        return;
+    }
+    for (const auto &server : state.adopted->document.backendServers) {
+        if (fits(server, key)) {
+            connect(state, route, server.name);
+        }
+    }
+}
+
+auto adoptClasses(RouterState &state, const Document &document) -> void
+{
+    for (auto &[name, requestClass] : state.classes) {
+        requestClass.inDocument = false;
+    }
+    for (const auto &definition : document.classes) {
+        const auto [place, isNew] = state.classes.try_emplace(definition.name);
+        auto &requestClass = place->second;
+        if (isNew) {
+            requestClass.id = static_cast<ClassId>(state.classes.size());
+        }
+        requestClass.definition = definition;
+        requestClass.inDocument = true;
+        queueing::setClass(
+            state.queue,
+            requestClass.id,
+            { .tier = definition.tier, .weight = definition.weight, .reservedPlaces = definition.floorSlots, .starvationBound = definition.starvationBound });
+    }
+}
+
+auto adoptWorkspaces(RouterState &state, const Document &document) -> void
+{
+    for (auto &[name, workspace] : state.workspaces) {
+        workspace.inDocument = false;
+    }
+    for (const auto &definition : document.workspaces) {
+        const auto [place, isNew] = state.workspaces.try_emplace(definition.name);
+        auto &workspace = place->second;
+        if (isNew) {
+            state.lastWorkspace += 1;
+            workspace.id = static_cast<WorkspaceId>(state.lastWorkspace);
+        }
+        workspace.definition = definition;
+        workspace.inDocument = true;
+    }
+    std::erase_if(state.workspaces, [](const auto &entry) { return !entry.second.inDocument && entry.second.open == 0; });
+}
+
+auto addServer(RouterState &state, const std::string &name) -> Server &
+{
+    auto &server = state.servers[name];
+    server.name = name;
+    server.inDocument = true;
+    return server;
+}
+
+/// A backend server that vanished from the document keeps its record until what it runs has ended.
+auto adoptServers(RouterState &state, const Document &document) -> void
+{
+    for (auto &[name, server] : state.servers) {
+        server.inDocument = false;
+        server.routes.clear();
+    }
+    for (const auto &definition : document.backendServers) {
+        auto &server = addServer(state, definition.name);
+        server.address = definition.address;
+        server.failureDomain = definition.failureDomain;
+        server.concurrency = definition.concurrency;
+        server.canResume = definition.canResume;
+        server.honoursPriority = definition.honoursPriority;
+    }
+    for (const auto &service : document.services) {
+        for (const auto &definition : service.servers) {
+            auto &server = addServer(state, definition.name);
+            server.address = definition.address;
+            server.failureDomain = definition.failureDomain;
+            server.concurrency = definition.concurrency;
+            server.canResume = false;
+        }
+    }
+    std::erase_if(state.servers, [](const auto &entry) { return !entry.second.inDocument && entry.second.inFlight == 0; });
+}
+
+auto adoptNames(RouterState &state, const Document &document) -> void
+{
+    state.models.clear();
+    for (const auto &model : document.models) {
+        state.models.emplace(model.name, &model);
+    }
+    state.services.clear();
+    for (const auto &service : document.services) {
+        state.services.emplace(service.name, &service);
+    }
+}
+
+/// What waits is taken out before the change and goes back in, in order of arrival, after it.
+auto takeOutWaiting(RouterState &state) -> std::vector<RequestId>
+{
+    std::vector<std::pair<std::uint64_t, RequestId>> waiting;
+    for (const auto &[id, request] : state.requests) {
+        if (request.stage != Stage::Placed) {
+            waiting.emplace_back(request.order, id);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::vector<RequestId> ids;
+    for (const auto &[order, id] : waiting) {
+        leaveWaiting(state, state.requests.at(id));
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+auto putBack(RouterState &state, RequestId id, TimePoint now, Actions &actions) -> void
+{
+    auto &request = state.requests.at(id);
+    auto identified = identify(state, request.call);
+    if (const auto *reason = std::get_if<Reason>(&identified)) {
+        refuse(state, request, { .reason = *reason, .step = "configure" }, actions);
+        return;
+    }
+    request.route = findRoute(state, std::get<Identified>(identified).route);
+    waitAgain(state, request, now, actions);
+}
+
+} // namespace
+
+auto findRoute(RouterState &state, const RouteKey &key) -> RouteId
+{
+    const auto [place, isNew] = state.routeIds.try_emplace(key, static_cast<RouteId>(state.routes.size()));
+    if (isNew) {
+        state.routes.push_back({ .key = key });
+        connectRoute(state, place->second);
+    }
+    return place->second;
+}
+
+auto adoptConfiguration(RouterState &state, const ConfigurationAdopted &event, TimePoint now, Actions &actions) -> void
+{
+    if (!event.configuration || (state.adopted && event.configuration->version <= state.adopted->version)) {
+        return;
+    }
+    const auto waiting = takeOutWaiting(state);
+    state.adopted = event.configuration;
+    const auto &document = state.adopted->document;
+    adoptNames(state, document);
+    adoptClasses(state, document);
+    adoptWorkspaces(state, document);
+    adoptServers(state, document);
+    for (std::size_t route = 0; route < state.routes.size(); ++route) {
+        state.routes.at(route).servers.clear();
+        connectRoute(state, static_cast<RouteId>(route));
+    }
+    for (const auto id : waiting) {
+        putBack(state, id, now, actions);
+    }
+}
+
+} // namespace auburnspread::routing
