Workspace limits, forecasts and retry rules of the core

Cause: an entry must refuse what a workspace's limits or its targets rule out, and bound its retries. Quarantine events name who says so and which backend server crashed, since blame needs both.

--- /dev/null
+++ b/src/core/retry/tests/retry_tests.cpp
@@ -0,0 +1,72 @@
+#include "core/retry/budget.h"
+#include "core/retry/decision.h"
+#include "core/retry/repeats.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace auburnspread;
+using namespace auburnspread::retry;
+using namespace std::chrono_literals;
+
+RC_GTEST_PROP(RetryDecisionTests, aRequestThatMayHaveRunIsTriedAgainOnlyIfRepeatable, ())
+{
+    const auto place = *rc::gen::inRange<std::size_t>(0, failureTable().size());
+    const Failed failed{ .failure = failureTable()[place].value,
+                         .repeatable = *rc::gen::arbitrary<bool>(),
+                         .resumable = *rc::gen::arbitrary<bool>(),
+                         .answerBegun = *rc::gen::arbitrary<bool>(),
+                         .retriesMade = *rc::gen::inRange<std::uint32_t>(0, 4),
+                         .deadline = TimePoint(1s) };
+    const auto decision = decide(failed, TimePoint(Duration(*rc::gen::inRange(0, 2000000))));
+    const auto *how = std::get_if<How>(&decision);
+    if (how == nullptr) {
+        return;
+    }
+    RC_ASSERT(failed.repeatable || provesNotStarted(failed.failure));
+    RC_ASSERT((*how == How::Resume) == failed.answerBegun);
+    RC_ASSERT(*how != How::Resume || failed.resumable);
+}
+
+// Every backend server fails every request for a minute, in a class with a hundred fresh requests a second. Were each
+// tried again, the load would double or triple; the budget holds retries to its part of fresh traffic.
+TEST(RetryBudgetTests, retriesStayAPartOfFreshTraffic)
+{
+    Budget budget;
+    TimePoint now{};
+    int retries = 0;
+    for (int i = 0; i < 6000; ++i) {
+        now += 10ms;
+        payIn(budget, 10, now);
+        retries += takeRetry(budget, now) ? 1 : 0;
+    }
+    EXPECT_GE(retries, 600);
+    EXPECT_LE(retries, 600 + 60 / 5 + 2);
+}
+
+TEST(RetryBudgetTests, aQuietClassMayRetryAndItsCallersRepeatsCount)
+{
+    Budget budget;
+    TimePoint now{};
+    EXPECT_TRUE(takeRetry(budget, now));
+    EXPECT_TRUE(takeRetry(budget, now));
+    EXPECT_FALSE(takeRetry(budget, now));
+    now += 5s;
+    EXPECT_TRUE(takeRetry(budget, now));
+    now += 5s;
+    chargeRepeat(budget, now);
+    EXPECT_FALSE(takeRetry(budget, now));
+}
+
+TEST(RepeatsTests, anEqualRequestIsARepeatOnlyOnceAndOnlySoonAfterTheFirstWasGivenUp)
+{
+    Repeats repeats;
+    TimePoint now{};
+    EXPECT_FALSE(takeRepeat(repeats, 1, Fingerprint{ 7 }, now));
+    noteGivenUp(repeats, 1, Fingerprint{ 7 }, now);
+    EXPECT_FALSE(takeRepeat(repeats, 2, Fingerprint{ 7 }, now));
+    EXPECT_TRUE(takeRepeat(repeats, 1, Fingerprint{ 7 }, now + 1s));
+    EXPECT_FALSE(takeRepeat(repeats, 1, Fingerprint{ 7 }, now + 1s));
+    noteGivenUp(repeats, 1, Fingerprint{ 7 }, now);
+    EXPECT_FALSE(takeRepeat(repeats, 1, Fingerprint{ 7 }, now + 31s));
+}
--- a/src/core/routing/actions.h
+++ b/src/core/routing/actions.h
@@ -80,10 +80,11 @@
     std::string idempotencyKey;
 };
 
-/// Tell the cell about a fingerprint.
+/// Tell the cell about a fingerprint; the peers hear it as QuarantineHeard from this entry.
 struct TellQuarantine {
     Fingerprint fingerprint{};
     QuarantineHeard::Mark mark = QuarantineHeard::Mark::Quarantined;
+    std::string server; ///< of Suspect: the backend server that crashed; empty: not known
 };
 
 /// Probe a backend server on a new connection and report ProbeSettled.
--- a/src/core/routing/events.h
+++ b/src/core/routing/events.h
@@ -112,15 +112,15 @@
         std::uint32_t inFlight = 0;
     };
     struct ModelDemand {
-        std::string model;
+        std::string model; ///< or `service:` and the name of a plain service
         std::uint32_t waiting = 0;
         std::uint32_t inFlight = 0;
     };
     struct WorkspaceUse {
         std::string workspace;
-        std::uint32_t requests = 0; ///< accepted since the last report
-        std::uint32_t tokens = 0;   ///< used since the last report
-        std::uint32_t inFlight = 0;
+        std::uint32_t requests = 0; ///< asked for since the last report, refused ones included
+        std::uint32_t tokens = 0;   ///< that these are expected to use
+        std::uint32_t inFlight = 0; ///< accepted and not yet ended
     };
     std::string entry;
     std::vector<BackendUse> backends;
@@ -136,12 +136,16 @@
 /// Another entry, or an operator, says that a fingerprint is suspect, quarantined or released.
 struct QuarantineHeard {
     enum class Mark {
-        Suspect, ///< one crash was seen while it ran
+        Suspect,  ///< one crash was seen while it ran
+        Retrying, ///< its one retry runs at \c entry
+        Cleared,  ///< it completed
         Quarantined,
-        Released,
+        Released, ///< by an operator
     };
     Fingerprint fingerprint{};
     Mark mark = Mark::Quarantined;
+    std::string entry;  ///< who says so; empty: an operator here
+    std::string server; ///< of Suspect: the backend server that crashed; empty: not known
 };
 
 struct ConfigurationAdopted {
