--- /dev/null
+++ b/src/runtime/settings/internal/value.cpp
@@ -0,0 +1,205 @@
+#include "runtime/settings/internal/value.h"
+
+#include "core/base/nametable.h"
+
+#include <event2/util.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace auburnspread::settings
+{
+
+namespace
+{
+
+constexpr auto Kinds = std::to_array<NamedValue<Kind>>({
+    { Kind::Text, "text" },
+    { Kind::Integer, "integer" },
+    { Kind::Duration, "duration_ms" },
+    { Kind::Bytes, "bytes" },
+    { Kind::Address, "address" },
+    { Kind::Addresses, "addresses" },
+    { Kind::Choice, "choice" },
+    { Kind::Secret, "secret" },
+});
+
+} // namespace
+
+auto kindName(Kind kind) -> std::string_view
+{
+    return findName(Kinds, kind);
+}
+
+namespace detail
+{
+
+namespace
+{
+
+constexpr Range Unbounded;
+
+auto describeRange(const Range &range) -> std::string
+{
+    if (range.most != Unbounded.most) {
+        return " from " + std::to_string(range.least) + " to " + std::to_string(range.most);
+    }
+    return " of at least " + std::to_string(range.least);
+}
+
+auto describeLength(const Key &key) -> std::string
+{
+    if (key.range.least == Unbounded.least && key.range.most == Unbounded.most) {
+        return "";
+    }
+    return ", a length in bytes" + describeRange(key.range);
+}
+
+auto describeNumber(const Key &key) -> std::string
+{
+    const auto range = describeRange(key.range);
+    switch (key.kind) {
+    case Kind::Duration:
+        return "a whole number of milliseconds" + range + ", without a unit";
+    case Kind::Bytes:
+        return "a whole number of bytes" + range + ", without a unit";
+    default:
+        return (key.unit.empty() ? "a whole number" : "a whole number of " + std::string(key.unit)) + range;
+    }
+}
+
+auto describeChoices(const Key &key) -> std::string
+{
+    std::string text;
+    for (const auto &choice : key.choices) {
+        text += (text.empty() ? "one of " : ", ") + std::string(choice);
+    }
+    return text;
+}
+
+auto isInside(const Range &range, std::int64_t number) -> bool
+{
+    return number >= range.least && number <= range.most;
+}
+
+auto isNumberOf(const Key &key, const std::string &text) -> bool
+{
+    const auto number = parseInteger(text);
+    return number && isInside(key.range, *number);
+}
+
+// libevent takes an IP number without port too; a listener or peer without port is a mistake
+auto hasPort(const std::string &text) -> bool
+{
+    const auto end = text.starts_with('[') ? text.find("]:") : text.find(':');
+    return end != std::string::npos && text.back() != ':';
+}
+
+auto isAddress(const std::string &text) -> bool
+{
+    sockaddr_storage storage{};
+    int size = sizeof storage;
+    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&storage), &size) != 0) {
+        return false;
+    }
+    return hasPort(text);
+}
+
+auto areAddresses(const Key &key, const std::string &text) -> bool
+{
+    const auto parts = splitList(text);
+    return isInside(key.range, static_cast<std::int64_t>(parts.size())) && std::all_of(parts.begin(), parts.end(), isAddress);
+}
+
+auto isValid(const Key &key, const std::string &text) -> bool
+{
+    switch (key.kind) {
+    case Kind::Text:
+    case Kind::Secret:
+        return isInside(key.range, static_cast<std::int64_t>(text.size()));
+    case Kind::Integer:
+    case Kind::Duration:
+    case Kind::Bytes:
+        return isNumberOf(key, text);
+    case Kind::Address:
+        return isAddress(text);
+    case Kind::Addresses:
+        return areAddresses(key, text);
+    case Kind::Choice:
+        return std::find(key.choices.begin(), key.choices.end(), text) != key.choices.end();
+    }
+    return false;
+}
+
+auto mayBeEmpty(const Key &key) -> bool
+{
+    return key.defaultValue && key.defaultValue->empty();
+}
+
+} // namespace
+
+auto parseInteger(std::string_view text) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (fault != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+auto splitList(std::string_view text) -> std::vector<std::string>
+{
+    constexpr std::string_view Blanks = " \t";
+    std::vector<std::string> parts;
+    while (!text.empty()) {
+        const auto comma = std::min(text.find(','), text.size());
+        auto part = text.substr(0, comma);
+        part.remove_prefix(std::min(part.find_first_not_of(Blanks), part.size()));
+        part = part.substr(0, part.find_last_not_of(Blanks) + 1);
+        parts.emplace_back(part);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return parts;
+}
+
+auto describeExpected(const Key &key) -> std::string
+{
+    switch (key.kind) {
+    case Kind::Text:
+        return "a text" + describeLength(key);
+    case Kind::Secret:
+        return "a secret" + describeLength(key);
+    case Kind::Integer:
+    case Kind::Duration:
+    case Kind::Bytes:
+        return describeNumber(key);
+    case Kind::Address:
+        return "an IP number and port like 127.0.0.1:8080 or [::1]:8080";
+    case Kind::Addresses:
+        return "IP numbers with ports like 127.0.0.1:8080, with commas between them";
+    case Kind::Choice:
+        return describeChoices(key);
+    }
+    return "";
+}
+
+auto findFault(const Key &key, const std::string &text) -> std::optional<std::string>
+{
+    if (text.empty() && mayBeEmpty(key)) {
+        return std::nullopt;
+    }
+    if (text.empty()) {
+        return describeExpected(key) + ", not an empty value";
+    }
+    if (!isValid(key, text)) {
+        return describeExpected(key);
+    }
+    return std::nullopt;
+}
+
+} // namespace detail
+
+} // namespace auburnspread::settings
