--- /dev/null
+++ b/src/core/quarantine/quarantine.h
@@ -0,0 +1,140 @@
+/// \file
+/// Requests that crash the backend servers that run them, known by their fingerprint.
+///
+/// One crash makes every fingerprint that was running on the server a suspect. A suspect is retried alone, at most
+/// once, and only while no other copy of it runs. A second crash quarantines it; a complete answer clears it. Copies
+/// of a fingerprint that never completed run on one backend server at a time, so that they can crash only that one.
+/// See docs/design/quarantine.md.
+
+#pragma once
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace auburnspread::quarantine
+{
+
+struct Options {
+    std::string entry; ///< this entry's name
+    Duration expiry = std::chrono::hours(1);
+    std::size_t capacity = 1000;                           ///< suspects and quarantined together
+    std::size_t provenCapacity = 4096;                     ///< fingerprints remembered as harmless
+    Duration settleTime = std::chrono::milliseconds(100);  ///< between a crash and the retry: what peers saw arrives
+    Duration peerRetryTime = std::chrono::seconds(60);     ///< a peer's retry that says nothing more is taken as over
+    Duration peerPrecedenceTime = std::chrono::seconds(2); ///< how long a peer of a lower name may take to begin its retry
+};
+
+enum class Verdict {
+    Run,         ///< without restriction
+    RunOnServer, ///< only on the named server, where an unproven copy runs already; if it has no slot, wait
+    RunAlone,    ///< the one retry of a suspect: choose with quietOnly
+    Wait,        ///< ask again at the next tick or event
+    Refuse,      ///< quarantined
+};
+
+struct Decision {
+    Verdict verdict = Verdict::Run;
+    std::string server; ///< of RunOnServer
+};
+
+/// What a cell is told about a fingerprint.
+enum class Mark {
+    Suspect,     ///< it ran on \c server when that crashed
+    Retrying,    ///< its one retry runs now
+    Cleared,     ///< it completed: no longer suspect
+    Quarantined, ///< present at two crashes
+    Released,    ///< by an operator
+};
+
+struct Notice {
+    Fingerprint fingerprint{};
+    Mark mark = Mark::Quarantined;
+    std::string entry;  ///< who says so
+    std::string server; ///< of Suspect: the crashed one; empty: not known
+};
+
+/// \name State. Fields are the module's own; read them by list() and decide().
+/// @{
+struct Incident {
+    std::string server;
+    TimePoint at{};
+};
+
+struct Record {
+    bool quarantined = false;
+    std::vector<Incident> crashes; ///< distinct crashes at which the fingerprint was present, at most two
+    TimePoint since{};             ///< last change, for expiry and eviction
+    TimePoint retryFrom{};         ///< not retried earlier
+    std::string peerRetrying;      ///< the entry whose retry is under way; empty: none
+    TimePoint peerRetryUntil{};
+    bool retrying = false; ///< our own retry is under way
+};
+
+struct Attempt {
+    Fingerprint fingerprint{};
+    std::string server;
+    TimePoint dispatchedAt{};
+    bool alone = false;
+};
+
+struct Running {
+    std::string server;
+    std::size_t attempts = 0;
+};
+
+struct State {
+    Options options;
+    std::unordered_map<Fingerprint, Record> records;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    std::unordered_map<Fingerprint, Running> running;
+    std::unordered_map<Fingerprint, TimePoint> proven;
+    std::unordered_map<std::string, TimePoint> lastCrash; ///< by server: when its last crash was seen
+};
+/// @}
+
+auto makeState(Options options) -> State;
+
+/// Expiry and capacity may change with the configuration.
+auto setLimits(State &state, Duration expiry, std::size_t capacity) -> void;
+
+/// Whether and how a request with this fingerprint may be dispatched now. Ask right before each dispatch.
+auto decide(const State &state, Fingerprint fingerprint, TimePoint now) -> Decision;
+
+/// \p alone: the verdict was RunAlone.
+auto noteDispatched(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, bool alone, TimePoint now) -> std::vector<Notice>;
+/// The answer is complete: the fingerprint is harmless.
+auto noteCompleted(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
+/// Cancelled, or failed in a way that does not look like a crash: proves nothing.
+auto noteEnded(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
+/// Failed in a way that looks like a crash of the backend server (looksLikeCrash).
+auto noteCrashed(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
+
+/// A peer's notice, or an operator's.
+auto hear(State &state, const Notice &notice, TimePoint now) -> void;
+
+/// An operator releases a fingerprint. Nothing: it was neither suspect nor quarantined here.
+auto release(State &state, Fingerprint fingerprint) -> std::optional<Notice>;
+
+auto isQuarantined(const State &state, Fingerprint fingerprint, TimePoint now) -> bool;
+
+struct Listed {
+    Fingerprint fingerprint{};
+    bool quarantined = false; ///< else suspect
+    TimePoint since{};
+    std::vector<std::string> servers; ///< that crashed
+};
+/// By fingerprint.
+auto list(const State &state, TimePoint now) -> std::vector<Listed>;
+
+/// Drops what expired. Call it now and then, such as once a second.
+auto expire(State &state, TimePoint now) -> void;
+
+} // namespace auburnspread::quarantine
