Choice of backend server, shares, ejection; quarantine; at-most-once claims

Cause: the router needs to know where an attempt may go, what crashes servers and what may run only once.

--- /dev/null
+++ b/src/core/balancing/sharing.cpp
@@ -0,0 +1,338 @@
+#include "core/balancing/internal/sharing.h"
+
+#include "core/balancing/internal/pools.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace auburnspread::balancing
+{
+
+namespace detail
+{
+
+namespace
+{
+
+/// A peer that was not heard for this long is taken to want its even part of every server: what it does is not known,
+/// and neither taking its slots nor leaving it more than its part would be right for long.
+constexpr Duration PeerSilence = std::chrono::seconds(2);
+
+/// Part of a pool's slots that is held for idle entries, split evenly, so that an entry's first requests after a
+/// pause need not wait for an exchange of reports.
+constexpr double ReservedPart = 0.1;
+
+/// Where entries outnumber the slots, the reserved ones go round: each entry has its turn within as many periods as
+/// there are entries.
+constexpr Duration RotationPeriod = std::chrono::seconds(1);
+
+/// Reported demand falls to half in this time once the requests are gone. Without it a share would be given away
+/// between two bursts a second apart and every burst would begin without slots.
+constexpr double DemandHalfLifeMicros = 500'000;
+
+/// Demand below this is none.
+constexpr double LeastDemand = 0.5;
+
+auto isHeard(const Entry &entry, TimePoint now) -> bool
+{
+    return entry.heard && now - entry.heardAt < PeerSilence;
+}
+
+auto findEntry(State &state, std::string_view name) -> Entry *
+{
+    const auto found = std::find_if(state.cell.begin(), state.cell.end(), [&](const Entry &entry) { return entry.name == name; });
+    return found == state.cell.end() ? nullptr : &*found;
+}
+
+auto ownPlace(const State &state) -> std::size_t
+{
+    const auto found = std::find_if(state.cell.begin(), state.cell.end(), [&](const Entry &entry) { return entry.name == state.options.entry; });
+    return static_cast<std::size_t>(found - state.cell.begin());
+}
+
+/// Slots of one server reserved for each entry of the cell.
+class Reservations
+{
+public:
+    Reservations(std::size_t servers, std::size_t entries)
+        : entries_(entries)
+        , slots_(servers * entries)
+    {
+    }
+
+    auto at(ServerIndex server, std::size_t entry) -> std::uint32_t &
+    {
+        return slots_[(place(server) * entries_) + entry];
+    }
+
+private:
+    std::size_t entries_;
+    std::vector<std::uint32_t> slots_;
+};
+
+auto usableServers(const State &state, const Pool &pool) -> std::vector<ServerIndex>
+{
+    std::vector<ServerIndex> usable;
+    std::copy_if(pool.servers.begin(), pool.servers.end(), std::back_inserter(usable), [&](ServerIndex index) { return isUsable(serverAt(state, index)); });
+    return usable;
+}
+
+/// Deals reserved slots out over the pool's servers, entry by entry, so that no server bears more than its part.
+auto reserveInPool(const State &state, const Pool &pool, Reservations &reservations, TimePoint now) -> void
+{
+    const auto servers = usableServers(state, pool);
+    const std::size_t entries = state.cell.size();
+    const auto slots = std::accumulate(
+        servers.begin(), servers.end(), std::size_t{ 0 }, [&](std::size_t sum, ServerIndex index) { return sum + serverAt(state, index).concurrency; });
+    if (slots == 0) {
+        return;
+    }
+    const auto even = static_cast<std::size_t>(std::lround(static_cast<double>(slots) * ReservedPart / static_cast<double>(entries)));
+    const std::size_t each = std::clamp<std::size_t>(even, 1, servers.size());
+    const auto turn = entries > slots ? static_cast<std::size_t>(now.time_since_epoch() / RotationPeriod) : 0;
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        const std::size_t rank = (entry + turn) % entries;
+        for (std::size_t slot = rank * each; slot < (rank + 1) * each && slot < slots; ++slot) {
+            reservations.at(servers[slot % servers.size()], entry) += 1;
+        }
+    }
+}
+
+auto reserve(const State &state, TimePoint now) -> Reservations
+{
+    Reservations reservations(state.servers.size(), state.cell.size());
+    for (const auto &pool : state.pools) {
+        if (!pool.hasAdapter) {
+            reserveInPool(state, pool, reservations, now);
+        }
+    }
+    return reservations;
+}
+
+auto sumConcurrency(State &state) -> void
+{
+    for (auto &demand : state.demands) {
+        demand.concurrency = 0;
+    }
+    for (const auto &server : state.servers) {
+        if (!isUsable(server)) {
+            continue;
+        }
+        for (const DemandIndex demand : server.demands) {
+            state.demands[place(demand)].concurrency += server.concurrency;
+        }
+    }
+}
+
+/// What an entry has on the server, and this server's part of what it has waiting.
+auto wantedBy(const State &state, const Entry &entry, ServerIndex index, TimePoint now) -> std::uint32_t
+{
+    const auto &server = serverAt(state, index);
+    if (!isHeard(entry, now)) {
+        return server.concurrency;
+    }
+    std::uint64_t wanted = entry.inFlight[place(index)];
+    for (const DemandIndex demand : server.demands) {
+        const std::uint64_t total = std::max<std::uint32_t>(state.demands[place(demand)].concurrency, 1);
+        const std::uint64_t waiting = entry.waiting[place(demand)];
+        wanted += ((waiting * server.concurrency) + total - 1) / total;
+    }
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(wanted, server.concurrency));
+}
+
+/// The claim, of those that still want more, with the fewest slots; ties go by turn.
+auto findPoorest(std::span<const Claim> claims, const std::vector<std::uint32_t> &shares, std::size_t first) -> std::optional<std::size_t>
+{
+    std::optional<std::size_t> poorest;
+    for (std::size_t step = 0; step < claims.size(); ++step) {
+        const std::size_t index = (first + step) % claims.size();
+        if (shares[index] < claims[index].wanted && (!poorest || shares[index] < shares[*poorest])) {
+            poorest = index;
+        }
+    }
+    return poorest;
+}
+
+auto smoothDemand(DemandTotal &demand, std::uint32_t waiting, TimePoint now) -> std::uint32_t
+{
+    const double elapsed = static_cast<double>((now - demand.smoothedAt).count());
+    const double decayed = demand.smoothed * std::exp2(-elapsed / DemandHalfLifeMicros);
+    demand.smoothed = std::max(static_cast<double>(waiting), decayed < LeastDemand ? 0 : decayed);
+    demand.smoothedAt = now;
+    return static_cast<std::uint32_t>(std::ceil(demand.smoothed));
+}
+
+auto setPeerUse(State &state, Entry &entry, ServerIndex index, std::uint32_t inFlight, TimePoint now) -> void
+{
+    auto &before = entry.inFlight[place(index)];
+    if (before == inFlight) {
+        return;
+    }
+    auto &server = serverAt(state, index);
+    server.peersInFlight += inFlight - before;
+    before = inFlight;
+    refreshServer(state, index, now);
+}
+
+auto forgetEntry(State &state, Entry &entry, TimePoint now) -> void
+{
+    for (std::size_t index = 0; index < entry.inFlight.size(); ++index) {
+        setPeerUse(state, entry, ServerIndex(index), 0, now);
+    }
+}
+
+auto makeEntry(const State &state, std::string name) -> Entry
+{
+    return {
+        .name = std::move(name),
+        .inFlight = std::vector<std::uint32_t>(state.servers.size()),
+        .waiting = std::vector<std::uint32_t>(state.demands.size()),
+    };
+}
+
+} // namespace
+
+auto splitFairly(std::uint32_t concurrency, std::span<const Claim> claims, std::size_t first) -> std::vector<std::uint32_t>
+{
+    std::vector<std::uint32_t> shares(claims.size());
+    std::uint32_t left = concurrency;
+    for (std::size_t step = 0; step < claims.size(); ++step) {
+        const std::size_t index = (first + step) % claims.size();
+        shares[index] = std::min(claims[index].reserved, left);
+        left -= shares[index];
+    }
+    while (left > 0) {
+        const auto poorest = findPoorest(claims, shares, first);
+        if (!poorest) {
+            break;
+        }
+        shares[*poorest] += 1;
+        left -= 1;
+    }
+    const auto even = static_cast<std::uint32_t>(left / claims.size());
+    const std::size_t uneven = left % claims.size();
+    for (std::size_t step = 0; step < claims.size(); ++step) {
+        shares[(first + step) % claims.size()] += even + (step < uneven ? 1 : 0);
+    }
+    return shares;
+}
+
+auto updateShares(State &state, TimePoint now) -> void
+{
+    const std::size_t own = ownPlace(state);
+    auto reservations = reserve(state, now);
+    sumConcurrency(state);
+    std::vector<Claim> claims(state.cell.size());
+    for (std::size_t place = 0; place < state.servers.size(); ++place) {
+        const ServerIndex index{ static_cast<std::uint32_t>(place) };
+        auto &server = serverAt(state, index);
+        if (!server.inDocument) {
+            continue;
+        }
+        for (std::size_t entry = 0; entry < claims.size(); ++entry) {
+            claims[entry] = { .reserved = reservations.at(index, entry), .wanted = wantedBy(state, state.cell[entry], index, now) };
+        }
+        server.share = splitFairly(server.concurrency, claims, server.nameHash % claims.size())[own];
+        server.reserved = claims[own].reserved;
+        refreshServer(state, index, now);
+    }
+    state.sharesDue = false;
+    state.sharesAt = now;
+}
+
+} // namespace detail
+
+auto notePeerReport(State &state, const UseReport &report, TimePoint now) -> void
+{
+    auto *entry = detail::findEntry(state, report.entry);
+    if (entry == nullptr || report.entry == state.options.entry) {
+        return;
+    }
+    std::vector<std::uint32_t> inFlight(state.servers.size());
+    for (const auto &use : report.servers) {
+        const auto server = findServer(state, use.server);
+        if (server) {
+            inFlight[detail::place(*server)] = use.inFlight;
+        }
+    }
+    for (std::size_t index = 0; index < inFlight.size(); ++index) {
+        detail::setPeerUse(state, *entry, ServerIndex(index), inFlight[index], now);
+    }
+    std::fill(entry->waiting.begin(), entry->waiting.end(), 0);
+    for (const auto &demand : report.demand) {
+        const auto found = state.demandsByName.find(demand.pool);
+        if (found != state.demandsByName.end()) {
+            entry->waiting[detail::place(found->second)] = demand.waiting;
+        }
+    }
+    entry->heard = true;
+    entry->heardAt = now;
+    state.sharesDue = true;
+}
+
+auto demandName(const Query &query) -> std::string
+{
+    if (!query.service.empty()) {
+        return std::string("service:").append(query.service);
+    }
+    return std::string(query.model);
+}
+
+auto takeReport(State &state, std::span<const Demand> waiting, TimePoint now) -> UseReport
+{
+    auto &own = state.cell[detail::ownPlace(state)];
+    std::fill(own.waiting.begin(), own.waiting.end(), 0);
+    for (const auto &demand : waiting) {
+        const auto found = state.demandsByName.find(demand.pool);
+        if (found != state.demandsByName.end()) {
+            own.waiting[detail::place(found->second)] += demand.waiting;
+        }
+    }
+    UseReport report{ .entry = state.options.entry, .servers = {}, .demand = {} };
+    for (std::size_t index = 0; index < state.demands.size(); ++index) {
+        auto &demand = state.demands[index];
+        own.waiting[index] = detail::smoothDemand(demand, own.waiting[index], now);
+        if (own.waiting[index] > 0) {
+            report.demand.push_back({ .pool = demand.name, .waiting = own.waiting[index] });
+        }
+    }
+    for (std::size_t index = 0; index < state.servers.size(); ++index) {
+        const auto &server = state.servers[index];
+        own.inFlight[index] = server.inFlight;
+        if (server.inDocument && server.inFlight > 0) {
+            report.servers.push_back({ .server = server.name, .inFlight = server.inFlight });
+        }
+    }
+    own.heard = true;
+    own.heardAt = now;
+    state.sharesDue = true;
+    return report;
+}
+
+auto noteCell(State &state, std::span<const std::string> entries, TimePoint now) -> void
+{
+    std::vector<std::string> names(entries.begin(), entries.end());
+    names.push_back(state.options.entry);
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    std::vector<detail::Entry> cell;
+    for (auto &name : names) {
+        auto *known = detail::findEntry(state, name);
+        cell.push_back(known == nullptr ? detail::makeEntry(state, name) : std::move(*known));
+        if (known != nullptr) {
+            known->name.clear();
+        }
+    }
+    for (auto &entry : state.cell) {
+        if (!entry.name.empty()) {
+            detail::forgetEntry(state, entry, now);
+        }
+    }
+    state.cell = std::move(cell);
+    state.sharesDue = true;
+    state.sharesAt = {};
+    advance(state, now);
+}
+
+} // namespace auburnspread::balancing
--- a/src/core/once/claimer.h
+++ b/src/core/once/claimer.h
@@ -32,7 +32,10 @@
     Duration batchInterval = std::chrono::milliseconds(20);  ///< least time between two transactions: the write rate
     Duration giveUp = std::chrono::seconds(2);               ///< a claim not settled by then is unavailable
     Duration retryInterval = std::chrono::milliseconds(100); ///< between tries of the same claim
-    std::size_t abandonedCapacity = 10000;
+    Duration cleanUpTime = std::chrono::minutes(5);          ///< a claim that was given up is cleaned up for this long
+    std::size_t cleanUpCapacity = 1000;
+    std::size_t heldCapacity = 10000; ///< claims won last that can still be released
+    std::size_t callsUnderWay = 8;    ///< transactions, and as many reads, without a reply
 };
 
 enum class CallId : std::uint64_t {};
@@ -98,20 +101,31 @@
 enum class ClaimStep {
     Queued,   ///< waits for a transaction
     Writing,  ///< in a transaction under way
-    Doubtful, ///< a write's reply was lost, or the key exists: waits to be read back
+    Doubtful, ///< a write's reply was lost, or the claim is to be given back: waits to be read back
     Reading,
+    Condemned, ///< read back as ours and to be given back: waits to be deleted
+    Deleting,
 };
 
 struct Claim {
-    std::optional<RequestId> request; ///< absent: the request was refused, the claim is only cleaned up
-    std::string path;
+    std::optional<RequestId> request; ///< absent: refused meanwhile, the claim is only cleaned up
     std::string nonce;
     ClaimStep step = ClaimStep::Queued;
-    bool everWritten = false; ///< a write may have taken effect
+    bool mayBeWritten = false; ///< a write with this nonce may have taken effect
+    bool giveBack = false;     ///< nobody waits for it: if the key holds this nonce, it is to be deleted
+    bool deleteSent = false;   ///< a delete of this nonce may take effect at any time: it can never be relied on again
+    bool alone = false;        ///< not batched: the transaction it was in failed without naming the operation
+    std::uint64_t index = 0;   ///< of the key, as read back
     TimePoint submittedAt{};
     TimePoint notBefore{};
 };
 
+/// A claim that was won: its nonce is what a release has to find.
+struct Held {
+    std::string path;
+    std::string nonce;
+};
+
 } // namespace detail
 
 struct Claimer {
@@ -119,10 +133,11 @@
     std::uint64_t nextNonce = 1;
     std::uint64_t nextCall = 1;
     TimePoint nextBatchAt{};
-    std::map<std::string, detail::Claim> claims;                 ///< by path
+    std::map<std::string, detail::Claim> claims;                 ///< undecided ones, by path
     std::unordered_map<CallId, std::vector<std::string>> writes; ///< paths of a transaction under way
     std::unordered_map<CallId, std::string> reads;
     std::unordered_map<CallId, std::string> deletes;
+    std::deque<detail::Held> held; ///< oldest first
 };
 
 /// Asks for a key. A key that is being claimed here already is a duplicate.
--- a/src/core/quarantine/quarantine.h
+++ b/src/core/quarantine/quarantine.h
@@ -13,10 +13,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace auburnspread::quarantine
@@ -49,6 +51,7 @@
 enum class Mark {
     Suspect,     ///< it ran on \c server when that crashed
     Retrying,    ///< its one retry runs now
+    RetryEnded,  ///< its one retry ended without a crash or an answer: another entry may make it
     Cleared,     ///< it completed: no longer suspect
     Quarantined, ///< present at two crashes
     Released,    ///< by an operator
@@ -66,37 +69,43 @@
 struct Incident {
     std::string server;
     TimePoint at{};
+    std::uint64_t sequence = 0; ///< of a crash seen here; 0: heard from a peer
 };
 
 struct Record {
     bool quarantined = false;
-    std::vector<Incident> crashes; ///< distinct crashes at which the fingerprint was present, at most two
+    std::vector<Incident> crashes; ///< distinct crashes at which the fingerprint was present
     TimePoint since{};             ///< last change, for expiry and eviction
     TimePoint retryFrom{};         ///< not retried earlier
     std::string peerRetrying;      ///< the entry whose retry is under way; empty: none
     TimePoint peerRetryUntil{};
-    bool retrying = false; ///< our own retry is under way
 };
 
 struct Attempt {
     Fingerprint fingerprint{};
     std::string server;
-    TimePoint dispatchedAt{};
-    bool alone = false;
+    std::uint64_t sequence = 0; ///< of the dispatch
 };
 
 struct Running {
-    std::string server;
+    std::string server; ///< of the latest attempt
     std::size_t attempts = 0;
 };
 
+struct Crash {
+    TimePoint at{};
+    std::uint64_t sequence = 0;
+};
+
 struct State {
     Options options;
+    std::uint64_t nextSequence = 1; ///< orders dispatches and crashes
     std::unordered_map<Fingerprint, Record> records;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::unordered_map<Fingerprint, Running> running;
-    std::unordered_map<Fingerprint, TimePoint> proven;
-    std::unordered_map<std::string, TimePoint> lastCrash; ///< by server: when its last crash was seen
+    std::unordered_map<std::string, Crash> lastCrash; ///< by server
+    std::unordered_set<Fingerprint> proven;
+    std::deque<Fingerprint> provenOrder; ///< oldest first
 };
 /// @}
 
@@ -108,8 +117,7 @@
 /// Whether and how a request with this fingerprint may be dispatched now. Ask right before each dispatch.
 auto decide(const State &state, Fingerprint fingerprint, TimePoint now) -> Decision;
 
-/// \p alone: the verdict was RunAlone.
-auto noteDispatched(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, bool alone, TimePoint now) -> std::vector<Notice>;
+auto noteDispatched(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, TimePoint now) -> std::vector<Notice>;
 /// The answer is complete: the fingerprint is harmless.
 auto noteCompleted(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
 /// Cancelled, or failed in a way that does not look like a crash: proves nothing.
@@ -117,8 +125,8 @@
 /// Failed in a way that looks like a crash of the backend server (looksLikeCrash).
 auto noteCrashed(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
 
-/// A peer's notice, or an operator's.
-auto hear(State &state, const Notice &notice, TimePoint now) -> void;
+/// A peer's notice, or an operator's. What is returned goes to all peers.
+auto hear(State &state, const Notice &notice, TimePoint now) -> std::vector<Notice>;
 
 /// An operator releases a fingerprint. Nothing: it was neither suspect nor quarantined here.
 auto release(State &state, Fingerprint fingerprint) -> std::optional<Notice>;
