--- /dev/null
+++ b/src/core/membership/tests/entriesanswer_tests.cpp
@@ -0,0 +1,3 @@
+#include "core/membership/membership.h"
+
+#include <gtest/gtest.h>
