Logging: JSON lines with typed fields and a bound on floods

Cause: daemons need one structured event a line, also while every request fails for the same cause. Change: log4cxx writes the lines; the JSON is made here because its JSONLayout carries texts only. Lines of one event name a second are bounded and the held-back ones counted. The level changes at run time. A first run showed log4cxx writing "?" for characters outside ASCII without a UTF-8 locale; lines are now pure ASCII with JSON escapes.

--- /dev/null
+++ b/src/runtime/logging/logging.cpp
@@ -0,0 +1,273 @@
+#include "runtime/logging/logging.h"
+
+#include "core/base/nametable.h"
+#include "runtime/logging/floodlimit.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/hierarchy.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace auburnspread::logging
+{
+
+namespace
+{
+
+constexpr auto Levels = std::to_array<NamedValue<Level>>({
+    { Level::Debug, "debug" },
+    { Level::Info, "info" },
+    { Level::Warning, "warning" },
+    { Level::Error, "error" },
+});
+
+constexpr auto LevelNames = []() {
+    std::array<std::string_view, Levels.size()> names;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        names[i] = Levels[i].name;
+    }
+    return names;
+}();
+
+constexpr std::size_t LongestText = 1024;
+constexpr std::string_view SuppressedEvent = "log-lines-suppressed";
+
+auto toLog4cxx(Level level) -> log4cxx::LevelPtr
+{
+    switch (level) {
+    case Level::Debug:
+        return log4cxx::Level::getDebug();
+    case Level::Info:
+        return log4cxx::Level::getInfo();
+    case Level::Warning:
+        return log4cxx::Level::getWarn();
+    case Level::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getError();
+}
+
+/// The message is the whole JSON line: log4cxx's JSONLayout carries texts only, not typed fields.
+auto makeAppender(const std::string &file) -> log4cxx::AppenderPtr
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    if (file.empty()) {
+        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    }
+    // log4cxx reports a file that cannot be opened on stderr only and goes on without a log
+    if (!std::ofstream(file, std::ios::app).is_open()) {
+        throw std::runtime_error("logging: cannot append to " + file);
+    }
+    return std::make_shared<log4cxx::FileAppender>(layout, file, true, false, 0);
+}
+
+/// A hierarchy of its own: the default one would look for configuration files in the working directory.
+class Log
+{
+public:
+    Log()
+        : hierarchy_(log4cxx::Hierarchy::create())
+        , logger_(hierarchy_->getRootLogger())
+        , limit_(Options{}.linesPerSecond)
+    {
+        hierarchy_->setConfigured(true);
+        apply(Options{});
+    }
+
+    auto apply(const Options &options) -> void
+    {
+        const auto appender = makeAppender(options.file);
+        const std::lock_guard lock(mutex_);
+        logger_->removeAllAppenders();
+        logger_->addAppender(appender);
+        limit_ = FloodLimit(options.linesPerSecond);
+        setLevelLocked(options.level);
+    }
+
+    auto setLevel(Level level) -> void
+    {
+        const std::lock_guard lock(mutex_);
+        setLevelLocked(level);
+    }
+
+    [[nodiscard]] auto level() const -> Level
+    {
+        return level_.load(std::memory_order_relaxed);
+    }
+
+    /// Writes unless the name floods; debug lines were asked for and are never held back.
+    auto write(Level level, std::string_view name, std::initializer_list<Field> fields) -> void;
+    auto flush() -> void;
+
+private:
+    auto setLevelLocked(Level level) -> void
+    {
+        level_.store(level, std::memory_order_relaxed);
+        logger_->setLevel(toLog4cxx(level));
+    }
+
+    auto writeSuppressed(const std::vector<Suppressed> &suppressed) -> void;
+    auto writeLine(Level level, std::string_view name, std::initializer_list<Field> fields) -> void;
+
+    std::mutex mutex_;
+    log4cxx::HierarchyPtr hierarchy_;
+    log4cxx::LoggerPtr logger_;
+    std::atomic<Level> level_{ Level::Info };
+    FloodLimit limit_;
+};
+
+auto monotonicNow() -> TimePoint
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(now));
+}
+
+auto formatTime(std::chrono::system_clock::time_point now) -> std::string
+{
+    constexpr long MicrosPerSecond = 1'000'000;
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
+    const std::time_t seconds = micros / MicrosPerSecond;
+    std::tm utc{};
+    ::gmtime_r(&seconds, &utc);
+    std::array<char, sizeof "2026-01-01T00:00:00"> date{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &utc);
+    const auto fraction = std::to_string(MicrosPerSecond + micros % MicrosPerSecond).substr(1);
+    return std::string(date.data()) + "." + fraction + "Z";
+}
+
+auto toJson(const Field::Value &value) -> nlohmann::ordered_json
+{
+    if (const auto *text = std::get_if<std::string_view>(&value)) {
+        return std::string(text->substr(0, LongestText));
+    }
+    return std::visit([](const auto &plain) -> nlohmann::ordered_json { return plain; }, value);
+}
+
+auto Log::write(Level level, std::string_view name, std::initializer_list<Field> fields) -> void
+{
+    std::vector<Suppressed> suppressed;
+    bool isAdmitted = true;
+    if (level != Level::Debug) {
+        const std::lock_guard lock(mutex_);
+        const auto now = monotonicNow();
+        isAdmitted = limit_.admit(name, now);
+        suppressed = limit_.takeEnded(now);
+    }
+    writeSuppressed(suppressed);
+    if (isAdmitted) {
+        writeLine(level, name, fields);
+    }
+}
+
+auto Log::flush() -> void
+{
+    std::vector<Suppressed> suppressed;
+    {
+        const std::lock_guard lock(mutex_);
+        suppressed = limit_.takeAll();
+    }
+    writeSuppressed(suppressed);
+}
+
+auto Log::writeSuppressed(const std::vector<Suppressed> &suppressed) -> void
+{
+    for (const auto &item : suppressed) {
+        writeLine(Level::Error, SuppressedEvent, { { "name", item.name }, { "count", item.count } });
+    }
+}
+
+auto Log::writeLine(Level level, std::string_view name, std::initializer_list<Field> fields) -> void
+{
+    nlohmann::ordered_json line = { { "time", formatTime(std::chrono::system_clock::now()) }, { "level", levelName(level) }, { "event", name } };
+    for (const auto &field : fields) {
+        line[std::string(field.name())] = toJson(field.value());
+    }
+    constexpr int OneLine = -1;
+    constexpr bool AsciiOnly = true; // log4cxx writes "?" for other characters where the process has no UTF-8 locale
+    const auto text = line.dump(OneLine, ' ', AsciiOnly, nlohmann::ordered_json::error_handler_t::replace);
+    logger_->log(toLog4cxx(level), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+// never destroyed: tasks may still log while the process's statics end
+auto log() -> Log &
+{
+    static auto *const instance = std::make_unique<Log>().release();
+    return *instance;
+}
+
+} // namespace
+
+auto levelName(Level level) -> std::string_view
+{
+    return findName(Levels, level);
+}
+
+auto levelFromName(std::string_view name) -> std::optional<Level>
+{
+    return findValue(Levels, name);
+}
+
+auto levelNames() -> std::span<const std::string_view>
+{
+    return LevelNames;
+}
+
+auto configure(const Options &options) -> void
+{
+    log().apply(options);
+}
+
+auto event(Level level, std::string_view name, std::initializer_list<Field> fields) -> void
+{
+    if (isEnabled(level)) {
+        log().write(level, name, fields);
+    }
+}
+
+auto isEnabled(Level level) -> bool
+{
+    return level >= log().level();
+}
+
+auto currentLevel() -> Level
+{
+    return log().level();
+}
+
+auto setLevel(Level level) -> void
+{
+    log().setLevel(level);
+}
+
+auto raiseLevel() -> void
+{
+    const auto wanted = std::max(static_cast<int>(currentLevel()) - 1, static_cast<int>(Level::Debug));
+    setLevel(static_cast<Level>(wanted));
+}
+
+auto lowerLevel() -> void
+{
+    const auto wanted = std::min(static_cast<int>(currentLevel()) + 1, static_cast<int>(Level::Error));
+    setLevel(static_cast<Level>(wanted));
+}
+
+auto flush() -> void
+{
+    log().flush();
+}
+
+} // namespace auburnspread::logging
