Stand-ins: fake-engine and fake-platform

Cause: the daemons, the load tool and the failure tests need something to talk to at the interfaces. Change: a fake engine (continuous batch with one step timer, deterministic answers that resume at an offset, orders with fencing, prefix cache, faults) and a fake platform (compare-and-swap, sessions, blocking queries, transactions, list of VMs, weights, faults), each one process with one event loop. No automatic tests yet.

--- /dev/null
+++ b/src/standins/engine/enginefaults.cpp
@@ -0,0 +1,40 @@
+#include "standins/engine/enginefaults.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <stdexcept>
+
+namespace auburnspread::standins
+{
+
+auto applyControl(EngineFaults &faults, const nlohmann::json &message) -> EngineOrders
+{
+    EngineOrders orders;
+    const std::map<std::string, std::function<void(const nlohmann::json &)>> members = {
+        { "token_ms", [&](const auto &value) { orders.tokenMilliseconds = value.template get<double>(); } },
+        { "crash", [&](const auto &value) { value.get_to(orders.crash); } },
+        { "silent", [&](const auto &value) { orders.silent = value.template get<bool>(); } },
+        { "silence_open", [&](const auto &value) { value.get_to(orders.silenceOpen); } },
+        { "slow_factor", [&](const auto &value) { value.get_to(faults.slowFactor); } },
+        { "crash_on_text", [&](const auto &value) { value.get_to(faults.crashText); } },
+        { "cut_after", [&](const auto &value) { value.get_to(faults.cutAfter); } },
+        { "crossed_every", [&](const auto &value) { value.get_to(faults.crossedEvery); } },
+        { "truncate_every", [&](const auto &value) { value.get_to(faults.truncateEvery); } },
+        { "wrong_id_every", [&](const auto &value) { value.get_to(faults.wrongIdEvery); } },
+        { "rubbish", [&](const auto &value) { value.get_to(faults.rubbish); } },
+        { "refuse", [&](const auto &value) { value.get_to(faults.refuse); } },
+        { "report_lie", [&](const auto &value) { value.get_to(faults.reportLie); } },
+    };
+    for (const auto &[name, value] : message.items()) {
+        const auto member = members.find(name);
+        if (member == members.end()) {
+            throw std::invalid_argument("unknown control '" + name + "'");
+        }
+        member->second(value);
+    }
+    return orders;
+}
+
+} // namespace auburnspread::standins
--- /dev/null
+++ b/src/standins/platform/callrate.cpp
@@ -0,0 +1,31 @@
+#include "standins/platform/callrate.h"
+
+#include <algorithm>
+
+namespace auburnspread::standins
+{
+
+namespace
+{
+
+constexpr double SecondsOfBurst = 0.25;
+
+} // namespace
+
+auto admitCall(CallRate &rate, TimePoint now) -> bool
+{
+    if (rate.perSecond <= 0) {
+        return true;
+    }
+    const auto seconds = std::chrono::duration<double>(now - rate.filled).count();
+    const auto burst = std::max(1.0, rate.perSecond * SecondsOfBurst);
+    rate.left = std::min(burst, rate.left + seconds * rate.perSecond);
+    rate.filled = now;
+    if (rate.left < 1) {
+        return false;
+    }
+    rate.left -= 1;
+    return true;
+}
+
+} // namespace auburnspread::standins
