--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -89,7 +89,9 @@
     auto checkBounds(const Connection &connection) const -> void;
     auto submit(evhtp_request *request, Connection &connection, Submission submission) -> void;
     auto watchCaller(Exchange &exchange) -> void;
-    auto answerEntries(evhtp_request *request) -> void;
+    auto open(evhtp_request *request, Connection &connection, RequestId id) -> Exchange &;
+    auto askEntries(evhtp_request *request, Connection &connection) -> void;
+    auto answerEntries(const EntriesAnswered &answer) -> void;
     auto answerDraining(evhtp_request *request) -> void;
     auto refuseInput(evhtp_request *request, const RefusedInput &input) -> void;
     auto prepareReply(evhtp_request *request) const -> void;
@@ -228,7 +230,7 @@
     const auto isPost = evhtp_request_get_method(request) == htp_method_POST;
     const auto isService = bare.starts_with(ServicesPrefix);
     if (bare == EntriesPath) {
-        answerEntries(request);
+        askEntries(request, connection);
         return;
     }
     if (!(bare == ChatPath && isPost) && !isService) {
@@ -245,20 +247,25 @@
 
 auto CallerTask::State::submit(evhtp_request *request, Connection &connection, Submission submission) -> void
 {
-    const auto id = submission.arrived.request;
-    auto &exchange = *(exchanges[id] = std::make_unique<Exchange>());
-    exchange.id = id;
-    exchange.request = request;
+    auto &exchange = open(request, connection, submission.arrived.request);
     exchange.publicId = submission.payload->publicId;
     exchange.kind = submission.arrived.kind;
     exchange.stream = submission.payload->stream;
     exchange.whole.requestId = exchange.publicId;
     exchange.whole.model = submission.arrived.model;
+    mailboxes.router.post(std::move(submission));
+}
+
+auto CallerTask::State::open(evhtp_request *request, Connection &connection, RequestId id) -> Exchange &
+{
+    auto &exchange = *(exchanges[id] = std::make_unique<Exchange>());
+    exchange.id = id;
+    exchange.request = request;
     connection.answering = true;
     connection.exchange = id;
     evhtp_request_pause(request);
     watchCaller(exchange);
-    mailboxes.router.post(std::move(submission));
+    return exchange;
 }
 
 //! NOTE a paused connection is not read, so the library does not see the caller close it; a watch for the closed
@@ -282,16 +289,32 @@
     exchange.drainWatch = evbuffer_add_cb(bufferevent_get_output(connection->bev), onOutput, &connections.at(connection));
 }
 
-auto CallerTask::State::answerEntries(evhtp_request *request) -> void
+auto CallerTask::State::askEntries(evhtp_request *request, Connection &connection) -> void
 {
-    auto addresses = entries->addresses;
-    if (!addresses.empty()) {
-        const auto turn = std::hash<std::string>{}(queryOf(request, "workspace")) % addresses.size();
-        std::rotate(addresses.begin(), addresses.begin() + static_cast<std::ptrdiff_t>(turn), addresses.end());
+    const auto id = RequestId{ ++lastId };
+    open(request, connection, id);
+    mailboxes.control.post(EntriesAsked{
+        .request = id,
+        .workspace = queryOf(request, "workspace"),
+        .requestClass = queryOf(request, "class"),
+        .caller = callerOf(request),
+    });
+}
+
+auto CallerTask::State::answerEntries(const EntriesAnswered &answer) -> void
+{
+    auto *exchange = find(answer.request);
+    if (exchange == nullptr) {
+        return;
     }
-    const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(entries->keep).count();
-    const nlohmann::json document = { { "addresses", addresses }, { "keep_ms", keep }, { "membership_version", entries->membershipVersion } };
-    writeDocument(request, EVHTP_RES_OK, "application/json", document.dump());
+    const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(answer.view.keep).count();
+    const nlohmann::json document = {
+        { "addresses", answer.view.addresses },
+        { "keep_ms", keep },
+        { "membership_version", answer.view.membershipVersion },
+    };
+    writeDocument(exchange->request, EVHTP_RES_OK, "application/json", document.dump());
+    end(*exchange);
 }
 
 /// A caller that kept an old answer of /v1/entries is sent to a peer; nothing was run.
@@ -367,6 +390,8 @@
         }
     } else if (const auto *published = std::get_if<EntriesPublished>(&message)) {
         entries = published->view;
+    } else if (const auto *asked = std::get_if<EntriesAnswered>(&message)) {
+        answerEntries(*asked);
     } else if (std::holds_alternative<routing::DrainStarted>(message)) {
         draining = true;
     }
--- a/src/entry/caller/internal/requestreader.cpp
+++ b/src/entry/caller/internal/requestreader.cpp
@@ -4,6 +4,9 @@
 
 #include <evhtp/evhtp.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
 #include <array>
 #include <charconv>
 #include <optional>
@@ -184,6 +187,17 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
+auto callerOf(evhtp_request *request) -> std::string
+{
+    const auto *address = reinterpret_cast<const sockaddr_in *>(request->conn->saddr);
+    if (address == nullptr || address->sin_family != AF_INET) {
+        return {};
+    }
+    std::array<char, INET_ADDRSTRLEN> text{};
+    ::inet_ntop(AF_INET, &address->sin_addr, text.data(), text.size());
+    return text.data();
+}
+
 auto pathAndQueryOf(evhtp_request *request) -> std::string
 {
     if (request->uri == nullptr || request->uri->path == nullptr || request->uri->path->full == nullptr) {
--- a/src/entry/caller/internal/requestreader.h
+++ b/src/entry/caller/internal/requestreader.h
@@ -34,6 +34,8 @@
 auto headerOf(evhtp_request *request, const char *name) -> std::string;
 /// Value of a query argument, or empty.
 auto queryOf(evhtp_request *request, const char *name) -> std::string;
+/// The caller's IP number.
+auto callerOf(evhtp_request *request) -> std::string;
 /// The path with the query, as the caller sent it.
 auto pathAndQueryOf(evhtp_request *request) -> std::string;
 
--- a/src/entry/messages/messages.h
+++ b/src/entry/messages/messages.h
@@ -86,14 +86,35 @@
 struct EntriesPublished {
     std::shared_ptr<const EntriesView> view;
 };
-using CallerMessage = std::variant<ServiceAnswer, AnswerPart, AnswerRestarted, AnswerEnded, routing::Refuse, EntriesPublished, routing::DrainStarted>;
+/// Answer to EntriesAsked.
+struct EntriesAnswered {
+    RequestId request{};
+    EntriesView view;
+};
+using CallerMessage
+    = std::variant<ServiceAnswer, AnswerPart, AnswerRestarted, AnswerEnded, routing::Refuse, EntriesPublished, EntriesAnswered, routing::DrainStarted>;
 
 /// To the control task.
 struct StatusPublished {
     routing::RouterStatus status;
     routing::PeerReported report;
 };
-using ControlMessage = std::variant<StatusPublished, routing::ClaimKey, routing::TellQuarantine, routing::Drained>;
+/// A request whose key was claimed got its final action.
+struct ClaimEnded {
+    RequestId request{};
+    bool mayHaveRun = true; ///< false: provably not run, so the key is given free
+};
+/// A caller asks which addresses to use.
+struct EntriesAsked {
+    RequestId request{};
+    std::string workspace;
+    std::string requestClass;
+    std::string caller; ///< the caller's IP number
+};
+/// SIGTERM or an operator's order to leave.
+struct DrainAsked {
+};
+using ControlMessage = std::variant<StatusPublished, routing::ClaimKey, ClaimEnded, routing::TellQuarantine, routing::Drained, EntriesAsked, DrainAsked>;
 
 /// The mailboxes of all tasks; made before the tasks start, so that any may post to any other at any time.
 struct Mailboxes {
--- a/src/entry/router/routertask.cpp
+++ b/src/entry/router/routertask.cpp
@@ -3,6 +3,7 @@
 #include "runtime/task/eventloop.h"
 
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace auburnspread::entry
@@ -20,6 +21,7 @@
     auto feed(const routing::Event &event) -> void;
     auto perform(const routing::Action &action) -> void;
     auto dispatch(const routing::Dispatch &order) -> void;
+    auto forget(RequestId request, bool mayHaveRun) -> void;
     auto publish() -> void;
 
     RouterTaskOptions options;
@@ -27,6 +29,7 @@
     task::EventLoop loop;
     routing::RouterStatePointer router;
     std::unordered_map<RequestId, PayloadPointer> payloads; ///< of requests without a final action
+    std::unordered_set<RequestId> claimed;                  ///< of these, those whose key was to be claimed
 };
 
 auto RouterTask::State::take(RouterMessage message) -> void
@@ -39,7 +42,7 @@
     const auto &event = std::get<routing::Event>(message);
     feed(event);
     if (const auto *gone = std::get_if<routing::CallerGone>(&event)) {
-        payloads.erase(gone->request);
+        forget(gone->request, true);
     }
 }
 
@@ -62,11 +65,12 @@
     } else if (const auto *cancelled = std::get_if<routing::CancelAttempt>(&action)) {
         mailboxes.backend.post(*cancelled);
     } else if (const auto *refused = std::get_if<routing::Refuse>(&action)) {
-        payloads.erase(refused->request);
+        forget(refused->request, refused->outcome != Outcome::NotRun);
         mailboxes.caller.post(*refused);
     } else if (const auto *completed = std::get_if<routing::Completed>(&action)) {
-        payloads.erase(completed->request);
+        forget(completed->request, true);
     } else if (const auto *claim = std::get_if<routing::ClaimKey>(&action)) {
+        claimed.insert(claim->request);
         mailboxes.control.post(*claim);
     } else if (const auto *told = std::get_if<routing::TellQuarantine>(&action)) {
         mailboxes.control.post(*told);
@@ -85,6 +89,14 @@
     }
 }
 
+auto RouterTask::State::forget(RequestId request, bool mayHaveRun) -> void
+{
+    payloads.erase(request);
+    if (claimed.erase(request) > 0) {
+        mailboxes.control.post(ClaimEnded{ .request = request, .mayHaveRun = mayHaveRun });
+    }
+}
+
 auto RouterTask::State::publish() -> void
 {
     mailboxes.control.post(StatusPublished{ .status = routing::statusOf(*router), .report = routing::takeReport(*router) });
