--- a/src/core/queueing/requestqueue.cpp
+++ b/src/core/queueing/requestqueue.cpp
@@ -35,7 +35,10 @@
     if (isNew) {
         flow.turn = band.turns.insert(band.turns.end(), request.workspace);
     }
+    band.weights -= isNew ? 0 : flow.weight;
     flow.weight = std::max<std::uint32_t>(request.workspaceWeight, 1);
+    band.weights += flow.weight;
+    band.waiting += 1;
     flow.requests.emplace(Flow::Key{ request.deadline, request.order }, request.request);
     band.largestCost = std::max(band.largestCost, request.cost);
 }
@@ -44,6 +47,7 @@
 {
     const auto place = band.flows.find(workspace);
     band.turns.erase(place->second.turn);
+    band.weights -= place->second.weight;
     band.flows.erase(place);
     if (band.flows.empty()) {
         band.largestCost = 1;
@@ -56,6 +60,7 @@
     if (place == band.flows.end() || place->second.requests.erase({ request.deadline, request.order }) == 0) {
         return false;
     }
+    band.waiting -= 1;
     if (place->second.requests.empty()) {
         removeFlow(band, request.workspace);
     }
@@ -73,6 +78,7 @@
     const auto first = flow.requests.begin();
     const auto request = first->second;
     flow.requests.erase(first);
+    band.waiting -= 1;
     flow.deficit -= requests.at(request).cost;
     if (flow.requests.empty()) {
         removeFlow(band, workspace);
@@ -169,6 +175,16 @@
     classQueue.lanes.at(request.route).lastTaken = queue.takes;
 }
 
+auto findLane(const RequestQueue &queue, ClassId requestClass, RouteId route) -> const Lane *
+{
+    const auto classQueue = queue.classes.find(requestClass);
+    if (classQueue == queue.classes.end()) {
+        return nullptr;
+    }
+    const auto lane = classQueue->second.lanes.find(route);
+    return lane == classQueue->second.lanes.end() ? nullptr : &lane->second;
+}
+
 } // namespace
 
 auto setClass(RequestQueue &queue, ClassId requestClass, const ClassOptions &options) -> void
@@ -282,6 +298,15 @@
     return taken;
 }
 
+auto putBack(RequestQueue &queue, const WaitingRequest &request, bool late) -> void
+{
+    enqueue(queue, request);
+    if (late) {
+        demote(queue, request.request);
+    }
+    queue.classes.at(request.requestClass).deficit += request.cost;
+}
+
 auto settle(RequestQueue &queue, ClassId requestClass, std::uint32_t charged, std::uint32_t used) -> void
 {
     auto &classQueue = queue.classes.at(requestClass);
@@ -343,19 +368,26 @@
     return place == queue.classes.end() ? 0 : place->second.waiting;
 }
 
-auto waitingAhead(const RequestQueue &queue, RouteId route, int tier) -> std::uint32_t
+auto waitingOf(const RequestQueue &queue, ClassId requestClass, RouteId route) -> std::uint32_t
 {
-    const auto place = queue.routes.find(route);
-    if (place == queue.routes.end()) {
+    const auto *lane = findLane(queue, requestClass, route);
+    return lane == nullptr ? 0 : static_cast<std::uint32_t>(lane->byOrder.size());
+}
+
+auto countAhead(const RequestQueue &queue, ClassId requestClass, RouteId route, WorkspaceId workspace, std::uint32_t weight) -> std::uint32_t
+{
+    const auto *lane = findLane(queue, requestClass, route);
+    if (lane == nullptr) {
         return 0;
     }
-    std::uint32_t ahead = 0;
-    for (int higher = 0; higher <= tier; ++higher) {
-        for (const auto requestClass : place->second.classes.at(static_cast<std::size_t>(higher))) {
-            ahead += static_cast<std::uint32_t>(queue.classes.at(requestClass).lanes.at(route).byOrder.size());
-        }
-    }
-    return ahead;
+    const auto &band = lane->onTime;
+    const auto flow = band.flows.find(workspace);
+    const auto isNew = flow == band.flows.end();
+    const std::uint64_t own = isNew ? 0 : flow->second.requests.size();
+    const std::uint64_t ownWeight = std::max<std::uint32_t>(weight, 1);
+    const auto weights = band.weights + (isNew ? ownWeight : 0);
+    const auto turns = (own + 1) * weights / ownWeight;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(band.waiting, turns - 1));
 }
 
 } // namespace auburnspread::queueing
--- a/src/core/queueing/requestqueue.h
+++ b/src/core/queueing/requestqueue.h
@@ -45,7 +45,6 @@
     std::uint64_t order = 0; ///< position among all arrivals; unique
     std::uint32_t cost = 1;  ///< tokens charged when it is taken; at least 1
     TimePoint arrived;
-    TimePoint latestStart; ///< started later, the answer cannot be on time any more
     TimePoint deadline;
 };
 
@@ -64,7 +63,9 @@
 /// Deficit round robin over workspaces.
 struct Band {
     std::unordered_map<WorkspaceId, Flow> flows;
-    std::list<WorkspaceId> turns;  ///< who is served next, front first
+    std::list<WorkspaceId> turns; ///< who is served next, front first
+    std::uint64_t weights = 0;    ///< of all flows
+    std::uint32_t waiting = 0;
     std::uint32_t largestCost = 1; ///< the quantum: no smaller than any cost in the band, so that one turn serves one request at least
 };
 
@@ -130,6 +131,9 @@
 auto takeStarved(RequestQueue &queue, std::span<const RouteId> routes, TimePoint now, const std::function<bool(ClassId)> &mayUseFloor)
     -> std::optional<WaitingRequest>;
 
+/// Puts back a request that was taken but could not be placed, and undoes its charge.
+auto putBack(RequestQueue &queue, const WaitingRequest &request, bool late) -> void;
+
 /// Corrects the class's account once the real cost of a request is known; lengths are not known in advance.
 auto settle(RequestQueue &queue, ClassId requestClass, std::uint32_t charged, std::uint32_t used) -> void;
 
@@ -144,8 +148,9 @@
 
 auto waitingOn(const RequestQueue &queue, RouteId route) -> std::uint32_t;
 auto waitingOf(const RequestQueue &queue, ClassId requestClass) -> std::uint32_t;
+auto waitingOf(const RequestQueue &queue, ClassId requestClass, RouteId route) -> std::uint32_t;
 
-/// Waiting on the route in tiers not below \p tier: what stands before a new request of that tier.
-auto waitingAhead(const RequestQueue &queue, RouteId route, int tier) -> std::uint32_t;
+/// Requests of the class on the route that will go before a new one of the workspace, by the workspaces' weights.
+auto countAhead(const RequestQueue &queue, ClassId requestClass, RouteId route, WorkspaceId workspace, std::uint32_t weight) -> std::uint32_t;
 
 } // namespace auburnspread::queueing
--- a/src/core/retry/decision.cpp
+++ b/src/core/retry/decision.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-auto decide(const Failed &failed, TimePoint now) -> Decision
+auto whyNoRetry(const Failed &failed, TimePoint now) -> std::optional<Reason>
 {
     const auto lost = failed.answerBegun ? Reason::StreamBroken : Reason::BackendFailed;
     if (!isSafe(failed) || failed.retriesMade >= MostRetries) {
@@ -30,7 +30,7 @@
     if (now >= failed.deadline) {
         return Reason::DeadlinePassed;
     }
-    return failed.answerBegun ? How::Resume : How::FromNothing;
+    return std::nullopt;
 }
 
 } // namespace auburnspread::retry
--- a/src/core/retry/decision.h
+++ b/src/core/retry/decision.h
@@ -1,5 +1,5 @@
 /// \file
-/// Whether a request whose attempt failed may be tried again, and how. The conditions under which a retry is safe stand
+/// Whether a request whose attempt failed may be tried again. The conditions under which a retry is safe stand
 /// here and nowhere else.
 
 #pragma once
@@ -9,7 +9,7 @@
 #include "core/base/time.h"
 
 #include <cstdint>
-#include <variant>
+#include <optional>
 
 namespace auburnspread::retry
 {
@@ -24,14 +24,8 @@
     TimePoint deadline;
 };
 
-enum class How {
-    FromNothing, ///< nothing of the answer was relayed
-    Resume,      ///< at the offset that was relayed, on a backend server that can
-};
-
-using Decision = std::variant<How, Reason>;
-
+/// Why no further attempt may be made, or nothing. A further attempt goes on where the relayed part of the answer ends.
 /// The budget is not asked here: it is only charged for a retry that is otherwise allowed.
-auto decide(const Failed &failed, TimePoint now) -> Decision;
+auto whyNoRetry(const Failed &failed, TimePoint now) -> std::optional<Reason>;
 
 } // namespace auburnspread::retry
--- a/src/core/routing/actions.h
+++ b/src/core/routing/actions.h
@@ -28,7 +28,7 @@
     std::string version;
     std::string adapter;
     int priority = 0;               ///< the class's tier, 0 first
-    std::uint32_t resumeOffset = 0; ///< tokens already relayed; 0: from the beginning
+    std::uint32_t resumeOffset = 0; ///< tokens already relayed; 0: from the beginning, and what an earlier attempt left unsent is dropped
     bool freshConnection = false;   ///< do not reuse an idle connection
     Duration firstTokenTimeout{};
     Duration progressTimeout{};
--- a/src/core/routing/events.h
+++ b/src/core/routing/events.h
@@ -136,9 +136,10 @@
 /// Another entry, or an operator, says that a fingerprint is suspect, quarantined or released.
 struct QuarantineHeard {
     enum class Mark {
-        Suspect,  ///< one crash was seen while it ran
-        Retrying, ///< its one retry runs at \c entry
-        Cleared,  ///< it completed
+        Suspect,    ///< one crash was seen while it ran
+        Retrying,   ///< its one retry runs at \c entry
+        RetryEnded, ///< that retry ended without a crash or an answer
+        Cleared,    ///< it completed
         Quarantined,
         Released, ///< by an operator
     };
--- a/src/core/routing/internal/arriving.cpp
+++ b/src/core/routing/internal/arriving.cpp
@@ -1,9 +1,9 @@
 #include "core/routing/internal/arriving.h"
 
-#include "core/routing/internal/catalog.h"
+#include "core/routing/internal/choosing.h"
 #include "core/routing/internal/ending.h"
-#include "core/routing/internal/identify.h"
-#include "core/routing/internal/placing.h"
+#include "core/routing/internal/naive.h"
+#include "core/routing/internal/waiting.h"
 
 #include <algorithm>
 
@@ -13,7 +13,39 @@
 namespace
 {
 
-/// Makes room in the queue if that is possible at all for a request of this class.
+/// A fresh request pays into the retry budget of its class; one that its caller repeats draws on it.
+auto accountRepeat(RouterState &state, const Request &request) -> void
+{
+    auto &budget = request.requestClass->retryBudget;
+    const auto workspace = static_cast<std::uint32_t>(request.workspace->id);
+    const auto repeated = request.call.fingerprint != Fingerprint{} && retry::takeRepeat(state.repeats, workspace, request.call.fingerprint, state.now);
+    if (repeated) {
+        retry::chargeRepeat(budget, state.now);
+    } else {
+        retry::payIn(budget, state.adopted->document.limits.retryBudgetPercent, state.now);
+    }
+}
+
+/// Why the request can no longer meet its targets, if so. The forecast never bars a class's reserved places: a class in which
+/// nothing waits always gets a request in, so none is starved by a forecast, and a wrong forecast is put right by what comes.
+auto whyUnreachable(RouterState &state, Request &request) -> std::optional<Refusal>
+{
+    const auto &requestClass = *request.requestClass;
+    const auto ahead = queueing::countAhead(state.queue, requestClass.id, request.route, request.workspace->id, request.workspace->definition.weight);
+    request.forecastWait = admission::forecastWait(estimatesOf(request), ahead, state.now);
+    if (queueing::hasReservedPlace(state.queue, requestClass.id)) {
+        return std::nullopt;
+    }
+    const auto answer = request.deadline - request.arrived;
+    const admission::Targets targets{ .firstToken = std::min(requestClass.definition.firstTokenTarget, answer), .answer = answer };
+    const auto missed = admission::missedBy(estimatesOf(request), request.forecastWait, targets);
+    if (!missed) {
+        return std::nullopt;
+    }
+    return Refusal{ .reason = Reason::DeadlineUnreachable, .step = "forecast", .retryAfter = missed };
+}
+
+/// Whether the queue has a place for one more request of this class, if need be that of a lower tier.
 auto findPlace(RouterState &state, const ClassState &requestClass, Actions &actions) -> bool
 {
     if (queueing::hasReservedPlace(state.queue, requestClass.id)) {
@@ -30,9 +62,52 @@
     return true;
 }
 
+auto queueRequest(RouterState &state, Request &request, Actions &actions) -> void
+{
+    if (const auto unreachable = whyUnreachable(state, request)) {
+        refuse(state, request, *unreachable, actions);
+        return;
+    }
+    const auto goesAtOnce = freeSlots(state, request.route) > 0 && queueing::waitingOn(state.queue, request.route) == 0;
+    if (!goesAtOnce && !findPlace(state, *request.requestClass, actions)) {
+        refuse(state, request, { .reason = Reason::QueueFull, .step = "queue", .retryAfter = request.forecastWait }, actions);
+        return;
+    }
+    waitForSlot(state, request, actions);
+}
+
+auto expectedCost(ClassState &requestClass, RouteId route, const RequestArrived &call) -> std::uint32_t
+{
+    if (call.kind == CallKind::Service) {
+        return 1;
+    }
+    return std::max<std::uint32_t>(1, call.promptTokens + admission::expectedTokens(requestClass.estimates[route], call.maxTokens));
+}
+
 } // namespace
 
-auto acceptRequest(RouterState &state, const RequestArrived &call, TimePoint now, Actions &actions) -> void
+auto admitRequest(RouterState &state, const RequestArrived &call, const Identified &identified) -> Request &
+{
+    const auto &definition = identified.requestClass->definition;
+    state.lastArrival += 1;
+    auto &request = state.requests[call.request];
+    request.call = call;
+    request.requestClass = identified.requestClass;
+    request.workspace = identified.workspace;
+    request.route = identified.route;
+    request.order = state.lastArrival;
+    request.cost = expectedCost(*identified.requestClass, identified.route, call);
+    request.repeatable = identified.repeatable;
+    request.arrived = state.now;
+    request.latestStart = state.now + definition.firstTokenTarget - admission::quickFirstToken(estimatesOf(request));
+    request.deadline = state.now + std::min(definition.answerTarget, call.deadline.value_or(definition.answerTarget));
+    request.endsAt = request.deadline;
+    state.timers.insert({ request.latestStart, call.request, TimerKind::LatestStart });
+    state.timers.insert({ request.endsAt, call.request, TimerKind::End });
+    return request;
+}
+
+auto acceptRequest(RouterState &state, const RequestArrived &call, Actions &actions) -> void
 {
     if (state.draining) {
         refuseCall(call, { .reason = Reason::Draining, .step = "admit" }, actions);
@@ -44,28 +119,26 @@
         return;
     }
     const auto &identified = std::get<Identified>(checked);
-    auto &requestClass = *identified.requestClass;
-    if (!findPlace(state, requestClass, actions)) {
-        requestClass.refused += 1;
-        refuseCall(call, { .reason = Reason::QueueFull, .step = "queue" }, actions);
+    if (state.options.policy == Policy::Naive) {
+        acceptNaively(state, call, identified, actions);
         return;
     }
-    const auto &definition = requestClass.definition;
-    state.arrivals += 1;
-    identified.workspace->open += 1;
-    auto &request = state.requests[call.request];
-    request.call = call;
-    request.requestClass = identified.requestClass;
-    request.workspace = identified.workspace;
-    request.route = findRoute(state, identified.route);
-    request.order = state.arrivals;
-    request.arrived = now;
-    request.latestStart = now + definition.firstTokenTarget;
-    request.deadline = now + std::min(definition.answerTarget, call.deadline.value_or(definition.answerTarget));
-    request.repeatable = identified.repeatable;
-    state.timers.insert({ request.latestStart, call.request, TimerKind::LatestStart });
-    state.timers.insert({ request.deadline, call.request, TimerKind::Deadline });
-    waitAgain(state, request, now, actions);
+    if (call.fingerprint != Fingerprint{} && quarantine::isQuarantined(state.quarantine, call.fingerprint, state.now)) {
+        identified.requestClass->refused += 1;
+        refuseCall(call, { .reason = Reason::Quarantined, .step = "quarantine" }, actions);
+        return;
+    }
+    auto &workspace = *identified.workspace;
+    const auto cost = expectedCost(*identified.requestClass, identified.route, call);
+    state.activeWorkspaces.try_emplace(workspace.definition.name, &workspace);
+    if (const auto limited = limits::takeIn(workspace.usage, workspace.definition, cost, state.entries, state.now)) {
+        identified.requestClass->refused += 1;
+        refuseCall(call, { .reason = limited->reason, .step = "limits", .retryAfter = limited->retryAfter }, actions);
+        return;
+    }
+    auto &request = admitRequest(state, call, identified);
+    accountRepeat(state, request);
+    queueRequest(state, request, actions);
 }
 
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/attempts.cpp
+++ b/src/core/routing/internal/attempts.cpp
@@ -1,7 +1,11 @@
 #include "core/routing/internal/attempts.h"
 
+#include "core/retry/decision.h"
+#include "core/routing/internal/choosing.h"
 #include "core/routing/internal/ending.h"
+#include "core/routing/internal/naive.h"
 #include "core/routing/internal/placing.h"
+#include "core/routing/internal/waiting.h"
 
 #include <algorithm>
 
@@ -11,9 +15,7 @@
 namespace
 {
 
-constexpr std::uint32_t MaximumRetries = 1;
-
-auto findAttempt(RouterState &state, AttemptId attempt) -> Attempt *
+auto findLive(RouterState &state, AttemptId attempt) -> Attempt *
 {
     const auto place = state.attempts.find(attempt);
     return place == state.attempts.end() || !place->second.sent ? nullptr : &place->second;
@@ -24,89 +26,114 @@
     return !request.attempts.empty() && !state.attempts.at(request.attempts.front()).sent;
 }
 
-/// Why no further attempt may be made after \p failure, or nothing.
-auto whyNoRetry(const Request &request, Failure failure, bool wasCommitted, TimePoint now) -> std::optional<Reason>
+auto describe(const Request &request, Failure failure, bool wasCommitted) -> retry::Failed
 {
-    const auto isSafe = request.repeatable || provesNotStarted(failure);
-    const auto lostAnswer = wasCommitted && (request.call.kind == CallKind::Service || request.relayed > 0);
-    if (lostAnswer && (!isSafe || request.call.kind == CallKind::Service)) {
-        return Reason::StreamBroken;
+    const auto isChat = request.call.kind == CallKind::Chat;
+    return {
+        .failure = failure,
+        .repeatable = request.repeatable,
+        .resumable = isChat,
+        // A service's answer has no offsets: once committed, an unknown part of it is out.
+        .answerBegun = request.call.stream && (isChat ? request.relayed > 0 : wasCommitted),
+        .retriesMade = request.retries,
+        .deadline = request.deadline,
+    };
+}
+
+/// An answer of which the caller has seen nothing yet begins anew if no backend server can go on with it.
+auto restartIfNeeded(RouterState &state, Request &request) -> void
+{
+    if (request.relayed > 0 && !request.call.stream && !canEverRun(state, request)) {
+        state.wastedTokens += request.relayed;
+        request.relayed = 0;
+        request.firstTokenAt.reset();
     }
-    if (!isSafe || request.retries >= MaximumRetries) {
-        return lostAnswer ? Reason::StreamBroken : Reason::BackendFailed;
+}
+
+auto retryElsewhere(RouterState &state, Request &request, Failure failure, bool wasCommitted, Actions &actions) -> void
+{
+    const auto peer = request.tried.back().name;
+    if (const auto reason = retry::whyNoRetry(describe(request, failure, wasCommitted), state.now)) {
+        refuse(state, request, { .reason = *reason, .step = "relay", .peer = peer }, actions);
+        return;
     }
-    if (now >= request.deadline) {
-        return Reason::DeadlinePassed;
+    restartIfNeeded(state, request);
+    if (canEverRun(state, request)) {
+        if (!retry::takeRetry(request.requestClass->retryBudget, state.now)) {
+            refuse(state, request, { .reason = Reason::RetryBudget, .step = "relay", .peer = peer }, actions);
+            return;
+        }
+        request.retries += 1;
+        actions.emplace_back(Retried{ .request = request.call.request, .failure = failure, .resumed = request.relayed > 0 });
     }
-    return std::nullopt;
+    waitForSlot(state, request, actions);
 }
 
 } // namespace
 
-auto onStarted(RouterState &state, const AttemptStarted &event, TimePoint now, Actions &actions) -> void
+auto onStarted(RouterState &state, const AttemptStarted &event, Actions &actions) -> void
 {
-    auto *attempt = findAttempt(state, event.attempt);
+    auto *attempt = findLive(state, event.attempt);
     if (attempt == nullptr || attempt->committed) {
         return;
     }
     auto &request = state.requests.at(attempt->request);
     attempt->committed = true;
-    request.firstTokenAt = request.firstTokenAt.value_or(now);
+    balancing::noteFirstToken(*state.balancing, event.attempt, state.now);
+    if (attempt->resumeOffset == 0) {
+        admission::noteFirstToken(estimatesOf(request), state.now - attempt->sentAt);
+    }
+    request.firstTokenAt = request.firstTokenAt.value_or(state.now);
     actions.emplace_back(CommitAttempt{ .request = attempt->request, .attempt = attempt->id });
     const auto live = request.attempts;
     for (const auto other : live) {
         if (other != event.attempt) {
-            cancelAttempt(state, request, other, actions);
+            cancelAttempt(state, other, actions);
         }
     }
 }
 
 auto onProgress(RouterState &state, const AttemptProgress &event) -> void
 {
-    if (const auto *attempt = findAttempt(state, event.attempt)) {
-        auto &request = state.requests.at(attempt->request);
-        request.relayed = std::max(request.relayed, event.relayedTokens);
+    const auto *attempt = findLive(state, event.attempt);
+    if (attempt == nullptr) {
+        return;
     }
+    auto &request = state.requests.at(attempt->request);
+    request.relayed = std::max(request.relayed, event.relayedTokens);
+    const auto own = event.relayedTokens - std::min(event.relayedTokens, attempt->resumeOffset);
+    balancing::noteProgress(*state.balancing, event.attempt, own, state.now);
 }
 
-auto onFinished(RouterState &state, const AttemptFinished &event, TimePoint now, Actions &actions) -> void
+auto onFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void
 {
-    const auto *attempt = findAttempt(state, event.attempt);
-    if (attempt == nullptr) {
-        return;
+    if (findLive(state, event.attempt) != nullptr) {
+        finishAttempt(state, event.attempt, event.relayedTokens, actions);
     }
-    auto &request = state.requests.at(attempt->request);
-    releaseAttempt(state, event.attempt);
-    complete(state, request, event.relayedTokens, now, actions);
 }
 
-auto onFailed(RouterState &state, const AttemptFailed &event, TimePoint now, Actions &actions) -> void
+auto onFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void
 {
     state.wastedTokens += event.wastedTokens;
-    const auto *attempt = findAttempt(state, event.attempt);
+    const auto *attempt = findLive(state, event.attempt);
     if (attempt == nullptr) {
         return;
     }
-    auto &request = state.requests.at(attempt->request);
-    const auto server = attempt->server->name;
     const auto wasCommitted = attempt->committed;
+    auto &request = state.requests.at(attempt->request);
     request.relayed = std::max(request.relayed, event.relayedTokens);
-    request.mayHaveRun = request.mayHaveRun || !provesNotStarted(event.failure);
-    request.tried.push_back(server);
-    releaseAttempt(state, event.attempt);
+    failAttempt(state, event.attempt, event.failure, actions);
     if (!request.attempts.empty()) {
         return;
     }
-    if (const auto reason = whyNoRetry(request, event.failure, wasCommitted, now)) {
-        refuse(state, request, { .reason = *reason, .step = "relay", .peer = server }, actions);
+    if (state.options.policy == Policy::Naive) {
+        retryNaively(state, request, event.failure, actions);
         return;
     }
-    request.retries += 1;
-    actions.emplace_back(Retried{ .request = request.call.request, .failure = event.failure, .resumed = request.relayed > 0 });
-    waitAgain(state, request, now, actions);
+    retryElsewhere(state, request, event.failure, wasCommitted, actions);
 }
 
-auto onClaimSettled(RouterState &state, const ClaimSettled &event, TimePoint now, Actions &actions) -> void
+auto onClaimSettled(RouterState &state, const ClaimSettled &event, Actions &actions) -> void
 {
     const auto place = state.requests.find(event.request);
     if (place == state.requests.end() || !awaitsClaim(state, place->second)) {
@@ -115,7 +142,7 @@
     auto &request = place->second;
     switch (event.result) {
     case ClaimResult::Claimed:
-        sendClaimed(state, request, now, actions);
+        sendClaimed(state, request, actions);
         return;
     case ClaimResult::Duplicate:
         // Another request with this key was accepted; whether that one ran is not known here.
--- a/src/core/routing/internal/attempts.h
+++ b/src/core/routing/internal/attempts.h
@@ -1,5 +1,6 @@
 /// \file
-/// What happens to attempts on backend servers. An event of an attempt that is not live changes nothing but the waste account.
+/// What happens to attempts on backend servers. An event of an attempt that is not live changes nothing but the waste
+/// account: its answer may be late or crossed, and nobody may get it.
 
 #pragma once
 
@@ -8,10 +9,10 @@
 namespace auburnspread::routing
 {
 
-auto onStarted(RouterState &state, const AttemptStarted &event, TimePoint now, Actions &actions) -> void;
+auto onStarted(RouterState &state, const AttemptStarted &event, Actions &actions) -> void;
 auto onProgress(RouterState &state, const AttemptProgress &event) -> void;
-auto onFinished(RouterState &state, const AttemptFinished &event, TimePoint now, Actions &actions) -> void;
-auto onFailed(RouterState &state, const AttemptFailed &event, TimePoint now, Actions &actions) -> void;
-auto onClaimSettled(RouterState &state, const ClaimSettled &event, TimePoint now, Actions &actions) -> void;
+auto onFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void;
+auto onFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void;
+auto onClaimSettled(RouterState &state, const ClaimSettled &event, Actions &actions) -> void;
 
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/catalog.cpp
+++ b/src/core/routing/internal/catalog.cpp
@@ -2,7 +2,7 @@
 
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/identify.h"
-#include "core/routing/internal/placing.h"
+#include "core/routing/internal/waiting.h"
 
 #include <algorithm>
 
@@ -29,11 +29,28 @@
     return std::any_of(server.models.begin(), server.models.end(), [&](const auto &served) { return serves(served, key); });
 }
 
-auto connect(RouterState &state, RouteId route, const std::string &name) -> void
+auto connect(RouterState &state, RouteId route, const std::string &name, bool canResume) -> void
 {
-    auto &server = state.servers.at(name);
-    routeOf(state, route).servers.push_back(&server);
-    server.routes.push_back(route);
+    const auto server = balancing::findServer(*state.balancing, name);
+    if (!server) {
+        return;
+    }
+    routeOf(state, route).servers.push_back(*server);
+    state.routesOfServer[*server].push_back(route);
+    if (!canResume) {
+        routeOf(state, route).cannotResume.push_back(*server);
+    }
+}
+
+auto connectService(RouterState &state, RouteId route, const std::string &name) -> void
+{
+    const auto service = state.services.find(name);
+    if (service == state.services.end()) {
+        return;
+    }
+    for (const auto &server : service->second->servers) {
+        connect(state, route, server.name, false);
+    }
 }
 
 /// Finds the backend servers that fit; once for each route and document.
@@ -41,21 +58,26 @@
 {
     const auto key = routeOf(state, route).key;
     if (key.kind == CallKind::Service) {
-        const auto service = state.services.find(key.name);
-        if (service != state.services.end()) {
-            for (const auto &server : service->second->servers) {
-                connect(state, route, server.name);
-            }
-        }
+        connectService(state, route, key.name);
         return;
     }
     for (const auto &server : state.adopted->document.backendServers) {
         if (fits(server, key)) {
-            connect(state, route, server.name);
+            connect(state, route, server.name, server.canResume);
         }
     }
 }
 
+auto reconnectRoutes(RouterState &state) -> void
+{
+    state.routesOfServer.clear();
+    for (std::size_t index = 0; index < state.routes.size(); ++index) {
+        state.routes.at(index).servers.clear();
+        state.routes.at(index).cannotResume.clear();
+        connectRoute(state, static_cast<RouteId>(index));
+    }
+}
+
 auto adoptClasses(RouterState &state, const Document &document) -> void
 {
     for (auto &[name, requestClass] : state.classes) {
@@ -65,7 +87,9 @@
         const auto [place, isNew] = state.classes.try_emplace(definition.name);
         auto &requestClass = place->second;
         if (isNew) {
-            requestClass.id = static_cast<ClassId>(state.classes.size());
+            state.lastClass += 1;
+            requestClass.id = static_cast<ClassId>(state.lastClass);
+            state.classesById[requestClass.id] = &requestClass;
         }
         requestClass.definition = definition;
         requestClass.inDocument = true;
@@ -91,42 +115,9 @@
         workspace.definition = definition;
         workspace.inDocument = true;
     }
-    std::erase_if(state.workspaces, [](const auto &entry) { return !entry.second.inDocument && entry.second.open == 0; });
-}
-
-auto addServer(RouterState &state, const std::string &name) -> Server &
-{
-    auto &server = state.servers[name];
-    server.name = name;
-    server.inDocument = true;
-    return server;
-}
-
-/// A backend server that vanished from the document keeps its record until what it runs has ended.
-auto adoptServers(RouterState &state, const Document &document) -> void
-{
-    for (auto &[name, server] : state.servers) {
-        server.inDocument = false;
-        server.routes.clear();
-    }
-    for (const auto &definition : document.backendServers) {
-        auto &server = addServer(state, definition.name);
-        server.address = definition.address;
-        server.failureDomain = definition.failureDomain;
-        server.concurrency = definition.concurrency;
-        server.canResume = definition.canResume;
-        server.honoursPriority = definition.honoursPriority;
-    }
-    for (const auto &service : document.services) {
-        for (const auto &definition : service.servers) {
-            auto &server = addServer(state, definition.name);
-            server.address = definition.address;
-            server.failureDomain = definition.failureDomain;
-            server.concurrency = definition.concurrency;
-            server.canResume = false;
-        }
-    }
-    std::erase_if(state.servers, [](const auto &entry) { return !entry.second.inDocument && entry.second.inFlight == 0; });
+    const auto isGone = [](const WorkspaceState &workspace) { return !workspace.inDocument && workspace.usage.open == 0; };
+    std::erase_if(state.activeWorkspaces, [&](const auto &entry) { return isGone(*entry.second); });
+    std::erase_if(state.workspaces, [&](const auto &entry) { return isGone(entry.second); });
 }
 
 auto adoptNames(RouterState &state, const Document &document) -> void
@@ -159,7 +150,7 @@
     return ids;
 }
 
-auto putBack(RouterState &state, RequestId id, TimePoint now, Actions &actions) -> void
+auto checkAgain(RouterState &state, RequestId id, Actions &actions) -> void
 {
     auto &request = state.requests.at(id);
     auto identified = identify(state, request.call);
@@ -167,8 +158,8 @@
         refuse(state, request, { .reason = *reason, .step = "configure" }, actions);
         return;
     }
-    request.route = findRoute(state, std::get<Identified>(identified).route);
-    waitAgain(state, request, now, actions);
+    request.route = std::get<Identified>(identified).route;
+    waitForSlot(state, request, actions);
 }
 
 } // namespace
@@ -183,7 +174,7 @@
     return place->second;
 }
 
-auto adoptConfiguration(RouterState &state, const ConfigurationAdopted &event, TimePoint now, Actions &actions) -> void
+auto adoptConfiguration(RouterState &state, const ConfigurationAdopted &event, Actions &actions) -> void
 {
     if (!event.configuration || (state.adopted && event.configuration->version <= state.adopted->version)) {
         return;
@@ -194,13 +185,11 @@
     adoptNames(state, document);
     adoptClasses(state, document);
     adoptWorkspaces(state, document);
-    adoptServers(state, document);
-    for (std::size_t route = 0; route < state.routes.size(); ++route) {
-        state.routes.at(route).servers.clear();
-        connectRoute(state, static_cast<RouteId>(route));
-    }
+    balancing::adopt(*state.balancing, document, state.now);
+    quarantine::setLimits(state.quarantine, document.limits.quarantineExpiry, document.limits.quarantineEntries);
+    reconnectRoutes(state);
     for (const auto id : waiting) {
-        putBack(state, id, now, actions);
+        checkAgain(state, id, actions);
     }
 }
 
--- a/src/core/routing/internal/catalog.h
+++ b/src/core/routing/internal/catalog.h
@@ -9,16 +9,11 @@
 {
 
 /// Takes the document if its version is higher than the one in force.
-/// Queued requests are checked against the new document; those whose names it no longer has are refused.
-auto adoptConfiguration(RouterState &state, const ConfigurationAdopted &event, TimePoint now, Actions &actions) -> void;
+/// Waiting requests are checked against the new document; those whose names it no longer has are refused as not run.
+/// Requests that run go on, also on backend servers that the document no longer has.
+auto adoptConfiguration(RouterState &state, const ConfigurationAdopted &event, Actions &actions) -> void;
 
-/// The route of the key; made on first use.
+/// The route of the key; made on first use and kept over changes of the document.
 auto findRoute(RouterState &state, const RouteKey &key) -> RouteId;
 
-/// Whether a backend server may take new work at all.
-inline auto takesWork(const Server &server) -> bool
-{
-    return server.inDocument && !server.leaving;
-}
-
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/ending.cpp
+++ b/src/core/routing/internal/ending.cpp
@@ -1,6 +1,7 @@
 #include "core/routing/internal/ending.h"
 
-#include "core/routing/internal/placing.h"
+#include "core/routing/internal/suspects.h"
+#include "core/routing/internal/waiting.h"
 
 #include <algorithm>
 
@@ -10,14 +11,14 @@
 namespace
 {
 
-constexpr auto DefaultRetryAfter = std::chrono::seconds(1);
+constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
 auto retryAfterOf(const Refusal &refusal) -> std::optional<Duration>
 {
-    if (refusal.retryAfter || !entryOf(refusal.reason).retryHelps) {
-        return refusal.retryAfter;
+    if (!entryOf(refusal.reason).retryHelps) {
+        return std::nullopt;
     }
-    return DefaultRetryAfter;
+    return std::max(refusal.retryAfter.value_or(DefaultRetryAfter), DefaultRetryAfter);
 }
 
 auto makeRefuse(RequestId request, const Refusal &refusal, Outcome outcome) -> Refuse
@@ -40,13 +41,52 @@
     return request.mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun;
 }
 
-auto forget(RouterState &state, Request &request) -> void
+/// Forgets the attempt; whatever still arrives from it is late.
+auto releaseAttempt(RouterState &state, AttemptId id) -> void
 {
+    const auto place = state.attempts.find(id);
+    const auto &attempt = place->second;
+    auto &request = state.requests.at(attempt.request);
+    std::erase(request.attempts, id);
+    request.requestClass->inFlight -= 1;
+    request.requestClass->floorInFlight -= attempt.onFloor ? 1 : 0;
+    const auto &routes = state.routesOfServer[attempt.server];
+    state.touched.insert(routes.begin(), routes.end());
+    state.attempts.erase(place);
+}
+
+auto forget(RouterState &state, Request &request, std::uint32_t usedTokens) -> void
+{
+    const auto id = request.call.request;
     leaveWaiting(state, request);
-    state.timers.erase({ request.latestStart, request.call.request, TimerKind::LatestStart });
-    state.timers.erase({ request.deadline, request.call.request, TimerKind::Deadline });
-    request.workspace->open -= 1;
-    state.requests.erase(request.call.request);
+    state.timers.erase({ request.latestStart, id, TimerKind::LatestStart });
+    state.timers.erase({ request.endsAt, id, TimerKind::End });
+    if (request.hedgeAt) {
+        state.timers.erase({ *request.hedgeAt, id, TimerKind::Hedge });
+    }
+    limits::release(request.workspace->usage, request.cost, usedTokens);
+    queueing::settle(state.queue, request.requestClass->id, request.cost, usedTokens);
+    state.requests.erase(id);
+}
+
+auto learnAnswer(RouterState &state, Request &request, const Attempt &attempt, std::uint32_t tokens) -> void
+{
+    if (request.call.kind == CallKind::Chat && attempt.resumeOffset == 0 && request.firstTokenAt) {
+        admission::noteAnswer(estimatesOf(request), tokens, state.now - *request.firstTokenAt);
+    }
+}
+
+auto makeCompleted(const Request &request, std::uint32_t tokens, TimePoint now) -> Completed
+{
+    const auto firstToken = request.firstTokenAt.value_or(now) - request.arrived;
+    return {
+        .request = request.call.request,
+        .requestClass = request.call.requestClass,
+        .firstToken = firstToken,
+        .answer = now - request.arrived,
+        .tokens = tokens,
+        .onTime = firstToken <= request.requestClass->definition.firstTokenTarget && now <= request.deadline,
+    };
 }
 
 } // namespace
@@ -57,57 +97,66 @@
     actions.emplace_back(makeRefuse(call.request, refusal, outcome));
 }
 
-auto releaseAttempt(RouterState &state, AttemptId attempt) -> void
+auto refuse(RouterState &state, Request &request, const Refusal &refusal, Actions &actions) -> void
 {
-    const auto place = state.attempts.find(attempt);
-    auto &server = *place->second.server;
-    auto &request = state.requests.at(place->second.request);
-    std::erase(request.attempts, attempt);
-    request.requestClass->inFlight -= 1;
-    server.inFlight -= 1;
-    state.touched.insert(server.routes.begin(), server.routes.end());
-    if (!server.inDocument && server.inFlight == 0) {
-        state.servers.erase(server.name);
+    while (!request.attempts.empty()) {
+        cancelAttempt(state, request.attempts.back(), actions);
     }
-    state.attempts.erase(place);
+    state.wastedTokens += request.relayed;
+    request.requestClass->refused += 1;
+    if (request.mayHaveRun && request.call.fingerprint != Fingerprint{}) {
+        retry::noteGivenUp(state.repeats, static_cast<std::uint32_t>(request.workspace->id), request.call.fingerprint, state.now);
+    }
+    actions.emplace_back(makeRefuse(request.call.request, refusal, outcomeOf(request, refusal.reason)));
+    forget(state, request, request.mayHaveRun ? request.call.promptTokens + request.relayed : 0);
 }
 
-auto cancelAttempt(RouterState &state, Request &request, AttemptId attempt, Actions &actions) -> void
+auto finishAttempt(RouterState &state, AttemptId id, std::uint32_t tokens, Actions &actions) -> void
 {
-    if (state.attempts.at(attempt).sent) {
-        request.mayHaveRun = true;
-        actions.emplace_back(CancelAttempt{ .attempt = attempt });
+    const auto attempt = state.attempts.at(id);
+    auto &request = state.requests.at(attempt.request);
+    const auto fingerprint = request.call.fingerprint;
+    learnAnswer(state, request, attempt, tokens);
+    balancing::noteFinished(*state.balancing, id, tokens - std::min(tokens, attempt.resumeOffset), state.now);
+    tellCell(quarantine::noteCompleted(state.quarantine, id, state.now), actions);
+    releaseAttempt(state, id);
+    while (!request.attempts.empty()) {
+        cancelAttempt(state, request.attempts.back(), actions);
     }
-    releaseAttempt(state, attempt);
+    const auto completed = makeCompleted(request, tokens, state.now);
+    request.requestClass->completed += 1;
+    request.requestClass->onTime += completed.onTime ? 1 : 0;
+    actions.emplace_back(completed);
+    forget(state, request, request.call.promptTokens + tokens);
+    releaseHeld(state, fingerprint, actions);
 }
 
-auto refuse(RouterState &state, Request &request, const Refusal &refusal, Actions &actions) -> void
+auto failAttempt(RouterState &state, AttemptId id, Failure failure, Actions &actions) -> void
 {
-    while (!request.attempts.empty()) {
-        cancelAttempt(state, request, request.attempts.back(), actions);
-    }
-    state.wastedTokens += request.relayed;
-    request.requestClass->refused += 1;
-    actions.emplace_back(makeRefuse(request.call.request, refusal, outcomeOf(request, refusal.reason)));
-    forget(state, request);
+    const auto &attempt = state.attempts.at(id);
+    auto &request = state.requests.at(attempt.request);
+    const auto view = balancing::viewServer(*state.balancing, attempt.server);
+    request.mayHaveRun = request.mayHaveRun || !provesNotStarted(failure);
+    request.tried.push_back({ .server = attempt.server, .name = attempt.serverName, .failureDomain = view.failureDomain });
+    balancing::noteFailed(*state.balancing, id, failure, state.now);
+    const auto isCrash = looksLikeCrash(failure);
+    tellCell(isCrash ? quarantine::noteCrashed(state.quarantine, id, state.now) : quarantine::noteEnded(state.quarantine, id, state.now), actions);
+    releaseAttempt(state, id);
+    releaseHeld(state, request.call.fingerprint, actions);
 }
 
-auto complete(RouterState &state, Request &request, std::uint32_t tokens, TimePoint now, Actions &actions) -> void
+auto cancelAttempt(RouterState &state, AttemptId id, Actions &actions) -> void
 {
-    auto &requestClass = *request.requestClass;
-    const auto firstToken = request.firstTokenAt.value_or(now) - request.arrived;
-    const auto onTime = firstToken <= requestClass.definition.firstTokenTarget && now <= request.deadline;
-    requestClass.completed += 1;
-    requestClass.onTime += onTime ? 1 : 0;
-    actions.emplace_back(Completed{
-        .request = request.call.request,
-        .requestClass = request.call.requestClass,
-        .firstToken = firstToken,
-        .answer = now - request.arrived,
-        .tokens = tokens,
-        .onTime = onTime,
-    });
-    forget(state, request);
+    const auto &attempt = state.attempts.at(id);
+    auto &request = state.requests.at(attempt.request);
+    if (attempt.sent) {
+        request.mayHaveRun = true;
+        actions.emplace_back(CancelAttempt{ .attempt = id });
+    }
+    balancing::noteCancelled(*state.balancing, id, state.now);
+    tellCell(quarantine::noteEnded(state.quarantine, id, state.now), actions);
+    releaseAttempt(state, id);
+    releaseHeld(state, request.call.fingerprint, actions);
 }
 
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/ending.h
+++ b/src/core/routing/internal/ending.h
@@ -1,5 +1,5 @@
 /// \file
-/// How a request ends: each gets exactly one final action, and its attempts and places are given back.
+/// How attempts and requests end: each request gets exactly one final action, and all that it held is given back.
 
 #pragma once
 
@@ -21,13 +21,13 @@
 /// Gives an accepted request up: cancels its attempts and answers at once. The request is gone afterwards.
 auto refuse(RouterState &state, Request &request, const Refusal &refusal, Actions &actions) -> void;
 
-/// Ends a request whose answer was relayed whole. The request is gone afterwards.
-auto complete(RouterState &state, Request &request, std::uint32_t tokens, TimePoint now, Actions &actions) -> void;
+/// The attempt relayed a whole answer of \p tokens: the request is completed and gone afterwards.
+auto finishAttempt(RouterState &state, AttemptId attempt, std::uint32_t tokens, Actions &actions) -> void;
 
-/// Gives the attempt's slot back. The attempt is gone afterwards; whatever still arrives from it is late.
-auto releaseAttempt(RouterState &state, AttemptId attempt) -> void;
+/// The attempt failed: its slot is free. The request goes on.
+auto failAttempt(RouterState &state, AttemptId attempt, Failure failure, Actions &actions) -> void;
 
-/// Releases the attempt and has its connection closed.
-auto cancelAttempt(RouterState &state, Request &request, AttemptId attempt, Actions &actions) -> void;
+/// The attempt is not wanted any more: its slot is free and its connection is closed.
+auto cancelAttempt(RouterState &state, AttemptId attempt, Actions &actions) -> void;
 
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/identify.cpp
+++ b/src/core/routing/internal/identify.cpp
@@ -1,5 +1,7 @@
 #include "core/routing/internal/identify.h"
 
+#include "core/routing/internal/catalog.h"
+
 #include <algorithm>
 
 namespace auburnspread::routing
@@ -106,7 +108,7 @@
         if (service == state.services.end()) {
             return Reason::UnknownService;
         }
-        identified.route = RouteKey{ .kind = CallKind::Service, .name = call.service };
+        identified.route = findRoute(state, { .kind = CallKind::Service, .name = call.service });
         // The operators' table says what a repeat would do; a caller may only be stricter.
         identified.repeatable = tableSaysRepeatable(*service->second, call) && call.repeatable.value_or(true);
         return identified;
@@ -115,7 +117,7 @@
     if (const auto *reason = std::get_if<Reason>(&route)) {
         return *reason;
     }
-    identified.route = std::get<RouteKey>(route);
+    identified.route = findRoute(state, std::get<RouteKey>(route));
     identified.repeatable = call.repeatable.value_or(requestClass->second.definition.repeatable);
     return identified;
 }
--- a/src/core/routing/internal/identify.h
+++ b/src/core/routing/internal/identify.h
@@ -14,7 +14,7 @@
 struct Identified {
     ClassState *requestClass = nullptr;
     WorkspaceState *workspace = nullptr;
-    RouteKey route;
+    RouteId route{};
     bool repeatable = false;
 };
 
--- a/src/core/routing/internal/placing.cpp
+++ b/src/core/routing/internal/placing.cpp
@@ -1,7 +1,10 @@
 #include "core/routing/internal/placing.h"
 
-#include "core/routing/internal/catalog.h"
+#include "core/routing/internal/choosing.h"
 #include "core/routing/internal/ending.h"
+#include "core/routing/internal/hedging.h"
+#include "core/routing/internal/suspects.h"
+#include "core/routing/internal/waiting.h"
 
 #include <algorithm>
 
@@ -11,183 +14,239 @@
 namespace
 {
 
-auto hasRoom(const Server &server) -> bool
+using quarantine::Verdict;
+
+/// One of this many dispatches from the queue may go to a floor.
+///
+/// A class whose requests wait past its starvation bound while higher tiers use every slot would never be answered. Its
+/// floor mends that, and cannot shed a higher tier: it takes nothing from a request that runs or waits, only the slot
+/// that becomes free next; it is bounded by the class's floor slots in flight and by this part of all dispatches, so
+/// that higher tiers keep all other slots; and the queue places of waiting higher-tier requests do not depend on it.
+constexpr std::uint32_t FloorPeriod = 4;
+
+/// Parked requests looked at for one free slot. A parked request fails to fit only if every free slot is on a server
+/// that failed it already; looking at all of them each time would make a mass failure quadratic.
+constexpr int ParkedLookedAt = 8;
+
+enum class Result {
+    Placed,
+    SetAside, ///< refused or held: it no longer waits
+    NoSlot,   ///< no free slot fits it
+};
+
+/// Places a request that was taken out of its waiting place.
+auto tryPlace(RouterState &state, Request &request, bool onFloor, Actions &actions) -> Result
 {
-    return takesWork(server) && server.inFlight < server.concurrency;
+    const auto decision = decideSuspect(state, request);
+    if (decision.verdict == Verdict::Refuse) {
+        refuse(state, request, { .reason = Reason::Quarantined, .step = "quarantine" }, actions);
+        return Result::SetAside;
+    }
+    if (decision.verdict == Verdict::Wait) {
+        hold(state, request);
+        return Result::SetAside;
+    }
+    const auto alone = decision.verdict == Verdict::RunAlone;
+    const auto server = chooseServer(state, request, { .alone = alone, .onlyServer = decision.server });
+    // A suspect that found no quiet server, or whose equal one's server is full, may not stand in the way of others.
+    if (!server && decision.verdict != Verdict::Run) {
+        hold(state, request);
+        return Result::SetAside;
+    }
+    if (!server) {
+        return Result::NoSlot;
+    }
+    place(state, request, { .server = *server, .alone = alone, .onFloor = onFloor }, actions);
+    return Result::Placed;
 }
 
-auto hasRoom(const Route &route) -> bool
+/// Places the first parked request for which a slot is free on a server that it may use, if it is of \p tier or higher.
+auto placeParked(RouterState &state, RouteId route, int tier, Actions &actions) -> bool
 {
-    return std::any_of(route.servers.begin(), route.servers.end(), [](const auto *server) { return hasRoom(*server); });
+    auto &parked = routeOf(state, route).parked;
+    auto left = ParkedLookedAt;
+    for (auto next = parked.begin(); next != parked.end() && left > 0; --left) {
+        const auto [parkedTier, deadline, id] = *next;
+        if (parkedTier > tier) {
+            return false;
+        }
+        ++next;
+        auto &request = state.requests.at(id);
+        leaveWaiting(state, request);
+        const auto result = tryPlace(state, request, false, actions);
+        if (result == Result::Placed) {
+            return true;
+        }
+        if (result == Result::NoSlot) {
+            request.stage = Stage::Parked;
+            parked.insert({ parkedTier, deadline, id });
+        }
+    }
+    return false;
 }
 
-auto wasTried(const Request &request, const Server &server) -> bool
+auto mayUseFloor(const RouterState &state, ClassId requestClass) -> bool
 {
-    return std::find(request.tried.begin(), request.tried.end(), server.name) != request.tried.end();
+    const auto &owner = *state.classesById.at(requestClass);
+    return owner.floorInFlight < owner.definition.floorSlots;
 }
 
-auto mayTake(const Request &request, const Server &server) -> bool
+struct Taken {
+    queueing::WaitingRequest waiting;
+    bool onFloor = false;
+};
+
+auto takeFromQueue(RouterState &state, std::span<const RouteId> routes) -> std::optional<Taken>
 {
-    return !wasTried(request, server) && (request.relayed == 0 || server.canResume);
+    if (state.floorCredit >= FloorPeriod) {
+        const auto allowed = [&](ClassId requestClass) { return mayUseFloor(state, requestClass); };
+        if (const auto starved = queueing::takeStarved(state.queue, routes, state.now, allowed)) {
+            return Taken{ .waiting = *starved, .onFloor = true };
+        }
+    }
+    if (const auto next = queueing::takeNext(state.queue, routes)) {
+        return Taken{ .waiting = *next };
+    }
+    return std::nullopt;
 }
 
-auto isLessLoaded(const Server &left, const Server &right) -> bool
+/// What the queue learns from a request that left it for a backend server.
+auto noteLeftQueue(RouterState &state, Request &request, bool onFloor) -> void
 {
-    return static_cast<std::uint64_t>(left.inFlight) * right.concurrency < static_cast<std::uint64_t>(right.inFlight) * left.concurrency;
+    state.floorCredit = onFloor ? 0 : std::min(state.floorCredit + 1, FloorPeriod);
+    if (state.now > request.queuedAt) {
+        admission::noteLeftQueue(estimatesOf(request), state.now - request.queuedAt, request.forecastWait, state.now);
+    }
 }
 
-auto chooseServer(RouterState &state, const Request &request) -> Server *
+/// Takes the next request from the queue. Routes on which it found no slot that fits are removed from \p routes.
+auto placeQueued(RouterState &state, std::vector<RouteId> &routes, Actions &actions) -> bool
 {
-    Server *best = nullptr;
-    for (auto *server : routeOf(state, request.route).servers) {
-        if (!hasRoom(*server) || !mayTake(request, *server)) {
-            continue;
-        }
-        if (best == nullptr || isLessLoaded(*server, *best)) {
-            best = server;
-        }
+    const auto taken = takeFromQueue(state, routes);
+    if (!taken) {
+        return false;
+    }
+    auto &request = state.requests.at(taken->waiting.request);
+    const auto result = tryPlace(state, request, taken->onFloor, actions);
+    if (result == Result::Placed) {
+        noteLeftQueue(state, request, taken->onFloor);
     }
-    return best;
+    if (result == Result::NoSlot) {
+        queueing::putBack(state.queue, taken->waiting, state.now >= request.latestStart);
+        std::erase(routes, request.route);
+    }
+    return true;
 }
 
-auto parkedKey(const Request &request) -> std::tuple<int, TimePoint, RequestId>
+/// Touched routes with a free slot.
+auto openRoutes(RouterState &state, const std::set<RouteId> &without) -> std::vector<RouteId>
 {
-    return { request.requestClass->definition.tier, request.deadline, request.call.request };
+    std::vector<RouteId> open;
+    for (const auto route : state.touched) {
+        if (!without.contains(route) && freeSlots(state, route) > 0) {
+            open.push_back(route);
+        }
+    }
+    return open;
 }
 
-auto send(RouterState &state, Request &request, Attempt &attempt, TimePoint now, Actions &actions) -> void
+auto send(RouterState &state, Request &request, Attempt &attempt, Actions &actions) -> void
 {
-    const auto &route = routeOf(state, request.route).key;
+    const auto &key = routeOf(state, request.route).key;
+    const auto isChat = key.kind == CallKind::Chat;
     const auto &limits = state.adopted->document.limits;
-    const auto &server = *attempt.server;
     attempt.sent = true;
-    attempt.sentAt = now;
+    attempt.sentAt = state.now;
+    scheduleHedge(state, request);
     actions.emplace_back(Dispatch{
         .request = request.call.request,
         .attempt = attempt.id,
-        .backend = server.name,
-        .address = server.address,
-        .model = route.kind == CallKind::Chat ? route.name : std::string(),
-        .version = route.version,
-        .adapter = route.adapter,
+        .backend = attempt.serverName,
+        .address = balancing::viewServer(*state.balancing, attempt.server).address,
+        .model = isChat ? key.name : std::string(),
+        .version = key.version,
+        .adapter = key.adapter,
         .priority = request.requestClass->definition.tier,
         .resumeOffset = attempt.resumeOffset,
         .freshConnection = request.retries > 0,
         .firstTokenTimeout = limits.firstTokenTimeout,
         .progressTimeout = limits.progressTimeout,
     });
+    if (request.call.fingerprint != Fingerprint{}) {
+        tellCell(quarantine::noteDispatched(state.quarantine, attempt.id, request.call.fingerprint, attempt.serverName, state.now), actions);
+    }
+}
+
+/// Only a caller that gave a key can repeat the request recognisably; without one there is nothing to claim.
+auto needsClaim(const Request &request) -> bool
+{
+    return !request.repeatable && !request.claimed && !request.call.idempotencyKey.empty();
 }
 
-/// A non-repeatable request that its caller can repeat recognisably is claimed while its slot is held; any later and it could run
-/// twice, any earlier and a request that is evicted from the queue would leave a claim that bars its caller's repeat.
-auto place(RouterState &state, Request &request, Server &server, TimePoint now, Actions &actions) -> void
+} // namespace
+
+auto place(RouterState &state, Request &request, const Placement &placement, Actions &actions) -> void
 {
     state.lastAttempt += 1;
     const auto id = static_cast<AttemptId>(state.lastAttempt);
     auto &attempt = state.attempts[id];
-    attempt = { .id = id, .request = request.call.request, .server = &server, .resumeOffset = request.relayed };
+    attempt = { .id = id,
+                .request = request.call.request,
+                .server = placement.server,
+                .serverName = balancing::viewServer(*state.balancing, placement.server).name,
+                .alone = placement.alone,
+                .onFloor = placement.onFloor,
+                .resumeOffset = request.relayed };
     request.attempts.push_back(id);
     request.stage = Stage::Placed;
     request.requestClass->inFlight += 1;
-    server.inFlight += 1;
-    if (!request.repeatable && !request.claimed && !request.call.idempotencyKey.empty()) {
+    request.requestClass->floorInFlight += placement.onFloor ? 1 : 0;
+    balancing::noteDispatched(*state.balancing, id, placement.server, attemptQuery(state, request, placement.alone), state.now);
+    // The slot is held while the key is claimed. Claimed later, the request could run twice; claimed earlier, one that is then evicted
+    // from the queue would leave a claim behind that bars its caller's repeat.
+    if (needsClaim(request) && state.options.policy == Policy::Standard) {
         actions.emplace_back(ClaimKey{ .request = request.call.request, .workspace = request.call.workspace, .idempotencyKey = request.call.idempotencyKey });
         return;
     }
-    send(state, request, attempt, now, actions);
-}
-
-/// The first parked request for which a slot is free on a server that it may use.
-auto placeParked(RouterState &state, RouteId routeId, TimePoint now, Actions &actions) -> bool
-{
-    for (const auto &[tier, deadline, id] : routeOf(state, routeId).parked) {
-        auto &request = state.requests.at(id);
-        if (auto *server = chooseServer(state, request)) {
-            leaveWaiting(state, request);
-            place(state, request, *server, now, actions);
-            return true;
-        }
-    }
-    return false;
-}
-
-auto placeQueued(RouterState &state, std::span<const RouteId> routes, TimePoint now, Actions &actions) -> bool
-{
-    const auto taken = queueing::takeNext(state.queue, routes);
-    if (!taken) {
-        return false;
-    }
-    auto &request = state.requests.at(taken->request);
-    place(state, request, *chooseServer(state, request), now, actions);
-    return true;
-}
-
-} // namespace
-
-auto leaveWaiting(RouterState &state, Request &request) -> void
-{
-    if (request.stage == Stage::Queued) {
-        queueing::remove(state.queue, request.call.request);
-    }
-    if (request.stage == Stage::Parked) {
-        routeOf(state, request.route).parked.erase(parkedKey(request));
-    }
+    send(state, request, attempt, actions);
 }
 
-auto waitAgain(RouterState &state, Request &request, TimePoint now, Actions &actions) -> void
+auto sendClaimed(RouterState &state, Request &request, Actions &actions) -> void
 {
-    const auto &servers = routeOf(state, request.route).servers;
-    const auto canRun = [&](const auto *server) { return takesWork(*server) && mayTake(request, *server); };
-    if (std::none_of(servers.begin(), servers.end(), canRun)) {
-        refuse(state, request, { .reason = Reason::NoBackendServer, .step = "choose" }, actions);
-        return;
-    }
-    state.touched.insert(request.route);
-    if (!request.tried.empty() || request.relayed > 0) {
-        request.stage = Stage::Parked;
-        routeOf(state, request.route).parked.insert(parkedKey(request));
+    request.claimed = true;
+    auto &attempt = state.attempts.at(request.attempts.front());
+    const auto view = balancing::viewServer(*state.balancing, attempt.server);
+    if (view.leaving || !view.inDocument) {
+        // It left while the key was claimed: no new work may go there.
+        cancelAttempt(state, attempt.id, actions);
+        waitForSlot(state, request, actions);
         return;
     }
-    request.stage = Stage::Queued;
-    queueing::enqueue(state.queue,
-                      { .request = request.call.request,
-                        .requestClass = request.requestClass->id,
-                        .workspace = request.workspace->id,
-                        .route = request.route,
-                        .workspaceWeight = request.workspace->definition.weight,
-                        .order = request.order,
-                        .cost = std::max<std::uint32_t>(1, request.call.promptTokens),
-                        .arrived = request.arrived,
-                        .latestStart = request.latestStart,
-                        .deadline = request.deadline });
-    if (now >= request.latestStart) {
-        queueing::demote(state.queue, request.call.request);
-    }
+    // The time of the claim is none of the server's.
+    balancing::noteCancelled(*state.balancing, attempt.id, state.now);
+    balancing::noteDispatched(*state.balancing, attempt.id, attempt.server, attemptQuery(state, request, attempt.alone), state.now);
+    send(state, request, attempt, actions);
 }
 
-auto dispatchWaiting(RouterState &state, TimePoint now, Actions &actions) -> void
+auto dispatchWaiting(RouterState &state, Actions &actions) -> void
 {
-    auto placed = true;
-    while (placed) {
-        placed = false;
-        std::vector<RouteId> open;
-        for (const auto route : state.touched) {
-            if (hasRoom(routeOf(state, route))) {
-                open.push_back(route);
-            }
+    std::set<RouteId> closed;
+    while (true) {
+        auto open = openRoutes(state, closed);
+        const auto tier = queueing::highestTier(state.queue, open).value_or(configuration::TierCount);
+        const auto parkedFirst = std::any_of(open.begin(), open.end(), [&](RouteId route) { return placeParked(state, route, tier, actions); });
+        if (parkedFirst) {
+            continue;
+        }
+        const auto before = open;
+        if (!placeQueued(state, open, actions)) {
+            break;
         }
-        for (const auto route : open) {
-            placed = placed || placeParked(state, route, now, actions);
+        if (open.size() < before.size()) {
+            std::set_difference(before.begin(), before.end(), open.begin(), open.end(), std::inserter(closed, closed.end()));
         }
-        placed = placed || placeQueued(state, open, now, actions);
     }
     state.touched.clear();
 }
 
-auto sendClaimed(RouterState &state, Request &request, TimePoint now, Actions &actions) -> void
-{
-    request.claimed = true;
-    send(state, request, state.attempts.at(request.attempts.front()), now, actions);
-}
-
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/placing.h
+++ b/src/core/routing/internal/placing.h
@@ -1,5 +1,5 @@
 /// \file
-/// Waiting, and the way from waiting to a slot of a backend server.
+/// The way from waiting to a slot of a backend server.
 
 #pragma once
 
@@ -8,16 +8,19 @@
 namespace auburnspread::routing
 {
 
-/// Puts an accepted request that holds no slot among the waiting.
-auto waitAgain(RouterState &state, Request &request, TimePoint now, Actions &actions) -> void;
+/// Dispatches as long as something waits on a touched route and a fitting slot is free.
+auto dispatchWaiting(RouterState &state, Actions &actions) -> void;
 
-/// Takes the request out of the queue or the parked ones, if it is there.
-auto leaveWaiting(RouterState &state, Request &request) -> void;
+struct Placement {
+    ServerIndex server{};
+    bool alone = false;   ///< nothing else may go to the server meanwhile
+    bool onFloor = false; ///< the slot is given to the class's floor
+};
 
-/// Dispatches as long as something waits on a touched route and a fitting slot is free.
-auto dispatchWaiting(RouterState &state, TimePoint now, Actions &actions) -> void;
+/// Takes a slot for an attempt of the request and sends it, or first has its key claimed.
+auto place(RouterState &state, Request &request, const Placement &placement, Actions &actions) -> void;
 
 /// Sends the request on the slot that was held while its key was claimed.
-auto sendClaimed(RouterState &state, Request &request, TimePoint now, Actions &actions) -> void;
+auto sendClaimed(RouterState &state, Request &request, Actions &actions) -> void;
 
 } // namespace auburnspread::routing
--- /dev/null
+++ b/src/core/routing/internal/reporting.cpp
@@ -0,0 +1,123 @@
+#include "core/routing/internal/reporting.h"
+
+#include "core/routing/internal/choosing.h"
+
+#include <algorithm>
+
+namespace auburnspread::routing
+{
+
+namespace
+{
+
+auto findWorkspace(RouterState &state, const std::string &name) -> WorkspaceState *
+{
+    const auto place = state.workspaces.find(name);
+    return place == state.workspaces.end() ? nullptr : &place->second;
+}
+
+/// Takes out what the peer had open by its last report.
+auto forgetOpen(RouterState &state, PeerState &peer) -> void
+{
+    for (const auto &[name, open] : peer.open) {
+        if (auto *workspace = findWorkspace(state, name)) {
+            workspace->usage.peersOpen -= std::min(workspace->usage.peersOpen, open);
+        }
+    }
+    peer.open.clear();
+}
+
+auto noteWorkspaces(RouterState &state, const PeerReported &event) -> void
+{
+    auto &peer = state.peers[event.entry];
+    forgetOpen(state, peer);
+    for (const auto &use : event.workspaces) {
+        auto *workspace = findWorkspace(state, use.workspace);
+        if (workspace == nullptr) {
+            continue;
+        }
+        limits::notePeerDemand(workspace->usage, { .requests = use.requests, .tokens = use.tokens }, state.now);
+        workspace->usage.peersOpen += use.inFlight;
+        peer.open[use.workspace] += use.inFlight;
+    }
+}
+
+auto noteServers(RouterState &state, const PeerReported &event) -> void
+{
+    balancing::UseReport report{ .entry = event.entry };
+    for (const auto &use : event.backends) {
+        report.servers.push_back({ .server = use.backend, .inFlight = use.inFlight });
+    }
+    for (const auto &demand : event.demand) {
+        report.demand.push_back({ .pool = demand.model, .waiting = demand.waiting });
+    }
+    balancing::notePeerReport(*state.balancing, report, state.now);
+}
+
+auto collectDemand(RouterState &state) -> std::vector<balancing::Demand>
+{
+    std::map<std::string, std::uint32_t> waiting;
+    for (std::size_t index = 0; index < state.routes.size(); ++index) {
+        const auto &route = state.routes.at(index);
+        const auto count = queueing::waitingOn(state.queue, static_cast<RouteId>(index)) + static_cast<std::uint32_t>(route.parked.size());
+        if (count > 0) {
+            waiting[balancing::demandName(queryOf(route))] += count;
+        }
+    }
+    std::vector<balancing::Demand> demand;
+    for (const auto &[name, count] : waiting) {
+        demand.push_back({ .pool = name, .waiting = count });
+    }
+    return demand;
+}
+
+auto reportWorkspaces(RouterState &state, PeerReported &report) -> void
+{
+    for (auto &[name, workspace] : state.activeWorkspaces) {
+        const auto demand = limits::takeDemand(workspace->usage, state.now);
+        report.workspaces.push_back({ .workspace = name, .requests = demand.requests, .tokens = demand.tokens, .inFlight = workspace->usage.open });
+    }
+    std::erase_if(state.activeWorkspaces, [](const auto &entry) { return entry.second->usage.open == 0; });
+}
+
+} // namespace
+
+auto onPeerReported(RouterState &state, const PeerReported &event) -> void
+{
+    if (event.entry == state.options.entry) {
+        return;
+    }
+    noteWorkspaces(state, event);
+    noteServers(state, event);
+}
+
+auto onCellChanged(RouterState &state, const CellChanged &event) -> void
+{
+    state.entries = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(event.entries.size()));
+    for (auto peer = state.peers.begin(); peer != state.peers.end();) {
+        const auto stays = std::find(event.entries.begin(), event.entries.end(), peer->first) != event.entries.end();
+        if (stays) {
+            ++peer;
+            continue;
+        }
+        forgetOpen(state, peer->second);
+        peer = state.peers.erase(peer);
+    }
+    balancing::noteCell(*state.balancing, event.entries, state.now);
+}
+
+auto makeReport(RouterState &state) -> PeerReported
+{
+    PeerReported report{ .entry = state.options.entry };
+    const auto use = balancing::takeReport(*state.balancing, collectDemand(state), state.now);
+    for (const auto &server : use.servers) {
+        report.backends.push_back({ .backend = server.server, .inFlight = server.inFlight });
+    }
+    for (const auto &demand : use.demand) {
+        report.demand.push_back({ .model = demand.pool, .waiting = demand.waiting });
+    }
+    reportWorkspaces(state, report);
+    return report;
+}
+
+} // namespace auburnspread::routing
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -3,15 +3,22 @@
 
 #pragma once
 
+#include "core/admission/forecast.h"
+#include "core/balancing/balancing.h"
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/configuration/document.h"
+#include "core/limits/workspacelimits.h"
+#include "core/quarantine/quarantine.h"
 #include "core/queueing/requestqueue.h"
+#include "core/retry/budget.h"
+#include "core/retry/repeats.h"
 #include "core/routing/actions.h"
 #include "core/routing/events.h"
 #include "core/routing/router.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +31,7 @@
 namespace auburnspread::routing
 {
 
+using balancing::ServerIndex;
 using queueing::ClassId;
 using queueing::RouteId;
 using queueing::WorkspaceId;
@@ -32,6 +40,9 @@
     ClassId id{};
     configuration::RequestClass definition;
     bool inDocument = true;
+    std::unordered_map<RouteId, admission::Estimates> estimates;
+    retry::Budget retryBudget;
+    std::uint32_t floorInFlight = 0; ///< attempts on slots that were given to the class's floor
     std::uint32_t inFlight = 0;
     std::uint64_t completed = 0;
     std::uint64_t onTime = 0;
@@ -42,21 +53,7 @@
     WorkspaceId id{};
     configuration::Workspace definition;
     bool inDocument = true;
-    std::uint32_t open = 0; ///< accepted and not yet ended
-};
-
-/// A backend server: an engine or a server of a plain service.
-struct Server {
-    std::string name;
-    std::string address;
-    std::string failureDomain;
-    std::uint32_t concurrency = 0;
-    std::uint32_t inFlight = 0;
-    bool canResume = false;
-    bool honoursPriority = false;
-    bool leaving = false;
-    bool inDocument = true;
-    std::vector<RouteId> routes;
+    limits::WorkspaceUsage usage;
 };
 
 /// What a request needs of a backend server; see RouteId.
@@ -70,17 +67,28 @@
 };
 
 struct Route {
+    using ParkedKey = std::tuple<int, TimePoint, RequestId>; ///< tier, deadline
     RouteKey key;
-    std::vector<Server *> servers;                          ///< that fit
-    std::set<std::tuple<int, TimePoint, RequestId>> parked; ///< by tier and deadline: see Stage::Parked
+    std::vector<ServerIndex> servers; ///< that fit
+    std::vector<ServerIndex> cannotResume;
+    std::set<ParkedKey> parked;
+    std::size_t turn = 0; ///< of round robin
 };
 
 enum class Stage {
     Queued,
-    Parked, ///< waits outside the queue for a server that fits it in particular: a retry, which must go elsewhere
+    Parked, ///< a retry: waits outside the queue, since not every server of its route will do
+    Held,   ///< waits for an equal request: see suspects.h
     Placed, ///< holds a slot of a backend server
 };
 
+/// A backend server on which an attempt of the request failed.
+struct TriedServer {
+    ServerIndex server{};
+    std::string name;
+    std::string failureDomain;
+};
+
 struct Request {
     RequestArrived call;
     Stage stage = Stage::Queued;
@@ -88,58 +96,85 @@
     WorkspaceState *workspace = nullptr;
     RouteId route{};
     std::uint64_t order = 0;
-    TimePoint arrived;
-    TimePoint latestStart;
-    TimePoint deadline;
+    std::uint32_t cost = 1; ///< tokens it is charged with until its length is known
     bool repeatable = false;
     bool claimed = false;
-    bool mayHaveRun = false;   ///< an ended attempt does not prove that it was not started
+    bool mayHaveRun = false; ///< an attempt that ended does not prove that it was not started
+
+    TimePoint arrived;
+    TimePoint queuedAt;
+    Duration forecastWait{};
+    TimePoint latestStart; ///< started later, the answer cannot be on time any more
+    TimePoint deadline;
+    TimePoint endsAt; ///< the deadline, or later for an answer that is worth finishing
+    std::optional<TimePoint> hedgeAt;
+    std::optional<TimePoint> firstTokenAt;
+
     std::uint32_t relayed = 0; ///< tokens
     std::uint32_t retries = 0;
-    std::optional<TimePoint> firstTokenAt;
     std::vector<AttemptId> attempts; ///< live ones
-    std::vector<std::string> tried;  ///< backend servers that failed it
+    std::vector<TriedServer> tried;
 };
 
 struct Attempt {
     AttemptId id{};
     RequestId request{};
-    Server *server = nullptr;
+    ServerIndex server{};
+    std::string serverName;
     bool sent = false; ///< false: the slot is held while the idempotency key is claimed
     bool committed = false;
+    bool alone = false;
+    bool onFloor = false;
     std::uint32_t resumeOffset = 0;
     TimePoint sentAt;
 };
 
 enum class TimerKind {
     LatestStart,
-    Deadline,
+    End,
+    Hedge,
 };
 
 using Timer = std::tuple<TimePoint, RequestId, TimerKind>;
 
+/// What the other entries of the cell have open, so that a new report replaces the old one.
+struct PeerState {
+    std::unordered_map<std::string, std::uint32_t> open; ///< by workspace
+};
+
 struct RouterState {
     RouterOptions options;
+    TimePoint now;
     std::shared_ptr<const configuration::AdoptedDocument> adopted;
     bool draining = false;
     bool drained = false;
 
     std::map<std::string, ClassState> classes;
+    std::unordered_map<ClassId, ClassState *> classesById;
     std::unordered_map<std::string, WorkspaceState> workspaces;
-    std::map<std::string, Server> servers;
     std::unordered_map<std::string, const configuration::Model *> models;
     std::unordered_map<std::string, const configuration::Service *> services;
     std::map<RouteKey, RouteId> routeIds;
-    std::vector<Route> routes; ///< by RouteId
-
+    std::deque<Route> routes; ///< by RouteId
+    std::unordered_map<ServerIndex, std::vector<RouteId>> routesOfServer;
+    std::map<std::string, PeerState> peers;
+    std::uint32_t entries = 1;                                ///< of the cell
+    std::map<std::string, WorkspaceState *> activeWorkspaces; ///< of which the next report says something
+
+    balancing::StatePointer balancing;
+    quarantine::State quarantine;
     queueing::RequestQueue queue;
+    retry::Repeats repeats;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
+    std::map<Fingerprint, std::set<std::pair<std::uint64_t, RequestId>>> held; ///< in order of arrival
     std::set<Timer> timers;
 
-    std::uint64_t arrivals = 0;
-    std::uint64_t lastWorkspace = 0;
+    std::uint64_t lastArrival = 0;
+    std::uint32_t lastClass = 0;
+    std::uint32_t lastWorkspace = 0;
     std::uint64_t lastAttempt = 0;
+    std::uint32_t floorCredit = 0;
     std::uint64_t wastedTokens = 0;
     std::set<RouteId> touched; ///< routes on which something may be dispatched after this event
 };
@@ -149,4 +184,9 @@
     return state.routes.at(static_cast<std::size_t>(route));
 }
 
+inline auto estimatesOf(Request &request) -> admission::Estimates &
+{
+    return request.requestClass->estimates[request.route];
+}
+
 } // namespace auburnspread::routing
--- /dev/null
+++ b/src/core/routing/internal/suspects.h
@@ -0,0 +1,27 @@
+/// \file
+/// Requests that may crash backend servers, by fingerprint: when an equal one may run, and what the cell is told.
+
+#pragma once
+
+#include "core/routing/internal/state.h"
+
+namespace auburnspread::routing
+{
+
+/// Whether and how the request may be dispatched now. A request without a fingerprint always may.
+auto decideSuspect(const RouterState &state, const Request &request) -> quarantine::Decision;
+
+/// Keeps the request back until releaseHeld().
+auto hold(RouterState &state, Request &request) -> void;
+
+/// Lets the requests of a fingerprint wait for a slot again: what they waited for has changed.
+auto releaseHeld(RouterState &state, Fingerprint fingerprint, Actions &actions) -> void;
+
+/// Releases all that the quarantine now decides on otherwise than to wait; for ticks and peers' notices.
+auto reviewHeld(RouterState &state, Actions &actions) -> void;
+
+auto tellCell(const std::vector<quarantine::Notice> &notices, Actions &actions) -> void;
+
+auto onQuarantineHeard(RouterState &state, const QuarantineHeard &event, Actions &actions) -> void;
+
+} // namespace auburnspread::routing
--- /dev/null
+++ b/src/core/routing/internal/waiting.cpp
@@ -0,0 +1,120 @@
+#include "core/routing/internal/waiting.h"
+
+#include "core/routing/internal/choosing.h"
+#include "core/routing/internal/ending.h"
+
+#include <algorithm>
+
+namespace auburnspread::routing
+{
+
+namespace
+{
+
+auto parkedKey(const Request &request) -> Route::ParkedKey
+{
+    return { request.requestClass->definition.tier, request.deadline, request.call.request };
+}
+
+auto park(RouterState &state, Request &request) -> void
+{
+    request.stage = Stage::Parked;
+    routeOf(state, request.route).parked.insert(parkedKey(request));
+}
+
+auto enqueue(RouterState &state, Request &request) -> void
+{
+    request.stage = Stage::Queued;
+    request.queuedAt = state.now;
+    const auto classId = request.requestClass->id;
+    if (queueing::waitingOf(state.queue, classId, request.route) == 0) {
+        admission::noteQueueBegun(estimatesOf(request), state.now);
+    }
+    queueing::enqueue(state.queue,
+                      { .request = request.call.request,
+                        .requestClass = classId,
+                        .workspace = request.workspace->id,
+                        .route = request.route,
+                        .workspaceWeight = request.workspace->definition.weight,
+                        .order = request.order,
+                        .cost = request.cost,
+                        .arrived = request.arrived,
+                        .deadline = request.deadline });
+    if (state.now >= request.latestStart) {
+        queueing::demote(state.queue, request.call.request);
+    }
+}
+
+auto leaveHeld(RouterState &state, const Request &request) -> void
+{
+    const auto place = state.held.find(request.call.fingerprint);
+    if (place == state.held.end()) {
+        return;
+    }
+    place->second.erase({ request.order, request.call.request });
+    if (place->second.empty()) {
+        state.held.erase(place);
+    }
+}
+
+} // namespace
+
+auto waitForSlot(RouterState &state, Request &request, Actions &actions) -> void
+{
+    if (!canEverRun(state, request)) {
+        // The stream cannot go on if no server is left that could resume it.
+        const auto reason = request.relayed > 0 ? Reason::StreamBroken : request.tried.empty() ? Reason::NoBackendServer : Reason::BackendFailed;
+        const auto peer = request.tried.empty() ? std::string() : request.tried.back().name;
+        refuse(state, request, { .reason = reason, .step = "choose", .peer = peer }, actions);
+        return;
+    }
+    state.touched.insert(request.route);
+    if (request.tried.empty() && request.relayed == 0) {
+        enqueue(state, request);
+    } else {
+        park(state, request);
+    }
+}
+
+auto leaveWaiting(RouterState &state, Request &request) -> void
+{
+    switch (request.stage) {
+    case Stage::Queued:
+        queueing::remove(state.queue, request.call.request);
+        return;
+    case Stage::Parked:
+        routeOf(state, request.route).parked.erase(parkedKey(request));
+        return;
+    case Stage::Held:
+        leaveHeld(state, request);
+        return;
+    case Stage::Placed:
+        return;
+    }
+}
+
+auto touchWaiting(RouterState &state) -> void
+{
+    for (std::size_t index = 0; index < state.routes.size(); ++index) {
+        const auto route = static_cast<RouteId>(index);
+        if (!state.routes.at(index).parked.empty() || queueing::waitingOn(state.queue, route) > 0) {
+            state.touched.insert(route);
+        }
+    }
+}
+
+auto reviewParked(RouterState &state, Actions &actions) -> void
+{
+    for (auto &route : state.routes) {
+        const auto parked = route.parked;
+        for (const auto &[tier, deadline, id] : parked) {
+            auto &request = state.requests.at(id);
+            if (!canEverRun(state, request)) {
+                leaveWaiting(state, request);
+                waitForSlot(state, request, actions);
+            }
+        }
+    }
+}
+
+} // namespace auburnspread::routing
--- /dev/null
+++ b/src/core/routing/internal/waiting.h
@@ -0,0 +1,24 @@
+/// \file
+/// Where accepted requests wait for a slot: in the queue, parked for a retry, or held back behind an equal request.
+
+#pragma once
+
+#include "core/routing/internal/state.h"
+
+namespace auburnspread::routing
+{
+
+/// Lets a request that holds no slot wait for one, or refuses it if no backend server is left that could run it.
+/// It is dispatched at the end of the event if a slot is free. The request may be gone afterwards.
+auto waitForSlot(RouterState &state, Request &request, Actions &actions) -> void;
+
+/// Takes the request out of wherever it waits.
+auto leaveWaiting(RouterState &state, Request &request) -> void;
+
+/// Marks every route on which something waits as worth another look.
+auto touchWaiting(RouterState &state) -> void;
+
+/// Refuses parked requests for which no backend server is left.
+auto reviewParked(RouterState &state, Actions &actions) -> void;
+
+} // namespace auburnspread::routing
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -3,10 +3,13 @@
 #include "core/routing/internal/arriving.h"
 #include "core/routing/internal/attempts.h"
 #include "core/routing/internal/catalog.h"
+#include "core/routing/internal/deadlines.h"
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/placing.h"
+#include "core/routing/internal/reporting.h"
 #include "core/routing/internal/state.h"
-#include "core/routing/internal/timers.h"
+#include "core/routing/internal/suspects.h"
+#include "core/routing/internal/waiting.h"
 
 #include <utility>
 
@@ -16,15 +19,27 @@
 namespace
 {
 
+auto onTick(RouterState &state, Actions &actions) -> void
+{
+    balancing::advance(*state.balancing, state.now);
+    quarantine::expire(state.quarantine, state.now);
+    reviewHeld(state, actions);
+    reviewParked(state, actions);
+    touchWaiting(state);
+    for (const auto server : balancing::takeProbesDue(*state.balancing, state.now)) {
+        const auto view = balancing::viewServer(*state.balancing, server);
+        actions.emplace_back(ProbeBackend{ .backend = view.name, .address = view.address });
+    }
+}
+
 /// Hands each event to the policy that answers it.
 struct Handler {
     RouterState &state;
-    TimePoint now;
     Actions &actions;
 
     auto operator()(const RequestArrived &event) const -> void
     {
-        acceptRequest(state, event, now, actions);
+        acceptRequest(state, event, actions);
     }
     auto operator()(const CallerGone &event) const -> void
     {
@@ -35,7 +50,7 @@
     }
     auto operator()(const AttemptStarted &event) const -> void
     {
-        onStarted(state, event, now, actions);
+        onStarted(state, event, actions);
     }
     auto operator()(const AttemptProgress &event) const -> void
     {
@@ -43,38 +58,60 @@
     }
     auto operator()(const AttemptFinished &event) const -> void
     {
-        onFinished(state, event, now, actions);
+        onFinished(state, event, actions);
     }
     auto operator()(const AttemptFailed &event) const -> void
     {
-        onFailed(state, event, now, actions);
+        onFailed(state, event, actions);
+    }
+    auto operator()(const LoadReported &event) const -> void
+    {
+        const balancing::LoadReport report{ .running = event.running, .waiting = event.waiting, .age = event.age };
+        balancing::noteLoadReport(*state.balancing, event.backend, report, state.now);
+    }
+    auto operator()(const ProbeSettled &event) const -> void
+    {
+        balancing::noteProbe(*state.balancing, event.backend, event.healthy, state.now);
+        touchWaiting(state);
     }
-    auto operator()(const LoadReported &) const -> void {}
-    auto operator()(const ProbeSettled &) const -> void {}
     auto operator()(const BackendLeaving &event) const -> void
     {
-        const auto place = state.servers.find(event.backend);
-        if (place != state.servers.end()) {
-            place->second.leaving = event.leaving;
-            state.touched.insert(place->second.routes.begin(), place->second.routes.end());
-        }
+        balancing::noteLeaving(*state.balancing, event.backend, event.leaving, state.now);
+        reviewParked(state, actions);
+        touchWaiting(state);
     }
     auto operator()(const ClaimSettled &event) const -> void
     {
-        onClaimSettled(state, event, now, actions);
+        onClaimSettled(state, event, actions);
+    }
+    auto operator()(const PeerReported &event) const -> void
+    {
+        onPeerReported(state, event);
+        balancing::advance(*state.balancing, state.now);
+        touchWaiting(state);
+    }
+    auto operator()(const CellChanged &event) const -> void
+    {
+        onCellChanged(state, event);
+        balancing::advance(*state.balancing, state.now);
+        touchWaiting(state);
+    }
+    auto operator()(const QuarantineHeard &event) const -> void
+    {
+        onQuarantineHeard(state, event, actions);
     }
-    auto operator()(const PeerReported &) const -> void {}
-    auto operator()(const CellChanged &) const -> void {}
-    auto operator()(const QuarantineHeard &) const -> void {}
     auto operator()(const ConfigurationAdopted &event) const -> void
     {
-        adoptConfiguration(state, event, now, actions);
+        adoptConfiguration(state, event, actions);
     }
     auto operator()(const DrainStarted &) const -> void
     {
         state.draining = true;
     }
-    auto operator()(const Tick &) const -> void {}
+    auto operator()(const Tick &) const -> void
+    {
+        onTick(state, actions);
+    }
 };
 
 auto classStatus(const RouterState &state, const ClassState &requestClass) -> RouterStatus::ClassStatus
@@ -89,6 +126,18 @@
     };
 }
 
+auto backendStatus(const RouterState &state, ServerIndex server) -> RouterStatus::BackendStatus
+{
+    const auto view = balancing::viewServer(*state.balancing, server);
+    return {
+        .backend = view.name,
+        .inFlight = view.inFlight,
+        .share = view.share,
+        .ejected = view.health == balancing::Health::Ejected,
+        .leaving = view.leaving,
+    };
+}
+
 } // namespace
 
 auto RouterStateDeleter::operator()(RouterState *state) const -> void
@@ -99,6 +148,8 @@
 auto makeRouter(RouterOptions options) -> RouterStatePointer
 {
     RouterStatePointer state(new RouterState);
+    state->balancing = balancing::makeState({ .entry = options.entry, .failureDomain = options.failureDomain, .seed = options.seed });
+    state->quarantine = quarantine::makeState({ .entry = options.entry });
     state->options = std::move(options);
     return state;
 }
@@ -106,9 +157,10 @@
 auto step(RouterState &state, const Event &event, TimePoint now) -> Actions
 {
     Actions actions;
-    std::visit(Handler{ .state = state, .now = now, .actions = actions }, event);
-    fireTimers(state, now, actions);
-    dispatchWaiting(state, now, actions);
+    state.now = now;
+    std::visit(Handler{ .state = state, .actions = actions }, event);
+    fireTimers(state, actions);
+    dispatchWaiting(state, actions);
     if (state.draining && !state.drained && state.requests.empty()) {
         state.drained = true;
         actions.emplace_back(Drained{});
@@ -118,13 +170,7 @@
 
 auto takeReport(RouterState &state) -> PeerReported
 {
-    PeerReported report{ .entry = state.options.entry };
-    for (const auto &[name, server] : state.servers) {
-        if (server.inFlight > 0) {
-            report.backends.push_back({ .backend = name, .inFlight = server.inFlight });
-        }
-    }
-    return report;
+    return makeReport(state);
 }
 
 auto statusOf(const RouterState &state) -> RouterStatus
@@ -137,8 +183,13 @@
     for (const auto &[name, requestClass] : state.classes) {
         status.classes.push_back(classStatus(state, requestClass));
     }
-    for (const auto &[name, server] : state.servers) {
-        status.backends.push_back({ .backend = name, .inFlight = server.inFlight, .share = server.concurrency, .leaving = server.leaving });
+    for (const auto server : balancing::listServers(*state.balancing)) {
+        status.backends.push_back(backendStatus(state, server));
+    }
+    for (const auto &listed : quarantine::list(state.quarantine, state.now)) {
+        if (listed.quarantined) {
+            status.quarantined.push_back(listed.fingerprint);
+        }
     }
     return status;
 }
