--- /dev/null
+++ b/src/load/run.cpp
@@ -0,0 +1,60 @@
+#include "load/run.h"
+
+#include "load/arrivals.h"
+#include "load/callers.h"
+#include "load/executions.h"
+#include "load/faults.h"
+
+namespace auburnspread::load
+{
+
+namespace
+{
+
+constexpr auto LogInterval = std::chrono::seconds(1);
+/// After the last answer, so that engines notice closed connections before their logs are read.
+constexpr auto LogDelay = std::chrono::milliseconds(300);
+
+auto engineAddresses(const Site &site) -> std::vector<std::string>
+{
+    std::vector<std::string> addresses;
+    for (const auto &engine : processesOf(site, ProcessKind::Engine)) {
+        addresses.push_back(engine.address);
+    }
+    return addresses;
+}
+
+} // namespace
+
+auto runScenario(const Scenario &scenario, const Site &site, RunOptions options) -> RunReport
+{
+    task::EventLoop loop;
+    const auto plan = planCalls(scenario, site.document);
+    Callers callers(loop, scenario, site, { .direct = options.direct ? engineAddresses(site) : std::vector<std::string>() });
+    FaultRunner faults(loop, scenario, site);
+    ExecutionReader reader(loop, site);
+
+    auto polling = loop.every(LogInterval, [&reader]() { reader.readAll({}); });
+    task::Watch settling;
+    task::Watch reading;
+    const auto finish = [&]() {
+        settling = {};
+        polling = {};
+        reading = loop.after(LogDelay, [&]() { reader.readAll([&loop]() { loop.stop(); }); });
+    };
+    settling = loop.after(scenario.duration + scenario.settle, [&]() { callers.giveUpAll(); });
+    callers.start(plan, finish);
+    if (plan.empty()) {
+        finish();
+    }
+    faults.start();
+    loop.run();
+    return makeReport({ .scenario = &scenario,
+                        .document = &site.document,
+                        .policy = site.policy,
+                        .calls = callers.takeRecords(),
+                        .logs = reader.logs(),
+                        .faults = faults.records() });
+}
+
+} // namespace auburnspread::load
--- /dev/null
+++ b/src/load/run.h
@@ -0,0 +1,19 @@
+/// \file
+/// One run of a scenario against a site, from the first arrival to the report.
+
+#pragma once
+
+#include "load/report.h"
+#include "load/scenario.h"
+#include "load/site.h"
+
+namespace auburnspread::load
+{
+
+struct RunOptions {
+    bool direct = false; ///< send straight to the engines, without the router
+};
+
+auto runScenario(const Scenario &scenario, const Site &site, RunOptions options) -> RunReport;
+
+} // namespace auburnspread::load
