--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -165,7 +165,9 @@
         : options(std::move(taskOptions))
         , mailboxes(all)
         , pool(loop, options.idleAge)
-        , context{ .mailboxes = all, .mostEventBytes = options.mostEventBytes, .ended = [this](AttemptId id, bool reusable) { end(id, reusable); } }
+        , context{ .mailboxes = all, .mostEventBytes = options.mostEventBytes, .failed = options.failed, .ended = [this](AttemptId id, bool reusable) {
+                      end(id, reusable);
+                  } }
     {
     }
 
--- a/src/entry/backend/backendtask.h
+++ b/src/entry/backend/backendtask.h
@@ -6,17 +6,31 @@
 
 #include "entry/messages/messages.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace auburnspread::entry
 {
 
+/// A failed attempt, for counting and logging.
+struct AttemptReport {
+    std::string request; ///< public id
+    std::string attempt;
+    std::string backend;
+    Failure failure{};
+    std::uint32_t wastedTokens = 0;
+};
+
 struct BackendTaskOptions {
     std::string attemptPrefix;          ///< entry and incarnation: makes attempt ids unique among all entries
     std::size_t mostEventBytes = 65536; ///< one event of a stream may not be longer
     Duration connectTimeout = std::chrono::seconds(1);
     Duration idleAge = std::chrono::seconds(5); ///< an idle connection older than this is not used again
+    /// Called in the task's thread for each failed attempt.
+    std::function<void(const AttemptReport &report)> failed;
 };
 
 class BackendTask
--- a/src/entry/backend/internal/attempt.cpp
+++ b/src/entry/backend/internal/attempt.cpp
@@ -42,6 +42,15 @@
         .relayedTokens = relayed,
         .wastedTokens = wasted,
     }));
+    if (attempt.context.failed) {
+        attempt.context.failed({
+            .request = attempt.payload->publicId,
+            .attempt = attempt.stream.attemptId,
+            .backend = attempt.dispatch.backend,
+            .failure = failure,
+            .wastedTokens = wasted,
+        });
+    }
     attempt.context.ended(attempt.dispatch.attempt, false);
 }
 
--- a/src/entry/backend/internal/attempt.h
+++ b/src/entry/backend/internal/attempt.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/relay/relaystream.h"
+#include "entry/backend/backendtask.h"
 #include "entry/backend/internal/connectionpool.h"
 #include "entry/messages/messages.h"
 #include "wire/chat/eventreader.h"
@@ -24,6 +25,7 @@
 struct AttemptContext {
     Mailboxes &mailboxes;
     std::size_t mostEventBytes;
+    const std::function<void(const AttemptReport &report)> &failed;
     /// Called once when the attempt is over; the connection may be kept if \c reusable.
     std::function<void(AttemptId attempt, bool reusable)> ended;
 };
