--- a/src/core/queueing/requestqueue.cpp
+++ b/src/core/queueing/requestqueue.cpp
@@ -362,6 +362,17 @@
     return place == queue.routes.end() ? 0 : place->second.waiting;
 }
 
+auto listWaiting(const RequestQueue &queue, RouteId route) -> std::vector<RequestId>
+{
+    std::vector<RequestId> waiting;
+    for (const auto &[id, classQueue] : queue.classes) {
+        if (const auto *lane = findLane(queue, id, route)) {
+            std::transform(lane->byOrder.begin(), lane->byOrder.end(), std::back_inserter(waiting), [](const auto &entry) { return entry.second; });
+        }
+    }
+    return waiting;
+}
+
 auto waitingOf(const RequestQueue &queue, ClassId requestClass) -> std::uint32_t
 {
     const auto place = queue.classes.find(requestClass);
--- a/src/core/queueing/requestqueue.h
+++ b/src/core/queueing/requestqueue.h
@@ -147,6 +147,9 @@
 auto findVictim(const RequestQueue &queue, int tier) -> std::optional<RequestId>;
 
 auto waitingOn(const RequestQueue &queue, RouteId route) -> std::uint32_t;
+/// All that wait on the route, in no particular order. Costs as much as there are.
+auto listWaiting(const RequestQueue &queue, RouteId route) -> std::vector<RequestId>;
+
 auto waitingOf(const RequestQueue &queue, ClassId requestClass) -> std::uint32_t;
 auto waitingOf(const RequestQueue &queue, ClassId requestClass, RouteId route) -> std::uint32_t;
 
--- a/src/core/retry/budget.cpp
+++ b/src/core/retry/budget.cpp
@@ -13,7 +13,7 @@
 constexpr double Most = 20; ///< what is paid in and not used does not pile up into a storm
 constexpr double Least = -20;
 constexpr double QuietClassPerSecond = 0.2;
-constexpr double Initial = 2;
+constexpr double Initial = 10; ///< a backend server may crash right after the start, with several requests in flight
 
 auto refill(Budget &budget, TimePoint now) -> void
 {
--- a/src/core/routing/internal/attempts.cpp
+++ b/src/core/routing/internal/attempts.cpp
@@ -5,6 +5,7 @@
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/naive.h"
 #include "core/routing/internal/placing.h"
+#include "core/routing/internal/suspects.h"
 #include "core/routing/internal/waiting.h"
 
 #include <algorithm>
@@ -53,6 +54,10 @@
 auto retryElsewhere(RouterState &state, Request &request, Failure failure, bool wasCommitted, Actions &actions) -> void
 {
     const auto peer = request.tried.back().name;
+    if (decideSuspect(state, request).verdict == quarantine::Verdict::Refuse) {
+        refuse(state, request, { .reason = Reason::Quarantined, .step = "quarantine", .peer = peer }, actions);
+        return;
+    }
     if (const auto reason = retry::whyNoRetry(describe(request, failure, wasCommitted), state.now)) {
         refuse(state, request, { .reason = *reason, .step = "relay", .peer = peer }, actions);
         return;
--- a/src/core/routing/internal/waiting.cpp
+++ b/src/core/routing/internal/waiting.cpp
@@ -57,6 +57,33 @@
     }
 }
 
+auto refuseStrandedParked(RouterState &state, Route &route, Actions &actions) -> void
+{
+    const auto parked = route.parked;
+    for (const auto &[tier, deadline, id] : parked) {
+        auto &request = state.requests.at(id);
+        if (!canEverRun(state, request)) {
+            leaveWaiting(state, request);
+            waitForSlot(state, request, actions);
+        }
+    }
+}
+
+auto refuseStrandedQueued(RouterState &state, RouteId routeId, Actions &actions) -> void
+{
+    const auto &route = routeOf(state, routeId);
+    if (queueing::waitingOn(state.queue, routeId) == 0 || balancing::countServers(*state.balancing, queryOf(route)) > 0) {
+        return;
+    }
+    const auto stays = [&](ServerIndex server) { return !balancing::viewServer(*state.balancing, server).leaving; };
+    if (std::any_of(route.servers.begin(), route.servers.end(), stays)) {
+        return;
+    }
+    for (const auto id : queueing::listWaiting(state.queue, routeId)) {
+        refuse(state, state.requests.at(id), { .reason = Reason::NoBackendServer, .step = "queue" }, actions);
+    }
+}
+
 } // namespace
 
 auto waitForSlot(RouterState &state, Request &request, Actions &actions) -> void
@@ -103,17 +130,11 @@
     }
 }
 
-auto reviewParked(RouterState &state, Actions &actions) -> void
+auto reviewWaiting(RouterState &state, Actions &actions) -> void
 {
-    for (auto &route : state.routes) {
-        const auto parked = route.parked;
-        for (const auto &[tier, deadline, id] : parked) {
-            auto &request = state.requests.at(id);
-            if (!canEverRun(state, request)) {
-                leaveWaiting(state, request);
-                waitForSlot(state, request, actions);
-            }
-        }
+    for (std::size_t index = 0; index < state.routes.size(); ++index) {
+        refuseStrandedParked(state, state.routes.at(index), actions);
+        refuseStrandedQueued(state, static_cast<RouteId>(index), actions);
     }
 }
 
--- a/src/core/routing/internal/waiting.h
+++ b/src/core/routing/internal/waiting.h
@@ -18,7 +18,8 @@
 /// Marks every route on which something waits as worth another look.
 auto touchWaiting(RouterState &state) -> void;
 
-/// Refuses parked requests for which no backend server is left.
-auto reviewParked(RouterState &state, Actions &actions) -> void;
+/// Refuses at once what waits for backend servers that are all gone: parked requests whose last candidate left, and
+/// queued ones whose route has only leaving servers. Ejected servers come back, so the queue waits for those.
+auto reviewWaiting(RouterState &state, Actions &actions) -> void;
 
 } // namespace auburnspread::routing
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -24,7 +24,7 @@
     balancing::advance(*state.balancing, state.now);
     quarantine::expire(state.quarantine, state.now);
     reviewHeld(state, actions);
-    reviewParked(state, actions);
+    reviewWaiting(state, actions);
     touchWaiting(state);
     for (const auto server : balancing::takeProbesDue(*state.balancing, state.now)) {
         const auto view = balancing::viewServer(*state.balancing, server);
@@ -77,7 +77,7 @@
     auto operator()(const BackendLeaving &event) const -> void
     {
         balancing::noteLeaving(*state.balancing, event.backend, event.leaving, state.now);
-        reviewParked(state, actions);
+        reviewWaiting(state, actions);
         touchWaiting(state);
     }
     auto operator()(const ClaimSettled &event) const -> void
