--- a/src/standins/commandline.cpp
+++ b/src/standins/commandline.cpp
@@ -73,6 +73,11 @@
     return parseNumber<double>(text);
 }
 
+auto parseMilliseconds(const std::string &text) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(parseDecimal(text)));
+}
+
 auto applyCommandLine(int argc, char **argv, const std::vector<CommandLineOption> &options) -> bool
 {
     const auto table = toLongOptions(options);
--- a/src/standins/commandline.h
+++ b/src/standins/commandline.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "core/base/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -32,6 +34,8 @@
 /// Reads a number that is not negative. \throws std::invalid_argument
 auto parseCount(const std::string &text) -> std::size_t;
 auto parseDecimal(const std::string &text) -> double;
+/// Reads a number of milliseconds, also a fraction. \throws std::invalid_argument
+auto parseMilliseconds(const std::string &text) -> Duration;
 
 /// Applies the options in the order given. Prints the help or the version and returns false if the program shall end.
 /// \throws std::invalid_argument on an unknown option or a wrong value.
--- a/src/standins/engine/enginefaults.cpp
+++ b/src/standins/engine/enginefaults.cpp
@@ -1,10 +1,8 @@
 #include "standins/engine/enginefaults.h"
 
-#include <nlohmann/json.hpp>
+#include "standins/controlmessage.h"
 
-#include <functional>
-#include <map>
-#include <stdexcept>
+#include <nlohmann/json.hpp>
 
 namespace auburnspread::standins
 {
@@ -12,8 +10,8 @@
 auto applyControl(EngineFaults &faults, const nlohmann::json &message) -> EngineOrders
 {
     EngineOrders orders;
-    const std::map<std::string, std::function<void(const nlohmann::json &)>> members = {
-        { "token_ms", [&](const auto &value) { orders.tokenMilliseconds = value.template get<double>(); } },
+    const ControlMembers members = {
+        { "token_ms", [&](const auto &value) { orders.tokenTime = readMilliseconds(value); } },
         { "crash", [&](const auto &value) { value.get_to(orders.crash); } },
         { "silent", [&](const auto &value) { orders.silent = value.template get<bool>(); } },
         { "silence_open", [&](const auto &value) { value.get_to(orders.silenceOpen); } },
@@ -27,13 +25,7 @@
         { "refuse", [&](const auto &value) { value.get_to(faults.refuse); } },
         { "report_lie", [&](const auto &value) { value.get_to(faults.reportLie); } },
     };
-    for (const auto &[name, value] : message.items()) {
-        const auto member = members.find(name);
-        if (member == members.end()) {
-            throw std::invalid_argument("unknown control '" + name + "'");
-        }
-        member->second(value);
-    }
+    applyMembers(message, members);
     return orders;
 }
 
--- a/src/standins/engine/enginefaults.h
+++ b/src/standins/engine/enginefaults.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "core/base/time.h"
+
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstddef>
@@ -29,7 +31,7 @@
     bool crash = false;
     bool silenceOpen = false;
     std::optional<bool> silent;
-    std::optional<double> tokenMilliseconds;
+    std::optional<Duration> tokenTime;
 };
 
 /// Applies the members of \p message to \p faults and gives those that are events.
--- a/src/standins/engine/engineserver.cpp
+++ b/src/standins/engine/engineserver.cpp
@@ -1,11 +1,13 @@
 #include "standins/engine/engineserver.h"
 
+#include "standins/controlmessage.h"
+#include "standins/crash.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
 #include <stdexcept>
-#include <unistd.h>
 #include <utility>
 
 namespace auburnspread::standins
@@ -15,26 +17,12 @@
 {
 
 constexpr int Accepted = 202;
-constexpr int NotFound = 404;
 constexpr int Conflict = 409;
-constexpr int Unavailable = 503;
 constexpr int DefaultUrgency = 3;
 constexpr std::size_t BytesPerToken = 4;
 constexpr std::size_t KvTokensPerSlot = 4096;
 constexpr double TokensPerThousand = 1000;
 
-/// What the kernel leaves of a killed process: open sockets are reset or closed, nothing is flushed.
-[[noreturn]] auto crash() -> void
-{
-    ::_exit(1);
-}
-
-auto refuseNotStarted(const ExchangePointer &exchange, const std::string &why) -> void
-{
-    const nlohmann::json body = { { "error", why } };
-    exchange->reply({ .status = Unavailable, .headers = { { "Request-Not-Started", "true" } }, .body = body.dump() });
-}
-
 auto readUrgency(const HttpRequest &request) -> int
 {
     const auto priority = request.header("priority").value_or("");
@@ -107,31 +95,26 @@
     } else if (request.method == "PUT" && request.path == "/orders") {
         handleOrder(exchange);
     } else {
-        exchange->replyJson(NotFound, { { "error", "no such call" } });
+        replyNoSuchCall(exchange);
     }
 }
 
 auto EngineServer::handleControl(const ExchangePointer &exchange) -> void
 {
-    const auto &request = exchange->request();
-    if (request.method == "POST" && request.path == "/control") {
-        applyControlMessage(nlohmann::json::parse(request.body));
-        exchange->replyJson(200, nlohmann::json::object());
-    } else if (request.method == "GET" && request.path == "/control/executions") {
-        exchange->replyJson(200, executions_.toJson());
-    } else {
-        exchange->replyJson(NotFound, { { "error", "no such call" } });
-    }
+    answerControl(exchange,
+                  { .apply = [this](const auto &message) { applyControlMessage(message); },
+                    .reportPath = "/control/executions",
+                    .report = [this]() { return executions_.toJson(); } });
 }
 
 auto EngineServer::applyControlMessage(const nlohmann::json &message) -> void
 {
     const auto orders = applyControl(faults_, message);
     if (orders.crash) {
-        crash();
+        crashProcess();
     }
-    if (orders.tokenMilliseconds) {
-        batch_.options.tokenTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*orders.tokenMilliseconds));
+    if (orders.tokenTime) {
+        batch_.options.tokenTime = *orders.tokenTime;
     }
     if (orders.silenceOpen) {
         server_.silenceOpen();
@@ -189,7 +172,7 @@
 {
     auto &stream = streams_.at(id);
     if (contains(stream.answer.canonical, faults_.crashText)) {
-        crash();
+        crashProcess();
     }
     executions_.start(id, stream.attempt, digestOf(stream.answer));
     if (isDue(++answersStarted_, faults_.truncateEvery)) {
--- a/src/standins/engine/main.cpp
+++ b/src/standins/engine/main.cpp
@@ -2,9 +2,7 @@
 /// fake-engine: a small stand-in for a model engine.
 
 #include "standins/engine/engineserver.h"
-
-#include <cstdio>
-#include <exception>
+#include "standins/standinprogram.h"
 
 using namespace auburnspread;
 using namespace auburnspread::standins;
@@ -12,11 +10,6 @@
 namespace
 {
 
-auto parseMilliseconds(const std::string &text) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(parseDecimal(text)));
-}
-
 auto optionTable(EngineOptions &options) -> std::vector<CommandLineOption>
 {
     return {
@@ -43,18 +36,5 @@
 
 auto main(int argc, char **argv) -> int
 {
-    try {
-        EngineOptions options;
-        if (!applyCommandLine(argc, argv, optionTable(options))) {
-            return 0;
-        }
-        task::EventLoop loop;
-        const EngineServer engine(loop, options);
-        announce(engine.server(), engine.control());
-        loop.run();
-        return 0;
-    } catch (const std::exception &error) {
-        std::fprintf(stderr, "fake-engine: %s\n", error.what());
-        return 1;
-    }
+    return runStandin<EngineServer, EngineOptions>(argc, argv, optionTable);
 }
--- a/src/standins/httpserver.cpp
+++ b/src/standins/httpserver.cpp
@@ -56,7 +56,9 @@
 constexpr int Backlog = 1024;
 constexpr std::uint64_t LargestBody = 16U << 20U;
 constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
 constexpr int ServerError = 500;
+constexpr int Unavailable = 503;
 
 /// libevhtp declares its hooks without parameters.
 template <typename Function>
@@ -304,6 +306,17 @@
     closed_ = std::move(action);
 }
 
+auto refuseNotStarted(const ExchangePointer &exchange, const std::string &why) -> void
+{
+    const nlohmann::json body = { { "error", why } };
+    exchange->reply({ .status = Unavailable, .headers = { { "Request-Not-Started", "true" } }, .body = body.dump() });
+}
+
+auto replyNoSuchCall(const ExchangePointer &exchange) -> void
+{
+    exchange->replyJson(NotFound, { { "error", "no such call" } });
+}
+
 HttpServer::HttpServer(Options options)
     : state_(std::make_unique<detail::ServerState>())
 {
--- a/src/standins/httpserver.h
+++ b/src/standins/httpserver.h
@@ -86,6 +86,11 @@
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
+/// Answers 503 in the form that proves that nothing of the request was run.
+auto refuseNotStarted(const ExchangePointer &exchange, const std::string &why) -> void;
+/// Answers 404.
+auto replyNoSuchCall(const ExchangePointer &exchange) -> void;
+
 class HttpServer
 {
 public:
@@ -118,7 +123,7 @@
     std::unique_ptr<detail::ServerState> state_;
 };
 
-/// Listens on both addresses' servers, prints the line that tells them and runs \p loop until it is stopped.
+/// Prints the line that tells both addresses: `listening IP:PORT control IP:PORT`.
 auto announce(const HttpServer &server, const HttpServer &control) -> void;
 
 } // namespace auburnspread::standins
--- a/src/standins/platform/main.cpp
+++ b/src/standins/platform/main.cpp
@@ -2,9 +2,7 @@
 /// fake-platform: a small stand-in for the platform's key-value service, list of VMs and store of weights.
 
 #include "standins/platform/platformserver.h"
-
-#include <cstdio>
-#include <exception>
+#include "standins/standinprogram.h"
 
 using namespace auburnspread;
 using namespace auburnspread::standins;
@@ -20,7 +18,7 @@
         { "control", "IP:PORT", "address of the control calls", [&](const auto &text) { options.control = parseAddress(text); } },
         { "writes-per-second", "X", "more writes are answered 429; 0: no limit", [&](const auto &text) { options.writesPerSecond = parseDecimal(text); } },
         { "reads-per-second", "X", "more reads are answered 429; 0: no limit", [&](const auto &text) { options.readsPerSecond = parseDecimal(text); } },
-        { "weights-ms", "N", "time one model's weights take", [&](const auto &text) { options.weightsTime = std::chrono::milliseconds(parseCount(text)); } },
+        { "weights-ms", "X", "time one model's weights take", [&](const auto &text) { options.weightsTime = parseMilliseconds(text); } },
     };
 }
 
@@ -28,18 +26,5 @@
 
 auto main(int argc, char **argv) -> int
 {
-    try {
-        PlatformOptions options;
-        if (!applyCommandLine(argc, argv, optionTable(options))) {
-            return 0;
-        }
-        task::EventLoop loop;
-        const PlatformServer platform(loop, options);
-        announce(platform.server(), platform.control());
-        loop.run();
-        return 0;
-    } catch (const std::exception &error) {
-        std::fprintf(stderr, "fake-platform: %s\n", error.what());
-        return 1;
-    }
+    return runStandin<PlatformServer, PlatformOptions>(argc, argv, optionTable);
 }
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -1,5 +1,6 @@
 #include "standins/platform/platformserver.h"
 
+#include "standins/controlmessage.h"
 #include "standins/platform/base64.h"
 
 #include <nlohmann/json.hpp>
@@ -232,7 +233,7 @@
     } else if (method == "GET" && path.starts_with(WeightsPath)) {
         handleWeights(exchange);
     } else {
-        exchange->replyJson(NotFound, { { "error", "no such call" } });
+        replyNoSuchCall(exchange);
     }
 }
 
@@ -374,7 +375,7 @@
         exchange->reply(booleanReply(true));
         wakeWatches();
     } else {
-        exchange->replyJson(NotFound, { { "error", "no such call" } });
+        replyNoSuchCall(exchange);
     }
 }
 
@@ -430,43 +431,35 @@
 
 auto PlatformServer::handleControl(const ExchangePointer &exchange) -> void
 {
-    const auto &request = exchange->request();
-    if (request.method == "POST" && request.path == "/control") {
-        applyControlMessage(nlohmann::json::parse(request.body));
-        exchange->replyJson(200, nlohmann::json::object());
-    } else if (request.method == "GET" && request.path == "/control/counts") {
-        exchange->replyJson(200, toJson(counts_, keyWatches_.size() + vmWatches_.size()));
-    } else {
-        exchange->replyJson(NotFound, { { "error", "no such call" } });
-    }
+    answerControl(exchange,
+                  { .apply = [this](const auto &message) { applyControlMessage(message); },
+                    .reportPath = "/control/counts",
+                    .report = [this]() { return toJson(counts_, keyWatches_.size() + vmWatches_.size()); } });
 }
 
 auto PlatformServer::applyControlMessage(const nlohmann::json &message) -> void
 {
-    const auto milliseconds = [](const nlohmann::json &value) { return std::chrono::milliseconds(value.get<std::int64_t>()); };
-    const std::map<std::string, std::function<void(const nlohmann::json &)>> members = {
-        { "down", [&](const auto &value) { server_.setDown(value.template get<bool>()); } },
-        { "cut", [&](const auto &value) { server_.setCut(value.template get<std::vector<std::string>>()); } },
-        { "slow_ms", [&](const auto &value) { faults_.slow = milliseconds(value); } },
-        { "lose_replies", [&](const auto &value) { value.get_to(faults_.loseReplies); } },
-        { "lose_replies_key", [&](const auto &value) { value.get_to(faults_.loseRepliesKey); } },
-        { "vm_lag_ms", [&](const auto &value) { faults_.vmLag = milliseconds(value); } },
-        { "expire_session", [&](const auto &value) { endSessionNamed(value.template get<std::string>()); } },
-        { "vm",
-          [&](const auto &value) {
-              delayed_.callAfter(faults_.vmLag, [this, vm = readVm(value)]() {
-                  applyVm(vms_, vm);
-                  vmWatches_.wake("", vms_.index);
-              });
-          } },
-    };
-    for (const auto &[name, value] : message.items()) {
-        const auto member = members.find(name);
-        if (member == members.end()) {
-            throw std::invalid_argument("unknown control '" + name + "'");
-        }
-        member->second(value);
+    std::optional<Vm> vm;
+    applyMembers(message,
+                 { { "down", [&](const auto &value) { server_.setDown(value.template get<bool>()); } },
+                   { "cut", [&](const auto &value) { server_.setCut(value.template get<std::vector<std::string>>()); } },
+                   { "slow_ms", [&](const auto &value) { faults_.slow = readMilliseconds(value); } },
+                   { "lose_replies", [&](const auto &value) { value.get_to(faults_.loseReplies); } },
+                   { "lose_replies_key", [&](const auto &value) { value.get_to(faults_.loseRepliesKey); } },
+                   { "vm_lag_ms", [&](const auto &value) { faults_.vmLag = readMilliseconds(value); } },
+                   { "expire_session", [&](const auto &value) { endSessionNamed(value.template get<std::string>()); } },
+                   { "vm", [&](const auto &value) { vm = readVm(value); } } });
+    if (vm) {
+        changeVmLater(*vm);
     }
 }
 
+auto PlatformServer::changeVmLater(const Vm &vm) -> void
+{
+    delayed_.callAfter(faults_.vmLag, [this, vm]() {
+        applyVm(vms_, vm);
+        vmWatches_.wake("", vms_.index);
+    });
+}
+
 } // namespace auburnspread::standins
--- a/src/standins/platform/platformserver.h
+++ b/src/standins/platform/platformserver.h
@@ -90,6 +90,7 @@
     auto admits(CallRate &rate, const ExchangePointer &exchange) -> bool;
     auto answerWrite(const ExchangePointer &exchange, const std::string &key, const HttpReply &reply) -> void;
     auto wakeWatches() -> void;
+    auto changeVmLater(const Vm &vm) -> void;
     auto endSessionNamed(const std::string &idOrName) -> void;
 };
 
