--- a/src/core/queueing/requestqueue.cpp
+++ b/src/core/queueing/requestqueue.cpp
@@ -172,6 +172,7 @@
     auto &classQueue = queue.classes.at(request.requestClass);
     classQueue.deficit -= request.cost;
     queue.takes += 1;
+    classQueue.lastTaken = queue.takes;
     classQueue.lanes.at(request.route).lastTaken = queue.takes;
 }
 
@@ -278,14 +279,15 @@
     -> std::optional<WaitingRequest>
 {
     std::optional<RequestId> starved;
-    auto longest = Duration::zero();
+    std::uint64_t longestAgo = 0;
     for (int tier = 0; tier < configuration::TierCount; ++tier) {
         for (const auto &candidate : findCandidates(queue, routes, tier)) {
             const auto oldest = candidate.lane->byOrder.begin()->second;
-            const auto overdue = now - queue.requests.at(oldest).arrived - candidate.classQueue->starvationBound;
-            if (overdue > longest && mayUseFloor(candidate.requestClass)) {
+            const auto isOverdue = now - queue.requests.at(oldest).arrived > candidate.classQueue->starvationBound;
+            const auto goesFirst = !starved || candidate.classQueue->lastTaken < longestAgo;
+            if (isOverdue && goesFirst && mayUseFloor(candidate.requestClass)) {
                 starved = oldest;
-                longest = overdue;
+                longestAgo = candidate.classQueue->lastTaken;
             }
         }
     }
--- a/src/core/queueing/requestqueue.h
+++ b/src/core/queueing/requestqueue.h
@@ -83,6 +83,7 @@
     std::uint32_t reservedPlaces = 0;
     Duration starvationBound{};
     std::int64_t deficit = 0;
+    std::uint64_t lastTaken = 0; ///< when the class was served last, counted in takes
     std::uint32_t waiting = 0;
     std::map<RouteId, Lane> lanes; ///< only lanes in which something waits
 };
@@ -127,7 +128,9 @@
 /// Takes the request that goes next on any of \p routes.
 auto takeNext(RequestQueue &queue, std::span<const RouteId> routes) -> std::optional<WaitingRequest>;
 
-/// Takes the request that is furthest past its class's starvation bound on any of \p routes, among classes that \p mayUseFloor allows.
+/// Takes a request that waits past its class's starvation bound on any of \p routes, among classes that \p mayUseFloor
+/// allows: the oldest one of the class that was served least recently. By age alone a class with a long queue would keep
+/// the others out.
 auto takeStarved(RequestQueue &queue, std::span<const RouteId> routes, TimePoint now, const std::function<bool(ClassId)> &mayUseFloor)
     -> std::optional<WaitingRequest>;
 
--- a/src/core/routing/internal/choosing.cpp
+++ b/src/core/routing/internal/choosing.cpp
@@ -19,7 +19,10 @@
 {
     Avoided avoided;
     for (const auto &tried : request.tried) {
-        avoided.servers.push_back(tried.server);
+        // By name: a server that left the document and came back is another index, and no other server.
+        if (const auto server = balancing::findServer(*state.balancing, tried.name)) {
+            avoided.servers.push_back(*server);
+        }
         avoided.failureDomains.emplace_back(tried.failureDomain);
     }
     for (const auto attempt : request.attempts) {
--- a/src/core/routing/internal/ending.cpp
+++ b/src/core/routing/internal/ending.cpp
@@ -137,7 +137,7 @@
     auto &request = state.requests.at(attempt.request);
     const auto view = balancing::viewServer(*state.balancing, attempt.server);
     request.mayHaveRun = request.mayHaveRun || !provesNotStarted(failure);
-    request.tried.push_back({ .server = attempt.server, .name = attempt.serverName, .failureDomain = view.failureDomain });
+    request.tried.push_back({ .name = attempt.serverName, .failureDomain = view.failureDomain });
     balancing::noteFailed(*state.balancing, id, failure, state.now);
     const auto isCrash = looksLikeCrash(failure);
     tellCell(isCrash ? quarantine::noteCrashed(state.quarantine, id, state.now) : quarantine::noteEnded(state.quarantine, id, state.now), actions);
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -84,7 +84,6 @@
 
 /// A backend server on which an attempt of the request failed.
 struct TriedServer {
-    ServerIndex server{};
     std::string name;
     std::string failureDomain;
 };
