--- a/src/runtime/logging/tests/logging_tests.cpp
+++ b/src/runtime/logging/tests/logging_tests.cpp
@@ -136,8 +136,8 @@
         counted += item.count;
     }
     RC_ASSERT(counted + admitted.size() == asked);
-    // a second can touch two windows, so it holds at most twice the limit
-    for (std::size_t i = 2 * Limit; i < admitted.size(); ++i) {
-        RC_ASSERT(admitted[i] - admitted[i - 2 * Limit] >= std::chrono::seconds(1));
+    constexpr std::size_t MostInAnySecond = std::size_t{ 2 } * Limit; // a second can touch two windows
+    for (std::size_t i = MostInAnySecond; i < admitted.size(); ++i) {
+        RC_ASSERT(admitted[i] - admitted[i - MostInAnySecond] >= std::chrono::seconds(1));
     }
 }
--- a/src/runtime/settings/internal/value.cpp
+++ b/src/runtime/settings/internal/value.cpp
@@ -1,9 +1,7 @@
 #include "runtime/settings/internal/value.h"
 
 #include "core/base/nametable.h"
-
-#include <event2/util.h>
-#include <netinet/in.h>
+#include "runtime/net/endpoint.h"
 
 #include <algorithm>
 #include <array>
@@ -90,21 +88,9 @@
     return number && isInside(key.range, *number);
 }
 
-// libevent takes an IP number without port too; a listener or peer without port is a mistake
-auto hasPort(const std::string &text) -> bool
-{
-    const auto end = text.starts_with('[') ? text.find("]:") : text.find(':');
-    return end != std::string::npos && text.back() != ':';
-}
-
 auto isAddress(const std::string &text) -> bool
 {
-    sockaddr_storage storage{};
-    int size = sizeof storage;
-    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&storage), &size) != 0) {
-        return false;
-    }
-    return hasPort(text);
+    return net::parseEndpoint(text).has_value();
 }
 
 auto areAddresses(const Key &key, const std::string &text) -> bool
--- /dev/null
+++ b/src/wire/http/client.cpp
@@ -0,0 +1,321 @@
+#include "wire/http/client.h"
+
+#include "core/base/nametable.h"
+#include "wire/http/internal/connectionpool.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace auburnspread::http
+{
+
+namespace
+{
+
+constexpr auto Steps = std::to_array<NamedValue<Step>>({
+    { Step::Prepare, "prepare" },
+    { Step::Connect, "connect" },
+    { Step::Wait, "wait" },
+    { Step::Receive, "receive" },
+});
+
+constexpr auto Causes = std::to_array<NamedValue<Cause>>({
+    { Cause::Invalid, "invalid" },
+    { Cause::Timeout, "timeout" },
+    { Cause::Closed, "closed" },
+    { Cause::Malformed, "malformed" },
+    { Cause::TooLarge, "too-large" },
+});
+
+auto toEvhttp(Method method) -> evhttp_cmd_type
+{
+    switch (method) {
+    case Method::Get:
+        return EVHTTP_REQ_GET;
+    case Method::Put:
+        return EVHTTP_REQ_PUT;
+    case Method::Post:
+        return EVHTTP_REQ_POST;
+    case Method::Delete:
+        return EVHTTP_REQ_DELETE;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+auto toCause(evhttp_request_error error) -> Cause
+{
+    switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+        return Cause::Timeout;
+    case EVREQ_HTTP_INVALID_HEADER:
+        return Cause::Malformed;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        return Cause::TooLarge;
+    default:
+        return Cause::Closed;
+    }
+}
+
+/// evhttp writes the path as it stands: a blank or line end in it would forge the request.
+auto isValidPath(const std::string &path) -> bool
+{
+    const auto isVisible = [](unsigned char c) { return c > ' ' && c != '\x7f'; };
+    return path.starts_with('/') && std::all_of(path.begin(), path.end(), isVisible);
+}
+
+auto describe(const Error &error) -> std::string
+{
+    const auto text = std::string(stepName(error.step)) + " " + error.peer + ": " + std::string(causeName(error.cause));
+    return error.reusedConnection ? text + " (reused connection)" : text;
+}
+
+auto reachedStep(const detail::Connection &connection) -> Step
+{
+    if (connection.hasReceived) {
+        return Step::Receive;
+    }
+    return connection.hasSent ? Step::Wait : Step::Connect;
+}
+
+auto makeError(const detail::Connection &connection, Cause cause) -> Error
+{
+    Error error{ .step = reachedStep(connection), .cause = cause, .peer = connection.address, .reusedConnection = connection.wasUsedBefore };
+    error.text = describe(error);
+    return error;
+}
+
+auto makeInvalid(const std::string &peer, std::string_view what) -> Error
+{
+    return Error{ .peer = peer, .text = "prepare " + peer + ": invalid " + std::string(what) };
+}
+
+auto readResponse(evhttp_request *raw) -> Response
+{
+    Response response{ .status = evhttp_request_get_response_code(raw) };
+    const auto *headers = evhttp_request_get_input_headers(raw);
+    for (const auto *item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
+        response.headers.push_back({ .name = item->key, .value = item->value });
+    }
+    auto *body = evhttp_request_get_input_buffer(raw);
+    response.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, response.body.data(), response.body.size());
+    return response;
+}
+
+auto onError(evhttp_request_error error, void *context) -> void
+{
+    static_cast<detail::Connection *>(context)->error = error;
+}
+
+auto onRequestDone(evhttp_request *raw, void *context) -> void
+{
+    // a copy: the call may end the connection's interest in the exchange
+    const auto onDone = static_cast<detail::Connection *>(context)->onDone;
+    if (onDone) {
+        onDone(raw);
+    }
+}
+
+struct EvhttpRequestDeleter {
+    auto operator()(evhttp_request *request) const -> void
+    {
+        evhttp_request_free(request);
+    }
+};
+
+using EvhttpRequest = std::unique_ptr<evhttp_request, EvhttpRequestDeleter>;
+
+/// evhttp's form of \p request; nothing if a header is not valid.
+auto makeRaw(const Request &request, detail::Connection &connection) -> EvhttpRequest
+{
+    EvhttpRequest raw(evhttp_request_new(onRequestDone, &connection));
+    evhttp_request_set_error_cb(raw.get(), onError);
+    auto *headers = evhttp_request_get_output_headers(raw.get());
+    evhttp_add_header(headers, "Host", request.address.c_str());
+    for (const auto &header : request.headers) {
+        if (evhttp_add_header(headers, header.name.c_str(), header.value.c_str()) != 0) {
+            return nullptr;
+        }
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(raw.get()), request.body.data(), request.body.size());
+    return raw;
+}
+
+/// Our own timer decides; evhttp's stays behind it, so that it cannot cut a long poll short.
+auto placeLibraryTimeout(const detail::Connection &connection, Duration timeout) -> void
+{
+    constexpr int SecondsBehind = 60;
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout).count();
+    evhttp_connection_set_timeout(connection.raw.get(), static_cast<int>(seconds) + SecondsBehind);
+}
+
+struct Exchange {
+    OnDone onDone;
+    std::unique_ptr<detail::Connection> connection;
+    task::Watch timer;
+};
+
+} // namespace
+
+class Client::Impl
+{
+public:
+    Impl(task::EventLoop &loop, const ClientOptions &options)
+        : loop_(loop)
+        , pool_(loop, options)
+    {
+    }
+
+    auto fetch(const Request &request, OnDone onDone) -> Handle;
+    auto cancel(Handle handle) -> void;
+    [[nodiscard]] auto idleConnections() const -> std::size_t;
+
+private:
+    auto start(Handle handle, Exchange &exchange, const Request &request) -> std::optional<Error>;
+    auto takeResponse(Handle handle, evhttp_request *raw) -> void;
+    auto timeOut(Handle handle) -> void;
+    auto finish(Handle handle, Result result) -> void;
+
+    task::EventLoop &loop_;
+    detail::ConnectionPool pool_;
+    std::uint64_t lastHandle_ = 0;
+    std::map<Handle, Exchange> exchanges_;
+};
+
+auto Client::Impl::fetch(const Request &request, OnDone onDone) -> Handle
+{
+    const auto handle = static_cast<Handle>(++lastHandle_);
+    auto &exchange = exchanges_[handle];
+    exchange.onDone = std::move(onDone);
+    exchange.timer = loop_.after(request.timeout, [this, handle]() { timeOut(handle); });
+    if (const auto error = start(handle, exchange, request)) {
+        // the caller gets its handle first, then the error
+        exchange.timer = loop_.after(Duration(0), [this, handle, error]() { finish(handle, *error); });
+    }
+    return handle;
+}
+
+auto Client::Impl::start(Handle handle, Exchange &exchange, const Request &request) -> std::optional<Error>
+{
+    const auto endpoint = net::parseEndpoint(request.address);
+    if (!endpoint) {
+        return makeInvalid(request.address, "address");
+    }
+    if (!isValidPath(request.path)) {
+        return makeInvalid(request.address, "path");
+    }
+    auto connection = pool_.take(request.address, *endpoint, request.freshConnection);
+    auto raw = makeRaw(request, *connection);
+    if (!raw) {
+        pool_.retire(std::move(connection));
+        return makeInvalid(request.address, "header");
+    }
+    placeLibraryTimeout(*connection, request.timeout);
+    // evhttp owns the request from here on; a connect that fails at once calls back from within
+    bool hasFailed = false;
+    connection->onDone = [&hasFailed](evhttp_request * /*done*/) { hasFailed = true; };
+    const auto status = evhttp_make_request(connection->raw.get(), raw.release(), toEvhttp(request.method), request.path.c_str());
+    if (status != 0 || hasFailed) {
+        auto error = makeError(*connection, Cause::Closed);
+        pool_.retire(std::move(connection));
+        return error;
+    }
+    connection->onDone = [this, handle](evhttp_request *done) { takeResponse(handle, done); };
+    exchange.connection = std::move(connection);
+    return std::nullopt;
+}
+
+// evhttp passes no request after an error, and one without status if the connection was never made.
+auto Client::Impl::takeResponse(Handle handle, evhttp_request *raw) -> void
+{
+    auto connection = std::move(exchanges_.at(handle).connection);
+    if (raw != nullptr && evhttp_request_get_response_code(raw) != 0) {
+        auto response = readResponse(raw);
+        pool_.keep(std::move(connection));
+        finish(handle, std::move(response));
+        return;
+    }
+    auto error = makeError(*connection, connection->error ? toCause(*connection->error) : Cause::Closed);
+    pool_.retire(std::move(connection));
+    finish(handle, std::move(error));
+}
+
+// A connection that went silent has siblings which the same fault may have struck: those that wait are closed too,
+// so that the next exchange with this address proves itself on a new connection.
+auto Client::Impl::timeOut(Handle handle) -> void
+{
+    auto connection = std::move(exchanges_.at(handle).connection);
+    auto error = makeError(*connection, Cause::Timeout);
+    pool_.closeIdle(connection->address);
+    pool_.retire(std::move(connection));
+    finish(handle, std::move(error));
+}
+
+auto Client::Impl::finish(Handle handle, Result result) -> void
+{
+    const auto exchange = exchanges_.extract(handle);
+    exchange.mapped().onDone(std::move(result));
+}
+
+auto Client::Impl::cancel(Handle handle) -> void
+{
+    const auto found = exchanges_.find(handle);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    if (found->second.connection) {
+        pool_.retire(std::move(found->second.connection));
+    }
+    exchanges_.erase(found);
+}
+
+auto Client::Impl::idleConnections() const -> std::size_t
+{
+    return pool_.idleCount();
+}
+
+auto stepName(Step step) -> std::string_view
+{
+    return findName(Steps, step);
+}
+
+auto causeName(Cause cause) -> std::string_view
+{
+    return findName(Causes, cause);
+}
+
+auto provesNotSent(const Error &error) -> bool
+{
+    return error.step == Step::Prepare || error.step == Step::Connect;
+}
+
+Client::Client(task::EventLoop &loop, ClientOptions options)
+    : impl_(std::make_unique<Impl>(loop, options))
+{
+}
+
+Client::~Client() = default;
+
+auto Client::fetch(const Request &request, OnDone onDone) -> Handle
+{
+    return impl_->fetch(request, std::move(onDone));
+}
+
+auto Client::cancel(Handle handle) -> void
+{
+    impl_->cancel(handle);
+}
+
+auto Client::idleConnections() const -> std::size_t
+{
+    return impl_->idleConnections();
+}
+
+} // namespace auburnspread::http
--- /dev/null
+++ b/src/wire/http/internal/connectionpool.cpp
@@ -0,0 +1,138 @@
+#include "wire/http/internal/connectionpool.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <utility>
+
+namespace auburnspread::http::detail
+{
+
+namespace
+{
+
+auto countSent(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) -> void
+{
+    auto &connection = *static_cast<Connection *>(context);
+    connection.hasSent = connection.hasSent || info->n_added > 0;
+}
+
+auto countReceived(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) -> void
+{
+    auto &connection = *static_cast<Connection *>(context);
+    connection.hasReceived = connection.hasReceived || info->n_added > 0;
+}
+
+auto isOpen(const Connection &connection) -> bool
+{
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(connection.raw.get())) >= 0;
+}
+
+auto prepareReuse(Connection &connection) -> void
+{
+    connection.wasUsedBefore = true;
+    connection.hasSent = false;
+    connection.hasReceived = false;
+    connection.error.reset();
+}
+
+} // namespace
+
+auto EvhttpConnectionDeleter::operator()(evhttp_connection *connection) const -> void
+{
+    evhttp_connection_free(connection);
+}
+
+ConnectionPool::ConnectionPool(task::EventLoop &loop, const ClientOptions &options)
+    : loop_(loop)
+    , options_(options)
+    , sweep_(loop.every(options.idleAge / 2, [this]() { closeOld(); }))
+{
+}
+
+auto ConnectionPool::take(const std::string &address, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>
+{
+    auto connection = isFresh ? nullptr : takeIdle(address);
+    return connection ? std::move(connection) : open(address, endpoint);
+}
+
+auto ConnectionPool::open(const std::string &address, const net::Endpoint &endpoint) -> std::unique_ptr<Connection>
+{
+    auto connection = std::make_unique<Connection>();
+    connection->address = address;
+    auto *raw = evhttp_connection_base_bufferevent_new(loop_.base(), nullptr, nullptr, endpoint.host.c_str(), endpoint.port);
+    connection->raw.reset(raw);
+    auto *transport = evhttp_connection_get_bufferevent(raw);
+    evbuffer_add_cb(bufferevent_get_output(transport), countSent, connection.get());
+    evbuffer_add_cb(bufferevent_get_input(transport), countReceived, connection.get());
+    evhttp_connection_set_max_headers_size(raw, static_cast<ev_ssize_t>(options_.headerBytes));
+    evhttp_connection_set_max_body_size(raw, static_cast<ev_ssize_t>(options_.bodyBytes));
+    return connection;
+}
+
+auto ConnectionPool::takeIdle(const std::string &address) -> std::unique_ptr<Connection>
+{
+    auto &idle = idle_[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (isOpen(*connection) && task::monotonicNow() - connection->idleSince < options_.idleAge) {
+            prepareReuse(*connection);
+            return connection;
+        }
+        retire(std::move(connection));
+    }
+    return nullptr;
+}
+
+auto ConnectionPool::keep(std::unique_ptr<Connection> connection) -> void
+{
+    auto &idle = idle_[connection->address];
+    if (!isOpen(*connection) || idle.size() >= options_.idlePerAddress) {
+        retire(std::move(connection));
+        return;
+    }
+    connection->idleSince = task::monotonicNow();
+    connection->onDone = nullptr;
+    idle.push_back(std::move(connection));
+}
+
+// evhttp still works with the connection while it calls back, so it is freed on the loop's next turn.
+auto ConnectionPool::retire(std::unique_ptr<Connection> connection) -> void
+{
+    connection->onDone = nullptr;
+    retired_.push_back(std::move(connection));
+    retirement_ = loop_.after(Duration(0), [this]() { retired_.clear(); });
+}
+
+auto ConnectionPool::closeIdle(const std::string &address) -> void
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (auto &connection : found->second) {
+        retire(std::move(connection));
+    }
+    idle_.erase(found);
+}
+
+auto ConnectionPool::closeOld() -> void
+{
+    const auto oldest = task::monotonicNow() - options_.idleAge;
+    for (auto &[address, idle] : idle_) {
+        std::erase_if(idle, [oldest](const auto &connection) { return connection->idleSince <= oldest || !isOpen(*connection); });
+    }
+    std::erase_if(idle_, [](const auto &item) { return item.second.empty(); });
+}
+
+auto ConnectionPool::idleCount() const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto &[address, idle] : idle_) {
+        count += idle.size();
+    }
+    return count;
+}
+
+} // namespace auburnspread::http::detail
--- /dev/null
+++ b/src/wire/http/internal/connectionpool.h
@@ -0,0 +1,68 @@
+/// \file
+/// Connections of the client, in use and idle, by address.
+
+#pragma once
+
+#include "runtime/net/endpoint.h"
+#include "runtime/task/eventloop.h"
+#include "wire/http/client.h"
+
+#include <event2/http.h>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnspread::http::detail
+{
+
+struct EvhttpConnectionDeleter {
+    auto operator()(evhttp_connection *connection) const -> void;
+};
+
+/// One connection with what passed over it during its current exchange.
+struct Connection {
+    std::unique_ptr<evhttp_connection, EvhttpConnectionDeleter> raw;
+    std::string address;
+    TimePoint idleSince;
+    bool wasUsedBefore = false;
+    bool hasSent = false;
+    bool hasReceived = false;
+    std::optional<evhttp_request_error> error;
+    std::function<void(evhttp_request *raw)> onDone; ///< of the current exchange; empty: no one waits
+};
+
+class ConnectionPool
+{
+public:
+    ConnectionPool(task::EventLoop &loop, const ClientOptions &options);
+
+    /// An idle connection, or a new one if there is none or \p isFresh asks for it.
+    auto take(const std::string &address, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>;
+    /// Takes back a connection whose exchange went well.
+    auto keep(std::unique_ptr<Connection> connection) -> void;
+    /// Closes a connection, also from within one of evhttp's calls.
+    auto retire(std::unique_ptr<Connection> connection) -> void;
+    /// Closes the idle connections to \p address.
+    auto closeIdle(const std::string &address) -> void;
+
+    [[nodiscard]] auto idleCount() const -> std::size_t;
+
+private:
+    auto open(const std::string &address, const net::Endpoint &endpoint) -> std::unique_ptr<Connection>;
+    auto takeIdle(const std::string &address) -> std::unique_ptr<Connection>;
+    auto closeOld() -> void;
+
+    task::EventLoop &loop_;
+    ClientOptions options_;
+    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
+    std::vector<std::unique_ptr<Connection>> retired_;
+    task::Watch retirement_;
+    task::Watch sweep_;
+};
+
+} // namespace auburnspread::http::detail
--- /dev/null
+++ b/src/wire/http/message.cpp
@@ -0,0 +1,43 @@
+#include "wire/http/message.h"
+
+#include "core/base/nametable.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace auburnspread::http
+{
+
+namespace
+{
+
+constexpr auto Methods = std::to_array<NamedValue<Method>>({
+    { Method::Get, "GET" },
+    { Method::Put, "PUT" },
+    { Method::Post, "POST" },
+    { Method::Delete, "DELETE" },
+});
+
+} // namespace
+
+auto methodName(Method method) -> std::string_view
+{
+    return findName(Methods, method);
+}
+
+auto methodFromName(std::string_view name) -> std::optional<Method>
+{
+    return findValue(Methods, name);
+}
+
+auto findHeader(const Headers &headers, std::string_view name) -> std::string_view
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const Header &header) {
+        return header.name.size() == name.size() && ::strncasecmp(header.name.data(), name.data(), name.size()) == 0;
+    });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+} // namespace auburnspread::http
--- /dev/null
+++ b/src/wire/http/tests/server_tests.cpp
@@ -0,0 +1,160 @@
+#include "runtime/net/endpoint.h"
+#include "wire/http/client.h"
+#include "wire/http/server.h"
+#include "wire/http/tests/exchange.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace auburnspread;
+using http::Method;
+using http::tests::fetch;
+using http::tests::runUntil;
+
+namespace
+{
+
+/// The text of an answer's status, or of the error in its place.
+auto outcomeOf(const http::Result &result) -> std::string
+{
+    if (const auto *error = std::get_if<http::Error>(&result)) {
+        return std::string(http::causeName(error->cause));
+    }
+    return std::to_string(std::get<http::Response>(result).status);
+}
+
+class ServerTests : public testing::Test
+{
+protected:
+    ServerTests()
+    {
+        server_.route("/echo/", [](const http::IncomingRequest &request, const http::Replier &replier) {
+            replier.replyJson(200,
+                              { { "method", http::methodName(request.method) },
+                                { "path", request.path },
+                                { "query", request.query },
+                                { "body", request.body },
+                                { "header", http::findHeader(request.headers, "x-name") } });
+        });
+        server_.route("/later", [this](const http::IncomingRequest &, const http::Replier &replier) { waiting_.push_back(replier); });
+        server_.route("/throw", [](const http::IncomingRequest &, const http::Replier &) { throw std::runtime_error("broken"); });
+        server_.route("/forget", [](const http::IncomingRequest &, const http::Replier &) {});
+        server_.route("/abort", [](const http::IncomingRequest &, const http::Replier &replier) { replier.abort(); });
+        address_ = server_.listen("127.0.0.1:0");
+    }
+
+    auto get(const std::string &path) -> http::Result
+    {
+        return fetch(loop_, client_, { .address = address_, .path = path });
+    }
+
+    task::EventLoop loop_;
+    http::Server server_{ loop_, { .headerBytes = 1024, .bodyBytes = 4096, .connections = 4, .readTimeout = std::chrono::milliseconds(50) } };
+    http::Client client_{ loop_ };
+    std::vector<http::Replier> waiting_;
+    std::string address_;
+};
+
+} // namespace
+
+TEST_F(ServerTests, handlersSeeTheDecodedRequest)
+{
+    const auto result = fetch(loop_,
+                              client_,
+                              { .method = Method::Put,
+                                .address = address_,
+                                .path = "/echo/a%20b/c?x=1%262&y=",
+                                .headers = { { "X-Name", "value" } },
+                                .body = std::string("a\0b", 3) });
+    const auto body = nlohmann::json::parse(std::get<http::Response>(result).body);
+    const nlohmann::json expected = {
+        { "method", "PUT" }, { "path", "/echo/a b/c" }, { "query", { { "x", "1&2" }, { "y", "" } } }, { "body", std::string("a\0b", 3) }, { "header", "value" }
+    };
+    EXPECT_EQ(body, expected);
+}
+
+TEST_F(ServerTests, everyRequestGetsAnAnswerAlsoIfItsHandlerFails)
+{
+    EXPECT_EQ(outcomeOf(get("/unknown")), "404");
+    EXPECT_EQ(outcomeOf(get("/echo")), "404");
+    EXPECT_EQ(outcomeOf(get("/throw")), "500");
+    EXPECT_EQ(outcomeOf(get("/forget")), "500");
+    EXPECT_EQ(outcomeOf(get("/abort")), "closed");
+    EXPECT_EQ(outcomeOf(get("/echo/")), "200");
+}
+
+TEST_F(ServerTests, anAnswerMayComeLaterAndIsDroppedIfTheCallerHasGone)
+{
+    const auto gone = client_.fetch({ .address = address_, .path = "/later" }, [](const http::Result &) {});
+    std::optional<http::Result> result;
+    client_.fetch({ .address = address_, .path = "/later" }, [&](http::Result got) { result = std::move(got); });
+    ASSERT_TRUE(runUntil(loop_, [&]() { return waiting_.size() == 2; }));
+    client_.cancel(gone);
+    for (const auto &replier : waiting_) {
+        replier.reply(202, "text/plain", "late");
+        replier.reply(200, "text/plain", "ignored");
+    }
+    ASSERT_TRUE(runUntil(loop_, [&]() { return result.has_value(); }));
+    EXPECT_EQ(outcomeOf(*result), "202");
+    EXPECT_TRUE(runUntil(loop_, [&]() { return server_.connectionCount() == 1; }));
+}
+
+TEST_F(ServerTests, tooLongHeadersAndBodiesNeverReachAHandler)
+{
+    const auto longBody = fetch(loop_, client_, { .method = Method::Post, .address = address_, .path = "/later", .body = std::string(8192, 'b') });
+    EXPECT_TRUE(outcomeOf(longBody) == "413" || outcomeOf(longBody) == "closed") << outcomeOf(longBody);
+    const auto longHeader = fetch(loop_, client_, { .address = address_, .path = "/later", .headers = { { "X-Long", std::string(2048, 'h') } } });
+    EXPECT_EQ(outcomeOf(longHeader), "closed");
+    EXPECT_TRUE(waiting_.empty());
+}
+
+// A caller opens a connection and sends its request so slowly that no pause is long enough for a read timeout.
+// The limit spans the whole request, so the connection ends all the same and its place is free again.
+TEST_F(ServerTests, aSlowCallerIsCutOff)
+{
+    const auto descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto target = net::toSocketAddress(*net::parseEndpoint(address_));
+    ASSERT_EQ(::connect(descriptor, target.get(), target.size), 0);
+    std::string unsent = "GET /echo/ HTTP/1.1\r\nX-Name: ";
+    const auto dripping = loop_.every(std::chrono::milliseconds(1), [&]() {
+        ::send(descriptor, unsent.data(), unsent.size(), MSG_NOSIGNAL);
+        unsent = "a";
+    });
+    ASSERT_TRUE(runUntil(loop_, [&]() { return server_.connectionCount() == 1; }));
+    EXPECT_TRUE(runUntil(loop_, [&]() { return server_.connectionCount() == 0; }));
+    ::close(descriptor);
+}
+
+TEST_F(ServerTests, connectionsBeyondTheLimitAreClosed)
+{
+    std::vector<std::string> outcomes;
+    for (int i = 0; i < 6; ++i) {
+        client_.fetch({ .address = address_, .path = "/later" }, [&](const http::Result &got) { outcomes.push_back(outcomeOf(got)); });
+    }
+    ASSERT_TRUE(runUntil(loop_, [&]() { return waiting_.size() == 4 && outcomes.size() == 2; }));
+    EXPECT_EQ(outcomes, (std::vector<std::string>{ "closed", "closed" }));
+}
+
+// The server stops while one request waits for its answer and one connection is idle.
+// The idle one closes at once, no new one is accepted, and the waiting caller still gets its whole answer.
+TEST_F(ServerTests, stoppingEndsIdleConnectionsAndFinishesTheOthers)
+{
+    get("/echo/");
+    std::optional<http::Result> result;
+    client_.fetch({ .address = address_, .path = "/later", .freshConnection = true }, [&](http::Result got) { result = std::move(got); });
+    ASSERT_TRUE(runUntil(loop_, [&]() { return waiting_.size() == 1; }));
+    bool isStopped = false;
+    server_.stop([&]() { isStopped = true; });
+    ASSERT_TRUE(runUntil(loop_, [&]() { return server_.connectionCount() == 1; }));
+    EXPECT_FALSE(isStopped);
+    EXPECT_EQ(outcomeOf(fetch(loop_, client_, { .address = address_, .path = "/echo/", .freshConnection = true })), "closed");
+    waiting_.front().reply(200, "text/plain", "whole");
+    EXPECT_TRUE(runUntil(loop_, [&]() { return isStopped && result.has_value(); }));
+    EXPECT_EQ(std::get<http::Response>(*result).body, "whole");
+}
