--- a/src/core/configuration/digest.cpp
+++ b/src/core/configuration/digest.cpp
@@ -1,6 +1,6 @@
 #include "core/configuration/digest.h"
 
-#include "core/configuration/serializer.h"
+#include "core/configuration/manifest.h"
 
 #include <openssl/sha.h>
 
@@ -25,7 +25,7 @@
 
 auto digestOf(const Document &document) -> std::string
 {
-    return digestOf(std::string_view(serializeDocument(document)));
+    return split(document).digest;
 }
 
 } // namespace auburnspread::configuration
--- a/src/core/configuration/digest.h
+++ b/src/core/configuration/digest.h
@@ -15,7 +15,8 @@
 /// SHA-256 in lower-case hex.
 auto digestOf(std::string_view content) -> std::string;
 
-/// Digest of the canonical form.
+/// Digest of the canonical form: over the digests of its parts, as manifests carry it.
+/// \throws ManifestError if the document does not fit
 auto digestOf(const Document &document) -> std::string;
 
 } // namespace auburnspread::configuration
--- a/src/core/configuration/internal/jsonreader.h
+++ b/src/core/configuration/internal/jsonreader.h
@@ -21,11 +21,17 @@
 /// Of \p known the key that differs least from \p key, for "did you mean".
 auto nearestKey(std::string_view key, const std::vector<std::string_view> &known) -> std::string_view;
 
+enum class UnknownKeys {
+    Report,
+    Ignore,
+};
+
 class JsonReader
 {
 public:
-    explicit JsonReader(std::vector<Problem> &problems)
+    explicit JsonReader(std::vector<Problem> &problems, UnknownKeys unknownKeys = UnknownKeys::Report)
         : problems_(problems)
+        , unknownKeys_(unknownKeys)
     {
     }
 
@@ -46,7 +52,9 @@
                 report(path, "lacks the required key \"" + std::string(field.key) + "\"");
             }
         });
-        reportUnknownKeys(json, known, path);
+        if (unknownKeys_ == UnknownKeys::Report) {
+            reportUnknownKeys(json, known, path);
+        }
     }
 
 private:
@@ -96,6 +104,7 @@
     auto report(std::string path, std::string text) -> void;
 
     std::vector<Problem> &problems_;
+    UnknownKeys unknownKeys_;
 };
 
 } // namespace auburnspread::configuration::detail
--- /dev/null
+++ b/src/core/configuration/manifest.cpp
@@ -0,0 +1,229 @@
+#include "core/configuration/manifest.h"
+
+#include "core/configuration/digest.h"
+#include "core/configuration/internal/jsonreader.h"
+#include "core/configuration/internal/jsonvalue.h"
+#include "core/configuration/serializer.h"
+#include "core/configuration/validation.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace auburnspread::configuration
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int ManifestFormat = 1;
+constexpr std::string_view GeneralPart = "general";
+
+/// A list of named things that is spread over parts of its own.
+struct SpreadList {
+    std::string_view key;
+    std::uint64_t buckets;
+};
+
+/// 256 buckets make the manifest about as large as one part of 29,000 workspaces, which keeps their sum, the cost
+/// of a change, smallest.
+constexpr auto SpreadLists = std::to_array<SpreadList>({ { "workspaces", 256 }, { "backend_servers", 16 } });
+
+auto bucketOf(const SpreadList &list, const std::string &name) -> std::uint64_t
+{
+    return XXH64(name.data(), name.size(), 0) % list.buckets;
+}
+
+auto partName(const SpreadList &list, std::uint64_t bucket) -> std::string
+{
+    return std::string(list.key) + "/" + std::to_string(bucket);
+}
+
+auto addPart(SplitDocument &result, std::string name, std::string content) -> void
+{
+    if (content.size() > MaximumPartBytes) {
+        throw ManifestError("part " + name + " would take " + std::to_string(content.size()) + " bytes, more than " + std::to_string(MaximumPartBytes));
+    }
+    auto digest = digestOf(std::string_view(content));
+    result.contents[digest] = std::make_shared<const std::string>(std::move(content));
+    result.references.push_back({ .name = std::move(name), .digest = std::move(digest) });
+}
+
+/// Digest over all references: equal documents, and only they, have equal ones.
+auto digestOfReferences(const std::vector<PartReference> &references) -> std::string
+{
+    auto text = std::string();
+    for (const auto &reference : references) {
+        text += reference.name + " " + reference.digest + "\n";
+    }
+    return digestOf(std::string_view(text));
+}
+
+auto spread(SplitDocument &result, const SpreadList &list, const json &items) -> void
+{
+    auto buckets = std::map<std::uint64_t, json>();
+    for (const auto &item : items) {
+        buckets[bucketOf(list, item.at("name").get_ref<const std::string &>())].push_back(item);
+    }
+    for (const auto &[bucket, content] : buckets) {
+        addPart(result, partName(list, bucket), content.dump());
+    }
+}
+
+auto contentOf(const PartReference &reference, const PartContents &contents) -> const std::string &
+{
+    const auto found = contents.find(reference.digest);
+    if (found == contents.end()) {
+        throw ManifestError("part " + reference.name + " is absent");
+    }
+    return *found->second;
+}
+
+auto listOfPart(std::string_view name) -> std::string
+{
+    for (const auto &list : SpreadLists) {
+        if (name.starts_with(std::string(list.key) + "/")) {
+            return std::string(list.key);
+        }
+    }
+    throw ManifestError("part " + std::string(name) + " is not of a known kind");
+}
+
+auto joinParts(const Manifest &manifest, const PartContents &contents) -> json
+{
+    auto root = json::object();
+    auto lists = json::object();
+    for (const auto &reference : manifest.parts) {
+        auto content = json::parse(contentOf(reference, contents));
+        if (reference.name == GeneralPart) {
+            root = std::move(content);
+            continue;
+        }
+        auto &list = lists[listOfPart(reference.name)];
+        for (auto &item : content) {
+            list.push_back(std::move(item));
+        }
+    }
+    root.update(lists);
+    return root;
+}
+
+auto describe(const std::vector<Problem> &problems) -> std::string
+{
+    return problems.front().path + ": " + problems.front().text + " (" + std::to_string(problems.size()) + " problems)";
+}
+
+} // namespace
+
+auto split(const Document &document) -> SplitDocument
+{
+    auto canonical = document;
+    canonicalize(canonical);
+    auto root = detail::toJsonValue(canonical);
+    auto result = SplitDocument();
+    auto lists = json::object();
+    for (const auto &list : SpreadLists) {
+        const auto key = std::string(list.key);
+        lists[key] = std::move(root[key]);
+        root.erase(key);
+    }
+    addPart(result, std::string(GeneralPart), root.dump());
+    for (const auto &list : SpreadLists) {
+        spread(result, list, lists[std::string(list.key)]);
+    }
+    result.digest = digestOfReferences(result.references);
+    return result;
+}
+
+auto assemble(const Manifest &manifest, const PartContents &contents) -> AdoptedDocument
+{
+    if (digestOfReferences(manifest.parts) != manifest.digest) {
+        throw ManifestError("the manifest's digest is not that of its parts");
+    }
+    auto adopted = AdoptedDocument{ .version = manifest.version, .digest = manifest.digest, .document = {} };
+    auto problems = std::vector<Problem>();
+    try {
+        // A newer console may write keys that this node does not know yet: they must not keep it on an old version.
+        detail::JsonReader(problems, detail::UnknownKeys::Ignore).readObject(joinParts(manifest, contents), adopted.document, {});
+    } catch (const json::exception &error) {
+        throw ManifestError("a part is not JSON: " + std::string(error.what()));
+    }
+    if (problems.empty()) {
+        problems = validateReferences(adopted.document);
+    }
+    if (!problems.empty()) {
+        throw ManifestError(describe(problems));
+    }
+    canonicalize(adopted.document);
+    return adopted;
+}
+
+auto serializeManifest(const Manifest &manifest) -> std::string
+{
+    auto parts = json::array();
+    for (const auto &part : manifest.parts) {
+        parts.push_back({ part.name, part.digest });
+    }
+    auto past = json::array();
+    for (const auto &submission : manifest.past) {
+        past.push_back({ submission.version, submission.nonce });
+    }
+    return json{
+        { "format", ManifestFormat },  { "version", manifest.version }, { "digest", manifest.digest }, { "previous", manifest.previous },
+        { "author", manifest.author }, { "nonce", manifest.nonce },     { "parts", std::move(parts) }, { "past", std::move(past) },
+    }
+        .dump();
+}
+
+auto parseManifest(std::string_view text) -> Manifest
+{
+    try {
+        const auto root = json::parse(text);
+        if (root.at("format").get<int>() != ManifestFormat) {
+            throw ManifestError("the manifest has format " + root.at("format").dump() + ", this program reads " + std::to_string(ManifestFormat));
+        }
+        auto manifest = Manifest();
+        root.at("version").get_to(manifest.version);
+        root.at("digest").get_to(manifest.digest);
+        root.at("previous").get_to(manifest.previous);
+        root.at("author").get_to(manifest.author);
+        root.at("nonce").get_to(manifest.nonce);
+        for (const auto &part : root.at("parts")) {
+            manifest.parts.push_back({ .name = part.at(0).get<std::string>(), .digest = part.at(1).get<std::string>() });
+        }
+        for (const auto &submission : root.at("past")) {
+            manifest.past.push_back({ .version = submission.at(0).get<std::uint64_t>(), .nonce = submission.at(1).get<std::string>() });
+        }
+        return manifest;
+    } catch (const json::exception &error) {
+        throw ManifestError("the manifest cannot be read: " + std::string(error.what()));
+    }
+}
+
+auto partKey(std::string_view digest) -> std::string
+{
+    return std::string(PartKeyPrefix) + std::string(digest);
+}
+
+auto encodePart(std::string_view content, std::string_view nonce) -> std::string
+{
+    return std::string(nonce) + "\n" + std::string(content);
+}
+
+auto decodePart(std::string_view value, std::string_view digest) -> std::optional<std::string>
+{
+    const auto lineEnd = value.find('\n');
+    if (lineEnd == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto content = value.substr(lineEnd + 1);
+    if (digestOf(content) != digest) {
+        return std::nullopt;
+    }
+    return std::string(content);
+}
+
+} // namespace auburnspread::configuration
