--- a/src/wire/peer/links.h
+++ b/src/wire/peer/links.h
@@ -24,8 +24,8 @@
     std::uint64_t incarnation = 0;
     std::string listenAddress; ///< IP number and port; port 0 takes a free one
     std::string secret;        ///< shared by all entries, at least 16 bytes
-    std::size_t messageBytes = 1024 * 1024;
-    std::size_t queueBytes = 1024 * 1024; ///< waiting for one slow peer
+    std::size_t messageBytes = 1024UL * 1024;
+    std::size_t queueBytes = 1024UL * 1024; ///< waiting for one slow peer
     std::size_t unauthenticated = 64;     ///< accepted connections that have not proved the secret yet
     Duration pingInterval = std::chrono::seconds(1);
     Duration silence = std::chrono::seconds(3);          ///< a link that heard nothing for so long is ended
@@ -38,6 +38,7 @@
 /// Called in the loop's thread. Links may be used from within, but not destroyed.
 struct LinksCallbacks {
     /// A link is authenticated. Called again without \c closed between when a new connection replaces an old one.
+    /// What was under way on an old link may be lost: send the peer anew whatever it must know.
     /// \p dialledAddress is empty if the peer dialled.
     std::function<void(const std::string &name, std::uint64_t incarnation, const std::string &dialledAddress)> opened;
     std::function<void(const std::string &name, membership::LinkEnd end)> closed;
--- a/src/wire/peer/messages.h
+++ b/src/wire/peer/messages.h
@@ -29,7 +29,7 @@
 /// Bounds of a decoded message; a message beyond them is malformed.
 constexpr std::size_t MaxNameBytes = 256;
 constexpr std::size_t MaxListEntries = 4096;
-constexpr std::size_t MaxPartBytes = 256 * 1024;
+constexpr std::size_t MaxPartBytes = 256UL * 1024;
 
 using Nonce = std::array<std::uint8_t, NonceBytes>;
 using ProofBytesArray = std::array<std::uint8_t, ProofBytes>;
--- a/src/wire/peer/websocket.cpp
+++ b/src/wire/peer/websocket.cpp
@@ -53,8 +53,6 @@
         connection_->set_open_handler([this](const websocketpp::connection_hdl &) { callbacks_.opened(); });
         connection_->set_message_handler(
             [this](const websocketpp::connection_hdl &, const typename Endpoint::message_ptr &message) { callbacks_.received(message->get_payload()); });
-        connection_->set_fail_handler([this](const websocketpp::connection_hdl &) { callbacks_.ended(); });
-        connection_->set_close_handler([this](const websocketpp::connection_hdl &) { callbacks_.ended(); });
     }
 
     ~Session()
@@ -62,8 +60,6 @@
         connection_->set_write_handler([](const websocketpp::connection_hdl &, const char *, std::size_t) { return websocketpp::lib::error_code(); });
         connection_->set_open_handler(nullptr);
         connection_->set_message_handler(nullptr);
-        connection_->set_fail_handler(nullptr);
-        connection_->set_close_handler(nullptr);
         // The pending read holds the connection; ending it releases both.
         connection_->eof();
         connection_->terminate(websocketpp::lib::error_code());
@@ -77,20 +73,26 @@
         begin(endpoint_, connection_);
     }
 
-    auto feed(const char *bytes, std::size_t count) -> bool
+    auto setMessageBytes(std::size_t messageBytes) -> void
     {
-        return connection_->read_all(bytes, count) == count;
+        connection_->set_max_message_size(messageBytes);
     }
 
-    auto send(const std::string &message) -> bool
+    auto feed(const char *bytes, std::size_t count) -> WebSocketStatus
     {
-        return !connection_->send(message, websocketpp::frame::opcode::binary);
+        const auto taken = connection_->read_all(bytes, count);
+        const auto state = connection_->get_state();
+        if (taken == count && (state == websocketpp::session::state::connecting || state == websocketpp::session::state::open)) {
+            return WebSocketStatus::Usable;
+        }
+        const auto code = connection_->get_local_close_code();
+        const bool endedInOrder = code == websocketpp::close::status::normal || code == websocketpp::close::status::going_away;
+        return endedInOrder ? WebSocketStatus::Ended : WebSocketStatus::Broken;
     }
 
-    auto close() -> void
+    auto send(const std::string &message) -> bool
     {
-        websocketpp::lib::error_code ignored;
-        connection_->close(websocketpp::close::status::normal, std::string(), ignored);
+        return !connection_->send(message, websocketpp::frame::opcode::binary);
     }
 
 private:
@@ -129,7 +131,7 @@
     template <typename Action>
     auto apply(Action action)
     {
-        return client ? action(*client) : action(*server);
+        return client ? action(*client) : action(*server); // exactly one is set
     }
 };
 
@@ -150,19 +152,19 @@
     implementation_->apply([](auto &session) { session.start(); });
 }
 
-auto WebSocket::feed(const char *bytes, std::size_t count) -> bool
+auto WebSocket::setMessageBytes(std::size_t messageBytes) -> void
 {
-    return implementation_->apply([&](auto &session) { return session.feed(bytes, count); });
+    implementation_->apply([&](auto &session) { session.setMessageBytes(messageBytes); });
 }
 
-auto WebSocket::send(const std::string &message) -> bool
+auto WebSocket::feed(const char *bytes, std::size_t count) -> WebSocketStatus
 {
-    return implementation_->apply([&](auto &session) { return session.send(message); });
+    return implementation_->apply([&](auto &session) { return session.feed(bytes, count); });
 }
 
-auto WebSocket::close() -> void
+auto WebSocket::send(const std::string &message) -> bool
 {
-    implementation_->apply([](auto &session) { session.close(); });
+    return implementation_->apply([&](auto &session) { return session.send(message); });
 }
 
 } // namespace auburnspread::peer
--- a/src/wire/peer/websocket.h
+++ b/src/wire/peer/websocket.h
@@ -16,17 +16,22 @@
     Server,
 };
 
+enum class WebSocketStatus {
+    Usable,
+    Ended,  ///< closed by either side
+    Broken, ///< the peer broke the protocol or sent too large a message
+};
+
 struct WebSocketCallbacks {
     std::function<void(const char *bytes, std::size_t count)> write; ///< bytes for the socket
     std::function<void()> opened;
     std::function<void(const std::string &message)> received;
-    std::function<void()> ended; ///< closed by the peer, refused, or the protocol was broken
 };
 
 class WebSocket
 {
 public:
-    /// \p messageBytes bounds a message; a larger one ends the connection before it is held in memory.
+    /// \p messageBytes bounds a message; a larger one breaks the connection before it is held in memory.
     WebSocket(WebSocketRole role, std::size_t messageBytes, WebSocketCallbacks callbacks);
     ~WebSocket();
     WebSocket(const WebSocket &) = delete;
@@ -35,15 +40,15 @@
     /// Begins the opening handshake.
     auto start() -> void;
 
-    /// Takes in bytes from the socket; false once the connection accepts no more.
-    auto feed(const char *bytes, std::size_t count) -> bool;
+    /// From now on; for messages after the peer has authenticated itself.
+    auto setMessageBytes(std::size_t messageBytes) -> void;
+
+    /// Takes in bytes from the socket.
+    auto feed(const char *bytes, std::size_t count) -> WebSocketStatus;
 
     /// Sends a binary message; false if the connection is not open.
     auto send(const std::string &message) -> bool;
 
-    /// Sends a closing frame.
-    auto close() -> void;
-
 private:
     struct Implementation;
     std::unique_ptr<Implementation> implementation_;
