--- a/src/entry/settings/entrysettings.cpp
+++ b/src/entry/settings/entrysettings.cpp
@@ -119,6 +119,19 @@
     return { .keys = Keys, .rules = {} };
 }
 
+namespace
+{
+
+/// One list of seeds serves all entries, so it may name this entry too.
+auto otherSeeds(const settings::Settings &settings) -> std::vector<std::string>
+{
+    auto seeds = settings.addresses("peers.seeds");
+    std::erase(seeds, settings.address("listen.peer"));
+    return seeds;
+}
+
+} // namespace
+
 auto readEntrySettings(const settings::Settings &settings) -> EntrySettings
 {
     return {
@@ -133,7 +146,7 @@
         .peerAddress = settings.address("listen.peer"),
         .platformAddress = settings.address("platform.address"),
         .leaseTime = settings.duration("platform.lease_ms"),
-        .seeds = settings.addresses("peers.seeds"),
+        .seeds = otherSeeds(settings),
         .peerSecret = settings.secret("peers.secret"),
         .adminToken = settings.secret("admin.token"),
         .headerBytes = settings.bytes("limits.header_bytes"),
--- a/src/wire/http/client.cpp
+++ b/src/wire/http/client.cpp
@@ -91,6 +91,12 @@
     return error;
 }
 
+/// Whether the peer had most likely ended the connection while it was idle.
+auto isStaleConnection(const Error &error) -> bool
+{
+    return error.reusedConnection && error.step == Step::Wait && error.cause == Cause::Closed;
+}
+
 auto makeInvalid(const std::string &peer, std::string_view what) -> Error
 {
     return Error{ .peer = peer, .text = "prepare " + peer + ": invalid " + std::string(what) };
@@ -158,6 +164,7 @@
 
 struct Exchange {
     OnDone onDone;
+    std::optional<Request> resend; ///< what to send if the reused connection turns out to be dead
     std::unique_ptr<detail::Connection> connection;
     task::Watch timer;
 };
@@ -178,6 +185,7 @@
     [[nodiscard]] auto idleConnections() const -> std::size_t;
 
 private:
+    auto begin(Handle handle, Exchange &exchange, const Request &request) -> void;
     auto start(Handle handle, Exchange &exchange, const Request &request) -> std::optional<Error>;
     auto takeResponse(Handle handle, evhttp_request *raw) -> void;
     auto timeOut(Handle handle) -> void;
@@ -194,12 +202,21 @@
     const auto handle = static_cast<Handle>(++lastHandle_);
     auto &exchange = exchanges_[handle];
     exchange.onDone = std::move(onDone);
+    if (request.isIdempotent) {
+        exchange.resend = request;
+        exchange.resend->freshConnection = true;
+    }
     exchange.timer = loop_.after(request.timeout, [this, handle]() { timeOut(handle); });
+    begin(handle, exchange, request);
+    return handle;
+}
+
+// An error at once is told on the loop's next turn, when the caller knows its handle.
+auto Client::Impl::begin(Handle handle, Exchange &exchange, const Request &request) -> void
+{
     if (const auto error = start(handle, exchange, request)) {
-        // the caller gets its handle first, then the error
         exchange.timer = loop_.after(Duration(0), [this, handle, error]() { finish(handle, *error); });
     }
-    return handle;
 }
 
 auto Client::Impl::start(Handle handle, Exchange &exchange, const Request &request) -> std::optional<Error>
@@ -235,7 +252,8 @@
 // evhttp passes no request after an error, and one without status if the connection was never made.
 auto Client::Impl::takeResponse(Handle handle, evhttp_request *raw) -> void
 {
-    auto connection = std::move(exchanges_.at(handle).connection);
+    auto &exchange = exchanges_.at(handle);
+    auto connection = std::move(exchange.connection);
     if (raw != nullptr && evhttp_request_get_response_code(raw) != 0) {
         auto response = readResponse(raw);
         pool_.keep(std::move(connection));
@@ -244,6 +262,11 @@
     }
     auto error = makeError(*connection, connection->error ? toCause(*connection->error) : Cause::Closed);
     pool_.retire(std::move(connection));
+    if (exchange.resend && isStaleConnection(error)) {
+        const auto request = *std::exchange(exchange.resend, std::nullopt);
+        begin(handle, exchange, request);
+        return;
+    }
     finish(handle, std::move(error));
 }
 
--- a/src/wire/http/client.h
+++ b/src/wire/http/client.h
@@ -26,6 +26,7 @@
     std::string body;
     Duration timeout = std::chrono::seconds(5); ///< of the whole exchange, connecting included
     bool freshConnection = false;               ///< uses no idle connection: for probes and retries
+    bool isIdempotent = false;                  ///< sent again, once and on a fresh connection, if the peer had ended the idle one
 };
 
 struct Response {
