Quarantine: entries agree on who makes the one retry

Cause: a schedule found by RapidCheck: two entries that saw the same first crash both retried the suspect after the same wait, and a third server crashed. Change: an entry says that it will retry (a Retrying notice without a server) and waits for the others' word; of two the one with the lower name goes on, a copy that runs already goes before both. announceRetry is for copies that wait and were not the ones that saw the crash.

--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -12,8 +12,13 @@
 /// Crashes after which a fingerprint is quarantined.
 constexpr std::size_t CrashesToQuarantine = 2;
 
-/// Two entries that report the crash of the same server within this time saw the same crash.
-constexpr Duration SameCrashWindow = std::chrono::seconds(5);
+/// A crash ends all connections of a server within milliseconds of each other, and a server takes longer than this to
+/// start again: ends on one server within this time are one crash, later ones another.
+constexpr Duration SameCrashWindow = std::chrono::milliseconds(500);
+
+/// An entry that said it will retry must begin, or say so again, within this time: it is shorter than what peers allow.
+constexpr Duration IntentLifetime = std::chrono::seconds(2);
+constexpr Duration IntentRefresh = std::chrono::milliseconds(500);
 
 auto isExpired(const State &state, const Record &record, TimePoint now) -> bool
 {
@@ -29,6 +34,11 @@
     return &found->second;
 }
 
+auto intends(const Record &record, TimePoint now) -> bool
+{
+    return record.intendsSince && now - record.intentToldAt < IntentLifetime;
+}
+
 auto isRunning(const State &state, Fingerprint fingerprint) -> bool
 {
     return state.running.contains(fingerprint);
@@ -118,49 +128,49 @@
     return std::move(node.mapped());
 }
 
-/// All attempts that were under way on a server when it crashed died of the same crash, however late each one's end is
-/// noticed. An attempt dispatched after the crash was seen can only have died of another one.
+/// The crash that ended the attempt: the one seen last on its server, if the attempt was under way then, else a new one.
 auto incidentOf(State &state, const Attempt &attempt, TimePoint now) -> Incident
 {
     auto &crash = state.lastCrash[attempt.server];
-    if (crash.sequence < attempt.sequence) {
+    const bool wasUnderWay = attempt.sequence < crash.sequence && now - crash.at <= SameCrashWindow;
+    if (!wasUnderWay) {
         crash = { .at = now, .sequence = state.nextSequence++ };
     }
     return { .server = attempt.server, .at = crash.at, .sequence = crash.sequence };
 }
 
-/// Two entries may see the first crash of the same fingerprint at the same moment. Without an order between them both
-/// would retry, and three servers would be lost. The retry waits until every peer's notice has arrived, then the entry
-/// with the lowest name goes first; the others wait for its notice, or until it had time enough to begin.
-auto deferRetry(const State &state, Record &record, const Notice &notice, TimePoint now) -> void
+auto tellRetrying(const State &state, Fingerprint fingerprint) -> std::vector<Notice>
 {
-    const bool sawCrashHere = std::any_of(record.crashes.begin(), record.crashes.end(), [](const Incident &incident) { return incident.sequence != 0; });
-    const bool peerGoesFirst = !sawCrashHere || notice.entry < state.options.entry;
-    const Duration wait = peerGoesFirst ? state.options.peerPrecedenceTime : state.options.settleTime;
-    record.retryFrom = std::max(record.retryFrom, now + wait);
+    const auto running = state.running.find(fingerprint);
+    if (running == state.running.end()) {
+        return {};
+    }
+    return { makeNotice(state, fingerprint, Mark::Retrying, running->second.server) };
 }
 
-auto hearSuspect(State &state, const Notice &notice, TimePoint now) -> std::vector<Notice>
+auto hearSuspect(State &state, const Notice &notice, TimePoint now) -> void
 {
     unmarkProven(state, notice.fingerprint);
-    auto &record = recordOf(state, notice.fingerprint, now);
-    addCrash(record, { .server = notice.server, .at = now });
-    if (record.quarantined) {
-        return {};
-    }
-    deferRetry(state, record, notice, now);
-    const auto running = state.running.find(notice.fingerprint);
-    if (running == state.running.end() || running->second.server == notice.server) {
-        return {};
-    }
-    return { makeNotice(state, notice.fingerprint, Mark::Retrying) };
+    addCrash(recordOf(state, notice.fingerprint, now), { .server = notice.server, .at = now });
 }
 
-auto hearRetrying(State &state, const Notice &notice, TimePoint now) -> void
+/// Two entries may want to retry the same suspect at the same moment. Without an order between them both would, and a
+/// killer would crash a third server. Each says so first and waits until the other's word must have arrived; then the
+/// entry with the lower name goes on and the other one waits. A retry that runs already goes before both.
+auto hearRetrying(State &state, const Notice &notice, TimePoint now) -> std::vector<Notice>
 {
+    const bool runs = !notice.server.empty();
     auto &record = recordOf(state, notice.fingerprint, now);
+    if (!runs && intends(record, now) && state.options.entry < notice.entry) {
+        return {};
+    }
+    if (!runs && isRunning(state, notice.fingerprint)) {
+        return tellRetrying(state, notice.fingerprint);
+    }
+    record.intendsSince.reset();
     record.peerRetrying = notice.entry;
-    record.peerRetryUntil = now + state.options.peerRetryTime;
+    record.peerRetryUntil = now + (runs ? state.options.peerRetryTime : state.options.peerIntentTime);
+    return {};
 }
 
 auto hearRetryEnded(State &state, const Notice &notice) -> void
@@ -187,6 +197,26 @@
     recordOf(state, fingerprint, now).quarantined = true;
 }
 
+auto peerRetries(const Record &record, TimePoint now) -> bool
+{
+    return !record.peerRetrying.empty() && now < record.peerRetryUntil;
+}
+
+/// A suspect that nobody retries and no copy of which runs.
+auto mayBeRetried(const State &state, Fingerprint fingerprint, const Record &record, TimePoint now) -> bool
+{
+    return !record.quarantined && !peerRetries(record, now) && !isRunning(state, fingerprint);
+}
+
+auto decideUnsuspected(const State &state, Fingerprint fingerprint) -> Decision
+{
+    const auto running = state.running.find(fingerprint);
+    if (running == state.running.end() || state.proven.contains(fingerprint)) {
+        return { .verdict = Verdict::Run };
+    }
+    return { .verdict = Verdict::RunOnServer, .server = running->second.server };
+}
+
 } // namespace
 
 auto makeState(Options options) -> State
@@ -207,20 +237,34 @@
 {
     const Record *record = findRecord(state, fingerprint, now);
     if (record == nullptr) {
-        const auto running = state.running.find(fingerprint);
-        if (running == state.running.end() || state.proven.contains(fingerprint)) {
-            return { .verdict = Verdict::Run };
-        }
-        return { .verdict = Verdict::RunOnServer, .server = running->second.server };
+        return decideUnsuspected(state, fingerprint);
     }
     if (record->quarantined) {
         return { .verdict = Verdict::Refuse };
     }
-    const bool peerRetries = !record->peerRetrying.empty() && now < record->peerRetryUntil;
-    if (peerRetries || isRunning(state, fingerprint) || now < record->retryFrom) {
+    if (!mayBeRetried(state, fingerprint, *record, now) || !intends(*record, now)) {
         return { .verdict = Verdict::Wait };
     }
-    return { .verdict = Verdict::RunAlone };
+    const bool settled = now - *record->intendsSince >= state.options.settleTime;
+    return { .verdict = settled ? Verdict::RunAlone : Verdict::Wait };
+}
+
+auto announceRetry(State &state, Fingerprint fingerprint, TimePoint now) -> std::vector<Notice>
+{
+    if (findRecord(state, fingerprint, now) == nullptr) {
+        return {};
+    }
+    auto &record = state.records.at(fingerprint);
+    if (!mayBeRetried(state, fingerprint, record, now)) {
+        return {};
+    }
+    if (!intends(record, now)) {
+        record.intendsSince = now;
+    } else if (now - record.intentToldAt < IntentRefresh) {
+        return {};
+    }
+    record.intentToldAt = now;
+    return { makeNotice(state, fingerprint, Mark::Retrying) };
 }
 
 auto noteDispatched(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, TimePoint now) -> std::vector<Notice>
@@ -232,7 +276,8 @@
     if (findRecord(state, fingerprint, now) == nullptr) {
         return {};
     }
-    return { makeNotice(state, fingerprint, Mark::Retrying) };
+    state.records.at(fingerprint).intendsSince.reset();
+    return tellRetrying(state, fingerprint);
 }
 
 auto noteCompleted(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>
@@ -279,18 +324,21 @@
     if (record.quarantined) {
         return { makeNotice(state, ended->fingerprint, Mark::Quarantined) };
     }
-    record.retryFrom = std::max(record.retryFrom, now + state.options.settleTime);
-    return { makeNotice(state, ended->fingerprint, Mark::Suspect, ended->server) };
+    std::vector<Notice> notices{ makeNotice(state, ended->fingerprint, Mark::Suspect, ended->server) };
+    for (auto &notice : announceRetry(state, ended->fingerprint, now)) {
+        notices.push_back(std::move(notice));
+    }
+    return notices;
 }
 
 auto hear(State &state, const Notice &notice, TimePoint now) -> std::vector<Notice>
 {
     switch (notice.mark) {
     case Mark::Suspect:
-        return hearSuspect(state, notice, now);
-    case Mark::Retrying:
-        hearRetrying(state, notice, now);
+        hearSuspect(state, notice, now);
         break;
+    case Mark::Retrying:
+        return hearRetrying(state, notice, now);
     case Mark::RetryEnded:
         hearRetryEnded(state, notice);
         break;
--- a/src/core/quarantine/quarantine.h
+++ b/src/core/quarantine/quarantine.h
@@ -27,11 +27,11 @@
 struct Options {
     std::string entry; ///< this entry's name
     Duration expiry = std::chrono::hours(1);
-    std::size_t capacity = 1000;                           ///< suspects and quarantined together
-    std::size_t provenCapacity = 4096;                     ///< fingerprints remembered as harmless
-    Duration settleTime = std::chrono::milliseconds(100);  ///< between a crash and the retry: what peers saw arrives
-    Duration peerRetryTime = std::chrono::seconds(60);     ///< a peer's retry that says nothing more is taken as over
-    Duration peerPrecedenceTime = std::chrono::seconds(2); ///< how long a peer of a lower name may take to begin its retry
+    std::size_t capacity = 1000;                         ///< suspects and quarantined together
+    std::size_t provenCapacity = 4096;                   ///< fingerprints remembered as harmless
+    Duration settleTime = std::chrono::milliseconds(50); ///< from saying that we will retry to the retry: what peers saw and want arrives
+    Duration peerIntentTime = std::chrono::seconds(2);   ///< a peer that said it will retry has this long to begin or to say so again
+    Duration peerRetryTime = std::chrono::seconds(60);   ///< a peer's retry that says nothing more is taken as over
 };
 
 enum class Verdict {
@@ -42,16 +42,11 @@
     Refuse,      ///< quarantined
 };
 
-struct Decision {
-    Verdict verdict = Verdict::Run;
-    std::string server; ///< of RunOnServer
-};
-
 /// What a cell is told about a fingerprint.
 enum class Mark {
     Suspect,     ///< it ran on \c server when that crashed
-    Retrying,    ///< its one retry runs now
-    RetryEnded,  ///< its one retry ended without a crash or an answer: another entry may make it
+    Retrying,    ///< its one retry runs now on \c server; without a server: \c entry is about to make it
+    RetryEnded,  ///< its retry ended and proved nothing: another entry may make it
     Cleared,     ///< it completed: no longer suspect
     Quarantined, ///< present at two crashes
     Released,    ///< by an operator
@@ -61,7 +56,12 @@
     Fingerprint fingerprint{};
     Mark mark = Mark::Quarantined;
     std::string entry;  ///< who says so
-    std::string server; ///< of Suspect: the crashed one; empty: not known
+    std::string server; ///< of Suspect and Retrying
+};
+
+struct Decision {
+    Verdict verdict = Verdict::Run;
+    std::string server; ///< of RunOnServer
 };
 
 /// \name State. Fields are the module's own; read them by list() and decide().
@@ -74,10 +74,11 @@
 
 struct Record {
     bool quarantined = false;
-    std::vector<Incident> crashes; ///< distinct crashes at which the fingerprint was present
-    TimePoint since{};             ///< last change, for expiry and eviction
-    TimePoint retryFrom{};         ///< not retried earlier
-    std::string peerRetrying;      ///< the entry whose retry is under way; empty: none
+    std::vector<Incident> crashes;         ///< distinct crashes at which the fingerprint was present
+    TimePoint since{};                     ///< last change, for expiry and eviction
+    std::optional<TimePoint> intendsSince; ///< this entry said that it will retry
+    TimePoint intentToldAt{};
+    std::string peerRetrying; ///< the entry whose retry is under way; empty: none
     TimePoint peerRetryUntil{};
 };
 
@@ -117,6 +118,12 @@
 /// Whether and how a request with this fingerprint may be dispatched now. Ask right before each dispatch.
 auto decide(const State &state, Fingerprint fingerprint, TimePoint now) -> Decision;
 
+/// A request with this fingerprint is here to be run and waits. If it is a suspect that nobody else retries, this entry
+/// says that it will, and decide() answers RunAlone once peers had time to object. Call it whenever the verdict is
+/// Wait, again on each tick; it returns something only when peers must be told. The entry that saw the crash said so
+/// with the crash, so only a suspect's later copies and long waits need it.
+auto announceRetry(State &state, Fingerprint fingerprint, TimePoint now) -> std::vector<Notice>;
+
 auto noteDispatched(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, TimePoint now) -> std::vector<Notice>;
 /// The answer is complete: the fingerprint is harmless.
 auto noteCompleted(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
