--- a/src/core/balancing/balancing.cpp
+++ b/src/core/balancing/balancing.cpp
@@ -223,14 +223,7 @@
 
 auto listServers(const State &state) -> std::vector<ServerIndex>
 {
-    std::vector<ServerIndex> listed;
-    for (const auto &[name, index] : state.serversByName) {
-        listed.push_back(index);
-    }
-    std::sort(listed.begin(), listed.end(), [&](ServerIndex left, ServerIndex right) {
-        return detail::serverAt(state, left).name < detail::serverAt(state, right).name;
-    });
-    return listed;
+    return state.serversInOrder;
 }
 
 auto timingsOf(const State &state, const Query &query) -> Timings
--- a/src/core/balancing/internal/state.h
+++ b/src/core/balancing/internal/state.h
@@ -142,8 +142,7 @@
 
 struct DemandTotal {
     std::string name;
-    std::uint32_t concurrency = 0; ///< of all servers that serve it
-    double smoothed = 0;           ///< what this entry reported last, decaying
+    double smoothed = 0; ///< what this entry reported last, decaying
     TimePoint smoothedAt{};
 };
 
@@ -165,6 +164,7 @@
     detail::Generator generator;
     std::uint32_t ejectedSharePercent = 34;
     std::vector<detail::Server> servers;
+    std::vector<ServerIndex> serversInOrder; ///< of the document, by name: the same order on every entry
     std::vector<detail::Pool> pools;
     std::vector<detail::DemandTotal> demands;
     std::vector<detail::Entry> cell; ///< by name; never empty, this entry is one of them
--- a/src/core/balancing/pools.cpp
+++ b/src/core/balancing/pools.cpp
@@ -300,9 +300,6 @@
     }
     server.memberships = std::move(memberships);
     server.demands = spec.demands;
-    for (const DemandIndex demand : spec.demands) {
-        state.demands[place(demand)].concurrency += spec.concurrency;
-    }
 }
 
 /// Empties pools and sums; what the servers know of themselves stays.
@@ -318,9 +315,6 @@
         pool.inFlight = 0;
         pool.freeSlots = 0;
     }
-    for (auto &demand : state.demands) {
-        demand.concurrency = 0;
-    }
     for (auto &server : state.servers) {
         server.inDocument = false;
         server.limit = 0;
@@ -416,6 +410,7 @@
     const auto specs = detail::specsOf(state, document);
     const auto serversBefore = detail::dissolvePools(state);
     detail::markStaying(state, specs);
+    state.serversInOrder.clear();
     detail::NameMap<ServerIndex> names;
     for (const auto &spec : specs) {
         const ServerIndex index = detail::internServer(state, spec);
@@ -427,6 +422,7 @@
         server.honoursPriority = spec.honoursPriority;
         detail::joinPools(state, index, spec);
         names.emplace(spec.name, index);
+        state.serversInOrder.push_back(index);
     }
     state.serversByName = std::move(names);
     detail::forgetChangedAffinity(state, serversBefore);
--- a/src/core/balancing/sharing.cpp
+++ b/src/core/balancing/sharing.cpp
@@ -21,7 +21,7 @@
 
 /// Part of a pool's slots that is held for idle entries, split evenly, so that an entry's first requests after a
 /// pause need not wait for an exchange of reports.
-constexpr double ReservedPart = 0.1;
+constexpr double ReservedPart = 0.05;
 
 /// Where entries outnumber the slots, the reserved ones go round: each entry has its turn within as many periods as
 /// there are entries.
@@ -51,24 +51,28 @@
     return static_cast<std::size_t>(found - state.cell.begin());
 }
 
-/// Slots of one server reserved for each entry of the cell.
-class Reservations
+/// What each entry of the cell claims of each server.
+class Claims
 {
 public:
-    Reservations(std::size_t servers, std::size_t entries)
+    Claims(std::size_t servers, std::size_t entries)
         : entries_(entries)
-        , slots_(servers * entries)
+        , claims_(servers * entries)
     {
     }
 
-    auto at(ServerIndex server, std::size_t entry) -> std::uint32_t &
+    auto at(ServerIndex server, std::size_t entry) -> Claim &
     {
-        return slots_[(place(server) * entries_) + entry];
+        return claims_[(place(server) * entries_) + entry];
+    }
+    auto of(ServerIndex server) -> std::span<Claim>
+    {
+        return std::span(claims_).subspan(place(server) * entries_, entries_);
     }
 
 private:
     std::size_t entries_;
-    std::vector<std::uint32_t> slots_;
+    std::vector<Claim> claims_;
 };
 
 auto usableServers(const State &state, const Pool &pool) -> std::vector<ServerIndex>
@@ -79,7 +83,7 @@
 }
 
 /// Deals reserved slots out over the pool's servers, entry by entry, so that no server bears more than its part.
-auto reserveInPool(const State &state, const Pool &pool, Reservations &reservations, TimePoint now) -> void
+auto reserveInPool(const State &state, const Pool &pool, Claims &claims, TimePoint now) -> void
 {
     const auto servers = usableServers(state, pool);
     const std::size_t entries = state.cell.size();
@@ -94,51 +98,61 @@
     for (std::size_t entry = 0; entry < entries; ++entry) {
         const std::size_t rank = (entry + turn) % entries;
         for (std::size_t slot = rank * each; slot < (rank + 1) * each && slot < slots; ++slot) {
-            reservations.at(servers[slot % servers.size()], entry) += 1;
+            claims.at(servers[slot % servers.size()], entry).reserved += 1;
         }
     }
 }
 
-auto reserve(const State &state, TimePoint now) -> Reservations
+/// What an entry has in flight on the servers; an entry that is not heard is taken to want its even part.
+auto claimInFlight(const State &state, Claims &claims, TimePoint now) -> void
 {
-    Reservations reservations(state.servers.size(), state.cell.size());
-    for (const auto &pool : state.pools) {
-        if (!pool.hasAdapter) {
-            reserveInPool(state, pool, reservations, now);
+    for (const ServerIndex index : state.serversInOrder) {
+        for (std::size_t entry = 0; entry < state.cell.size(); ++entry) {
+            const auto &known = state.cell[entry];
+            claims.at(index, entry).wanted = isHeard(known, now) ? known.inFlight[place(index)] : serverAt(state, index).concurrency;
         }
     }
-    return reservations;
 }
 
-auto sumConcurrency(State &state) -> void
+/// Spreads what each entry has waiting over the servers that serve it, by their concurrency. The parts are whole and
+/// add up to what waits: rounded up server by server, one waiting request would claim a slot everywhere. Each entry
+/// begins to count at another place, so that small demands of several entries fall on different servers.
+auto claimWaiting(const State &state, DemandIndex demand, Claims &claims) -> void
 {
-    for (auto &demand : state.demands) {
-        demand.concurrency = 0;
-    }
-    for (const auto &server : state.servers) {
-        if (!isUsable(server)) {
-            continue;
+    std::vector<ServerIndex> servers;
+    std::uint64_t total = 0;
+    for (const ServerIndex index : state.serversInOrder) {
+        const auto &server = serverAt(state, index);
+        const bool serves = std::find(server.demands.begin(), server.demands.end(), demand) != server.demands.end();
+        if (serves && isUsable(server)) {
+            servers.push_back(index);
+            total += server.concurrency;
         }
-        for (const DemandIndex demand : server.demands) {
-            state.demands[place(demand)].concurrency += server.concurrency;
+    }
+    for (std::size_t entry = 0; entry < state.cell.size() && total > 0; ++entry) {
+        const std::uint64_t waiting = state.cell[entry].waiting[place(demand)];
+        std::uint64_t counted = total * entry / state.cell.size();
+        for (const ServerIndex index : servers) {
+            const std::uint64_t before = counted / total;
+            counted += waiting * serverAt(state, index).concurrency;
+            claims.at(index, entry).wanted += static_cast<std::uint32_t>((counted / total) - before);
         }
     }
 }
 
-/// What an entry has on the server, and this server's part of what it has waiting.
-auto wantedBy(const State &state, const Entry &entry, ServerIndex index, TimePoint now) -> std::uint32_t
+auto collectClaims(const State &state, TimePoint now) -> Claims
 {
-    const auto &server = serverAt(state, index);
-    if (!isHeard(entry, now)) {
-        return server.concurrency;
+    Claims claims(state.servers.size(), state.cell.size());
+    claimInFlight(state, claims, now);
+    for (std::size_t demand = 0; demand < state.demands.size(); ++demand) {
+        claimWaiting(state, DemandIndex(demand), claims);
     }
-    std::uint64_t wanted = entry.inFlight[place(index)];
-    for (const DemandIndex demand : server.demands) {
-        const std::uint64_t total = std::max<std::uint32_t>(state.demands[place(demand)].concurrency, 1);
-        const std::uint64_t waiting = entry.waiting[place(demand)];
-        wanted += ((waiting * server.concurrency) + total - 1) / total;
+    for (const auto &pool : state.pools) {
+        if (!pool.hasAdapter) {
+            reserveInPool(state, pool, claims, now);
+        }
     }
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(wanted, server.concurrency));
+    return claims;
 }
 
 /// The claim, of those that still want more, with the fewest slots; ties go by turn.
@@ -221,20 +235,12 @@
 auto updateShares(State &state, TimePoint now) -> void
 {
     const std::size_t own = ownPlace(state);
-    auto reservations = reserve(state, now);
-    sumConcurrency(state);
-    std::vector<Claim> claims(state.cell.size());
-    for (std::size_t place = 0; place < state.servers.size(); ++place) {
-        const ServerIndex index{ static_cast<std::uint32_t>(place) };
+    auto claims = collectClaims(state, now);
+    for (const ServerIndex index : state.serversInOrder) {
         auto &server = serverAt(state, index);
-        if (!server.inDocument) {
-            continue;
-        }
-        for (std::size_t entry = 0; entry < claims.size(); ++entry) {
-            claims[entry] = { .reserved = reservations.at(index, entry), .wanted = wantedBy(state, state.cell[entry], index, now) };
-        }
-        server.share = splitFairly(server.concurrency, claims, server.nameHash % claims.size())[own];
-        server.reserved = claims[own].reserved;
+        const auto claimed = claims.of(index);
+        server.share = splitFairly(server.concurrency, claimed, server.nameHash % claimed.size())[own];
+        server.reserved = claimed[own].reserved;
         refreshServer(state, index, now);
     }
     state.sharesDue = false;
