--- a/src/core/routing/internal/reporting.cpp
+++ b/src/core/routing/internal/reporting.cpp
@@ -45,6 +45,8 @@
 auto noteServers(RouterState &state, const PeerReported &event) -> void
 {
     balancing::UseReport report{ .entry = event.entry };
+    report.servers.reserve(event.backends.size());
+    report.demand.reserve(event.demand.size());
     for (const auto &use : event.backends) {
         report.servers.push_back({ .server = use.backend, .inFlight = use.inFlight });
     }
@@ -65,6 +67,7 @@
         }
     }
     std::vector<balancing::Demand> demand;
+    demand.reserve(waiting.size());
     for (const auto &[name, count] : waiting) {
         demand.push_back({ .pool = name, .waiting = count });
     }
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -63,7 +63,10 @@
     std::string version;
     std::string adapter;
 
-    auto operator<=>(const RouteKey &) const = default;
+    auto operator<(const RouteKey &other) const -> bool
+    {
+        return std::tie(kind, name, version, adapter) < std::tie(other.kind, other.name, other.version, other.adapter);
+    }
 };
 
 struct Route {
--- a/src/core/routing/tests/session.cpp
+++ b/src/core/routing/tests/session.cpp
@@ -115,7 +115,7 @@
     }
 }
 
-const std::map<std::string, std::function<void(Document &, const Words &)>> DocumentVerbs = {
+const std::map<std::string, std::function<void(Document &, const Words &)>> documentVerbs = {
     { "model", setModel },
     { "class", setClass },
     { "workspace", setWorkspace },
@@ -185,7 +185,7 @@
     return { .request = requestOf(words), .result = result == "duplicate" ? ClaimResult::Duplicate : ClaimResult::Unavailable };
 }
 
-const std::map<std::string, std::function<Event(const Words &)>> EventVerbs = {
+const std::map<std::string, std::function<Event(const Words &)>> eventVerbs = {
     { "arrive", readArrival },
     { "gone", [](const Words &words) { return CallerGone{ requestOf(words) }; } },
     { "started", [](const Words &words) { return AttemptStarted{ attemptOf(words) }; } },
@@ -296,7 +296,7 @@
             now_ = TimePoint(parseDuration(words.plain.at(0)));
             return;
         }
-        DocumentVerbs.at(words.verb)(document_, words);
+        documentVerbs.at(words.verb)(document_, words);
     }
 
     [[nodiscard]] auto text() const -> std::string
@@ -315,7 +315,7 @@
     auto readEvent(const Words &words) -> Event
     {
         if (words.verb != "configure") {
-            return EventVerbs.at(words.verb)(words);
+            return eventVerbs.at(words.verb)(words);
         }
         version_ += 1;
         auto adopted = std::make_shared<configuration::AdoptedDocument>();
