--- a/src/core/queueing/requestqueue.cpp
+++ b/src/core/queueing/requestqueue.cpp
@@ -280,7 +280,8 @@
 {
     std::optional<RequestId> starved;
     std::uint64_t longestAgo = 0;
-    for (int tier = 0; tier < configuration::TierCount; ++tier) {
+    const auto highest = highestTier(queue, routes).value_or(configuration::TierCount);
+    for (int tier = highest + 1; tier < configuration::TierCount; ++tier) {
         for (const auto &candidate : findCandidates(queue, routes, tier)) {
             const auto oldest = candidate.lane->byOrder.begin()->second;
             const auto isOverdue = now - queue.requests.at(oldest).arrived > candidate.classQueue->starvationBound;
--- a/src/core/queueing/requestqueue.h
+++ b/src/core/queueing/requestqueue.h
@@ -130,7 +130,7 @@
 
 /// Takes a request that waits past its class's starvation bound on any of \p routes, among classes that \p mayUseFloor
 /// allows: the oldest one of the class that was served least recently. By age alone a class with a long queue would keep
-/// the others out.
+/// the others out. Classes of the highest tier that waits are left out: they are served by right, each by its weight.
 auto takeStarved(RequestQueue &queue, std::span<const RouteId> routes, TimePoint now, const std::function<bool(ClassId)> &mayUseFloor)
     -> std::optional<WaitingRequest>;
 
