--- a/src/standins/engine/enginefaults.h
+++ b/src/standins/engine/enginefaults.h
@@ -18,9 +18,9 @@
     double slowFactor = 1;         ///< prefill and steps take so many times as long
     std::string crashText;         ///< the process dies when a request whose messages contain it begins to run
     std::size_t cutAfter = 0;      ///< an answer's connection closes after so many tokens; 0: never
-    std::size_t crossedEvery = 0;  ///< every so manieth token carries another running attempt's id and token
-    std::size_t truncateEvery = 0; ///< every so manieth answer stops half-way without its terminator
-    std::size_t wrongIdEvery = 0;  ///< every so manieth token carries an id that no attempt has
+    std::size_t crossedEvery = 0;  ///< one of so many tokens carries another running attempt's id and token
+    std::size_t truncateEvery = 0; ///< one of so many answers stops half-way without its terminator
+    std::size_t wrongIdEvery = 0;  ///< one of so many tokens carries an id that no attempt has
     bool rubbish = false;          ///< answers are no events
     bool refuse = false;           ///< every request is refused as not started
     double reportLie = 1;          ///< factor on the reported load
--- a/src/standins/engine/engineserver.cpp
+++ b/src/standins/engine/engineserver.cpp
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
+#include <functional>
 #include <stdexcept>
 #include <utility>
 
@@ -22,6 +22,7 @@
 constexpr std::size_t BytesPerToken = 4;
 constexpr std::size_t KvTokensPerSlot = 4096;
 constexpr double TokensPerThousand = 1000;
+constexpr auto MostCatchUp = std::chrono::milliseconds(20);
 
 auto readUrgency(const HttpRequest &request) -> int
 {
@@ -44,10 +45,15 @@
     return !part.empty() && text.find(part) != std::string::npos;
 }
 
-/// Whether the \p count th event is one of every \p period; never if \p period is 0.
-auto isDue(std::uint64_t count, std::size_t period) -> bool
+/// Whether event number \p count is hit if one of every \p period events is; none if \p period is 0. Which one of them
+/// varies: the streams of a batch take turns, so that a fixed one would always hit the same stream.
+auto isHit(std::uint64_t count, std::size_t period) -> bool
 {
-    return period != 0 && count % period == 0;
+    if (period == 0) {
+        return false;
+    }
+    const std::uint64_t group = count / period;
+    return count % period == std::hash<std::string>()(std::to_string(group)) % period;
 }
 
 } // namespace
@@ -175,7 +181,7 @@
         crashProcess();
     }
     executions_.start(id, stream.attempt, digestOf(stream.answer));
-    if (isDue(++answersStarted_, faults_.truncateEvery)) {
+    if (isHit(++answersStarted_, faults_.truncateEvery)) {
         stream.stopAfter = std::max<std::size_t>(1, (stream.answer.tokenCount - stream.firstToken) / 2);
     }
     if (stream.streaming) {
@@ -185,21 +191,26 @@
 
 auto EngineServer::planStep() -> void
 {
-    if (stepPlanned_ || batch_.running.empty()) {
+    if (stepPlanned_) {
+        return;
+    }
+    if (batch_.running.empty()) {
+        idle_ = true;
         return;
     }
     const auto now = task::monotonicNow();
-    //! NOTE planned from the last step, so that the time a step takes does not add to the pace
-    nextStep_ = std::max({ nextStep_ + stepTime(batch_, faults_.slowFactor), now, firstReady(batch_) });
+    //! NOTE planned from the last planned step: timers are late by some milliseconds, and without catching up the
+    //! lateness of every step would add to the pace
+    const auto lastStep = std::exchange(idle_, false) ? now : std::max(nextStep_, now - MostCatchUp);
+    nextStep_ = std::max(lastStep + stepTime(batch_, faults_.slowFactor), firstReady(batch_));
     stepPlanned_ = true;
-    stepTimer_ = loop_.after(nextStep_ - now, [this]() { step(); });
+    stepTimer_ = loop_.after(std::max(nextStep_ - now, Duration::zero()), [this]() { step(); });
 }
 
 auto EngineServer::step() -> void
 {
     stepPlanned_ = false;
-    nextStep_ = task::monotonicNow();
-    for (const auto &output : runStep(batch_, nextStep_)) {
+    for (const auto &output : runStep(batch_, task::monotonicNow())) {
         const auto found = streams_.find(output.id);
         if (found == streams_.end()) {
             continue;
@@ -247,9 +258,9 @@
         stream.exchange->sendPiece("\x01\x02 no event at all }{\n\n");
         return;
     }
-    const auto *other = isDue(chunksSent_, faults_.crossedEvery) ? otherStream(stream) : nullptr;
+    const auto *other = isHit(chunksSent_, faults_.crossedEvery) ? otherStream(stream) : nullptr;
     const auto &source = other != nullptr ? *other : stream;
-    const auto id = isDue(chunksSent_, faults_.wrongIdEvery) ? "unknown-" + std::to_string(chunksSent_) : source.attempt;
+    const auto id = isHit(chunksSent_, faults_.wrongIdEvery) ? "unknown-" + std::to_string(chunksSent_) : source.attempt;
     stream.exchange->sendPiece(tokenEvent(id, token, tokenAt(source.answer, token)));
 }
 
--- a/src/standins/engine/engineserver.h
+++ b/src/standins/engine/engineserver.h
@@ -79,6 +79,7 @@
     task::Watch stepTimer_;
     task::Watch reportTimer_;
     bool stepPlanned_ = false;
+    bool idle_ = true;
     HttpServer server_;
     HttpServer control_;
 
--- a/src/standins/httpserver.cpp
+++ b/src/standins/httpserver.cpp
@@ -42,6 +42,11 @@
     bool down = false;
     std::unique_ptr<evhtp_t, Deleter> server;
 
+    ServerState() = default;
+    ~ServerState();
+    ServerState(const ServerState &) = delete;
+    auto operator=(const ServerState &) -> ServerState & = delete;
+
     static auto accept(evhtp_connection_t *raw, void *context) -> evhtp_res;
     static auto endConnection(evhtp_connection_t *raw, void *context) -> evhtp_res;
     static auto receive(evhtp_request_t *raw, void *context) -> void;
@@ -146,6 +151,14 @@
 
 } // namespace
 
+/// libevhtp leaves open connections to themselves when a server ends.
+detail::ServerState::~ServerState()
+{
+    while (!connections.empty()) {
+        evhtp_connection_free(connections.begin()->first);
+    }
+}
+
 auto detail::ServerState::accept(evhtp_connection_t *raw, void *context) -> evhtp_res
 {
     auto &state = *static_cast<ServerState *>(context);
--- a/src/standins/platform/callrate.cpp
+++ b/src/standins/platform/callrate.cpp
@@ -17,9 +17,9 @@
     if (rate.perSecond <= 0) {
         return true;
     }
-    const auto seconds = std::chrono::duration<double>(now - rate.filled).count();
     const auto burst = std::max(1.0, rate.perSecond * SecondsOfBurst);
-    rate.left = std::min(burst, rate.left + seconds * rate.perSecond);
+    const auto seconds = std::chrono::duration<double>(now - rate.filled.value_or(now)).count();
+    rate.left = rate.filled ? std::min(burst, rate.left + seconds * rate.perSecond) : burst;
     rate.filled = now;
     if (rate.left < 1) {
         return false;
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -160,7 +160,8 @@
 
 auto toJson(const CallCounts &counts, std::size_t waiting) -> nlohmann::json
 {
-    return { { "reads", counts.reads },
+    return { { "arrived", counts.arrived },
+             { "reads", counts.reads },
              { "watches", counts.watches },
              { "writes", counts.writes },
              { "transactions", counts.transactions },
@@ -205,6 +206,7 @@
 //! effect is what callers have to cope with
 auto PlatformServer::handle(const ExchangePointer &exchange) -> void
 {
+    ++counts_.arrived;
     delayed_.callAfter(faults_.slow, [this, exchange]() {
         try {
             route(exchange);
--- a/src/standins/platform/platformserver.h
+++ b/src/standins/platform/platformserver.h
@@ -27,8 +27,9 @@
     Duration weightsTime{};     ///< what one model's weights occupy the store; further ones wait their turn
 };
 
-/// Calls served since the start.
+/// Calls since the start.
 struct CallCounts {
+    std::uint64_t arrived = 0; ///< also those that a slow service has not yet looked at
     std::uint64_t reads = 0;
     std::uint64_t watches = 0;
     std::uint64_t writes = 0;
