--- a/src/load/callbody.cpp
+++ b/src/load/callbody.cpp
@@ -47,6 +47,16 @@
     return false;
 }
 
+auto modelText(const configuration::RequestClass &requestClass, const configuration::Document &document, ModelForm form) -> std::string
+{
+    const auto &name = requestClass.models.front().model;
+    const auto model = std::ranges::find(document.models, name, &configuration::Model::name);
+    if (form == ModelForm::Plain || model == document.models.end()) {
+        return name;
+    }
+    return name + ":" + model->versions.front();
+}
+
 } // namespace
 
 auto findClass(const configuration::Document &document, const std::string &name) -> const configuration::RequestClass &
@@ -58,7 +68,7 @@
     return *found;
 }
 
-auto buildCall(const PlannedCall &call, const Scenario &scenario, const configuration::Document &document) -> BuiltCall
+auto buildCall(const PlannedCall &call, const Scenario &scenario, const configuration::Document &document, ModelForm form) -> BuiltCall
 {
     const auto &flow = scenario.flows[call.flow];
     const auto &requestClass = findClass(document, flow.requestClass);
@@ -77,13 +87,15 @@
     if (isService) {
         built.request.method = flow.method;
         built.request.path = "/services/" + flow.service + flow.path;
-        built.request.body = nlohmann::json{ { "call", built.key }, { "workspace", call.workspace } }.dump();
+        if (flow.method != "GET") {
+            built.request.body = nlohmann::json{ { "call", built.key }, { "workspace", call.workspace } }.dump();
+        }
         return built;
     }
     if (requestClass.models.empty()) {
         throw ScenarioError("class '" + flow.requestClass + "' has no model, and [flow." + flow.name + "] names no service");
     }
-    const auto body = chatBody(call, flow, requestClass.models.front().model, scenario.seed);
+    const auto body = chatBody(call, flow, modelText(requestClass, document, form), scenario.seed);
     built.request.method = "POST";
     built.request.path = "/v1/chat/completions";
     built.request.body = body.dump();
--- a/src/load/callbody.h
+++ b/src/load/callbody.h
@@ -22,8 +22,14 @@
     bool repeatable = true;
 };
 
+/// Engines are asked for a model with its version; callers name only the model.
+enum class ModelForm {
+    Plain,
+    WithVersion,
+};
+
 /// \p document gives the class's default model and repeatability.
-auto buildCall(const PlannedCall &call, const Scenario &scenario, const configuration::Document &document) -> BuiltCall;
+auto buildCall(const PlannedCall &call, const Scenario &scenario, const configuration::Document &document, ModelForm form) -> BuiltCall;
 
 /// The class called \p name. \throws ScenarioError
 auto findClass(const configuration::Document &document, const std::string &name) -> const configuration::RequestClass &;
--- a/src/load/callers.cpp
+++ b/src/load/callers.cpp
@@ -134,7 +134,7 @@
     auto call = std::make_shared<OpenCall>();
     call->flow = &scenario_.flows[plan.flow];
     call->plan = plan;
-    call->built = buildCall(plan, scenario_, site_.document);
+    call->built = buildCall(plan, scenario_, site_.document, options_.form);
     const bool isService = !call->flow->service.empty();
     call->record = { .number = plan.number,
                      .flow = plan.flow,
--- a/src/load/callers.h
+++ b/src/load/callers.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "load/arrivals.h"
+#include "load/callbody.h"
 #include "load/callrecord.h"
 #include "load/httpclient.h"
 #include "load/scenario.h"
@@ -24,6 +25,7 @@
 
 struct CallersOptions {
     std::vector<std::string> direct; ///< send straight to these addresses in turn, without asking an entry
+    ModelForm form = ModelForm::Plain;
 };
 
 class Callers
--- a/src/load/executions.cpp
+++ b/src/load/executions.cpp
@@ -102,7 +102,7 @@
     if (process.kind == ProcessKind::Engine) {
         for (const auto &item : log) {
             const auto execution = parseExecution(process.name, item);
-            executions_[{ process.name, execution.attempt }] = execution;
+            executions_[process.name + '/' + execution.attempt + '/' + execution.digest] = execution;
         }
         return;
     }
--- a/src/load/executions.h
+++ b/src/load/executions.h
@@ -56,7 +56,7 @@
     task::EventLoop &loop_;
     HttpClient client_;
     std::vector<SiteProcess> standIns_;
-    std::map<std::pair<std::string, std::string>, Execution> executions_;      ///< by engine and attempt
+    std::map<std::string, Execution> executions_;                              ///< by engine, attempt and digest
     std::map<std::pair<std::string, std::string>, std::uint32_t> serviceRuns_; ///< by server and key
     std::vector<std::string> unreadable_;                                      ///< in the latest round
     std::shared_ptr<Round> round_;
--- a/src/load/faults.cpp
+++ b/src/load/faults.cpp
@@ -17,6 +17,18 @@
     return pid > 1 && ::kill(pid, signal) == 0;
 }
 
+/// Replaces "{engine-4}" in an admin path by that process's name.
+auto namePlaces(const Site &site, std::string path) -> std::string
+{
+    const auto open = path.find('{');
+    const auto close = path.find('}', open);
+    if (open == std::string::npos || close == std::string::npos) {
+        return path;
+    }
+    const auto target = findTargets(site, path.substr(open + 1, close - open - 1)).front();
+    return path.replace(open, close - open + 1, target.name);
+}
+
 } // namespace
 
 FaultRunner::FaultRunner(task::EventLoop &loop, const Scenario &scenario, const Site &site)
@@ -27,6 +39,7 @@
         for (const auto &name : fault.targets) {
             for (const auto &target : findTargets(site, name)) {
                 blows_.push_back({ .fault = fault, .target = target });
+                blows_.back().fault.admin = namePlaces(site, fault.admin);
                 records_.push_back({ .name = fault.name, .at = fault.at, .target = target.name });
             }
         }
--- a/src/load/idlecost.cpp
+++ b/src/load/idlecost.cpp
@@ -49,12 +49,13 @@
     return plan;
 }
 
-auto callOnce(const Site &site, const IdleCostOptions &options, const std::string &address, std::uint32_t number) -> CallRecord
+auto callOnce(const Site &site, const IdleCostOptions &options, const SiteProcess &target, std::uint32_t number) -> CallRecord
 {
     task::EventLoop loop;
     const auto scenario = oneFlow(options);
     const auto plan = planAtOnce(site, options, number, 1);
-    Callers callers(loop, scenario, site, { .direct = { address } });
+    const auto form = target.kind == ProcessKind::Engine ? ModelForm::WithVersion : ModelForm::Plain;
+    Callers callers(loop, scenario, site, { .direct = { target.address }, .form = form });
     callers.start(plan, [&loop]() { loop.stop(); });
     loop.run();
     return callers.takeRecords().front();
@@ -87,7 +88,7 @@
     std::uint32_t number = 0;
     for (std::uint32_t round = 0; round < options.calls + Warmup; ++round) {
         for (auto *samples : { &direct, &routed }) {
-            const auto record = callOnce(site, options, samples == &direct ? engine.address : entry.address, number++);
+            const auto record = callOnce(site, options, samples == &direct ? engine : entry, number++);
             if (record.result() != CallResult::Answered || !record.firstToken) {
                 ++cost.failed;
                 continue;
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -18,10 +18,12 @@
 namespace
 {
 
-constexpr const char *Help = R"(usage: auburnspread-load --site DIR [options] SCENARIO.ini
+constexpr const char *Help = R"(usage: auburnspread-load --site DIR [options] SCENARIO.ini...
        auburnspread-load --site DIR --first-byte N --class CLASS
        auburnspread-load --site DIR --concurrent N --class CLASS
-       auburnspread-load --check SCENARIO.ini
+       auburnspread-load --check SCENARIO.ini...
+
+Several scenario files are taken together: later ones add to earlier ones and override their values.
 
   --site DIR       folder in which scripts/site.sh started the site
   --seed N         instead of the scenario's
@@ -50,7 +52,7 @@
 struct CommandLine {
     Mode mode = Mode::Scenario;
     std::string site;
-    std::string scenario;
+    std::vector<std::string> scenario;
     std::string jsonFile;
     std::string plotFile;
     std::optional<std::uint64_t> seed;
@@ -164,9 +166,7 @@
     for (int found = getopt_long(argc, argv, "", Options, nullptr); found != -1; found = getopt_long(argc, argv, "", Options, nullptr)) {
         applyOption(found, line);
     }
-    if (optind < argc) {
-        line.scenario = argv[optind];
-    }
+    line.scenario.assign(argv + optind, argv + argc);
     const bool needsScenario = line.mode == Mode::Scenario || line.mode == Mode::Check;
     if (needsScenario && line.scenario.empty()) {
         throw std::invalid_argument("no scenario named; see --help");
--- a/src/load/run.cpp
+++ b/src/load/run.cpp
@@ -15,13 +15,17 @@
 /// After the last answer, so that engines notice closed connections before their logs are read.
 constexpr auto LogDelay = std::chrono::milliseconds(300);
 
-auto engineAddresses(const Site &site) -> std::vector<std::string>
+auto callersOptions(const Site &site, RunOptions options) -> CallersOptions
 {
-    std::vector<std::string> addresses;
+    CallersOptions made;
+    if (!options.direct) {
+        return made;
+    }
+    made.form = ModelForm::WithVersion;
     for (const auto &engine : processesOf(site, ProcessKind::Engine)) {
-        addresses.push_back(engine.address);
+        made.direct.push_back(engine.address);
     }
-    return addresses;
+    return made;
 }
 
 } // namespace
@@ -30,7 +34,7 @@
 {
     task::EventLoop loop;
     const auto plan = planCalls(scenario, site.document);
-    Callers callers(loop, scenario, site, { .direct = options.direct ? engineAddresses(site) : std::vector<std::string>() });
+    Callers callers(loop, scenario, site, callersOptions(site, options));
     FaultRunner faults(loop, scenario, site);
     ExecutionReader reader(loop, site);
 
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -244,6 +244,19 @@
     return 1;
 }
 
+auto applyText(Scenario &scenario, const std::string &text, const std::string &fileName) -> void
+{
+    std::vector<Setting> settings;
+    const int badLine = ini_parse_string(text.c_str(), collectSetting, &settings);
+    if (badLine != 0) {
+        throw ScenarioError(fileName + ": line " + std::to_string(badLine) + ": expected [section] or key = value");
+    }
+    for (auto &setting : settings) {
+        setting.file = fileName;
+        applySetting(scenario, setting);
+    }
+}
+
 auto checkFlow(const Flow &flow, const std::string &fileName) -> void
 {
     const std::string section = std::string(FlowPrefix) + flow.name;
@@ -269,37 +282,40 @@
 
 } // namespace
 
-auto parseScenario(std::string_view text, const std::string &fileName) -> Scenario
+auto parseScenario(const std::vector<ScenarioText> &texts) -> Scenario
 {
-    std::vector<Setting> settings;
-    const int badLine = ini_parse_string(std::string(text).c_str(), collectSetting, &settings);
-    if (badLine != 0) {
-        throw ScenarioError(fileName + ": line " + std::to_string(badLine) + ": expected [section] or key = value");
-    }
     Scenario scenario;
-    for (auto &setting : settings) {
-        setting.file = fileName;
-        applySetting(scenario, setting);
+    std::string names;
+    for (const auto &[fileName, text] : texts) {
+        scenario.name.clear();
+        applyText(scenario, text, fileName);
+        names += (names.empty() ? "" : "+") + scenario.name;
     }
+    scenario.name = names;
+    const auto lastFile = texts.empty() ? std::string() : texts.back().fileName;
     for (const auto &flow : scenario.flows) {
-        checkFlow(flow, fileName);
+        checkFlow(flow, lastFile);
     }
     for (const auto &fault : scenario.faults) {
-        checkFault(fault, fileName);
+        checkFault(fault, lastFile);
     }
     std::ranges::stable_sort(scenario.faults, {}, &Fault::at);
     return scenario;
 }
 
-auto readScenario(const std::string &fileName) -> Scenario
+auto readScenario(const std::vector<std::string> &fileNames) -> Scenario
 {
-    std::ifstream file(fileName);
-    if (!file) {
-        throw ScenarioError(fileName + ": cannot be read");
+    std::vector<ScenarioText> texts;
+    for (const auto &fileName : fileNames) {
+        std::ifstream file(fileName);
+        if (!file) {
+            throw ScenarioError(fileName + ": cannot be read");
+        }
+        std::ostringstream text;
+        text << file.rdbuf();
+        texts.push_back({ .fileName = fileName, .text = text.str() });
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseScenario(text.str(), fileName);
+    return parseScenario(texts);
 }
 
 } // namespace auburnspread::load
--- a/src/load/scenario.h
+++ b/src/load/scenario.h
@@ -66,9 +66,9 @@
 struct Fault {
     std::string name;
     Duration at{};
-    std::vector<std::string> targets; ///< process names, or "engines", "services", "entries"
+    std::vector<std::string> targets; ///< process names, "engine-3" for the third engine, or "engines" for all; see findTargets
     std::string post;                 ///< JSON for the control address of a stand-in
-    std::string admin;                ///< path to POST to on an entry's admin address
+    std::string admin;                ///< path to POST to on an entry's admin address; "{engine-4}" in it stands for that process's name
     int signal = 0;                   ///< sent to the process; 0: none
 };
 
@@ -84,10 +84,18 @@
     std::vector<Fault> faults;
 };
 
-/// \throws ScenarioError naming \p fileName, section, key, value and what was expected.
-auto parseScenario(std::string_view text, const std::string &fileName) -> Scenario;
+/// One file's text.
+struct ScenarioText {
+    std::string fileName;
+    std::string text;
+};
+
+/// Later texts add to earlier ones and override their values, so that one set of flows serves with many sets of faults.
+/// The scenario's name is made of all their names.
+/// \throws ScenarioError naming the file, section, key, value and what was expected.
+auto parseScenario(const std::vector<ScenarioText> &texts) -> Scenario;
 
-/// \throws ScenarioError also if the file cannot be read.
-auto readScenario(const std::string &fileName) -> Scenario;
+/// \throws ScenarioError also if a file cannot be read.
+auto readScenario(const std::vector<std::string> &fileNames) -> Scenario;
 
 } // namespace auburnspread::load
--- a/src/load/site.cpp
+++ b/src/load/site.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 
@@ -33,6 +35,24 @@
     { ProcessKind::Service, "services" },
 });
 
+/// The third engine for "engine-3": so that one set of faults serves for every deployment.
+auto findNumbered(const Site &site, std::string_view target) -> std::optional<SiteProcess>
+{
+    const auto dash = target.rfind('-');
+    const auto kind = findValue(Kinds, target.substr(0, dash));
+    if (!kind || dash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = target.substr(dash + 1);
+    std::size_t number = 0;
+    const auto [rest, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    const auto processes = processesOf(site, *kind);
+    if (error != std::errc() || rest != digits.data() + digits.size() || number < 1 || number > processes.size()) {
+        return std::nullopt;
+    }
+    return processes[number - 1];
+}
+
 auto readFile(const std::string &name) -> std::string
 {
     std::ifstream file(name);
@@ -93,16 +113,17 @@
 
 auto findTargets(const Site &site, std::string_view target) -> std::vector<SiteProcess>
 {
-    std::vector<SiteProcess> found;
     if (const auto kind = findValue(Plurals, target)) {
-        found = processesOf(site, *kind);
-    } else {
-        std::ranges::copy_if(site.processes, std::back_inserter(found), [target](const SiteProcess &process) { return process.name == target; });
+        return processesOf(site, *kind);
     }
-    if (found.empty()) {
-        throw std::runtime_error("site: no process is called '" + std::string(target) + "'");
+    const auto named = std::ranges::find(site.processes, target, &SiteProcess::name);
+    if (named != site.processes.end()) {
+        return { *named };
     }
-    return found;
+    if (const auto numbered = findNumbered(site, target)) {
+        return { *numbered };
+    }
+    throw std::runtime_error("site: no process is called '" + std::string(target) + "'");
 }
 
 auto readPid(const SiteProcess &process) -> int
--- a/src/load/site.h
+++ b/src/load/site.h
@@ -40,7 +40,8 @@
 
 auto processesOf(const Site &site, ProcessKind kind) -> std::vector<SiteProcess>;
 
-/// The processes that \p target names: one by its name, or all of a kind by "entries", "engines", "services".
+/// The processes that \p target names: one by its name, one by kind and number ("engine-3", from 1), or all of a kind
+/// ("entries", "engines", "services").
 /// \throws std::runtime_error if there is none.
 auto findTargets(const Site &site, std::string_view target) -> std::vector<SiteProcess>;
 
--- a/src/load/tests/scenario_tests.cpp
+++ b/src/load/tests/scenario_tests.cpp
@@ -10,10 +10,15 @@
 namespace
 {
 
-auto errorOf(std::string_view text) -> std::string
+auto parseOne(const std::string &text) -> Scenario
+{
+    return parseScenario({ { .fileName = "storm.ini", .text = text } });
+}
+
+auto errorOf(const std::string &text) -> std::string
 {
     try {
-        parseScenario(text, "storm.ini");
+        parseOne(text);
     } catch (const ScenarioError &error) {
         return error.what();
     }
@@ -42,24 +47,38 @@
 
 TEST(ScenarioTest, FaultsComeInTheOrderOfTheirTimes)
 {
-    const auto scenario = parseScenario("[fault.late]\nat_ms = 900\ntarget = engine-1, engine-2\npost = {\"crash\":true}\n"
-                                        "[fault.early]\nat_ms = 100\ntarget = entry-1\nsignal = SIGKILL\n",
-                                        "storm.ini");
+    const auto scenario = parseOne("[fault.late]\nat_ms = 900\ntarget = engine-1, engine-2\npost = {\"crash\":true}\n"
+                                   "[fault.early]\nat_ms = 100\ntarget = entry-1\nsignal = SIGKILL\n");
     ASSERT_EQ(scenario.faults.size(), 2U);
     EXPECT_EQ(scenario.faults.front().signal, SIGKILL);
     EXPECT_EQ(scenario.faults.back().targets, (std::vector<std::string>{ "engine-1", "engine-2" }));
 }
 
+TEST(ScenarioTest, LaterFilesAddToEarlierOnesAndOverrideThem)
+{
+    const auto scenario = parseScenario({ { .fileName = "steady.ini", .text = "[scenario]\nname = steady\n[flow.quote]\nclass = full-quote\nrate = 4\n" },
+                                          { .fileName = "burst.ini", .text = "[scenario]\nname = burst\n[flow.quote]\nburst_factor = 3\nrate = 5\n" } });
+    ASSERT_EQ(scenario.flows.size(), 1U);
+    EXPECT_EQ(scenario.name, "steady+burst");
+    EXPECT_EQ(scenario.flows.front().requestClass, "full-quote");
+    EXPECT_EQ(scenario.flows.front().rate, 5);
+    EXPECT_EQ(scenario.flows.front().burstFactor, 3);
+}
+
 TEST(ScenarioTest, EveryScenarioOfTheProjectIsValid)
 {
+    const std::filesystem::path folder = AUBURNSPREAD_SOURCE_DIR "/scenarios";
     std::size_t count = 0;
-    for (const auto &file : std::filesystem::recursive_directory_iterator(AUBURNSPREAD_SOURCE_DIR "/scenarios")) {
-        if (file.path().extension() == ".ini") {
-            EXPECT_FALSE(readScenario(file.path().string()).flows.empty()) << file.path();
-            ++count;
+    for (const auto *deployment : { "highveld", "smetnja" }) {
+        const auto steady = (folder / deployment / "steady.ini").string();
+        for (const auto *part : { deployment, "faults" }) {
+            for (const auto &file : std::filesystem::directory_iterator(folder / part)) {
+                EXPECT_FALSE(readScenario({ steady, file.path().string() }).flows.empty()) << file.path();
+                ++count;
+            }
         }
     }
-    EXPECT_GT(count, 0U);
+    EXPECT_GT(count, 10U);
 }
 
 } // namespace auburnspread::load
