--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -51,7 +51,7 @@
 
 site=
 cleanup() {
-    [ -z "$site" ] || [ ! -d "$site/run" ] || scripts/site.sh stop "$site" || true
+    [ -z "$site" ] || [ ! -d "$site/run" ] || scripts/site.sh stop "$site" --now || true
 }
 trap cleanup EXIT
 
@@ -77,7 +77,7 @@
         return
     fi
     "$build/bin/auburnspread-load" --site "$site" --json "$report.full" --plot "$report.svg" "${files[@]}" >"$report.txt" 2>>"$report.log" || status=$?
-    scripts/site.sh stop "$site" 2>&1 | tee -a "$report.log"
+    scripts/site.sh stop "$site" --now 2>&1 | tee -a "$report.log"
     site=
     echo "== $deployment $name ($policy): exit $status"
     cat "$report.txt"
@@ -112,7 +112,7 @@
     fi
     "$build/bin/auburnspread-load" --site "$site" --first-byte "$calls" --class "$class" >"$work/first-byte.json" || echo '{"failed":true}' >"$work/first-byte.json"
     "$build/bin/auburnspread-load" --site "$site" --concurrent 600 --class "$class" --tokens 400 >"$work/concurrent.json" || echo '{"failed":true}' >"$work/concurrent.json"
-    scripts/site.sh stop "$site"
+    scripts/site.sh stop "$site" --now
     site=
     jq -n --slurpfile first "$work/first-byte.json" --slurpfile concurrent "$work/concurrent.json" \
         '{command: "scripts/site.sh start SITE highveld --entries 1 --slots 128", first_byte: $first[0], concurrent: $concurrent[0]}' >"$work/idle.json"
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -4,7 +4,8 @@
 #
 #   scripts/site.sh start DIR DEPLOYMENT [options]   DIR gets settings, logs and pid files; DEPLOYMENT is a folder of deployments/
 #   scripts/site.sh restart DIR NAME                 starts a process of the site again that has ended
-#   scripts/site.sh stop DIR                         ends the site's processes, by their pid files only
+#   scripts/site.sh stop DIR [--now]                 ends the site's processes, by their pid files only; entries drain
+#                                                    first, with --now they are told twice and don't
 #   scripts/site.sh status DIR                       one line a process
 #
 # Options of start:
@@ -217,7 +218,7 @@
     site=$(cd "$site" && pwd)
     : >"$site/processes.jsonl"
     [ -n "$net" ] || choose_net
-    trap '[ "$?" = 0 ] || stop_site' EXIT
+    trap '[ "$?" = 0 ] || stop_site --now' EXIT
     make_document
     start_platform
     start_engines
@@ -250,6 +251,12 @@
         kill -CONT "$(cat "$site/run/$name.pid")" 2>/dev/null || true
         case $name in entry-* | console | placer) kill -TERM "$(cat "$site/run/$name.pid")" 2>/dev/null || true ;; esac
     done
+    if [ "${1:-}" = --now ]; then
+        sleep 0.3 # two signals of a kind at once are delivered as one
+        for name in $(names); do
+            case $name in entry-*) is_running "$name" && kill -TERM "$(cat "$site/run/$name.pid")" 2>/dev/null || true ;; esac
+        done
+    fi
     deadline=$((SECONDS + stop_seconds))
     for name in $(names); do
         case $name in entry-* | console | placer) ;; *) continue ;; esac
@@ -280,7 +287,7 @@
     is_running "${1:?NAME is missing}" && fail "$1 still runs"
     run_command "$1"
     ;;
-stop) stop_site ;;
+stop) stop_site "$@" ;;
 status)
     for name in $(names); do
         is_running "$name" && echo "$name $(cat "$site/run/$name.pid") running" || echo "$name ended"
--- a/src/load/executions.cpp
+++ b/src/load/executions.cpp
@@ -100,6 +100,7 @@
         return;
     }
     if (process.kind == ProcessKind::Engine) {
+        startedByRound_[process.name].push_back(static_cast<std::uint32_t>(log.size()));
         for (const auto &item : log) {
             const auto execution = parseExecution(process.name, item);
             executions_[process.name + '/' + execution.attempt + '/' + execution.digest] = execution;
@@ -114,7 +115,7 @@
 
 auto ExecutionReader::logs() const -> ExecutionLogs
 {
-    ExecutionLogs logs{ .unreadable = unreadable_ };
+    ExecutionLogs logs{ .startedByRound = startedByRound_, .unreadable = unreadable_ };
     for (const auto &[place, execution] : executions_) {
         logs.engines.push_back(execution);
     }
--- a/src/load/executions.h
+++ b/src/load/executions.h
@@ -31,8 +31,9 @@
 
 struct ExecutionLogs {
     std::vector<Execution> engines;
-    std::map<std::string, std::uint32_t> serviceRuns; ///< by idempotency key, over all servers
-    std::vector<std::string> unreadable;              ///< stand-ins whose log could not be read at the end
+    std::map<std::string, std::uint32_t> serviceRuns;                 ///< by idempotency key, over all servers
+    std::map<std::string, std::vector<std::uint32_t>> startedByRound; ///< executions an engine had started at each reading
+    std::vector<std::string> unreadable;                              ///< stand-ins whose log could not be read at the end
 };
 
 /// Reads the logs of all engines and services of a site.
@@ -58,7 +59,8 @@
     std::vector<SiteProcess> standIns_;
     std::map<std::string, Execution> executions_;                              ///< by engine, attempt and digest
     std::map<std::pair<std::string, std::string>, std::uint32_t> serviceRuns_; ///< by server and key
-    std::vector<std::string> unreadable_;                                      ///< in the latest round
+    std::map<std::string, std::vector<std::uint32_t>> startedByRound_;
+    std::vector<std::string> unreadable_; ///< in the latest round
     std::shared_ptr<Round> round_;
 };
 
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -109,6 +109,7 @@
 
 /// Times of a flow's answered calls.
 struct Samples {
+    std::vector<Duration> ends; ///< from the run's start
     std::vector<Duration> firstToken;
     std::vector<Duration> answer;
     std::vector<Duration> longestGap;
@@ -119,6 +120,7 @@
     if (call.result() != CallResult::Answered) {
         return;
     }
+    samples.ends.push_back(call.at + call.end);
     samples.answer.push_back(call.end);
     if (call.stream && call.firstToken) {
         samples.firstToken.push_back(*call.firstToken);
@@ -126,6 +128,18 @@
     }
 }
 
+auto longestSilence(std::vector<Duration> ends, Duration duration) -> Duration
+{
+    std::ranges::sort(ends);
+    Duration longest{};
+    Duration last{};
+    for (const auto end : ends) {
+        longest = std::max(longest, std::min(end, duration) - last);
+        last = std::min(end, duration);
+    }
+    return std::max(longest, duration - last);
+}
+
 auto countTokens(const std::vector<CallRecord> &calls, const Runs &runs) -> TokenReport
 {
     std::map<std::string, std::uint64_t> delivered;
@@ -268,6 +282,7 @@
         point.refused += call.result() == CallResult::Refused ? 1 : 0;
     }
     for (std::size_t index = 0; index < samples.size(); ++index) {
+        report.flows[index].longestSilence = longestSilence(std::move(samples[index].ends), scenario.duration);
         report.flows[index].firstToken = percentilesOf(std::move(samples[index].firstToken));
         report.flows[index].answer = percentilesOf(std::move(samples[index].answer));
         report.flows[index].longestGap = percentilesOf(std::move(samples[index].longestGap));
@@ -275,6 +290,7 @@
     report.tokens = countTokens(facts.calls, runs);
     report.violations = violations.violations();
     report.faults = facts.faults;
+    report.engineStarts = facts.logs.startedByRound;
     report.unreadableLogs = facts.logs.unreadable;
     return report;
 }
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -43,6 +43,7 @@
     std::map<std::string, std::uint32_t> results;  ///< how calls ended, by name
     std::map<std::string, std::uint32_t> refusals; ///< refusals and error events of all attempts, by reason
     std::map<std::string, std::uint32_t> outcomes; ///< the same by outcome
+    Duration longestSilence{};                     ///< the longest part of the run in which no answer of this flow was completed
     Percentiles firstToken;                        ///< of streams answered whole
     Percentiles answer;                            ///< of calls answered whole
     Percentiles longestGap;                        ///< between tokens, of streams answered whole
@@ -97,6 +98,7 @@
     Violations violations;
     std::map<std::string, std::vector<TimelinePoint>> timeline; ///< by flow, by second
     std::vector<FaultRecord> faults;
+    std::map<std::string, std::vector<std::uint32_t>> engineStarts; ///< executions an engine had started, about each second
     std::vector<std::string> unreadableLogs;
 };
 
--- a/src/load/reportformat.cpp
+++ b/src/load/reportformat.cpp
@@ -55,6 +55,7 @@
              { "outcomes", flow.outcomes },
              { "repeats", flow.repeats },
              { "redirects", flow.redirects },
+             { "longest_silence_ms", milliseconds(flow.longestSilence) },
              { "first_token_ms", percentilesJson(flow.firstToken) },
              { "answer_ms", percentilesJson(flow.answer) },
              { "longest_gap_ms", percentilesJson(flow.longestGap) } };
@@ -139,6 +140,7 @@
     for (const auto &fault : report.faults) {
         json["faults"].push_back({ { "name", fault.name }, { "at_ms", milliseconds(fault.at) }, { "target", fault.target }, { "applied", fault.applied } });
     }
+    json["engine_starts"] = report.engineStarts;
     json["unreadable_logs"] = report.unreadableLogs;
     for (const auto &[flow, points] : report.timeline) {
         json["timeline"][flow] = timelineJson(points);
@@ -156,7 +158,7 @@
     }
     for (const auto &flow : report.flows) {
         out << "  " << flow.flow << ':' << countsText(flow.results) << " |" << countsText(flow.refusals) << " |" << countsText(flow.outcomes) << " | repeats "
-            << flow.repeats << ", redirects " << flow.redirects << '\n';
+            << flow.repeats << ", redirects " << flow.redirects << ", longest silence " << milliseconds(flow.longestSilence) << " ms\n";
     }
     const auto &tokens = report.tokens;
     out << "tokens: generated " << tokens.generated << ", delivered " << tokens.delivered << ", wasted " << tokens.wasted() << " ("
--- a/src/load/tests/report_tests.cpp
+++ b/src/load/tests/report_tests.cpp
@@ -97,6 +97,16 @@
     EXPECT_EQ(report.flows.front().repeats, 1U);
 }
 
+// A class starves during another's burst: its attainment over the whole run hides it, its longest silence does not.
+TEST(ReportTest, LongestSilenceIsMeasuredOverTheWholeRun)
+{
+    auto early = answeredCall("a", milliseconds(100), milliseconds(1000));
+    auto late = answeredCall("b", milliseconds(100), milliseconds(1000));
+    late.at = milliseconds(7000);
+    EXPECT_EQ(reportOf({ early, late }, {}).flows.front().longestSilence, milliseconds(7000));
+    EXPECT_EQ(reportOf({}, {}).flows.front().longestSilence, milliseconds(10000));
+}
+
 TEST(ReportTest, WastedTokensAreSplitByTheirCause)
 {
     ExecutionLogs logs;
