--- a/src/wire/http/tests/client_tests.cpp
+++ b/src/wire/http/tests/client_tests.cpp
@@ -46,6 +46,10 @@
     {
         answer_ = std::move(text);
     }
+    auto closeInsteadOfAnswer(int times) -> void
+    {
+        deaf_ = times;
+    }
     auto closeAfterAnswer() -> void
     {
         closes_ = true;
@@ -87,6 +91,11 @@
     {
         std::string buffer(4096, '\0');
         const auto size = ::read(descriptor, buffer.data(), buffer.size());
+        if (size > 0 && deaf_ > 0) {
+            --deaf_;
+            closeConnections();
+            return;
+        }
         if (size > 0) {
             received_ += buffer.substr(0, static_cast<std::size_t>(size));
             ::send(descriptor, answer_.data(), answer_.size(), MSG_NOSIGNAL);
@@ -104,6 +113,7 @@
     std::string answer_;
     std::string received_;
     bool closes_ = false;
+    int deaf_ = 0;
     int accepted_ = 0;
     std::vector<int> connections_;
     std::map<int, task::Watch> reading_;
@@ -187,6 +197,18 @@
     EXPECT_EQ(server_.accepted(), 1);
 }
 
+// As above, but the request is idempotent: the caller sees the answer, which came over a second connection.
+TEST_F(ClientTests, anIdempotentRequestIsSentAgainOnceIfTheReusedConnectionWasDead)
+{
+    server_.answerWith(WholeAnswer);
+    fetch(loop_, client_, { .address = server_.address(), .path = "/" });
+    server_.closeInsteadOfAnswer(1);
+    const auto result = fetch(loop_, client_, { .address = server_.address(), .path = "/", .isIdempotent = true });
+    EXPECT_TRUE(std::holds_alternative<http::Response>(result));
+    server_.closeInsteadOfAnswer(2);
+    EXPECT_EQ(errorOf({ .address = server_.address(), .path = "/", .isIdempotent = true }).cause, Cause::Closed);
+}
+
 TEST_F(ClientTests, anIdleConnectionThatThePeerClosedIsNotUsedAgain)
 {
     server_.answerWith(WholeAnswer);
--- a/src/wire/http/tests/server_tests.cpp
+++ b/src/wire/http/tests/server_tests.cpp
@@ -55,7 +55,7 @@
     }
 
     task::EventLoop loop_;
-    http::Server server_{ loop_, { .headerBytes = 1024, .bodyBytes = 4096, .connections = 4, .readTimeout = std::chrono::milliseconds(50) } };
+    http::Server server_{ loop_, { .headerBytes = 1024, .bodyBytes = 4096, .connections = 4 } };
     http::Client client_{ loop_ };
     std::vector<http::Replier> waiting_;
     std::string address_;
@@ -119,15 +119,16 @@
 TEST_F(ServerTests, aSlowCallerIsCutOff)
 {
     const auto descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    const auto target = net::toSocketAddress(*net::parseEndpoint(address_));
+    http::Server server(loop_, { .readTimeout = std::chrono::milliseconds(50) });
+    const auto target = net::toSocketAddress(*net::parseEndpoint(server.listen("127.0.0.1:0")));
     ASSERT_EQ(::connect(descriptor, target.get(), target.size), 0);
     std::string unsent = "GET /echo/ HTTP/1.1\r\nX-Name: ";
     const auto dripping = loop_.every(std::chrono::milliseconds(1), [&]() {
         ::send(descriptor, unsent.data(), unsent.size(), MSG_NOSIGNAL);
         unsent = "a";
     });
-    ASSERT_TRUE(runUntil(loop_, [&]() { return server_.connectionCount() == 1; }));
-    EXPECT_TRUE(runUntil(loop_, [&]() { return server_.connectionCount() == 0; }));
+    ASSERT_TRUE(runUntil(loop_, [&]() { return server.connectionCount() == 1; }));
+    EXPECT_TRUE(runUntil(loop_, [&]() { return server.connectionCount() == 0; }));
     ::close(descriptor);
 }
 
