--- a/src/core/balancing/balancing.cpp
+++ b/src/core/balancing/balancing.cpp
@@ -14,7 +14,7 @@
 {
 
 /// Shares are worked out at most this often, however many reports come in.
-constexpr Duration ShareInterval = std::chrono::milliseconds(50);
+constexpr Duration ShareInterval = std::chrono::milliseconds(100);
 /// ... and at least this often: peers fall silent and rotating slots move on without a report.
 constexpr Duration ShareRefresh = std::chrono::seconds(1);
 constexpr Duration TimingInterval = std::chrono::seconds(1);
--- a/src/core/balancing/benchmarks/choicebenchmark.cpp
+++ b/src/core/balancing/benchmarks/choicebenchmark.cpp
@@ -61,7 +61,7 @@
     }
     TimePoint now = Start;
     for (auto step : run) {
-        now += std::chrono::milliseconds(50);
+        now += std::chrono::milliseconds(100);
         notePeerReport(*state, report, now);
         advance(*state, now);
     }
--- a/src/core/balancing/tests/sharing_tests.cpp
+++ b/src/core/balancing/tests/sharing_tests.cpp
@@ -40,7 +40,7 @@
         for (const auto &report : reports) {
             notePeerReport(*state, report, now);
         }
-        advance(*state, now + std::chrono::milliseconds(50));
+        advance(*state, now + std::chrono::milliseconds(100));
     }
 }
 
