--- a/src/core/membership/cells.cpp
+++ b/src/core/membership/cells.cpp
@@ -18,113 +18,175 @@
 using detail::keyOf;
 using detail::rankOf;
 
-/// Places of one failure domain in one cell: a tenth more than an even share, so that a join or a leave displaces few others.
-constexpr double PlaceSlack = 1.1;
+/// Places in a cell above an even share. Fewer fill the cells more evenly, more let a join or a leave displace fewer
+/// members; docs/measurements/cells.md has the figures.
+constexpr double PlaceSlack = 1.05;
 
-struct Proposal {
-    std::size_t member = 0;
-    std::size_t choice = 0; ///< how many better cells have no place for it
+/// Places of one failure domain in a cell above an even share. It keeps one failure domain from filling a cell.
+constexpr double DomainSlack = 1.4;
+
+struct Candidate {
+    std::string name;
+    std::size_t domain = 0;
+    std::vector<std::uint32_t> preferences; ///< the cells, best first
+    std::size_t choice = 0;                 ///< place in \c preferences of the cell that it holds or asks next
 };
 
-/// Members of one failure domain against the cells of their region.
-struct DomainAssignment {
-    std::vector<std::string> members;                    ///< sorted
-    std::vector<std::vector<std::uint32_t>> preferences; ///< of each member: the cells, best first
-    std::vector<std::vector<std::size_t>> accepted;      ///< of each cell: the members that it holds
-    std::size_t places = 0;                              ///< of each cell
+struct Places {
+    std::uint64_t key = 0;             ///< ranks the candidates of this cell
+    std::size_t all = 0;               ///< bound of members
+    std::vector<std::size_t> ofDomain; ///< bound of members of each failure domain
+    std::vector<std::size_t> held;     ///< indices of the candidates in it
 };
 
-/// One hash key for each cell of the region.
-auto cellKeys(std::string_view region, std::uint32_t cells) -> std::vector<std::uint64_t>
-{
-    std::vector<std::uint64_t> keys;
-    for (std::uint32_t number = 0; number < cells; ++number) {
-        keys.push_back(keyOf(region, std::to_string(number)));
-    }
-    return keys;
-}
+/// The members of one region and its cells.
+struct Region {
+    std::string name;
+    std::vector<Candidate> candidates;
+    std::vector<std::size_t> domainSizes;
+    std::vector<Places> cells;
+};
 
-auto rankCells(std::string_view member, std::span<const std::uint64_t> keys) -> std::vector<std::uint32_t>
+auto rankCells(std::string_view member, const std::vector<Places> &cells) -> std::vector<std::uint32_t>
 {
     std::vector<std::uint64_t> ranks;
-    for (const auto key : keys) {
-        ranks.push_back(rankOf(key, member));
+    ranks.reserve(cells.size());
+    for (const auto &cell : cells) {
+        ranks.push_back(rankOf(cell.key, member));
     }
-    std::vector<std::uint32_t> order(keys.size());
+    std::vector<std::uint32_t> order(cells.size());
     std::iota(order.begin(), order.end(), 0U);
     std::sort(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) { return std::make_pair(ranks[a], a) > std::make_pair(ranks[b], b); });
     return order;
 }
 
-auto placesOf(std::size_t members, std::size_t cells) -> std::size_t
+/// Rounds up or down by a hash of the cell: as a region grows, its cells get their next place one after the other
+/// instead of all at once, which would move many members.
+auto roundByHash(double value, std::uint64_t key, std::string_view label) -> std::size_t
 {
-    const auto even = static_cast<double>(members) / static_cast<double>(cells);
-    return static_cast<std::size_t>(even * PlaceSlack) + 1;
+    constexpr double Range = 0x1p64;
+    const auto uniform = static_cast<double>(rankOf(key, label)) / Range;
+    return static_cast<std::size_t>(value + uniform);
 }
 
-/// Takes the member in; hands back the one that has no place any more, if any.
-auto offer(DomainAssignment &domain, std::uint32_t cell, std::uint64_t key, Proposal proposal, std::vector<Proposal> &held) -> std::optional<Proposal>
-{
-    auto &accepted = domain.accepted[cell];
-    accepted.push_back(proposal.member);
-    held[proposal.member] = proposal;
-    if (accepted.size() <= domain.places) {
-        return std::nullopt;
-    }
-    const auto worst = std::min_element(accepted.begin(), accepted.end(), [&](std::size_t a, std::size_t b) {
-        return std::make_pair(rankOf(key, domain.members[a]), a) < std::make_pair(rankOf(key, domain.members[b]), b);
-    });
-    const auto displaced = held[*worst];
-    accepted.erase(worst);
-    return displaced;
+auto divideUp(std::size_t dividend, std::size_t divisor) -> std::size_t
+{
+    return (dividend + divisor - 1) / divisor;
 }
 
-/// Deferred acceptance: its result does not depend on the order of the proposals, so every node that knows the
-/// same members computes the same cells, and one join displaces one chain of members at most.
-auto assignDomain(std::vector<std::string> members, std::span<const std::uint64_t> keys) -> DomainAssignment
-{
-    DomainAssignment domain;
-    domain.members = std::move(members);
-    domain.places = placesOf(domain.members.size(), keys.size());
-    domain.accepted.resize(keys.size());
-    for (const auto &member : domain.members) {
-        domain.preferences.push_back(rankCells(member, keys));
-    }
-    std::vector<Proposal> held(domain.members.size());
-    for (std::size_t member = 0; member < domain.members.size(); ++member) {
-        std::optional<Proposal> proposal = Proposal{ .member = member };
-        while (proposal) {
-            const auto cell = domain.preferences[proposal->member][proposal->choice];
-            proposal = offer(domain, cell, keys[cell], *proposal, held);
-            if (proposal) {
-                ++proposal->choice;
+auto makeCells(Region &region, const std::vector<std::string> &domainNames) -> void
+{
+    const auto members = region.candidates.size();
+    const auto count = cellCount(members);
+    const auto evenShare = [&](std::size_t size) { return static_cast<double>(size) / count; };
+    for (std::uint32_t number = 0; number < count; ++number) {
+        Places cell{ .key = keyOf(region.name, std::to_string(number)), .all = 0, .ofDomain = {}, .held = {} };
+        cell.all = std::max(divideUp(members, count), roundByHash(evenShare(members) * PlaceSlack, cell.key, "places"));
+        for (std::size_t domain = 0; domain < domainNames.size(); ++domain) {
+            const auto size = region.domainSizes[domain];
+            const auto places = roundByHash(evenShare(size) * DomainSlack, cell.key, domainNames[domain]);
+            cell.ofDomain.push_back(std::max(divideUp(size, count), places));
+        }
+        region.cells.push_back(std::move(cell));
+    }
+}
+
+/// The candidate that ranks lowest among those held that \p matches takes; held must contain one.
+template <typename Matches>
+auto removeWorst(const Region &region, Places &cell, Matches matches) -> std::size_t
+{
+    auto worst = cell.held.end();
+    for (auto place = cell.held.begin(); place != cell.held.end(); ++place) {
+        if (matches(*place)
+            && (worst == cell.held.end() || rankOf(cell.key, region.candidates[*place].name) < rankOf(cell.key, region.candidates[*worst].name))) {
+            worst = place;
+        }
+    }
+    const auto removed = *worst;
+    cell.held.erase(worst);
+    return removed;
+}
+
+/// Takes the candidate in; hands back the one that has no place any more, if any.
+auto offer(Region &region, Places &cell, std::size_t candidate) -> std::optional<std::size_t>
+{
+    const auto domain = region.candidates[candidate].domain;
+    const auto isOfDomain = [&](std::size_t other) { return region.candidates[other].domain == domain; };
+    cell.held.push_back(candidate);
+    const auto ofDomain = static_cast<std::size_t>(std::count_if(cell.held.begin(), cell.held.end(), isOfDomain));
+    if (ofDomain > cell.ofDomain[domain]) {
+        return removeWorst(region, cell, isOfDomain);
+    }
+    if (cell.held.size() > cell.all) {
+        return removeWorst(region, cell, [](std::size_t /*other*/) { return true; });
+    }
+    return std::nullopt;
+}
+
+/// Deferred acceptance: each candidate asks the cells in its order, each cell keeps the best that it has places for.
+/// The result does not depend on the order of the asking, so every node that knows the same members computes the same
+/// cells, and one join or leave displaces one chain of members at most.
+auto assign(Region &region) -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> unplaced;
+    for (std::size_t i = 0; i < region.candidates.size(); ++i) {
+        std::optional<std::size_t> asking = i;
+        while (asking) {
+            auto &candidate = region.candidates[*asking];
+            if (candidate.choice == candidate.preferences.size()) {
+                unplaced.push_back(*asking);
+                break;
+            }
+            asking = offer(region, region.cells[candidate.preferences[candidate.choice]], *asking);
+            if (asking) {
+                ++region.candidates[*asking].choice;
             }
         }
     }
-    return domain;
+    std::sort(unplaced.begin(), unplaced.end());
+    return unplaced;
+}
+
+/// With very uneven failure domains the bounds can leave members over: they join the smallest cells.
+auto placeLeftOver(Region &region, const std::vector<std::size_t> &unplaced) -> void
+{
+    for (const auto candidate : unplaced) {
+        const auto smallest
+            = std::min_element(region.cells.begin(), region.cells.end(), [](const Places &a, const Places &b) { return a.held.size() < b.held.size(); });
+        smallest->held.push_back(candidate);
+    }
 }
 
 using MembersByDomain = std::map<std::string, std::vector<std::string>>;
 
-auto computeRegion(const std::string &region, const MembersByDomain &domains, std::vector<Cell> &cells) -> void
+auto makeRegion(const std::string &name, const MembersByDomain &domains) -> Region
 {
-    std::size_t members = 0;
-    for (const auto &[domain, names] : domains) {
-        members += names.size();
+    Region region{ .name = name, .candidates = {}, .domainSizes = {}, .cells = {} };
+    std::vector<std::string> domainNames;
+    for (const auto &[domain, members] : domains) {
+        for (const auto &member : members) {
+            region.candidates.push_back({ .name = member, .domain = domainNames.size(), .preferences = {} });
+        }
+        domainNames.push_back(domain);
+        region.domainSizes.push_back(members.size());
     }
-    const auto count = cellCount(members);
-    const auto keys = cellKeys(region, count);
-    const auto first = cells.size();
-    for (std::uint32_t number = 0; number < count; ++number) {
-        cells.push_back({ .region = region, .number = number, .members = {} });
+    makeCells(region, domainNames);
+    for (auto &candidate : region.candidates) {
+        candidate.preferences = rankCells(candidate.name, region.cells);
     }
-    for (const auto &[domain, names] : domains) {
-        const auto assignment = assignDomain(names, keys);
-        for (std::uint32_t number = 0; number < count; ++number) {
-            for (const auto member : assignment.accepted[number]) {
-                cells[first + number].members.push_back(assignment.members[member]);
-            }
+    return region;
+}
+
+auto computeRegion(const std::string &name, const MembersByDomain &domains, std::vector<Cell> &cells) -> void
+{
+    auto region = makeRegion(name, domains);
+    placeLeftOver(region, assign(region));
+    for (std::uint32_t number = 0; number < region.cells.size(); ++number) {
+        Cell cell{ .region = name, .number = number, .members = {} };
+        for (const auto candidate : region.cells[number].held) {
+            cell.members.push_back(region.candidates[candidate].name);
         }
+        cells.push_back(std::move(cell));
     }
 }
 
--- a/src/core/membership/internal/gossip.cpp
+++ b/src/core/membership/internal/gossip.cpp
@@ -82,6 +82,13 @@
     if (!isNew && !supersedes(record, member.record)) {
         return;
     }
+    if (!isNew && record.state == MemberState::Gone && record.incarnation == member.record.incarnation && state.links.contains(record.name)) {
+        // After a cut heals, the other side still holds the members of this side for gone. Believing it of peers that
+        // are linked here would empty the cell for a moment and let this entry take the whole cell's share; the
+        // peer itself is told and comes back under a new incarnation. If it is gone indeed, its link ends too.
+        sendRecords(state, record.name, { record }, actions);
+        return;
+    }
     const bool refuted = !isNew && member.record.state == MemberState::Suspect && record.state < MemberState::Suspect;
     if (refuted) {
         member.suspectFrom = now + state.options.suspectPause;
--- a/src/core/membership/internal/lease.cpp
+++ b/src/core/membership/internal/lease.cpp
@@ -37,17 +37,18 @@
     if (state.superseded) {
         return; // the registration under this name is another process's
     }
-    const bool changed = lease.held && !isRegistered(state) && lease.backoff == Duration::zero();
-    if (now < lease.nextAt && (lease.asked || !changed)) {
+    const bool changed = !isRegistered(state) && !lease.asked && lease.backoff == Duration::zero();
+    if (now < lease.nextAt && !changed) {
         return;
     }
     lease.asked = true;
     lease.nextAt = now + AnswerTimeout;
     if (isRegistered(state)) {
+        lease.asking.reset();
         actions.push_back(RenewWanted{});
         return;
     }
-    lease.registered = state.self;
+    lease.asking = state.self;
     actions.push_back(RegisterWanted{ .record = state.self, .leaseTime = state.options.leaseTime });
 }
 
@@ -65,6 +66,7 @@
     const bool paused = std::exchange(lease.pausedSince, false);
     if (result == PlatformResult::Done) {
         lease.held = true;
+        lease.registered = lease.asking.value_or(lease.registered);
         lease.nextAt = now + jitter(state, state.options.leaseTime / RenewalsPerLease);
         return;
     }
--- a/src/core/membership/internal/linkplan.cpp
+++ b/src/core/membership/internal/linkplan.cpp
@@ -54,6 +54,14 @@
     }
 }
 
+auto isAnyLinked(const MembershipState &state, const std::set<std::string> &addresses) -> bool
+{
+    return std::any_of(state.links.begin(), state.links.end(), [&](const std::string &name) {
+        const auto found = state.others.find(name);
+        return found != state.others.end() && addresses.contains(found->second.record.peerAddress);
+    });
+}
+
 auto wantedAddresses(const MembershipState &state) -> std::set<std::string>
 {
     std::set<std::string> wanted;
@@ -67,7 +75,8 @@
         }
         addOutwardLinks(state, *own, wanted);
     }
-    if (state.links.empty()) {
+    // Seeds are kept until a link of the plan is open: the first of them has yet to send its records.
+    if (!isAnyLinked(state, wanted)) {
         wanted.insert(state.options.seeds.begin(), state.options.seeds.end());
     }
     wanted.erase(state.self.peerAddress);
@@ -75,22 +84,17 @@
     return wanted;
 }
 
-/// Addresses that no link reaches and where a member may have come back.
+/// Addresses where a member may have come back: of members held for gone, and seeds under which none is known.
 auto probeCandidates(const MembershipState &state) -> std::vector<std::string>
 {
-    std::set<std::string> linked;
+    std::set<std::string> taken{ state.self.peerAddress, std::string() };
     std::set<std::string> candidates(state.options.seeds.begin(), state.options.seeds.end());
     for (const auto &[name, member] : state.others) {
-        if (member.linked) {
-            linked.insert(member.record.peerAddress);
-        } else if (member.record.state == MemberState::Gone) {
-            candidates.insert(member.record.peerAddress);
-        }
+        auto &addresses = member.record.state == MemberState::Gone ? candidates : taken;
+        addresses.insert(member.record.peerAddress);
     }
-    linked.insert(state.self.peerAddress);
-    linked.insert(std::string());
     std::vector<std::string> result;
-    std::set_difference(candidates.begin(), candidates.end(), linked.begin(), linked.end(), std::back_inserter(result));
+    std::set_difference(candidates.begin(), candidates.end(), taken.begin(), taken.end(), std::back_inserter(result));
     return result;
 }
 
--- a/src/core/membership/internal/membershipstate.h
+++ b/src/core/membership/internal/membershipstate.h
@@ -23,7 +23,6 @@
 struct KnownMember {
     MemberRecord record;
     TimePoint changedAt;     ///< when the record last changed here
-    bool linked = false;     ///< an authenticated link to it is open
     bool dialFailed = false; ///< a new connection failed since the last link
     TimePoint suspectFrom;   ///< not suspected by this entry before this time
 };
@@ -36,11 +35,12 @@
 
 struct Lease {
     bool held = false;
-    bool asked = false;       ///< an answer is awaited
-    TimePoint nextAt;         ///< of the next call
-    Duration backoff{};       ///< 0: the last call was answered
-    MemberRecord registered;  ///< what the platform's list holds, if \c held
-    bool pausedSince = false; ///< this process was paused since the last answered call
+    bool asked = false;                 ///< an answer is awaited
+    TimePoint nextAt;                   ///< of the next call
+    Duration backoff{};                 ///< 0: the last call was answered
+    MemberRecord registered;            ///< what the platform's list holds, if \c held
+    std::optional<MemberRecord> asking; ///< the record of the call under way; nothing: a renewal
+    bool pausedSince = false;           ///< this process was paused since the last answered call
 };
 
 struct LoadWeight {
@@ -56,7 +56,7 @@
     bool ready = false;
     bool superseded = false;
     std::map<std::string, detail::KnownMember> others;
-    std::set<std::string> links; ///< names of linked peers, known members or not
+    std::set<std::string, std::less<>> links; ///< names of linked peers, known members or not
     std::mt19937_64 random;
 
     std::vector<detail::News> news;
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -53,7 +53,7 @@
 
 auto mayBeGone(const MembershipState &state, const KnownMember &member, TimePoint now) -> bool
 {
-    if (member.linked) {
+    if (state.links.contains(member.record.name)) {
         return false;
     }
     const auto quietFor = now - member.changedAt;
@@ -148,7 +148,6 @@
     const auto found = state.others.find(event.name);
     if (found != state.others.end()) {
         auto &member = found->second;
-        member.linked = true;
         member.dialFailed = false;
         // A link proves that the peer is alive, but only it can say so to everybody: it is told what is held of it.
         records.push_back(member.record);
@@ -161,17 +160,13 @@
 auto Step::operator()(const LinkClosed &event) const -> void
 {
     state.links.erase(event.name);
-    const auto found = state.others.find(event.name);
-    if (found != state.others.end()) {
-        found->second.linked = false;
-    }
     updateLinks(state, actions);
 }
 
 auto Step::operator()(const DialFailed &event) const -> void
 {
     for (auto &[name, member] : state.others) {
-        if (member.record.peerAddress != event.address || member.linked) {
+        if (member.record.peerAddress != event.address || state.links.contains(name)) {
             continue;
         }
         member.dialFailed = true;
@@ -186,10 +181,6 @@
     for (const auto &record : event.records) {
         mergeRecord(state, record, event.from, now, actions);
     }
-    const auto sender = state.others.find(event.from);
-    if (sender != state.others.end()) {
-        sender->second.linked = state.links.contains(event.from);
-    }
     if (event.digest) {
         sendDifferences(state, event.from, *event.digest, now, actions);
     }
