Placement: a pass over the fleet only after a change, needs by model

Change: needs are kept by model, situations refer to the state instead of copying it, and a pass runs after a change or once a second.

--- a/src/core/placement/events.h
+++ b/src/core/placement/events.h
@@ -57,6 +57,8 @@
     FencingNumber fence = 0; ///< of the last order it took
     ServerState state;
     Variants loading; ///< what it was ordered to have and still loads
+
+    auto operator==(const ServerReport &) const -> bool = default;
 };
 
 struct ServerRead {
--- a/src/core/placement/placer.cpp
+++ b/src/core/placement/placer.cpp
@@ -106,6 +106,10 @@
     }
     state.document = std::move(document);
     state.needs = needsOf(state.document->document);
+    state.wanted.clear();
+    for (const auto &server : state.document->document.backendServers) {
+        state.wanted[server.name] = wantedState(server);
+    }
     resetViews(state);
     explain(state, actions, Decision::DocumentTaken, "", "version " + std::to_string(state.document->version));
 }
@@ -250,6 +254,8 @@
         endTenure(state, actions, Decision::LeaseExpired, "not renewed in time", now);
     }
     std::visit([&](const auto &concrete) { on(state, actions, concrete, now); }, event);
+    const bool mayChangeNothing = std::holds_alternative<Tick>(event) || std::holds_alternative<ServerRead>(event);
+    state.changed = state.changed || !mayChangeNothing;
     if (hasExpired(state.lease, now)) {
         endTenure(state, actions, Decision::LeaseExpired, "granted too late", now);
     }
--- a/src/core/placement/placer.h
+++ b/src/core/placement/placer.h
@@ -47,6 +47,7 @@
     Duration readInterval = std::chrono::seconds(10);      ///< between two reads of a backend server that has its wanted state
     Duration readSpacing = std::chrono::milliseconds(200); ///< mean time between any two such reads: bounds the traffic of many backend servers
     Duration readBackInterval = std::chrono::seconds(1);   ///< after an order, until it is confirmed
+    Duration passInterval = std::chrono::seconds(1);       ///< between passes over all backend servers when nothing changes
     Duration loadTime = std::chrono::minutes(15);          ///< a backend server that loads for longer has failed its order
     Duration backoffFirst = std::chrono::seconds(2);       ///< after a failed order; doubles
     Duration backoffLongest = std::chrono::minutes(2);
@@ -56,6 +57,7 @@
 struct Order {
     PendingCall call;
     ServerState state;
+    Variants kept; ///< what stays usable while it takes effect, by the last report
     bool needsWeights = false;
     bool settled = false; ///< its answer came, or its time passed; it is now to be read back
 };
@@ -85,13 +87,16 @@
     std::shared_ptr<const configuration::AdoptedDocument> document;
     FencingNumber tenureFence = 0;  ///< the first number of this tenure: predecessors' are smaller
     bool documentConfirmed = false; ///< read from the platform's service since this tenure began
-    std::set<Need> needs;
+    Needs needs;
+    std::map<std::string, ServerState> wanted;      ///< by backend server, of the document
     std::optional<std::uint64_t> fenceVersion;      ///< the version that the fencing number stands for; absent: none yet
     std::optional<std::uint64_t> fenceVersionAsked; ///< the version that the pending write of the lock key is for
     std::optional<PendingCall> documentCall;
     TimePoint nextDocumentReadAt;
     std::map<std::string, ServerView> servers;
     std::set<std::string> leaving; ///< backend servers whose VM leaves
+    bool changed = true;           ///< since the last pass over all backend servers
+    TimePoint nextPassAt;          ///< of a pass without a change: backoffs and waits end
     std::map<std::string, Explained> explained;
     std::uint64_t lastCall = 0;
     std::uint64_t random = 1;
--- a/src/core/placement/reconcile.cpp
+++ b/src/core/placement/reconcile.cpp
@@ -50,19 +50,18 @@
 
 auto situationOf(const PlacerState &state, const BackendServer &server) -> ServerSituation
 {
-    ServerSituation situation{ .name = server.name, .wanted = wantedState(server) };
+    ServerSituation situation{ .wanted = &state.wanted.at(server.name) };
     const auto found = state.servers.find(server.name);
-    if (found == state.servers.end() || state.leaving.contains(server.name) || !found->second.report) {
+    if (found == state.servers.end() || !found->second.report || state.leaving.contains(server.name)) {
         return situation;
     }
     const auto &view = found->second;
-    situation.current = view.report->state;
+    situation.current = &view.report->state;
     situation.secured = isSecured(state, server, view);
-    if (view.report->state.role == Role::Serving) {
-        situation.usable = view.report->state.variants;
-    }
     if (view.order) {
-        situation.usable = keptDuring(view.report->state, view.order->state);
+        situation.usable = &view.order->kept;
+    } else if (view.report->state.role == Role::Serving) {
+        situation.usable = &view.report->state.variants;
     }
     return situation;
 }
@@ -142,7 +141,10 @@
 
 auto sendOrder(PlacerState &state, Actions &actions, const BackendServer &server, ServerView &view, const ServerState &target, TimePoint now) -> void
 {
-    view.order = Order{ .call = { .call = takeCall(state), .sentAt = now }, .state = target, .needsWeights = needsWeights(view.report->state, target) };
+    view.order = Order{ .call = { .call = takeCall(state), .sentAt = now },
+                        .state = target,
+                        .kept = keptDuring(view.report->state, target),
+                        .needsWeights = needsWeights(view.report->state, target) };
     actions.emplace_back(SendOrder{ .call = view.order->call.call,
                                     .backend = server.name,
                                     .address = server.address,
@@ -175,7 +177,7 @@
     if (!choice.target) {
         explain(state, actions, choice.heldFor, server.name, choice.detail);
         const bool mustBeTold = server.checksFencing && !situation.secured && view.report->loading.empty();
-        return mustBeTold ? situation.current : std::nullopt;
+        return mustBeTold ? std::optional(*situation.current) : std::nullopt;
     }
     if (isOnItsWay(*view.report, *choice.target)) {
         explain(state, actions, Decision::Loading, server.name, describe(*choice.target));
@@ -259,7 +261,11 @@
     }
     auto &view = found->second;
     const auto askedAt = view.read->sentAt;
+    state.changed = state.changed || view.report != event.report || view.order.has_value();
     view.report = event.report;
+    if (view.order) {
+        view.order->kept = keptDuring(event.report.state, view.order->state);
+    }
     view.reportAskedAt = askedAt;
     view.read.reset();
     view.nextReadAt = now + withJitter(state.random, steadyReadInterval(state));
@@ -278,6 +284,7 @@
         return;
     }
     auto &view = found->second;
+    state.changed = true;
     view.read.reset();
     // What it had is not known any more: it may have restarted empty, and what it was ordered to load is gone with it.
     view.report.reset();
@@ -300,6 +307,7 @@
         return;
     }
     view.order->settled = true;
+    state.changed = true;
     // A report asked for before the order's answer cannot confirm it.
     view.read.reset();
     view.nextReadAt = now;
@@ -339,6 +347,11 @@
     if (state.stopping || !fenceStandsForVersion || !mayOrder(state.lease, state.options.lease, now)) {
         return;
     }
+    if (!state.changed && now < state.nextPassAt) {
+        return;
+    }
+    state.changed = false;
+    state.nextPassAt = now + state.options.passInterval;
     sendOrders(state, actions, now);
 }
 
--- a/src/core/placement/rollout.cpp
+++ b/src/core/placement/rollout.cpp
@@ -26,20 +26,33 @@
     return model == document.models.end() ? std::vector<std::string>{} : model->adapters;
 }
 
-auto servesModel(const Variants &variants, const std::string &model) -> bool
+auto servesModel(const Variants *variants, const std::string &model) -> bool
 {
-    return std::ranges::any_of(variants, [&](const Variant &variant) { return variant.model == model; });
+    return variants != nullptr && std::ranges::any_of(*variants, [&](const Variant &variant) { return variant.model == model; });
 }
 
-auto modelsOf(const Variants &variants) -> std::set<std::string>
+auto modelsOf(const Variants *variants) -> std::vector<std::string>
 {
-    std::set<std::string> models;
-    for (const auto &variant : variants) {
-        models.insert(variant.model);
+    std::vector<std::string> models;
+    if (variants == nullptr) {
+        return models;
+    }
+    for (const auto &variant : *variants) {
+        if (models.empty() || models.back() != variant.model) {
+            models.push_back(variant.model);
+        }
     }
     return models;
 }
 
+auto addNeed(Needs &needs, const Need &need) -> void
+{
+    auto &ofModel = needs[need.model];
+    if (std::ranges::find(ofModel, need) == ofModel.end()) {
+        ofModel.push_back(need);
+    }
+}
+
 auto describe(const Need &need) -> std::string
 {
     return need.adapter.empty() ? need.model : need.model + " with adapter " + need.adapter;
@@ -48,11 +61,17 @@
 /// A need that only this backend server satisfies and that it would not satisfy while it changes.
 auto findUncovered(const Coverage &coverage, const ServerSituation &server, const Variants &kept) -> const Need *
 {
-    for (const auto &[need, servers] : coverage.needs) {
-        const bool interrupted = satisfies(server.usable, need) && !satisfies(kept, need);
-        const std::uint32_t self = server.secured ? 1 : 0;
-        if (interrupted && servers <= self) {
-            return &need;
+    const std::uint32_t self = server.secured ? 1 : 0;
+    for (const auto &model : modelsOf(server.usable)) {
+        const auto found = coverage.models.find(model);
+        if (found == coverage.models.end()) {
+            continue;
+        }
+        for (const auto &[need, servers] : found->second.needs) {
+            const bool interrupted = satisfies(*server.usable, *need) && !satisfies(kept, *need);
+            if (interrupted && servers <= self) {
+                return need;
+            }
         }
     }
     return nullptr;
@@ -69,19 +88,33 @@
     constexpr std::uint32_t Percent = 100;
     for (const auto &model : modelsOf(server.usable)) {
         const auto found = coverage.models.find(model);
-        if (found == coverage.models.end() || servesModel(kept, model)) {
+        if (found == coverage.models.end() || servesModel(&kept, model)) {
             continue;
         }
-        const auto self = server.secured || !servesModel(server.wanted.variants, model) ? 0U : 1U;
+        const bool staysWanted = servesModel(&server.wanted->variants, model);
+        const auto self = server.secured || !staysWanted ? 0U : 1U;
         const auto unavailable = found->second.unavailable - self;
         const auto allowed = std::max<std::uint32_t>(1, found->second.wanted * options.unavailablePercent / Percent);
-        if (unavailable >= allowed) {
-            return Overdrawn{ .model = model, .replacedInPlace = servesModel(server.wanted.variants, model) };
+        if (unavailable >= allowed && found->second.wanted > 0) {
+            return Overdrawn{ .model = model, .replacedInPlace = staysWanted };
         }
     }
     return std::nullopt;
 }
 
+auto countNeeds(Coverage &coverage, const ServerSituation &server) -> void
+{
+    for (const auto &model : modelsOf(server.usable)) {
+        const auto found = coverage.models.find(model);
+        if (found == coverage.models.end()) {
+            continue;
+        }
+        for (auto &[need, servers] : found->second.needs) {
+            servers += satisfies(*server.usable, *need) ? 1 : 0;
+        }
+    }
+}
+
 auto holdForRollout(const Coverage &coverage, const std::string &model) -> RolloutChoice
 {
     const auto &counts = coverage.models.at(model);
@@ -93,8 +126,8 @@
 /// The wanted state beside the present one, if that adds anything. Nothing is taken away by it.
 auto additionOf(const ServerSituation &server) -> std::optional<ServerState>
 {
-    auto both = unionOf(*server.current, server.wanted);
-    if (server.wanted.role != Role::Serving || both == *server.current) {
+    auto both = unionOf(*server.current, *server.wanted);
+    if (server.wanted->role != Role::Serving || both == *server.current) {
         return std::nullopt;
     }
     return both;
@@ -102,15 +135,15 @@
 
 } // namespace
 
-auto needsOf(const configuration::Document &document) -> std::set<Need>
+auto needsOf(const configuration::Document &document) -> Needs
 {
-    std::set<Need> needs;
+    Needs needs;
     for (const auto &requestClass : document.classes) {
         for (const auto &grant : requestClass.models) {
             const auto versions = versionsOf(document, grant);
-            needs.insert({ grant.model, versions, "" });
+            addNeed(needs, { grant.model, versions, "" });
             for (const auto &adapter : adaptersOf(document, grant)) {
-                needs.insert({ grant.model, versions, adapter });
+                addNeed(needs, { grant.model, versions, adapter });
             }
         }
     }
@@ -122,29 +155,34 @@
     return std::ranges::any_of(need.versions, [&](const std::string &version) { return variants.contains({ need.model, version, need.adapter }); });
 }
 
-auto coverageOf(const std::set<Need> &needs, const std::vector<ServerSituation> &servers) -> Coverage
+auto coverageOf(const Needs &needs, const std::vector<ServerSituation> &servers) -> Coverage
 {
     Coverage coverage;
-    for (const auto &need : needs) {
-        const auto count = std::ranges::count_if(servers, [&](const ServerSituation &server) { return server.secured && satisfies(server.usable, need); });
-        coverage.needs.push_back({ .need = need, .servers = static_cast<std::uint32_t>(count) });
+    for (const auto &[model, ofModel] : needs) {
+        auto &counts = coverage.models[model];
+        for (const auto &need : ofModel) {
+            counts.needs.push_back({ .need = &need });
+        }
     }
     for (const auto &server : servers) {
-        for (const auto &model : modelsOf(server.wanted.variants)) {
+        for (const auto &model : modelsOf(&server.wanted->variants)) {
             auto &counts = coverage.models[model];
             ++counts.wanted;
             counts.unavailable += server.secured && servesModel(server.usable, model) ? 0 : 1;
         }
+        if (server.secured) {
+            countNeeds(coverage, server);
+        }
     }
     return coverage;
 }
 
 auto chooseTarget(const RolloutOptions &options, const Coverage &coverage, const ServerSituation &server) -> RolloutChoice
 {
-    if (*server.current == server.wanted) {
-        return { .heldFor = Decision::Converged, .detail = describe(server.wanted) };
+    if (*server.current == *server.wanted) {
+        return { .heldFor = Decision::Converged, .detail = describe(*server.wanted) };
     }
-    const auto kept = keptDuring(*server.current, server.wanted);
+    const auto kept = keptDuring(*server.current, *server.wanted);
     const auto overdrawn = findOverdrawn(options, coverage, server, kept);
     if (overdrawn && overdrawn->replacedInPlace) {
         return holdForRollout(coverage, overdrawn->model);
@@ -163,7 +201,7 @@
     if (overdrawn) {
         return holdForRollout(coverage, overdrawn->model);
     }
-    return { .target = server.wanted };
+    return { .target = *server.wanted };
 }
 
 } // namespace auburnspread::placement
--- a/src/core/placement/rollout.h
+++ b/src/core/placement/rollout.h
@@ -13,7 +13,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace auburnspread::placement
@@ -29,40 +28,38 @@
     std::set<std::string> versions;
     std::string adapter; ///< empty: the model alone
 
-    auto operator<(const Need &other) const -> bool
-    {
-        return std::tie(model, versions, adapter) < std::tie(other.model, other.versions, other.adapter);
-    }
+    auto operator==(const Need &) const -> bool = default;
 };
 
-/// The distinct needs of all classes' grants.
-auto needsOf(const configuration::Document &document) -> std::set<Need>;
+/// The distinct needs of all classes' grants, by model.
+using Needs = std::map<std::string, std::vector<Need>>;
+
+auto needsOf(const configuration::Document &document) -> Needs;
 auto satisfies(const Variants &variants, const Need &need) -> bool;
 
-/// One backend server as far as it is known.
+/// One backend server as far as it is known. Refers to what the placer's state holds.
 struct ServerSituation {
-    std::string name;
-    ServerState wanted;
-    std::optional<ServerState> current; ///< as read back; absent: not known
-    Variants usable;                    ///< what it serves now and while its last order takes effect
-    bool secured = false;               ///< no earlier order that is still under way can change this; only then may others rely on it
+    const ServerState *wanted = nullptr;
+    const ServerState *current = nullptr; ///< as read back; null: not known
+    const Variants *usable = nullptr;     ///< what it serves now and while its last order takes effect; null: nothing
+    bool secured = false;                 ///< no earlier order that is still under way can change this; only then may others rely on it
 };
 
 /// What all backend servers of a document serve together.
 struct Coverage {
     struct NeedCoverage {
-        Need need;
+        const Need *need = nullptr;
         std::uint32_t servers = 0; ///< secured ones that satisfy it
     };
     struct ModelCoverage {
         std::uint32_t wanted = 0;      ///< backend servers that should serve the model
-        std::uint32_t unavailable = 0; ///< of these, how many do not
+        std::uint32_t unavailable = 0; ///< of these, how many do not, or are not secured
+        std::vector<NeedCoverage> needs;
     };
-    std::vector<NeedCoverage> needs;
     std::map<std::string, ModelCoverage> models;
 };
 
-auto coverageOf(const std::set<Need> &needs, const std::vector<ServerSituation> &servers) -> Coverage;
+auto coverageOf(const Needs &needs, const std::vector<ServerSituation> &servers) -> Coverage;
 
 /// A state to order, or why none is ordered.
 struct RolloutChoice {
--- a/src/core/placement/tests/rollout_tests.cpp
+++ b/src/core/placement/tests/rollout_tests.cpp
@@ -13,9 +13,11 @@
 auto watchCoverage(World &world) -> void
 {
     world.afterOrder = [&world]() {
-        for (const auto &need : needsOf(world.document->document)) {
-            const bool served = std::ranges::any_of(world.engines, [&](const auto &entry) { return satisfies(entry.second.state.variants, need); });
-            EXPECT_TRUE(served || need.adapter == "tile") << need.model;
+        for (const auto &[model, needs] : needsOf(world.document->document)) {
+            for (const auto &need : needs) {
+                const bool served = std::ranges::any_of(world.engines, [&](const auto &entry) { return satisfies(entry.second.state.variants, need); });
+                EXPECT_TRUE(served || need.adapter == "tile") << model;
+            }
         }
     };
 }
