Stand-ins: cache events, late and with gaps

Cause: engines publish what their prefix caches hold, and what they publish is late and incomplete; choosing a backend server by its cache needs that to be tried.

--- a/src/standins/answer.cpp
+++ b/src/standins/answer.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 
@@ -21,18 +22,6 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
-auto toHex(XXH64_hash_t value) -> std::string
-{
-    constexpr std::string_view Digits = "0123456789abcdef";
-    constexpr unsigned BitsPerDigit = 4;
-    std::string text(sizeof value * 2, '0');
-    for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
-        *digit = Digits[value % Digits.size()];
-        value >>= BitsPerDigit;
-    }
-    return text;
-}
-
 auto readCount(const nlohmann::json &value, const char *field) -> std::size_t
 {
     if (value.is_number_unsigned()) {
@@ -110,7 +99,19 @@
 
 auto hashText(std::string_view text, std::size_t seed) -> std::string
 {
-    return toHex(hashNumber(text, seed));
+    return formatHash(hashNumber(text, seed));
+}
+
+auto formatHash(std::uint64_t hash) -> std::string
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr unsigned BitsPerDigit = 4;
+    std::string text(sizeof hash * 2, '0');
+    for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
+        *digit = Digits[hash % Digits.size()];
+        hash >>= BitsPerDigit;
+    }
+    return text;
 }
 
 } // namespace auburnspread::standins
--- a/src/standins/answer.h
+++ b/src/standins/answer.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -38,5 +39,7 @@
 
 /// Sixteen hexadecimal digits: the XXH64 hash of \p text.
 auto hashText(std::string_view text, std::size_t seed = 0) -> std::string;
+/// Sixteen hexadecimal digits.
+auto formatHash(std::uint64_t hash) -> std::string;
 
 } // namespace auburnspread::standins
--- a/src/standins/engine/enginefaults.cpp
+++ b/src/standins/engine/enginefaults.cpp
@@ -21,6 +21,7 @@
         { "crossed_every", [&](const auto &value) { value.get_to(faults.crossedEvery); } },
         { "truncate_every", [&](const auto &value) { value.get_to(faults.truncateEvery); } },
         { "wrong_id_every", [&](const auto &value) { value.get_to(faults.wrongIdEvery); } },
+        { "cache_gap_every", [&](const auto &value) { value.get_to(faults.cacheGapEvery); } },
         { "rubbish", [&](const auto &value) { value.get_to(faults.rubbish); } },
         { "refuse", [&](const auto &value) { value.get_to(faults.refuse); } },
         { "report_lie", [&](const auto &value) { value.get_to(faults.reportLie); } },
--- a/src/standins/engine/enginefaults.h
+++ b/src/standins/engine/enginefaults.h
@@ -21,6 +21,7 @@
     std::size_t crossedEvery = 0;  ///< one of so many tokens carries another running attempt's id and token
     std::size_t truncateEvery = 0; ///< one of so many answers stops half-way without its terminator
     std::size_t wrongIdEvery = 0;  ///< one of so many tokens carries an id that no attempt has
+    std::size_t cacheGapEvery = 0; ///< one of so many cache events is never published
     bool rubbish = false;          ///< answers are no events
     bool refuse = false;           ///< every request is refused as not started
     double reportLie = 1;          ///< factor on the reported load
--- a/src/standins/engine/engineserver.cpp
+++ b/src/standins/engine/engineserver.cpp
@@ -2,11 +2,11 @@
 
 #include "standins/controlmessage.h"
 #include "standins/crash.h"
+#include "standins/engine/sampling.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <stdexcept>
 #include <utility>
 
@@ -45,17 +45,6 @@
     return !part.empty() && text.find(part) != std::string::npos;
 }
 
-/// Whether event number \p count is hit if one of every \p period events is; none if \p period is 0. Which one of them
-/// varies: the streams of a batch take turns, so that a fixed one would always hit the same stream.
-auto isHit(std::uint64_t count, std::size_t period) -> bool
-{
-    if (period == 0) {
-        return false;
-    }
-    const std::uint64_t group = count / period;
-    return count % period == std::hash<std::string>()(std::to_string(group)) % period;
-}
-
 } // namespace
 
 EngineServer::EngineServer(task::EventLoop &loop, EngineOptions options)
@@ -63,6 +52,7 @@
     , options_(std::move(options))
     , batch_{ .options = options_.batch }
     , cache_(options_.prefixCacheBlocks)
+    , cacheEvents_{ .lag = options_.cacheEventLag }
     , server_({ .loop = loop, .address = options_.listen, .handle = [this](const auto &exchange) { handle(exchange); } })
     , control_({ .loop = loop, .address = options_.control, .handle = [this](const auto &exchange) { handleControl(exchange); } })
 {
@@ -96,6 +86,9 @@
         exchange->replyJson(200, { { "name", options_.name } });
     } else if (request.method == "GET" && request.path == "/load") {
         exchange->replyJson(200, loadJson());
+    } else if (request.method == "GET" && request.path == "/cache-events") {
+        const auto since = parseCount(request.parameter("since").value_or("0"));
+        exchange->replyJson(200, eventsSince(cacheEvents_, since, task::monotonicNow()));
     } else if (request.method == "GET" && request.path == "/orders") {
         exchange->replyJson(200, toJson(wanted_));
     } else if (request.method == "PUT" && request.path == "/orders") {
@@ -119,6 +112,7 @@
     if (orders.crash) {
         crashProcess();
     }
+    cacheEvents_.gapEvery = faults_.cacheGapEvery;
     if (orders.tokenTime) {
         batch_.options.tokenTime = *orders.tokenTime;
     }
@@ -150,6 +144,7 @@
     stream.streaming = body.value("stream", false);
     stream.promptTokens = stream.answer.canonical.size() / BytesPerToken + 1;
     stream.cachedTokens = cache_.use(stream.answer.canonical) / BytesPerToken;
+    addChanges(cacheEvents_, cache_.takeChanges(), task::monotonicNow());
     const auto prefill
         = options_.prefillPerThousand * (static_cast<double>(stream.promptTokens - stream.cachedTokens) / TokensPerThousand) * faults_.slowFactor;
 
--- a/src/standins/engine/engineserver.h
+++ b/src/standins/engine/engineserver.h
@@ -5,6 +5,7 @@
 
 #include "standins/answer.h"
 #include "standins/engine/batch.h"
+#include "standins/engine/cacheevents.h"
 #include "standins/engine/chunkformat.h"
 #include "standins/engine/enginefaults.h"
 #include "standins/engine/executionlog.h"
@@ -32,6 +33,7 @@
     Duration reportLag{};
     std::optional<Address> platform; ///< where weights come from; without it they are there at once
     std::size_t prefixCacheBlocks = 0;
+    Duration cacheEventLag{}; ///< from a change of the prefix cache to its publication
 };
 
 class EngineServer
@@ -67,6 +69,7 @@
     Batch batch_;
     EngineFaults faults_;
     PrefixCache cache_;
+    CacheEvents cacheEvents_;
     WantedState wanted_;
     ExecutionLog executions_;
     std::optional<WeightsClient> weights_;
--- a/src/standins/engine/main.cpp
+++ b/src/standins/engine/main.cpp
@@ -29,6 +29,10 @@
         { "report-lag-ms", "X", "age of load reports", [&](const auto &text) { options.reportLag = parseMilliseconds(text); } },
         { "platform", "IP:PORT", "where weights come from", [&](const auto &text) { options.platform = parseAddress(text); } },
         { "prefix-cache", "N", "blocks of 64 bytes in the prefix cache", [&](const auto &text) { options.prefixCacheBlocks = parseCount(text); } },
+        { "cache-event-lag-ms",
+          "X",
+          "time from a change of the prefix cache to its publication",
+          [&](const auto &text) { options.cacheEventLag = parseMilliseconds(text); } },
     };
 }
 
--- a/src/standins/engine/prefixcache.cpp
+++ b/src/standins/engine/prefixcache.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <utility>
+
 namespace auburnspread::standins
 {
 
@@ -34,6 +36,11 @@
     return cached;
 }
 
+auto PrefixCache::takeChanges() -> std::vector<CacheChange>
+{
+    return std::exchange(changes_, {});
+}
+
 auto PrefixCache::touch(std::uint64_t block) -> bool
 {
     const auto found = blocks_.find(block);
@@ -43,7 +50,9 @@
     }
     recency_.push_front(block);
     blocks_[block] = recency_.begin();
+    changes_.push_back({ .stored = true, .block = block });
     if (blocks_.size() > capacity_) {
+        changes_.push_back({ .stored = false, .block = recency_.back() });
         blocks_.erase(recency_.back());
         recency_.pop_back();
     }
