Quarantine notices between entries carry all marks and the crashed backend server

Cause: entries agree by notices on who makes a suspect's one retry; the peer message knew three of the six marks and not the backend server, so the agreement never reached another entry. Change: all marks and the server in the message; the sender's name is set on receipt.

--- a/src/entry/control/controltask.cpp
+++ b/src/entry/control/controltask.cpp
@@ -186,7 +186,9 @@
         members.feed(membership::LoadHeard{ .name = from, .openRequests = open });
         mailboxes.router.post(routing::Event(std::move(heard)));
     } else if (const auto *quarantine = std::get_if<peer::Quarantine>(&message)) {
-        mailboxes.router.post(routing::Event(quarantine->notice));
+        auto heard = quarantine->notice;
+        heard.entry = from;
+        mailboxes.router.post(routing::Event(std::move(heard)));
     } else {
         configurations.receive(from, message);
     }
--- a/src/wire/peer/messages.cpp
+++ b/src/wire/peer/messages.cpp
@@ -211,13 +211,16 @@
 
 constexpr auto Marks = std::to_array<NamedValue<Mark>>({
     { Mark::Suspect, "suspect" },
+    { Mark::Retrying, "retrying" },
+    { Mark::RetryEnded, "retry-ended" },
+    { Mark::Cleared, "cleared" },
     { Mark::Quarantined, "quarantined" },
     { Mark::Released, "released" },
 });
 
 auto encodeBody(const Quarantine &quarantine) -> Json
 {
-    return Json::array({ static_cast<std::uint64_t>(quarantine.notice.fingerprint), findName(Marks, quarantine.notice.mark) });
+    return Json::array({ static_cast<std::uint64_t>(quarantine.notice.fingerprint), findName(Marks, quarantine.notice.mark), quarantine.notice.server });
 }
 
 auto readQuarantine(Fields &fields) -> Quarantine
@@ -229,6 +232,7 @@
         throw DecodeError("quarantine: no such mark");
     }
     quarantine.notice.mark = *mark;
+    quarantine.notice.server = fields.text();
     return quarantine;
 }
 
--- a/src/wire/peer/tests/messages_tests.cpp
+++ b/src/wire/peer/tests/messages_tests.cpp
@@ -43,7 +43,7 @@
         peer::Pong{ 9 },
         peer::Members{ .records = { makeRecord(), makeRecord() }, .digest = digest },
         peer::Report{ report },
-        peer::Quarantine{ { .fingerprint = Fingerprint(~std::uint64_t(0)), .mark = routing::QuarantineHeard::Mark::Released } },
+        peer::Quarantine{ { .fingerprint = Fingerprint(~std::uint64_t(0)), .mark = routing::QuarantineHeard::Mark::Suspect, .server = "gpu-1" } },
         peer::Leaving{},
         peer::Configuration{ .version = 12, .digest = "ab" },
         peer::ConfigurationRequest{ .digest = "cd", .offset = 4 },
