Shares of small pools: no reservation where it costs more than a fifth, turns where entries outnumber slots

Cause: 12 entries on 2 servers of 4 slots, one bursting: 40.39% of the slots idle while requests waited, since every entry held a reserved slot; with even load up to 6 over, since a turn began while the last one's requests still ran. Change: nothing is reserved where one slot for each entry exceeds a fifth of the pool; where more entries want a server than it has slots, the first claim moves on each second, and what peers have in flight bounds what is started.

--- a/src/core/balancing/benchmarks/sharingfigures.cpp
+++ b/src/core/balancing/benchmarks/sharingfigures.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Prints the table of docs/measurements/sharing.md: the ways to share servers, in virtual time.
+/// Prints the tables of docs/measurements/sharing.md: the ways to share servers, in virtual time.
 
 #include "core/balancing/tests/sharingsimulation.h"
 
@@ -33,12 +33,16 @@
                 static_cast<unsigned long long>(result.served));
 }
 
-} // namespace
-
-auto main() -> int
+auto printHeading(const char *title) -> void
 {
+    std::printf("\n%s\n\n", title);
     std::printf("| load | offered | way | in flight | spread | most over | over %% | idle while waiting %% | wait ms | 99th wait ms | jump | served |\n");
     std::printf("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+}
+
+auto printWays() -> void
+{
+    printHeading("8 entries, 18 servers of 8 slots, reports every 250 ms");
     for (const Load load : Loads) {
         for (const double offered : Offered) {
             for (const Way way : allWays()) {
@@ -46,5 +50,41 @@
             }
         }
     }
+}
+
+auto printIntervals() -> void
+{
+    for (const int milliseconds : { 100, 250, 500, 1000, 1900 }) {
+        const std::string title = "The same by exchanged vectors, reports every " + std::to_string(milliseconds) + " ms";
+        printHeading(title.c_str());
+        for (const Load load : Loads) {
+            printRow({ .load = load, .offered = 0.95, .reportInterval = std::chrono::milliseconds(milliseconds) });
+        }
+    }
+}
+
+auto printShapes() -> void
+{
+    printHeading("12 entries, 40 servers of 8 slots");
+    for (const Load load : Loads) {
+        printRow({ .load = load, .offered = 0.95, .entries = 12, .servers = 40 });
+    }
+    printHeading("8 entries, 3 servers of 8 slots");
+    for (const Load load : Loads) {
+        printRow({ .load = load, .offered = 0.95, .servers = 3 });
+    }
+    printHeading("12 entries, 2 servers of 4 slots");
+    for (const Load load : Loads) {
+        printRow({ .load = load, .offered = 0.95, .entries = 12, .servers = 2, .concurrency = 4 });
+    }
+}
+
+} // namespace
+
+auto main() -> int
+{
+    printWays();
+    printIntervals();
+    printShapes();
     return 0;
 }
--- a/src/core/balancing/sharing.cpp
+++ b/src/core/balancing/sharing.cpp
@@ -23,8 +23,12 @@
 /// pause need not wait for an exchange of reports.
 constexpr double ReservedPart = 0.05;
 
-/// Where entries outnumber the slots, the reserved ones go round: each entry has its turn within as many periods as
-/// there are entries.
+/// Where one slot for each entry would hold back more than this part, nothing is reserved: in a small pool idle slots
+/// cost more than an exchange of reports.
+constexpr double MostReserved = 0.2;
+
+/// Where more entries want a server than it has slots, the slots go round: each entry has its turn within as many
+/// periods as there are entries.
 constexpr Duration RotationPeriod = std::chrono::seconds(1);
 
 /// Reported demand falls to half in this time once the requests are gone. Without it a share would be given away
@@ -83,7 +87,7 @@
 }
 
 /// Deals reserved slots out over the pool's servers, entry by entry, so that no server bears more than its part.
-auto reserveInPool(const State &state, const Pool &pool, Claims &claims, TimePoint now) -> void
+auto reserveInPool(const State &state, const Pool &pool, Claims &claims) -> void
 {
     const auto servers = usableServers(state, pool);
     const std::size_t entries = state.cell.size();
@@ -92,14 +96,13 @@
     if (slots == 0) {
         return;
     }
-    const auto even = static_cast<std::size_t>(std::lround(static_cast<double>(slots) * ReservedPart / static_cast<double>(entries)));
-    const std::size_t each = std::clamp<std::size_t>(even, 1, servers.size());
-    const auto turn = entries > slots ? static_cast<std::size_t>(now.time_since_epoch() / RotationPeriod) : 0;
-    for (std::size_t entry = 0; entry < entries; ++entry) {
-        const std::size_t rank = (entry + turn) % entries;
-        for (std::size_t slot = rank * each; slot < (rank + 1) * each && slot < slots; ++slot) {
-            claims.at(servers[slot % servers.size()], entry).reserved += 1;
-        }
+    const double even = static_cast<double>(slots) * ReservedPart / static_cast<double>(entries);
+    const std::size_t each = std::clamp<std::size_t>(std::lround(even), 1, servers.size());
+    if (static_cast<double>(each * entries) > static_cast<double>(slots) * MostReserved) {
+        return;
+    }
+    for (std::size_t slot = 0; slot < each * entries; ++slot) {
+        claims.at(servers[slot % servers.size()], slot / each).reserved += 1;
     }
 }
 
@@ -149,7 +152,7 @@
     }
     for (const auto &pool : state.pools) {
         if (!pool.hasAdapter) {
-            reserveInPool(state, pool, claims, now);
+            reserveInPool(state, pool, claims);
         }
     }
     return claims;
@@ -168,6 +171,17 @@
     return poorest;
 }
 
+/// The claim that is served first when slots do not divide evenly: another one on each server. Where not every claim
+/// can have a slot, it moves on with time. Entries' clocks differ, so for a moment two may take the same turn; what
+/// peers have in flight still bounds what they start.
+auto firstClaim(const Server &server, std::span<const Claim> claims, TimePoint now) -> std::size_t
+{
+    const auto wanting = std::count_if(claims.begin(), claims.end(), [](const Claim &claim) { return claim.wanted > 0; });
+    const bool contended = static_cast<std::uint64_t>(wanting) > server.concurrency;
+    const auto turn = contended ? static_cast<std::uint64_t>(now.time_since_epoch() / RotationPeriod) : 0;
+    return (server.nameHash + turn) % claims.size();
+}
+
 auto smoothDemand(DemandTotal &demand, std::uint32_t waiting, TimePoint now) -> std::uint32_t
 {
     const double elapsed = static_cast<double>((now - demand.smoothedAt).count());
@@ -239,7 +253,7 @@
     for (const ServerIndex index : state.serversInOrder) {
         auto &server = serverAt(state, index);
         const auto claimed = claims.of(index);
-        server.share = splitFairly(server.concurrency, claimed, server.nameHash % claimed.size())[own];
+        server.share = splitFairly(server.concurrency, claimed, firstClaim(server, claimed, now))[own];
         server.reserved = claimed[own].reserved;
         refreshServer(state, index, now);
     }
