Balancing: a server is not mistaken for another one of the same document

A server whose address changed gave its slot to another server of the same document; if that one had the first one's new address, the first one was taken to have stayed, and two names shared one slot. Change: the name is compared too.

--- a/src/core/balancing/pools.cpp
+++ b/src/core/balancing/pools.cpp
@@ -237,14 +237,17 @@
     return ServerIndex(index);
 }
 
-/// The server that stays. A changed address is another server: what is known of the old one says nothing of it.
+/// The server that stays. A changed address is another server: what is known of the old one says nothing of it. The
+/// name is compared too: the slot may have been given to another server of the same document already.
 auto findStaying(const State &state, const ServerSpec &spec) -> std::optional<ServerIndex>
 {
     const auto found = state.serversByName.find(spec.name);
-    if (found == state.serversByName.end() || serverAt(state, found->second).address != spec.address) {
+    if (found == state.serversByName.end()) {
         return std::nullopt;
     }
-    return found->second;
+    const auto &server = serverAt(state, found->second);
+    const bool same = server.name == spec.name && server.address == spec.address;
+    return same ? std::optional(found->second) : std::nullopt;
 }
 
 auto internServer(State &state, const ServerSpec &spec) -> ServerIndex
