--- a/src/core/routing/actions.h
+++ b/src/core/routing/actions.h
@@ -84,7 +84,7 @@
 struct TellQuarantine {
     Fingerprint fingerprint{};
     QuarantineHeard::Mark mark = QuarantineHeard::Mark::Quarantined;
-    std::string server; ///< of Suspect: the backend server that crashed; empty: not known
+    std::string server; ///< of Suspect: the one that crashed; of Retrying: where it runs, empty: it is about to
 };
 
 /// Probe a backend server on a new connection and report ProbeSettled.
--- a/src/core/routing/benchmarks/core_benchmarks.cpp
+++ b/src/core/routing/benchmarks/core_benchmarks.cpp
@@ -113,7 +113,7 @@
 {
     constexpr int EventsPerRound = 3;
     auto load = makeLoad(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         finishOldest(load);
         arrive(load);
     }
@@ -123,7 +123,7 @@
 auto benchmarkTick(benchmark::State &state) -> void
 {
     auto load = makeLoad(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         load.now += std::chrono::milliseconds(20);
         take(load, Tick{});
     }
@@ -132,7 +132,7 @@
 auto benchmarkReport(benchmark::State &state) -> void
 {
     auto load = makeLoad(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         load.now += std::chrono::milliseconds(250);
         take(load, Tick{});
         benchmark::DoNotOptimize(takeReport(*load.router));
@@ -144,7 +144,7 @@
     auto load = makeLoad(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
     const auto document = makeDocument(static_cast<std::uint32_t>(state.range(0)), FleetWorkspaceCount);
     std::uint64_t version = 1;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         state.PauseTiming();
         auto adopted = std::make_shared<configuration::AdoptedDocument>(*document);
         version += 1;
--- a/src/core/routing/events.h
+++ b/src/core/routing/events.h
@@ -137,7 +137,7 @@
 struct QuarantineHeard {
     enum class Mark {
         Suspect,    ///< one crash was seen while it ran
-        Retrying,   ///< its one retry runs at \c entry
+        Retrying,   ///< its one retry runs, or is about to run, at \c entry
         RetryEnded, ///< that retry ended without a crash or an answer
         Cleared,    ///< it completed
         Quarantined,
@@ -146,7 +146,7 @@
     Fingerprint fingerprint{};
     Mark mark = Mark::Quarantined;
     std::string entry;  ///< who says so; empty: an operator here
-    std::string server; ///< of Suspect: the backend server that crashed; empty: not known
+    std::string server; ///< of Suspect: the one that crashed; of Retrying: where it runs, empty: it is about to
 };
 
 struct ConfigurationAdopted {
--- a/src/core/routing/internal/arriving.cpp
+++ b/src/core/routing/internal/arriving.cpp
@@ -58,18 +58,23 @@
     if (!victim) {
         return false;
     }
-    refuse(state, state.requests.at(*victim), { .reason = Reason::Shed, .step = "queue" }, actions);
+    auto &evicted = state.requests.at(*victim);
+    routeOf(state, evicted.route).unmet += 1;
+    refuse(state, evicted, { .reason = Reason::Shed, .step = "queue" }, actions);
     return true;
 }
 
 auto queueRequest(RouterState &state, Request &request, Actions &actions) -> void
 {
+    auto &unmet = routeOf(state, request.route).unmet;
     if (const auto unreachable = whyUnreachable(state, request)) {
+        unmet += 1;
         refuse(state, request, *unreachable, actions);
         return;
     }
     const auto goesAtOnce = freeSlots(state, request.route) > 0 && queueing::waitingOn(state.queue, request.route) == 0;
     if (!goesAtOnce && !findPlace(state, *request.requestClass, actions)) {
+        unmet += 1;
         refuse(state, request, { .reason = Reason::QueueFull, .step = "queue", .retryAfter = request.forecastWait }, actions);
         return;
     }
--- a/src/core/routing/internal/placing.cpp
+++ b/src/core/routing/internal/placing.cpp
@@ -43,14 +43,14 @@
         return Result::SetAside;
     }
     if (decision.verdict == Verdict::Wait) {
-        hold(state, request);
+        hold(state, request, actions);
         return Result::SetAside;
     }
     const auto alone = decision.verdict == Verdict::RunAlone;
     const auto server = chooseServer(state, request, { .alone = alone, .onlyServer = decision.server });
     // A suspect that found no quiet server, or whose equal one's server is full, may not stand in the way of others.
     if (!server && decision.verdict != Verdict::Run) {
-        hold(state, request);
+        hold(state, request, actions);
         return Result::SetAside;
     }
     if (!server) {
--- a/src/core/routing/internal/reporting.cpp
+++ b/src/core/routing/internal/reporting.cpp
@@ -56,12 +56,16 @@
     balancing::notePeerReport(*state.balancing, report, state.now);
 }
 
+/// What waits, and what would wait had it not been refused for want of slots: an entry that refuses early has a short
+/// queue, and without this its peers would never leave it the slots that it lacks.
 auto collectDemand(RouterState &state) -> std::vector<balancing::Demand>
 {
     std::map<std::string, std::uint32_t> waiting;
     for (std::size_t index = 0; index < state.routes.size(); ++index) {
-        const auto &route = state.routes.at(index);
-        const auto count = queueing::waitingOn(state.queue, static_cast<RouteId>(index)) + static_cast<std::uint32_t>(route.parked.size());
+        auto &route = state.routes.at(index);
+        const auto parked = static_cast<std::uint32_t>(route.parked.size());
+        const auto count = queueing::waitingOn(state.queue, static_cast<RouteId>(index)) + parked + route.unmet;
+        route.unmet = 0;
         if (count > 0) {
             waiting[balancing::demandName(queryOf(route))] += count;
         }
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -75,7 +75,8 @@
     std::vector<ServerIndex> servers; ///< that fit
     std::vector<ServerIndex> cannotResume;
     std::set<ParkedKey> parked;
-    std::size_t turn = 0; ///< of round robin
+    std::uint32_t unmet = 0; ///< refused for want of slots since the last report
+    std::size_t turn = 0;    ///< of round robin
 };
 
 enum class Stage {
--- a/src/core/routing/internal/suspects.cpp
+++ b/src/core/routing/internal/suspects.cpp
@@ -51,10 +51,11 @@
     return quarantine::decide(state.quarantine, request.call.fingerprint, state.now);
 }
 
-auto hold(RouterState &state, Request &request) -> void
+auto hold(RouterState &state, Request &request, Actions &actions) -> void
 {
     request.stage = Stage::Held;
     state.held[request.call.fingerprint].insert({ request.order, request.call.request });
+    tellCell(quarantine::announceRetry(state.quarantine, request.call.fingerprint, state.now), actions);
 }
 
 auto releaseHeld(RouterState &state, Fingerprint fingerprint, Actions &actions) -> void
@@ -74,6 +75,8 @@
     for (const auto &[fingerprint, requests] : state.held) {
         if (quarantine::decide(state.quarantine, fingerprint, state.now).verdict != Verdict::Wait) {
             released.push_back(fingerprint);
+        } else {
+            tellCell(quarantine::announceRetry(state.quarantine, fingerprint, state.now), actions);
         }
     }
     for (const auto fingerprint : released) {
--- a/src/core/routing/internal/suspects.h
+++ b/src/core/routing/internal/suspects.h
@@ -12,7 +12,7 @@
 auto decideSuspect(const RouterState &state, const Request &request) -> quarantine::Decision;
 
 /// Keeps the request back until releaseHeld().
-auto hold(RouterState &state, Request &request) -> void;
+auto hold(RouterState &state, Request &request, Actions &actions) -> void;
 
 /// Lets the requests of a fingerprint wait for a slot again: what they waited for has changed.
 auto releaseHeld(RouterState &state, Fingerprint fingerprint, Actions &actions) -> void;
