Decision core: bounds on equal requests, late reports, invitations to come back

Cause, found by reading: equal requests held back were outside every bound; a late report of an entry that left counted its requests as open for ever; a class without floor slots could be refused for ever by a wrong forecast; a non-repeatable request that may have run was told when to come back; retries of what never started used the budget up.

--- a/src/core/routing/internal/arriving.cpp
+++ b/src/core/routing/internal/arriving.cpp
@@ -33,7 +33,7 @@
     const auto &requestClass = *request.requestClass;
     const auto ahead = queueing::countAhead(state.queue, requestClass.id, request.route, request.workspace->id, request.workspace->definition.weight);
     request.forecastWait = admission::forecastWait(estimatesOf(request), ahead, state.now);
-    if (queueing::hasReservedPlace(state.queue, requestClass.id)) {
+    if (queueing::waitingOf(state.queue, requestClass.id) == 0 || queueing::hasReservedPlace(state.queue, requestClass.id)) {
         return std::nullopt;
     }
     const auto answer = request.deadline - request.arrived;
--- a/src/core/routing/internal/attempts.cpp
+++ b/src/core/routing/internal/attempts.cpp
@@ -64,7 +64,8 @@
     }
     restartIfNeeded(state, request);
     if (canEverRun(state, request)) {
-        if (!retry::takeRetry(request.requestClass->retryBudget, state.now)) {
+        // What did not start loaded no backend server, so trying it elsewhere cannot multiply the load.
+        if (!provesNotStarted(failure) && !retry::takeRetry(request.requestClass->retryBudget, state.now)) {
             refuse(state, request, { .reason = Reason::RetryBudget, .step = "relay", .peer = peer }, actions);
             return;
         }
--- a/src/core/routing/internal/ending.cpp
+++ b/src/core/routing/internal/ending.cpp
@@ -33,6 +33,12 @@
     };
 }
 
+/// A caller that is told when to come back comes back; with a request that may have run and must not run twice it may not.
+auto mayInviteBack(const Request &request) -> bool
+{
+    return request.repeatable || !request.mayHaveRun;
+}
+
 auto outcomeOf(const Request &request, Reason reason) -> Outcome
 {
     if (reason == Reason::Quarantined) {
@@ -107,7 +113,11 @@
     if (request.mayHaveRun && request.call.fingerprint != Fingerprint{}) {
         retry::noteGivenUp(state.repeats, static_cast<std::uint32_t>(request.workspace->id), request.call.fingerprint, state.now);
     }
-    actions.emplace_back(makeRefuse(request.call.request, refusal, outcomeOf(request, refusal.reason)));
+    auto final = makeRefuse(request.call.request, refusal, outcomeOf(request, refusal.reason));
+    if (!mayInviteBack(request)) {
+        final.retryAfter.reset();
+    }
+    actions.emplace_back(final);
     forget(state, request, request.mayHaveRun ? request.call.promptTokens + request.relayed : 0);
 }
 
--- a/src/core/routing/internal/placing.cpp
+++ b/src/core/routing/internal/placing.cpp
@@ -34,6 +34,16 @@
     NoSlot,   ///< no free slot fits it
 };
 
+/// Keeps the request back behind an equal one, if not too many are kept back already: they are outside the queue and its bound.
+auto holdOrRefuse(RouterState &state, Request &request, Actions &actions) -> void
+{
+    if (mayHold(state, request)) {
+        hold(state, request, actions);
+        return;
+    }
+    refuse(state, request, { .reason = Reason::QueueFull, .step = "quarantine" }, actions);
+}
+
 /// Places a request that was taken out of its waiting place.
 auto tryPlace(RouterState &state, Request &request, bool onFloor, Actions &actions) -> Result
 {
@@ -43,14 +53,14 @@
         return Result::SetAside;
     }
     if (decision.verdict == Verdict::Wait) {
-        hold(state, request, actions);
+        holdOrRefuse(state, request, actions);
         return Result::SetAside;
     }
     const auto alone = decision.verdict == Verdict::RunAlone;
     const auto server = chooseServer(state, request, { .alone = alone, .onlyServer = decision.server });
     // A suspect that found no quiet server, or whose equal one's server is full, may not stand in the way of others.
     if (!server && decision.verdict != Verdict::Run) {
-        hold(state, request, actions);
+        holdOrRefuse(state, request, actions);
         return Result::SetAside;
     }
     if (!server) {
--- a/src/core/routing/internal/reporting.cpp
+++ b/src/core/routing/internal/reporting.cpp
@@ -27,9 +27,8 @@
     peer.open.clear();
 }
 
-auto noteWorkspaces(RouterState &state, const PeerReported &event) -> void
+auto noteWorkspaces(RouterState &state, PeerState &peer, const PeerReported &event) -> void
 {
-    auto &peer = state.peers[event.entry];
     forgetOpen(state, peer);
     for (const auto &use : event.workspaces) {
         auto *workspace = findWorkspace(state, use.workspace);
@@ -91,25 +90,29 @@
 
 auto onPeerReported(RouterState &state, const PeerReported &event) -> void
 {
-    if (event.entry == state.options.entry) {
+    // A late report of an entry that left would count its requests as open for ever.
+    const auto peer = state.peers.find(event.entry);
+    if (peer == state.peers.end()) {
         return;
     }
-    noteWorkspaces(state, event);
+    noteWorkspaces(state, peer->second, event);
     noteServers(state, event);
 }
 
 auto onCellChanged(RouterState &state, const CellChanged &event) -> void
 {
     state.entries = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(event.entries.size()));
-    for (auto peer = state.peers.begin(); peer != state.peers.end();) {
-        const auto stays = std::find(event.entries.begin(), event.entries.end(), peer->first) != event.entries.end();
-        if (stays) {
-            ++peer;
-            continue;
+    std::map<std::string, PeerState> peers;
+    for (const auto &entry : event.entries) {
+        if (entry != state.options.entry) {
+            peers[entry] = std::move(state.peers[entry]);
+            state.peers.erase(entry);
         }
-        forgetOpen(state, peer->second);
-        peer = state.peers.erase(peer);
     }
+    for (auto &[entry, left] : state.peers) {
+        forgetOpen(state, left);
+    }
+    state.peers = std::move(peers);
     balancing::noteCell(*state.balancing, event.entries, state.now);
 }
 
--- a/src/core/routing/internal/suspects.cpp
+++ b/src/core/routing/internal/suspects.cpp
@@ -12,6 +12,9 @@
 using quarantine::Mark;
 using quarantine::Verdict;
 
+/// Equal requests held back at once. Fingerprints that hold any back are bounded by what runs and by the suspects.
+constexpr std::size_t MostHeld = 100;
+
 constexpr auto Marks = std::to_array<std::pair<QuarantineHeard::Mark, Mark>>({
     { QuarantineHeard::Mark::Suspect, Mark::Suspect },
     { QuarantineHeard::Mark::Retrying, Mark::Retrying },
@@ -51,6 +54,12 @@
     return quarantine::decide(state.quarantine, request.call.fingerprint, state.now);
 }
 
+auto mayHold(const RouterState &state, const Request &request) -> bool
+{
+    const auto place = state.held.find(request.call.fingerprint);
+    return place == state.held.end() || place->second.size() < MostHeld;
+}
+
 auto hold(RouterState &state, Request &request, Actions &actions) -> void
 {
     request.stage = Stage::Held;
--- a/src/core/routing/internal/suspects.h
+++ b/src/core/routing/internal/suspects.h
@@ -11,6 +11,9 @@
 /// Whether and how the request may be dispatched now. A request without a fingerprint always may.
 auto decideSuspect(const RouterState &state, const Request &request) -> quarantine::Decision;
 
+/// Whether few enough equal requests are held back already.
+auto mayHold(const RouterState &state, const Request &request) -> bool;
+
 /// Keeps the request back until releaseHeld().
 auto hold(RouterState &state, Request &request, Actions &actions) -> void;
 
--- a/src/core/routing/tests/cell_tests.cpp
+++ b/src/core/routing/tests/cell_tests.cpp
@@ -145,3 +145,20 @@
     }
     EXPECT_EQ(open, OpenLimit);
 }
+
+// An entry leaves the cell with six requests open, and its last report comes late. The workspace gets its places back: the
+// report of an entry that is gone counts for nothing.
+TEST(CellTests, aLateReportOfAnEntryThatLeftCountsForNothing)
+{
+    auto cell = makeCell();
+    auto &entry = cell.front();
+    const TimePoint now{};
+    const PeerReported report{ .entry = "entry-1", .workspaces = { { .workspace = "limited", .requests = OpenLimit, .inFlight = OpenLimit } } };
+    take(entry, report, now);
+    arrive(entry, "limited", now);
+    EXPECT_EQ(entry.refused, 1U);
+    take(entry, CellChanged{ { "entry-0", "entry-2" } }, now);
+    take(entry, report, now);
+    arrive(entry, "limited", now);
+    EXPECT_EQ(entry.refused, 1U);
+}
--- a/src/core/routing/tests/world.cpp
+++ b/src/core/routing/tests/world.cpp
@@ -372,6 +372,7 @@
     World world{ .options = options, .router = makeRouter({ .entry = "entry-1", .failureDomain = "midrand-a", .policy = options.policy }) };
     world.document = makeDocument();
     adopt(world);
+    take(world, CellChanged{ { "entry-1", "entry-2" } });
     return world;
 }
 
