--- a/src/core/routing/internal/arriving.cpp
+++ b/src/core/routing/internal/arriving.cpp
@@ -33,7 +33,7 @@
     const auto &requestClass = *request.requestClass;
     const auto ahead = queueing::countAhead(state.queue, requestClass.id, request.route, request.workspace->id, request.workspace->definition.weight);
     request.forecastWait = admission::forecastWait(estimatesOf(request), ahead, state.now);
-    if (queueing::hasReservedPlace(state.queue, requestClass.id)) {
+    if (queueing::waitingOf(state.queue, requestClass.id) == 0 || queueing::hasReservedPlace(state.queue, requestClass.id)) {
         return std::nullopt;
     }
     const auto answer = request.deadline - request.arrived;
@@ -58,18 +58,23 @@
     if (!victim) {
         return false;
     }
-    refuse(state, state.requests.at(*victim), { .reason = Reason::Shed, .step = "queue" }, actions);
+    auto &evicted = state.requests.at(*victim);
+    routeOf(state, evicted.route).unmet += 1;
+    refuse(state, evicted, { .reason = Reason::Shed, .step = "queue" }, actions);
     return true;
 }
 
 auto queueRequest(RouterState &state, Request &request, Actions &actions) -> void
 {
+    auto &unmet = routeOf(state, request.route).unmet;
     if (const auto unreachable = whyUnreachable(state, request)) {
+        unmet += 1;
         refuse(state, request, *unreachable, actions);
         return;
     }
     const auto goesAtOnce = freeSlots(state, request.route) > 0 && queueing::waitingOn(state.queue, request.route) == 0;
     if (!goesAtOnce && !findPlace(state, *request.requestClass, actions)) {
+        unmet += 1;
         refuse(state, request, { .reason = Reason::QueueFull, .step = "queue", .retryAfter = request.forecastWait }, actions);
         return;
     }
--- a/src/core/routing/internal/reporting.cpp
+++ b/src/core/routing/internal/reporting.cpp
@@ -27,9 +27,8 @@
     peer.open.clear();
 }
 
-auto noteWorkspaces(RouterState &state, const PeerReported &event) -> void
+auto noteWorkspaces(RouterState &state, PeerState &peer, const PeerReported &event) -> void
 {
-    auto &peer = state.peers[event.entry];
     forgetOpen(state, peer);
     for (const auto &use : event.workspaces) {
         auto *workspace = findWorkspace(state, use.workspace);
@@ -56,12 +55,16 @@
     balancing::notePeerReport(*state.balancing, report, state.now);
 }
 
+/// What waits, and what would wait had it not been refused for want of slots: an entry that refuses early has a short
+/// queue, and without this its peers would never leave it the slots that it lacks.
 auto collectDemand(RouterState &state) -> std::vector<balancing::Demand>
 {
     std::map<std::string, std::uint32_t> waiting;
     for (std::size_t index = 0; index < state.routes.size(); ++index) {
-        const auto &route = state.routes.at(index);
-        const auto count = queueing::waitingOn(state.queue, static_cast<RouteId>(index)) + static_cast<std::uint32_t>(route.parked.size());
+        auto &route = state.routes.at(index);
+        const auto parked = static_cast<std::uint32_t>(route.parked.size());
+        const auto count = queueing::waitingOn(state.queue, static_cast<RouteId>(index)) + parked + route.unmet;
+        route.unmet = 0;
         if (count > 0) {
             waiting[balancing::demandName(queryOf(route))] += count;
         }
@@ -87,25 +90,29 @@
 
 auto onPeerReported(RouterState &state, const PeerReported &event) -> void
 {
-    if (event.entry == state.options.entry) {
+    // A late report of an entry that left would count its requests as open for ever.
+    const auto peer = state.peers.find(event.entry);
+    if (peer == state.peers.end()) {
         return;
     }
-    noteWorkspaces(state, event);
+    noteWorkspaces(state, peer->second, event);
     noteServers(state, event);
 }
 
 auto onCellChanged(RouterState &state, const CellChanged &event) -> void
 {
     state.entries = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(event.entries.size()));
-    for (auto peer = state.peers.begin(); peer != state.peers.end();) {
-        const auto stays = std::find(event.entries.begin(), event.entries.end(), peer->first) != event.entries.end();
-        if (stays) {
-            ++peer;
-            continue;
+    std::map<std::string, PeerState> peers;
+    for (const auto &entry : event.entries) {
+        if (entry != state.options.entry) {
+            peers[entry] = std::move(state.peers[entry]);
+            state.peers.erase(entry);
         }
-        forgetOpen(state, peer->second);
-        peer = state.peers.erase(peer);
     }
+    for (auto &[entry, left] : state.peers) {
+        forgetOpen(state, left);
+    }
+    state.peers = std::move(peers);
     balancing::noteCell(*state.balancing, event.entries, state.now);
 }
 
--- a/src/core/routing/internal/suspects.cpp
+++ b/src/core/routing/internal/suspects.cpp
@@ -12,6 +12,9 @@
 using quarantine::Mark;
 using quarantine::Verdict;
 
+/// Equal requests held back at once. Fingerprints that hold any back are bounded by what runs and by the suspects.
+constexpr std::size_t MostHeld = 100;
+
 constexpr auto Marks = std::to_array<std::pair<QuarantineHeard::Mark, Mark>>({
     { QuarantineHeard::Mark::Suspect, Mark::Suspect },
     { QuarantineHeard::Mark::Retrying, Mark::Retrying },
@@ -51,10 +54,17 @@
     return quarantine::decide(state.quarantine, request.call.fingerprint, state.now);
 }
 
-auto hold(RouterState &state, Request &request) -> void
+auto mayHold(const RouterState &state, const Request &request) -> bool
+{
+    const auto place = state.held.find(request.call.fingerprint);
+    return place == state.held.end() || place->second.size() < MostHeld;
+}
+
+auto hold(RouterState &state, Request &request, Actions &actions) -> void
 {
     request.stage = Stage::Held;
     state.held[request.call.fingerprint].insert({ request.order, request.call.request });
+    tellCell(quarantine::announceRetry(state.quarantine, request.call.fingerprint, state.now), actions);
 }
 
 auto releaseHeld(RouterState &state, Fingerprint fingerprint, Actions &actions) -> void
@@ -74,6 +84,8 @@
     for (const auto &[fingerprint, requests] : state.held) {
         if (quarantine::decide(state.quarantine, fingerprint, state.now).verdict != Verdict::Wait) {
             released.push_back(fingerprint);
+        } else {
+            tellCell(quarantine::announceRetry(state.quarantine, fingerprint, state.now), actions);
         }
     }
     for (const auto fingerprint : released) {
--- a/src/core/routing/internal/suspects.h
+++ b/src/core/routing/internal/suspects.h
@@ -11,8 +11,11 @@
 /// Whether and how the request may be dispatched now. A request without a fingerprint always may.
 auto decideSuspect(const RouterState &state, const Request &request) -> quarantine::Decision;
 
+/// Whether few enough equal requests are held back already.
+auto mayHold(const RouterState &state, const Request &request) -> bool;
+
 /// Keeps the request back until releaseHeld().
-auto hold(RouterState &state, Request &request) -> void;
+auto hold(RouterState &state, Request &request, Actions &actions) -> void;
 
 /// Lets the requests of a fingerprint wait for a slot again: what they waited for has changed.
 auto releaseHeld(RouterState &state, Fingerprint fingerprint, Actions &actions) -> void;
