Stand-ins: smaller files; a repeated order fetches weights once

Change: the JSON of the store and the reading of requests have files of their own; a model remembers that its weights were asked for; a truncated answer ends, and frees its slot, at the place where it is truncated. Conclusion: the load on the store of weights is what a single engine causes.

--- a/src/standins/engine/engineserver.cpp
+++ b/src/standins/engine/engineserver.cpp
@@ -216,6 +216,11 @@
             cancel(output.id);
             continue;
         }
+        if (isTruncatedNow(stream)) {
+            stream.exchange->endStream();
+            cancel(output.id);
+            continue;
+        }
         if (output.token) {
             executions_.countToken(output.id);
             sendToken(stream, *output.token);
@@ -232,6 +237,11 @@
     return faults_.cutAfter != 0 && stream.sentTokens >= faults_.cutAfter;
 }
 
+auto EngineServer::isTruncatedNow(const Stream &stream) -> bool
+{
+    return stream.streaming && stream.stopAfter != 0 && stream.sentTokens >= stream.stopAfter;
+}
+
 auto EngineServer::otherStream(const Stream &stream) const -> const Stream *
 {
     for (const auto &[id, other] : streams_) {
@@ -245,7 +255,7 @@
 auto EngineServer::sendToken(Stream &stream, std::size_t token) -> void
 {
     ++stream.sentTokens;
-    if (!stream.streaming || (stream.stopAfter != 0 && stream.sentTokens > stream.stopAfter)) {
+    if (!stream.streaming) {
         return;
     }
     ++chunksSent_;
@@ -270,7 +280,7 @@
         stream.exchange->reply({ .headers = { { "X-Request-Id", stream.attempt } }, .body = text });
         return;
     }
-    if (stream.stopAfter == 0 && !faults_.rubbish) {
+    if (!faults_.rubbish) {
         stream.exchange->sendPiece(finalEvents(stream.attempt, reason, usage));
     }
     stream.exchange->endStream();
@@ -299,9 +309,10 @@
 auto EngineServer::loadModels() -> void
 {
     for (auto &model : wanted_.models) {
-        if (model.loaded) {
+        if (model.loaded || model.loading) {
             continue;
         }
+        model.loading = true;
         if (!weights_) {
             model.loaded = true;
             continue;
--- a/src/standins/engine/engineserver.h
+++ b/src/standins/engine/engineserver.h
@@ -101,6 +101,7 @@
     auto finish(BatchId id) -> void;
     auto cancel(BatchId id) -> void;
     [[nodiscard]] auto isCutNow(const Stream &stream) const -> bool;
+    [[nodiscard]] static auto isTruncatedNow(const Stream &stream) -> bool;
     [[nodiscard]] auto otherStream(const Stream &stream) const -> const Stream *;
 
     auto takeReport() -> void;
--- a/src/standins/engine/wantedstate.cpp
+++ b/src/standins/engine/wantedstate.cpp
@@ -84,6 +84,7 @@
         }
         const auto *before = findModel(state.models, model.model, model.version);
         model.loaded = before != nullptr && before->loaded;
+        model.loading = before != nullptr && before->loading;
         models.push_back(std::move(model));
     }
     order.at("fence").get_to(state.fence);
--- a/src/standins/engine/wantedstate.h
+++ b/src/standins/engine/wantedstate.h
@@ -19,8 +19,7 @@
     std::string version;
     std::set<std::string> adapters;
     bool loaded = false;
-
-    auto operator==(const ServedModel &) const -> bool = default;
+    bool loading = false; ///< its weights have been asked for; a repeated order does not ask again
 };
 
 struct WantedState {
--- a/src/standins/httpserver.h
+++ b/src/standins/httpserver.h
@@ -6,13 +6,12 @@
 
 #include "runtime/task/eventloop.h"
 #include "standins/commandline.h"
+#include "standins/httprequest.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -29,19 +28,6 @@
 struct Connection;
 } // namespace detail
 
-/// A request that has arrived completely.
-struct HttpRequest {
-    std::string method;
-    std::string path; ///< without the query, percent-decoded
-    std::map<std::string, std::string> query;
-    std::map<std::string, std::string> headers; ///< names in lower case
-    std::string body;
-    std::string source; ///< IP address of the client
-
-    [[nodiscard]] auto header(const std::string &name) const -> std::optional<std::string>;
-    [[nodiscard]] auto parameter(const std::string &name) const -> std::optional<std::string>;
-};
-
 struct HttpReply {
     int status = 200;
     std::string contentType = "application/json";
--- a/src/standins/tests/engine_tests.cpp
+++ b/src/standins/tests/engine_tests.cpp
@@ -253,18 +253,22 @@
 TEST_F(EngineTests, anOrderedModelIsServedOnceItsWeightsHaveCome)
 {
     // The platform is down when the order comes, so the engine keeps asking for the weights and serves nothing
-    // of the new version until the platform is back.
-    PlatformServer platform(loop_, {});
+    // of the new version until the platform is back. The order is repeated, which must not load the store twice.
+    PlatformServer platform(loop_, { .weightsTime = std::chrono::milliseconds(300) });
     sendControl(loop_, platform.control().address(), { { "down", true } });
     const auto engine = makeEngine({ .models = parseModels("quote-7b:1"), .platform = platform.server().address() });
     const nlohmann::json order = { { "fence", 1 }, { "role", "serving" }, { "models", { { { "model", "quote-7b" }, { "version", "2" } } } } };
     EXPECT_EQ(finish(*engine, { .method = "PUT", .target = "/orders", .body = order.dump() })->status(), 202);
     EXPECT_EQ(finish(*engine, makeChat(makeBody("x", 1, "quote-7b:2")))->status(), 503);
 
+    EXPECT_EQ(finish(*engine, { .method = "PUT", .target = "/orders", .body = order.dump() })->status(), 202);
+
     sendControl(loop_, platform.control().address(), { { "down", false } });
     const auto isLoaded = [&]() { return nlohmann::json::parse(finish(*engine, { .target = "/orders" })->body()).at("loading").empty(); };
     ASSERT_TRUE(pollUntil(isLoaded));
     EXPECT_EQ(finish(*engine, makeChat(makeBody("x", 1, "quote-7b:2")))->status(), 200);
+    const auto counts = callAndWait(loop_, platform.control().address(), { .target = "/control/counts" })->body();
+    EXPECT_EQ(nlohmann::json::parse(counts).at("weights"), 1);
 }
 
 TEST_F(EngineTests, silencedConnectionsStaySilentWhileNewOnesWork)
