--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -167,7 +167,15 @@
 
 start_optional() {
     if [ "$console" = yes ]; then
-        start_process console "$bin/auburnspread-console" --set "listen.address=127.$net.0.20:8090" --set "platform.address=$platform"
+        cat >"$site/console.ini" <<INI
+[listen]
+console = 127.$net.0.20:8090
+[platform]
+address = $platform
+[operators]
+tokens = operator:loopback-operator-token
+INI
+        start_process console "$bin/auburnspread-console" --config "$site/console.ini"
         describe console console "127.$net.0.20:8090" "127.$net.0.20:8090"
     fi
     if [ "$placer" = yes ]; then
--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -80,7 +80,7 @@
     const auto incarnation = makeIncarnation();
     const auto prefix = settings.name + "-" + std::to_string(incarnation);
     entry::Mailboxes mailboxes;
-    entry::Accounting accounting(settings.name);
+    entry::Accounting accounting;
     entry::CallerTask caller(
         {
             .address = settings.callerAddress,
--- a/src/entry/accounting/accounting.cpp
+++ b/src/entry/accounting/accounting.cpp
@@ -1,10 +1,8 @@
 #include "entry/accounting/accounting.h"
 
 #include "runtime/logging/logging.h"
+#include "runtime/metrics/prometheus.h"
 
-#include <sstream>
-#include <string_view>
-#include <utility>
 #include <variant>
 
 namespace auburnspread::entry
@@ -13,35 +11,30 @@
 namespace
 {
 
-auto writeHead(std::ostream &output, std::string_view name, std::string_view help) -> void
-{
-    output << "# HELP " << name << ' ' << help << "\n# TYPE " << name << " counter\n";
-}
-
-auto writeFailures(std::ostream &output, std::string_view name, std::string_view help, const std::vector<std::uint64_t> &counts) -> void
-{
-    writeHead(output, name, help);
-    for (const auto &entry : failureTable()) {
-        output << name << "{reason=\"" << entry.name << "\"} " << counts.at(static_cast<std::size_t>(entry.value)) << '\n';
-    }
-}
+constexpr metrics::Description Dispatches{ .name = "auburnspread_dispatches_total", .help = "Attempts sent to backend servers." };
+constexpr metrics::Description Resumed{ .name = "auburnspread_resumed_streams_total", .help = "Retries that went on at an offset." };
+constexpr metrics::Description WastedTokens{ .name = "auburnspread_wasted_tokens_total", .help = "Tokens received from backend servers and not relayed." };
+constexpr metrics::Description Completed{ .name = "auburnspread_completed_total", .help = "Whole answers by class." };
+constexpr metrics::Description OnTime{ .name = "auburnspread_on_time_total", .help = "Whole answers within their class's targets." };
+constexpr metrics::Description Tokens{ .name = "auburnspread_tokens_total", .help = "Tokens of whole answers by class." };
+constexpr metrics::Description FirstToken{ .name = "auburnspread_first_token_seconds", .help = "From arrival to the first token, by class." };
+constexpr metrics::Description Answer{ .name = "auburnspread_answer_seconds", .help = "From arrival to the end of the answer, by class." };
 
 } // namespace
 
-Accounting::Accounting(std::string entry)
-    : entry_(std::move(entry))
-    , refusals_(reasonTable().size())
-    , retries_(failureTable().size())
-    , failures_(failureTable().size())
+Accounting::Accounting()
+    : refusals_(metrics::declareRefusals(registry_))
+    , retries_(metrics::declareRetries(registry_))
+    , failures_(metrics::declareAttemptFailures(registry_))
+    , dispatches_(registry_.counter(Dispatches))
+    , resumed_(registry_.counter(Resumed))
+    , wastedTokens_(registry_.counter(WastedTokens))
 {
 }
 
 auto Accounting::countRefusal(const routing::Refuse &refusal, const std::string &detail) -> void
 {
-    {
-        const std::lock_guard lock(mutex_);
-        ++refusals_.at(static_cast<std::size_t>(refusal.reason));
-    }
+    refusals_.add(refusal.reason);
     logging::event(logging::Level::Info,
                    "refused",
                    {
@@ -56,26 +49,47 @@
 
 auto Accounting::countAction(const routing::Action &action) -> void
 {
-    const std::lock_guard lock(mutex_);
     if (std::holds_alternative<routing::Dispatch>(action)) {
-        ++dispatches_;
+        dispatches_.add();
     } else if (const auto *retried = std::get_if<routing::Retried>(&action)) {
-        ++retries_.at(static_cast<std::size_t>(retried->failure));
+        retries_.add(retried->failure);
+        resumed_.add(retried->resumed ? 1 : 0);
     } else if (const auto *completed = std::get_if<routing::Completed>(&action)) {
-        auto &counters = classes_[completed->requestClass];
-        ++counters.completed;
-        counters.onTime += completed->onTime ? 1 : 0;
-        counters.tokens += completed->tokens;
+        countCompleted(*completed);
     }
 }
 
-auto Accounting::countFailure(const AttemptReport &report) -> void
+auto Accounting::countCompleted(const routing::Completed &completed) -> void
 {
-    {
-        const std::lock_guard lock(mutex_);
-        ++failures_.at(static_cast<std::size_t>(report.failure));
-        wastedTokens_ += report.wastedTokens;
+    auto &instruments = instrumentsOf(completed.requestClass);
+    instruments.completed.add();
+    instruments.onTime.add(completed.onTime ? 1 : 0);
+    instruments.tokens.add(completed.tokens);
+    instruments.firstToken.observe(completed.firstToken);
+    instruments.answer.observe(completed.answer);
+}
+
+auto Accounting::instrumentsOf(const std::string &requestClass) -> ClassInstruments &
+{
+    const auto found = classes_.find(requestClass);
+    if (found != classes_.end()) {
+        return found->second;
     }
+    const metrics::Labels labels{ { .name = "class", .value = requestClass } };
+    ClassInstruments instruments{
+        .completed = registry_.counter(Completed, labels),
+        .onTime = registry_.counter(OnTime, labels),
+        .tokens = registry_.counter(Tokens, labels),
+        .firstToken = registry_.histogram(FirstToken, labels),
+        .answer = registry_.histogram(Answer, labels),
+    };
+    return classes_.emplace(requestClass, instruments).first->second;
+}
+
+auto Accounting::countFailure(const AttemptReport &report) -> void
+{
+    failures_.add(report.failure);
+    wastedTokens_.add(report.wastedTokens);
     logging::event(logging::Level::Warning,
                    "attempt-failed",
                    {
@@ -90,31 +104,7 @@
 
 auto Accounting::text() const -> std::string
 {
-    const std::lock_guard lock(mutex_);
-    std::ostringstream output;
-    writeHead(output, "auburnspread_refusals_total", "Refusals by reason.");
-    for (const auto &entry : reasonTable()) {
-        output << "auburnspread_refusals_total{reason=\"" << entry.name << "\"} " << refusals_.at(static_cast<std::size_t>(entry.reason)) << '\n';
-    }
-    writeFailures(output, "auburnspread_retries_total", "Retries by the failure that led to them.", retries_);
-    writeFailures(output, "auburnspread_attempt_failures_total", "Failed attempts by failure.", failures_);
-    writeHead(output, "auburnspread_dispatches_total", "Attempts sent to backend servers.");
-    output << "auburnspread_dispatches_total " << dispatches_ << '\n';
-    writeHead(output, "auburnspread_wasted_tokens_total", "Tokens received and not relayed.");
-    output << "auburnspread_wasted_tokens_total " << wastedTokens_ << '\n';
-    writeHead(output, "auburnspread_completed_total", "Answers completed by class.");
-    for (const auto &[name, counters] : classes_) {
-        output << "auburnspread_completed_total{class=\"" << name << "\"} " << counters.completed << '\n';
-    }
-    writeHead(output, "auburnspread_on_time_total", "Answers completed within their class's targets.");
-    for (const auto &[name, counters] : classes_) {
-        output << "auburnspread_on_time_total{class=\"" << name << "\"} " << counters.onTime << '\n';
-    }
-    writeHead(output, "auburnspread_tokens_total", "Tokens of completed answers by class.");
-    for (const auto &[name, counters] : classes_) {
-        output << "auburnspread_tokens_total{class=\"" << name << "\"} " << counters.tokens << '\n';
-    }
-    return output.str();
+    return metrics::formatPrometheus(registry_.snapshot());
 }
 
 } // namespace auburnspread::entry
--- a/src/entry/accounting/accounting.h
+++ b/src/entry/accounting/accounting.h
@@ -3,24 +3,22 @@
 
 #pragma once
 
-#include "core/base/failure.h"
-#include "core/base/reason.h"
 #include "core/routing/actions.h"
 #include "entry/backend/backendtask.h"
+#include "runtime/metrics/reasoncounters.h"
+#include "runtime/metrics/registry.h"
 
-#include <cstdint>
 #include <map>
-#include <mutex>
 #include <string>
-#include <vector>
 
 namespace auburnspread::entry
 {
 
+/// Each function belongs to one task; the instruments behind them may be scraped from any thread.
 class Accounting
 {
 public:
-    explicit Accounting(std::string entry);
+    Accounting();
 
     /// From the caller task, for each refusal sent to a caller.
     auto countRefusal(const routing::Refuse &refusal, const std::string &detail) -> void;
@@ -29,24 +27,29 @@
     /// From the backend task, for each failed attempt.
     auto countFailure(const AttemptReport &report) -> void;
 
-    /// Prometheus text.
+    /// Prometheus text, from any thread.
     [[nodiscard]] auto text() const -> std::string;
 
 private:
-    struct ClassCounters {
-        std::uint64_t completed = 0;
-        std::uint64_t onTime = 0;
-        std::uint64_t tokens = 0;
+    struct ClassInstruments {
+        metrics::Counter &completed;
+        metrics::Counter &onTime;
+        metrics::Counter &tokens;
+        metrics::Histogram &firstToken;
+        metrics::Histogram &answer;
     };
 
-    std::string entry_;
-    mutable std::mutex mutex_;
-    std::vector<std::uint64_t> refusals_; ///< by Reason
-    std::vector<std::uint64_t> retries_;  ///< by Failure
-    std::vector<std::uint64_t> failures_; ///< by Failure
-    std::map<std::string, ClassCounters> classes_;
-    std::uint64_t dispatches_ = 0;
-    std::uint64_t wastedTokens_ = 0;
+    auto countCompleted(const routing::Completed &completed) -> void;
+    auto instrumentsOf(const std::string &requestClass) -> ClassInstruments &;
+
+    metrics::Registry registry_;
+    metrics::EnumCounters<Reason> refusals_;
+    metrics::EnumCounters<Failure> retries_;
+    metrics::EnumCounters<Failure> failures_;
+    metrics::Counter &dispatches_;
+    metrics::Counter &resumed_;
+    metrics::Counter &wastedTokens_;
+    std::map<std::string, ClassInstruments> classes_; ///< used by the router task only
 };
 
 } // namespace auburnspread::entry
--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -39,6 +39,16 @@
     return timeval{ .tv_sec = duration.count() / MicrosPerSecond, .tv_usec = duration.count() % MicrosPerSecond };
 }
 
+//! NOTE the library's default clock ticks only every few milliseconds, which would add up over timers that follow each other
+auto makePreciseBase() -> event_base *
+{
+    auto *configuration = event_config_new();
+    event_config_set_flag(configuration, EVENT_BASE_FLAG_PRECISE_TIMER);
+    auto *base = event_base_new_with_config(configuration);
+    event_config_free(configuration);
+    return base;
+}
+
 auto enableThreads() -> void
 {
     static std::once_flag once;
@@ -56,7 +66,7 @@
 EventLoop::EventLoop()
 {
     enableThreads();
-    base_.reset(event_base_new());
+    base_.reset(makePreciseBase());
     if (!base_) {
         throw std::runtime_error("event loop: event_base_new failed");
     }
