Lint of the benchmark and the claim tests

Cause: clang-tidy found a widening multiplication, an unread loop variable and a constant's case. Change: these three. Run: core_once_tests and choice-benchmark built.

--- a/src/core/balancing/benchmarks/choicebenchmark.cpp
+++ b/src/core/balancing/benchmarks/choicebenchmark.cpp
@@ -18,7 +18,7 @@
 auto makeBusy(std::uint32_t servers) -> StatePointer
 {
     auto state = makeBalancing({ .servers = servers, .concurrency = 8 });
-    for (std::uint64_t attempt = 1; attempt <= servers * 4; ++attempt) {
+    for (std::uint64_t attempt = 1; attempt <= std::uint64_t{ servers } * 4; ++attempt) {
         noteDispatched(*state, AttemptId{ attempt }, *chooseServer(*state, Quote, Start), Quote, Start);
     }
     return state;
@@ -29,7 +29,7 @@
     const auto state = makeBusy(static_cast<std::uint32_t>(run.range(0)));
     std::uint64_t attempt = 1'000'000;
     Query each = query;
-    for (auto step : run) {
+    while (run.KeepRunning()) {
         each.prefixHash = query.prefixHash == 0 ? 0 : attempt;
         const auto server = chooseServer(*state, each, Start);
         noteDispatched(*state, AttemptId{ attempt }, *server, each, Start);
@@ -60,7 +60,7 @@
         report.servers.push_back({ .server = serverName(number), .inFlight = 1 });
     }
     TimePoint now = Start;
-    for (auto step : run) {
+    while (run.KeepRunning()) {
         now += std::chrono::milliseconds(100);
         notePeerReport(*state, report, now);
         advance(*state, now);
--- a/src/core/once/tests/claimer_tests.cpp
+++ b/src/core/once/tests/claimer_tests.cpp
@@ -37,7 +37,7 @@
     return decision ? std::optional(decision->result) : std::nullopt;
 }
 
-const ClaimKey Deposit = makeClaimKey("karoo-roofing", "deposit-17");
+const ClaimKey deposit = makeClaimKey("karoo-roofing", "deposit-17");
 
 } // namespace
 
@@ -46,10 +46,10 @@
     ClaimStore store;
     auto first = makeClaimer("entry-1");
     auto second = makeClaimer("entry-2");
-    const auto create = *findAction<CreateCall>(submit(first, RequestId{ 1 }, Deposit, Start));
+    const auto create = *findAction<CreateCall>(submit(first, RequestId{ 1 }, deposit, Start));
     EXPECT_TRUE(applyCreate(store, create).empty());
     EXPECT_EQ(resultOf(noteCreated(first, create.call, CreateResult::Committed, {}, Start)), ClaimDecision::Result::Claimed);
-    const auto again = *findAction<CreateCall>(submit(second, RequestId{ 1 }, Deposit, Start));
+    const auto again = *findAction<CreateCall>(submit(second, RequestId{ 1 }, deposit, Start));
     const auto conflicts = applyCreate(store, again);
     EXPECT_EQ(resultOf(noteCreated(second, again.call, CreateResult::Conflict, conflicts, Start)), ClaimDecision::Result::Duplicate);
     EXPECT_FALSE(isBusy(first) || isBusy(second));
@@ -61,7 +61,7 @@
 {
     ClaimStore store;
     auto claimer = makeClaimer();
-    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, Deposit, Start));
+    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, deposit, Start));
     applyCreate(store, create);
     EXPECT_FALSE(resultOf(noteCreated(claimer, create.call, CreateResult::Unknown, {}, Start)));
     const auto read = *findAction<ReadCall>(advance(claimer, Start + Later));
@@ -74,7 +74,7 @@
 {
     ClaimStore store;
     auto claimer = makeClaimer();
-    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, Deposit, Start));
+    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, deposit, Start));
     noteCreated(claimer, create.call, CreateResult::Unknown, {}, Start);
     const auto read = *findAction<ReadCall>(advance(claimer, Start + Later));
     const auto second = *findAction<CreateCall>(noteRead(claimer, read.call, applyRead(store, read), Start + Later));
@@ -90,10 +90,10 @@
 {
     ClaimStore store;
     auto claimer = makeClaimer();
-    store.keys[Deposit.path] = { .text = "entry-9:1:1", .index = 1 };
+    store.keys[deposit.path] = { .text = "entry-9:1:1", .index = 1 };
     submit(claimer, RequestId{ 1 }, makeClaimKey("w", "first"), Start);
     submit(claimer, RequestId{ 2 }, makeClaimKey("w", "second"), Start);
-    submit(claimer, RequestId{ 3 }, Deposit, Start);
+    submit(claimer, RequestId{ 3 }, deposit, Start);
     const auto batch = *findAction<CreateCall>(advance(claimer, Start + Later));
     ASSERT_EQ(batch.operations.size(), 2U);
     const auto actions = noteCreated(claimer, batch.call, CreateResult::Conflict, applyCreate(store, batch), Start + Later);
@@ -123,7 +123,7 @@
 {
     ClaimStore store;
     auto claimer = makeClaimer();
-    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, Deposit, Start));
+    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, deposit, Start));
     applyCreate(store, create);
     EXPECT_EQ(resultOf(advance(claimer, Start + std::chrono::seconds(3))), ClaimDecision::Result::Unavailable);
     const auto read = *findAction<ReadCall>(noteCreated(claimer, create.call, CreateResult::Unknown, {}, Start + std::chrono::seconds(4)).empty()
@@ -141,14 +141,14 @@
 {
     ClaimStore store;
     auto claimer = makeClaimer();
-    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, Deposit, Start));
+    const auto create = *findAction<CreateCall>(submit(claimer, RequestId{ 1 }, deposit, Start));
     applyCreate(store, create);
     noteCreated(claimer, create.call, CreateResult::Committed, {}, Start);
-    const auto read = *findAction<ReadCall>(release(claimer, Deposit, Start));
+    const auto read = *findAction<ReadCall>(release(claimer, deposit, Start));
     const auto remove = *findAction<DeleteCall>(noteRead(claimer, read.call, applyRead(store, read), Start));
     applyDelete(store, remove);
     noteDeleted(claimer, remove.call, true, Start);
-    const auto again = *findAction<CreateCall>(submit(claimer, RequestId{ 2 }, Deposit, Start + Later));
+    const auto again = *findAction<CreateCall>(submit(claimer, RequestId{ 2 }, deposit, Start + Later));
     EXPECT_TRUE(applyCreate(store, again).empty());
     EXPECT_EQ(resultOf(noteCreated(claimer, again.call, CreateResult::Committed, {}, Start + Later)), ClaimDecision::Result::Claimed);
 }
