--- a/src/load/answercheck.cpp
+++ b/src/load/answercheck.cpp
@@ -96,7 +96,7 @@
     error_ = true;
     const auto error = nlohmann::json::parse(data).at("error");
     if (error.is_object()) {
-        errorReason_ = textOf(error, "reason");
+        errorReason_ = textOf(error, "type");
         errorOutcome_ = textOf(error, "outcome");
     }
 }
--- a/src/load/tests/report_tests.cpp
+++ b/src/load/tests/report_tests.cpp
@@ -155,7 +155,7 @@
     EXPECT_EQ(stateOf(first + second + third + finishEvent + doneEvent), AnswerState::Whole);
     EXPECT_EQ(stateOf(first + second + third + finishEvent), AnswerState::Unterminated);
     EXPECT_EQ(stateOf(first + second), AnswerState::Silent);
-    EXPECT_EQ(stateOf(first + second + "data: {\"error\":{\"reason\":\"stream-broken\"}}\n\n"), AnswerState::ErrorEvent);
+    EXPECT_EQ(stateOf(first + second + "data: {\"error\":{\"type\":\"stream-broken\"}}\n\n"), AnswerState::ErrorEvent);
     EXPECT_EQ(stateOf(first + third), AnswerState::Wrong);
     EXPECT_EQ(stateOf(first + second + finishEvent + doneEvent), AnswerState::Wrong);
     EXPECT_EQ(stateOf(first + second + third + third), AnswerState::Wrong);
