--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -76,7 +76,7 @@
         echo "== $deployment $name ($policy): FAILED, the site did not start: $(tail -1 "$report.log")"
         return
     fi
-    "$build/bin/auburnspread-load" --site "$site" --json "$report.full" --plot "$report.svg" "${files[@]}" >"$report.txt" 2>>"$report.log" || status=$?
+    "$build/bin/auburnspread-load" --site "$site" --json "$report.full" --calls "$report.calls" --plot "$report.svg" "${files[@]}" >"$report.txt" 2>>"$report.log" || status=$?
     scripts/site.sh stop "$site" --now 2>&1 | tee -a "$report.log"
     site=
     echo "== $deployment $name ($policy): exit $status"
--- a/src/load/callers.cpp
+++ b/src/load/callers.cpp
@@ -149,8 +149,7 @@
     const std::weak_ptr<OpenCall> weak = call;
     call->patience = loop_.after(giveUpTime(*call->flow, site_.document), [this, weak]() {
         if (const auto waiting = weak.lock()) {
-            waiting->record.attempts.push_back({ .result = CallResult::GaveUp, .entry = waiting->address });
-            endCall(waiting);
+            giveUp(waiting);
         }
     });
     startAttempt(call);
@@ -180,6 +179,7 @@
         endAttempt(call, CallResult::Unreachable);
         return;
     }
+    ++call->record.lookups;
     const auto seed = (call->plan.number + call->lookups++) % seeds_.size();
     const HttpRequest request{ .address = seeds_[seed], .path = "/v1/entries?workspace=" + call->plan.workspace + "&class=" + call->flow->requestClass };
     call->body.clear();
@@ -331,7 +331,7 @@
 
 auto Callers::endAttempt(const OpenCallPointer &call, CallResult result) -> void
 {
-    AttemptRecord attempt{ .result = result, .status = call->head.status, .entry = call->address };
+    AttemptRecord attempt{ .result = result, .status = call->head.status, .entry = call->address, .end = elapsed(*call) };
     if (result == CallResult::Refused) {
         attempt.reason = call->head.header("auburnspread-reason");
         attempt.outcome = call->head.header("auburnspread-outcome");
@@ -372,11 +372,16 @@
     }
 }
 
+auto Callers::giveUp(const OpenCallPointer &call) -> void
+{
+    call->record.attempts.push_back({ .result = CallResult::GaveUp, .entry = call->address, .end = elapsed(*call) });
+    endCall(call);
+}
+
 auto Callers::giveUpAll() -> void
 {
     for (const auto &[number, call] : std::map(calls_)) {
-        call->record.attempts.push_back({ .result = CallResult::GaveUp, .entry = call->address });
-        endCall(call);
+        giveUp(call);
     }
 }
 
--- a/src/load/callers.h
+++ b/src/load/callers.h
@@ -68,6 +68,7 @@
     auto followRedirect(const OpenCallPointer &call) -> bool;
     auto endAttempt(const OpenCallPointer &call, CallResult result) -> void;
     auto endCall(const OpenCallPointer &call) -> void;
+    auto giveUp(const OpenCallPointer &call) -> void;
     [[nodiscard]] auto elapsed(const OpenCall &call) const -> Duration;
     [[nodiscard]] auto cacheKey(const OpenCall &call) const -> std::string;
 
--- a/src/load/callrecord.h
+++ b/src/load/callrecord.h
@@ -36,6 +36,7 @@
     std::string reason;  ///< of a refusal or error event
     std::string outcome; ///< of a refusal or error event
     std::string entry;   ///< address that answered
+    Duration end{};      ///< from the call's due time
 };
 
 struct CallRecord {
@@ -53,6 +54,7 @@
     std::uint32_t tokens = 0;
     Duration longestGap{}; ///< between tokens
     std::uint32_t redirects = 0;
+    std::uint32_t lookups = 0; ///< questions for entries' addresses
     std::vector<AttemptRecord> attempts;
     std::string detail; ///< what was wrong with an answer
 
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -30,6 +30,7 @@
   --duration-ms N  instead of the scenario's
   --rate X         multiplies every flow's rate
   --json FILE      writes the report as JSON
+  --calls FILE     writes one JSON line a call with all its attempts
   --plot FILE.svg  writes FILE.dat and FILE.gp; `gnuplot FILE.gp` draws FILE.svg
   --direct         straight to the engines, without the router
   --first-byte N   N calls each way, one at a time: median time to the first token without and with the router
@@ -68,6 +69,7 @@
     DurationOption,
     RateOption,
     JsonOption,
+    CallsOption,
     PlotOption,
     DirectOption,
     FirstByteOption,
@@ -85,6 +87,7 @@
     { "duration-ms", required_argument, nullptr, DurationOption },
     { "rate", required_argument, nullptr, RateOption },
     { "json", required_argument, nullptr, JsonOption },
+    { "calls", required_argument, nullptr, CallsOption },
     { "plot", required_argument, nullptr, PlotOption },
     { "direct", no_argument, nullptr, DirectOption },
     { "first-byte", required_argument, nullptr, FirstByteOption },
@@ -126,6 +129,9 @@
     case JsonOption:
         line.jsonFile = optarg;
         return;
+    case CallsOption:
+        line.run.callsFile = optarg;
+        return;
     case PlotOption:
         line.plotFile = optarg;
         return;
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -116,5 +116,7 @@
 
 auto toJson(const RunReport &report) -> nlohmann::ordered_json;
 auto toTable(const RunReport &report) -> std::string;
+/// One JSON line a call with all its attempts, for searching what went wrong.
+auto toJsonLines(const std::vector<CallRecord> &calls, const Scenario &scenario) -> std::string;
 
 } // namespace auburnspread::load
--- a/src/load/reportformat.cpp
+++ b/src/load/reportformat.cpp
@@ -93,6 +93,33 @@
     return json;
 }
 
+auto attemptJson(const AttemptRecord &attempt) -> Json
+{
+    return { { "result", resultName(attempt.result) }, { "status", attempt.status }, { "reason", attempt.reason },
+             { "outcome", attempt.outcome },           { "entry", attempt.entry },   { "end_ms", milliseconds(attempt.end) } };
+}
+
+auto callJson(const CallRecord &call, const Scenario &scenario) -> Json
+{
+    Json json{ { "call", call.number },           { "flow", scenario.flows[call.flow].name },
+               { "workspace", call.workspace },   { "stream", call.stream },
+               { "digest", call.digest },         { "key", call.key },
+               { "at_ms", milliseconds(call.at) } };
+    if (call.firstToken) {
+        json["first_token_ms"] = milliseconds(*call.firstToken);
+    }
+    json["end_ms"] = milliseconds(call.end);
+    json["tokens"] = call.tokens;
+    json["longest_gap_ms"] = milliseconds(call.longestGap);
+    json["redirects"] = call.redirects;
+    json["lookups"] = call.lookups;
+    json["attempts"] = Json::array();
+    for (const auto &attempt : call.attempts) {
+        json["attempts"].push_back(attemptJson(attempt));
+    }
+    return json;
+}
+
 auto percent(std::uint64_t part, std::uint64_t whole) -> std::string
 {
     constexpr double Whole = 100;
@@ -148,6 +175,15 @@
     return json;
 }
 
+auto toJsonLines(const std::vector<CallRecord> &calls, const Scenario &scenario) -> std::string
+{
+    std::string lines;
+    for (const auto &call : calls) {
+        lines += callJson(call, scenario).dump() + '\n';
+    }
+    return lines;
+}
+
 auto toTable(const RunReport &report) -> std::string
 {
     std::ostringstream out;
--- a/src/load/run.cpp
+++ b/src/load/run.cpp
@@ -5,6 +5,8 @@
 #include "load/executions.h"
 #include "load/faults.h"
 
+#include <fstream>
+
 namespace auburnspread::load
 {
 
@@ -15,7 +17,7 @@
 /// After the last answer, so that engines notice closed connections before their logs are read.
 constexpr auto LogDelay = std::chrono::milliseconds(300);
 
-auto callersOptions(const Site &site, RunOptions options) -> CallersOptions
+auto callersOptions(const Site &site, const RunOptions &options) -> CallersOptions
 {
     CallersOptions made;
     if (!options.direct) {
@@ -30,7 +32,7 @@
 
 } // namespace
 
-auto runScenario(const Scenario &scenario, const Site &site, RunOptions options) -> RunReport
+auto runScenario(const Scenario &scenario, const Site &site, const RunOptions &options) -> RunReport
 {
     task::EventLoop loop;
     const auto plan = planCalls(scenario, site.document);
@@ -53,10 +55,14 @@
     }
     faults.start();
     loop.run();
+    auto calls = callers.takeRecords();
+    if (!options.callsFile.empty()) {
+        std::ofstream(options.callsFile) << toJsonLines(calls, scenario);
+    }
     return makeReport({ .scenario = &scenario,
                         .document = &site.document,
                         .policy = site.policy,
-                        .calls = callers.takeRecords(),
+                        .calls = std::move(calls),
                         .logs = reader.logs(),
                         .faults = faults.records() });
 }
