--- a/src/load/callers.cpp
+++ b/src/load/callers.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint32_t MostRedirects = 3;
 constexpr std::uint32_t MostLookups = 6;
 constexpr auto LookupTimeout = std::chrono::seconds(1);
+constexpr auto LookupDelay = std::chrono::milliseconds(100);
 constexpr auto RepeatDelay = std::chrono::milliseconds(500);
 constexpr std::string_view Scheme = "http://";
 
@@ -208,7 +209,12 @@
 {
     const auto answer = nlohmann::json::parse(body, nullptr, false);
     if (answer.is_discarded() || !answer.contains("addresses") || answer.at("addresses").empty()) {
-        askEntries(call);
+        const std::weak_ptr<OpenCall> weak = call;
+        call->timer = loop_.after(LookupDelay, [this, weak]() {
+            if (const auto asking = weak.lock()) {
+                askEntries(asking);
+            }
+        });
         return;
     }
     KeptEntries kept{ .addresses = answer.at("addresses").get<std::vector<std::string>>() };
