--- a/src/wire/peer/internal/link.cpp
+++ b/src/wire/peer/internal/link.cpp
@@ -358,6 +358,11 @@
     return peer_;
 }
 
+auto Link::peerNames() -> std::vector<std::string> &
+{
+    return peerNames_;
+}
+
 auto Link::lastHeard() const -> TimePoint
 {
     return lastHeard_;
--- a/src/wire/peer/internal/link.h
+++ b/src/wire/peer/internal/link.h
@@ -66,6 +66,8 @@
     [[nodiscard]] auto isDialled() const -> bool;
     [[nodiscard]] auto dialledAddress() const -> const std::string &;
     [[nodiscard]] auto peer() const -> const Identity &;
+    /// What the peer's indexed reports refer to.
+    [[nodiscard]] auto peerNames() -> std::vector<std::string> &;
     [[nodiscard]] auto lastHeard() const -> TimePoint;
     /// Whether it stayed authenticated for longer than the silence time.
     [[nodiscard]] auto hasLived() const -> bool;
@@ -113,6 +115,7 @@
     Identity peer_;
     Transcript transcript_;
     SendQueue queue_;
+    std::vector<std::string> peerNames_;
     TimePoint openedAt_;
     TimePoint authenticatedAt_;
     TimePoint lastHeard_;
--- a/src/wire/peer/internal/sendqueue.cpp
+++ b/src/wire/peer/internal/sendqueue.cpp
@@ -8,7 +8,7 @@
 
 auto isDroppable(MessageType type) -> bool
 {
-    return type != MessageType::Quarantine && type != MessageType::Leaving;
+    return type != MessageType::Quarantine && type != MessageType::Leaving && type != MessageType::Names;
 }
 
 SendQueue::SendQueue(std::size_t maxBytes)
@@ -21,7 +21,7 @@
     bytes_ += message.bytes->size();
     messages_.push_back(std::move(message));
     std::vector<OutgoingMessage> dropped;
-    dropOldest(dropped, [](MessageType type) { return type == MessageType::Report; });
+    dropOldest(dropped, [](MessageType type) { return type == MessageType::Report || type == MessageType::IndexedReport; });
     dropOldest(dropped, isDroppable);
     return dropped;
 }
--- a/src/wire/peer/internal/sendqueue.h
+++ b/src/wire/peer/internal/sendqueue.h
@@ -24,7 +24,8 @@
 auto isDroppable(MessageType type) -> bool;
 
 /// First in, first out, bounded in bytes. Beyond the bound the oldest reports go first, then the oldest other
-/// droppable messages; quarantine and leaving notices stay, since nothing repeats them.
+/// droppable messages; quarantine and leaving notices stay, since nothing repeats them, and so do the names that later
+/// reports refer to.
 class SendQueue
 {
 public:
--- a/src/wire/peer/links.cpp
+++ b/src/wire/peer/links.cpp
@@ -1,6 +1,7 @@
 #include "wire/peer/links.h"
 
 #include "wire/peer/internal/link.h"
+#include "wire/peer/internal/nameindex.h"
 
 #include <arpa/inet.h>
 #include <event2/listener.h>
@@ -101,6 +102,8 @@
     auto bury() -> void;
     auto jitter(Duration mean) -> Duration;
     auto encodeMessage(const Message &message) const -> OutgoingMessage;
+    auto prepare(const Message &message) -> OutgoingMessage;
+    auto sendToAll(const OutgoingMessage &outgoing) -> void;
 
     task::EventLoop &loop_;
     LinksOptions options_;
@@ -113,6 +116,7 @@
     std::map<std::string, Link *> byName_; ///< authenticated and kept
     std::set<std::string> seen_;           ///< names that had a link before
     std::map<std::string, Target> targets_;
+    detail::NameIndex nameIndex_;
     std::vector<std::unique_ptr<Link>> links_;
     std::vector<std::unique_ptr<Link>> ended_; ///< destroyed once no callback of theirs runs
     std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
@@ -281,15 +285,31 @@
     if (!seen_.insert(peer.name).second) {
         ++counters_.reconnects;
     }
+    for (const auto &names : nameIndex_.listAll()) {
+        link.send(encodeMessage(names));
+    }
     callbacks_.opened(peer.name, peer.incarnation, link.dialledAddress());
 }
 
 auto Links::Implementation::handleReceived(Link &link, const Envelope &envelope) -> void
 {
+    if (const auto *names = std::get_if<Names>(&envelope.message)) {
+        if (!detail::learnNames(link.peerNames(), *names)) {
+            link.end(LinkFailure::Malformed);
+        }
+        return;
+    }
     const auto kept = byName_.find(link.peer().name);
-    if (kept != byName_.end() && kept->second == &link) {
-        callbacks_.received(envelope.from, envelope.incarnation, envelope.message);
+    if (kept == byName_.end() || kept->second != &link) {
+        return;
     }
+    if (const auto *indexed = std::get_if<IndexedReport>(&envelope.message)) {
+        auto report = detail::toNamed(*indexed, link.peerNames());
+        report.report.entry = envelope.from;
+        callbacks_.received(envelope.from, envelope.incarnation, report);
+        return;
+    }
+    callbacks_.received(envelope.from, envelope.incarnation, envelope.message);
 }
 
 auto Links::Implementation::handleEnded(Link &link, LinkFailure failure) -> void
@@ -369,19 +389,41 @@
     return { .type = *type, .bytes = std::make_shared<const std::string>(std::move(bytes)) };
 }
 
+/// Encodes what is to be sent; a report goes with numbers for its names, which every peer is told first.
+auto Links::Implementation::prepare(const Message &message) -> OutgoingMessage
+{
+    const auto *report = std::get_if<Report>(&message);
+    if (report == nullptr) {
+        return encodeMessage(message);
+    }
+    const auto indexed = nameIndex_.toIndexed(report->report);
+    for (const auto &names : nameIndex_.takeNew()) {
+        sendToAll(encodeMessage(names));
+    }
+    return indexed ? encodeMessage(*indexed) : encodeMessage(message);
+}
+
 auto Links::Implementation::send(const std::string &name, const Message &message) -> bool
 {
-    const auto found = byName_.find(name);
+    if (!byName_.contains(name)) {
+        return false;
+    }
+    const auto outgoing = prepare(message);
+    const auto found = byName_.find(name); // announcing names may have ended the link
     if (found == byName_.end()) {
         return false;
     }
-    found->second->send(encodeMessage(message));
+    found->second->send(outgoing);
     return true;
 }
 
 auto Links::Implementation::broadcast(const Message &message) -> void
 {
-    const auto outgoing = encodeMessage(message);
+    sendToAll(prepare(message));
+}
+
+auto Links::Implementation::sendToAll(const OutgoingMessage &outgoing) -> void
+{
     for (const auto &name : linkedNames()) {
         const auto found = byName_.find(name);
         if (found != byName_.end()) {
--- a/src/wire/peer/messages.cpp
+++ b/src/wire/peer/messages.cpp
@@ -163,50 +163,99 @@
     return members;
 }
 
-auto encodeBody(const Report &report) -> Json
+/// The three lists of a report, with names or with numbers for them.
+template <typename Backends, typename Demand, typename Workspaces>
+auto encodeLists(const Backends &backends, const Demand &demand, const Workspaces &workspaces) -> Json
 {
-    auto backends = Json::array();
-    for (const auto &use : report.report.backends) {
-        backends.push_back(Json::array({ use.backend, use.inFlight }));
+    auto lists = Json::array({ Json::array(), Json::array(), Json::array() });
+    for (const auto &[backend, inFlight] : backends) {
+        lists[0].push_back(Json::array({ backend, inFlight }));
     }
-    auto demand = Json::array();
-    for (const auto &model : report.report.demand) {
-        demand.push_back(Json::array({ model.model, model.waiting, model.inFlight }));
+    for (const auto &[model, waiting, inFlight] : demand) {
+        lists[1].push_back(Json::array({ model, waiting, inFlight }));
     }
-    auto workspaces = Json::array();
-    for (const auto &use : report.report.workspaces) {
-        workspaces.push_back(Json::array({ use.workspace, use.requests, use.tokens, use.inFlight }));
+    for (const auto &[workspace, requests, tokens, inFlight] : workspaces) {
+        lists[2].push_back(Json::array({ workspace, requests, tokens, inFlight }));
     }
-    return Json::array({ std::move(backends), std::move(demand), std::move(workspaces) });
+    return lists;
 }
 
-auto readReport(Fields &fields) -> Report
+auto encodeBody(const Report &report) -> Json
+{
+    return encodeLists(report.report.backends, report.report.demand, report.report.workspaces);
+}
+
+auto encodeBody(const IndexedReport &report) -> Json
+{
+    return encodeLists(report.backends, report.demand, report.workspaces);
+}
+
+auto readName(Fields &fields, std::string &name) -> void
+{
+    name = fields.text();
+}
+
+auto readName(Fields &fields, std::uint32_t &number) -> void
+{
+    number = fields.number32();
+}
+
+template <typename Backends, typename Demand, typename Workspaces>
+auto readLists(Fields &fields, Backends &backends, Demand &demand, Workspaces &workspaces) -> void
 {
-    Report report;
     for (const auto &json : fields.list()) {
         Fields use(json, "backend use");
-        auto &backend = report.report.backends.emplace_back();
-        backend.backend = use.text();
-        backend.inFlight = use.number32();
+        auto &[backend, inFlight] = backends.emplace_back();
+        readName(use, backend);
+        inFlight = use.number32();
     }
     for (const auto &json : fields.list()) {
-        Fields demand(json, "model demand");
-        auto &model = report.report.demand.emplace_back();
-        model.model = demand.text();
-        model.waiting = demand.number32();
-        model.inFlight = demand.number32();
+        Fields use(json, "model demand");
+        auto &[model, waiting, inFlight] = demand.emplace_back();
+        readName(use, model);
+        waiting = use.number32();
+        inFlight = use.number32();
     }
     for (const auto &json : fields.list()) {
         Fields use(json, "workspace use");
-        auto &workspace = report.report.workspaces.emplace_back();
-        workspace.workspace = use.text();
-        workspace.requests = use.number32();
-        workspace.tokens = use.number32();
-        workspace.inFlight = use.number32();
+        auto &[workspace, requests, tokens, inFlight] = workspaces.emplace_back();
+        readName(use, workspace);
+        requests = use.number32();
+        tokens = use.number32();
+        inFlight = use.number32();
     }
+}
+
+auto readReport(Fields &fields) -> Report
+{
+    Report report;
+    readLists(fields, report.report.backends, report.report.demand, report.report.workspaces);
+    return report;
+}
+
+auto readIndexedReport(Fields &fields) -> IndexedReport
+{
+    IndexedReport report;
+    readLists(fields, report.backends, report.demand, report.workspaces);
     return report;
 }
 
+auto encodeBody(const Names &names) -> Json
+{
+    return Json::array({ names.first, names.names });
+}
+
+auto readNames(Fields &fields) -> Names
+{
+    Names names{ .first = fields.number32(), .names = {} };
+    const auto &list = fields.list();
+    Fields texts(list, "names");
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        names.names.push_back(texts.text());
+    }
+    return names;
+}
+
 using Mark = routing::QuarantineHeard::Mark;
 
 constexpr auto Marks = std::to_array<NamedValue<Mark>>({
@@ -310,6 +359,10 @@
         return readMembers(fields);
     case MessageType::Report:
         return readReport(fields);
+    case MessageType::Names:
+        return readNames(fields);
+    case MessageType::IndexedReport:
+        return readIndexedReport(fields);
     case MessageType::Quarantine:
         return readQuarantine(fields);
     case MessageType::Leaving:
--- a/src/wire/peer/messages.h
+++ b/src/wire/peer/messages.h
@@ -70,6 +70,34 @@
     routing::PeerReported report;
 };
 
+/// The numbers that the sender's indexed reports use from now on: \c names from \c first on. 0 starts over.
+struct Names {
+    std::uint32_t first = 0;
+    std::vector<std::string> names;
+};
+
+/// A Report with numbers in place of names. Links turn a Report into it and back.
+struct IndexedReport {
+    struct BackendUse {
+        std::uint32_t name = 0;
+        std::uint32_t inFlight = 0;
+    };
+    struct ModelDemand {
+        std::uint32_t name = 0;
+        std::uint32_t waiting = 0;
+        std::uint32_t inFlight = 0;
+    };
+    struct WorkspaceUse {
+        std::uint32_t name = 0;
+        std::uint32_t requests = 0;
+        std::uint32_t tokens = 0;
+        std::uint32_t inFlight = 0;
+    };
+    std::vector<BackendUse> backends;
+    std::vector<ModelDemand> demand;
+    std::vector<WorkspaceUse> workspaces;
+};
+
 struct Quarantine {
     routing::QuarantineHeard notice;
 };
@@ -104,8 +132,21 @@
 };
 
 /// In the order of MessageType, Unknown last.
-using Message
-    = std::variant<Hello, Challenge, Proof, Ping, Pong, Members, Report, Quarantine, Leaving, Configuration, ConfigurationRequest, ConfigurationPart, Unknown>;
+using Message = std::variant<Hello,
+                             Challenge,
+                             Proof,
+                             Ping,
+                             Pong,
+                             Members,
+                             Report,
+                             Names,
+                             IndexedReport,
+                             Quarantine,
+                             Leaving,
+                             Configuration,
+                             ConfigurationRequest,
+                             ConfigurationPart,
+                             Unknown>;
 
 struct Envelope {
     std::string from;
--- a/src/wire/peer/messagetype.cpp
+++ b/src/wire/peer/messagetype.cpp
@@ -16,6 +16,8 @@
     { MessageType::Pong, "pong" },
     { MessageType::Members, "members" },
     { MessageType::Report, "report" },
+    { MessageType::Names, "names" },
+    { MessageType::IndexedReport, "indexed-report" },
     { MessageType::Quarantine, "quarantine" },
     { MessageType::Leaving, "leaving" },
     { MessageType::Configuration, "configuration" },
--- a/src/wire/peer/messagetype.h
+++ b/src/wire/peer/messagetype.h
@@ -21,6 +21,8 @@
     Pong,
     Members,
     Report,
+    Names,
+    IndexedReport,
     Quarantine,
     Leaving,
     Configuration,
