Non-repeatable requests and suspects use fresh connections

Cause: a kept connection that was lost without a sign breaks after the request was written; a non-repeatable request was then given up although nothing ran.

--- a/src/core/routing/internal/placing.cpp
+++ b/src/core/routing/internal/placing.cpp
@@ -12,6 +12,13 @@
 namespace
 {
 
+/// A kept connection may have been closed or lost by the other end without a sign. Its break looks as if the request might have run:
+/// a non-repeatable request would be given up for nothing, and a suspect would seem to have crashed another server.
+auto needsFreshConnection(const Request &request, const Attempt &attempt) -> bool
+{
+    return request.retries > 0 || !request.repeatable || attempt.alone;
+}
+
 auto send(RouterState &state, Request &request, Attempt &attempt, Actions &actions) -> void
 {
     const auto &key = routeOf(state, request.route).key;
@@ -30,7 +37,7 @@
         .adapter = key.adapter,
         .priority = request.requestClass->definition.tier,
         .resumeOffset = attempt.resumeOffset,
-        .freshConnection = request.retries > 0,
+        .freshConnection = needsFreshConnection(request, attempt),
         .firstTokenTimeout = limits.firstTokenTimeout,
         .progressTimeout = limits.progressTimeout,
     });
