Tickets and stored answers for non-repeatable calls; early addresses; pauses forgiven

Change: POST /v1/tickets gives tickets bound to this entry's run; a repeat at the same entry gets the stored answer (whichever of answer and end is told first: once::settle takes a late answer); /readyz waits until the entry is named to callers and a young member list is kept 500 ms; the backend task shifts its deadlines by a pause of its own loop. Ruled out: answering a ticket of another entry as not-run; it may have run there, so it is a duplicate. The pause fix is not measured yet.

--- a/src/core/once/claimtable.cpp
+++ b/src/core/once/claimtable.cpp
@@ -33,15 +33,17 @@
 auto settle(ClaimTable &table, const ClaimKey &key, std::optional<StoredAnswer> answer, TimePoint now) -> void
 {
     const auto found = table.rows.find(key);
-    if (found == table.rows.end() || found->second.settled) {
+    if (found == table.rows.end()) {
         return;
     }
     auto &row = found->second;
-    row.settled = true;
-    row.settledAt = now;
-    if (answer && answer->body.size() <= table.options.answerBytes) {
+    if (!row.answer && answer && answer->body.size() <= table.options.answerBytes) {
         row.answer = std::move(answer);
     }
+    if (std::exchange(row.settled, true)) {
+        return;
+    }
+    row.settledAt = now;
     table.settledOrder.push_back({ .key = key, .generation = row.generation });
     expire(table, now);
 }
--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -24,6 +24,7 @@
 {
 
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
+constexpr Duration LongestRegularGap = std::chrono::milliseconds(300); // between sweeps; beyond it the process was paused
 constexpr Duration ProbeTimeout = std::chrono::seconds(1);
 constexpr int OkStatus = 200;
 constexpr int UnavailableStatus = 503;
@@ -182,6 +183,7 @@
     auto block(const CallerBlocked &message) -> void;
     auto startProbe(const routing::ProbeBackend &order) -> void;
     auto sweep() -> void;
+    auto forgivePause(TimePoint now) -> void;
     auto sweepAttempts(TimePoint now) -> void;
     auto sweepProbes(TimePoint now) -> void;
     auto closeEnded() -> void;
@@ -196,6 +198,7 @@
     std::vector<std::pair<std::unique_ptr<Attempt>, bool>> ended; ///< with whether the connection may be kept
     std::vector<std::unique_ptr<Probe>> probes;
     task::Watch closing;
+    TimePoint lastSweep = task::monotonicNow();
 };
 
 auto BackendTask::State::take(BackendMessage message) -> void
@@ -363,9 +366,25 @@
     }
 }
 
+/// Failure: this process is paused for longer than a timeout, then goes on. Symptom: every stream is judged silent
+/// although its tokens wait unread in the sockets, and all are retried at once. The time of the pause is not
+/// counted against backend servers.
+auto BackendTask::State::forgivePause(TimePoint now) -> void
+{
+    const auto pause = now - std::exchange(lastSweep, now);
+    if (pause < LongestRegularGap) {
+        return;
+    }
+    for (auto &[id, attempt] : attempts) {
+        attempt->deadline += pause;
+        attempt->connectDeadline += pause;
+    }
+}
+
 auto BackendTask::State::sweep() -> void
 {
     const auto now = task::monotonicNow();
+    forgivePause(now);
     sweepAttempts(now);
     sweepProbes(now);
     pool.expire(now);
--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -39,6 +39,8 @@
 constexpr std::size_t HeaderCutFactor = 4; // beyond the answerable bound by this much the connection is cut
 constexpr auto ChatPath = "/v1/chat/completions";
 constexpr auto EntriesPath = "/v1/entries";
+constexpr auto TicketsPath = "/v1/tickets";
+constexpr std::uint32_t MostTickets = 100;
 constexpr std::string_view ServicesPrefix = "/services/";
 constexpr Duration RedirectRetryAfter = std::chrono::seconds(1);
 
@@ -92,6 +94,11 @@
     auto open(evhtp_request *request, Connection &connection, RequestId id) -> Exchange &;
     auto askEntries(evhtp_request *request, Connection &connection) -> void;
     auto answerEntries(const EntriesAnswered &answer) -> void;
+    auto askTickets(evhtp_request *request, Connection &connection) -> void;
+    auto answerTickets(const TicketsAnswered &answer) -> void;
+    auto answerStored(const StoredAnswer &answer) -> void;
+    auto endAnswer(Exchange &exchange) -> void;
+    auto writeJson(Exchange &exchange, const nlohmann::json &document) -> void;
     auto answerDraining(evhtp_request *request) -> void;
     auto refuseInput(evhtp_request *request, const RefusedInput &input) -> void;
     auto prepareReply(evhtp_request *request) const -> void;
@@ -233,6 +240,10 @@
         askEntries(request, connection);
         return;
     }
+    if (bare == TicketsPath && isPost) {
+        askTickets(request, connection);
+        return;
+    }
     if (!(bare == ChatPath && isPost) && !isService) {
         throw RefusedInput(Reason::BadRequest, "path: no such method and path: " + bare);
     }
@@ -251,6 +262,7 @@
     exchange.publicId = submission.payload->publicId;
     exchange.kind = submission.arrived.kind;
     exchange.stream = submission.payload->stream;
+    exchange.keepAnswer = exchange.kind == routing::CallKind::Service && !submission.payload->idempotencyKey.empty();
     exchange.whole.requestId = exchange.publicId;
     exchange.whole.model = submission.arrived.model;
     mailboxes.router.post(std::move(submission));
@@ -313,10 +325,67 @@
         { "keep_ms", keep },
         { "membership_version", answer.view.membershipVersion },
     };
-    writeDocument(exchange->request, EVHTP_RES_OK, "application/json", document.dump());
+    writeJson(*exchange, document);
+}
+
+auto CallerTask::State::writeJson(Exchange &exchange, const nlohmann::json &document) -> void
+{
+    writeDocument(exchange.request, EVHTP_RES_OK, "application/json", document.dump());
+    end(exchange);
+}
+
+auto CallerTask::State::askTickets(evhtp_request *request, Connection &connection) -> void
+{
+    const auto count = queryOf(request, "count");
+    std::uint32_t wanted = 1;
+    if (!count.empty()) {
+        const auto [last, error] = std::from_chars(count.data(), count.data() + count.size(), wanted);
+        if (error != std::errc() || last != count.data() + count.size() || wanted < 1 || wanted > MostTickets) {
+            throw RefusedInput(Reason::BadRequest, "count: expected 1 to " + std::to_string(MostTickets) + ", got " + count);
+        }
+    }
+    const auto workspace = queryOf(request, "workspace");
+    if (workspace.empty()) {
+        throw RefusedInput(Reason::BadRequest, "workspace: query argument is missing");
+    }
+    const auto id = RequestId{ ++lastId };
+    open(request, connection, id);
+    mailboxes.control.post(TicketsAsked{ .request = id, .workspace = workspace, .count = wanted });
+}
+
+auto CallerTask::State::answerTickets(const TicketsAnswered &answer) -> void
+{
+    if (auto *exchange = find(answer.request)) {
+        writeJson(*exchange, { { "tickets", answer.tickets }, { "address", options.address } });
+    }
+}
+
+auto CallerTask::State::answerStored(const StoredAnswer &answer) -> void
+{
+    auto *exchange = find(answer.request);
+    if (exchange == nullptr || exchange->begun) {
+        return;
+    }
+    addReplyHeader(exchange->request, "Auburnspread-Request", exchange->publicId);
+    addReplyHeader(exchange->request, "Auburnspread-Repeated", "yes");
+    writeDocument(exchange->request, answer.status, answer.contentType, answer.body);
     end(*exchange);
 }
 
+auto CallerTask::State::endAnswer(Exchange &exchange) -> void
+{
+    if (isKept(exchange)) {
+        mailboxes.control.post(AnswerKept{ {
+            .request = exchange.id,
+            .status = exchange.serviceStatus,
+            .contentType = exchange.serviceContentType,
+            .body = exchange.keptBody,
+        } });
+    }
+    writeEnd(exchange);
+    end(exchange);
+}
+
 /// A caller that kept an old answer of /v1/entries is sent to a peer; nothing was run.
 auto CallerTask::State::answerDraining(evhtp_request *request) -> void
 {
@@ -374,8 +443,7 @@
         }
     } else if (const auto *ended = std::get_if<AnswerEnded>(&message)) {
         if (auto *exchange = find(ended->request)) {
-            writeEnd(*exchange);
-            end(*exchange);
+            endAnswer(*exchange);
         }
     } else if (const auto *refuse = std::get_if<routing::Refuse>(&message)) {
         takeRefusal(*refuse);
@@ -390,8 +458,12 @@
         }
     } else if (const auto *published = std::get_if<EntriesPublished>(&message)) {
         entries = published->view;
-    } else if (const auto *asked = std::get_if<EntriesAnswered>(&message)) {
-        answerEntries(*asked);
+    } else if (const auto *addresses = std::get_if<EntriesAnswered>(&message)) {
+        answerEntries(*addresses);
+    } else if (const auto *tickets = std::get_if<TicketsAnswered>(&message)) {
+        answerTickets(*tickets);
+    } else if (const auto *stored = std::get_if<StoredAnswer>(&message)) {
+        answerStored(*stored);
     } else if (std::holds_alternative<routing::DrainStarted>(message)) {
         draining = true;
     }
--- a/src/entry/caller/internal/exchange.cpp
+++ b/src/entry/caller/internal/exchange.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int OkStatus = 200;
+constexpr std::size_t MostKeptBytes = 4096;
 constexpr auto Json = "application/json";
 constexpr auto EventStream = "text/event-stream";
 
@@ -63,6 +64,9 @@
     if (exchange.kind == routing::CallKind::Service) {
         begin(exchange, exchange.serviceStatus, exchange.serviceContentType);
         writeChunk(exchange, part.content);
+        if (exchange.keepAnswer && exchange.keptBody.size() <= MostKeptBytes) {
+            exchange.keptBody += part.content;
+        }
         return;
     }
     if (exchange.stream) {
@@ -76,6 +80,11 @@
     }
 }
 
+auto isKept(const Exchange &exchange) -> bool
+{
+    return exchange.keepAnswer && exchange.keptBody.size() <= MostKeptBytes;
+}
+
 auto writeEnd(Exchange &exchange) -> void
 {
     if (exchange.kind == routing::CallKind::Service) {
--- a/src/entry/caller/internal/exchange.h
+++ b/src/entry/caller/internal/exchange.h
@@ -29,10 +29,14 @@
     chat::WholeAnswer whole;
     int serviceStatus = 0;
     std::string serviceContentType;
+    bool keepAnswer = false; ///< the call has an idempotency key: its answer is kept for repeats
+    std::string keptBody;
 };
 
 /// Writes a token of a streamed answer, or keeps it for a whole one, or writes bytes of a service's answer.
 auto writePart(Exchange &exchange, const AnswerPart &part) -> void;
+/// Whether the answer of a service's call is whole and short enough to be kept.
+auto isKept(const Exchange &exchange) -> bool;
 /// Writes the end of the answer. The exchange is over afterwards.
 auto writeEnd(Exchange &exchange) -> void;
 /// Writes a refusal: a status and a body before the first byte, an SSE error event after it.
--- a/src/entry/control/controltask.cpp
+++ b/src/entry/control/controltask.cpp
@@ -49,6 +49,8 @@
     auto linkOpened(const std::string &name, std::uint64_t incarnation, const std::string &dialledAddress) -> void;
     auto adopt(const std::shared_ptr<const configuration::AdoptedDocument> &document) -> void;
     auto answerEntries(const EntriesAsked &asked) -> void;
+    auto issueTickets(const TicketsAsked &asked) -> void;
+    auto tellReadiness() -> void;
     auto modelOf(const std::string &requestClass) const -> std::string;
     auto takeVms(const platform::VmList &list) -> void;
     auto markBackends() -> void;
@@ -154,6 +156,10 @@
         links.broadcast(peer::Quarantine{ .notice = { .fingerprint = told->fingerprint, .mark = told->mark } });
     } else if (const auto *asked = std::get_if<EntriesAsked>(&message)) {
         answerEntries(*asked);
+    } else if (const auto *tickets = std::get_if<TicketsAsked>(&message)) {
+        issueTickets(*tickets);
+    } else if (const auto *kept = std::get_if<AnswerKept>(&message)) {
+        claims.keep(*kept);
     } else if (std::holds_alternative<routing::Drained>(message)) {
         takeDrained();
     } else if (std::holds_alternative<DrainAsked>(message)) {
@@ -205,6 +211,7 @@
     document = adopted;
     mailboxes.router.post(routing::Event(routing::ConfigurationAdopted{ .configuration = adopted }));
     markBackends();
+    tellReadiness();
     logging::event(logging::Level::Info, "configuration-adopted", { { "version", adopted->version }, { "digest", adopted->digest } });
 }
 
@@ -213,6 +220,19 @@
     mailboxes.caller.post(EntriesAnswered{ .request = asked.request, .view = members.answer(asked, modelOf(asked.requestClass)) });
 }
 
+auto ControlTask::State::issueTickets(const TicketsAsked &asked) -> void
+{
+    TicketsAnswered answer{ .request = asked.request };
+    while (!draining && answer.tickets.size() < asked.count) {
+        auto ticket = claims.issueTicket(asked.workspace);
+        if (ticket.empty()) {
+            break;
+        }
+        answer.tickets.push_back(std::move(ticket));
+    }
+    mailboxes.caller.post(std::move(answer));
+}
+
 auto ControlTask::State::modelOf(const std::string &requestClass) const -> std::string
 {
     if (!document) {
@@ -281,12 +301,20 @@
     });
 }
 
+auto ControlTask::State::tellReadiness() -> void
+{
+    members.feed(membership::ReadinessChanged{ .ready = configuration::readinessOf(configurations.state()).ready });
+}
+
 auto ControlTask::State::readiness() const -> Readiness
 {
     if (draining) {
         return { .ready = false, .why = "draining" };
     }
     const auto known = configuration::readinessOf(configurations.state());
+    if (known.ready && !membership::isServing(membership::selfRecord(members.state()).state)) {
+        return { .ready = false, .why = "not yet named to callers" };
+    }
     return { .ready = known.ready, .why = known.text };
 }
 
@@ -321,7 +349,7 @@
     auto &state = *state_;
     const auto inbox = state.loop.receive(state.mailboxes.control, [&state](const ControlMessage &message) { state.take(message); });
     state.ticker = state.loop.every(TickInterval, [&state]() {
-        state.members.feed(membership::ReadinessChanged{ .ready = state.readiness().ready });
+        state.tellReadiness();
         state.members.feed(membership::Tick{});
     });
     state.claimTicker = state.loop.every(ClaimInterval, [&state]() {
--- a/src/entry/control/internal/claimregistrar.cpp
+++ b/src/entry/control/internal/claimregistrar.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr std::size_t MostSettled = 1000; // requests whose answer is awaited after their end
+
 auto judgeCreate(platform::Verdict verdict) -> once::CreateResult
 {
     switch (verdict) {
@@ -62,13 +64,52 @@
     const auto now = task::monotonicNow();
     const auto key = once::makeClaimKey(wanted.workspace, wanted.idempotencyKey);
     if (!once::begin(table_, key, now)) {
-        settle(wanted.request, routing::ClaimResult::Duplicate);
+        answerFromTable(wanted, key);
         return;
     }
     grips_[wanted.request] = key;
     perform(once::submit(claimer_, wanted.request, key, now));
 }
 
+/// The stored answer goes to the caller before the router hears of the duplicate, whose refusal then finds no one.
+auto ClaimRegistrar::answerFromTable(const routing::ClaimKey &wanted, const once::ClaimKey &key) -> void
+{
+    const auto known = once::lookup(table_, key, task::monotonicNow());
+    if (known.answer != nullptr) {
+        mailboxes_.caller.post(StoredAnswer{
+            .request = wanted.request,
+            .status = known.answer->status,
+            .contentType = known.answer->contentType,
+            .body = known.answer->body,
+        });
+    }
+    settle(wanted.request, routing::ClaimResult::Duplicate);
+}
+
+auto ClaimRegistrar::keep(const AnswerKept &kept) -> void
+{
+    once::StoredAnswer answer{ .status = kept.answer.status, .contentType = kept.answer.contentType, .body = kept.answer.body };
+    if (grips_.contains(kept.answer.request)) {
+        answers_[kept.answer.request] = std::move(answer);
+        return;
+    }
+    //! NOTE the caller task tells the answer and the router task the end, in either order
+    const auto settled = settled_.extract(kept.answer.request);
+    if (!settled.empty()) {
+        once::settle(table_, settled.mapped(), std::move(answer), task::monotonicNow());
+    }
+}
+
+auto ClaimRegistrar::rememberSettled(RequestId request, const once::ClaimKey &key) -> void
+{
+    settled_[request] = key;
+    settledOrder_.push_back(request);
+    if (settledOrder_.size() > MostSettled) {
+        settled_.erase(settledOrder_.front());
+        settledOrder_.pop_front();
+    }
+}
+
 auto ClaimRegistrar::claimByTicket(const routing::ClaimKey &wanted, const once::Ticket &ticket) -> void
 {
     switch (once::useTicket(tickets_, ticket, wanted.workspace, task::monotonicNow())) {
@@ -77,9 +118,9 @@
         settle(wanted.request, routing::ClaimResult::Claimed);
         return;
     case once::TicketVerdict::Invalid:
-    case once::TicketVerdict::OtherEntry:
         settle(wanted.request, routing::ClaimResult::Unavailable);
         return;
+    case once::TicketVerdict::OtherEntry: // it may have run there: a refusal as not run could be a lie
     case once::TicketVerdict::Used:
     case once::TicketVerdict::Expired:
         settle(wanted.request, routing::ClaimResult::Duplicate);
@@ -96,6 +137,7 @@
     const auto now = task::monotonicNow();
     const auto grip = std::move(found->second);
     grips_.erase(found);
+    auto answer = answers_.extract(ended.request);
     if (const auto *ticket = std::get_if<once::Ticket>(&grip)) {
         if (!ended.mayHaveRun) {
             once::returnTicket(tickets_, *ticket);
@@ -104,7 +146,10 @@
     }
     const auto &key = std::get<once::ClaimKey>(grip);
     if (ended.mayHaveRun) {
-        once::settle(table_, key, std::nullopt, now);
+        if (answer.empty()) {
+            rememberSettled(ended.request, key);
+        }
+        once::settle(table_, key, answer.empty() ? std::nullopt : std::optional(std::move(answer.mapped())), now);
         return;
     }
     once::abandon(table_, key);
--- a/src/entry/control/internal/claimregistrar.h
+++ b/src/entry/control/internal/claimregistrar.h
@@ -10,6 +10,7 @@
 #include "entry/messages/messages.h"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -34,6 +35,8 @@
 
     auto claim(const routing::ClaimKey &wanted) -> void;
     auto end(const ClaimEnded &ended) -> void;
+    /// The answer of a request that holds a claim; arrives before or after its end.
+    auto keep(const AnswerKept &kept) -> void;
     /// To be called every few milliseconds while isBusy().
     auto advance() -> void;
     [[nodiscard]] auto isBusy() const -> bool;
@@ -45,6 +48,8 @@
     using Grip = std::variant<once::ClaimKey, once::Ticket>;
 
     auto claimByTicket(const routing::ClaimKey &wanted, const once::Ticket &ticket) -> void;
+    auto answerFromTable(const routing::ClaimKey &wanted, const once::ClaimKey &key) -> void;
+    auto rememberSettled(RequestId request, const once::ClaimKey &key) -> void;
     auto settle(RequestId request, routing::ClaimResult result) -> void;
     auto perform(const once::ClaimerActions &actions) -> void;
     auto create(const once::CreateCall &call) -> void;
@@ -58,6 +63,9 @@
     once::ClaimTable table_;
     once::TicketOffice tickets_;
     std::unordered_map<RequestId, Grip> grips_;
+    std::unordered_map<RequestId, once::StoredAnswer> answers_; ///< of requests that have not ended yet
+    std::unordered_map<RequestId, once::ClaimKey> settled_;     ///< whose answer may still come
+    std::deque<RequestId> settledOrder_;                        ///< oldest first
 };
 
 } // namespace auburnspread::entry
--- a/src/entry/control/internal/memberdirectory.cpp
+++ b/src/entry/control/internal/memberdirectory.cpp
@@ -5,6 +5,7 @@
 #include "wire/peer/links.h"
 #include "wire/platform/store.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -15,6 +16,9 @@
 namespace
 {
 
+constexpr Duration YoungTime = std::chrono::seconds(5);
+constexpr Duration YoungKeep = std::chrono::milliseconds(500);
+
 auto membershipOptions(const MemberDirectoryOptions &options) -> membership::MembershipOptions
 {
     const auto &settings = options.settings;
@@ -82,6 +86,10 @@
     }
 }
 
+/// Failure: an entry that just started knows itself alone. Symptom: callers that ask it then keep its one address
+/// for long and crowd there. While the list is young the answer may be kept only shortly.
+/// Failure: an entry that just started knows itself alone. Symptom: callers that ask it then keep its one address
+/// for long and crowd there. While the list is young the answer may be kept only shortly.
 auto MemberDirectory::answer(const EntriesAsked &asked, const std::string &model) const -> EntriesView
 {
     const auto answer = membership::entriesAnswer(*state_,
@@ -92,7 +100,12 @@
                                                       .caller = asked.caller,
                                                   },
                                                   task::monotonicNow());
-    return { .addresses = answer.addresses, .membershipVersion = answer.membershipVersion, .keep = answer.keep };
+    const auto isYoung = task::monotonicNow() - startedAt_ < YoungTime;
+    return {
+        .addresses = answer.addresses,
+        .membershipVersion = answer.membershipVersion,
+        .keep = isYoung ? std::min(answer.keep, YoungKeep) : answer.keep,
+    };
 }
 
 /// Failure: this entry was restarted while the lease of its past run still holds the registration. Symptom: the
--- a/src/entry/control/internal/memberdirectory.h
+++ b/src/entry/control/internal/memberdirectory.h
@@ -6,6 +6,7 @@
 #include "core/membership/membership.h"
 #include "entry/messages/messages.h"
 #include "entry/settings/entrysettings.h"
+#include "runtime/task/eventloop.h"
 
 #include <functional>
 #include <string>
@@ -60,6 +61,7 @@
     peer::Links &links_;
     platform::Store &store_;
     membership::MembershipStatePointer state_;
+    TimePoint startedAt_ = task::monotonicNow();
     std::string session_; ///< the lease's session in the platform's service; empty: none
 };
 
--- a/src/entry/messages/messages.h
+++ b/src/entry/messages/messages.h
@@ -91,8 +91,28 @@
     RequestId request{};
     EntriesView view;
 };
-using CallerMessage
-    = std::variant<ServiceAnswer, AnswerPart, AnswerRestarted, AnswerEnded, routing::Refuse, EntriesPublished, EntriesAnswered, routing::DrainStarted>;
+/// Answer to TicketsAsked.
+struct TicketsAnswered {
+    RequestId request{};
+    std::vector<std::string> tickets; ///< fewer than asked, or none, while too many are outstanding
+};
+/// A repeat of a non-repeatable request that ran here: its answer once more.
+struct StoredAnswer {
+    RequestId request{};
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+using CallerMessage = std::variant<ServiceAnswer,
+                                   AnswerPart,
+                                   AnswerRestarted,
+                                   AnswerEnded,
+                                   routing::Refuse,
+                                   EntriesPublished,
+                                   EntriesAnswered,
+                                   TicketsAnswered,
+                                   StoredAnswer,
+                                   routing::DrainStarted>;
 
 /// To the control task.
 struct StatusPublished {
@@ -111,10 +131,21 @@
     std::string requestClass;
     std::string caller; ///< the caller's IP number
 };
+/// A caller asks for tickets, each for one non-repeatable request at this entry.
+struct TicketsAsked {
+    RequestId request{};
+    std::string workspace;
+    std::uint32_t count = 1;
+};
+/// The whole answer of a service's call with an idempotency key, to be kept for its repeats.
+struct AnswerKept {
+    StoredAnswer answer;
+};
 /// SIGTERM or an operator's order to leave.
 struct DrainAsked {
 };
-using ControlMessage = std::variant<StatusPublished, routing::ClaimKey, ClaimEnded, routing::TellQuarantine, routing::Drained, EntriesAsked, DrainAsked>;
+using ControlMessage = std::
+    variant<StatusPublished, routing::ClaimKey, ClaimEnded, routing::TellQuarantine, routing::Drained, EntriesAsked, TicketsAsked, AnswerKept, DrainAsked>;
 
 /// The mailboxes of all tasks; made before the tasks start, so that any may post to any other at any time.
 struct Mailboxes {
