--- a/src/core/once/ticket.h
+++ b/src/core/once/ticket.h
@@ -3,7 +3,8 @@
 ///
 /// A caller obtains a ticket from an entry beforehand and sends it as the request's idempotency key. The ticket names
 /// the entry process that issued it, and only that very process ever runs it, so no shared state is needed to run it
-/// at most once. A ticket of another process, also of this entry's past, is refused as not run.
+/// at most once. A ticket of another process, also of this entry's past, is never run here; but whether that process
+/// ran it is not known here, so the caller must not be told that it was not run.
 
 #pragma once
 
@@ -55,8 +56,8 @@
 enum class TicketVerdict {
     Run,        ///< first use: the request may run, once
     Used,       ///< it was used before: a duplicate
-    OtherEntry, ///< issued by another process: not run here, and this process cannot say whether it ran there
-    Expired,    ///< too old to know whether it was used: treat as a duplicate
+    OtherEntry, ///< issued by another process, which may have run it: answer as a duplicate (may-have-run)
+    Expired,    ///< too old to know whether it was used: answer as a duplicate
     Invalid,    ///< never issued, or to another workspace: not run
 };
 
