Claims: replies are matched by nonce

Cause: a claim that was dropped for want of room, with a call under way, could be followed by a new claim of the same key; the old call's reply was then taken for the new claim's. Change: calls under way remember the nonce. The property runs with short and small bounds, so that claims are dropped. Conclusion: a late reply decides only the claim that it belongs to.

--- a/src/core/once/claimer.cpp
+++ b/src/core/once/claimer.cpp
@@ -10,6 +10,7 @@
 {
 
 using detail::Claim;
+using detail::ClaimReference;
 using detail::ClaimStep;
 
 auto makeNonce(Claimer &claimer) -> std::string
@@ -22,10 +23,11 @@
     return CallId{ claimer.nextCall++ };
 }
 
-auto findClaim(Claimer &claimer, const std::string &path) -> Claim *
+auto findClaim(Claimer &claimer, const ClaimReference &reference) -> Claim *
 {
-    const auto found = claimer.claims.find(path);
-    return found == claimer.claims.end() ? nullptr : &found->second;
+    const auto found = claimer.claims.find(reference.path);
+    const bool same = found != claimer.claims.end() && found->second.nonce == reference.nonce;
+    return same ? &found->second : nullptr;
 }
 
 auto waitFor(Claim &claim, ClaimStep step, TimePoint notBefore) -> void
@@ -59,7 +61,7 @@
 
 auto takeHeld(Claimer &claimer, const std::string &path) -> std::optional<std::string>
 {
-    const auto found = std::find_if(claimer.held.rbegin(), claimer.held.rend(), [&](const detail::Held &held) { return held.path == path; });
+    const auto found = std::find_if(claimer.held.rbegin(), claimer.held.rend(), [&](const ClaimReference &held) { return held.path == path; });
     if (found == claimer.held.rend()) {
         return std::nullopt;
     }
@@ -156,7 +158,7 @@
         }
         claim.step = ClaimStep::Reading;
         const CallId call = takeCallId(claimer);
-        claimer.reads[call] = path;
+        claimer.reads[call] = { .path = path, .nonce = claim.nonce };
         actions.emplace_back(ReadCall{ .call = call, .path = path });
     }
 }
@@ -173,7 +175,7 @@
         claim.step = ClaimStep::Deleting;
         claim.deleteSent = true;
         const CallId call = takeCallId(claimer);
-        claimer.deletes[call] = path;
+        claimer.deletes[call] = { .path = path, .nonce = claim.nonce };
         actions.emplace_back(DeleteCall{ .call = call, .path = path, .index = claim.index });
     }
 }
@@ -206,7 +208,7 @@
     if (now < claimer.nextBatchAt || claimer.writes.size() >= claimer.options.callsUnderWay) {
         return;
     }
-    auto batch = pickBatch(claimer, now);
+    const auto batch = pickBatch(claimer, now);
     if (batch.empty()) {
         return;
     }
@@ -215,8 +217,8 @@
         auto &claim = claimer.claims.at(path);
         claim.step = ClaimStep::Writing;
         create.operations.push_back({ .path = path, .value = claim.nonce });
+        claimer.writes[create.call].push_back({ .path = path, .nonce = claim.nonce });
     }
-    claimer.writes[create.call] = std::move(batch);
     claimer.nextBatchAt = now + claimer.options.batchInterval;
     actions.emplace_back(std::move(create));
 }
@@ -292,16 +294,16 @@
 auto submit(Claimer &claimer, RequestId request, const ClaimKey &key, TimePoint now) -> ClaimerActions
 {
     ClaimerActions actions;
-    auto *known = findClaim(claimer, key.path);
-    if (known != nullptr && known->request) {
+    const auto [known, added] = claimer.claims.try_emplace(key.path);
+    auto &claim = known->second;
+    if (!added && claim.request) {
         actions.emplace_back(ClaimDecision{ .request = request, .result = ClaimDecision::Result::Duplicate });
         return actions;
     }
-    if (known != nullptr) {
-        takeOver(*known, request, now);
+    if (!added) {
+        takeOver(claim, request, now);
         return advance(claimer, now);
     }
-    auto &claim = claimer.claims[key.path];
     claim.request = request;
     claim.nonce = makeNonce(claimer);
     claim.submittedAt = now;
@@ -331,23 +333,23 @@
     if (node.empty()) {
         return actions;
     }
-    const auto &paths = node.mapped();
+    const auto &references = node.mapped();
     const bool splits = result == CreateResult::Conflict && conflicts.empty();
-    for (std::size_t index = 0; index < paths.size(); ++index) {
-        auto *claim = findClaim(claimer, paths[index]);
+    for (std::size_t index = 0; index < references.size(); ++index) {
+        auto *claim = findClaim(claimer, references[index]);
         if (claim == nullptr) {
             continue;
         }
         if (result == CreateResult::Committed) {
-            win(claimer, paths[index], *claim, now, actions);
+            win(claimer, references[index].path, *claim, now, actions);
         } else if (result == CreateResult::Unknown) {
             noteUnknown(claimer, *claim, now);
         } else if (result == CreateResult::NotApplied) {
-            writeAgain(claimer, paths[index], *claim, now + claimer.options.retryInterval);
+            writeAgain(claimer, references[index].path, *claim, now + claimer.options.retryInterval);
         } else {
             claim->alone = splits;
-            const bool exists = contains(conflicts, index) || (splits && paths.size() == 1);
-            noteConflict(claimer, paths[index], *claim, exists, now, actions);
+            const bool exists = contains(conflicts, index) || (splits && references.size() == 1);
+            noteConflict(claimer, references[index].path, *claim, exists, now, actions);
         }
     }
     auto further = advance(claimer, now);
@@ -363,7 +365,7 @@
     if (claim == nullptr) {
         return actions;
     }
-    const auto &path = node.mapped();
+    const auto &path = node.mapped().path;
     if (result.kind == ReadResult::Kind::Found) {
         noteFound(claimer, path, *claim, result, now, actions);
     } else if (result.kind == ReadResult::Kind::Absent) {
@@ -384,7 +386,7 @@
         return {};
     }
     if (settled) {
-        leaveOldNonce(claimer, node.mapped(), *claim, now);
+        leaveOldNonce(claimer, node.mapped().path, *claim, now);
     } else {
         waitFor(*claim, ClaimStep::Condemned, now + claimer.options.retryInterval);
     }
--- a/src/core/once/claimer.h
+++ b/src/core/once/claimer.h
@@ -120,8 +120,9 @@
     TimePoint notBefore{};
 };
 
-/// A claim that was won: its nonce is what a release has to find.
-struct Held {
+/// A claim as calls under way know it: the reply of a call for a nonce that was given up says nothing about the next
+/// claim of the same key.
+struct ClaimReference {
     std::string path;
     std::string nonce;
 };
@@ -133,11 +134,11 @@
     std::uint64_t nextNonce = 1;
     std::uint64_t nextCall = 1;
     TimePoint nextBatchAt{};
-    std::map<std::string, detail::Claim> claims;                 ///< undecided ones, by path
-    std::unordered_map<CallId, std::vector<std::string>> writes; ///< paths of a transaction under way
-    std::unordered_map<CallId, std::string> reads;
-    std::unordered_map<CallId, std::string> deletes;
-    std::deque<detail::Held> held; ///< oldest first
+    std::map<std::string, detail::Claim> claims;                            ///< undecided ones, by path
+    std::unordered_map<CallId, std::vector<detail::ClaimReference>> writes; ///< transactions under way
+    std::unordered_map<CallId, detail::ClaimReference> reads;
+    std::unordered_map<CallId, detail::ClaimReference> deletes;
+    std::deque<detail::ClaimReference> held; ///< claims won, for their release; oldest first
 };
 
 /// Asks for a key. A key that is being claimed here already is a duplicate.
--- a/src/core/once/tests/interleaving_tests.cpp
+++ b/src/core/once/tests/interleaving_tests.cpp
@@ -123,11 +123,17 @@
         return makeClaimKey("workspace", std::to_string(key));
     }
 
+    /// Short and small bounds, so that claims are also dropped while calls for them are under way.
+    static auto makeOptions(std::size_t number, std::uint64_t incarnation) -> ClaimerOptions
+    {
+        return { .entry = "entry-" + std::to_string(number), .incarnation = incarnation, .cleanUpTime = std::chrono::seconds(4), .cleanUpCapacity = 1 };
+    }
+
     auto restart(std::size_t number) -> void
     {
         auto &entry = entries_[number];
         const std::uint64_t incarnation = entry.incarnation + 1;
-        entry = { .incarnation = incarnation, .claimer = { .options = { .entry = "entry-" + std::to_string(number), .incarnation = incarnation } } };
+        entry = { .incarnation = incarnation, .claimer = { .options = makeOptions(number, incarnation) } };
     }
 
     auto submitSome() -> void
