--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -28,7 +28,7 @@
     Duration suspectPause = std::chrono::seconds(30);  ///< a member that refuted a suspicion is not suspected by the same entry for so long
     Duration leaseTime = std::chrono::seconds(60);
     Duration listInterval = std::chrono::seconds(10);
-    Duration digestInterval = std::chrono::seconds(10);
+    Duration digestInterval = std::chrono::seconds(2);
     Duration probeInterval = std::chrono::seconds(5); ///< between attempts to reach a member held for gone, or a seed
     Duration goneRetention = std::chrono::hours(24);  ///< how long gone members are remembered
     Duration answerKeep = std::chrono::seconds(5);    ///< how long a caller may keep an answer
--- a/src/core/membership/tests/fakenetwork.cpp
+++ b/src/core/membership/tests/fakenetwork.cpp
@@ -34,7 +34,7 @@
                   .peerAddress = ownHost + ":2",
                   .adminAddress = ownHost + ":3",
                   .failureDomain = failureDomain,
-                  .region = "region",
+                  .region = region,
                   .incarnation = incarnation },
         .seeds = seeds,
         .seed = incarnation,
@@ -116,7 +116,9 @@
         return;
     }
     const auto actions = step(*found->second.state, event, now_);
-    note(found->second);
+    if (notesServing) {
+        note(found->second);
+    }
     carryOut(name, actions);
 }
 
@@ -133,36 +135,40 @@
 {
     for (const auto &action : actions) {
         auto &entry = entries_.at(name);
-        std::visit(Overloaded{
-                       [&](const ConnectPeer &connect) { entry.targets.insert(connect.address); },
-                       [&](const ClosePeer &close) {
-                           entry.targets.erase(close.address);
-                           const auto peer = findListener(close.address);
-                           if (entry.links.contains(peer) && !entries_.at(peer).targets.contains(entry.address)) {
-                               closeLink(name, peer, LinkEnd::Closed);
-                           }
-                       },
-                       [&](const SendRecords &records) {
-                           if (entry.links.contains(records.to)) {
-                               deliveries_.push_back(
-                                   { .to = records.to, .from = name, .event = { .from = name, .records = records.records, .digest = records.digest } });
-                           }
-                       },
-                       [&](const RegisterWanted &wanted) {
-                           ++platform.calls;
-                           if (!platform.out) {
-                               platform.registrations[name] = { .record = wanted.record, .expires = now_ + wanted.leaseTime };
-                           }
-                           send(name, LeaseSettled{ platform.out ? PlatformResult::Unavailable : PlatformResult::Done });
-                       },
-                       [&](const RenewWanted & /*wanted*/) { renew(name); },
-                       [&](const ReadListWanted & /*wanted*/) { readList(name); },
-                       [&](const CellChanged &changed) { entry.cell = changed.entries; },
-                       [&](const AnswersChanged & /*changed*/) {},
-                       [&](const IncarnationChanged & /*changed*/) {},
-                       [&](const LeaveWanted &wanted) { entry.leaveCauses.push_back(wanted.cause); },
-                   },
-                   action);
+        std::visit(
+            Overloaded{
+                [&](const ConnectPeer &connect) { entry.targets.insert(connect.address); },
+                [&](const ClosePeer &close) {
+                    entry.targets.erase(close.address);
+                    const auto peer = findListener(close.address);
+                    if (entry.links.contains(peer) && !entries_.at(peer).targets.contains(entry.address)) {
+                        closeLink(name, peer, LinkEnd::Closed);
+                    }
+                },
+                [&](const SendRecords &records) {
+                    if (entry.links.contains(records.to)) {
+                        Delivery delivery{ .to = records.to, .from = name, .event = { .from = name, .records = records.records, .digest = records.digest } };
+                        if (sent) {
+                            sent(name, delivery.event);
+                        }
+                        deliveries_.push_back(std::move(delivery));
+                    }
+                },
+                [&](const RegisterWanted &wanted) {
+                    ++platform.calls;
+                    if (!platform.out) {
+                        platform.registrations[name] = { .record = wanted.record, .expires = now_ + wanted.leaseTime };
+                    }
+                    send(name, LeaseSettled{ platform.out ? PlatformResult::Unavailable : PlatformResult::Done });
+                },
+                [&](const RenewWanted & /*wanted*/) { renew(name); },
+                [&](const ReadListWanted & /*wanted*/) { readList(name); },
+                [&](const CellChanged &changed) { entry.cell = changed.entries; },
+                [&](const AnswersChanged & /*changed*/) {},
+                [&](const IncarnationChanged & /*changed*/) {},
+                [&](const LeaveWanted &wanted) { entry.leaveCauses.push_back(wanted.cause); },
+            },
+            action);
     }
 }
 
--- a/src/core/membership/tests/fakenetwork.h
+++ b/src/core/membership/tests/fakenetwork.h
@@ -41,6 +41,13 @@
 class FakeNetwork
 {
 public:
+    /// Told of every message between entries, by the name of the sender.
+    std::function<void(const std::string &from, const RecordsReceived &message)> sent;
+    /// Region of the entries that are started next.
+    std::string region = "region";
+    /// Whether FakeEntry::everServing is kept; large fleets have no time for it.
+    bool notesServing = true;
+
     /// Starts an entry that is ready at once; its peer address is `host:2`, its caller address `host:1`.
     auto start(const std::string &name,
                const std::string &failureDomain,
