--- a/src/core/placement/benchmarks/placement_benchmark.cpp
+++ b/src/core/placement/benchmarks/placement_benchmark.cpp
@@ -50,7 +50,7 @@
     World world;
     settle(world, static_cast<int>(state.range(0)));
     auto &placer = world.nodes["a"].state;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(step(placer, Tick{}, world.now));
     }
 }
@@ -62,7 +62,7 @@
     auto &placer = world.nodes["a"].state;
     auto &view = placer.servers["engine-0"];
     const auto report = world.engines["engine-0"].report(world.now);
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         view.read = PendingCall{ .call = CallId{ 1 }, .sentAt = world.now };
         benchmark::DoNotOptimize(step(placer, ServerRead{ .call = CallId{ 1 }, .backend = "engine-0", .report = report }, world.now));
     }
@@ -74,7 +74,7 @@
     World world;
     settle(world, static_cast<int>(state.range(0)));
     auto &placer = world.nodes["a"].state;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         placer.changed = true;
         benchmark::DoNotOptimize(step(placer, Tick{}, world.now));
     }
@@ -84,7 +84,7 @@
 {
     World world;
     settle(world, static_cast<int>(state.range(0)));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const auto before = ::mallinfo2().uordblks;
         const auto copy = world.nodes["a"].state;
         benchmark::DoNotOptimize(copy);
