--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -7,7 +7,7 @@
     libevent-dev libevhtp-dev libwebsocketpp-dev nlohmann-json3-dev liblog4cxx-dev libinih-dev
     libxxhash-dev libboost-dev libssl-dev
     libgtest-dev librapidcheck-dev libbenchmark-dev
-    gnuplot-nox curl jq git
+    gnuplot-nox curl jq git python3-minimal
 )
 
 missing=()
