Suspects are answered also under full load

Cause: a suspect is retried on a quiet backend server only; under full load there is none, so all that ran on a crashed server waited until their deadlines. Change: after a second a suspect takes any free slot, still alone from there on. The status counts requests that wait outside the queue.

--- a/src/core/routing/internal/choosing.cpp
+++ b/src/core/routing/internal/choosing.cpp
@@ -82,7 +82,7 @@
         const auto only = takeOnly(state, constraint.onlyServer);
         return only && !contains(avoided.servers, *only) ? only : std::nullopt;
     }
-    auto query = attemptQuery(state, request, constraint.alone);
+    auto query = attemptQuery(state, request, constraint.quietOnly);
     query.avoidServers = avoided.servers;
     query.avoidFailureDomains = avoided.failureDomains;
     return balancing::chooseServer(*state.balancing, query, state.now);
--- a/src/core/routing/internal/choosing.h
+++ b/src/core/routing/internal/choosing.h
@@ -13,7 +13,7 @@
 
 /// How a request may be placed besides its route.
 struct Constraint {
-    bool alone = false;     ///< nothing else on the server
+    bool quietOnly = false; ///< only a server with little else in flight
     std::string onlyServer; ///< empty: any
 };
 
--- a/src/core/routing/internal/dispatching.cpp
+++ b/src/core/routing/internal/dispatching.cpp
@@ -28,9 +28,12 @@
 /// that failed it already; looking at all of them each time would make a mass failure quadratic.
 constexpr int ParkedLookedAt = 8;
 
+/// How long a suspect waits for a backend server with little else in flight before it takes any.
+constexpr Duration QuietPatience = std::chrono::seconds(1);
+
 enum class Result {
     Placed,
-    SetAside, ///< refused or held: it no longer waits
+    SetAside, ///< refused, held or parked: it is not in the queue any more
     NoSlot,   ///< no free slot fits it
 };
 
@@ -44,6 +47,24 @@
     refuse(state, request, { .reason = Reason::QueueFull, .step = "quarantine" }, actions);
 }
 
+/// Whether a suspect has waited long enough for a quiet backend server. Under full load there is none: all that ran on a crashed
+/// server, innocent but for one, would wait until their deadlines. On a busy one a second crash costs more, but once: its victims
+/// were not at the first crash, so the blame still falls on the one that was at both.
+auto isOutOfPatience(const RouterState &state, const Request &request) -> bool
+{
+    return request.heldSince && state.now - *request.heldSince >= QuietPatience;
+}
+
+/// A suspect, or a request behind an equal one, that found no server may not stand in the way of others.
+auto setAside(RouterState &state, Request &request, const quarantine::Decision &decision, Actions &actions) -> void
+{
+    if (decision.verdict == Verdict::RunAlone && isOutOfPatience(state, request)) {
+        park(state, request);
+        return;
+    }
+    holdOrRefuse(state, request, actions);
+}
+
 /// Places a request that was taken out of its waiting place.
 auto tryPlace(RouterState &state, Request &request, bool onFloor, Actions &actions) -> Result
 {
@@ -57,17 +78,17 @@
         return Result::SetAside;
     }
     const auto alone = decision.verdict == Verdict::RunAlone;
-    const auto server = chooseServer(state, request, { .alone = alone, .onlyServer = decision.server });
-    // A suspect that found no quiet server, or whose equal one's server is full, may not stand in the way of others.
-    if (!server && decision.verdict != Verdict::Run) {
-        holdOrRefuse(state, request, actions);
-        return Result::SetAside;
+    const auto quietOnly = alone && !isOutOfPatience(state, request);
+    const auto server = chooseServer(state, request, { .quietOnly = quietOnly, .onlyServer = decision.server });
+    if (server) {
+        place(state, request, { .server = *server, .alone = alone, .onFloor = onFloor }, actions);
+        return Result::Placed;
     }
-    if (!server) {
+    if (decision.verdict == Verdict::Run) {
         return Result::NoSlot;
     }
-    place(state, request, { .server = *server, .alone = alone, .onFloor = onFloor }, actions);
-    return Result::Placed;
+    setAside(state, request, decision, actions);
+    return Result::SetAside;
 }
 
 /// Places the first parked request for which a slot is free on a server that it may use, if it is of \p tier or higher.
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -109,7 +109,8 @@
     Duration forecastWait{};
     TimePoint latestStart; ///< started later, the answer cannot be on time any more
     TimePoint deadline;
-    TimePoint endsAt; ///< the deadline, or later for an answer that is worth finishing
+    TimePoint endsAt;                   ///< the deadline, or later for an answer that is worth finishing
+    std::optional<TimePoint> heldSince; ///< since when it waits as a suspect or behind an equal request
     std::optional<TimePoint> hedgeAt;
     std::optional<TimePoint> firstTokenAt;
 
--- a/src/core/routing/internal/suspects.cpp
+++ b/src/core/routing/internal/suspects.cpp
@@ -63,6 +63,7 @@
 auto hold(RouterState &state, Request &request, Actions &actions) -> void
 {
     request.stage = Stage::Held;
+    request.heldSince = request.heldSince.value_or(state.now);
     state.held[request.call.fingerprint].insert({ request.order, request.call.request });
     tellCell(quarantine::announceRetry(state.quarantine, request.call.fingerprint, state.now), actions);
 }
--- a/src/core/routing/internal/waiting.cpp
+++ b/src/core/routing/internal/waiting.cpp
@@ -16,12 +16,6 @@
     return { request.requestClass->definition.tier, request.deadline, request.call.request };
 }
 
-auto park(RouterState &state, Request &request) -> void
-{
-    request.stage = Stage::Parked;
-    routeOf(state, request.route).parked.insert(parkedKey(request));
-}
-
 auto enqueue(RouterState &state, Request &request) -> void
 {
     request.stage = Stage::Queued;
@@ -57,6 +51,15 @@
     }
 }
 
+/// Why a request for which no backend server is left ends.
+auto whyStranded(const Request &request) -> Reason
+{
+    if (request.relayed > 0) {
+        return Reason::StreamBroken;
+    }
+    return request.tried.empty() ? Reason::NoBackendServer : Reason::BackendFailed;
+}
+
 auto refuseStrandedParked(RouterState &state, Route &route, Actions &actions) -> void
 {
     const auto parked = route.parked;
@@ -89,10 +92,8 @@
 auto waitForSlot(RouterState &state, Request &request, Actions &actions) -> void
 {
     if (!canEverRun(state, request)) {
-        // The stream cannot go on if no server is left that could resume it.
-        const auto reason = request.relayed > 0 ? Reason::StreamBroken : request.tried.empty() ? Reason::NoBackendServer : Reason::BackendFailed;
         const auto peer = request.tried.empty() ? std::string() : request.tried.back().name;
-        refuse(state, request, { .reason = reason, .step = "choose", .peer = peer }, actions);
+        refuse(state, request, { .reason = whyStranded(request), .step = "choose", .peer = peer }, actions);
         return;
     }
     state.touched.insert(request.route);
@@ -103,6 +104,12 @@
     }
 }
 
+auto park(RouterState &state, Request &request) -> void
+{
+    request.stage = Stage::Parked;
+    routeOf(state, request.route).parked.insert(parkedKey(request));
+}
+
 auto leaveWaiting(RouterState &state, Request &request) -> void
 {
     switch (request.stage) {
@@ -120,6 +127,22 @@
     }
 }
 
+auto countWaitingAside(const RouterState &state) -> std::map<ClassId, std::uint32_t>
+{
+    std::map<ClassId, std::uint32_t> counts;
+    for (const auto &route : state.routes) {
+        for (const auto &[tier, deadline, id] : route.parked) {
+            counts[state.requests.at(id).requestClass->id] += 1;
+        }
+    }
+    for (const auto &[fingerprint, requests] : state.held) {
+        for (const auto &[order, id] : requests) {
+            counts[state.requests.at(id).requestClass->id] += 1;
+        }
+    }
+    return counts;
+}
+
 auto touchWaiting(RouterState &state) -> void
 {
     for (std::size_t index = 0; index < state.routes.size(); ++index) {
--- a/src/core/routing/internal/waiting.h
+++ b/src/core/routing/internal/waiting.h
@@ -12,9 +12,15 @@
 /// It is dispatched at the end of the event if a slot is free. The request may be gone afterwards.
 auto waitForSlot(RouterState &state, Request &request, Actions &actions) -> void;
 
+/// Lets a request that was taken out of its waiting place wait outside the queue for whatever slot fits it.
+auto park(RouterState &state, Request &request) -> void;
+
 /// Takes the request out of wherever it waits.
 auto leaveWaiting(RouterState &state, Request &request) -> void;
 
+/// Requests that wait outside the queue, parked or held, by class.
+auto countWaitingAside(const RouterState &state) -> std::map<ClassId, std::uint32_t>;
+
 /// Marks every route on which something waits as worth another look.
 auto touchWaiting(RouterState &state) -> void;
 
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -114,11 +114,11 @@
     }
 };
 
-auto classStatus(const RouterState &state, const ClassState &requestClass) -> RouterStatus::ClassStatus
+auto classStatus(const RouterState &state, const ClassState &requestClass, std::uint32_t waitingAside) -> RouterStatus::ClassStatus
 {
     return {
         .requestClass = requestClass.definition.name,
-        .waiting = queueing::waitingOf(state.queue, requestClass.id),
+        .waiting = queueing::waitingOf(state.queue, requestClass.id) + waitingAside,
         .inFlight = requestClass.inFlight,
         .completed = requestClass.completed,
         .onTime = requestClass.onTime,
@@ -180,8 +180,9 @@
         status.configurationVersion = state.adopted->version;
         status.configurationDigest = state.adopted->digest;
     }
+    auto aside = countWaitingAside(state);
     for (const auto &[name, requestClass] : state.classes) {
-        status.classes.push_back(classStatus(state, requestClass));
+        status.classes.push_back(classStatus(state, requestClass, aside[requestClass.id]));
     }
     for (const auto server : balancing::listServers(*state.balancing)) {
         status.backends.push_back(backendStatus(state, server));
--- a/src/core/routing/tests/world.cpp
+++ b/src/core/routing/tests/world.cpp
@@ -162,11 +162,10 @@
 
     auto checkLowerTiers(int tier) const -> void
     {
-        for (const auto &status : statusOf(*world.router).classes) {
-            const auto spec = std::find_if(Classes.begin(), Classes.end(), [&](const auto &entry) { return entry.name == status.requestClass; });
-            const auto &definitions = world.document.classes;
-            const auto definition = std::find_if(definitions.begin(), definitions.end(), [&](const auto &entry) { return entry.name == status.requestClass; });
-            note(world, spec->tier <= tier || status.waiting <= definition->floorSlots, Broken::HigherTierFirst);
+        for (const auto &[name, requestClass] : world.router->classes) {
+            const auto &definition = requestClass.definition;
+            const auto waiting = queueing::waitingOf(world.router->queue, requestClass.id);
+            note(world, definition.tier <= tier || waiting <= definition.floorSlots, Broken::HigherTierFirst);
         }
     }
 };
