--- a/src/core/queueing/requestqueue.cpp
+++ b/src/core/queueing/requestqueue.cpp
@@ -53,7 +53,6 @@
 namespace
 {
 
-using detail::ClassQueue;
 using detail::Lane;
 
 auto findLane(const RequestQueue &queue, ClassId requestClass, RouteId route) -> const Lane *
