--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -52,6 +52,13 @@
     }
 };
 
+//! NOTE evhtp_request_set_keepalive(request, 0) leaves the flag as it is, so the connection would stay open
+auto endAfterReply(evhtp_request *request) -> void
+{
+    evhtp_request_disable_flag(request, EVHTP_REQ_FLAG_KEEPALIVE);
+    addReplyHeader(request, "Connection", "close");
+}
+
 template <typename Callback>
 auto asHook(Callback callback) -> evhtp_hook
 {
@@ -422,15 +429,14 @@
         .detail = input.what(),
     };
     addRefusalHeaders(request, refusal);
-    evhtp_request_set_keepalive(request, 0);
+    endAfterReply(request);
     writeDocument(request, entry.status, "application/json", chat::makeRefusalBody(refusal));
 }
 
 auto CallerTask::State::prepareReply(evhtp_request *request) const -> void
 {
     if (draining) {
-        addReplyHeader(request, "Connection", "close");
-        evhtp_request_set_keepalive(request, 0);
+        endAfterReply(request);
     }
 }
 
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -169,7 +169,7 @@
         addHeader(target, header.name, header.value);
     }
     if (closesConnection) {
-        evhtp_request_set_keepalive(target, 0);
+        evhtp_request_disable_flag(target, EVHTP_REQ_FLAG_KEEPALIVE); //! NOTE evhtp_request_set_keepalive(target, 0) would leave it set
     }
     evbuffer_add(target->buffer_out, body.data(), body.size());
     evhtp_send_reply(target, static_cast<evhtp_res>(status));
