Let shares of a limit bind only near the limit

Cause: an entry's own demand counts in its share only once it was reported, its peers' at once. Callers keep one address for seconds, so a workspace's calls come in clumps to an entry whose share is still next to nothing. It then refused workspaces at 5 to 35 % of their limits.

Change: an entry also follows what the whole cell has left. While that is half of the burst or more it takes up to a quarter of the burst (or one request of any size) between two reports, below that its even part of what is left; only where this does not let in does the share bind. Requests open likewise. A report's own demand counts in the share one report later, when the peers' demand of that time has been heard too.

Ruled out: counting own demand before it is reported (each entry of a burst at all of them would take the whole burst; the bound of 248 in rateHoldsOverAllEntriesAndFollowsDemand stands); wider even shares alone (an even part of a small limit is smaller than a clump).

In the older limits tests only the new argument of notePeerDemand was added.

Conclusion: a workspace far below its limits is let in at whichever entry its calls arrive. Overshoot: once the burst, or a quarter of it at each entry; two open requests an entry besides.

--- a/src/core/limits/sharedbucket.h
+++ b/src/core/limits/sharedbucket.h
@@ -1,7 +1,18 @@
 /// \file
 /// A token bucket whose rate holds over all entries of a cell together, kept by each entry alone.
 ///
-/// Entries report their demand to each other a few times a second and work out their shares from what was reported,
+/// An entry keeps two levels. The cell's level is what all entries together have left: it falls by what is taken here at
+/// once, and by the peers' demand when they report it. While it is high, an entry takes ahead of the reports: up to a
+/// quarter of the burst, or one request of any size. While it is low, it takes its even part of what is left. Only
+/// beyond that does the entry keep to its share.
+///
+/// Failure: callers keep to one address for seconds, so a workspace's calls come in clumps to one entry after the other,
+/// whose own demand counts from its next report only. Symptom: its share is next to nothing and it refuses a workspace
+/// that is far below its limits. The cell's level is enough against it, since it does not depend on where the demand is;
+/// the entries together take at most the burst, or a quarter of it each if that is more, before they hear of one another,
+/// and once the level is low no more than is left.
+///
+/// For the shares, entries report their demand to each other a few times a second and work them out from what was reported,
 /// their own demand included: from the same data, so that the shares of a cell sum to one. While the rate suffices for
 /// all, an entry refills with what its peers leave; once it does not, with the part of the rate that its own demand has
 /// in the whole. The two meet where demand equals the rate, and demand counts refused requests too, so that a share
@@ -32,22 +43,38 @@
 };
 
 struct SharedBucket {
-    double level = 0;
+    double level = 0;     ///< of this entry's share
+    double cellLevel = 0; ///< of all entries together, as far as known here
+    double ahead = 0;     ///< taken here since the last report
     TimePoint at;
-    bool filled = false; ///< whether the level was set for the first time
-    DecayingRate own;    ///< demand here as reported to the peers, refused demand included
-    DecayingRate peers;  ///< demand at the other entries as they reported it
+    TimePoint cellAt;
+    bool filled = false;     ///< whether the level was set for the first time
+    bool cellFilled = false; ///< the same for the cell's
+    DecayingRate own;        ///< demand here as reported to the peers, refused demand included
+    DecayingRate peers;      ///< demand at the other entries as they reported it
 };
 
+/// Whether \p room, what is left of \p limit, is so much that entries may take ahead of what they know of each other.
+auto isFarFromLimit(double room, double limit) -> bool;
+
 /// The part of \p options that this entry may use now, 0 to 1, if \p entries share it.
 auto shareOf(const SharedBucket &bucket, std::uint32_t entries, TimePoint now) -> double;
 
-/// Brings the level up to \p now.
+/// Brings both levels up to \p now.
 auto refill(SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, TimePoint now) -> void;
 
 /// Whether \p amount may be taken; an amount over the whole burst needs a full bucket and leaves a debt. Call refill() first.
 auto mayTake(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> bool;
 
+/// Takes \p amount after mayTake() allowed it.
+auto take(SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> void;
+
+/// A report goes out; \p demand is what the one before it said and the peers have heard of by now.
+auto noteReported(SharedBucket &bucket, double demand, TimePoint now) -> void;
+
+/// The peers' demand since their last report.
+auto notePeers(SharedBucket &bucket, const BucketOptions &options, double demand, TimePoint now) -> void;
+
 /// Time until mayTake() may hold, if demand stays as it is.
 auto timeUntil(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> Duration;
 
--- a/src/core/limits/tests/workspacelimits_tests.cpp
+++ b/src/core/limits/tests/workspacelimits_tests.cpp
@@ -40,7 +40,7 @@
     for (std::size_t from = 0; from < demands.size(); ++from) {
         for (std::size_t to = 0; to < cell.entries.size(); ++to) {
             if (from != to) {
-                notePeerDemand(cell.entries[to], demands[from], cell.now);
+                notePeerDemand(cell.entries[to], cell.limits, demands[from], cell.now);
             }
         }
     }
--- a/src/core/limits/workspacelimits.cpp
+++ b/src/core/limits/workspacelimits.cpp
@@ -21,8 +21,16 @@
     return { .perSecond = static_cast<double>(limits.tokensPerSecond), .burst = static_cast<double>(limits.tokenBurst) };
 }
 
-/// An entry keeps to the part of the limit that its demand has in the whole, besides to what its peers leave: all entries
-/// see the same room, and would together take it once each.
+/// Requests that may be opened between two reports though the peers do not know of them yet: while much room is left a
+/// quarter of the limit, else an even part of the room.
+auto allowanceAhead(std::uint32_t room, std::uint32_t limit, std::uint32_t entries) -> std::uint32_t
+{
+    const auto even = room / std::max<std::uint32_t>(entries, 1);
+    return isFarFromLimit(room, limit) ? std::max({ 1U, even, limit / 4 }) : even;
+}
+
+/// Near the limit an entry keeps to the part that its demand has in the whole, besides to what its peers leave: all
+/// entries see the same room, and would together take it once each.
 auto hasOpenPlace(const WorkspaceUsage &usage, const configuration::Workspace &limits, std::uint32_t entries, TimePoint now) -> bool
 {
     if (limits.concurrency == 0) {
@@ -31,6 +39,11 @@
     if (usage.open + usage.peersOpen >= limits.concurrency) {
         return false;
     }
+    const auto unheard = usage.opened + usage.openedBefore;
+    const auto room = limits.concurrency - usage.open - usage.peersOpen + unheard;
+    if (unheard < allowanceAhead(std::min(room, limits.concurrency), limits.concurrency, entries)) {
+        return true;
+    }
     const auto share = std::ceil(limits.concurrency * shareOf(usage.requests, entries, now));
     return usage.open == 0 || usage.open < static_cast<std::uint32_t>(share);
 }
@@ -63,31 +76,37 @@
     if (const auto limited = checkBucket(usage.tokens, tokenOptions(limits), entries, tokens, Reason::WorkspaceTokenRate, now)) {
         return limited;
     }
-    usage.requests.level -= 1;
-    usage.tokens.level -= tokens;
+    take(usage.requests, requestOptions(limits), entries, 1, now);
+    take(usage.tokens, tokenOptions(limits), entries, tokens, now);
     usage.open += 1;
+    usage.opened += 1;
     return std::nullopt;
 }
 
 auto release(WorkspaceUsage &usage, std::uint32_t charged, std::uint32_t used) -> void
 {
     usage.open -= 1;
-    usage.tokens.level += static_cast<double>(charged) - static_cast<double>(used);
+    const auto unused = static_cast<double>(charged) - static_cast<double>(used);
+    usage.tokens.level += unused;
+    usage.tokens.cellLevel += unused;
 }
 
 auto takeDemand(WorkspaceUsage &usage, TimePoint now) -> Demand
 {
     const auto demand = usage.unreported;
     usage.unreported = {};
-    add(usage.requests.own, demand.requests, now);
-    add(usage.tokens.own, demand.tokens, now);
+    usage.openedBefore = usage.opened;
+    usage.opened = 0;
+    noteReported(usage.requests, usage.lastReported.requests, now);
+    noteReported(usage.tokens, usage.lastReported.tokens, now);
+    usage.lastReported = demand;
     return demand;
 }
 
-auto notePeerDemand(WorkspaceUsage &usage, const Demand &demand, TimePoint now) -> void
+auto notePeerDemand(WorkspaceUsage &usage, const configuration::Workspace &limits, const Demand &demand, TimePoint now) -> void
 {
-    add(usage.requests.peers, demand.requests, now);
-    add(usage.tokens.peers, demand.tokens, now);
+    notePeers(usage.requests, requestOptions(limits), demand.requests, now);
+    notePeers(usage.tokens, tokenOptions(limits), demand.tokens, now);
 }
 
 } // namespace auburnspread::limits
--- a/src/core/limits/workspacelimits.h
+++ b/src/core/limits/workspacelimits.h
@@ -24,9 +24,12 @@
 struct WorkspaceUsage {
     SharedBucket requests;
     SharedBucket tokens;
-    std::uint32_t open = 0;      ///< accepted here and not yet ended
-    std::uint32_t peersOpen = 0; ///< at the other entries, as last reported
+    std::uint32_t open = 0;         ///< accepted here and not yet ended
+    std::uint32_t peersOpen = 0;    ///< at the other entries, as last reported
+    std::uint32_t opened = 0;       ///< accepted here since the last report
+    std::uint32_t openedBefore = 0; ///< accepted here between the last report and the one before, of which peers may not have heard
     Demand unreported;
+    Demand lastReported; ///< counts here from the next report on, when the peers have heard of it
 };
 
 struct Limited {
@@ -41,10 +44,11 @@
 /// An accepted request has ended: \p charged tokens were expected, \p used were used.
 auto release(WorkspaceUsage &usage, std::uint32_t charged, std::uint32_t used) -> void;
 
-/// What this entry reports to its peers; from now on it counts in its own share too.
+/// What this entry reports to its peers. It counts in its own share from the next report on: did it count here before
+/// the peers' demand of the same time was heard, each entry of a burst at all of them would think itself alone.
 auto takeDemand(WorkspaceUsage &usage, TimePoint now) -> Demand;
 
 /// Another entry's demand since its last report.
-auto notePeerDemand(WorkspaceUsage &usage, const Demand &demand, TimePoint now) -> void;
+auto notePeerDemand(WorkspaceUsage &usage, const configuration::Workspace &limits, const Demand &demand, TimePoint now) -> void;
 
 } // namespace auburnspread::limits
