Balancing: suspects of several entries never share a server; a server that may have died gets no new work

Cause, from load runs on the whole path: three entries that lost requests in one crash retried them on the same quiet server; the killer crashed it, and two innocent requests were present at both crashes and quarantined. Dead servers were chosen again for retries for almost a second. Change: each server takes suspects of one entry only, by the order of names, and one at a time. A refused connection ejects at once; a broken one takes new work away until a probe settles it, 500 ms at most. A server that refuses connections and may not be ejected is tried once a second. Not run on the whole path. Conclusion: by test, no two entries choose one server for suspects; the effect on the whole path is to be measured.

--- a/src/core/balancing/choice.cpp
+++ b/src/core/balancing/choice.cpp
@@ -1,6 +1,7 @@
 #include "core/balancing/internal/choice.h"
 
 #include "core/balancing/internal/pools.h"
+#include "core/balancing/internal/sharing.h"
 
 #include <algorithm>
 #include <limits>
@@ -188,18 +189,29 @@
     return std::nullopt;
 }
 
-/// Random among the quiet ones: entries that retry suspects of the same crash must not all meet on one server, where
-/// the killer among them would put the blame on the others.
-auto chooseQuiet(State &state, const Pool &pool, const Query &query) -> std::optional<ServerIndex>
+/// Whether suspects of this entry may run on the pool's server at \p place.
+///
+/// After a crash several entries retry their suspects at the same moment. If a killer and a harmless suspect met on one
+/// server, the harmless one would be present at two crashes and be quarantined with it. So each server takes suspects
+/// of one entry only, by turns in the order of names, the same on every entry; of one entry it takes one at a time.
+/// In a pool with fewer servers than entries the rest of the entries share.
+auto takesOurSuspects(const State &state, const Pool &pool, std::size_t place) -> bool
 {
+    const std::size_t own = ownPlace(state);
+    return own >= pool.servers.size() || place % state.cell.size() == own;
+}
+
+auto chooseQuiet(State &state, PoolIndex poolIndex, const Query &query) -> std::optional<ServerIndex>
+{
+    const auto &pool = poolAt(state, poolIndex);
     std::vector<ServerIndex> quiet;
-    const Candidates candidates = makeCandidates(pool, query, false);
     std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
-    for (std::size_t place = 0; place < candidates.count; ++place) {
-        const ServerIndex index = candidateAt(candidates, place);
+    for (std::size_t place = 0; place < pool.servers.size(); ++place) {
+        const ServerIndex index = pool.servers[place];
         const auto &server = serverAt(state, index);
         const std::uint32_t load = server.inFlight + server.peersInFlight;
-        if (contains(query.avoidServers, index) || load > QuietPart * server.concurrency || load > least) {
+        const bool open = findMembership(server, poolIndex)->freePlace != NotFree && !contains(query.avoidServers, index);
+        if (!open || !takesOurSuspects(state, pool, place) || load > QuietPart * server.concurrency || load > least) {
             continue;
         }
         if (load < least) {
@@ -256,7 +268,7 @@
         return std::nullopt;
     }
     if (query.quietOnly) {
-        return detail::chooseQuiet(state, detail::poolAt(state, *pool), query);
+        return detail::chooseQuiet(state, *pool, query);
     }
     const auto byPrefix = detail::chooseByPrefix(state, *pool, query);
     if (byPrefix) {
--- a/src/core/balancing/health.cpp
+++ b/src/core/balancing/health.cpp
@@ -25,6 +25,11 @@
 constexpr Duration EjectionMemory = std::chrono::minutes(2);
 constexpr Duration ProbeInterval = std::chrono::seconds(1);
 
+/// How long a server that may just have died gets no new work, unless a probe settles it before.
+constexpr Duration PauseForProbe = std::chrono::milliseconds(500);
+/// The same for a server that refuses connections and may not be ejected.
+constexpr Duration PauseOfUnreachable = std::chrono::seconds(1);
+
 constexpr Duration FirstHold = std::chrono::milliseconds(100);
 constexpr Duration LongestHold = std::chrono::seconds(3);
 
@@ -58,6 +63,20 @@
     });
 }
 
+auto watchHold(State &state, ServerIndex index) -> void
+{
+    if (std::find(state.heldServers.begin(), state.heldServers.end(), index) == state.heldServers.end()) {
+        state.heldServers.push_back(index);
+    }
+}
+
+auto pause(State &state, ServerIndex index, Duration duration, TimePoint now) -> void
+{
+    serverAt(state, index).pausedUntil = now + duration;
+    watchHold(state, index);
+    refreshServer(state, index, now);
+}
+
 auto eject(State &state, ServerIndex index, TimePoint now) -> void
 {
     auto &server = serverAt(state, index);
@@ -90,9 +109,7 @@
     }
     membership->holdUntil = now + doubled(FirstHold, membership->refusals, LongestHold);
     membership->refusals += 1;
-    if (std::find(state.heldServers.begin(), state.heldServers.end(), index) == state.heldServers.end()) {
-        state.heldServers.push_back(index);
-    }
+    watchHold(state, index);
     refreshServer(state, index, now);
 }
 
@@ -112,6 +129,15 @@
     }
 }
 
+/// A refused connection says plainly that nothing listens there: a second request would only fail in the same way.
+auto noteUnreachable(State &state, ServerIndex index, TimePoint now) -> void
+{
+    eject(state, index, now);
+    if (serverAt(state, index).health != Health::Ejected) {
+        pause(state, index, PauseOfUnreachable, now);
+    }
+}
+
 auto noteError(State &state, ServerIndex index, TimePoint now) -> void
 {
     auto &server = serverAt(state, index);
@@ -121,6 +147,20 @@
     }
 }
 
+/// The connection broke. If the process died, whatever is sent there now fails too, the retries of what it ran first of
+/// all; if only the connection did, a probe says so within milliseconds.
+auto noteBroken(State &state, ServerIndex index, TimePoint now) -> void
+{
+    noteError(state, index, now);
+    auto &server = serverAt(state, index);
+    if (server.health != Health::Healthy && server.health != Health::Suspect) {
+        return;
+    }
+    server.health = Health::Suspect;
+    server.nextProbeAt = now;
+    pause(state, index, PauseForProbe, now);
+}
+
 auto makeMedian(std::vector<double> &values) -> Median
 {
     if (values.empty()) {
@@ -234,8 +274,12 @@
         noteSilence(state, index, now);
         return;
     case Failure::ConnectFailed:
+        noteUnreachable(state, index, now);
+        return;
     case Failure::BrokenBeforeFirstByte:
     case Failure::BrokenStream:
+        noteBroken(state, index, now);
+        return;
     case Failure::BadResponse:
     case Failure::WrongAttempt:
     case Failure::OffsetGap:
@@ -251,6 +295,8 @@
     auto &server = serverAt(state, index);
     if (server.health == Health::Suspect) {
         server.health = Health::Healthy;
+        server.pausedUntil = {};
+        refreshServer(state, index, now);
         if (!healthy) {
             eject(state, index, now);
         }
@@ -278,9 +324,10 @@
     std::swap(held, state.heldServers);
     for (const ServerIndex index : held) {
         refreshServer(state, index, now);
-        const auto &memberships = serverAt(state, index).memberships;
-        const bool holds = std::any_of(memberships.begin(), memberships.end(), [&](const Membership &membership) { return membership.holdUntil > now; });
-        if (holds) {
+        const auto &server = serverAt(state, index);
+        const bool holds
+            = std::any_of(server.memberships.begin(), server.memberships.end(), [&](const Membership &membership) { return membership.holdUntil > now; });
+        if (holds || server.pausedUntil > now) {
             state.heldServers.push_back(index);
         }
     }
--- a/src/core/balancing/internal/state.h
+++ b/src/core/balancing/internal/state.h
@@ -90,6 +90,7 @@
     std::uint32_t ejections = 0;
     std::uint32_t probationAnswers = 0;
     TimePoint ejectedUntil{};
+    TimePoint pausedUntil{}; ///< no new work until then: it may just have died
     TimePoint nextProbeAt{};
     bool probeHealthy = false; ///< since the ejection
     double speed = 1;          ///< relative to the peers of its pools, at most 1; slots shrink with it
@@ -173,7 +174,7 @@
     detail::NameMap<ServerIndex> serversByName;
     detail::NameMap<detail::PoolIndex> poolsByKey;
     detail::NameMap<detail::DemandIndex> demandsByName;
-    std::vector<ServerIndex> heldServers; ///< with a membership on hold
+    std::vector<ServerIndex> heldServers; ///< paused, or with a membership on hold
     bool sharesDue = true;
     TimePoint sharesAt{};
     TimePoint timingsAt{};
--- a/src/core/balancing/pools.cpp
+++ b/src/core/balancing/pools.cpp
@@ -35,7 +35,7 @@
 
 auto limitOf(const Server &server, TimePoint now) -> std::uint32_t
 {
-    if (!isUsable(server) || server.quietAttempt) {
+    if (!isUsable(server) || server.quietAttempt || now < server.pausedUntil) {
         return 0;
     }
     // Slots that peers still use are not ours yet, whatever the shares say: a share that moved from a peer to us is
--- a/src/core/balancing/tests/choice_tests.cpp
+++ b/src/core/balancing/tests/choice_tests.cpp
@@ -159,9 +159,37 @@
     noteDispatched(*state, AttemptId{ 20 }, *quiet, suspect, Start);
     EXPECT_FALSE(chooseServer(*state, Quote, Start));
     noteFailed(*state, AttemptId{ 20 }, Failure::BrokenStream, Start);
+    EXPECT_EQ(freeSlots(*state, Quote), 0U);
+    noteProbe(*state, serverName(0), true, Start);
     EXPECT_EQ(freeSlots(*state, Quote), 2U);
 }
 
+// A crash leaves suspects at several entries, and all retry them at the same moment. No two entries choose the same
+// server, so that the killer's second crash finds no other suspect of the first one beside it.
+TEST(ChoiceTests, suspectsOfTwoEntriesNeverShareAServer)
+{
+    constexpr std::size_t Entries = 4;
+    std::map<std::string, std::size_t> entriesAt;
+    for (std::size_t entry = 0; entry < Entries; ++entry) {
+        const auto state = makeBalancing({ .servers = 10, .concurrency = 8 }, entryName(entry));
+        noteCell(*state, entryNames(Entries), Start);
+        Query suspect = Quote;
+        suspect.quietOnly = true;
+        std::set<std::string> own;
+        for (std::uint64_t attempt = 1; attempt <= 10; ++attempt) {
+            const auto server = chooseServer(*state, suspect, Start);
+            if (server) {
+                noteDispatched(*state, AttemptId{ attempt }, *server, suspect, Start);
+                EXPECT_TRUE(own.insert(viewServer(*state, *server).name).second);
+            }
+        }
+        EXPECT_GE(own.size(), 2U);
+        for (const auto &name : own) {
+            EXPECT_EQ(++entriesAt[name], 1U) << name;
+        }
+    }
+}
+
 TEST(ChoiceTests, reportsRaiseButNeverLowerWhatIsKnown)
 {
     const auto state = makeBalancing({ .servers = 2, .concurrency = 10, .failureDomains = 1 });
