Balancing: a server that returns to the document still has its requests

Cause: a server that left the document while requests ran on it and came back before they ended got a new index with nothing in flight, and its concurrency was exceeded. Change: a server of the same name and address that left and still has requests in flight is taken up again. Conclusion: the slot stays taken.

--- a/src/core/balancing/adoption.cpp
+++ b/src/core/balancing/adoption.cpp
@@ -115,17 +115,32 @@
     return ServerIndex(index);
 }
 
+auto isSame(const Server &server, const ServerSpec &spec) -> bool
+{
+    return server.name == spec.name && server.address == spec.address;
+}
+
+/// A server that left the document with requests in flight and is back before they ended. As a new one it would seem
+/// idle and be given its whole concurrency again.
+auto findReturning(const State &state, const ServerSpec &spec) -> std::optional<ServerIndex>
+{
+    const auto found
+        = std::find_if(state.servers.begin(), state.servers.end(), [&](const Server &server) { return server.inFlight > 0 && isSame(server, spec); });
+    if (found == state.servers.end()) {
+        return std::nullopt;
+    }
+    return ServerIndex(found - state.servers.begin());
+}
+
 /// The server that stays. A changed address is another server: what is known of the old one says nothing of it. The
 /// name is compared too: the slot may have been given to another server of the same document already.
 auto findStaying(const State &state, const ServerSpec &spec) -> std::optional<ServerIndex>
 {
     const auto found = state.serversByName.find(spec.name);
-    if (found == state.serversByName.end()) {
-        return std::nullopt;
+    if (found != state.serversByName.end() && isSame(serverAt(state, found->second), spec)) {
+        return found->second;
     }
-    const auto &server = serverAt(state, found->second);
-    const bool same = server.name == spec.name && server.address == spec.address;
-    return same ? std::optional(found->second) : std::nullopt;
+    return findReturning(state, spec);
 }
 
 auto internServer(State &state, const ServerSpec &spec) -> ServerIndex
--- a/src/core/balancing/tests/choice_tests.cpp
+++ b/src/core/balancing/tests/choice_tests.cpp
@@ -101,6 +101,19 @@
     EXPECT_EQ(fill(*state, Quote, 100).size(), 39U);
 }
 
+// An operator takes a server out of the document and puts it back while its requests still run: they count.
+TEST(ChoiceTests, aServerThatReturnsStillHasItsRequests)
+{
+    const auto state = makeBalancing({ .servers = 1, .concurrency = 4 });
+    noteDispatched(*state, AttemptId{ 1 }, ServerIndex{ 0 }, Quote, Start);
+    adopt(*state, configuration::Document{}, Start);
+    EXPECT_EQ(countServers(*state, Quote), 0U);
+    adopt(*state, makeDocument({ .servers = 1, .concurrency = 4 }), Start);
+    EXPECT_EQ(freeSlots(*state, Quote), 3U);
+    noteFinished(*state, AttemptId{ 1 }, 10, Start);
+    EXPECT_EQ(freeSlots(*state, Quote), 4U);
+}
+
 TEST(ChoiceTests, aPrefixStaysOnItsServerUntilThatIsMoreLoadedThanTheRest)
 {
     const auto state = makeBalancing({ .servers = 10, .concurrency = 20 });
