Operators' programs read entries' registrations by the key that entries write

Cause: with running entries auburnspreadctl found none: it looked for "name", entries register as "entry". The tests had faked the wrong key.

--- a/src/apps/administration/entryclient.cpp
+++ b/src/apps/administration/entryclient.cpp
@@ -30,7 +30,7 @@
     auto entries = std::vector<EntryAnswer>();
     for (const auto &stored : snapshot.entries) {
         const auto registration = json::parse(stored.value, nullptr, false);
-        auto entry = EntryAnswer{ .entry = textOf(registration, "name"), .adminAddress = textOf(registration, "admin_address") };
+        auto entry = EntryAnswer{ .entry = textOf(registration, "entry"), .adminAddress = textOf(registration, "admin_address") };
         if (!entry.entry.empty() && !entry.adminAddress.empty()) {
             entries.push_back(std::move(entry));
         }
--- a/src/apps/administration/tests/surroundings.h
+++ b/src/apps/administration/tests/surroundings.h
@@ -98,7 +98,7 @@
     auto addEntry(const std::string &name) -> FakeEntry &
     {
         auto &entry = *entries_.emplace_back(std::make_unique<FakeEntry>(loop, name));
-        const auto registration = nlohmann::json{ { "name", name }, { "admin_address", entry.address }, { "failure_domain", "fd-a" } };
+        const auto registration = nlohmann::json{ { "entry", name }, { "admin_address", entry.address }, { "failure_domain", "fd-a" } };
         const auto request = http::Request{
             .method = http::Method::Put, .address = platformAddress(), .path = "/v1/kv/auburnspread/entries/" + name, .body = registration.dump()
         };
