--- a/src/apps/console/tests/console_tests.cpp
+++ b/src/apps/console/tests/console_tests.cpp
@@ -1,5 +1,6 @@
 #include "apps/administration/tests/surroundings.h"
 #include "apps/console/console.h"
+#include "apps/console/consolesettings.h"
 #include "apps/console/html.h"
 #include "apps/console/itemform.h"
 #include "core/configuration/manifest.h"
@@ -8,7 +9,9 @@
 #include <openssl/evp.h>
 #include <rapidcheck/gtest.h>
 
+#include <fstream>
 #include <iomanip>
+#include <iterator>
 #include <sstream>
 
 namespace auburnspread::console
@@ -337,6 +340,33 @@
     }
 }
 
+auto readFile(const std::string &path) -> std::string
+{
+    auto stream = std::ifstream(path);
+    EXPECT_TRUE(stream.is_open()) << path;
+    return { std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>() };
+}
+
+TEST(ConsoleSettings, ThoseOfBothDeploymentsAreValid)
+{
+    for (const auto *const name : { "highveld", "smetnja" }) {
+        const auto path = std::string(AUBURNSPREAD_SOURCE_DIR "/deployments/") + name + "/console.ini";
+        const auto settings = settings::readSettings(consoleSchema(), { .file = path, .text = readFile(path), .overrides = {} });
+        EXPECT_EQ(readConsoleSettings(settings).options.operators.size(), 1U);
+    }
+}
+
+TEST(ConsoleSettings, StandInTheOperatorsPage)
+{
+    const auto page = readFile(AUBURNSPREAD_SOURCE_DIR "/docs/CONFIGURATION.md");
+    for (const auto &key : consoleSchema().keys) {
+        const auto defaultValue = key.defaultValue ? "`" + std::string(*key.defaultValue) + "`" : std::string("required");
+        const auto row = "| `" + std::string(key.section) + "." + std::string(key.name) + "` | " + std::string(settings::kindName(key.kind)) + " | "
+            + (defaultValue == "``" ? "empty" : defaultValue) + " | " + std::string(key.explanation) + " |";
+        EXPECT_TRUE(contains(page, row)) << row;
+    }
+}
+
 TEST(Operators, NeedNamesAndLongTokens)
 {
     EXPECT_EQ(parseOperators("ana:0123456789abcdef, ivo:fedcba9876543210").value().size(), 2U);
