auburnspreadctl drains an entry by its name also during an outage

Cause: while the platform's service is out, entries are known by address, so an entry's name was taken for that of a backend server. Change: the entries are asked for their own names first.

--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -330,12 +330,25 @@
     return renderTable(table);
 }
 
-auto isBackend(Session &session, const std::string &name) -> bool
+/// Under which the entry of this name is asked; empty: no entry that answers has this name. While the platform's service
+/// is out, entries are known by their addresses and only they themselves know their names.
+auto findEntry(const EntryAnswers &statuses, const std::string &name) -> std::string
+{
+    for (const auto &answer : statuses.answers) {
+        if (answer.entry == name || cellOf(valueAt(answer, "entry")) == name) {
+            return answer.entry;
+        }
+    }
+    return {};
+}
+
+/// Whether the document in force names the server. While it can't be read, the entries know the name or refuse it.
+auto mayBeServer(Session &session, const std::string &name) -> bool
 {
     const auto inForce = session.readInForce();
     const auto *const stored = std::get_if<InForce>(&inForce);
     if (stored == nullptr) {
-        return true; // The entries know the name or refuse it.
+        return true;
     }
     const auto document = documentOf(*stored);
     const auto isServer = [&name](const auto &server) { return server.name == name; };
@@ -347,11 +360,12 @@
 {
     auto session = Session(context.invocation);
     const auto &name = context.invocation.argument;
-    auto call = administration::EntryCall{ .method = http::Method::Post, .path = "/v1/drain", .onlyEntry = name };
-    if (isBackend(session, name)) {
-        call = { .method = http::Method::Post, .path = "/v1/backends/" + name + "/drain", .onlyEntry = {} };
+    const auto entry = findEntry(callEntries(context, session, { .path = "/v1/status" }), name);
+    if (entry.empty() && !mayBeServer(session, name)) {
+        throw CommandError(ExitCode::Unreachable, "no entry that answers and no server is named " + name);
     }
-    const auto answers = callEntries(context, session, call);
+    const auto path = entry.empty() ? "/v1/backends/" + name + "/drain" : std::string("/v1/drain");
+    const auto answers = callEntries(context, session, { .method = http::Method::Post, .path = path, .onlyEntry = entry });
     print(context, toJson(answers), changeTable(answers));
     return changeExitCode(answers);
 }
--- a/src/apps/ctl/tests/ctl_tests.cpp
+++ b/src/apps/ctl/tests/ctl_tests.cpp
@@ -134,6 +134,18 @@
     EXPECT_EQ(second.changes, (std::vector<std::string>{ "/v1/backends/engine-1/drain", "/v1/drain" }));
 }
 
+// The platform's service is out, so entries are known by address only. An operator who drains one by its name must
+// not have the order taken for one about a backend server.
+TEST_F(CtlTests, DrainsAnEntryByNameDuringAnOutage)
+{
+    auto &first = surroundings_.addEntry("entry-1");
+    auto &second = surroundings_.addEntry("entry-2");
+    surroundings_.control({ { "down", true } });
+    EXPECT_EQ(run({ "drain", "entry-2", "--entries", first.address + "," + second.address }).code, ExitCode::Done);
+    EXPECT_TRUE(first.changes.empty());
+    EXPECT_EQ(second.changes, (std::vector<std::string>{ "/v1/drain" }));
+}
+
 TEST_F(CtlTests, ListsAndReleasesQuarantinedRequests)
 {
     auto &entry = surroundings_.addEntry("entry-1");
