--- a/src/load/arrivals.cpp
+++ b/src/load/arrivals.cpp
@@ -120,7 +120,7 @@
         call.caller = dice.below(scenario.callersPerWorkspace);
         call.stream = dice.uniform() < flow.streamShare;
         call.answerTokens = drawLength(flow.length, dice);
-        call.prefix = dice.below(flow.prefixes);
+        call.prefix = flow.sameBody ? 0 : dice.below(flow.prefixes);
         calls.push_back(std::move(call));
     }
 }
