--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -189,10 +189,17 @@
 deployments=(highveld smetnja)
 [ "$quick" = no ] || deployments=(highveld)
 [ -z "$only_deployment" ] || deployments=("$only_deployment")
+# Two deployments at a time: a site of today's size uses about two cores.
+run_deployment() {
+    trap cleanup EXIT
+    run_scenarios "$1"
+    write_pages "$1"
+}
 for deployment in "${deployments[@]}"; do
-    run_scenarios "$deployment"
-    write_pages "$deployment"
+    run_deployment "$deployment" >"$work/$deployment.out" 2>&1 &
 done
+wait
+for deployment in "${deployments[@]}"; do cat "$work/$deployment.out"; done
 if [ "${#only[@]}" -eq 0 ]; then
     measure_idle_cost
     write_idle_page
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -21,6 +21,7 @@
 bin=$(cd "$root" && cd "${BUILD_DIR:-build}" && pwd)/bin
 ready_seconds=20
 stop_seconds=15
+console_token=loopback-site-only # nothing but loopback reaches these processes
 
 fail() {
     echo "site.sh: $*" >&2
@@ -38,6 +39,13 @@
     [ -r "/proc/$pid/cmdline" ] && [ "$(tr '\0' '\n' <"/proc/$pid/cmdline" | head -1)" = "$program" ]
 }
 
+# Sends signal $1 to process $2 if it still runs.
+send_signal() {
+    if is_running "$2"; then
+        kill "-$1" "$(cat "$site/run/$2.pid")" 2>/dev/null || true
+    fi
+}
+
 run_command() {
     local name=$1 command
     mapfile -t command <"$site/run/$name.command"
@@ -167,19 +175,14 @@
 
 start_optional() {
     if [ "$console" = yes ]; then
-        cat >"$site/console.ini" <<INI
-[listen]
-console = 127.$net.0.20:8090
-[platform]
-address = $platform
-[operators]
-tokens = operator:loopback-operator-token
-INI
-        start_process console "$bin/auburnspread-console" --config "$site/console.ini"
+        start_process console "$bin/auburnspread-console" --set "listen.address=127.$net.0.20:8090" --set "platform.address=$platform" \
+            --set "operators.tokens=operator:$console_token"
         describe console console "127.$net.0.20:8090" "127.$net.0.20:8090"
+        echo "console: http://127.$net.0.20:8090, operator's token $console_token"
     fi
     if [ "$placer" = yes ]; then
-        start_process placer "$bin/auburnspread-placer" --set "listen.admin=127.$net.0.21:8091" --set "platform.address=$platform"
+        start_process placer "$bin/auburnspread-placer" --set placer.name=placer-1 --set "listen.admin=127.$net.0.21:8091" \
+            --set "platform.address=$platform"
         describe placer placer "127.$net.0.21:8091" "127.$net.0.21:8091"
     fi
 }
@@ -205,7 +208,7 @@
 start_site() {
     deployment=${1:?DEPLOYMENT is missing}
     shift
-    entries=3 policy=standard token_ms=25 prefill_ms=60 lag_ms=500 seed=1 console=no placer=no engines= slots= net=
+    entries=3 policy=standard token_ms=25 prefill_ms=60 lag_ms=500 seed=1 console=no placer=no engines='' slots='' net=''
     while [ "$#" -gt 0 ]; do
         case $1 in
         --console | --placer)
@@ -255,14 +258,13 @@
     local name deadline
     # Programs of the product first: they drain while the stand-ins still serve.
     for name in $(names); do
-        is_running "$name" || continue
-        kill -CONT "$(cat "$site/run/$name.pid")" 2>/dev/null || true
-        case $name in entry-* | console | placer) kill -TERM "$(cat "$site/run/$name.pid")" 2>/dev/null || true ;; esac
+        send_signal CONT "$name"
+        case $name in entry-* | console | placer) send_signal TERM "$name" ;; esac
     done
     if [ "${1:-}" = --now ]; then
         sleep 0.3 # two signals of a kind at once are delivered as one
         for name in $(names); do
-            case $name in entry-*) is_running "$name" && kill -TERM "$(cat "$site/run/$name.pid")" 2>/dev/null || true ;; esac
+            case $name in entry-*) send_signal TERM "$name" ;; esac
         done
     fi
     deadline=$((SECONDS + stop_seconds))
@@ -271,11 +273,11 @@
         while is_running "$name" && [ "$SECONDS" -lt "$deadline" ]; do sleep 0.05; done
         if is_running "$name"; then
             echo "site.sh: $name did not end within $stop_seconds s of SIGTERM; killed" >&2
-            kill -KILL "$(cat "$site/run/$name.pid")" 2>/dev/null || true
+            send_signal KILL "$name"
         fi
     done
     for name in $(names); do
-        is_running "$name" && kill -TERM "$(cat "$site/run/$name.pid")" 2>/dev/null || true
+        send_signal TERM "$name"
     done
     if [ -f "$site/net" ]; then
         rmdir "/tmp/auburnspread-net-$(cat "$site/net")" 2>/dev/null || true
@@ -286,10 +288,10 @@
 # --- commands -------------------------------------------------------------------------------------------------------
 
 [ "$#" -ge 2 ] || fail "usage: site.sh start|restart|stop|status DIR ..."
-command=$1
+verb=$1
 site=$2
 shift 2
-case $command in
+case $verb in
 start) start_site "$@" ;;
 restart)
     is_running "${1:?NAME is missing}" && fail "$1 still runs"
@@ -298,8 +300,8 @@
 stop) stop_site "$@" ;;
 status)
     for name in $(names); do
-        is_running "$name" && echo "$name $(cat "$site/run/$name.pid") running" || echo "$name ended"
+        if is_running "$name"; then echo "$name $(cat "$site/run/$name.pid") running"; else echo "$name ended"; fi
     done
     ;;
-*) fail "unknown command $command" ;;
+*) fail "unknown command $verb" ;;
 esac
