--- a/src/load/faults.cpp
+++ b/src/load/faults.cpp
@@ -73,7 +73,11 @@
     calls_.push_back(
         client_.start(request,
                       { .onHead = [this, index](const HttpHead &head) { records_[index].applied = head.status >= LeastSuccess && head.status < LeastRedirect; },
-                        .onEnd = [](HttpEnd /*end*/) {} }));
+                        .onEnd =
+                            [this, index](HttpEnd end) {
+                                // a crash is carried out by a process that dies before it answers
+                                records_[index].applied = records_[index].applied || end == HttpEnd::Broken;
+                            } }));
 }
 
 auto FaultRunner::records() const -> const std::vector<FaultRecord> &
