--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -181,7 +181,7 @@
         if .failed then "FAILED: \(.failed)" else
         "Written by `scripts/bench.sh`. Site: `\(.command)`.\n",
         "- Time to the first token, \(.first_byte.calls) calls each way, one at a time, each on a new connection, medians: \(.first_byte.direct_median_us) us straight to an engine, \(.first_byte.routed_median_us) us through the entry: \(.first_byte.added_us) us added; \(.first_byte.failed) calls failed (`auburnspread-load --site SITE --first-byte \(.first_byte.calls) --class full-quote`).",
-        "- Memory: \(.concurrent.before_kb) KB resident before, \(.concurrent.open_kb) KB with \(.concurrent.open) of \(.concurrent.asked) streams open (\(.concurrent.begun) begun): \(.concurrent.kb_per_open_stream * 10 | round / 10) KB for an open stream (`auburnspread-load --site SITE --concurrent \(.concurrent.asked) --class full-quote --tokens 400`)." end' \
+        "- Memory: \(.concurrent.before_kb) KB resident before, \(.concurrent.open_kb) KB with \(.concurrent.open) of \(.concurrent.asked) streams open (\(.concurrent.begun) begun): \(.concurrent.kb_per_open_stream * 10 | round / 10) KB for an open stream (the rest met the limits of their workspaces; `auburnspread-load --site SITE --concurrent \(.concurrent.asked) --class full-quote --tokens 400`)." end' \
         "$work/idle.json" >"$out/idle-cost.md"
     echo "wrote $out/idle-cost.md"
 }
@@ -189,10 +189,17 @@
 deployments=(highveld smetnja)
 [ "$quick" = no ] || deployments=(highveld)
 [ -z "$only_deployment" ] || deployments=("$only_deployment")
+# Two deployments at a time: a site of today's size uses about two cores.
+run_deployment() {
+    trap cleanup EXIT
+    run_scenarios "$1"
+    write_pages "$1"
+}
 for deployment in "${deployments[@]}"; do
-    run_scenarios "$deployment"
-    write_pages "$deployment"
+    run_deployment "$deployment" >"$work/$deployment.out" 2>&1 &
 done
+wait
+for deployment in "${deployments[@]}"; do cat "$work/$deployment.out"; done
 if [ "${#only[@]}" -eq 0 ]; then
     measure_idle_cost
     write_idle_page
