A name's ended later holder no longer makes the new process drain

A VM replaced under its name by one with a clock behind heard of the ended run's higher incarnation and would have drained. It now takes the next incarnation unless the other one serves.

--- a/src/core/membership/internal/gossip.cpp
+++ b/src/core/membership/internal/gossip.cpp
@@ -24,8 +24,8 @@
     }
     if (record.incarnation > self.incarnation) {
         // A former run of this process whose clock was ahead, or another process under the same name: only the
-        // second has another address, and only then must this one end.
-        if (record.peerAddress == self.peerAddress) {
+        // second has another address, and only while it serves must this one end.
+        if (record.peerAddress == self.peerAddress || record.state >= MemberState::Leaving) {
             rejoin(state, record.incarnation + 1, actions);
         } else {
             state.superseded = true;
--- a/src/core/membership/internal/membershipstate.h
+++ b/src/core/membership/internal/membershipstate.h
@@ -53,7 +53,6 @@
 struct MembershipState {
     MembershipOptions options;
     MemberRecord self;
-    bool ready = false;
     bool superseded = false;
     std::map<std::string, detail::KnownMember> others;
     std::set<std::string, std::less<>> links; ///< names of linked peers, known members or not
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -117,7 +117,7 @@
 
 auto Step::readList() const -> void
 {
-    if (now < state.listAt || (state.listAnswered && !isWatcher(state))) {
+    if (now < state.listAt || !watchesPlatform(state)) {
         return;
     }
     state.listAt = now + jitter(state, state.options.listInterval);
@@ -126,7 +126,6 @@
 
 auto Step::operator()(const ReadinessChanged &event) const -> void
 {
-    state.ready = event.ready;
     markSelf(state, event.ready ? MemberState::Live : MemberState::Joining);
 }
 
@@ -331,6 +330,11 @@
     return state.cells;
 }
 
+auto watchesPlatform(const MembershipState &state) -> bool
+{
+    return !state.listAnswered || isWatcher(state);
+}
+
 auto isPlatformReachable(const MembershipState &state) -> bool
 {
     return state.platformReachable;
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -58,6 +58,9 @@
 
 auto listCells(const MembershipState &state) -> const std::vector<Cell> &;
 
+/// Whether this entry is one of the few that read the platform's lists; the others hear from them.
+auto watchesPlatform(const MembershipState &state) -> bool;
+
 /// Whether the platform answered the last call.
 auto isPlatformReachable(const MembershipState &state) -> bool;
 
--- a/src/core/membership/tests/membership_tests.cpp
+++ b/src/core/membership/tests/membership_tests.cpp
@@ -261,6 +261,26 @@
     EXPECT_EQ(network.recordOf("b2", "a1").callerAddress, "elsewhere:1");
 }
 
+TEST(MembershipTests, aNameWhoseLaterHolderEndedIsTakenBack)
+{
+    // A VM is replaced under its name by one whose clock is behind, so the ended run has the higher incarnation. Its
+    // record must not make the new process drain: a site would lose every VM that it replaces that way.
+    FakeNetwork network;
+    startFour(network);
+    const MemberRecord ended{ .name = "a1",
+                              .callerAddress = "elsewhere:1",
+                              .peerAddress = "elsewhere:2",
+                              .failureDomain = "domain-a",
+                              .region = "region",
+                              .incarnation = 8000,
+                              .state = MemberState::Gone };
+    network.send("b1", RecordsReceived{ .from = "b2", .records = { ended }, .digest = {} });
+    network.run(seconds(3));
+    EXPECT_TRUE(network.entry("a1").leaveCauses.empty());
+    EXPECT_TRUE(network.allList(fourEntries));
+    EXPECT_EQ(network.recordOf("b2", "a1").incarnation, 8001U);
+}
+
 namespace
 {
 
--- a/src/wire/peer/links.cpp
+++ b/src/wire/peer/links.cpp
@@ -238,6 +238,10 @@
 
 auto Links::Implementation::handleAuthenticated(Link &link) -> void
 {
+    if (link.peer().name.empty()) {
+        link.end(LinkFailure::Malformed); // an empty name stands for a target whose entry is not known
+        return;
+    }
     const auto target = targets_.find(link.dialledAddress());
     if (link.isDialled() && target != targets_.end()) {
         target->second.name = link.peer().name;
