--- a/src/core/membership/tests/entriesanswer_tests.cpp
+++ b/src/core/membership/tests/entriesanswer_tests.cpp
@@ -107,14 +107,9 @@
     // its address if everything else fails.
     FakeNetwork network;
     startEight(network);
-    network.send(nameOf(0),
-                 RecordsReceived{ .from = nameOf(1),
-                                  .records = { [&]() {
-                                      auto record = network.recordOf(nameOf(0), nameOf(2));
-                                      record.state = MemberState::Suspect;
-                                      return record;
-                                  }() },
-                                  .digest = {} });
+    auto suspect = network.recordOf(nameOf(0), nameOf(2));
+    suspect.state = MemberState::Suspect;
+    network.send(nameOf(0), RecordsReceived{ .from = nameOf(1), .records = { suspect }, .digest = {} });
     for (int caller = 0; caller < 100; ++caller) {
         EXPECT_EQ(ask(network, nameOf(0), caller).back(), "e2:1");
     }
--- a/src/core/membership/tests/membership_tests.cpp
+++ b/src/core/membership/tests/membership_tests.cpp
@@ -32,6 +32,18 @@
     return entriesAnswer(*network.entry(observer).state, { .workspace = "w", .requestClass = "c", .model = "m" }, TimePoint()).addresses;
 }
 
+/// Another process that took a1's name at another address.
+auto laterHolderOfA1(MemberState state) -> MemberRecord
+{
+    return { .name = "a1",
+             .callerAddress = "elsewhere:1",
+             .peerAddress = "elsewhere:2",
+             .failureDomain = "domain-a",
+             .region = "region",
+             .incarnation = 8000,
+             .state = state };
+}
+
 } // namespace
 
 TEST(MembershipTests, aLoneEntryServesItsOwnCell)
@@ -248,14 +260,7 @@
     FakeNetwork network;
     startFour(network);
     network.run(seconds(5));
-    const MemberRecord successor{ .name = "a1",
-                                  .callerAddress = "elsewhere:1",
-                                  .peerAddress = "elsewhere:2",
-                                  .failureDomain = "domain-a",
-                                  .region = "region",
-                                  .incarnation = 8000,
-                                  .state = MemberState::Live };
-    network.send("b1", RecordsReceived{ .from = "b2", .records = { successor }, .digest = {} });
+    network.send("b1", RecordsReceived{ .from = "b2", .records = { laterHolderOfA1(MemberState::Live) }, .digest = {} });
     network.run(seconds(2));
     EXPECT_EQ(network.entry("a1").leaveCauses, std::vector<LeaveCause>{ LeaveCause::Superseded });
     EXPECT_EQ(network.recordOf("b2", "a1").callerAddress, "elsewhere:1");
@@ -267,14 +272,7 @@
     // record must not make the new process drain: a site would lose every VM that it replaces that way.
     FakeNetwork network;
     startFour(network);
-    const MemberRecord ended{ .name = "a1",
-                              .callerAddress = "elsewhere:1",
-                              .peerAddress = "elsewhere:2",
-                              .failureDomain = "domain-a",
-                              .region = "region",
-                              .incarnation = 8000,
-                              .state = MemberState::Gone };
-    network.send("b1", RecordsReceived{ .from = "b2", .records = { ended }, .digest = {} });
+    network.send("b1", RecordsReceived{ .from = "b2", .records = { laterHolderOfA1(MemberState::Gone) }, .digest = {} });
     network.run(seconds(3));
     EXPECT_TRUE(network.entry("a1").leaveCauses.empty());
     EXPECT_TRUE(network.allList(fourEntries));
