--- a/src/failuretests/process.cpp
+++ b/src/failuretests/process.cpp
@@ -45,6 +45,7 @@
     std::vector<std::string> words{ path };
     words.insert(words.end(), options.arguments.begin(), options.arguments.end());
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (auto &word : words) {
         arguments.push_back(word.data());
     }
--- a/src/failuretests/process.h
+++ b/src/failuretests/process.h
@@ -30,6 +30,10 @@
     auto signal(int number) -> void;
     /// Exit code, or the negative number of the signal that ended it; nothing while it runs.
     [[nodiscard]] auto exitCode() -> std::optional<int>;
+    [[nodiscard]] auto pid() const -> pid_t
+    {
+        return pid_;
+    }
     /// What it wrote so far.
     [[nodiscard]] auto output() const -> std::string;
 
--- a/src/failuretests/site.cpp
+++ b/src/failuretests/site.cpp
@@ -83,6 +83,7 @@
 {
     const std::vector<PortHolder> holders(count);
     std::vector<std::string> addresses;
+    addresses.reserve(count);
     for (const auto &holder : holders) {
         addresses.push_back(holder.address());
     }
@@ -195,7 +196,7 @@
 
 auto Site::writeFile(const std::string &name, const std::string &text) -> std::filesystem::path
 {
-    const auto path = folder_ / name;
+    auto path = folder_ / name;
     std::ofstream(path) << text;
     return path;
 }
