Settings: a repeated key's value is shown unless it is a secret

Cause: the error of a key given twice hid every value, and each error chose by itself whether to hide. Change: one function says what is a secret, also for misspelt keys named token or password; the error of a repeated key names its value.

--- a/src/runtime/settings/settings.cpp
+++ b/src/runtime/settings/settings.cpp
@@ -5,6 +5,7 @@
 #include "runtime/settings/internal/value.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -39,14 +40,33 @@
     return text.size() > Longest ? shown + "..." : shown;
 }
 
-// A misspelt secret is still a secret: its value stays hidden if its name or its nearest key looks like one.
+auto findKey(const Schema &schema, const Candidate &candidate) -> const Key *
+{
+    const auto found
+        = std::find_if(schema.keys.begin(), schema.keys.end(), [&](const Key &key) { return key.section == candidate.section && key.name == candidate.key; });
+    return found == schema.keys.end() ? nullptr : &*found;
+}
+
 auto namesSecret(std::string_view name) -> bool
 {
-    return name.find("secret") != std::string_view::npos;
+    constexpr auto Words = std::to_array<std::string_view>({ "secret", "token", "password" });
+    return std::any_of(Words.begin(), Words.end(), [name](std::string_view word) { return name.find(word) != std::string_view::npos; });
+}
+
+// A misspelt secret is still a secret: an unknown key's value stays hidden if its name or its nearest key looks like one.
+auto isSecret(const Schema &schema, const Candidate &candidate) -> bool
+{
+    if (const auto *key = findKey(schema, candidate)) {
+        return key->kind == Kind::Secret;
+    }
+    const auto name = detail::fullName(candidate.section, candidate.key);
+    const auto *nearest = detail::findNearest(schema, name);
+    return namesSecret(name) || (nearest != nullptr && nearest->kind == Kind::Secret);
 }
 
-auto makeError(const Candidate &candidate, std::string_view shownValue, std::string expected) -> Error
+auto makeError(const Schema &schema, const Candidate &candidate, std::string expected) -> Error
 {
+    const auto shownValue = isSecret(schema, candidate) ? Hidden : std::string_view(candidate.value);
     return Error{ .file = candidate.file,
                   .line = candidate.line,
                   .section = makePrintable(candidate.section),
@@ -55,7 +75,7 @@
                   .expected = std::move(expected) };
 }
 
-auto addFileCandidates(const Sources &sources, Candidates &candidates, std::vector<Error> &errors) -> void
+auto addFileCandidates(const Schema &schema, const Sources &sources, Candidates &candidates, std::vector<Error> &errors) -> void
 {
     const auto file = detail::parseIni(sources.text);
     for (const auto line : file.badLines) {
@@ -66,7 +86,7 @@
         Candidate candidate{ .file = sources.file, .line = given.line, .section = given.section, .key = given.key, .value = given.value };
         const auto [place, isNew] = candidates.emplace(detail::fullName(given.section, given.key), candidate);
         if (!isNew) {
-            errors.push_back(makeError(candidate, Hidden, "the key once; line " + std::to_string(place->second.line) + " has it already"));
+            errors.push_back(makeError(schema, candidate, "the key once; line " + std::to_string(place->second.line) + " has it already"));
         }
     }
 }
@@ -84,23 +104,13 @@
     candidates[name] = { .file = std::string(OverrideSource), .section = name.substr(0, dot), .key = name.substr(dot + 1), .value = text.substr(equals + 1) };
 }
 
-auto findKey(const Schema &schema, const Candidate &candidate) -> const Key *
-{
-    const auto found
-        = std::find_if(schema.keys.begin(), schema.keys.end(), [&](const Key &key) { return key.section == candidate.section && key.name == candidate.key; });
-    return found == schema.keys.end() ? nullptr : &*found;
-}
-
 auto reportUnknown(const Schema &schema, const Candidate &candidate) -> Error
 {
-    const auto name = detail::fullName(candidate.section, candidate.key);
-    const auto *nearest = detail::findNearest(schema, name);
+    const auto *nearest = detail::findNearest(schema, detail::fullName(candidate.section, candidate.key));
     if (nearest == nullptr) {
-        return makeError(candidate, Hidden, "no key at all");
+        return makeError(schema, candidate, "no key at all");
     }
-    const auto isSecret = nearest->kind == Kind::Secret || namesSecret(name);
-    const auto suggestion = "a known key; the nearest is [" + std::string(nearest->section) + "] " + std::string(nearest->name);
-    return makeError(candidate, isSecret ? Hidden : std::string_view(candidate.value), suggestion);
+    return makeError(schema, candidate, "a known key; the nearest is [" + std::string(nearest->section) + "] " + std::string(nearest->name));
 }
 
 /// The value that counts for \p key; nothing if it is required and not given.
@@ -139,7 +149,7 @@
             throw std::logic_error("settings: a rule names an undeclared key: " + detail::fullName(rule.section, rule.name));
         }
         named = chooseValue(*key, candidates).value_or(named);
-        errors.push_back(makeError(named, key->kind == Kind::Secret ? Hidden : std::string_view(named.value), std::string(rule.expected)));
+        errors.push_back(makeError(schema, named, std::string(rule.expected)));
     }
 }
 
@@ -229,7 +239,7 @@
 {
     std::vector<Error> errors;
     Candidates candidates;
-    addFileCandidates(sources, candidates, errors);
+    addFileCandidates(schema, sources, candidates, errors);
     for (const auto &text : sources.overrides) {
         addOverride(text, candidates, errors);
     }
@@ -247,7 +257,7 @@
             continue;
         }
         if (auto expected = detail::findFault(key, chosen->value)) {
-            errors.push_back(makeError(*chosen, key.kind == Kind::Secret ? Hidden : std::string_view(chosen->value), std::move(*expected)));
+            errors.push_back(makeError(schema, *chosen, std::move(*expected)));
             continue;
         }
         settings.values_[detail::fullName(key.section, key.name)] = { .kind = key.kind, .text = chosen->value };
