Keep a part of each workspace limit for its higher tiers

Cause: all tiers of a workspace drew on the same buckets and places. A burst of its lowest tier used them up, and its next request of the highest tier was refused: the same to its caller as being shed for a lower tier.

Change: nothing is kept back from a workspace's highest tier, a quarter of each limit from its lowest, even steps between. A lower tier takes only what is above, over the whole cell, and ahead of the reports only its entry's part of that (far from the limit a clump of twelve requests). Its refused demand is not reported. One request of a lower tier for each ten of a higher one may pass the reserve, so that a flood of the highest tier starves none.

The older limits tests have only the new argument type.

Conclusion: a burst of a lower tier no longer costs the highest tier its limits. Left: where a limit is below a dozen requests an entry, a flood that begins at all entries at once can reach below the reserve until the first reports arrive.

--- a/src/core/limits/sharedbucket.cpp
+++ b/src/core/limits/sharedbucket.cpp
@@ -12,7 +12,7 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr double DecaySeconds = 1.0;
-constexpr double QuarterOfBurst = 0.25;
+constexpr double QuarterOfLimit = 0.25;
 
 auto decayed(const DecayingRate &rate, TimePoint now) -> double
 {
@@ -52,24 +52,38 @@
     bucket.cellAt = now;
 }
 
-/// What may be taken between two reports though the peers do not know of it yet.
-auto allowanceAhead(double room, double burst, std::uint32_t entries) -> double
+/// Whether the cell as a whole has so much left. An amount over what may ever be taken needs a full bucket.
+auto isLeftInCell(const SharedBucket &bucket, const BucketOptions &options, const Amount &amount) -> bool
 {
-    const auto even = room / std::max<std::uint32_t>(entries, 1);
-    return isFarFromLimit(room, burst) ? std::max(even, burst * QuarterOfBurst) : even;
+    const auto reserved = burstOf(options) * amount.reserve;
+    return bucket.cellLevel - reserved >= std::min(amount.units, burstOf(options) - reserved);
 }
 
-auto mayTakeAhead(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount) -> bool
+/// Whether an entry may take so much between two reports though the peers do not know of it yet.
+auto mayTakeAhead(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double units) -> bool
 {
     const auto burst = burstOf(options);
-    if (bucket.cellLevel < std::min(amount, burst)) {
-        return false;
-    }
-    const auto room = bucket.cellLevel + bucket.ahead;
-    if (isFarFromLimit(room, burst) && bucket.ahead <= 0) {
+    const auto room = bucket.cellLevel + bucket.ahead.recent;
+    const auto unheard = bucket.aheadHighest.recent;
+    if (isFarFromLimit(room, burst) && unheard <= 0) {
         return true;
     }
-    return bucket.ahead + amount <= allowanceAhead(room, burst, entries);
+    return unheard + units <= std::max(room / std::max<std::uint32_t>(entries, 1), partAhead(room, burst));
+}
+
+/// The same for a lower tier: of what is above the reserve the entry's part, counted over two reports, since one may be
+/// under way, and far from the limit a clump of requests. A quarter of the burst at each entry would reach below the
+/// reserve, and so would what the shares saved up while the cell was below it.
+auto mayTakeAboveReserve(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, const Amount &amount, TimePoint now) -> bool
+{
+    const auto burst = burstOf(options);
+    const auto unheard = totalOf(bucket.ahead);
+    const auto room = bucket.cellLevel + unheard - burst * amount.reserve;
+    const auto even = room / std::max<std::uint32_t>(entries, 1);
+    const auto share = room * shareOf(bucket, entries, now);
+    const auto isFar = isFarFromLimit(room, burst * (1 - amount.reserve));
+    const auto clump = isFar ? std::min(burst * MostClumped, amount.units * ClumpedRequests) : 0.0;
+    return (isFar && unheard <= 0) || unheard + amount.units <= std::max({ even, share, clump });
 }
 
 auto mayTakeFromShare(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> bool
@@ -85,6 +99,26 @@
     return room >= limit * Far;
 }
 
+auto partAhead(double room, double limit) -> double
+{
+    constexpr double Some = 0.2; // below what is kept for the highest tier, so that its clumps pass also while lower ones use the rest
+    constexpr double EighthOfLimit = 0.125;
+    if (isFarFromLimit(room, limit)) {
+        return limit * QuarterOfLimit;
+    }
+    return room >= limit * Some ? limit * EighthOfLimit : 0;
+}
+
+auto totalOf(const Unheard &unheard) -> double
+{
+    return unheard.recent + unheard.before;
+}
+
+auto shift(Unheard &unheard) -> void
+{
+    unheard = { .before = unheard.recent };
+}
+
 auto add(DecayingRate &rate, double amount, TimePoint now) -> void
 {
     rate.sum = decayed(rate, now) + amount;
@@ -119,28 +153,36 @@
     bucket.at = now;
 }
 
-auto mayTake(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> bool
+auto mayTake(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, const Amount &amount, TimePoint now) -> bool
 {
-    return mayTakeAhead(bucket, options, entries, amount) || mayTakeFromShare(bucket, options, entries, amount, now);
+    const auto isLeft = isLeftInCell(bucket, options, amount);
+    if (amount.reserve > 0) {
+        return isLeft && mayTakeAboveReserve(bucket, options, entries, amount, now);
+    }
+    return (isLeft && mayTakeAhead(bucket, options, entries, amount.units)) || mayTakeFromShare(bucket, options, entries, amount.units, now);
 }
 
-auto take(SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> void
+auto take(SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, const Amount &amount, TimePoint now) -> void
 {
     if (options.perSecond <= 0) {
         return;
     }
     // What the share cannot pay is a bounded debt of it: the cell's level has paid.
-    const auto lowest = std::min(bucket.level, -burstOf(options) * QuarterOfBurst);
-    const auto paid = bucket.level - amount;
-    bucket.level = mayTakeFromShare(bucket, options, entries, amount, now) ? paid : std::max(lowest, paid);
-    bucket.cellLevel -= amount;
-    bucket.ahead += amount;
+    const auto lowest = std::min(bucket.level, -burstOf(options) * QuarterOfLimit);
+    const auto paid = bucket.level - amount.units;
+    bucket.level = mayTakeFromShare(bucket, options, entries, amount.units, now) ? paid : std::max(lowest, paid);
+    bucket.cellLevel -= amount.units;
+    bucket.ahead.recent += amount.units;
+    if (amount.reserve <= 0) {
+        bucket.aheadHighest.recent += amount.units;
+    }
 }
 
 auto noteReported(SharedBucket &bucket, double demand, TimePoint now) -> void
 {
     add(bucket.own, demand, now);
-    bucket.ahead = 0;
+    shift(bucket.ahead);
+    shift(bucket.aheadHighest);
 }
 
 auto notePeers(SharedBucket &bucket, const BucketOptions &options, double demand, TimePoint now) -> void
@@ -150,18 +192,21 @@
         return;
     }
     refillCell(bucket, options, now);
-    // Demand that was refused was not taken: it closes the way ahead of the reports, but leaves no debt.
-    const auto lowest = std::min(bucket.cellLevel, 0.0);
+    // Demand that was refused was not taken: it closes the way ahead of the reports, but for no longer than a second. With
+    // no debt at all, what comes in between two reports would be taken anew by each entry.
+    const auto lowest = std::min(bucket.cellLevel, -options.perSecond);
     bucket.cellLevel = std::max(lowest, bucket.cellLevel - demand);
 }
 
-auto timeUntil(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, double amount, TimePoint now) -> Duration
+auto timeUntil(const SharedBucket &bucket, const BucketOptions &options, std::uint32_t entries, const Amount &amount, TimePoint now) -> Duration
 {
     constexpr double LongestWait = 60.0;
-    const auto missing = std::min(amount, capacityOf(bucket, options, entries, now)) - bucket.level;
+    const auto missing = std::min(amount.units, capacityOf(bucket, options, entries, now)) - bucket.level;
     const auto rate = std::max(refillRate(bucket, options, now), options.perSecond / std::max<std::uint32_t>(entries, 1) / 2.0);
-    const auto wait = std::clamp(missing / rate, 0.0, LongestWait);
-    return std::chrono::duration_cast<Duration>(Seconds(wait));
+    const auto reserved = burstOf(options) * amount.reserve;
+    const auto missingInCell = reserved + std::min(amount.units, burstOf(options) - reserved) - bucket.cellLevel;
+    const auto wait = amount.reserve > 0 ? missingInCell / options.perSecond : missing / rate;
+    return std::chrono::duration_cast<Duration>(Seconds(std::clamp(wait, 0.0, LongestWait)));
 }
 
 } // namespace auburnspread::limits
--- a/src/core/limits/tests/workspacelimits_tests.cpp
+++ b/src/core/limits/tests/workspacelimits_tests.cpp
@@ -53,7 +53,7 @@
     for (int offer = 0; offer < OffersPerInterval; ++offer) {
         cell.now += ReportInterval / OffersPerInterval;
         for (std::size_t entry = 0; entry < busy; ++entry) {
-            taken[entry] += takeIn(cell.entries[entry], cell.limits, 10, static_cast<std::uint32_t>(cell.entries.size()), cell.now) ? 0 : 1;
+            taken[entry] += takeIn(cell.entries[entry], cell.limits, { .tokens = 10 }, static_cast<std::uint32_t>(cell.entries.size()), cell.now) ? 0 : 1;
         }
     }
     exchange(cell);
@@ -109,10 +109,10 @@
     WorkspaceUsage usage;
     const configuration::Workspace limits{ .tokensPerSecond = 100, .tokenBurst = 100 };
     TimePoint now{};
-    ASSERT_FALSE(takeIn(usage, limits, 50, 1, now));
+    ASSERT_FALSE(takeIn(usage, limits, { .tokens = 50 }, 1, now));
     release(usage, 50, 550);
     now += std::chrono::seconds(4);
-    const auto limited = takeIn(usage, limits, 50, 1, now);
+    const auto limited = takeIn(usage, limits, { .tokens = 50 }, 1, now);
     ASSERT_TRUE(limited);
     EXPECT_EQ(limited->reason, Reason::WorkspaceTokenRate);
     EXPECT_EQ(limited->retryAfter, std::chrono::seconds(1));
--- a/src/core/routing/internal/catalog.cpp
+++ b/src/core/routing/internal/catalog.cpp
@@ -100,6 +100,18 @@
     }
 }
 
+auto tiersOf(const RouterState &state, const configuration::Workspace &workspace) -> limits::Tiers
+{
+    limits::Tiers tiers = 0;
+    for (const auto &name : workspace.classes) {
+        const auto requestClass = state.classes.find(name);
+        if (requestClass != state.classes.end()) {
+            tiers = limits::addTier(tiers, requestClass->second.definition.tier);
+        }
+    }
+    return tiers;
+}
+
 auto adoptWorkspaces(RouterState &state, const Document &document) -> void
 {
     for (auto &[name, workspace] : state.workspaces) {
@@ -113,6 +125,7 @@
             workspace.id = static_cast<WorkspaceId>(state.lastWorkspace);
         }
         workspace.definition = definition;
+        workspace.tiers = tiersOf(state, definition);
         workspace.inDocument = true;
     }
     const auto isGone = [](const WorkspaceState &workspace) { return !workspace.inDocument && workspace.usage.open == 0; };
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -53,6 +53,7 @@
     WorkspaceId id{};
     configuration::Workspace definition;
     bool inDocument = true;
+    limits::Tiers tiers = 0; ///< of its classes
     limits::WorkspaceUsage usage;
 };
 
