--- a/src/core/admission/forecast.h
+++ b/src/core/admission/forecast.h
@@ -48,8 +48,9 @@
 /// A request left the queue for a backend server; \p forecast is what was expected of its waiting.
 auto noteLeftQueue(Estimates &estimates, Duration waited, Duration forecast, TimePoint now) -> void;
 
-/// A request was dispatched; \p isSpare: it was late itself and not on its floor, or found a free slot when it came. \p horizon: the answer target of
-/// the class. An overload shorter than that is no evidence that a late request can't be answered in time.
+/// A request was dispatched. \p isSpare: it was late itself and not on its floor, or found a free slot when it came.
+/// \p horizon: the answer target of the class. An overload shorter than that is no evidence that a late request can't be
+/// answered in time.
 auto noteSpare(Estimates &estimates, bool isSpare, Duration horizon, TimePoint now) -> void;
 
 auto noteFirstToken(Estimates &estimates, Duration sinceDispatch) -> void;
--- a/src/core/queueing/bounds.cpp
+++ b/src/core/queueing/bounds.cpp
@@ -4,6 +4,35 @@
 namespace auburnspread::queueing
 {
 
+namespace
+{
+
+/// The newest of the requests that \p byOrderOf gives of a lane, among classes of the tier that hold more than their reserved places.
+auto findNewest(const RequestQueue &queue, int tier, const auto &byOrderOf) -> std::optional<RequestId>
+{
+    std::optional<RequestId> found;
+    std::uint64_t newest = 0;
+    for (const auto &[id, classQueue] : queue.classes) {
+        if (classQueue.tier != tier || detail::evictableOf(classQueue) == 0) {
+            continue;
+        }
+        for (const auto &[route, lane] : classQueue.lanes) {
+            const std::map<std::uint64_t, RequestId> &byOrder = byOrderOf(lane);
+            if (byOrder.empty()) {
+                continue;
+            }
+            const auto &[order, request] = *byOrder.rbegin();
+            if (!found || order > newest) {
+                found = request;
+                newest = order;
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace
+
 auto boundedLength(const RequestQueue &queue) -> std::uint32_t
 {
     std::uint32_t length = 0;
@@ -28,43 +57,14 @@
     if (lowest <= tier) {
         return std::nullopt;
     }
-    std::optional<RequestId> victim;
-    std::uint64_t newest = 0;
-    for (const auto &[id, classQueue] : queue.classes) {
-        if (classQueue.tier != lowest || detail::evictableOf(classQueue) == 0) {
-            continue;
-        }
-        for (const auto &[route, lane] : classQueue.lanes) {
-            const auto &[order, request] = *lane.byOrder.rbegin();
-            if (!victim || order > newest) {
-                victim = request;
-                newest = order;
-            }
-        }
-    }
-    return victim;
+    return findNewest(
+        queue, lowest, [](const detail::Lane &lane) -> const auto & { return lane.byOrder; });
 }
 
 auto findLateVictim(const RequestQueue &queue, int tier) -> std::optional<RequestId>
 {
-    std::optional<RequestId> victim;
-    std::uint64_t newest = 0;
-    for (const auto &[id, classQueue] : queue.classes) {
-        if (classQueue.tier != tier || detail::evictableOf(classQueue) == 0) {
-            continue;
-        }
-        for (const auto &[route, lane] : classQueue.lanes) {
-            if (lane.late.byOrder.empty()) {
-                continue;
-            }
-            const auto &[order, request] = *lane.late.byOrder.rbegin();
-            if (!victim || order > newest) {
-                victim = request;
-                newest = order;
-            }
-        }
-    }
-    return victim;
+    return findNewest(
+        queue, tier, [](const detail::Lane &lane) -> const auto & { return lane.late.byOrder; });
 }
 
 } // namespace auburnspread::queueing
--- a/src/core/queueing/requestqueue.h
+++ b/src/core/queueing/requestqueue.h
@@ -1,7 +1,7 @@
 /// \file
 /// The requests that wait in one entry, and who goes next: the highest tier first; within it those that can still be on
-/// time before those that can't; then classes by deficit round robin over tokens, weighted; within a class workspaces likewise; within a workspace the nearest
-/// deadline.
+/// time before those that can't; then classes by deficit round robin over tokens, weighted; within a class workspaces
+/// likewise; within a workspace the nearest deadline.
 ///
 /// Every operation costs O(log n) in the number of waiting requests, and besides that only depends on how many routes
 /// one backend server carries and how many classes share a tier.
@@ -132,8 +132,8 @@
 
 /// Takes a request that waits past its class's starvation bound on any of \p routes, among classes that \p mayUseFloor
 /// allows: of the class that was served least recently the oldest one that can still be on time, or else the oldest. By age
-/// alone a class with a long queue would keep the others out, and the floor would serve late requests only. Classes of the highest tier that waits are left
-/// out: they are served by right, each by its weight.
+/// alone a class with a long queue would keep the others out, and the floor would serve late requests only. Classes of the
+/// highest tier that waits are left out: they are served by right, each by its weight.
 auto takeStarved(RequestQueue &queue, std::span<const RouteId> routes, TimePoint now, const std::function<bool(ClassId)> &mayUseFloor)
     -> std::optional<WaitingRequest>;
 
--- a/src/core/routing/internal/arriving.cpp
+++ b/src/core/routing/internal/arriving.cpp
@@ -26,15 +26,21 @@
     }
 }
 
-/// A request whose first token will be late goes behind those of its tier whose first token can be on time.
-auto demoteOnArrival(RouterState &state, Request &request, std::uint32_t aheadOfLate) -> Duration
+/// Puts the request behind those of its tier whose first token can still be on time.
+auto markLate(Request &request) -> void
 {
     request.late = true;
-    request.forecastWait = Duration::zero(); // what a late request waits teaches nothing about the others
-    return admission::forecastLateWait(estimatesOf(request), aheadOfLate, state.now);
+    request.forecastWait = Duration::zero(); // its wait says nothing about that of those before it
 }
 
-/// Why the request can no longer meet its answer target, if so; one that only misses its first-token target is late. The forecast
+auto forecastLateWait(const RouterState &state, Request &request) -> Duration
+{
+    const auto &workspace = *request.workspace;
+    const auto ahead = queueing::countAheadOfLate(state.queue, request.requestClass->id, request.route, workspace.id, workspace.definition.weight);
+    return admission::forecastLateWait(estimatesOf(request), ahead, state.now);
+}
+
+/// Why the request can no longer meet its answer target, if so; one that only misses its first-token target is marked late. The forecast
 /// never bars a class's reserved places: a class in which nothing waits always gets a request in, so none is starved by a
 /// forecast, and a wrong forecast is put right by what comes.
 auto whyUnreachable(RouterState &state, Request &request) -> std::optional<Refusal>
@@ -50,9 +56,8 @@
     if (!admission::missedBy(estimatesOf(request), request.forecastWait, targets)) {
         return std::nullopt;
     }
-    const auto lateAhead = queueing::countAheadOfLate(state.queue, requestClass.id, request.route, request.workspace->id, request.workspace->definition.weight);
-    const auto lateWait = demoteOnArrival(state, request, lateAhead);
-    const auto missed = admission::missedBy(estimatesOf(request), lateWait, { .firstToken = answer, .answer = answer });
+    markLate(request);
+    const auto missed = admission::missedBy(estimatesOf(request), forecastLateWait(state, request), { .firstToken = answer, .answer = answer });
     if (!missed) {
         return std::nullopt;
     }
