Site script: sites without workspace limits

A burst over the workspaces' limits is refused by them under the standard policy only, which hides how the policies order work.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -14,6 +14,7 @@
 #   --token-ms X    pace of the engines (25)      --prefill-ms X  time of 1,000 prompt tokens (60)
 #   --console       also start the console        --placer        also start the placer
 #   --lag-ms X      age of load reports (500)     --seed N        of the entries' random choices (1)
+#   --no-limits     workspaces without limits, to compare policies by their order alone
 #   --net N         use 127.N.*; without it a free one is found
 # BUILD_DIR names the build folder (build).
 set -euo pipefail
@@ -97,9 +98,11 @@
 make_document() {
     local source=$root/deployments/$deployment/document.json
     [ -f "$source" ] || fail "$source is missing"
-    jq --arg net "127.$net." --argjson engines "${engines:-null}" --argjson slots "${slots:-null}" '
+    jq --arg net "127.$net." --argjson engines "${engines:-null}" --argjson slots "${slots:-null}" \
+        --arg nolimits "$no_limits" '
         (.backend_servers[].address, .services[].servers[].address) |= sub("^127\\.[0-9]+\\."; $net)
         | if $engines then .backend_servers |= .[:$engines] else . end
+        | if $nolimits == "yes" then .workspaces[] |= del(.requests_per_second, .request_burst, .tokens_per_second, .token_burst, .concurrency) else . end
         | if $slots then .backend_servers[].concurrency = $slots else . end' "$source" >"$site/document.json"
 }
 
@@ -208,11 +211,12 @@
 start_site() {
     deployment=${1:?DEPLOYMENT is missing}
     shift
-    entries=3 policy=standard token_ms=25 prefill_ms=60 lag_ms=500 seed=1 console=no placer=no engines='' slots='' net=''
+    entries=3 policy=standard token_ms=25 prefill_ms=60 lag_ms=500 seed=1 console=no placer=no no_limits=no engines='' slots='' net=''
     while [ "$#" -gt 0 ]; do
         case $1 in
-        --console | --placer)
-            declare -g "${1#--}=yes"
+        --console | --placer | --no-limits)
+            local flag=${1#--}
+            declare -g "${flag//-/_}=yes"
             shift
             continue
             ;;
