--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -158,11 +158,12 @@
 write_pages() {
     local deployment=$1 page=$out/load-$1 report
     compgen -G "$work/$deployment.*.json" >/dev/null || return 0
-    jq -s '.' "$work/$deployment".*.json >"$page.json"
+    jq -s 'map(del(.timeline, .engine_starts))' "$work/$deployment".*.json >"$page.json"
     {
         echo "# Load runs of $deployment"
         echo
         echo "Written by \`scripts/bench.sh$([ "$quick" = yes ] && echo " --quick" || true)\` on $(nproc) cores, commit $(git rev-parse --short HEAD), load average at the end$(uptime | sed 's/.*load average//')."
+        echo "The naive policy applies no workspace limits: where a burst exceeds them, the standard policy's refusals name them."
         echo "Each run has a fresh site: \`scripts/site.sh start SITE $deployment --policy POLICY\`. Percentages are of the offered calls (first token and pace: of the offered streams);"
         echo "on time: whole and right, first token and answer within the class's targets; good: on time, not asked twice, and executed once if not repeatable."
         echo
