--- a/src/failuretests/site.cpp
+++ b/src/failuretests/site.cpp
@@ -187,8 +187,8 @@
     placer.adminAddress = freeAddresses(1).front();
     const auto settings = writeFile(name + ".ini",
                                     "[placer]\nname = " + name + "\n[listen]\nadmin = " + placer.adminAddress + "\n[platform]\naddress = " + platform->address
-                                        + "\n[lease]\nduration_ms = 10000\nrenew_ms = 500\nsafety_margin_ms = 1000\nstandby_ms = 500\n"
-                                        + "[orders]\norder_time_ms = 1000\n[reads]\ninterval_ms = 300\nspacing_ms = 10\ntimeout_ms = 1000\n");
+                                        + "\n[lease]\nduration_ms = 2000\nrenew_ms = 200\nsafety_margin_ms = 300\nstandby_ms = 100\n"
+                                        + "[orders]\norder_time_ms = 300\n[reads]\ninterval_ms = 300\nspacing_ms = 10\ntimeout_ms = 1000\n");
     placer.process = std::make_unique<Process>(
         ProcessOptions{ .program = "auburnspread-placer", .arguments = { "--config", settings.string() }, .output = folder_ / (name + ".log") });
     return placer;
