--- a/src/failuretests/tests/entry_failure_tests.cpp
+++ b/src/failuretests/tests/entry_failure_tests.cpp
@@ -93,3 +93,24 @@
     EXPECT_EQ(site.countServiceRuns(site.service(), "notice-3"), runs) << call->describe();
     EXPECT_TRUE(runs == 1 || call->outcome() == "not-run") << call->describe();
 }
+
+// The platform's service is out, yet the caller's deposit notice is sent: it goes with a ticket that the entry gave
+// beforehand. Its repeat at the same entry, and one at another entry, are not run.
+TEST(EntryFailureTests, aTicketRunsACallOnceWhileThePlatformIsOut)
+{
+    SmallSite site({ .entries = 2, .service = true });
+    site.control(*site.platform, { { "down", true } });
+    const auto issued = site.caller.fetch({ .address = site.entry(1).callerAddress, .method = "POST", .path = "/v1/tickets?workspace=roofs" });
+    ASSERT_EQ(issued->head.status, 200) << issued->describe() << site.logs();
+    const auto ticket = nlohmann::json::parse(issued->body).at("tickets").at(0).get<std::string>();
+    const auto call = site.startDispatch(site.entry(1), ticket);
+    ASSERT_TRUE(site.caller.waitUntil([&]() { return call->ended(); })) << call->describe() << site.logs();
+    EXPECT_EQ(call->head.status, 200) << call->describe() << site.logs();
+    for (const auto number : { 1, 2 }) {
+        const auto repeat = site.startDispatch(site.entry(number), ticket);
+        ASSERT_TRUE(site.caller.waitUntil([&]() { return repeat->ended(); })) << repeat->describe() << site.logs();
+        EXPECT_EQ(repeat->head.status, 409) << repeat->describe();
+        EXPECT_EQ(repeat->outcome(), "may-have-run") << repeat->describe();
+    }
+    EXPECT_EQ(site.countServiceRuns(site.service(), ticket), 1U);
+}
