Backend task: whole answers end once, protocol errors are no crashes, headers are bounded

After the last chunk the deadline was no longer looked at: a connection that then went silent, committed, kept the caller waiting for ever. If it broke instead, the attempt failed and a retry sent the last chunk again. 2. Bytes that are not HTTP were reported as BrokenBeforeFirstByte, which counts as a crash and leads to quarantine. 3. Headers that do not end were collected without a bound. 4. A task that ended with attempts or probes under way leaked their connections. Change: a break or silence after the last chunk finishes the answer and closes the connection; the library's invalid and too long answers are BadResponse; headers are bounded to 64 KB; the task's state closes connections in use. Conclusion: mended, but a single HTTP chunk of a body is still collected whole by the library until a timeout.

--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -137,6 +137,16 @@
     }
 }
 
+/// Failure: what comes back is not HTTP, or its headers do not end. Symptom: the library only says that the request
+/// failed, which is taken for a crash, and the request is quarantined although it did no harm. The library tells
+/// this cause apart before it calls onDone, so a BadResponse is reported first.
+auto onError(evhttp_request_error error, void *context) -> void
+{
+    if (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG) {
+        fail(*static_cast<Attempt *>(context), Failure::BadResponse);
+    }
+}
+
 auto addHeader(evkeyvalq *headers, const char *name, const std::string &value) -> void
 {
     if (!value.empty()) {
@@ -171,6 +181,9 @@
                   } }
     {
     }
+    ~State();
+    State(const State &) = delete;
+    auto operator=(const State &) -> State & = delete;
 
     auto take(BackendMessage message) -> void;
     auto start(DispatchOrder order) -> void;
@@ -201,6 +214,20 @@
     TimePoint lastSweep = task::monotonicNow();
 };
 
+/// The library does not free connections with its event loop: those in use are closed here, the pool closes idle ones.
+BackendTask::State::~State()
+{
+    for (auto &[id, attempt] : attempts) {
+        ended.emplace_back(std::move(attempt), false);
+    }
+    closeEnded();
+    for (const auto &probe : probes) {
+        if (probe->pooled.connection != nullptr) {
+            pool.close(probe->pooled);
+        }
+    }
+}
+
 auto BackendTask::State::take(BackendMessage message) -> void
 {
     if (auto *order = std::get_if<DispatchOrder>(&message)) {
@@ -281,6 +308,7 @@
     addHeader(headers, "X-Request-Id", attempt.stream.attemptId);
     evhttp_request_set_header_cb(attempt.request, onHeaders);
     evhttp_request_set_chunked_cb(attempt.request, onBody);
+    evhttp_request_set_error_cb(attempt.request, onError);
     if (evhttp_make_request(attempt.pooled.connection, attempt.request, command, path.c_str()) != 0) {
         attempt.request = nullptr;
         fail(attempt, failureOfBreak(attempt));
@@ -398,7 +426,8 @@
             late.emplace_back(id, Failure::ConnectFailed);
             continue;
         }
-        if (attempt->blocked || attempt->complete || now < attempt->deadline) {
+        const auto awaitsCommit = attempt->complete && !attempt->committed;
+        if (attempt->blocked || awaitsCommit || now < attempt->deadline) {
             continue;
         }
         late.emplace_back(id, attempt->started ? Failure::ProgressTimeout : Failure::FirstTokenTimeout);
--- a/src/entry/backend/internal/attempt.cpp
+++ b/src/entry/backend/internal/attempt.cpp
@@ -33,6 +33,11 @@
     if (attempt.over) {
         return;
     }
+    if (attempt.complete) {
+        attempt.broken = true;
+        finish(attempt);
+        return;
+    }
     attempt.over = true;
     const auto relayed = attempt.committed ? attempt.stream.nextOffset : attempt.dispatch.resumeOffset;
     const auto wasted = attempt.stream.discardedTokens + (attempt.committed ? 0 : heldTokens(attempt));
@@ -69,7 +74,7 @@
         .attempt = attempt.dispatch.attempt,
         .relayedTokens = attempt.stream.nextOffset,
     }));
-    attempt.context.ended(attempt.dispatch.attempt, true);
+    attempt.context.ended(attempt.dispatch.attempt, !attempt.broken);
 }
 
 auto relayPart(Attempt &attempt, CallerMessage message) -> void
--- a/src/entry/backend/internal/attempt.h
+++ b/src/entry/backend/internal/attempt.h
@@ -44,7 +44,8 @@
     bool sent = false;      ///< a byte of the request may have left
     bool started = false;   ///< AttemptStarted was reported
     bool committed = false; ///< may relay
-    bool complete = false;  ///< the answer's own terminator was seen
+    bool complete = false;  ///< the answer is whole: its last chunk, or the end of a service's answer, was seen
+    bool broken = false;    ///< the connection failed after the answer was whole, and must not be used again
     bool over = false;      ///< finished, failed or cancelled: later callbacks change nothing
     bool blocked = false;   ///< the caller reads too slowly
     int status = 0;
@@ -55,6 +56,10 @@
 };
 
 /// Reports a failure, once.
+///
+/// Failure: the connection breaks or goes silent between the last chunk and the end of the stream. Symptom: a retry
+/// sends the last chunk a second time, or the caller waits for ever. Nothing of the answer is missing any more, so
+/// a whole answer is finished instead.
 auto fail(Attempt &attempt, Failure failure) -> void;
 /// Reports the end of a whole answer, once.
 auto finish(Attempt &attempt) -> void;
--- a/src/entry/backend/internal/connectionpool.cpp
+++ b/src/entry/backend/internal/connectionpool.cpp
@@ -13,6 +13,8 @@
 
 //! NOTE the attempt has timeouts of its own, so the library's must never come first
 constexpr int LibraryTimeoutSeconds = 86'400;
+//! NOTE without a bound, headers that do not end fill the entry's memory
+constexpr int MostHeaderBytes = 65'536;
 
 auto openConnection(task::EventLoop &loop, const std::string &address) -> evhttp_connection *
 {
@@ -29,6 +31,7 @@
         throw std::runtime_error("connect: no connection object for " + address);
     }
     evhttp_connection_set_timeout(connection, LibraryTimeoutSeconds);
+    evhttp_connection_set_max_headers_size(connection, MostHeaderBytes);
     return connection;
 }
 
