Tests of bad backend servers against the backend task

Change: sixteen tests of a backend task in a thread; the test plays the router, the caller task and a backend server on plain sockets: error statuses, answers against the protocol, endless events and headers, crossed, duplicate, missing and foreign chunks, a missing terminator, broken, refused and silent connections, a blocked caller, cancel, commit, resume, a plain service.

--- /dev/null
+++ b/src/entry/backend/tests/tcpserver.cpp
@@ -0,0 +1,126 @@
+#include "entry/backend/tests/tcpserver.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace auburnspread::entry
+{
+
+namespace
+{
+
+constexpr int Backlog = 8;
+constexpr timeval Bound{ .tv_sec = 30, .tv_usec = 0 }; // generous: only a hanging test meets it
+
+auto boundReads(int descriptor) -> void
+{
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &Bound, sizeof Bound);
+}
+
+auto closeOnce(int &descriptor) -> void
+{
+    if (descriptor >= 0) {
+        ::close(std::exchange(descriptor, -1));
+    }
+}
+
+} // namespace
+
+TcpConnection::TcpConnection(int descriptor)
+    : descriptor_(descriptor)
+{
+    boundReads(descriptor_);
+}
+
+TcpConnection::TcpConnection(TcpConnection &&other) noexcept
+    : descriptor_(std::exchange(other.descriptor_, -1))
+{
+}
+
+TcpConnection::~TcpConnection()
+{
+    close();
+}
+
+auto TcpConnection::send(std::string_view bytes) const -> void
+{
+    while (!bytes.empty()) {
+        const auto sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0) {
+            return; // the task has closed the connection, as it should after a fault
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+}
+
+auto TcpConnection::readUntil(std::string_view text) const -> std::string
+{
+    std::string read;
+    std::array<char, 4096> bytes{};
+    while (read.find(text) == std::string::npos) {
+        const auto got = ::recv(descriptor_, bytes.data(), bytes.size(), 0);
+        if (got <= 0) {
+            throw std::runtime_error("the connection ended after: " + read);
+        }
+        read.append(bytes.data(), static_cast<std::size_t>(got));
+    }
+    return read;
+}
+
+auto TcpConnection::seesEnd() const -> bool
+{
+    char byte = 0;
+    return ::recv(descriptor_, &byte, 1, 0) == 0;
+}
+
+auto TcpConnection::close() -> void
+{
+    closeOnce(descriptor_);
+}
+
+TcpServer::TcpServer()
+    : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto *generic = reinterpret_cast<sockaddr *>(&name);
+    socklen_t length = sizeof name;
+    if (::bind(descriptor_, generic, length) != 0 || ::listen(descriptor_, Backlog) != 0 || ::getsockname(descriptor_, generic, &length) != 0) {
+        throw std::runtime_error("listen on 127.0.0.1");
+    }
+    boundReads(descriptor_);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
+}
+
+TcpServer::~TcpServer()
+{
+    close();
+}
+
+auto TcpServer::address() const -> std::string
+{
+    return address_;
+}
+
+auto TcpServer::accept() const -> TcpConnection
+{
+    const auto descriptor = ::accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (descriptor < 0) {
+        throw std::runtime_error("nobody connects to " + address_);
+    }
+    return TcpConnection(descriptor);
+}
+
+auto TcpServer::close() -> void
+{
+    closeOnce(descriptor_);
+}
+
+} // namespace auburnspread::entry
