--- a/src/failuretests/tests/placer_process_tests.cpp
+++ b/src/failuretests/tests/placer_process_tests.cpp
@@ -33,17 +33,17 @@
 protected:
     auto startEngines() -> void
     {
-        std::vector<std::string> arguments{ "--models", "quote-7b:1", "--platform", site.platform->address };
+        std::vector<std::string> arguments{ "--models", "quote-7b:1", "--platform", site_.platform->address };
         if (GetParam()) {
             arguments.emplace_back("--checks-fencing");
         }
-        site.startStandIn("fake-engine", "engine-1", arguments);
-        site.startStandIn("fake-engine", "engine-2", arguments);
+        site_.startStandIn("fake-engine", "engine-1", arguments);
+        site_.startStandIn("fake-engine", "engine-2", arguments);
     }
 
     auto ordersOf(const std::string &engine) -> nlohmann::json
     {
-        return site.caller.fetchJson(site.standIns.at(engine)->address, "/orders");
+        return site_.caller.fetchJson(site_.standIns.at(engine)->address, "/orders");
     }
 
     auto serves(const std::string &engine, const std::string &version) -> bool
@@ -59,11 +59,11 @@
 
     auto holdsLease(const Placer &placer) -> bool
     {
-        const auto status = site.caller.fetchJson(placer.adminAddress, "/v1/status");
+        const auto status = site_.caller.fetchJson(placer.adminAddress, "/v1/status");
         return status.is_object() && status.value("holds_lease", false);
     }
 
-    Site site;
+    Site site_;
 };
 
 } // namespace
@@ -74,15 +74,15 @@
 TEST_P(PlacerProcessTests, aKilledHolderIsReplacedAndTheRolloutEnds)
 {
     startEngines();
-    site.publish(makeDocument(site, "2", GetParam()));
-    auto &first = site.startPlacer("placer-1");
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return bothServe("2"); }, 2 * LongWait)) << site.logs();
+    site_.publish(makeDocument(site_, "2", GetParam()));
+    auto &first = site_.startPlacer("placer-1");
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return bothServe("2"); }, 2 * LongWait)) << site_.logs();
     const auto oldFence = ordersOf("engine-1").value("fence", 0ULL);
-    auto &second = site.startPlacer("placer-2");
-    site.publish(makeDocument(site, "3", GetParam()));
+    auto &second = site_.startPlacer("placer-2");
+    site_.publish(makeDocument(site_, "3", GetParam()));
     first.process->signal(SIGKILL);
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return holdsLease(second); }, 2 * LongWait)) << site.logs();
-    EXPECT_TRUE(site.caller.waitUntil([&]() { return bothServe("3"); }, 2 * LongWait)) << site.logs();
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return holdsLease(second); }, 2 * LongWait)) << site_.logs();
+    EXPECT_TRUE(site_.caller.waitUntil([&]() { return bothServe("3"); }, 2 * LongWait)) << site_.logs();
     EXPECT_GT(ordersOf("engine-1").value("fence", 0ULL), oldFence);
 }
 
@@ -91,18 +91,18 @@
 TEST_P(PlacerProcessTests, aHolderPausedPastItsLeaseOrdersNothingWhenItWakesUp)
 {
     startEngines();
-    site.publish(makeDocument(site, "2", GetParam()));
-    auto &first = site.startPlacer("placer-1");
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return bothServe("2"); }, 2 * LongWait)) << site.logs();
+    site_.publish(makeDocument(site_, "2", GetParam()));
+    auto &first = site_.startPlacer("placer-1");
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return bothServe("2"); }, 2 * LongWait)) << site_.logs();
     first.process->signal(SIGSTOP);
-    auto &second = site.startPlacer("placer-2");
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return holdsLease(second); }, 2 * LongWait)) << site.logs();
-    site.publish(makeDocument(site, "3", GetParam()));
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return bothServe("3"); }, 2 * LongWait)) << site.logs();
+    auto &second = site_.startPlacer("placer-2");
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return holdsLease(second); }, 2 * LongWait)) << site_.logs();
+    site_.publish(makeDocument(site_, "3", GetParam()));
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return bothServe("3"); }, 2 * LongWait)) << site_.logs();
     const auto fence = ordersOf("engine-1").value("fence", 0ULL);
     first.process->signal(SIGCONT);
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return first.process->output().find("lease-expired") != std::string::npos; })) << site.logs();
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return first.process->output().find("lease-held-elsewhere") != std::string::npos; })) << site.logs();
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return first.process->output().find("lease-expired") != std::string::npos; })) << site_.logs();
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return first.process->output().find("lease-held-elsewhere") != std::string::npos; })) << site_.logs();
     EXPECT_FALSE(holdsLease(first));
     EXPECT_TRUE(bothServe("3"));
     EXPECT_EQ(ordersOf("engine-1").value("fence", 0ULL), fence);
@@ -113,17 +113,17 @@
 TEST_P(PlacerProcessTests, anOutageOfThePlatformStopsOrdersAndNothingElse)
 {
     startEngines();
-    site.publish(makeDocument(site, "1", GetParam()));
-    auto &placer = site.startPlacer("placer-1");
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return holdsLease(placer); })) << site.logs();
-    site.control(*site.platform, { { "down", true } });
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return placer.process->output().find("lease-expired") != std::string::npos; })) << site.logs();
+    site_.publish(makeDocument(site_, "1", GetParam()));
+    auto &placer = site_.startPlacer("placer-1");
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return holdsLease(placer); })) << site_.logs();
+    site_.control(*site_.platform, { { "down", true } });
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return placer.process->output().find("lease-expired") != std::string::npos; })) << site_.logs();
     EXPECT_TRUE(bothServe("1"));
-    site.control(*site.platform, { { "down", false } });
-    site.publish(makeDocument(site, "2", GetParam()));
-    EXPECT_TRUE(site.caller.waitUntil([&]() { return bothServe("2"); }, 2 * LongWait)) << site.logs();
+    site_.control(*site_.platform, { { "down", false } });
+    site_.publish(makeDocument(site_, "2", GetParam()));
+    EXPECT_TRUE(site_.caller.waitUntil([&]() { return bothServe("2"); }, 2 * LongWait)) << site_.logs();
     placer.process->signal(SIGTERM);
-    ASSERT_TRUE(site.caller.waitUntil([&]() { return placer.process->exitCode().has_value(); })) << site.logs();
+    ASSERT_TRUE(site_.caller.waitUntil([&]() { return placer.process->exitCode().has_value(); })) << site_.logs();
     EXPECT_EQ(placer.process->exitCode(), 0);
 }
 
--- a/src/wire/peer/links.h
+++ b/src/wire/peer/links.h
@@ -26,7 +26,7 @@
     std::string secret;        ///< shared by all entries, at least 16 bytes
     std::size_t messageBytes = 1024UL * 1024;
     std::size_t queueBytes = 1024UL * 1024; ///< waiting for one slow peer
-    std::size_t unauthenticated = 64;     ///< accepted connections that have not proved the secret yet
+    std::size_t unauthenticated = 64;       ///< accepted connections that have not proved the secret yet
     Duration pingInterval = std::chrono::seconds(1);
     Duration silence = std::chrono::seconds(3);          ///< a link that heard nothing for so long is ended
     Duration handshakeTimeout = std::chrono::seconds(2); ///< connecting and authenticating
