Chat attempts: one judgement of a relay verdict

Cause: what a discard or a gap does stood twice, for a token and for the end. Change: mayRelay() serves both; behaviour is the same. Ran: entry_backend_tests, 16 of 16; format and lint of the file clean.

--- a/src/entry/backend/internal/chatattempt.cpp
+++ b/src/entry/backend/internal/chatattempt.cpp
@@ -8,16 +8,19 @@
 namespace
 {
 
-auto relayToken(Attempt &attempt, chat::AnswerChunk chunk) -> void
+/// A discarded chunk changes nothing; a gap fails the attempt.
+auto mayRelay(Attempt &attempt, relay::Verdict verdict) -> bool
 {
-    switch (relay::acceptChunk(attempt.stream, chunk.id, chunk.offset)) {
-    case relay::Verdict::Discard:
-        return;
-    case relay::Verdict::Gap:
+    if (verdict == relay::Verdict::Gap) {
         fail(attempt, Failure::OffsetGap);
+    }
+    return verdict == relay::Verdict::Relay;
+}
+
+auto relayToken(Attempt &attempt, chat::AnswerChunk chunk) -> void
+{
+    if (!mayRelay(attempt, relay::acceptChunk(attempt.stream, chunk.id, chunk.offset))) {
         return;
-    case relay::Verdict::Relay:
-        break;
     }
     reportStarted(attempt);
     extendDeadline(attempt);
@@ -33,14 +36,8 @@
 
 auto relayLast(Attempt &attempt, chat::AnswerChunk chunk) -> void
 {
-    switch (relay::acceptEnd(attempt.stream, chunk.id, chunk.offset)) {
-    case relay::Verdict::Discard:
-        return;
-    case relay::Verdict::Gap:
-        fail(attempt, Failure::OffsetGap);
+    if (!mayRelay(attempt, relay::acceptEnd(attempt.stream, chunk.id, chunk.offset))) {
         return;
-    case relay::Verdict::Relay:
-        break;
     }
     reportStarted(attempt);
     attempt.complete = true;
