--- /dev/null
+++ b/src/apps/gateway/main.cpp
@@ -0,0 +1,89 @@
+/// \file
+/// The pass-through entry's process.
+
+#include "gateway/gateway.h"
+#include "gateway/settings/gatewaysettings.h"
+#include "runtime/logging/logging.h"
+#include "runtime/settings/commandline.h"
+#include "runtime/task/eventloop.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <functional>
+#include <string>
+#include <variant>
+
+using namespace auburnspread;
+
+namespace
+{
+
+constexpr auto ProgramName = "auburnspread-gateway";
+constexpr int DefectExit = 3;
+constexpr int LogLinesPerSecond = 200; ///< of one event name: about twice the sends of a VM in a burst
+
+auto onSignal(task::EventLoop &loop, int signal, std::function<void()> &action) -> task::EventPointer
+{
+    const auto callback = [](evutil_socket_t /*signal*/, short /*what*/, void *context) { (*static_cast<std::function<void()> *>(context))(); };
+    task::EventPointer watch(evsignal_new(loop.base(), signal, callback, &action));
+    event_add(watch.get(), nullptr);
+    return watch;
+}
+
+auto readSettings(int argc, char **argv) -> std::variant<settings::Settings, settings::ExitCode>
+{
+    return settings::readCommandLine(argc, argv, gateway::gatewaySchema(), ProgramName, AUBURNSPREAD_VERSION);
+}
+
+/// The settings file was changed. What is in force stays until the next start; the line tells whether that will succeed.
+auto checkNewSettings(int argc, char **argv) -> void
+{
+    const auto read = readSettings(argc, argv);
+    logging::event(logging::Level::Info, "settings-reread", { { "valid", std::holds_alternative<settings::Settings>(read) } });
+}
+
+auto run(const gateway::GatewaySettings &settings, int argc, char **argv) -> void
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    task::EventLoop loop;
+    gateway::Gateway entry(loop, settings);
+    std::function<void()> leave = [&]() {
+        logging::event(logging::Level::Info, "leaving", { { "entry", settings.name } });
+        entry.leave([&loop]() { loop.stop(); });
+    };
+    std::function<void()> reload = [argc, argv]() { checkNewSettings(argc, argv); };
+    const auto onTerminate = onSignal(loop, SIGTERM, leave);
+    const auto onInterrupt = onSignal(loop, SIGINT, leave);
+    const auto onHangup = onSignal(loop, SIGHUP, reload);
+    logging::event(logging::Level::Info, "started", { { "entry", settings.name }, { "caller", entry.callerAddress() } });
+    entry.start();
+    loop.run();
+    logging::event(logging::Level::Info, "ended", { { "entry", settings.name } });
+    logging::flush();
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    try {
+        const auto read = readSettings(argc, argv);
+        if (const auto *code = std::get_if<settings::ExitCode>(&read)) {
+            return code->value;
+        }
+        const auto settings = gateway::readGatewaySettings(std::get<settings::Settings>(read));
+        logging::configure({
+            .level = logging::levelFromName(settings.logLevel).value_or(logging::Level::Info),
+            .file = std::string(logging::StandardOutput),
+            .linesPerSecond = LogLinesPerSecond,
+        });
+        run(settings, argc, argv);
+        return EXIT_SUCCESS;
+    } catch (const std::exception &error) {
+        logging::event(logging::Level::Error, "not-started", { { "step", "start" }, { "error", error.what() } });
+        return DefectExit;
+    }
+}
--- a/src/core/base/failure.cpp
+++ b/src/core/base/failure.cpp
@@ -19,6 +19,7 @@
     { Failure::WrongAttempt, "wrong-attempt" },
     { Failure::OffsetGap, "offset-gap" },
     { Failure::Truncated, "truncated" },
+    { Failure::WrongServer, "wrong-server" },
     { Failure::ServerError, "server-error" },
 });
 
@@ -36,7 +37,7 @@
 
 auto provesNotStarted(Failure failure) -> bool
 {
-    return failure == Failure::ConnectFailed || failure == Failure::NotStarted;
+    return failure == Failure::ConnectFailed || failure == Failure::NotStarted || failure == Failure::WrongServer;
 }
 
 auto looksLikeCrash(Failure failure) -> bool
--- a/src/core/base/failure.h
+++ b/src/core/base/failure.h
@@ -22,6 +22,7 @@
     WrongAttempt,          ///< the answer carried another attempt's id: crossed or late
     OffsetGap,             ///< a chunk did not continue where the last one ended
     Truncated,             ///< the answer ended without its terminator
+    WrongServer,           ///< another backend server has the address now; it ran nothing
     ServerError,           ///< a complete answer with an error status
 };
 
--- a/src/core/base/reason.cpp
+++ b/src/core/base/reason.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr int BadRequestStatus = 400;
+constexpr int UnauthorizedStatus = 401;
 constexpr int NotFoundStatus = 404;
 constexpr int ConflictStatus = 409;
 constexpr int TooLargeStatus = 413;
@@ -60,6 +61,13 @@
     { Reason::DuplicateRequest, "duplicate-request", ConflictStatus, false, "A request with this idempotency key was already accepted; it runs at most once." },
     { Reason::Quarantined, "quarantined", QuarantinedStatus, false, "Equal requests crashed backend servers; an operator can release the fingerprint." },
     { Reason::CallerGone, "caller-gone", UnavailableStatus, false, "The caller closed its connection before the answer was complete." },
+    { Reason::UnknownRoute, "unknown-route", NotFoundStatus, false, "No route of the configuration in force has this host and a prefix of this path." },
+    { Reason::UnknownKey, "unknown-key", UnauthorizedStatus, false, "No workspace of the configuration in force has this key." },
+    { Reason::StaleConfiguration,
+      "stale-configuration",
+      UnavailableStatus,
+      true,
+      "The entry could not confirm its configuration lately, so a key may have been taken away; the age is in the log." },
     { Reason::InternalError, "internal-error", InternalStatus, false, "A defect of the router; the log line with this request id has the step." },
 });
 
--- a/src/core/base/reason.h
+++ b/src/core/base/reason.h
@@ -47,6 +47,9 @@
     DuplicateRequest,
     Quarantined,
     CallerGone,
+    UnknownRoute,
+    UnknownKey,
+    StaleConfiguration,
     InternalError,
 };
 
--- /dev/null
+++ b/src/core/passthrough/actions.h
@@ -0,0 +1,81 @@
+/// \file
+/// What the router of the pass-through face wants done, in order.
+
+#pragma once
+
+#include "core/base/failure.h"
+#include "core/base/ids.h"
+#include "core/base/reason.h"
+#include "core/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnspread::passthrough
+{
+
+/// Send the request to a backend server.
+struct Send {
+    RequestId request{};
+    AttemptId attempt{};
+    std::string server; ///< id; another server at this address must not run the request
+    std::string address;
+    std::string workspace; ///< that the key belongs to; empty: none
+    int tier = 0;
+    Duration remaining{};      ///< until the request's deadline
+    std::string lastEventId;   ///< resume after this event; empty: from the beginning
+    bool isStream = false;     ///< relay each event as it arrives
+    bool isRepeat = false;     ///< the request was sent before
+    Duration startTimeout{};   ///< without any answer by then the attempt has failed
+    Duration silenceTimeout{}; ///< a stream without a further event for this long has failed
+    Duration estimatedStart{}; ///< expected time to the first byte, for logs
+};
+
+/// Close the attempt's connection; whatever still arrives is dropped.
+struct Cancel {
+    AttemptId attempt{};
+};
+
+/// Give the caller the whole answer of this attempt.
+struct Deliver {
+    RequestId request{};
+    AttemptId attempt{};
+    int status = 0;
+};
+
+/// The final answer of a request that gets none from a backend server, at once.
+struct Refuse {
+    RequestId request{};
+    Reason reason{};
+    Outcome outcome = Outcome::NotRun;
+    int status = 0;
+    std::optional<Duration> retryAfter;
+    std::string peer;          ///< backend server concerned; empty: none
+    Duration informationAge{}; ///< how old the configuration is that decided; for logs
+};
+
+/// End the answer that was begun so that it can't be taken for complete.
+struct Break {
+    RequestId request{};
+    Reason reason{};
+    std::string peer;
+};
+
+/// A stream was relayed to its end.
+struct Complete {
+    RequestId request{};
+};
+
+/// Tell the other entries that \c crashes backend servers broke off while they ran this request.
+struct TellCrashes {
+    Fingerprint fingerprint{};
+    std::uint32_t crashes = 0;
+};
+
+using Action = std::variant<Send, Cancel, Deliver, Refuse, Break, Complete, TellCrashes>;
+using Actions = std::vector<Action>;
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/events.h
@@ -0,0 +1,139 @@
+/// \file
+/// What can happen to the router of the pass-through face. Plain data; an adapter turns sockets and timers into it.
+
+#pragma once
+
+#include "core/base/failure.h"
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/passthrough/configuration.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnspread::passthrough
+{
+
+/// A part of a prompt. Parts of equal id have equal content, so an engine that keeps one need not read it again.
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+struct Prompt {
+    std::uint32_t tokens = 0;       ///< to be read
+    std::uint32_t answerTokens = 0; ///< to be generated at most
+    std::vector<PromptPart> parts;  ///< in order; the last is the request's own
+};
+
+/// A request whose head and body were read in full.
+struct RequestArrived {
+    RequestId request{};
+    std::string callerId; ///< the caller's name for this attempt, for logs
+    std::string host;
+    std::string path; ///< with the query
+    std::string key;  ///< of a workspace; empty: none
+    std::optional<Duration> deadline;
+    Prompt prompt;
+    Fingerprint fingerprint{}; ///< of method, path and body
+    std::string lastEventId;   ///< the caller resumes a stream after this event; empty: from the beginning
+};
+
+/// The caller closed its connection.
+struct CallerGone {
+    RequestId request{};
+};
+
+/// The status and headers of a success, or the first event of a stream, arrived.
+struct AttemptStarted {
+    AttemptId attempt{};
+};
+
+/// More of a stream arrived.
+struct AttemptProgress {
+    AttemptId attempt{};
+};
+
+/// A whole answer was received; nothing of it has gone to the caller.
+struct AttemptAnswered {
+    AttemptId attempt{};
+    int status = 0;
+};
+
+/// A stream ended as complete; all of it has gone to the caller.
+struct AttemptFinished {
+    AttemptId attempt{};
+};
+
+struct AttemptFailed {
+    AttemptId attempt{};
+    Failure failure{};
+    bool answerBegun = false; ///< something of this request's answer has gone to the caller
+    std::string lastEventId;  ///< last event that has gone to the caller; empty: none
+};
+
+struct ConfigurationAdopted {
+    Configuration configuration;
+};
+
+/// The configuration in force here was the newest at \c asOf.
+struct ConfigurationConfirmed {
+    TimePoint asOf;
+};
+
+/// The whole list of backend servers.
+struct ServersListed {
+    std::vector<Server> servers;
+    bool afterOutage = false; ///< the list could not be read for a while before: absent servers may be about to register again
+};
+
+/// Entries that are alive, this one included.
+struct EntriesCounted {
+    std::uint32_t entries = 1;
+};
+
+/// What another entry has in flight.
+struct PeerReported {
+    struct Use {
+        std::string server;             ///< id
+        std::uint32_t inFlight = 0;     ///< requests
+        std::uint32_t unreadTokens = 0; ///< of prompts whose answers have not begun
+    };
+    std::string entry;
+    std::vector<Use> uses;
+};
+
+/// Another entry saw backend servers crash while they ran this request.
+struct CrashesHeard {
+    Fingerprint fingerprint{};
+    std::uint32_t crashes = 0;
+};
+
+/// The entry is about to stop: what arrives from now on is refused.
+struct ClosingStarted {
+};
+
+/// Time has passed.
+struct Tick {
+};
+
+using Event = std::variant<RequestArrived,
+                           CallerGone,
+                           AttemptStarted,
+                           AttemptProgress,
+                           AttemptAnswered,
+                           AttemptFinished,
+                           AttemptFailed,
+                           ConfigurationAdopted,
+                           ConfigurationConfirmed,
+                           ServersListed,
+                           EntriesCounted,
+                           PeerReported,
+                           CrashesHeard,
+                           ClosingStarted,
+                           Tick>;
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -0,0 +1,149 @@
+#include "core/passthrough/internal/arriving.h"
+
+#include "core/passthrough/internal/crashes.h"
+#include "core/passthrough/internal/dispatching.h"
+#include "core/passthrough/internal/ending.h"
+
+#include <algorithm>
+
+namespace auburnspread::passthrough::detail
+{
+
+namespace
+{
+
+struct Identified {
+    const Route *route = nullptr;
+    const Workspace *workspace = nullptr; ///< null: the route needs no key
+};
+
+/// Failure: an entry that is cut off from the store does not know a new route or key. Symptom: it answers 404 or 401 to a
+/// proper request, which the caller takes for final. While the configuration is unconfirmed it answers 503 instead.
+auto doubt(const RouterState &state, Reason reason) -> Reason
+{
+    return isFresh(state, state.now) ? reason : Reason::StaleConfiguration;
+}
+
+auto identify(const RouterState &state, const RequestArrived &call, Identified &found) -> std::optional<Reason>
+{
+    if (state.closing) {
+        return Reason::Draining;
+    }
+    if (!state.table) {
+        return Reason::NoConfiguration;
+    }
+    found.route = state.table->findRoute(call.host, call.path);
+    if (found.route == nullptr) {
+        return doubt(state, Reason::UnknownRoute);
+    }
+    if (!state.table->configuration().checksKeys || !found.route->needsKey) {
+        return std::nullopt;
+    }
+    if (!isFresh(state, state.now)) {
+        return Reason::StaleConfiguration;
+    }
+    found.workspace = state.table->findWorkspace(call.key);
+    return found.workspace == nullptr ? std::optional(Reason::UnknownKey) : std::nullopt;
+}
+
+/// Spreads requests over the route's services by weight; equal requests of one caller go to the same one.
+auto chooseService(const Route &route, std::uint64_t order) -> std::string
+{
+    std::uint64_t total = 0;
+    for (const auto &share : route.shares) {
+        total += share.weight;
+    }
+    if (total == 0) {
+        return route.shares.empty() ? std::string() : route.shares.front().service;
+    }
+    constexpr std::uint64_t Stride = 0x9e3779b97f4a7c15ULL; // successive arrivals land far from each other
+    auto turn = (order * Stride) % total;
+    for (const auto &share : route.shares) {
+        if (turn < share.weight) {
+            return share.service;
+        }
+        turn -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+/// Callers leave a stream that is silent for this long, also before its first event.
+auto callerPatience(const Route &route) -> Duration
+{
+    constexpr Duration Least = std::chrono::seconds(2);
+    constexpr int Targets = 4;
+    constexpr int Pauses = 8;
+    return std::max({ Least, route.target * Targets, route.longestPause * Pauses });
+}
+
+/// A request that waits longer for a server can't be answered in time.
+auto latestWaitOf(const Request &request) -> TimePoint
+{
+    constexpr int WaitDivisor = 2;
+    const auto half = request.arrived + (request.deadline - request.arrived) / WaitDivisor;
+    if (request.route->repeatability != Repeatability::Stream) {
+        return half;
+    }
+    return std::min(half, request.arrived + callerPatience(*request.route) / WaitDivisor);
+}
+
+auto refuseArrival(RouterState &state, const RequestArrived &call, Reason reason, Actions &actions) -> void
+{
+    actions.emplace_back(Refuse{
+        .request = call.request,
+        .reason = reason,
+        .outcome = Outcome::NotRun,
+        .status = entryOf(reason).status,
+        .retryAfter = retryAfterOf(state, reason),
+        .informationAge = state.now - state.confirmedAt,
+    });
+}
+
+auto admit(RouterState &state, const RequestArrived &call, const Identified &identified) -> Request &
+{
+    const auto &route = *identified.route;
+    auto &request = state.requests[call.request];
+    request.call = call;
+    request.table = state.table;
+    request.route = &route;
+    request.workspace = identified.workspace == nullptr ? "" : identified.workspace->name;
+    request.tier = identified.workspace == nullptr ? route.tier : identified.workspace->tier.value_or(route.tier);
+    request.order = ++state.lastOrder;
+    request.service = chooseService(route, request.order);
+    request.arrived = state.now;
+    request.deadline = state.now + std::min(route.timeout, call.deadline.value_or(route.timeout));
+    request.latestWait = latestWaitOf(request);
+    request.lastEventId = call.lastEventId;
+    state.due.insert({ request.latestWait, call.request });
+    state.due.insert({ request.deadline, call.request });
+    return request;
+}
+
+} // namespace
+
+auto isKeyValid(const RouterState &state, const Request &request) -> bool
+{
+    if (request.workspace.empty()) {
+        return true;
+    }
+    const auto *workspace = state.table->findWorkspace(request.call.key);
+    return workspace != nullptr && workspace->name == request.workspace;
+}
+
+auto acceptRequest(RouterState &state, const RequestArrived &call, Actions &actions) -> void
+{
+    Identified identified;
+    if (const auto reason = identify(state, call, identified)) {
+        refuseArrival(state, call, *reason, actions);
+        return;
+    }
+    if (isWithheld(state, call.fingerprint)) {
+        refuseArrival(state, call, Reason::Quarantined, actions);
+        return;
+    }
+    auto &request = admit(state, call, identified);
+    enqueue(state, request);
+    dispatchService(state, request.service, actions);
+}
+
+} // namespace auburnspread::passthrough::detail
--- /dev/null
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -0,0 +1,182 @@
+#include "core/passthrough/internal/dispatching.h"
+
+#include "core/passthrough/internal/arriving.h"
+#include "core/passthrough/internal/crashes.h"
+#include "core/passthrough/internal/ending.h"
+#include "core/passthrough/placement.h"
+
+#include <algorithm>
+
+namespace auburnspread::passthrough::detail
+{
+
+namespace
+{
+
+/// Waiting requests looked at behind one that found no server. Only those that avoid a server differ in what they may use.
+constexpr int MostPassedOver = 8;
+
+/// Answers of a plain service that take longer than this many targets come from a server that is stuck.
+constexpr double StartTargets = 2.5;
+
+auto placeOf(const Request &request) -> Pool::Place
+{
+    return { request.tier, request.order, request.call.request };
+}
+
+auto mayRepeat(const Route &route) -> bool
+{
+    return route.repeatability == Repeatability::Idempotent || route.isResumable;
+}
+
+/// Only a request that may run again gains by an early end of its attempt.
+auto startTimeoutOf(const Request &request, Duration estimated) -> Duration
+{
+    const auto &route = *request.route;
+    if (!mayRepeat(route) || request.sends >= route.attempts) {
+        return Duration::zero();
+    }
+    if (route.repeatability == Repeatability::Stream) {
+        constexpr Duration StreamStart = std::chrono::seconds(1); // half of a caller's least patience with a silent stream
+        return std::max(StreamStart, 2 * estimated);
+    }
+    return std::chrono::duration_cast<Duration>(route.target * StartTargets);
+}
+
+auto silenceTimeoutOf(const Request &request) -> Duration
+{
+    constexpr Duration StreamSilence = std::chrono::seconds(1); // as above
+    return request.route->isResumable && request.sends < request.route->attempts ? StreamSilence : Duration::zero();
+}
+
+auto send(RouterState &state, Request &request, const Placement &placement, Actions &actions) -> void
+{
+    auto &server = *placement.server;
+    const auto isEngine = request.route->hasPrompt;
+    const auto id = AttemptId{ ++state.lastAttempt };
+    auto &budget = state.pools[request.service].budget;
+    const auto isRepeat = request.sends > 0;
+    if (!isRepeat) {
+        noteFirstSend(budget, state.options.retries, state.now);
+    }
+    request.sends += 1;
+    request.stage = Stage::Running;
+    request.attempt = id;
+    request.lastPeer = server.record.id;
+    state.attempts[id] = {
+        .request = request.call.request,
+        .server = placement.server,
+        .unreadTokens = placement.unreadTokens,
+        .sentAt = state.now,
+        .estimatedStart = placement.estimatedStart,
+    };
+    noteSent(server, placement.unreadTokens, state.now);
+    if (isEngine) {
+        noteCachedParts(server, request.call.prompt, state.now);
+    }
+    actions.emplace_back(Send{
+        .request = request.call.request,
+        .attempt = id,
+        .server = server.record.id,
+        .address = server.record.address,
+        .workspace = request.workspace,
+        .tier = request.tier,
+        .remaining = request.deadline - state.now,
+        .lastEventId = request.lastEventId,
+        .isStream = request.route->repeatability == Repeatability::Stream,
+        .isRepeat = isRepeat,
+        .startTimeout = startTimeoutOf(request, placement.estimatedStart),
+        .silenceTimeout = silenceTimeoutOf(request),
+        .estimatedStart = placement.estimatedStart,
+    });
+}
+
+/// Why the request may not be sent now, whatever the servers say.
+///
+/// Failure: a key is withdrawn while a request waits here, or while this VM is suspended between the request's arrival
+/// and its dispatch. Symptom: work runs for a workspace that was shut out. The check stands right before each send, and a
+/// configuration that was confirmed too long ago counts as one in which every key may be gone.
+auto whyNotNow(const RouterState &state, const Request &request) -> std::optional<Reason>
+{
+    if (request.workspace.empty()) {
+        return std::nullopt;
+    }
+    if (!isFresh(state, state.now)) {
+        return Reason::StaleConfiguration;
+    }
+    return isKeyValid(state, request) ? std::nullopt : std::optional(Reason::UnknownKey);
+}
+
+auto place(const RouterState &state, const Request &request) -> Placement
+{
+    const auto found = state.servers.byService.find(request.service);
+    if (found == state.servers.byService.end()) {
+        return {};
+    }
+    const PlacementQuery query{
+        .prompt = &request.call.prompt,
+        .isEngine = request.route->hasPrompt,
+        .failureDomain = state.options.failureDomain,
+        .avoid = request.avoid,
+        .entries = state.entries,
+        .tieBreak = request.order,
+    };
+    return choosePlacement(found->second, query, state.options.engineSpeed, state.now);
+}
+
+/// \return false if no server has room for it
+auto trySend(RouterState &state, Request &request, Actions &actions) -> bool
+{
+    if (const auto reason = whyNotNow(state, request)) {
+        endWithoutAnswer(state, request, *reason, actions);
+        return true;
+    }
+    if (isWithheld(state, request.call.fingerprint)) {
+        endWithoutAnswer(state, request, Reason::Quarantined, actions);
+        return true;
+    }
+    const auto placement = place(state, request);
+    if (!placement.server) {
+        return false;
+    }
+    leaveQueue(state, request);
+    send(state, request, placement, actions);
+    return true;
+}
+
+} // namespace
+
+auto enqueue(RouterState &state, Request &request) -> void
+{
+    request.stage = Stage::Waiting;
+    state.pools[request.service].waiting.insert(placeOf(request));
+}
+
+auto leaveQueue(RouterState &state, Request &request) -> void
+{
+    state.pools[request.service].waiting.erase(placeOf(request));
+}
+
+auto dispatchService(RouterState &state, const std::string &service, Actions &actions) -> void
+{
+    auto &waiting = state.pools[service].waiting;
+    auto passed = 0;
+    for (auto next = waiting.begin(); next != waiting.end() && passed < MostPassedOver;) {
+        const auto id = std::get<RequestId>(*next);
+        ++next; // sending takes the request out of the queue
+        if (!trySend(state, state.requests.at(id), actions)) {
+            passed += 1;
+        }
+    }
+}
+
+auto dispatchAll(RouterState &state, Actions &actions) -> void
+{
+    for (auto &[service, pool] : state.pools) {
+        if (!pool.waiting.empty()) {
+            dispatchService(state, service, actions);
+        }
+    }
+}
+
+} // namespace auburnspread::passthrough::detail
--- /dev/null
+++ b/src/core/passthrough/internal/dispatching.h
@@ -0,0 +1,20 @@
+/// \file
+/// From the queue to a backend server.
+
+#pragma once
+
+#include "core/passthrough/internal/state.h"
+
+#include <string>
+
+namespace auburnspread::passthrough::detail
+{
+
+auto enqueue(RouterState &state, Request &request) -> void;
+auto leaveQueue(RouterState &state, Request &request) -> void;
+
+/// Sends what waits for the service while servers have room.
+auto dispatchService(RouterState &state, const std::string &service, Actions &actions) -> void;
+auto dispatchAll(RouterState &state, Actions &actions) -> void;
+
+} // namespace auburnspread::passthrough::detail
--- /dev/null
+++ b/src/core/passthrough/internal/ending.cpp
@@ -0,0 +1,289 @@
+#include "core/passthrough/internal/ending.h"
+
+#include "core/passthrough/internal/crashes.h"
+#include "core/passthrough/internal/dispatching.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnspread::passthrough::detail
+{
+
+namespace
+{
+
+constexpr int BadGatewayStatus = 502;
+constexpr int UnavailableStatus = 503;
+constexpr int GatewayTimeoutStatus = 504;
+constexpr int FirstErrorStatus = 500;
+
+/// Connections that may fail for one request; each proves that nothing ran, but each takes time.
+constexpr std::uint32_t MostFailedConnections = 3;
+/// A repeat that has less time than this can't be answered.
+constexpr Duration LeastRemaining = std::chrono::milliseconds(30);
+
+auto findAttempt(RouterState &state, AttemptId id) -> Attempt *
+{
+    const auto found = state.attempts.find(id);
+    return found == state.attempts.end() ? nullptr : &found->second;
+}
+
+/// Takes the attempt out of all accounts.
+auto closeAttempt(RouterState &state, AttemptId id) -> ServerPointer
+{
+    const auto node = state.attempts.extract(id);
+    const auto &attempt = node.mapped();
+    if (!attempt.started) {
+        noteRead(*attempt.server, attempt.unreadTokens);
+    }
+    noteEnded(*attempt.server);
+    return attempt.server;
+}
+
+auto forget(RouterState &state, Request &request) -> void
+{
+    const auto id = request.call.request;
+    leaveQueue(state, request);
+    state.due.erase({ request.latestWait, id });
+    state.due.erase({ request.deadline, id });
+    state.requests.erase(id);
+}
+
+auto isSafeToRepeat(const Request &request, Failure failure) -> bool
+{
+    const auto &route = *request.route;
+    return provesNotStarted(failure) || route.repeatability == Repeatability::Idempotent || route.isResumable;
+}
+
+/// Whether the failed attempt counts among those that the route allows. A connection that was not made, or that led to
+/// another server, sent the request to none of the service's servers.
+auto countsAsSend(Failure failure) -> bool
+{
+    return failure != Failure::ConnectFailed && failure != Failure::WrongServer;
+}
+
+auto whyNoRepeat(RouterState &state, const Request &request, Failure failure) -> std::optional<Reason>
+{
+    if (request.callerGone) {
+        return Reason::CallerGone;
+    }
+    if (!isSafeToRepeat(request, failure) || request.sends >= request.route->attempts || request.failedConnections > MostFailedConnections) {
+        return request.answerBegun ? Reason::StreamBroken : Reason::BackendFailed;
+    }
+    if (request.deadline - state.now < LeastRemaining) {
+        return Reason::DeadlinePassed;
+    }
+    const auto arrives = request.sends > 0;
+    if (arrives && !takeRepeat(state.pools[request.service].budget, state.options.retries, state.entries, state.now)) {
+        return Reason::RetryBudget;
+    }
+    return std::nullopt;
+}
+
+auto repeatOrEnd(RouterState &state, Request &request, Failure failure, Actions &actions) -> void
+{
+    if (const auto reason = whyNoRepeat(state, request, failure)) {
+        endWithoutAnswer(state, request, *reason, actions);
+        return;
+    }
+    const auto service = request.service;
+    enqueue(state, request);
+    dispatchService(state, service, actions);
+}
+
+/// 502 and 504 promise nothing; 503 promises that the request did not run.
+auto statusOfEnd(const Request &request, Reason reason) -> int
+{
+    if (!request.mayHaveRun) {
+        const auto status = entryOf(reason).status;
+        return status >= FirstErrorStatus ? UnavailableStatus : status;
+    }
+    return reason == Reason::DeadlinePassed ? GatewayTimeoutStatus : BadGatewayStatus;
+}
+
+auto endRunning(RouterState &state, Request &request, Actions &actions) -> void
+{
+    actions.emplace_back(Cancel{ .attempt = request.attempt });
+    request.mayHaveRun = true;
+    const auto silent = !state.attempts.at(request.attempt).started;
+    const auto server = closeAttempt(state, request.attempt);
+    if (silent) {
+        noteFailed(*server, Failure::FirstTokenTimeout, state.now);
+    }
+    endWithoutAnswer(state, request, Reason::DeadlinePassed, actions);
+}
+
+} // namespace
+
+auto retryAfterOf(RouterState &state, Reason reason) -> std::optional<Duration>
+{
+    if (!entryOf(reason).retryHelps) {
+        return std::nullopt;
+    }
+    // callers that were refused together must not come back together
+    constexpr Duration Least = std::chrono::milliseconds(150);
+    constexpr Duration Step = std::chrono::milliseconds(50);
+    constexpr std::uint64_t Steps = 10;
+    return Least + Step * static_cast<Duration::rep>(state.lastOrder++ % Steps);
+}
+
+auto endWithoutAnswer(RouterState &state, Request &request, Reason reason, Actions &actions) -> void
+{
+    const auto id = request.call.request;
+    if (request.answerBegun) {
+        actions.emplace_back(Break{ .request = id, .reason = reason, .peer = request.lastPeer });
+    } else {
+        const auto status = statusOfEnd(request, reason);
+        actions.emplace_back(Refuse{
+            .request = id,
+            .reason = reason,
+            .outcome = request.mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun,
+            .status = status,
+            .retryAfter = request.mayHaveRun ? std::nullopt : retryAfterOf(state, reason),
+            .peer = request.lastPeer,
+            .informationAge = state.now - state.confirmedAt,
+        });
+    }
+    forget(state, request);
+}
+
+auto takeStarted(RouterState &state, const AttemptStarted &event) -> void
+{
+    auto *attempt = findAttempt(state, event.attempt);
+    if (attempt == nullptr || std::exchange(attempt->started, true)) {
+        return;
+    }
+    noteHeard(*attempt->server, state.now);
+    noteRead(*attempt->server, attempt->unreadTokens);
+    noteStartTime(*attempt->server, state.now - attempt->sentAt, attempt->estimatedStart);
+    const auto found = state.requests.find(attempt->request);
+    if (found != state.requests.end() && found->second.route->repeatability == Repeatability::Stream) {
+        found->second.answerBegun = true;
+        found->second.mayHaveRun = true;
+    }
+}
+
+auto takeProgress(RouterState &state, const AttemptProgress &event) -> void
+{
+    if (auto *attempt = findAttempt(state, event.attempt)) {
+        noteHeard(*attempt->server, state.now);
+    }
+}
+
+auto takeAnswered(RouterState &state, const AttemptAnswered &event, Actions &actions) -> void
+{
+    auto *attempt = findAttempt(state, event.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    auto &request = state.requests.at(attempt->request);
+    if (!attempt->started && event.status < FirstErrorStatus) {
+        noteStartTime(*attempt->server, state.now - attempt->sentAt, attempt->estimatedStart);
+    }
+    const auto server = closeAttempt(state, event.attempt);
+    clearCrashes(state, request.call.fingerprint);
+    noteHeard(*server, state.now);
+    request.mayHaveRun = true;
+    const auto service = request.service;
+    if (event.status >= FirstErrorStatus) {
+        noteFailed(*server, Failure::ServerError, state.now);
+        if (isSafeToRepeat(request, Failure::ServerError) && !whyNoRepeat(state, request, Failure::ServerError)) {
+            request.avoid.push_back(server->record.id);
+            enqueue(state, request);
+            dispatchService(state, service, actions);
+            return;
+        }
+    } else {
+        noteSucceeded(*server, state.now);
+    }
+    actions.emplace_back(Deliver{ .request = request.call.request, .attempt = event.attempt, .status = event.status });
+    forget(state, request);
+    dispatchService(state, service, actions);
+}
+
+auto takeFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void
+{
+    auto *attempt = findAttempt(state, event.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    auto &request = state.requests.at(attempt->request);
+    const auto server = closeAttempt(state, event.attempt);
+    noteSucceeded(*server, state.now);
+    clearCrashes(state, request.call.fingerprint);
+    const auto service = request.service;
+    actions.emplace_back(Complete{ .request = request.call.request });
+    forget(state, request);
+    dispatchService(state, service, actions);
+}
+
+auto takeFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void
+{
+    auto *attempt = findAttempt(state, event.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    auto &request = state.requests.at(attempt->request);
+    const auto server = closeAttempt(state, event.attempt);
+    noteFailed(*server, event.failure, state.now);
+    if (event.failure == Failure::BrokenBeforeFirstByte) {
+        noteCrash(state, request.call.fingerprint, actions);
+    }
+    if (!countsAsSend(event.failure)) {
+        request.sends -= 1;
+        request.failedConnections += 1;
+    }
+    request.mayHaveRun = request.mayHaveRun || !provesNotStarted(event.failure);
+    request.answerBegun = request.answerBegun || event.answerBegun;
+    if (!event.lastEventId.empty()) {
+        request.lastEventId = event.lastEventId;
+    }
+    request.avoid.push_back(server->record.id);
+    const auto service = request.service;
+    repeatOrEnd(state, request, event.failure, actions);
+    dispatchService(state, service, actions);
+}
+
+auto takeCallerGone(RouterState &state, const CallerGone &event, Actions &actions) -> void
+{
+    const auto found = state.requests.find(event.request);
+    if (found == state.requests.end()) {
+        return;
+    }
+    auto &request = found->second;
+    const auto service = request.service;
+    if (request.stage == Stage::Running) {
+        // a call that may run only once is let run to its end: cut in the middle it would be neither done nor undone
+        if (request.route->repeatability == Repeatability::AtMostOnce) {
+            request.callerGone = true;
+            return;
+        }
+        actions.emplace_back(Cancel{ .attempt = request.attempt });
+        closeAttempt(state, request.attempt);
+    }
+    forget(state, request);
+    dispatchService(state, service, actions);
+}
+
+auto endOverdue(RouterState &state, Actions &actions) -> void
+{
+    while (!state.due.empty() && state.due.begin()->first <= state.now) {
+        const auto id = state.due.begin()->second;
+        state.due.erase(state.due.begin());
+        const auto found = state.requests.find(id);
+        if (found == state.requests.end()) {
+            continue;
+        }
+        auto &request = found->second;
+        if (request.stage == Stage::Waiting) {
+            const auto isOver = state.now >= request.deadline || !request.mayHaveRun;
+            if (isOver) {
+                endWithoutAnswer(state, request, request.mayHaveRun ? Reason::DeadlinePassed : Reason::NoBackendServer, actions);
+            }
+        } else if (state.now >= request.deadline) {
+            endRunning(state, request, actions);
+        }
+    }
+}
+
+} // namespace auburnspread::passthrough::detail
--- /dev/null
+++ b/src/core/passthrough/internal/state.h
@@ -0,0 +1,96 @@
+/// \file
+/// Everything the pass-through router remembers between two events.
+
+#pragma once
+
+#include "core/passthrough/actions.h"
+#include "core/passthrough/events.h"
+#include "core/passthrough/retrybudget.h"
+#include "core/passthrough/router.h"
+#include "core/passthrough/routetable.h"
+#include "core/passthrough/servertable.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace auburnspread::passthrough
+{
+
+enum class Stage {
+    Waiting, ///< for room on a backend server
+    Running, ///< an attempt is under way
+};
+
+struct Request {
+    RequestArrived call;
+    std::shared_ptr<const RouteTable> table; ///< keeps \c route alive
+    const Route *route = nullptr;
+    std::string workspace;
+    std::string service;
+    int tier = 0;
+    Stage stage = Stage::Waiting;
+    std::uint64_t order = 0; ///< of arrival
+    TimePoint arrived;
+    TimePoint deadline;
+    TimePoint latestWait; ///< sent later, it is of no use to its caller
+
+    std::uint32_t sends = 0; ///< attempts whose bytes may have reached a backend server
+    std::uint32_t failedConnections = 0;
+    std::vector<std::string> avoid; ///< servers that failed this request
+    AttemptId attempt{};            ///< while running
+    bool mayHaveRun = false;
+    bool answerBegun = false;
+    bool callerGone = false;
+    std::string lastEventId;
+    std::string lastPeer;
+};
+
+struct Attempt {
+    RequestId request{};
+    ServerPointer server;
+    std::uint32_t unreadTokens = 0;
+    bool started = false;
+    TimePoint sentAt;
+    Duration estimatedStart{};
+};
+
+/// The requests that wait for one service, in the order in which they are sent.
+struct Pool {
+    using Place = std::tuple<int, std::uint64_t, RequestId>; ///< tier, order of arrival
+    std::set<Place> waiting;
+    RetryBudget budget;
+};
+
+/// Broken connections while a request with some fingerprint ran.
+struct CrashRecord {
+    std::uint32_t crashes = 0;
+    TimePoint at;
+};
+
+using Due = std::pair<TimePoint, RequestId>;
+
+struct RouterState {
+    RouterOptions options;
+    TimePoint now;
+    std::shared_ptr<const RouteTable> table; ///< null: no configuration yet
+    TimePoint confirmedAt;
+    ServerTable servers;
+    std::uint32_t entries = 1;
+    bool closing = false;
+
+    std::unordered_map<RequestId, Request> requests;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    std::map<std::string, Pool> pools; ///< by service
+    std::set<Due> due;                 ///< when a request must be looked at
+    std::unordered_map<Fingerprint, CrashRecord> crashes;
+    std::uint64_t lastOrder = 0;
+    std::uint64_t lastAttempt = 0;
+};
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/router.cpp
@@ -0,0 +1,163 @@
+#include "core/passthrough/router.h"
+
+#include "core/passthrough/internal/arriving.h"
+#include "core/passthrough/internal/crashes.h"
+#include "core/passthrough/internal/dispatching.h"
+#include "core/passthrough/internal/ending.h"
+#include "core/passthrough/internal/state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnspread::passthrough
+{
+
+namespace
+{
+
+/// An older version that arrives late, from a read that was overtaken or another entry, changes nothing.
+auto adoptConfiguration(RouterState &state, const Configuration &configuration) -> void
+{
+    const auto isOlder = state.table && configuration.version <= state.table->configuration().version;
+    if (!isOlder) {
+        state.table = std::make_shared<const RouteTable>(configuration);
+    }
+}
+
+auto takeTick(RouterState &state, Actions &actions) -> void
+{
+    dropMissing(state.servers, state.now);
+    expirePeerReports(state.servers, state.now);
+    detail::expireCrashes(state);
+    detail::endOverdue(state, actions);
+    detail::dispatchAll(state, actions);
+}
+
+/// One overload for each event.
+struct Taker {
+    RouterState &state;
+    Actions &actions;
+
+    auto operator()(const RequestArrived &event) const -> void
+    {
+        detail::acceptRequest(state, event, actions);
+    }
+    auto operator()(const CallerGone &event) const -> void
+    {
+        detail::takeCallerGone(state, event, actions);
+    }
+    auto operator()(const AttemptStarted &event) const -> void
+    {
+        detail::takeStarted(state, event);
+    }
+    auto operator()(const AttemptProgress &event) const -> void
+    {
+        detail::takeProgress(state, event);
+    }
+    auto operator()(const AttemptAnswered &event) const -> void
+    {
+        detail::takeAnswered(state, event, actions);
+    }
+    auto operator()(const AttemptFinished &event) const -> void
+    {
+        detail::takeFinished(state, event, actions);
+    }
+    auto operator()(const AttemptFailed &event) const -> void
+    {
+        detail::takeFailed(state, event, actions);
+    }
+    auto operator()(const ConfigurationAdopted &event) const -> void
+    {
+        adoptConfiguration(state, event.configuration);
+    }
+    auto operator()(const ConfigurationConfirmed &event) const -> void
+    {
+        state.confirmedAt = std::max(state.confirmedAt, event.asOf);
+    }
+    auto operator()(const ServersListed &event) const -> void
+    {
+        adoptServers(state.servers, event, state.now);
+        detail::dispatchAll(state, actions);
+    }
+    auto operator()(const EntriesCounted &event) const -> void
+    {
+        state.entries = std::max<std::uint32_t>(event.entries, 1);
+    }
+    auto operator()(const PeerReported &event) const -> void
+    {
+        notePeerReport(state.servers, event, state.now);
+    }
+    auto operator()(const CrashesHeard &event) const -> void
+    {
+        detail::hearCrashes(state, event);
+    }
+    auto operator()(const ClosingStarted & /*event*/) const -> void
+    {
+        state.closing = true;
+    }
+    auto operator()(const Tick & /*event*/) const -> void
+    {
+        takeTick(state, actions);
+    }
+};
+
+} // namespace
+
+auto RouterStateDeleter::operator()(RouterState *state) const -> void
+{
+    delete state; // NOLINT(cppcoreguidelines-owning-memory)
+}
+
+auto makeRouter(RouterOptions options) -> RouterStatePointer
+{
+    auto state = RouterStatePointer(new RouterState);
+    state->options = std::move(options);
+    return state;
+}
+
+auto step(RouterState &state, const Event &event, TimePoint now) -> Actions
+{
+    Actions actions;
+    state.now = std::max(state.now, now);
+    std::visit(Taker{ state, actions }, event);
+    return actions;
+}
+
+auto takeReport(const RouterState &state) -> PeerReported
+{
+    PeerReported report{ .entry = state.options.entry };
+    for (const auto &[id, server] : state.servers.byId) {
+        if (server->inFlight > 0) {
+            report.uses.push_back({ .server = id, .inFlight = server->inFlight, .unreadTokens = server->unreadTokens });
+        }
+    }
+    return report;
+}
+
+auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
+{
+    std::uint32_t waiting = 0;
+    for (const auto &[service, pool] : state.pools) {
+        waiting += static_cast<std::uint32_t>(pool.waiting.size());
+    }
+    return {
+        .configurationVersion = state.table ? state.table->configuration().version : 0,
+        .waiting = waiting,
+        .inFlight = static_cast<std::uint32_t>(state.attempts.size()),
+        .servers = static_cast<std::uint32_t>(state.servers.byId.size()),
+        .entries = state.entries,
+        .configurationAge = now - state.confirmedAt,
+    };
+}
+
+auto isFresh(const RouterState &state, TimePoint now) -> bool
+{
+    return state.table && now - state.confirmedAt < state.options.keyFreshness;
+}
+
+auto limitsOf(const RouterState &state) -> CallerLimits
+{
+    return state.table ? state.table->configuration().limits : CallerLimits{};
+}
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/router.h
@@ -0,0 +1,59 @@
+/// \file
+/// The decision core of the pass-through face: `(state, event, now) -> actions`. No socket, clock, thread, log or global.
+///
+/// \p now must come from a clock that also counts the time in which the VM was suspended: a withdrawn key's time runs on.
+
+#pragma once
+
+#include "core/base/time.h"
+#include "core/passthrough/actions.h"
+#include "core/passthrough/events.h"
+#include "core/passthrough/placement.h"
+#include "core/passthrough/retrybudget.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace auburnspread::passthrough
+{
+
+struct RouterOptions {
+    std::string entry; ///< this entry's name
+    std::string failureDomain;
+    RetryBounds retries;
+    EngineSpeed engineSpeed;
+    Duration keyFreshness = std::chrono::milliseconds(4500); ///< a configuration confirmed longer ago admits no key
+};
+
+struct RouterState;
+
+struct RouterStateDeleter {
+    auto operator()(RouterState *state) const -> void;
+};
+using RouterStatePointer = std::unique_ptr<RouterState, RouterStateDeleter>;
+
+auto makeRouter(RouterOptions options) -> RouterStatePointer;
+
+/// Takes one event in at \p now, never earlier than the last one.
+auto step(RouterState &state, const Event &event, TimePoint now) -> Actions;
+
+/// What this entry has in flight, for the other entries.
+auto takeReport(const RouterState &state) -> PeerReported;
+
+/// What an operator sees.
+struct RouterStatus {
+    std::uint64_t configurationVersion = 0; ///< 0: none yet
+    std::uint32_t waiting = 0;
+    std::uint32_t inFlight = 0;
+    std::uint32_t servers = 0;
+    std::uint32_t entries = 1;
+    Duration configurationAge{}; ///< since it was last confirmed
+};
+auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus;
+
+/// Whether the configuration was confirmed lately enough to admit keys.
+auto isFresh(const RouterState &state, TimePoint now) -> bool;
+auto limitsOf(const RouterState &state) -> CallerLimits;
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/servertable.cpp
@@ -0,0 +1,205 @@
+#include "core/passthrough/servertable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+
+namespace auburnspread::passthrough
+{
+
+namespace
+{
+
+/// After the registry was unreachable, servers whose registration lapsed meanwhile need about two seconds to be back.
+/// Dropping them at once would empty the list although every server lives.
+constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
+
+/// A report is sent several times a second; after this time the peer has stopped or cannot reach us.
+constexpr Duration PeerReportAge = std::chrono::milliseconds(1500);
+
+/// First pause of a server that refused or broke a connection, and the longest after repeated failures. A crashed
+/// backend server is back after some seconds, with a new id.
+constexpr Duration LeastSuspension = std::chrono::milliseconds(300);
+constexpr Duration LongestSuspension = std::chrono::seconds(3);
+
+/// An engine under full load begins some answer, or sends an event of a running one, many times within this.
+constexpr Duration SilenceBound = std::chrono::milliseconds(1200);
+
+/// Weight of the newest outcome in the moving averages: about the last ten count.
+constexpr double OutcomeWeight = 0.1;
+constexpr double SlownessWeight = 0.15;
+constexpr double LeastSlowness = 0.5;
+constexpr double MostSlowness = 20;
+
+auto hashOf(std::string_view id) -> std::uint64_t
+{
+    return XXH64(id.data(), id.size(), 0);
+}
+
+auto indexByService(ServerTable &table) -> void
+{
+    table.byService.clear();
+    for (const auto &[id, server] : table.byId) {
+        table.byService[server->record.service].push_back(server);
+    }
+}
+
+auto takeRecord(ServerTable &table, const Server &record) -> void
+{
+    auto &server = table.byId[record.id];
+    if (!server) {
+        server = std::make_shared<ServerState>();
+        server->hash = hashOf(record.id);
+    }
+    server->record = record;
+    server->missingSince.reset();
+}
+
+} // namespace
+
+auto adoptServers(ServerTable &table, const ServersListed &list, TimePoint now) -> void
+{
+    std::set<std::string_view> present;
+    for (const auto &record : list.servers) {
+        present.insert(record.id);
+        takeRecord(table, record);
+    }
+    std::erase_if(table.byId, [&](const auto &item) {
+        auto &server = *item.second;
+        if (present.contains(item.first)) {
+            return false;
+        }
+        if (list.afterOutage && !server.missingSince) {
+            server.missingSince = now;
+        }
+        const auto mayReturn = server.missingSince && now - *server.missingSince < ReturnTime;
+        server.isGone = !mayReturn;
+        return server.isGone;
+    });
+    table.listedAt = now;
+    indexByService(table);
+}
+
+auto dropMissing(ServerTable &table, TimePoint now) -> void
+{
+    const auto dropped = std::erase_if(table.byId, [now](const auto &item) {
+        auto &server = *item.second;
+        server.isGone = server.missingSince && now - *server.missingSince >= ReturnTime;
+        return server.isGone;
+    });
+    if (dropped > 0) {
+        indexByService(table);
+    }
+}
+
+auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer
+{
+    const auto found = table.byId.find(id);
+    return found == table.byId.end() ? nullptr : found->second;
+}
+
+namespace
+{
+
+auto sumPeerReports(ServerTable &table) -> void
+{
+    for (auto &[id, server] : table.byId) {
+        server->othersInFlight = 0;
+        server->othersUnreadTokens = 0;
+    }
+    for (const auto &[entry, use] : table.peers) {
+        for (const auto &each : use.report.uses) {
+            if (const auto server = findServer(table, each.server)) {
+                server->othersInFlight += each.inFlight;
+                server->othersUnreadTokens += each.unreadTokens;
+            }
+        }
+    }
+}
+
+} // namespace
+
+auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
+{
+    table.peers[report.entry] = { .report = report, .at = now };
+    sumPeerReports(table);
+}
+
+auto expirePeerReports(ServerTable &table, TimePoint now) -> void
+{
+    const auto expired = std::erase_if(table.peers, [now](const auto &item) { return now - item.second.at > PeerReportAge; });
+    if (expired > 0) {
+        sumPeerReports(table);
+    }
+}
+
+auto noteSent(ServerState &server, std::uint32_t unreadTokens, TimePoint now) -> void
+{
+    server.inFlight += 1;
+    server.unreadTokens += unreadTokens;
+    if (!server.waitingSince) {
+        server.waitingSince = now;
+    }
+}
+
+auto noteHeard(ServerState &server, TimePoint now) -> void
+{
+    server.heardAt = now;
+    server.waitingSince.reset();
+    server.failuresInRow = 0;
+}
+
+auto noteRead(ServerState &server, std::uint32_t unreadTokens) -> void
+{
+    server.unreadTokens -= std::min(server.unreadTokens, unreadTokens);
+}
+
+auto noteStartTime(ServerState &server, Duration observed, Duration estimated) -> void
+{
+    constexpr Duration ShortestEstimate = std::chrono::milliseconds(10);
+    const auto ratio = static_cast<double>(observed.count()) / static_cast<double>(std::max(estimated, ShortestEstimate).count());
+    server.slowness += SlownessWeight * (std::clamp(ratio, LeastSlowness, MostSlowness) - server.slowness);
+}
+
+auto noteSucceeded(ServerState &server, TimePoint now) -> void
+{
+    noteHeard(server, now);
+    server.failureRate -= OutcomeWeight * server.failureRate;
+}
+
+auto noteFailed(ServerState &server, Failure failure, TimePoint now) -> void
+{
+    server.failureRate += OutcomeWeight * (1 - server.failureRate);
+    const auto isDead = failure == Failure::ConnectFailed || failure == Failure::WrongServer || failure == Failure::FirstTokenTimeout
+        || failure == Failure::ProgressTimeout || looksLikeCrash(failure);
+    if (!isDead) {
+        return;
+    }
+    constexpr std::uint32_t MostDoublings = 4;
+    const auto doublings = std::min(server.failuresInRow, MostDoublings);
+    const auto pause = std::min(LeastSuspension * (1 << doublings), LongestSuspension);
+    server.failuresInRow += 1;
+    server.suspendedUntil = std::max(server.suspendedUntil, now + pause);
+}
+
+auto noteEnded(ServerState &server) -> void
+{
+    server.inFlight -= std::min<std::uint32_t>(server.inFlight, 1);
+    if (server.inFlight == 0) {
+        server.unreadTokens = 0;
+        server.waitingSince.reset();
+    }
+}
+
+auto isSilent(const ServerState &server, TimePoint now) -> bool
+{
+    return server.waitingSince && now - *server.waitingSince > SilenceBound;
+}
+
+auto isUsable(const ServerState &server, TimePoint now) -> bool
+{
+    return !server.record.isLeaving && !server.isGone && now >= server.suspendedUntil && !isSilent(server, now);
+}
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/servertable.h
@@ -0,0 +1,88 @@
+/// \file
+/// The backend servers as this entry knows them: the registered list, its own attempts in flight, what other entries
+/// report, and what own timings and failures say about each server's health.
+
+#pragma once
+
+#include "core/base/failure.h"
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/passthrough/configuration.h"
+#include "core/passthrough/events.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace auburnspread::passthrough
+{
+
+/// One backend server.
+struct ServerState {
+    Server record;
+    std::uint64_t hash = 0;                ///< of the id, for rendezvous hashing
+    bool isGone = false;                   ///< left the list; kept until its last attempt ended
+    std::optional<TimePoint> missingSince; ///< absent from a list that may not be complete yet
+
+    std::uint32_t inFlight = 0;     ///< own attempts
+    std::uint32_t unreadTokens = 0; ///< prompts of own attempts whose answer has not begun
+    std::uint32_t othersInFlight = 0;
+    std::uint32_t othersUnreadTokens = 0;
+
+    TimePoint heardAt;                     ///< last byte of any answer
+    std::optional<TimePoint> waitingSince; ///< oldest own send since then that nothing was heard after
+    TimePoint suspendedUntil;              ///< no work before
+    std::uint32_t failuresInRow = 0;       ///< of the kind that says the server is unreachable or dead
+    double failureRate = 0;                ///< moving average of own failures, 0 to 1
+    double slowness = 1;                   ///< moving average of observed to estimated time to the first byte
+
+    std::unordered_map<std::uint64_t, TimePoint> parts; ///< prompt parts that own requests left in its cache
+};
+
+using ServerPointer = std::shared_ptr<ServerState>;
+
+struct ServerTable {
+    std::map<std::string, ServerPointer, std::less<>> byId;
+    std::unordered_map<std::string, std::vector<ServerPointer>> byService;
+    struct PeerUse {
+        PeerReported report;
+        TimePoint at;
+    };
+    std::map<std::string, PeerUse> peers; ///< by entry
+    TimePoint listedAt;
+};
+
+/// Takes a new list over. What is known of servers that stay is kept.
+auto adoptServers(ServerTable &table, const ServersListed &list, TimePoint now) -> void;
+/// Drops servers that stayed absent after an outage of the registry.
+auto dropMissing(ServerTable &table, TimePoint now) -> void;
+
+auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
+
+auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void;
+/// Forgets reports that are too old to say anything.
+auto expirePeerReports(ServerTable &table, TimePoint now) -> void;
+
+/// \name What own attempts show
+/// @{
+auto noteSent(ServerState &server, std::uint32_t unreadTokens, TimePoint now) -> void;
+auto noteHeard(ServerState &server, TimePoint now) -> void;
+/// The prompt was read: its first byte of answer is here, or the attempt ended.
+auto noteRead(ServerState &server, std::uint32_t unreadTokens) -> void;
+auto noteStartTime(ServerState &server, Duration observed, Duration estimated) -> void;
+auto noteSucceeded(ServerState &server, TimePoint now) -> void;
+auto noteFailed(ServerState &server, Failure failure, TimePoint now) -> void;
+auto noteEnded(ServerState &server) -> void;
+/// @}
+
+/// Whether new work may go there.
+auto isUsable(const ServerState &server, TimePoint now) -> bool;
+/// Whether several sends have got no sign of life for too long.
+auto isSilent(const ServerState &server, TimePoint now) -> bool;
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/gateway/accounting.cpp
@@ -0,0 +1,178 @@
+#include "gateway/accounting.h"
+
+#include "core/base/failure.h"
+#include "core/base/reason.h"
+#include "runtime/logging/logging.h"
+#include "runtime/metrics/prometheus.h"
+
+#include <chrono>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+using logging::event;
+using logging::Level;
+
+auto toMilliseconds(Duration duration) -> double
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+auto wholeMilliseconds(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+Accounting::Accounting()
+    : refusals_(metrics::declareRefusals(registry_))
+    , failures_(metrics::declareAttemptFailures(registry_))
+    , retries_(metrics::declareRetries(registry_))
+    , sends_(registry_.counter({ .name = "auburnspread_sends_total", .help = "Attempts sent to backend servers." }))
+    , answers_(registry_.counter({ .name = "auburnspread_answers_total", .help = "Answers of backend servers that were passed on whole." }))
+    , breaks_(registry_.counter({ .name = "auburnspread_broken_answers_total", .help = "Answers that were begun and broken off." }))
+    , gone_(registry_.counter({ .name = "auburnspread_callers_gone_total", .help = "Callers that left before their answer was complete." }))
+    , firstByte_(registry_.histogram({ .name = "auburnspread_first_byte_seconds", .help = "From arrival to the first byte of the answer." }))
+    , whole_(registry_.histogram({ .name = "auburnspread_answer_seconds", .help = "From arrival to the end of the answer." }))
+    , waiting_(registry_.gauge({ .name = "auburnspread_waiting_requests", .help = "Requests that wait for a backend server." }))
+    , inFlight_(registry_.gauge({ .name = "auburnspread_attempts_in_flight", .help = "Attempts under way." }))
+    , servers_(registry_.gauge({ .name = "auburnspread_backend_servers", .help = "Backend servers in the list." }))
+    , entries_(registry_.gauge({ .name = "auburnspread_entries", .help = "Entries that are alive." }))
+    , version_(registry_.gauge({ .name = "auburnspread_configuration_version", .help = "Version in force here." }))
+    , age_(registry_.gauge({ .name = "auburnspread_configuration_age_seconds", .help = "Since the configuration was last confirmed." }))
+    , storeCalls_(registry_.gauge({ .name = "auburnspread_store_calls", .help = "Calls to the platform's store since the start." }))
+{
+}
+
+auto Accounting::sent(const RequestLabels &labels, const passthrough::Send &order) -> void
+{
+    sends_.add();
+    event(Level::Info,
+          "sent",
+          { { "request", labels.request },
+            { "peer", order.server },
+            { "attempt", static_cast<std::uint64_t>(order.attempt) },
+            { "tier", order.tier },
+            { "repeat", order.isRepeat },
+            { "resumed_after", order.lastEventId },
+            { "estimated_start_ms", wholeMilliseconds(order.estimatedStart) },
+            { "remaining_ms", wholeMilliseconds(order.remaining) },
+            { "configuration", labels.configurationVersion },
+            { "configuration_age_ms", wholeMilliseconds(labels.configurationAge) },
+            { "servers_age_ms", wholeMilliseconds(labels.serversAge) } });
+}
+
+auto Accounting::attemptFailed(const RequestLabels &labels, std::string_view server, const AttemptFailure &failure, Duration since) -> void
+{
+    failures_.add(failure.failure);
+    event(Level::Info,
+          "attempt-failed",
+          { { "request", labels.request },
+            { "peer", server },
+            { "reason", failureName(failure.failure) },
+            { "status", failure.status },
+            { "answer_begun", failure.relayed },
+            { "last_event", failure.lastEventId },
+            { "after_ms", wholeMilliseconds(since) },
+            { "servers_age_ms", wholeMilliseconds(labels.serversAge) } });
+}
+
+auto Accounting::refused(const RequestLabels &labels, const passthrough::Refuse &refusal) -> void
+{
+    refusals_.add(refusal.reason);
+    event(Level::Info,
+          "refused",
+          { { "request", labels.request },
+            { "reason", entryOf(refusal.reason).name },
+            { "outcome", outcomeName(refusal.outcome) },
+            { "status", refusal.status },
+            { "retry_after_ms", wholeMilliseconds(refusal.retryAfter.value_or(Duration::zero())) },
+            { "peer", refusal.peer },
+            { "configuration", labels.configurationVersion },
+            { "configuration_age_ms", wholeMilliseconds(refusal.informationAge) } });
+}
+
+auto Accounting::refusedInput(std::string_view step, std::string_view detail) -> void
+{
+    refusals_.add(Reason::BadRequest);
+    event(Level::Info, "refused", { { "step", step }, { "reason", entryOf(Reason::BadRequest).name }, { "detail", detail } });
+}
+
+auto Accounting::answered(const RequestLabels &labels, std::string_view server, int status, Duration firstByte, Duration whole) -> void
+{
+    answers_.add();
+    firstByte_.observe(firstByte);
+    whole_.observe(whole);
+    event(Level::Info,
+          "answered",
+          { { "request", labels.request },
+            { "peer", server },
+            { "status", status },
+            { "first_byte_ms", toMilliseconds(firstByte) },
+            { "answer_ms", toMilliseconds(whole) } });
+}
+
+auto Accounting::brokenOff(const RequestLabels &labels, const passthrough::Break &end) -> void
+{
+    breaks_.add();
+    event(Level::Warning, "answer-broken-off", { { "request", labels.request }, { "reason", entryOf(end.reason).name }, { "peer", end.peer } });
+}
+
+auto Accounting::callerGone(const RequestLabels &labels, Duration since) -> void
+{
+    gone_.add();
+    event(Level::Info, "caller-gone", { { "request", labels.request }, { "after_ms", wholeMilliseconds(since) } });
+}
+
+auto Accounting::configurationAdopted(std::uint64_t version, std::size_t routes, std::size_t workspaces) -> void
+{
+    event(Level::Info, "configuration-adopted", { { "configuration", version }, { "routes", routes }, { "workspaces", workspaces } });
+}
+
+auto Accounting::serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void
+{
+    event(Level::Info, "backend-server-changed", { { "peer", server }, { "change", change }, { "service", service } });
+}
+
+auto Accounting::entriesChanged(std::size_t entries) -> void
+{
+    event(Level::Info, "entries-changed", { { "entries", entries } });
+}
+
+auto Accounting::storeReachable(bool reachable, std::string_view call, std::string_view detail) -> void
+{
+    event(reachable ? Level::Info : Level::Warning, reachable ? "store-regained" : "store-lost", { { "step", call }, { "detail", detail } });
+}
+
+auto Accounting::inputInvalid(std::string_view source, std::string_view detail) -> void
+{
+    event(Level::Error, "input-invalid", { { "step", source }, { "detail", detail } });
+}
+
+auto Accounting::crashCounted(const passthrough::TellCrashes &crashes) -> void
+{
+    event(Level::Warning, "crash-counted", { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) }, { "crashes", crashes.crashes } });
+}
+
+auto Accounting::readinessChanged(bool ready, std::string_view reason) -> void
+{
+    event(Level::Info, "readiness-changed", { { "ready", ready }, { "reason", reason } });
+}
+
+auto Accounting::metricsPage(const passthrough::RouterStatus &status, std::uint64_t storeCalls) -> std::string
+{
+    waiting_.set(status.waiting);
+    inFlight_.set(status.inFlight);
+    servers_.set(status.servers);
+    entries_.set(status.entries);
+    version_.set(static_cast<double>(status.configurationVersion));
+    age_.set(std::chrono::duration<double>(status.configurationAge).count());
+    storeCalls_.set(static_cast<double>(storeCalls));
+    return metrics::formatPrometheus(registry_.snapshot());
+}
+
+} // namespace auburnspread::gateway
--- /dev/null
+++ b/src/gateway/directory.cpp
@@ -0,0 +1,309 @@
+#include "gateway/directory.h"
+
+#include "gateway/clock.h"
+
+#include <utility>
+#include <variant>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+using adapter::StoreOutcome;
+
+/// Where the entries register; the product's own part of the store.
+constexpr std::string_view EntriesPrefix = "auburnspread/entries/";
+
+/// Pause after a call that failed. The store takes some thousands of calls a second from all entries together.
+constexpr Duration FailurePause = std::chrono::milliseconds(300);
+/// Entries come and go rarely, and a change ends the wait.
+constexpr Duration EntriesWait = std::chrono::seconds(10);
+/// A lease is renewed this often within its time, so that two lost calls do not end it.
+constexpr int RenewalsPerLease = 3;
+/// Without a list for this long, servers may have lost their registration while they live.
+constexpr Duration OutageLength = std::chrono::milliseconds(1500);
+
+auto describe(StoreOutcome outcome, const http::Result &result) -> std::string
+{
+    if (const auto *error = std::get_if<http::Error>(&result)) {
+        return error->text;
+    }
+    return "status " + std::to_string(std::get<http::Response>(result).status) + ", " + std::string(storeOutcomeName(outcome));
+}
+
+} // namespace
+
+Directory::Directory(task::EventLoop &loop, DirectoryOptions options, DirectoryCallbacks callbacks)
+    : loop_(loop)
+    , options_(std::move(options))
+    , callbacks_(std::move(callbacks))
+    , client_(loop)
+{
+}
+
+auto Directory::start() -> void
+{
+    readConfiguration();
+    readServers();
+    readEntries();
+}
+
+auto Directory::calls() const -> std::uint64_t
+{
+    return calls_;
+}
+
+auto Directory::call(std::string_view name, const http::Request &request, std::function<void(StoreOutcome, const http::Result &)> onDone) -> void
+{
+    calls_ += 1;
+    client_.fetch(request, [this, name, onDone = std::move(onDone)](const http::Result &result) {
+        const auto outcome = adapter::outcomeOf(result);
+        noteReachable(name, outcome, result);
+        onDone(outcome, result);
+    });
+}
+
+auto Directory::noteReachable(std::string_view name, StoreOutcome outcome, const http::Result &result) -> void
+{
+    const auto reachable = outcome != StoreOutcome::Unknown && outcome != StoreOutcome::Refused;
+    if (reachable_ != reachable) {
+        reachable_ = reachable;
+        callbacks_.onReachable(reachable, name, describe(outcome, result));
+    }
+}
+
+auto Directory::fetchItems(std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void
+{
+    call(name, request, [this, name, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome, const http::Result &result) {
+        if (outcome != StoreOutcome::Done) {
+            onFailure(outcome);
+            return;
+        }
+        const auto items = adapter::decodeItems(std::get<http::Response>(result));
+        if (!items) {
+            callbacks_.onInvalid(name, "answer of the store can't be read");
+            onFailure(StoreOutcome::Unknown);
+            return;
+        }
+        onItems(*items);
+    });
+}
+
+auto Directory::readConfiguration() -> void
+{
+    const auto askedAt = now();
+    fetchItems(
+        "read-configuration",
+        adapter::makeRange(options_.store, adapter::configurationKey(), ""),
+        [this, askedAt](const adapter::StoreItems &items) {
+            takeConfiguration(items, askedAt);
+            watchConfiguration();
+        },
+        [this](StoreOutcome /*outcome*/) { configurationTimer_ = loop_.after(FailurePause, [this]() { readConfiguration(); }); });
+}
+
+auto Directory::watchConfiguration() -> void
+{
+    const auto askedAt = now();
+    fetchItems(
+        "watch-configuration",
+        adapter::makeWatch(options_.store, adapter::configurationKey(), configurationRevision_, options_.configurationWait),
+        [this, askedAt](const adapter::StoreItems &items) {
+            takeConfiguration(items, askedAt);
+            watchConfiguration();
+        },
+        [this](StoreOutcome outcome) {
+            if (outcome == StoreOutcome::HistoryGone) {
+                readConfiguration();
+                return;
+            }
+            configurationTimer_ = loop_.after(FailurePause, [this]() { watchConfiguration(); });
+        });
+}
+
+/// The answer shows the state at some time after it was asked for, so the moment of asking is the one that is sure.
+auto Directory::takeConfiguration(const adapter::StoreItems &items, TimePoint askedAt) -> void
+{
+    configurationRevision_ = items.revision;
+    auto isUnderstood = true;
+    for (const auto &item : items.items) {
+        if (item.isRemoved || item.key != adapter::configurationKey()) {
+            continue;
+        }
+        try {
+            callbacks_.onConfiguration(adapter::decodeConfiguration(item.value));
+        } catch (const adapter::InvalidDocument &error) {
+            isUnderstood = false;
+            callbacks_.onInvalid("configuration", error.what());
+        }
+    }
+    // a configuration that could not be read may take keys away: the one in force is not confirmed by it
+    if (isUnderstood) {
+        callbacks_.onConfirmed(askedAt);
+    }
+}
+
+auto Directory::readServers() -> void
+{
+    page_.clear();
+    readServersPage("");
+}
+
+auto Directory::readServersPage(const std::string &after) -> void
+{
+    fetchItems(
+        "read-servers",
+        adapter::makeRange(options_.store, adapter::serversPrefix(), after),
+        [this](const adapter::StoreItems &items) {
+            for (const auto &item : items.items) {
+                try {
+                    page_.push_back(adapter::decodeServer(item.key, item.value));
+                } catch (const adapter::InvalidDocument &error) {
+                    callbacks_.onInvalid("server", error.what());
+                }
+            }
+            if (items.hasMore && !items.items.empty()) {
+                readServersPage(items.items.back().key);
+                return;
+            }
+            takeServers();
+        },
+        [this](StoreOutcome /*outcome*/) {
+            serversFailed_ = true;
+            serversTimer_ = loop_.after(FailurePause, [this]() { readServers(); });
+        });
+}
+
+auto Directory::takeServers() -> void
+{
+    const auto readAt = now();
+    const auto afterOutage = serversFailed_ && serversReadAt_ && readAt - *serversReadAt_ > OutageLength;
+    serversReadAt_ = readAt;
+    serversFailed_ = false;
+    callbacks_.onServers(page_, afterOutage);
+    serversTimer_ = loop_.after(options_.serversInterval, [this]() { readServers(); });
+}
+
+auto Directory::readEntries() -> void
+{
+    fetchItems(
+        "read-entries",
+        adapter::makeRange(options_.store, EntriesPrefix, ""),
+        [this](const adapter::StoreItems &items) {
+            entries_.clear();
+            takeEntries(items);
+            watchEntries();
+        },
+        [this](StoreOutcome /*outcome*/) { entriesTimer_ = loop_.after(FailurePause, [this]() { readEntries(); }); });
+}
+
+auto Directory::watchEntries() -> void
+{
+    fetchItems(
+        "watch-entries",
+        adapter::makeWatch(options_.store, EntriesPrefix, entriesRevision_, EntriesWait),
+        [this](const adapter::StoreItems &items) {
+            takeEntries(items);
+            watchEntries();
+        },
+        [this](StoreOutcome outcome) {
+            if (outcome == StoreOutcome::HistoryGone) {
+                readEntries();
+                return;
+            }
+            entriesTimer_ = loop_.after(FailurePause, [this]() { watchEntries(); });
+        });
+}
+
+auto Directory::takeEntries(const adapter::StoreItems &items) -> void
+{
+    entriesRevision_ = items.revision;
+    for (const auto &item : items.items) {
+        if (item.isRemoved) {
+            entries_.erase(item.key);
+            continue;
+        }
+        try {
+            entries_[item.key] = adapter::decodeEntry(item.value);
+        } catch (const adapter::InvalidDocument &error) {
+            callbacks_.onInvalid("entry", error.what());
+        }
+    }
+    publishEntries();
+}
+
+auto Directory::publishEntries() -> void
+{
+    std::vector<adapter::EntryRecord> entries;
+    entries.reserve(entries_.size());
+    for (const auto &[key, entry] : entries_) {
+        entries.push_back(entry);
+    }
+    callbacks_.onEntries(entries);
+}
+
+auto Directory::registerSelf() -> void
+{
+    takeLease();
+}
+
+auto Directory::takeLease() -> void
+{
+    if (isWithdrawn_) {
+        return;
+    }
+    call("take-lease", adapter::makeLease(options_.store, options_.leaseTime), [this](StoreOutcome outcome, const http::Result &result) {
+        const auto lease = outcome == StoreOutcome::Done ? adapter::decodeLease(std::get<http::Response>(result)) : std::nullopt;
+        if (!lease) {
+            leaseTimer_ = loop_.after(FailurePause, [this]() { takeLease(); });
+            return;
+        }
+        lease_ = lease->id;
+        putSelf();
+    });
+}
+
+auto Directory::putSelf() -> void
+{
+    if (isWithdrawn_) {
+        return;
+    }
+    const auto key = std::string(EntriesPrefix) + options_.self.name;
+    call("register", adapter::makePut(options_.store, key, adapter::encodeEntry(options_.self), lease_), [this](StoreOutcome outcome, const http::Result &) {
+        if (outcome == StoreOutcome::Done) {
+            leaseTimer_ = loop_.after(options_.leaseTime / RenewalsPerLease, [this]() { renewLease(); });
+            return;
+        }
+        // an answer that was lost may belong to a write that was done: writing the same again does no harm
+        const auto isLeaseGone = outcome == StoreOutcome::Absent;
+        leaseTimer_ = loop_.after(FailurePause, [this, isLeaseGone]() { isLeaseGone ? takeLease() : putSelf(); });
+    });
+}
+
+auto Directory::renewLease() -> void
+{
+    if (isWithdrawn_) {
+        return;
+    }
+    call("renew-lease", adapter::makeRenewal(options_.store, lease_), [this](StoreOutcome outcome, const http::Result &) {
+        if (outcome == StoreOutcome::Absent) {
+            takeLease();
+            return;
+        }
+        const auto pause = outcome == StoreOutcome::Done ? options_.leaseTime / RenewalsPerLease : FailurePause;
+        leaseTimer_ = loop_.after(pause, [this]() { renewLease(); });
+    });
+}
+
+auto Directory::withdraw() -> void
+{
+    if (std::exchange(isWithdrawn_, true) || lease_ == 0) {
+        return;
+    }
+    // a failure needs no repeat: the lease ends by itself within seconds
+    call("withdraw", adapter::makeLeaseEnd(options_.store, lease_), [](StoreOutcome, const http::Result &) {});
+}
+
+} // namespace auburnspread::gateway
--- /dev/null
+++ b/src/gateway/peerexchange.cpp
@@ -0,0 +1,147 @@
+#include "gateway/peerexchange.h"
+
+#include "runtime/net/endpoint.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <stdexcept>
+#include <system_error>
+#include <utility>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Datagrams beyond this are not sent whole by every network; a report of sixty servers takes about half.
+constexpr std::size_t MostDatagramBytes = 8192;
+/// Datagrams read before the loop goes on, so that a flood of them can't hold up callers.
+constexpr int MostReadsAtOnce = 64;
+
+/// Keys are short because a report goes to every entry several times a second.
+auto toJson(const passthrough::PeerReported &report) -> json
+{
+    auto uses = json::array();
+    for (const auto &use : report.uses) {
+        uses.push_back({ use.server, use.inFlight, use.unreadTokens });
+    }
+    return { { "entry", report.entry }, { "uses", std::move(uses) } };
+}
+
+auto toJson(const passthrough::CrashesHeard &heard) -> json
+{
+    return { { "fingerprint", static_cast<std::uint64_t>(heard.fingerprint) }, { "crashes", heard.crashes } };
+}
+
+auto fromJson(const json &document) -> PeerMessage
+{
+    if (document.contains("fingerprint")) {
+        return passthrough::CrashesHeard{
+            .fingerprint = Fingerprint{ document.at("fingerprint").get<std::uint64_t>() },
+            .crashes = document.at("crashes").get<std::uint32_t>(),
+        };
+    }
+    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>() };
+    for (const auto &use : document.at("uses")) {
+        report.uses.push_back({
+            .server = use.at(0).get<std::string>(),
+            .inFlight = use.at(1).get<std::uint32_t>(),
+            .unreadTokens = use.at(2).get<std::uint32_t>(),
+        });
+    }
+    return report;
+}
+
+} // namespace
+
+auto encodePeerMessage(const PeerMessage &message) -> std::string
+{
+    const auto document = std::visit([](const auto &each) { return toJson(each); }, message);
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
+auto decodePeerMessage(std::string_view bytes) -> PeerMessage
+{
+    try {
+        return fromJson(json::from_cbor(bytes));
+    } catch (const json::exception &error) {
+        throw std::runtime_error(std::string("peer message: ") + error.what());
+    }
+}
+
+PeerExchange::PeerExchange(task::EventLoop &loop, const std::string &address, OnMessage onMessage, OnInvalid onInvalid)
+    : onMessage_(std::move(onMessage))
+    , onInvalid_(std::move(onInvalid))
+{
+    const auto endpoint = net::parseEndpoint(address);
+    if (!endpoint) {
+        throw std::runtime_error("bind " + address + ": not an IP number and port");
+    }
+    auto target = net::toSocketAddress(*endpoint);
+    descriptor_ = ::socket(target.get()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor_ < 0 || ::bind(descriptor_, target.get(), target.size) != 0) {
+        throw std::system_error(errno, std::generic_category(), "bind " + address);
+    }
+    readable_ = loop.whenReadable(descriptor_, [this]() { receive(); });
+}
+
+PeerExchange::~PeerExchange()
+{
+    ::close(descriptor_);
+}
+
+auto PeerExchange::setPeers(std::vector<std::string> addresses) -> void
+{
+    peers_ = std::move(addresses);
+}
+
+auto PeerExchange::peers() const -> std::size_t
+{
+    return peers_.size();
+}
+
+auto PeerExchange::send(const PeerMessage &message) -> void
+{
+    const auto bytes = encodePeerMessage(message);
+    if (bytes.size() > MostDatagramBytes) {
+        onInvalid_("own message is too long: " + std::to_string(bytes.size()) + " bytes");
+        return;
+    }
+    for (const auto &peer : peers_) {
+        const auto endpoint = net::parseEndpoint(peer);
+        if (!endpoint) {
+            continue; // its entry is registered wrongly, which was logged when the registration was read
+        }
+        const auto target = net::toSocketAddress(*endpoint);
+        // a datagram that can't be sent now is made good by the next report
+        ::sendto(descriptor_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL, target.get(), target.size);
+    }
+}
+
+auto PeerExchange::receive() -> void
+{
+    std::array<char, MostDatagramBytes> buffer{};
+    for (auto i = 0; i < MostReadsAtOnce; ++i) {
+        const auto length = ::recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (length < 0) {
+            return;
+        }
+        try {
+            onMessage_(decodePeerMessage({ buffer.data(), static_cast<std::size_t>(length) }));
+        } catch (const std::runtime_error &error) {
+            onInvalid_(error.what());
+        }
+    }
+}
+
+} // namespace auburnspread::gateway
--- /dev/null
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -0,0 +1,107 @@
+#include "gateway/settings/gatewaysettings.h"
+
+#include "runtime/logging/logging.h"
+
+#include <array>
+#include <charconv>
+#include <stdexcept>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+using settings::Key;
+using settings::Kind;
+
+constexpr std::int64_t LongestName = 64;
+constexpr std::int64_t LongestNumber = 16;
+constexpr std::int64_t Minute = 60'000;
+constexpr auto Levels = std::to_array<std::string_view>({ "debug", "info", "warning", "error" });
+
+constexpr auto Keys = std::to_array<Key>({
+    { .section = "gateway", .name = "name", .range = { 1, LongestName }, .explanation = "Name of this entry, unique in the deployment." },
+    { .section = "gateway", .name = "failure_domain", .range = { 1, LongestName }, .explanation = "Failure domain of this VM." },
+    { .section = "gateway", .name = "region", .defaultValue = "", .range = { 0, LongestName }, .explanation = "Region of the failure domain." },
+    { .section = "listen", .name = "caller", .kind = Kind::Address, .explanation = "Address for callers." },
+    { .section = "listen", .name = "readiness", .kind = Kind::Address, .explanation = "Address at which the platform asks whether the entry is ready." },
+    { .section = "listen", .name = "addresses", .kind = Kind::Address, .explanation = "Address at which callers ask which entries to use." },
+    { .section = "listen", .name = "peer", .kind = Kind::Address, .explanation = "Address for datagrams of other entries." },
+    { .section = "listen", .name = "metrics", .kind = Kind::Address, .explanation = "Address of the metrics page." },
+    { .section = "platform", .name = "store", .kind = Kind::Address, .explanation = "Address of the platform's store." },
+    { .section = "platform",
+      .name = "lease_ms",
+      .kind = Kind::Duration,
+      .defaultValue = "3000",
+      .range = { 1000, Minute },
+      .explanation = "Time to live of this entry's registration." },
+    { .section = "bounds",
+      .name = "key_withdrawal_ms",
+      .kind = Kind::Duration,
+      .defaultValue = "5000",
+      .range = { 2000, Minute },
+      .explanation = "A key that was taken away admits no request after this time, whatever the entry can reach." },
+    { .section = "bounds", .name = "leaving_s", .defaultValue = "8", .range = { 1, LongestNumber }, .explanation = "Seconds from SIGTERM to the end." },
+    { .section = "bounds", .name = "retry_ratio", .defaultValue = "0.2", .range = { 1, LongestNumber }, .explanation = "Repeats for each first send." },
+    { .section = "bounds", .name = "retry_window_s", .defaultValue = "10", .range = { 1, LongestNumber }, .explanation = "Seconds over which repeats count." },
+    { .section = "bounds",
+      .name = "retry_allowance",
+      .defaultValue = "50",
+      .range = { 1, LongestNumber },
+      .explanation = "Repeats in a window besides, of all entries together." },
+    { .section = "bounds",
+      .name = "keep_addresses_s",
+      .defaultValue = "5",
+      .range = { 1, LongestNumber },
+      .explanation = "Longest time in seconds for which callers keep the answer of where to connect." },
+    { .section = "log", .name = "level", .kind = Kind::Choice, .defaultValue = "info", .choices = Levels, .explanation = "Least level that is written." },
+});
+
+auto number(const settings::Settings &settings, std::string_view key) -> double
+{
+    const auto &text = settings.text(key);
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < 0) {
+        throw std::runtime_error(std::string(key) + ": expected a number from 0, got " + text);
+    }
+    return value;
+}
+
+auto seconds(const settings::Settings &settings, std::string_view key) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number(settings, key)));
+}
+
+} // namespace
+
+auto gatewaySchema() -> settings::Schema
+{
+    return { .keys = Keys, .rules = {} };
+}
+
+auto readGatewaySettings(const settings::Settings &settings) -> GatewaySettings
+{
+    return {
+        .name = settings.text("gateway.name"),
+        .failureDomain = settings.text("gateway.failure_domain"),
+        .region = settings.text("gateway.region"),
+        .callerAddress = settings.address("listen.caller"),
+        .readinessAddress = settings.address("listen.readiness"),
+        .addressesAddress = settings.address("listen.addresses"),
+        .peerAddress = settings.address("listen.peer"),
+        .metricsAddress = settings.address("listen.metrics"),
+        .storeAddress = settings.address("platform.store"),
+        .leaseTime = settings.duration("platform.lease_ms"),
+        .keyWithdrawal = settings.duration("bounds.key_withdrawal_ms"),
+        .leavingTime = seconds(settings, "bounds.leaving_s"),
+        .retryRatio = number(settings, "bounds.retry_ratio"),
+        .retryWindow = seconds(settings, "bounds.retry_window_s"),
+        .retryAllowance = number(settings, "bounds.retry_allowance"),
+        .keepAddresses = seconds(settings, "bounds.keep_addresses_s"),
+        .logLevel = settings.text("log.level"),
+    };
+}
+
+} // namespace auburnspread::gateway
--- /dev/null
+++ b/src/gateway/settings/gatewaysettings.h
@@ -0,0 +1,38 @@
+/// \file
+/// Settings of the pass-through entry.
+
+#pragma once
+
+#include "core/base/time.h"
+#include "runtime/settings/schema.h"
+#include "runtime/settings/settings.h"
+
+#include <string>
+
+namespace auburnspread::gateway
+{
+
+struct GatewaySettings {
+    std::string name;
+    std::string failureDomain;
+    std::string region;
+    std::string callerAddress;
+    std::string readinessAddress;
+    std::string addressesAddress; ///< where callers ask for addresses
+    std::string peerAddress;
+    std::string metricsAddress;
+    std::string storeAddress;
+    Duration leaseTime{};
+    Duration keyWithdrawal{}; ///< a key that was taken away may live this long
+    Duration leavingTime{};   ///< from the signal to leave to the end of the process
+    double retryRatio = 0;
+    Duration retryWindow{};
+    double retryAllowance = 0;
+    Duration keepAddresses{}; ///< longest time for which callers keep an answer
+    std::string logLevel;
+};
+
+auto gatewaySchema() -> settings::Schema;
+auto readGatewaySettings(const settings::Settings &settings) -> GatewaySettings;
+
+} // namespace auburnspread::gateway
--- a/src/runtime/logging/logging.cpp
+++ b/src/runtime/logging/logging.cpp
@@ -67,6 +67,9 @@
     if (file.empty()) {
         return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     }
+    if (file == StandardOutput) {
+        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    }
     // log4cxx reports a file that cannot be opened on stderr only and goes on without a log
     if (!std::ofstream(file, std::ios::app).is_open()) {
         throw std::runtime_error("logging: cannot append to " + file);
--- a/src/runtime/logging/logging.h
+++ b/src/runtime/logging/logging.h
@@ -33,10 +33,13 @@
 
 struct Options {
     Level level = Level::Info;
-    std::string file;        ///< appended to; empty: stderr
+    std::string file;        ///< appended to; empty: stderr; StandardOutput: stdout
     int linesPerSecond = 50; ///< of one event name at info and above; the rest are counted and the count is logged
 };
 
+/// As Options::file: the log goes to standard output.
+constexpr std::string_view StandardOutput = "-";
+
 /// One typed field of an event.
 class Field
 {
--- a/src/wire/http/client.cpp
+++ b/src/wire/http/client.cpp
@@ -1,8 +1,8 @@
 #include "wire/http/client.h"
 
 #include "core/base/nametable.h"
+#include "wire/http/connectionpool.h"
 #include "wire/http/internal/brokenpipe.h"
-#include "wire/http/internal/connectionpool.h"
 #include "wire/http/internal/rawrequest.h"
 
 #include <event2/http.h>
@@ -39,7 +39,7 @@
     return error.reusedConnection ? text + " (reused connection)" : text;
 }
 
-auto reachedStep(const detail::Connection &connection) -> Step
+auto reachedStep(const Connection &connection) -> Step
 {
     if (connection.hasReceived) {
         return Step::Receive;
@@ -47,9 +47,9 @@
     return connection.hasSent ? Step::Wait : Step::Connect;
 }
 
-auto makeError(const detail::Connection &connection, Cause cause) -> Error
+auto makeError(const Connection &connection, Cause cause) -> Error
 {
-    Error error{ .step = reachedStep(connection), .cause = cause, .peer = connection.address, .reusedConnection = connection.wasUsedBefore };
+    Error error{ .step = reachedStep(connection), .cause = cause, .peer = connection.peer, .reusedConnection = connection.wasUsedBefore };
     error.text = describe(error);
     return error;
 }
@@ -66,7 +66,7 @@
 }
 
 /// Our own timer decides; evhttp's stays behind it, so that it cannot cut a long poll short.
-auto placeLibraryTimeout(const detail::Connection &connection, Duration timeout) -> void
+auto placeLibraryTimeout(const Connection &connection, Duration timeout) -> void
 {
     constexpr int SecondsBehind = 60;
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout).count();
@@ -76,7 +76,7 @@
 struct Exchange {
     OnDone onDone;
     std::optional<Request> resend; ///< what to send if the reused connection turns out to be dead
-    std::unique_ptr<detail::Connection> connection;
+    std::unique_ptr<Connection> connection;
     task::Watch timer;
 };
 
@@ -104,7 +104,7 @@
     auto finish(Handle handle, Result result) -> void;
 
     task::EventLoop &loop_;
-    detail::ConnectionPool pool_;
+    ConnectionPool pool_;
     std::uint64_t lastHandle_ = 0;
     std::map<Handle, Exchange> exchanges_;
 };
@@ -188,7 +188,7 @@
 {
     auto connection = std::move(exchanges_.at(handle).connection);
     auto error = makeError(*connection, Cause::Timeout);
-    pool_.closeIdle(connection->address);
+    pool_.closeIdle(connection->peer);
     pool_.retire(std::move(connection));
     finish(handle, std::move(error));
 }
--- a/src/wire/http/internal/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -1,11 +1,12 @@
-#include "wire/http/internal/connectionpool.h"
+#include "wire/http/connectionpool.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include <algorithm>
 #include <utility>
 
-namespace auburnspread::http::detail
+namespace auburnspread::http
 {
 
 namespace
@@ -28,6 +29,14 @@
     return bufferevent_getfd(evhttp_connection_get_bufferevent(connection.raw.get())) >= 0;
 }
 
+/// How long it may lie idle. A peer closes its side at its own time; a request that is on its way just then is lost, and
+/// one that may run only once can't be sent again. The margin covers the way of that request.
+auto idleBound(const Connection &connection, Duration poolBound) -> Duration
+{
+    constexpr Duration Margin = std::chrono::milliseconds(500);
+    return connection.idleTime ? std::min(poolBound, *connection.idleTime - Margin) : poolBound;
+}
+
 auto prepareReuse(Connection &connection) -> void
 {
     connection.wasUsedBefore = true;
@@ -50,16 +59,16 @@
 {
 }
 
-auto ConnectionPool::take(const std::string &address, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>
+auto ConnectionPool::take(const std::string &peer, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>
 {
-    auto connection = isFresh ? nullptr : takeIdle(address);
-    return connection ? std::move(connection) : open(address, endpoint);
+    auto connection = isFresh ? nullptr : takeIdle(peer);
+    return connection ? std::move(connection) : open(peer, endpoint);
 }
 
-auto ConnectionPool::open(const std::string &address, const net::Endpoint &endpoint) -> std::unique_ptr<Connection>
+auto ConnectionPool::open(const std::string &peer, const net::Endpoint &endpoint) -> std::unique_ptr<Connection>
 {
     auto connection = std::make_unique<Connection>();
-    connection->address = address;
+    connection->peer = peer;
     auto *raw = evhttp_connection_base_bufferevent_new(loop_.base(), nullptr, nullptr, endpoint.host.c_str(), endpoint.port);
     connection->raw.reset(raw);
     auto *transport = evhttp_connection_get_bufferevent(raw);
@@ -70,13 +79,13 @@
     return connection;
 }
 
-auto ConnectionPool::takeIdle(const std::string &address) -> std::unique_ptr<Connection>
+auto ConnectionPool::takeIdle(const std::string &peer) -> std::unique_ptr<Connection>
 {
-    auto &idle = idle_[address];
+    auto &idle = idle_[peer];
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (isOpen(*connection) && task::monotonicNow() - connection->idleSince < options_.idleAge) {
+        if (isOpen(*connection) && task::monotonicNow() - connection->idleSince < idleBound(*connection, options_.idleAge)) {
             prepareReuse(*connection);
             return connection;
         }
@@ -87,7 +96,7 @@
 
 auto ConnectionPool::keep(std::unique_ptr<Connection> connection) -> void
 {
-    auto &idle = idle_[connection->address];
+    auto &idle = idle_[connection->peer];
     if (!isOpen(*connection) || idle.size() >= options_.idlePerAddress) {
         retire(std::move(connection));
         return;
@@ -105,9 +114,9 @@
     retirement_ = loop_.after(Duration(0), [this]() { retired_.clear(); });
 }
 
-auto ConnectionPool::closeIdle(const std::string &address) -> void
+auto ConnectionPool::closeIdle(const std::string &peer) -> void
 {
-    const auto found = idle_.find(address);
+    const auto found = idle_.find(peer);
     if (found == idle_.end()) {
         return;
     }
@@ -119,9 +128,11 @@
 
 auto ConnectionPool::closeOld() -> void
 {
-    const auto oldest = task::monotonicNow() - options_.idleAge;
-    for (auto &[address, idle] : idle_) {
-        std::erase_if(idle, [oldest](const auto &connection) { return connection->idleSince <= oldest || !isOpen(*connection); });
+    const auto now = task::monotonicNow();
+    for (auto &[peer, idle] : idle_) {
+        std::erase_if(idle, [this, now](const auto &connection) {
+            return now - connection->idleSince >= idleBound(*connection, options_.idleAge) || !isOpen(*connection);
+        });
     }
     std::erase_if(idle_, [](const auto &item) { return item.second.empty(); });
 }
@@ -135,4 +146,4 @@
     return count;
 }
 
-} // namespace auburnspread::http::detail
+} // namespace auburnspread::http
--- a/src/wire/http/internal/connectionpool.h
+++ b/src/wire/http/connectionpool.h
@@ -1,5 +1,5 @@
 /// \file
-/// Connections of the client, in use and idle, by address.
+/// Outgoing connections, in use and idle, by the name of their peer.
 
 #pragma once
 
@@ -17,7 +17,7 @@
 #include <string>
 #include <vector>
 
-namespace auburnspread::http::detail
+namespace auburnspread::http
 {
 
 struct EvhttpConnectionDeleter {
@@ -27,13 +27,15 @@
 /// One connection with what passed over it during its current exchange.
 struct Connection {
     std::unique_ptr<evhttp_connection, EvhttpConnectionDeleter> raw;
-    std::string address;
+    std::string peer; ///< under which it is kept: an address, or a name that tells apart peers of one address
     TimePoint idleSince;
+    std::optional<Duration> idleTime; ///< for which the peer keeps it open while idle; not set: the pool's own bound alone
     bool wasUsedBefore = false;
     bool hasSent = false;
     bool hasReceived = false;
     std::optional<evhttp_request_error> error;
     std::function<void(evhttp_request *raw)> onDone; ///< of the current exchange; empty: no one waits
+    std::shared_ptr<void> context;                   ///< what evhttp's callbacks of the current exchange use; lives as long as they may come
 };
 
 class ConnectionPool
@@ -42,19 +44,19 @@
     ConnectionPool(task::EventLoop &loop, const ClientOptions &options);
 
     /// An idle connection, or a new one if there is none or \p isFresh asks for it.
-    auto take(const std::string &address, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>;
+    auto take(const std::string &peer, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>;
     /// Takes back a connection whose exchange went well.
     auto keep(std::unique_ptr<Connection> connection) -> void;
     /// Closes a connection, also from within one of evhttp's calls.
     auto retire(std::unique_ptr<Connection> connection) -> void;
-    /// Closes the idle connections to \p address.
-    auto closeIdle(const std::string &address) -> void;
+    /// Closes the idle connections to \p peer.
+    auto closeIdle(const std::string &peer) -> void;
 
     [[nodiscard]] auto idleCount() const -> std::size_t;
 
 private:
-    auto open(const std::string &address, const net::Endpoint &endpoint) -> std::unique_ptr<Connection>;
-    auto takeIdle(const std::string &address) -> std::unique_ptr<Connection>;
+    auto open(const std::string &peer, const net::Endpoint &endpoint) -> std::unique_ptr<Connection>;
+    auto takeIdle(const std::string &peer) -> std::unique_ptr<Connection>;
     auto closeOld() -> void;
 
     task::EventLoop &loop_;
@@ -65,4 +67,4 @@
     task::Watch sweep_;
 };
 
-} // namespace auburnspread::http::detail
+} // namespace auburnspread::http
--- a/src/wire/http/internal/rawrequest.h
+++ b/src/wire/http/internal/rawrequest.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "wire/http/client.h"
-#include "wire/http/internal/connectionpool.h"
+#include "wire/http/connectionpool.h"
 
 #include <event2/http.h>
 
