Engines dealt between long prompts and long answers; sessions kept at their engine; memory bound

Second: sessions' parts were read again at several engines (835k tokens). Ruled out: processor time of the entry (0.0125 cores), waiting in our queue (p50 of the first byte 55 ms). Change: every entry ranks the engines by hash and keeps as many for short prompts as their demand, known from the reports of all entries, needs; a penalty for each shared token that another engine holds; requests' memory counted against an engine's.

--- a/src/core/balancing/health.cpp
+++ b/src/core/balancing/health.cpp
@@ -267,6 +267,7 @@
 {
     switch (failure) {
     case Failure::NotStarted:
+    case Failure::WrongServer:
         hold(state, index, pool, now);
         return;
     case Failure::FirstTokenTimeout:
--- /dev/null
+++ b/src/core/passthrough/enginesplit.cpp
@@ -0,0 +1,47 @@
+#include "core/passthrough/enginesplit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnspread::passthrough
+{
+
+namespace
+{
+
+/// Time in which the remembered demand falls to a third: the split must not follow every gap between arrivals, because a
+/// reader's engine that was lent to talkers holds prompts of theirs to the end.
+constexpr Duration DemandMemory = std::chrono::seconds(4);
+/// Part of an engine's batch that talkers fill; the rest is for the spread between engines.
+constexpr double TalkerFill = 0.65;
+/// Readers keep at least this part of the engines, talkers at most the rest.
+constexpr double MostTalkerPart = 0.6;
+
+} // namespace
+
+auto updateSplit(EngineSplit &split, const std::vector<ServerPointer> &servers, TimePoint now) -> void
+{
+    std::uint32_t talkers = 0;
+    std::uint32_t slots = 0;
+    std::size_t usable = 0;
+    for (const auto &server : servers) {
+        talkers += totalWork(*server).talkers;
+        if (isUsable(*server, now)) {
+            slots += server->record.slots;
+            usable += 1;
+        }
+    }
+    const auto elapsed = std::chrono::duration<double>(now - split.updatedAt) / std::chrono::duration<double>(DemandMemory);
+    split.talkers = std::max<double>(talkers, split.talkers * std::exp(-elapsed));
+    split.updatedAt = now;
+    if (usable < 2 || split.talkers < 1) {
+        split.talkerServers = 0;
+        return;
+    }
+    const auto slotsEach = static_cast<double>(slots) / static_cast<double>(usable);
+    const auto wanted = std::ceil(split.talkers / (slotsEach * TalkerFill));
+    const auto most = std::max(1.0, std::floor(static_cast<double>(usable) * MostTalkerPart));
+    split.talkerServers = static_cast<std::size_t>(std::clamp(wanted, 1.0, most));
+}
+
+} // namespace auburnspread::passthrough
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -99,6 +99,14 @@
     });
 }
 
+/// Order of urgency, 0 first: the route's tier decides, and among requests of one tier that of the workspace.
+auto rankOf(const Route &route, const Workspace *workspace) -> int
+{
+    constexpr int WorkspaceTiers = 3;
+    const auto ofWorkspace = workspace == nullptr ? 0 : workspace->tier.value_or(0);
+    return route.tier * WorkspaceTiers + std::clamp(ofWorkspace, 0, WorkspaceTiers - 1);
+}
+
 auto admit(RouterState &state, const RequestArrived &call, const Identified &identified) -> Request &
 {
     const auto &route = *identified.route;
@@ -107,7 +115,7 @@
     request.table = state.table;
     request.route = &route;
     request.workspace = identified.workspace == nullptr ? "" : identified.workspace->name;
-    request.tier = identified.workspace == nullptr ? route.tier : identified.workspace->tier.value_or(route.tier);
+    request.tier = rankOf(route, identified.workspace);
     request.order = ++state.lastOrder;
     request.service = chooseService(route, request.order);
     request.arrived = state.now;
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -66,11 +66,11 @@
     state.attempts[id] = {
         .request = request.call.request,
         .server = placement.server,
-        .unreadTokens = placement.unreadTokens,
+        .load = placement.load,
         .sentAt = state.now,
         .estimatedStart = placement.estimatedStart,
     };
-    noteSent(server, placement.unreadTokens, state.now);
+    noteSent(server, placement.load, state.now);
     if (isEngine) {
         noteCachedParts(server, request.call.prompt, state.now);
     }
@@ -107,18 +107,27 @@
     return isKeyValid(state, request) ? std::nullopt : std::optional(Reason::UnknownKey);
 }
 
+/// Whether most other entries told what they have in flight.
+auto knowsPeers(const RouterState &state) -> bool
+{
+    return 2 * state.servers.peers.size() + 1 >= state.entries;
+}
+
 auto place(const RouterState &state, const Request &request) -> Placement
 {
     const auto found = state.servers.byService.find(request.service);
     if (found == state.servers.byService.end()) {
         return {};
     }
+    const auto *service = request.table->findService(request.service);
     const PlacementQuery query{
-        .prompt = &request.call.prompt,
-        .isEngine = request.route->hasPrompt,
+        .prompt = request.route->hasPrompt ? &request.call.prompt : nullptr,
         .failureDomain = state.options.failureDomain,
         .avoid = request.avoid,
         .entries = state.entries,
+        .peersKnown = knowsPeers(state),
+        .cacheTokens = service == nullptr ? 0 : service->cacheTokens,
+        .talkerServers = state.pools.at(request.service).split.talkerServers,
         .tieBreak = request.order,
     };
     return choosePlacement(found->second, query, state.options.engineSpeed, state.now);
@@ -170,6 +179,16 @@
     }
 }
 
+auto updateSplits(RouterState &state) -> void
+{
+    for (auto &[service, pool] : state.pools) {
+        const auto found = state.servers.byService.find(service);
+        if (found != state.servers.byService.end()) {
+            updateSplit(pool.split, found->second, state.now);
+        }
+    }
+}
+
 auto dispatchAll(RouterState &state, Actions &actions) -> void
 {
     for (auto &[service, pool] : state.pools) {
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -34,9 +34,9 @@
     const auto node = state.attempts.extract(id);
     const auto &attempt = node.mapped();
     if (!attempt.started) {
-        noteRead(*attempt.server, attempt.unreadTokens);
+        noteRead(*attempt.server, attempt.load);
     }
-    noteEnded(*attempt.server);
+    noteEnded(*attempt.server, attempt.load);
     return attempt.server;
 }
 
@@ -154,7 +154,7 @@
         return;
     }
     noteHeard(*attempt->server, state.now);
-    noteRead(*attempt->server, attempt->unreadTokens);
+    noteRead(*attempt->server, attempt->load);
     noteStartTime(*attempt->server, state.now - attempt->sentAt, attempt->estimatedStart);
     const auto found = state.requests.find(attempt->request);
     if (found != state.requests.end() && found->second.route->repeatability == Repeatability::Stream) {
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/passthrough/actions.h"
+#include "core/passthrough/enginesplit.h"
 #include "core/passthrough/events.h"
 #include "core/passthrough/retrybudget.h"
 #include "core/passthrough/router.h"
@@ -54,7 +55,7 @@
 struct Attempt {
     RequestId request{};
     ServerPointer server;
-    std::uint32_t unreadTokens = 0;
+    Load load;
     bool started = false;
     TimePoint sentAt;
     Duration estimatedStart{};
@@ -65,6 +66,7 @@
     using Place = std::tuple<int, std::uint64_t, RequestId>; ///< tier, order of arrival
     std::set<Place> waiting;
     RetryBudget budget;
+    EngineSplit split;
 };
 
 /// Broken connections while a request with some fingerprint ran.
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -1,5 +1,7 @@
 #include "core/passthrough/placement.h"
 
+#include "core/passthrough/enginesplit.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -20,12 +22,20 @@
 /// A plain service's call takes some tens of milliseconds of a slot.
 constexpr Duration CallTime = std::chrono::milliseconds(30);
 
-/// Requests over the even part of a server's slots that one entry may have there while it does not know what others do.
+/// Added for each token of a shared part that would be read although another engine holds it: that engine's time is
+/// spent twice, and the readers behind it wait. A session's part of some thousand tokens is read again only where its own
+/// engine is slower by some hundred milliseconds.
+constexpr Duration RereadPenalty = std::chrono::microseconds(100);
+
+/// Places of an engine: its batch and a few that wait there, so that a place that becomes free is taken at once.
+constexpr double EnginePlaces = 1.1;
+/// Places of a plain service's server: its slots and as many that wait, of those that it keeps before it refuses.
+constexpr double ServicePlaces = 2.0;
+constexpr std::uint32_t LeastPlaces = 2;
+/// Places over the even part that one entry may take while it does not know what others do.
 constexpr double Overcommitment = 1.5;
-constexpr std::uint32_t LeastRoom = 2;
-/// Engines keep requests waiting beyond their batch and admit the highest tier first, so a full batch is no reason to
-/// hold a request here; this part of the batch may wait there.
-constexpr double EngineQueuePart = 0.5;
+/// Part of an engine's memory that requests may fill: reports of others are a tenth of a second old.
+constexpr double MemoryPart = 0.85;
 
 auto mix(std::uint64_t key, std::uint64_t salt) -> std::uint64_t
 {
@@ -92,24 +102,61 @@
 
 auto estimateEngine(const ServerState &server, std::uint32_t unread, const EngineSpeed &speed) -> Duration
 {
-    const auto ahead = server.unreadTokens + server.othersUnreadTokens;
-    const auto reading = toDuration((ahead + unread) / speed.tokensPerMs);
-    const auto beside = server.inFlight + server.othersInFlight;
-    return scale(reading + speed.firstToken + speed.sharing * beside, server.slowness);
+    const auto work = totalWork(server);
+    const auto reading = toDuration((work.unreadTokens + unread) / speed.tokensPerMs);
+    return scale(reading + speed.firstToken + speed.sharing * work.inFlight, server.slowness);
 }
 
 auto estimateService(const ServerState &server) -> Duration
 {
-    const auto open = server.inFlight + server.othersInFlight;
     const auto slots = std::max<std::uint32_t>(server.record.slots, 1);
-    const auto before = static_cast<double>(open) / slots;
+    const auto before = static_cast<double>(totalWork(server).inFlight) / slots;
     return scale(CallTime, server.slowness * (1 + before));
 }
 
-auto penaltyOf(const ServerState &server, const PlacementQuery &query) -> Duration
+auto isTalker(const Prompt &prompt) -> bool
+{
+    return prompt.tokens < LongPromptTokens;
+}
+
+auto sharedTokens(const Prompt &prompt) -> std::uint32_t
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        tokens += prompt.parts[i].tokens;
+    }
+    return tokens;
+}
+
+/// What besides time speaks against a server.
+auto penaltyOf(const ServerState &server, const PlacementQuery &query, const Load &load) -> Duration
+{
+    auto penalty = scale(FailurePenalty, server.failureRate);
+    if (server.record.failureDomain != query.failureDomain) {
+        penalty += DistancePenalty;
+    }
+    if (query.prompt != nullptr) {
+        const auto own = query.prompt->tokens - std::min(query.prompt->tokens, sharedTokens(*query.prompt));
+        const auto readAgain = load.unreadTokens - std::min(load.unreadTokens, own);
+        penalty += RereadPenalty * readAgain;
+    }
+    return penalty;
+}
+
+/// Engines of each side of the split, usable ones only, in the order that all entries agree on.
+struct Sides {
+    std::vector<ServerPointer> talkers;
+    std::vector<ServerPointer> readers;
+};
+
+auto splitEngines(const std::vector<ServerPointer> &servers, std::size_t talkerServers, TimePoint now) -> Sides
 {
-    const auto distance = server.record.failureDomain == query.failureDomain ? Duration::zero() : DistancePenalty;
-    return scale(FailurePenalty, server.failureRate) + distance;
+    std::vector<ServerPointer> usable;
+    std::copy_if(servers.begin(), servers.end(), std::back_inserter(usable), [now](const ServerPointer &server) { return isUsable(*server, now); });
+    const auto count = std::min(talkerServers, usable.size());
+    const auto middle = usable.begin() + static_cast<std::ptrdiff_t>(count);
+    std::nth_element(usable.begin(), middle, usable.end(), [](const ServerPointer &a, const ServerPointer &b) { return a->hash < b->hash; });
+    return { .talkers = { usable.begin(), middle }, .readers = { middle, usable.end() } };
 }
 
 struct Candidate {
@@ -123,26 +170,50 @@
     return one.score != other.score ? one.score < other.score : one.tie < other.tie;
 }
 
-auto mayUse(const ServerState &server, const PlacementQuery &query, TimePoint now) -> bool
+/// Requests that may be on the server at once, of all entries.
+auto placesOf(const ServerState &server, const PlacementQuery &query) -> std::uint32_t
 {
-    if (!isUsable(server, now) || server.inFlight >= roomOf(server, query.isEngine, query.entries)) {
-        return false;
+    const auto part = query.prompt != nullptr ? EnginePlaces : ServicePlaces;
+    return std::max(static_cast<std::uint32_t>(std::ceil(server.record.slots * part)), LeastPlaces);
+}
+
+/// Without word from the other entries, this one keeps to its even part, with some more for the unevenness of arrivals.
+auto hasPlace(const ServerState &server, const PlacementQuery &query) -> bool
+{
+    const auto places = placesOf(server, query);
+    if (query.peersKnown) {
+        return totalWork(server).inFlight < places;
     }
-    return std::find(query.avoid.begin(), query.avoid.end(), server.record.id) == query.avoid.end();
+    const auto part = static_cast<std::uint32_t>(std::ceil(Overcommitment * places / std::max<std::uint32_t>(query.entries, 1)));
+    return server.own.inFlight < std::max(part, LeastPlaces);
 }
 
-} // namespace
+/// Failure: more requests than the engine's memory holds. Symptom: it stops running answers in the middle and reads their
+/// prompts once more. A request larger than the memory goes to an empty engine, which refuses it by itself.
+auto hasMemory(const ServerState &server, const PlacementQuery &query, const Load &load) -> bool
+{
+    const auto held = totalWork(server).heldTokens;
+    return query.cacheTokens == 0 || held == 0 || held + load.heldTokens <= MemoryPart * static_cast<double>(query.cacheTokens);
+}
 
-auto roomOf(const ServerState &server, bool isEngine, std::uint32_t entries) -> std::uint32_t
+auto mayUse(const ServerState &server, const PlacementQuery &query, TimePoint now) -> bool
 {
-    const auto slots = server.record.slots * (isEngine ? 1 + EngineQueuePart : Overcommitment);
-    const auto part = static_cast<std::uint32_t>(std::ceil(Overcommitment * slots / std::max<std::uint32_t>(entries, 1)));
-    return std::max(part, LeastRoom);
+    const auto isAvoided = std::find(query.avoid.begin(), query.avoid.end(), server.record.id) != query.avoid.end();
+    return !isAvoided && isUsable(server, now) && hasPlace(server, query);
 }
 
-auto choosePlacement(const std::vector<ServerPointer> &servers, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now) -> Placement
+auto loadOf(const ServerState &server, const Prompt &prompt, bool isHome, TimePoint now) -> Load
 {
-    const auto session = query.isEngine ? sessionOf(*query.prompt) : 0;
+    return {
+        .unreadTokens = prompt.tokens - cachedTokens(server, prompt, isHome, now),
+        .heldTokens = prompt.tokens + prompt.answerTokens,
+        .isTalker = isTalker(prompt),
+    };
+}
+
+auto chooseAmong(const std::vector<ServerPointer> &servers, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now) -> Placement
+{
+    const auto session = query.prompt == nullptr ? 0 : sessionOf(*query.prompt);
     const auto *home = session == 0 ? nullptr : homeOf(servers, session, now);
     Candidate best;
     for (const auto &server : servers) {
@@ -150,21 +221,36 @@
             continue;
         }
         Candidate candidate{ .placement = { .server = server }, .tie = mix(query.tieBreak, server->hash) };
-        if (query.isEngine) {
-            const auto &prompt = *query.prompt;
-            candidate.placement.unreadTokens = prompt.tokens - cachedTokens(*server, prompt, server.get() == home, now);
-            candidate.placement.estimatedStart = estimateEngine(*server, candidate.placement.unreadTokens, speed);
+        auto &placement = candidate.placement;
+        if (query.prompt != nullptr) {
+            placement.load = loadOf(*server, *query.prompt, server.get() == home, now);
+            placement.estimatedStart = estimateEngine(*server, placement.load.unreadTokens, speed);
         } else {
-            candidate.placement.estimatedStart = estimateService(*server);
+            placement.estimatedStart = estimateService(*server);
         }
-        candidate.score = candidate.placement.estimatedStart + penaltyOf(*server, query);
-        if (!best.placement.server || isBetter(candidate, best)) {
+        candidate.score = placement.estimatedStart + penaltyOf(*server, query, placement.load);
+        const auto fits = hasMemory(*server, query, placement.load);
+        if (fits && (!best.placement.server || isBetter(candidate, best))) {
             best = candidate;
         }
     }
     return best.placement;
 }
 
+} // namespace
+
+auto choosePlacement(const std::vector<ServerPointer> &servers, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now) -> Placement
+{
+    if (query.prompt == nullptr || query.talkerServers == 0) {
+        return chooseAmong(servers, query, speed, now);
+    }
+    const auto sides = splitEngines(servers, query.talkerServers, now);
+    const auto talks = isTalker(*query.prompt);
+    auto placement = chooseAmong(talks ? sides.talkers : sides.readers, query, speed, now);
+    // the other side is better than none
+    return placement.server ? placement : chooseAmong(talks ? sides.readers : sides.talkers, query, speed, now);
+}
+
 auto noteCachedParts(ServerState &server, const Prompt &prompt, TimePoint now) -> void
 {
     if (server.parts.size() > MostRememberedParts) {
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnspread::passthrough
@@ -21,24 +22,26 @@
 
 /// How fast an engine of average load works; own timings correct it for each server.
 struct EngineSpeed {
-    double tokensPerMs = 50;                             ///< of a prompt that are read
+    double tokensPerMs = 46;                             ///< of a prompt, with the steps for running answers between the chunks
     Duration firstToken = std::chrono::milliseconds(27); ///< besides reading
     Duration sharing = std::chrono::microseconds(400);   ///< longer first token for each request that runs beside
 };
 
 struct PlacementQuery {
-    const Prompt *prompt = nullptr;
-    bool isEngine = false;
+    const Prompt *prompt = nullptr;     ///< null: a call of a plain service
     std::string_view failureDomain;     ///< of this entry
     std::span<const std::string> avoid; ///< ids of servers that failed this request
     std::uint32_t entries = 1;          ///< alive, this one included
+    bool peersKnown = false;            ///< most other entries told what they have in flight
+    std::uint64_t cacheTokens = 0;      ///< memory of an engine; 0: not known
+    std::size_t talkerServers = 0;      ///< engines that are kept for short prompts
     std::uint64_t tieBreak = 0;         ///< spreads equal choices
 };
 
 struct Placement {
     ServerPointer server;
-    Duration estimatedStart{};      ///< until the first byte
-    std::uint32_t unreadTokens = 0; ///< of the prompt, that this engine has to read
+    Duration estimatedStart{}; ///< until the first byte
+    Load load;
 };
 
 /// Nothing: no usable server has room.
@@ -47,7 +50,4 @@
 /// Remembers which prompt parts the engine's cache holds after this request.
 auto noteCachedParts(ServerState &server, const Prompt &prompt, TimePoint now) -> void;
 
-/// Requests that this entry may have on the server at once.
-auto roomOf(const ServerState &server, bool isEngine, std::uint32_t entries) -> std::uint32_t;
-
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -29,6 +29,7 @@
     dropMissing(state.servers, state.now);
     expirePeerReports(state.servers, state.now);
     detail::expireCrashes(state);
+    detail::updateSplits(state);
     detail::endOverdue(state, actions);
     detail::dispatchAll(state, actions);
 }
@@ -127,8 +128,15 @@
 {
     PeerReported report{ .entry = state.options.entry };
     for (const auto &[id, server] : state.servers.byId) {
-        if (server->inFlight > 0) {
-            report.uses.push_back({ .server = id, .inFlight = server->inFlight, .unreadTokens = server->unreadTokens });
+        const auto &own = server->own;
+        if (own.inFlight > 0) {
+            report.uses.push_back({
+                .server = id,
+                .inFlight = own.inFlight,
+                .unreadTokens = own.unreadTokens,
+                .heldTokens = own.heldTokens,
+                .talkers = own.talkers,
+            });
         }
     }
     return report;
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -105,14 +105,15 @@
 auto sumPeerReports(ServerTable &table) -> void
 {
     for (auto &[id, server] : table.byId) {
-        server->othersInFlight = 0;
-        server->othersUnreadTokens = 0;
+        server->others = {};
     }
     for (const auto &[entry, use] : table.peers) {
         for (const auto &each : use.report.uses) {
             if (const auto server = findServer(table, each.server)) {
-                server->othersInFlight += each.inFlight;
-                server->othersUnreadTokens += each.unreadTokens;
+                server->others.inFlight += each.inFlight;
+                server->others.unreadTokens += each.unreadTokens;
+                server->others.heldTokens += each.heldTokens;
+                server->others.talkers += each.talkers;
             }
         }
     }
@@ -134,10 +135,12 @@
     }
 }
 
-auto noteSent(ServerState &server, std::uint32_t unreadTokens, TimePoint now) -> void
+auto noteSent(ServerState &server, const Load &load, TimePoint now) -> void
 {
-    server.inFlight += 1;
-    server.unreadTokens += unreadTokens;
+    server.own.inFlight += 1;
+    server.own.unreadTokens += load.unreadTokens;
+    server.own.heldTokens += load.heldTokens;
+    server.own.talkers += load.isTalker ? 1 : 0;
     if (!server.waitingSince) {
         server.waitingSince = now;
     }
@@ -150,9 +153,9 @@
     server.failuresInRow = 0;
 }
 
-auto noteRead(ServerState &server, std::uint32_t unreadTokens) -> void
+auto noteRead(ServerState &server, const Load &load) -> void
 {
-    server.unreadTokens -= std::min(server.unreadTokens, unreadTokens);
+    server.own.unreadTokens -= std::min(server.own.unreadTokens, load.unreadTokens);
 }
 
 auto noteStartTime(ServerState &server, Duration observed, Duration estimated) -> void
@@ -183,15 +186,26 @@
     server.suspendedUntil = std::max(server.suspendedUntil, now + pause);
 }
 
-auto noteEnded(ServerState &server) -> void
+auto noteEnded(ServerState &server, const Load &load) -> void
 {
-    server.inFlight -= std::min<std::uint32_t>(server.inFlight, 1);
-    if (server.inFlight == 0) {
-        server.unreadTokens = 0;
+    server.own.inFlight -= std::min<std::uint32_t>(server.own.inFlight, 1);
+    server.own.heldTokens -= std::min(server.own.heldTokens, load.heldTokens);
+    server.own.talkers -= std::min<std::uint32_t>(server.own.talkers, load.isTalker ? 1 : 0);
+    if (server.own.inFlight == 0) {
         server.waitingSince.reset();
     }
 }
 
+auto totalWork(const ServerState &server) -> Work
+{
+    return {
+        .inFlight = server.own.inFlight + server.others.inFlight,
+        .unreadTokens = server.own.unreadTokens + server.others.unreadTokens,
+        .heldTokens = server.own.heldTokens + server.others.heldTokens,
+        .talkers = server.own.talkers + server.others.talkers,
+    };
+}
+
 auto isSilent(const ServerState &server, TimePoint now) -> bool
 {
     return server.waitingSince && now - *server.waitingSince > SilenceBound;
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -22,6 +22,21 @@
 namespace auburnspread::passthrough
 {
 
+/// What some entries have on a backend server.
+struct Work {
+    std::uint32_t inFlight = 0;     ///< requests
+    std::uint32_t unreadTokens = 0; ///< of prompts whose answer has not begun
+    std::uint32_t heldTokens = 0;   ///< of memory, prompts and answers
+    std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
+};
+
+/// What one request puts on a server.
+struct Load {
+    std::uint32_t unreadTokens = 0;
+    std::uint32_t heldTokens = 0;
+    bool isTalker = false;
+};
+
 /// One backend server.
 struct ServerState {
     Server record;
@@ -29,10 +44,8 @@
     bool isGone = false;                   ///< left the list; kept until its last attempt ended
     std::optional<TimePoint> missingSince; ///< absent from a list that may not be complete yet
 
-    std::uint32_t inFlight = 0;     ///< own attempts
-    std::uint32_t unreadTokens = 0; ///< prompts of own attempts whose answer has not begun
-    std::uint32_t othersInFlight = 0;
-    std::uint32_t othersUnreadTokens = 0;
+    Work own;    ///< attempts of this entry
+    Work others; ///< as the other entries reported
 
     TimePoint heardAt;                     ///< last byte of any answer
     std::optional<TimePoint> waitingSince; ///< oldest own send since then that nothing was heard after
@@ -70,16 +83,19 @@
 
 /// \name What own attempts show
 /// @{
-auto noteSent(ServerState &server, std::uint32_t unreadTokens, TimePoint now) -> void;
+auto noteSent(ServerState &server, const Load &load, TimePoint now) -> void;
 auto noteHeard(ServerState &server, TimePoint now) -> void;
 /// The prompt was read: its first byte of answer is here, or the attempt ended.
-auto noteRead(ServerState &server, std::uint32_t unreadTokens) -> void;
+auto noteRead(ServerState &server, const Load &load) -> void;
 auto noteStartTime(ServerState &server, Duration observed, Duration estimated) -> void;
 auto noteSucceeded(ServerState &server, TimePoint now) -> void;
 auto noteFailed(ServerState &server, Failure failure, TimePoint now) -> void;
-auto noteEnded(ServerState &server) -> void;
+auto noteEnded(ServerState &server, const Load &load) -> void;
 /// @}
 
+/// Of all entries, as far as known here.
+auto totalWork(const ServerState &server) -> Work;
+
 /// Whether new work may go there.
 auto isUsable(const ServerState &server, TimePoint now) -> bool;
 /// Whether several sends have got no sign of life for too long.
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -1,13 +1,13 @@
 #include "gateway/frontend.h"
 
 #include "runtime/net/endpoint.h"
+#include "wire/http/evhttpheaders.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -64,16 +64,6 @@
     return buffer;
 }
 
-auto readHeaders(evhttp_request *request) -> http::Headers
-{
-    http::Headers headers;
-    const auto *list = evhttp_request_get_input_headers(request);
-    for (const auto *item = list->tqh_first; item != nullptr; item = item->next.tqe_next) {
-        headers.push_back({ .name = item->key, .value = item->value });
-    }
-    return headers;
-}
-
 auto countHeaders(const http::Headers &headers, std::string_view name) -> std::ptrdiff_t
 {
     const auto isNamed = [name](const http::Header &header) { return !http::findHeader({ header }, name).empty(); };
@@ -172,7 +162,7 @@
     auto *connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(
         connection, [](evhttp_connection *closed, void *context) { static_cast<Impl *>(context)->connectionClosed(closed); }, this);
-    auto headers = readHeaders(request);
+    auto headers = http::readHeaders(evhttp_request_get_input_headers(request));
     if (hasDoubtfulLength(headers)) {
         refuseInput(request, "length of the body is given more than once or in an unknown form");
         return;
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -5,12 +5,12 @@
 #include "platform/callerrequest.h"
 #include "runtime/net/endpoint.h"
 #include "wire/http/connectionpool.h"
+#include "wire/http/evhttpheaders.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -106,16 +106,6 @@
     return bytes;
 }
 
-auto readHeaders(evhttp_request *request) -> http::Headers
-{
-    http::Headers headers;
-    const auto *list = evhttp_request_get_input_headers(request);
-    for (const auto *item = list->tqh_first; item != nullptr; item = item->next.tqe_next) {
-        headers.push_back({ .name = item->key, .value = item->value });
-    }
-    return headers;
-}
-
 auto transportOf(const http::Connection &connection) -> bufferevent *
 {
     return evhttp_connection_get_bufferevent(connection.raw.get());
@@ -247,7 +237,7 @@
 {
     attempt.headSeen = true;
     attempt.whole.status = evhttp_request_get_response_code(request);
-    attempt.whole.headers = readHeaders(request);
+    attempt.whole.headers = http::readHeaders(evhttp_request_get_input_headers(request));
     attempt.head = adapter::decodeAnswerHead(attempt.whole.status, attempt.whole.headers, attempt.callerId);
     attempt.verdict = judgeHead(attempt);
     attempt.relays = attempt.isStream && isSuccess(attempt.whole.status) && !attempt.verdict;
--- a/src/wire/http/internal/rawrequest.cpp
+++ b/src/wire/http/internal/rawrequest.cpp
@@ -1,7 +1,8 @@
 #include "wire/http/internal/rawrequest.h"
 
+#include "wire/http/evhttpheaders.h"
+
 #include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 
 #include <algorithm>
 
@@ -84,11 +85,7 @@
 
 auto readResponse(evhttp_request *raw) -> Response
 {
-    Response response{ .status = evhttp_request_get_response_code(raw) };
-    const auto *headers = evhttp_request_get_input_headers(raw);
-    for (const auto *item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
-        response.headers.push_back({ .name = item->key, .value = item->value });
-    }
+    Response response{ .status = evhttp_request_get_response_code(raw), .headers = readHeaders(evhttp_request_get_input_headers(raw)) };
     auto *body = evhttp_request_get_input_buffer(raw);
     response.body.resize(evbuffer_get_length(body));
     evbuffer_remove(body, response.body.data(), response.body.size());
