--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 if [ "$#" -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files 'src/*.cpp' 'src/*.h')
+    mapfile -t files < <(git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h')
 fi
 
 clang-format --dry-run --Werror "${files[@]}"
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -129,9 +129,9 @@
 }
 
 /// What besides time speaks against a server.
-auto penaltyOf(const ServerState &server, const PlacementQuery &query, const Load &load) -> Duration
+auto penaltyOf(const ServerState &server, const PlacementQuery &query, const Load &load, TimePoint now) -> Duration
 {
-    auto penalty = scale(FailurePenalty, server.failureRate);
+    auto penalty = scale(FailurePenalty, failureRateOf(server, now));
     if (server.record.failureDomain != query.failureDomain) {
         penalty += DistancePenalty;
     }
@@ -228,7 +228,7 @@
         } else {
             placement.estimatedStart = estimateService(*server);
         }
-        candidate.score = placement.estimatedStart + penaltyOf(*server, query, placement.load);
+        candidate.score = placement.estimatedStart + penaltyOf(*server, query, placement.load, now);
         const auto fits = hasMemory(*server, query, placement.load);
         if (fits && (!best.placement.server || isBetter(candidate, best))) {
             best = candidate;
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace auburnspread::passthrough
@@ -25,9 +26,15 @@
 
 /// An engine under full load begins some answer, or sends an event of a running one, many times within this.
 constexpr Duration SilenceBound = std::chrono::milliseconds(1200);
+/// After this time without a send, one request finds out whether a silent server has come back. Dark servers stay so for
+/// some seconds; each that is tried costs one request.
+constexpr Duration SilenceProbe = std::chrono::milliseconds(2500);
 
 /// Weight of the newest outcome in the moving averages: about the last ten count.
 constexpr double OutcomeWeight = 0.1;
+/// Time in which a failure rate fades to a third. A server that is chosen no more shows no successes, so without this one
+/// failure in a quiet hour would keep it idle for ever; backend servers that turn bad do so for some seconds.
+constexpr Duration FailureMemory = std::chrono::seconds(3);
 constexpr double SlownessWeight = 0.15;
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 20;
@@ -141,6 +148,7 @@
     server.own.unreadTokens += load.unreadTokens;
     server.own.heldTokens += load.heldTokens;
     server.own.talkers += load.isTalker ? 1 : 0;
+    server.sentAt = now;
     if (!server.waitingSince) {
         server.waitingSince = now;
     }
@@ -165,15 +173,33 @@
     server.slowness += SlownessWeight * (std::clamp(ratio, LeastSlowness, MostSlowness) - server.slowness);
 }
 
+auto failureRateOf(const ServerState &server, TimePoint now) -> double
+{
+    const auto elapsed = std::chrono::duration<double>(now - server.failureRateAt) / std::chrono::duration<double>(FailureMemory);
+    return server.failureRate * std::exp(-elapsed);
+}
+
+namespace
+{
+
+auto noteOutcome(ServerState &server, double failed, TimePoint now) -> void
+{
+    const auto before = failureRateOf(server, now);
+    server.failureRate = before + OutcomeWeight * (failed - before);
+    server.failureRateAt = now;
+}
+
+} // namespace
+
 auto noteSucceeded(ServerState &server, TimePoint now) -> void
 {
     noteHeard(server, now);
-    server.failureRate -= OutcomeWeight * server.failureRate;
+    noteOutcome(server, 0, now);
 }
 
 auto noteFailed(ServerState &server, Failure failure, TimePoint now) -> void
 {
-    server.failureRate += OutcomeWeight * (1 - server.failureRate);
+    noteOutcome(server, 1, now);
     const auto isDead = failure == Failure::ConnectFailed || failure == Failure::WrongServer || failure == Failure::FirstTokenTimeout
         || failure == Failure::ProgressTimeout || looksLikeCrash(failure);
     if (!isDead) {
@@ -208,7 +234,7 @@
 
 auto isSilent(const ServerState &server, TimePoint now) -> bool
 {
-    return server.waitingSince && now - *server.waitingSince > SilenceBound;
+    return server.waitingSince && now - *server.waitingSince > SilenceBound && now - server.sentAt < SilenceProbe;
 }
 
 auto isUsable(const ServerState &server, TimePoint now) -> bool
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -47,12 +47,14 @@
     Work own;    ///< attempts of this entry
     Work others; ///< as the other entries reported
 
-    TimePoint heardAt;                     ///< last byte of any answer
+    TimePoint heardAt; ///< last byte of any answer
+    TimePoint sentAt;
     std::optional<TimePoint> waitingSince; ///< oldest own send since then that nothing was heard after
     TimePoint suspendedUntil;              ///< no work before
     std::uint32_t failuresInRow = 0;       ///< of the kind that says the server is unreachable or dead
-    double failureRate = 0;                ///< moving average of own failures, 0 to 1
-    double slowness = 1;                   ///< moving average of observed to estimated time to the first byte
+    double failureRate = 0;                ///< moving average of own failures, 0 to 1, as of failureRateAt
+    TimePoint failureRateAt;
+    double slowness = 1; ///< moving average of observed to estimated time to the first byte
 
     std::unordered_map<std::uint64_t, TimePoint> parts; ///< prompt parts that own requests left in its cache
 };
@@ -96,6 +98,9 @@
 /// Of all entries, as far as known here.
 auto totalWork(const ServerState &server) -> Work;
 
+/// Moving average of own failures; it fades with time, so that a server which failed is tried again.
+auto failureRateOf(const ServerState &server, TimePoint now) -> double;
+
 /// Whether new work may go there.
 auto isUsable(const ServerState &server, TimePoint now) -> bool;
 /// Whether several sends have got no sign of life for too long.
--- /dev/null
+++ b/src/core/passthrough/tests/placement_tests.cpp
@@ -0,0 +1,139 @@
+#include "core/passthrough/enginesplit.h"
+#include "core/passthrough/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+
+namespace
+{
+
+const TimePoint Now(std::chrono::hours(1));
+
+auto makeEngines(int count) -> std::vector<ServerPointer>
+{
+    ServerTable table;
+    std::vector<Server> records;
+    for (auto i = 0; i < count; ++i) {
+        records.push_back({ .id = "engine-" + std::to_string(i), .service = "engines", .slots = 32 });
+    }
+    adoptServers(table, { .servers = records }, Now);
+    return table.byService["engines"];
+}
+
+auto makeQuote(std::uint64_t session) -> Prompt
+{
+    return { .tokens = 9190, .answerTokens = 50, .parts = { { .id = 1, .tokens = 2520 }, { .id = session, .tokens = 3780 }, { .id = 0, .tokens = 2890 } } };
+}
+
+auto makeCheck(std::uint64_t session) -> Prompt
+{
+    return { .tokens = 826, .answerTokens = 290, .parts = { { .id = 2, .tokens = 119 }, { .id = session, .tokens = 79 }, { .id = 0, .tokens = 628 } } };
+}
+
+} // namespace
+
+/// Sessions are read once, whichever entry asks: every entry, with no word from the others, finds the same engine.
+TEST(PlacementTests, allEntriesSendASessionToTheSameEngine)
+{
+    for (std::uint64_t session = 10; session < 60; ++session) {
+        const auto quote = makeQuote(session);
+        std::map<std::string, int> chosen;
+        for (std::uint64_t entry = 0; entry < 7; ++entry) {
+            const auto placement = choosePlacement(makeEngines(18), { .prompt = &quote, .tieBreak = entry }, {}, Now);
+            chosen[placement.server->record.id] += 1;
+        }
+        EXPECT_EQ(chosen.size(), 1U) << "session " << session;
+    }
+}
+
+TEST(PlacementTests, aSessionLeavesItsEngineOnlyWhenThatIsFarBehind)
+{
+    const auto quote = makeQuote(77);
+    const auto engines = makeEngines(18);
+    const auto home = choosePlacement(engines, { .prompt = &quote }, {}, Now).server;
+    home->others.unreadTokens = 10'000;
+    EXPECT_EQ(choosePlacement(engines, { .prompt = &quote }, {}, Now).server, home);
+    home->others.unreadTokens = 60'000;
+    EXPECT_NE(choosePlacement(engines, { .prompt = &quote }, {}, Now).server, home);
+}
+
+/// What callers see: line checks whose events stutter although no engine is full. Long prompts are read between the tokens
+/// of running answers; on one and the same engine each token waits for a chunk. So the two kinds get engines of their own.
+TEST(PlacementTests, longPromptsAndLongAnswersGetEnginesOfTheirOwn)
+{
+    const auto engines = makeEngines(18);
+    EngineSplit split;
+    engines.front()->others.talkers = 100;
+    updateSplit(split, engines, Now);
+    engines.front()->others.talkers = 0;
+    ASSERT_GT(split.talkerServers, 2U);
+    ASSERT_LT(split.talkerServers, 12U);
+    std::map<std::string, int> kinds;
+    for (std::uint64_t session = 100; session < 300; ++session) {
+        const auto quote = makeQuote(session);
+        const auto check = makeCheck(session);
+        kinds[choosePlacement(engines, { .prompt = &quote, .talkerServers = split.talkerServers, .tieBreak = session }, {}, Now).server->record.id] |= 1;
+        kinds[choosePlacement(engines, { .prompt = &check, .talkerServers = split.talkerServers, .tieBreak = session }, {}, Now).server->record.id] |= 2;
+    }
+    for (const auto &[engine, kind] : kinds) {
+        EXPECT_NE(kind, 3) << engine << " got both";
+    }
+}
+
+TEST(PlacementTests, theSplitFollowsDemandUpAtOnceAndDownSlowly)
+{
+    const auto engines = makeEngines(18);
+    EngineSplit split;
+    engines[0]->others.talkers = 200;
+    updateSplit(split, engines, Now);
+    const auto most = split.talkerServers;
+    engines[0]->others.talkers = 20;
+    updateSplit(split, engines, Now + std::chrono::milliseconds(500));
+    EXPECT_GE(split.talkerServers + 2, most);
+    updateSplit(split, engines, Now + std::chrono::seconds(30));
+    EXPECT_LT(split.talkerServers, most / 2);
+    EXPECT_GE(split.talkerServers, 1U);
+}
+
+/// What callers see: answers that stop for seconds. An engine with more requests than its memory holds takes running ones
+/// off and reads their prompts again. A request goes where memory is free, and waits if there is none.
+TEST(PlacementTests, noEngineGetsMoreThanItsMemoryHolds)
+{
+    const auto quote = makeQuote(5);
+    const auto engines = makeEngines(2);
+    const PlacementQuery query{ .prompt = &quote, .peersKnown = true, .cacheTokens = 292'000 };
+    const auto home = choosePlacement(engines, query, {}, Now).server;
+    home->others.heldTokens = 245'000;
+    const auto other = choosePlacement(engines, query, {}, Now).server;
+    ASSERT_TRUE(other);
+    EXPECT_NE(other, home);
+    other->others.heldTokens = 245'000;
+    EXPECT_FALSE(choosePlacement(engines, query, {}, Now).server);
+}
+
+/// What callers see: large requests are never served. One that is larger than the whole memory must still be offered to an
+/// engine, which refuses it by itself.
+TEST(PlacementTests, aRequestLargerThanTheMemoryGoesToAnEmptyEngine)
+{
+    auto quote = makeQuote(5);
+    quote.tokens = 400'000;
+    EXPECT_TRUE(choosePlacement(makeEngines(2), { .prompt = &quote, .peersKnown = true, .cacheTokens = 292'000 }, {}, Now).server);
+}
+
+/// What callers see: slow answers in a burst while others are fast. One entry does not know that the others fill an engine;
+/// their reports tell it.
+TEST(PlacementTests, whatOtherEntriesReportCounts)
+{
+    const auto check = makeCheck(9);
+    const auto engines = makeEngines(2);
+    for (const auto &engine : engines) {
+        engine->others.inFlight = 40;
+    }
+    EXPECT_FALSE(choosePlacement(engines, { .prompt = &check, .entries = 7, .peersKnown = true }, {}, Now).server);
+    engines[1]->others.inFlight = 3;
+    EXPECT_EQ(choosePlacement(engines, { .prompt = &check, .entries = 7, .peersKnown = true }, {}, Now).server, engines[1]);
+}
--- /dev/null
+++ b/src/core/passthrough/tests/servers_tests.cpp
@@ -0,0 +1,99 @@
+#include "core/passthrough/tests/world.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+using namespace auburnspread::passthrough::tests;
+
+namespace
+{
+
+/// Servers that several requests at once are sent to; all are answered after a usual time.
+auto serversUsed(World &world, const std::string &path) -> std::set<std::string>
+{
+    constexpr auto Requests = 9;
+    std::set<std::string> used;
+    std::vector<AttemptId> attempts;
+    for (auto i = 0; i < Requests; ++i) {
+        if (const auto sent = find<Send>(world.arrive(path))) {
+            used.insert(sent->server);
+            attempts.push_back(sent->attempt);
+        }
+    }
+    world.pass(std::chrono::milliseconds(30));
+    for (const auto attempt : attempts) {
+        world.apply(AttemptAnswered{ .attempt = attempt, .status = 200 });
+    }
+    return used;
+}
+
+} // namespace
+
+/// What a caller sees: a call that is cut off. A server is about to leave; it must get nothing new from the moment at
+/// which this entry knows.
+TEST(ServerTests, aLeavingServerGetsNothingNew)
+{
+    World world;
+    auto servers = makeServers();
+    servers[2].isLeaving = true;
+    world.apply(ServersListed{ .servers = servers });
+    EXPECT_EQ(serversUsed(world, FetchPath), (std::set<std::string>{ "p2", "p3" }));
+}
+
+/// What callers see: every request refused, although all servers live. The store was away so long that registrations
+/// lapsed; its first list is empty, and the servers are back in it within two seconds.
+TEST(ServerTests, serversMissingAfterAnOutageOfTheRegistryStayForTwoSeconds)
+{
+    World world;
+    world.apply(ServersListed{ .servers = {}, .afterOutage = true });
+    EXPECT_EQ(serversUsed(world, FetchPath).size(), 3U);
+    world.pass(std::chrono::milliseconds(1500));
+    world.apply(ServersListed{ .servers = { makeServer("p2", "portal", 6) } });
+    EXPECT_EQ(serversUsed(world, FetchPath).size(), 3U);
+    world.pass(std::chrono::milliseconds(900));
+    EXPECT_EQ(serversUsed(world, FetchPath), (std::set<std::string>{ "p2" }));
+}
+
+TEST(ServerTests, aServerThatVanishesFromTheListIsGoneAtOnce)
+{
+    World world;
+    world.apply(ServersListed{ .servers = { makeServer("p3", "portal", 6) } });
+    EXPECT_EQ(serversUsed(world, FetchPath), (std::set<std::string>{ "p3" }));
+}
+
+/// What callers see: one request in three fails for seconds. A server crashed and its entry stays until its lease ends;
+/// after the first refused connection it gets no work for a while.
+TEST(ServerTests, aServerThatRefusesConnectionsIsLeftAlone)
+{
+    World world;
+    const auto first = find<Send>(world.arrive(FetchPath));
+    world.apply(AttemptFailed{ .attempt = first->attempt, .failure = Failure::ConnectFailed });
+    EXPECT_FALSE(serversUsed(world, FetchPath).contains(first->server));
+    world.pass(std::chrono::seconds(6));
+    EXPECT_TRUE(serversUsed(world, FetchPath).contains(first->server));
+}
+
+/// What callers see: quotes that never begin. A server is dark: it takes connections and says nothing. Requests that
+/// nothing is heard of for over a second speak against it, and the next go elsewhere.
+TEST(ServerTests, aServerThatSaysNothingGetsNothingMore)
+{
+    World world;
+    const auto first = find<Send>(world.arrive(NoticePath));
+    world.pass(std::chrono::milliseconds(1300));
+    EXPECT_FALSE(serversUsed(world, FetchPath).contains(first->server));
+}
+
+/// What callers see: every request refused although the only server has woken up. It was silent for a moment; now and then
+/// one request finds out whether it still is.
+TEST(ServerTests, aSilentServerIsTriedAgain)
+{
+    World world;
+    world.apply(ServersListed{ .servers = { makeServer("p1", "portal", 6) } });
+    world.arrive(NoticePath);
+    world.pass(std::chrono::milliseconds(1300));
+    EXPECT_EQ(count<Send>(world.arrive(NoticePath)), 0U);
+    EXPECT_EQ(count<Send>(world.pass(std::chrono::milliseconds(1600))), 1U);
+}
--- /dev/null
+++ b/src/gateway/tests/directory_tests.cpp
@@ -0,0 +1,112 @@
+#include "gateway/tests/site.h"
+
+#include <gtest/gtest.h>
+
+using namespace auburnspread::gateway::tests;
+using auburnspread::adapter::standins::StoreStandin;
+
+namespace
+{
+
+constexpr auto EndOfHead = "\r\n\r\n";
+constexpr auto EntryKey = "auburnspread/entries/entry-1";
+
+/// Status of a request on a route that no server serves: 401 for an unknown key, else it waits or is refused.
+auto statusOf(const Site &site, const std::string &key) -> std::string
+{
+    Caller caller(site.callerAddress());
+    caller.send("GET /fetch/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id\r\nDeadline-Ms: 50\r\nKey: " + key + "\r\n\r\n");
+    return caller.readUntil(EndOfHead).substr(9, 3);
+}
+
+auto isRegistered(const Site &site) -> bool
+{
+    auto found = false;
+    site.onLoop([&](StoreStandin &store) { found = store.find(EntryKey).has_value(); });
+    return found;
+}
+
+} // namespace
+
+TEST(DirectoryTests, theEntryRegistersItselfAndAnswersWithItsAddress)
+{
+    const Site site;
+    EXPECT_TRUE(waitUntil([&]() { return isRegistered(site); }));
+    EXPECT_NE(site.addresses().find("ttlS"), std::string::npos);
+    EXPECT_NE(site.addresses().find("127.0.0.1:"), std::string::npos);
+}
+
+/// What callers see: one entry fewer for ever. The store ended the lease while it was away; the entry finds out at its next
+/// renewal and registers anew.
+TEST(DirectoryTests, anEntryWhoseLeaseEndedRegistersAnew)
+{
+    const Site site;
+    ASSERT_TRUE(waitUntil([&]() { return isRegistered(site); }));
+    site.onLoop([](StoreStandin &store) { store.endLeases(); });
+    EXPECT_TRUE(waitUntil([&]() { return isRegistered(site); }));
+}
+
+TEST(DirectoryTests, aNewConfigurationIsInForceWithoutARestart)
+{
+    Site site;
+    EXPECT_EQ(statusOf(site, "key-2"), "401");
+    site.putConfiguration(2, "key-2");
+    EXPECT_TRUE(waitUntil([&]() { return statusOf(site, "key-2") == "503"; }));
+    EXPECT_EQ(statusOf(site, "key-1"), "401");
+}
+
+/// What an operator sees: a configuration that was accepted and never comes into force. The store has dropped the history
+/// in which it stood, so the watch can't go on; the whole document is read anew.
+TEST(DirectoryTests, aConfigurationWhoseHistoryWasDroppedIsReadAnew)
+{
+    Site site;
+    site.onLoop([](StoreStandin &store) { store.setBusy(true); });
+    site.putConfiguration(2, "key-2");
+    site.onLoop([](StoreStandin &store) {
+        store.dropHistory();
+        store.setBusy(false);
+    });
+    EXPECT_TRUE(waitUntil([&]() { return statusOf(site, "key-2") == "503"; }));
+}
+
+/// What an operator sees: a withdrawn key that still runs work. The store falls silent for this entry, so it can't hear of
+/// the withdrawal; after the bound no key passes, the entry says that it is not ready, and on the store's return it is.
+TEST(DirectoryTests, anEntryWithoutTheStoreRefusesKeysAndRecovers)
+{
+    Site site("2600");
+    site.onLoop([](StoreStandin &store) { store.setSilent(true); });
+    EXPECT_TRUE(waitUntil([&]() { return site.readiness().find("503") != std::string::npos; }));
+    EXPECT_EQ(statusOf(site, "key-1"), "503");
+    EXPECT_EQ(statusOf(site, "unknown"), "503") << "it can't know that the key is unknown";
+    site.onLoop([](StoreStandin &store) { store.setSilent(false); });
+    EXPECT_TRUE(waitUntil([&]() { return statusOf(site, "unknown") == "401"; }));
+}
+
+TEST(DirectoryTests, aListOfServersInPagesIsReadWhole)
+{
+    Site site;
+    site.onLoop([](StoreStandin &store) { store.setPageSize(2); });
+    for (const auto *id : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
+        site.addServer(id, "portal", "127.0.0.1:9");
+    }
+}
+
+/// What a caller sees: a quote cut off because its entry was restarted. The entry leaves: it is out of the addresses and
+/// not ready at once, ends the answer under way, and tells the caller to use its connection no more.
+TEST(DirectoryTests, aLeavingEntryEndsWhatItBegan)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    site.leave();
+    EXPECT_NE(site.readiness().find("503"), std::string::npos);
+    EXPECT_EQ(site.addresses().find("\"127"), std::string::npos);
+    EXPECT_TRUE(waitUntil([&]() { return !isRegistered(site); }));
+    connection.send(makeAnswer("id-1", "whole answer"));
+    EXPECT_NE(caller.readUntil("whole answer").find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(waitUntil([&]() { return site.hasLeft(); }));
+}
--- /dev/null
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -0,0 +1,210 @@
+#include "gateway/tests/site.h"
+
+#include <gtest/gtest.h>
+
+using namespace auburnspread::gateway::tests;
+
+namespace
+{
+
+constexpr auto EndOfHead = "\r\n\r\n";
+
+auto contains(const std::string &text, const std::string &part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST(PassThroughTests, methodPathQueryBodyAndHeadersPassUnchangedAndTheKeyDoesNot)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/a%2Fb?x=1&y=%20", "id-1", "body of the request", "X-Own: 7\r\nDeadline-Ms: 2500\r\n"));
+    const auto connection = server.accept();
+    const auto received = connection.readUntil("body of the request");
+    EXPECT_TRUE(received.starts_with("POST /notice/a%2Fb?x=1&y=%20 HTTP/1.1\r\n")) << received;
+    for (const auto *header : { "Host: quotes.example", "Attempt-Id: id-1", "X-Own: 7", "Tenant-Name: roofers", "Expect-Instance: i-1" }) {
+        EXPECT_TRUE(contains(received, header)) << header << " in " << received;
+    }
+    EXPECT_FALSE(contains(received, "key-1"));
+    connection.send(makeAnswer("id-1", "the answer", "201 Created"));
+    const auto answer = caller.readUntil("the answer");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 201 ")) << answer;
+    EXPECT_TRUE(contains(answer, "Response-Signature: sig-id-1"));
+    EXPECT_TRUE(contains(answer, "Content-Length: 10"));
+}
+
+TEST(PassThroughTests, aChunkedBodyPassesWhole)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send("POST /notice/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-1\r\nKey: key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "5\r\nfirst\r\n7\r\n second\r\n0\r\n\r\n");
+    const auto connection = server.accept();
+    EXPECT_TRUE(contains(connection.readUntil("first second"), "Content-Length: 12"));
+}
+
+/// What a caller sees: half a quote that looks whole. The server promises more bytes than it sends and closes. The call may
+/// have run, so nobody may repeat it, and the caller must get an error that promises nothing.
+TEST(PassThroughTests, anAnswerThatWasCutIsNeverDelivered)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    {
+        const auto connection = server.accept();
+        connection.readUntil(EndOfHead);
+        auto answer = makeAnswer("id-1", "a whole answer");
+        connection.send(answer.substr(0, answer.size() - 5));
+    }
+    const auto answer = caller.readUntil(EndOfHead);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_FALSE(contains(answer, "Retry-After"));
+}
+
+/// What a caller sees: another caller's answer. An answer that was given up arrives late on a connection that is used again;
+/// its id gives it away.
+TEST(PassThroughTests, anotherRequestsAnswerIsNeverDelivered)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    connection.send(makeAnswer("id-other", "secret of another"));
+    const auto answer = caller.readUntil(EndOfHead);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+    EXPECT_TRUE(connection.seesEnd()) << "what still comes on this connection can't be told apart";
+}
+
+/// What a caller sees: the end of the last caller's answer as its own. Bytes follow a whole answer; the connection must
+/// not be used again.
+TEST(PassThroughTests, aConnectionWithBytesLeftOverIsNotUsedAgain)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    const auto first = server.accept();
+    first.readUntil(EndOfHead);
+    first.send(makeAnswer("id-1", "first") + makeAnswer("id-2", "forged"));
+    EXPECT_TRUE(contains(caller.readUntil("first"), "200"));
+    caller.send(makeRequest("/notice/2", "id-2", "x"));
+    const auto second = server.accept();
+    second.readUntil(EndOfHead);
+    second.send(makeAnswer("id-2", "second"));
+    EXPECT_TRUE(contains(caller.readUntil("second"), "200"));
+}
+
+TEST(PassThroughTests, anAnswerWithoutLengthEndsWithItsConnection)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    {
+        const auto connection = server.accept();
+        connection.readUntil(EndOfHead);
+        connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Signature: s\r\n\r\nuntil the end");
+    }
+    EXPECT_TRUE(contains(caller.readUntil("until the end"), "Content-Length: 13"));
+}
+
+/// What a caller sees: a success that no backend server gave. Only an answer with the server's signature may pass as one.
+TEST(PassThroughTests, aSuccessWithoutSignatureIsNotDelivered)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
+}
+
+/// What a caller sees: "not run, come again" for a notice that was sent. A server answers 503 without the word that it ran
+/// nothing; passing it on would promise what nobody knows.
+TEST(PassThroughTests, aBare503OfAServerIsNoPromise)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/notice/1", "id-1", "x"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    connection.send(makeAnswer("id-1", "", "503 Service Unavailable"));
+    EXPECT_TRUE(caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
+}
+
+TEST(PassThroughTests, anIdempotentCallGoesToAnotherServerWhenItsFirstBreaks)
+{
+    Site site;
+    auto first = std::make_unique<Server>();
+    site.addServer("i-1", "portal", first->address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/fetch/1", "id-1"));
+    auto broken = first->accept();
+    broken.readUntil(EndOfHead);
+    const Server second;
+    site.addServer("i-2", "portal", second.address());
+    broken.close();
+    const auto connection = second.accept();
+    EXPECT_TRUE(contains(connection.readUntil(EndOfHead), "Expect-Instance: i-2"));
+    connection.send(makeAnswer("id-1", "answer"));
+    EXPECT_TRUE(contains(caller.readUntil("answer"), "200"));
+}
+
+/// What an operator sees: servers at work for callers that left long ago. The caller closes before the answer; the
+/// connection to the server must be closed at once.
+TEST(PassThroughTests, aCallerThatLeavesEndsTheWorkAtTheServer)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/fetch/1", "id-1"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    caller.close();
+    EXPECT_TRUE(connection.seesEnd());
+}
+
+/// What an operator sees: a request that its sender had no key for. The body's length is given twice; the two ends could
+/// disagree on where the next request begins. Nothing behind it may be read.
+TEST(PassThroughTests, aDoubtfulLengthIsRefusedAndTheConnectionClosed)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    for (const auto *headers : { "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n" }) {
+        Caller caller(site.callerAddress());
+        caller.send("POST /notice/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-1\r\nKey: key-1\r\n" + std::string(headers)
+                    + "\r\n0\r\n\r\nGET /fetch/smuggled HTTP/1.1\r\nHost: quotes.example\r\nKey: key-1\r\n\r\n");
+        const auto answer = caller.readToEnd();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << headers << answer;
+        EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+    }
+    EXPECT_TRUE(contains(site.metrics(), "auburnspread_sends_total 0"));
+}
+
+TEST(PassThroughTests, anOversizeHeadIsRefused)
+{
+    Site site;
+    Caller caller(site.callerAddress());
+    caller.send("GET /fetch/1 HTTP/1.1\r\nHost: quotes.example\r\nX-Long: " + std::string(40'000, 'x') + "\r\n\r\n");
+    EXPECT_FALSE(contains(caller.readToEnd(), " 200 "));
+}
--- /dev/null
+++ b/src/gateway/tests/site.cpp
@@ -0,0 +1,217 @@
+#include "gateway/tests/site.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <sstream>
+#include <stdexcept>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace auburnspread::gateway::tests
+{
+
+namespace
+{
+
+constexpr auto WaitBound = std::chrono::seconds(30);
+
+/// An address that is free now, for TCP and UDP alike.
+auto freeAddress() -> std::string
+{
+    const Server probe;
+    return probe.address();
+}
+
+auto makeRoute(const std::string &prefix, const std::string &kind, int attempts, const std::string &service) -> nlohmann::json
+{
+    return { { "name", prefix },       { "hostname", "quotes.example" }, { "prefix", prefix },     { "routeType", kind },
+             { "timeoutMs", 5000 },    { "targetLatencyMs", 300 },       { "priorityClass", 0 },   { "backend", service },
+             { "attempts", attempts }, { "anonymous", false },           { "streamResume", false } };
+}
+
+auto makeDocument(std::uint64_t version, const std::string &key) -> std::string
+{
+    auto check = makeRoute("/check/", "streaming", 2, "portal");
+    check["streamResume"] = true;
+    return nlohmann::json{
+        { "version", version },
+        { "routeList",
+          { makeRoute("/quote/", "streaming", 1, "portal"),
+            check,
+            makeRoute("/notice/", "non_idempotent", 1, "portal"),
+            makeRoute("/fetch/", "idempotent", 2, "portal") } },
+        { "backends", { { { "name", "portal" }, { "healthPath", "/healthz" }, { "maxConnections", 100 } } } },
+        { "tenantList", { { { "name", "roofers" }, { "apiKeys", { key } } } } }
+    }.dump();
+}
+
+auto fetchPage(const std::string &address, const std::string &path) -> std::string
+{
+    Caller caller(address);
+    caller.send("GET " + path + " HTTP/1.1\r\nHost: page\r\nConnection: close\r\n\r\n");
+    return caller.readToEnd();
+}
+
+} // namespace
+
+struct Site::Running {
+    task::EventLoop loop;
+    std::unique_ptr<adapter::standins::StoreStandin> store;
+    std::unique_ptr<Gateway> gateway;
+    GatewaySettings settings;
+    std::string callerAddress;
+    std::atomic<bool> left = false;
+};
+
+Site::Site(const std::string &keyWithdrawalMs)
+    : running_(std::make_unique<Running>())
+{
+    auto &running = *running_;
+    running.store = std::make_unique<adapter::standins::StoreStandin>(running.loop);
+    running.store->put("op/config", makeDocument(1, "key-1"));
+    running.settings = {
+        .name = "entry-1",
+        .failureDomain = "a",
+        .callerAddress = "127.0.0.1:0",
+        .readinessAddress = freeAddress(),
+        .addressesAddress = freeAddress(),
+        .peerAddress = freeAddress(),
+        .metricsAddress = freeAddress(),
+        .storeAddress = running.store->address(),
+        .leaseTime = std::chrono::milliseconds(3000),
+        .keyWithdrawal = std::chrono::milliseconds(std::stoi(keyWithdrawalMs)),
+        .leavingTime = std::chrono::seconds(8),
+        .retryRatio = 0.2,
+        .retryWindow = std::chrono::seconds(10),
+        .retryAllowance = 50,
+        .keepAddresses = std::chrono::seconds(5),
+        .logLevel = "error",
+    };
+    running.gateway = std::make_unique<Gateway>(running.loop, running.settings);
+    running.callerAddress = running.gateway->callerAddress();
+    running.gateway->start();
+    thread_ = std::thread([&running]() { running.loop.run(); });
+    if (!waitUntil([this]() { return readiness().find("200") != std::string::npos; })) {
+        throw std::runtime_error("the gateway does not become ready");
+    }
+}
+
+Site::~Site()
+{
+    running_->loop.stop();
+    thread_.join();
+    running_->gateway.reset();
+    running_->store.reset();
+}
+
+auto Site::callerAddress() const -> const std::string &
+{
+    return running_->callerAddress;
+}
+
+auto Site::readiness() const -> std::string
+{
+    return fetchPage(running_->settings.readinessAddress, "/auburnspread/readyz");
+}
+
+auto Site::addresses() const -> std::string
+{
+    return fetchPage(running_->settings.addressesAddress, "/auburnspread/resolve?name=quotes.example&zoneName=a");
+}
+
+auto Site::metrics() const -> std::string
+{
+    return fetchPage(running_->settings.metricsAddress, "/metrics");
+}
+
+auto Site::onLoop(const std::function<void(adapter::standins::StoreStandin &store)> &action) const -> void
+{
+    std::promise<void> done;
+    const auto watch = running_->loop.after(Duration::zero(), [&]() {
+        action(*running_->store);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+auto Site::addServer(const std::string &id, const std::string &service, const std::string &address) -> void
+{
+    const nlohmann::json entry = { { "backend", service }, { "address", address },   { "zoneName", "a" },      { "version", "v1" },
+                                   { "capacitySlots", 6 }, { "phase", "available" }, { "coldRemainingMs", 0 }, { "sequence", 1 } };
+    const auto known = [this]() {
+        const auto page = metrics();
+        const std::string name = "\nauburnspread_backend_servers ";
+        const auto at = page.find(name);
+        return at == std::string::npos ? 0 : std::stoi(page.substr(at + name.size()));
+    };
+    const auto before = known();
+    onLoop([&](adapter::standins::StoreStandin &store) { store.put("servers/" + id, entry.dump()); });
+    if (!waitUntil([&]() { return known() > before; })) {
+        throw std::runtime_error("the gateway does not see the server");
+    }
+}
+
+auto Site::putConfiguration(std::uint64_t version, const std::string &key) -> void
+{
+    onLoop([&](adapter::standins::StoreStandin &store) { store.put("op/config", makeDocument(version, key)); });
+}
+
+auto Site::leave() -> void
+{
+    onLoop([this](adapter::standins::StoreStandin &) { running_->gateway->leave([this]() { running_->left = true; }); });
+}
+
+auto Site::hasLeft() const -> bool
+{
+    return running_->left;
+}
+
+auto waitUntil(const std::function<bool()> &isTrue) -> bool
+{
+    const auto bound = std::chrono::steady_clock::now() + WaitBound;
+    while (!isTrue()) {
+        if (std::chrono::steady_clock::now() > bound) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+auto makeRequest(const std::string &path, const std::string &id, const std::string &body, const std::string &headers) -> std::string
+{
+    std::ostringstream text;
+    text << (body.empty() ? "GET " : "POST ") << path << " HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: " << id << "\r\nKey: key-1\r\n" << headers;
+    if (!body.empty()) {
+        text << "Content-Length: " << body.size() << "\r\n";
+    }
+    text << "\r\n" << body;
+    return text.str();
+}
+
+auto makeAnswer(const std::string &id, const std::string &body, const std::string &status) -> std::string
+{
+    return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nResponse-Signature: sig-" + id + "\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+auto makeStreamHead(const std::string &id) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Signature: sig-" + id
+        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+auto makeChunk(const std::string &bytes) -> std::string
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+} // namespace auburnspread::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/streams_tests.cpp
@@ -0,0 +1,93 @@
+#include "gateway/tests/site.h"
+
+#include <gtest/gtest.h>
+
+using namespace auburnspread::gateway::tests;
+
+namespace
+{
+
+constexpr auto EndOfHead = "\r\n\r\n";
+constexpr auto LastChunk = "0\r\n\r\n";
+
+auto contains(const std::string &text, const std::string &part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST(StreamTests, eachEventIsRelayedWhenItArrives)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/quote/1", "id-1", "x"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    connection.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n"));
+    EXPECT_TRUE(contains(caller.readUntil("data: a\n\n"), "Response-Signature: sig-id-1"));
+    connection.send(makeChunk("id: 2\ndata: b\n\n"));
+    caller.readUntil("data: b\n\n");
+    connection.send(LastChunk);
+    EXPECT_TRUE(contains(caller.readUntil(LastChunk), LastChunk));
+}
+
+/// What a caller sees: a quote that ends in the middle and looks whole. The server breaks off; the stream may not be
+/// resumed, so the caller's connection must end without the last chunk.
+TEST(StreamTests, aBrokenStreamDoesNotLookComplete)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/quote/1", "id-1", "x"));
+    {
+        const auto connection = server.accept();
+        connection.readUntil(EndOfHead);
+        connection.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n"));
+        caller.readUntil("data: a\n\n");
+    }
+    EXPECT_FALSE(contains(caller.readToEnd(), LastChunk));
+}
+
+/// What a caller sees: half an event joined to a whole one, or an event twice. The server breaks off in the middle of event
+/// 2; the stream goes on at another server after event 1, and the caller reads each event once.
+TEST(StreamTests, aResumedStreamHasEachEventOnceAndWhole)
+{
+    Site site;
+    const Server first;
+    site.addServer("i-1", "portal", first.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/check/1", "id-1", "x"));
+    auto broken = first.accept();
+    broken.readUntil(EndOfHead);
+    broken.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n") + makeChunk("id: 2\nda"));
+    auto answer = caller.readUntil("data: a\n\n");
+    const Server second;
+    site.addServer("i-2", "portal", second.address());
+    broken.close();
+    const auto connection = second.accept();
+    EXPECT_TRUE(contains(connection.readUntil(EndOfHead), "Last-Event-Id: 1"));
+    connection.send(makeStreamHead("id-1") + makeChunk("id: 2\ndata: b\n\n") + LastChunk);
+    answer += caller.readUntil(LastChunk);
+    EXPECT_TRUE(contains(answer, "id: 2\ndata: b\n\n"));
+    EXPECT_FALSE(contains(answer, "id: 2\nda\r")) << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos);
+    EXPECT_EQ(answer.find("id: 1"), answer.rfind("id: 1"));
+    EXPECT_EQ(answer.find("id: 2"), answer.rfind("id: 2"));
+}
+
+TEST(StreamTests, aServersRefusalOfAStreamIsPassedOnWhole)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/quote/1", "id-1", "x"));
+    const auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    connection.send(makeAnswer("id-1", "wrong model", "400 Bad Request"));
+    EXPECT_TRUE(caller.readUntil("wrong model").starts_with("HTTP/1.1 400 "));
+}
