A few entries read the store for all; in large fleets they sum up the reports of load

Ruled out: longer intervals (the store's word must be out within drainMs); aggregation at a VM of its own (there is none). Change: three readers by rank of name, no election; the others ask them for what has changed, with the age of its confirmation, and read the store themselves if nobody fresh answers. Above 12 peers entries report to the readers, which send the sums.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -95,7 +95,7 @@
     std::uint32_t entries = 1;
 };
 
-/// What another entry has in flight.
+/// What another entry has in flight, or all entries together.
 struct PeerReported {
     struct Use {
         std::string server;             ///< id
@@ -104,7 +104,8 @@
         std::uint32_t heldTokens = 0;   ///< of memory, by all requests
         std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
     };
-    std::string entry;
+    std::string entry; ///< who says so
+    bool isTotal = false; ///< of all entries, the one that hears it included
     std::vector<Use> uses;
 };
 
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -110,7 +110,7 @@
 /// Whether most other entries told what they have in flight.
 auto knowsPeers(const RouterState &state) -> bool
 {
-    return 2 * state.servers.peers.size() + 1 >= state.entries;
+    return state.servers.totals || 2 * state.servers.peers.size() + 1 >= state.entries;
 }
 
 auto place(const RouterState &state, const Request &request) -> Placement
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -124,22 +124,14 @@
     return actions;
 }
 
-auto takeReport(const RouterState &state) -> PeerReported
+auto takeReport(RouterState &state) -> PeerReported
 {
-    PeerReported report{ .entry = state.options.entry };
-    for (const auto &[id, server] : state.servers.byId) {
-        const auto &own = server->own;
-        if (own.inFlight > 0) {
-            report.uses.push_back({
-                .server = id,
-                .inFlight = own.inFlight,
-                .unreadTokens = own.unreadTokens,
-                .heldTokens = own.heldTokens,
-                .talkers = own.talkers,
-            });
-        }
-    }
-    return report;
+    return takeReport(state.servers, state.options.entry);
+}
+
+auto takeTotals(const RouterState &state) -> PeerReported
+{
+    return takeTotals(state.servers, state.options.entry);
 }
 
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -39,7 +39,9 @@
 auto step(RouterState &state, const Event &event, TimePoint now) -> Actions;
 
 /// What this entry has in flight, for the other entries.
-auto takeReport(const RouterState &state) -> PeerReported;
+auto takeReport(RouterState &state) -> PeerReported;
+/// What all entries have in flight, as far as they reported to this one.
+auto takeTotals(const RouterState &state) -> PeerReported;
 
 /// What an operator sees.
 struct RouterStatus {
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -109,35 +109,111 @@
 namespace
 {
 
+auto addUse(Work &work, const PeerReported::Use &use) -> void
+{
+    work.inFlight += use.inFlight;
+    work.unreadTokens += use.unreadTokens;
+    work.heldTokens += use.heldTokens;
+    work.talkers += use.talkers;
+}
+
+auto subtract(std::uint32_t all, std::uint32_t own) -> std::uint32_t
+{
+    return all - std::min(all, own);
+}
+
+/// A total holds what this entry last reported, not what it has now.
+auto withoutOwn(const Work &total, const Work &reported) -> Work
+{
+    return {
+        .inFlight = subtract(total.inFlight, reported.inFlight),
+        .unreadTokens = subtract(total.unreadTokens, reported.unreadTokens),
+        .heldTokens = subtract(total.heldTokens, reported.heldTokens),
+        .talkers = subtract(total.talkers, reported.talkers),
+    };
+}
+
 auto sumPeerReports(ServerTable &table) -> void
 {
     for (auto &[id, server] : table.byId) {
         server->others = {};
     }
-    for (const auto &[entry, use] : table.peers) {
-        for (const auto &each : use.report.uses) {
-            if (const auto server = findServer(table, each.server)) {
-                server->others.inFlight += each.inFlight;
-                server->others.unreadTokens += each.unreadTokens;
-                server->others.heldTokens += each.heldTokens;
-                server->others.talkers += each.talkers;
+    const auto add = [&table](const PeerReported &report) {
+        for (const auto &use : report.uses) {
+            if (const auto server = findServer(table, use.server)) {
+                addUse(server->others, use);
             }
         }
+    };
+    if (!table.totals) {
+        for (const auto &[entry, use] : table.peers) {
+            add(use.report);
+        }
+        return;
+    }
+    add(table.totals->report);
+    for (auto &[id, server] : table.byId) {
+        server->others = withoutOwn(server->others, server->reported);
     }
 }
 
+auto makeUse(const std::string &server, const Work &work) -> PeerReported::Use
+{
+    return {
+        .server = server,
+        .inFlight = work.inFlight,
+        .unreadTokens = work.unreadTokens,
+        .heldTokens = work.heldTokens,
+        .talkers = work.talkers,
+    };
+}
+
 } // namespace
 
+auto takeReport(ServerTable &table, const std::string &entry) -> PeerReported
+{
+    PeerReported report{ .entry = entry };
+    for (auto &[id, server] : table.byId) {
+        server->reported = server->own;
+        if (server->own.inFlight > 0) {
+            report.uses.push_back(makeUse(id, server->own));
+        }
+    }
+    return report;
+}
+
+auto takeTotals(const ServerTable &table, const std::string &entry) -> PeerReported
+{
+    PeerReported report{ .entry = entry, .isTotal = true };
+    for (const auto &[id, server] : table.byId) {
+        const auto total = totalWork(*server);
+        if (total.inFlight > 0) {
+            report.uses.push_back(makeUse(id, total));
+        }
+    }
+    return report;
+}
+
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
-    table.peers[report.entry] = { .report = report, .at = now };
+    if (report.isTotal) {
+        table.totals = ServerTable::PeerUse{ .report = report, .at = now };
+    } else {
+        table.peers[report.entry] = { .report = report, .at = now };
+        table.totals.reset();
+    }
     sumPeerReports(table);
 }
 
 auto expirePeerReports(ServerTable &table, TimePoint now) -> void
 {
-    const auto expired = std::erase_if(table.peers, [now](const auto &item) { return now - item.second.at > PeerReportAge; });
-    if (expired > 0) {
+    const auto isOld = [now](const ServerTable::PeerUse &use) { return now - use.at > PeerReportAge; };
+    const auto expired = std::erase_if(table.peers, [&](const auto &item) { return isOld(item.second); });
+    const auto totalIsOld = table.totals && isOld(*table.totals);
+    if (totalIsOld) {
+        table.totals.reset();
+    }
+    if (expired > 0 || totalIsOld) {
         sumPeerReports(table);
     }
 }
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -46,6 +46,7 @@
 
     Work own;    ///< attempts of this entry
     Work others; ///< as the other entries reported
+    Work reported; ///< own work as of the last report
 
     TimePoint heardAt; ///< last byte of any answer
     TimePoint sentAt;
@@ -69,6 +70,7 @@
         TimePoint at;
     };
     std::map<std::string, PeerUse> peers; ///< by entry
+    std::optional<PeerUse> totals;        ///< of all entries, as one of them summed them up
     TimePoint listedAt;
 };
 
@@ -80,6 +82,9 @@
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
 
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void;
+/// This entry's own report, or the sum of all fresh ones with its own.
+auto takeReport(ServerTable &table, const std::string &entry) -> PeerReported;
+auto takeTotals(const ServerTable &table, const std::string &entry) -> PeerReported;
 /// Forgets reports that are too old to say anything.
 auto expirePeerReports(ServerTable &table, TimePoint now) -> void;
 
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -143,9 +143,16 @@
     event(Level::Info, "entries-changed", { { "entries", entries } });
 }
 
-auto Accounting::storeReachable(bool reachable, std::string_view call, std::string_view detail) -> void
+auto Accounting::dependencyReachable(std::string_view peer, bool reachable, std::string_view call, std::string_view detail) -> void
 {
-    event(reachable ? Level::Info : Level::Warning, reachable ? "store-regained" : "store-lost", { { "step", call }, { "detail", detail } });
+    event(reachable ? Level::Info : Level::Warning,
+          reachable ? "dependency-regained" : "dependency-lost",
+          { { "peer", peer }, { "step", call }, { "detail", detail } });
+}
+
+auto Accounting::roleChanged(bool readsStore, std::size_t readers) -> void
+{
+    event(Level::Info, "role-changed", { { "reads_store", readsStore }, { "readers", readers } });
 }
 
 auto Accounting::inputInvalid(std::string_view source, std::string_view detail) -> void
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -47,7 +47,8 @@
     auto configurationAdopted(std::uint64_t version, std::size_t routes, std::size_t workspaces) -> void;
     auto serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void;
     auto entriesChanged(std::size_t entries) -> void;
-    auto storeReachable(bool reachable, std::string_view call, std::string_view detail) -> void;
+    auto dependencyReachable(std::string_view peer, bool reachable, std::string_view call, std::string_view detail) -> void;
+    auto roleChanged(bool readsStore, std::size_t readers) -> void;
     auto inputInvalid(std::string_view source, std::string_view detail) -> void;
     auto crashCounted(const passthrough::TellCrashes &crashes) -> void;
     auto readinessChanged(bool ready, std::string_view reason) -> void;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -20,6 +20,8 @@
 constexpr Duration FailurePause = std::chrono::milliseconds(300);
 /// Entries come and go rarely, and a change ends the wait.
 constexpr Duration EntriesWait = std::chrono::seconds(10);
+/// Between two watches of the entries: where many start at once, one answer tells of several.
+constexpr Duration EntriesPause = std::chrono::milliseconds(200);
 /// A lease is renewed this often within its time, so that two lost calls do not end it.
 constexpr int RenewalsPerLease = 3;
 /// Without a list for this long, servers may have lost their registration while they live.
@@ -43,13 +45,34 @@
 {
 }
 
-auto Directory::start() -> void
+auto Directory::setReading(bool reading) -> void
+{
+    if (std::exchange(reading_, reading) == reading) {
+        return;
+    }
+    round_ += 1;
+    for (auto *timer : { &configurationTimer_, &serversTimer_, &entriesTimer_ }) {
+        *timer = {};
+    }
+    if (reading) {
+        readOnce();
+    }
+}
+
+auto Directory::readOnce() -> void
 {
     readConfiguration();
     readServers();
     readEntries();
 }
 
+auto Directory::goOn(task::Watch &timer, Duration pause, Step step) -> void
+{
+    if (reading_) {
+        timer = loop_.after(pause, [this, step]() { (this->*step)(); });
+    }
+}
+
 auto Directory::calls() const -> std::uint64_t
 {
     return calls_;
@@ -70,13 +93,17 @@
     const auto reachable = outcome != StoreOutcome::Unknown && outcome != StoreOutcome::Refused;
     if (reachable_ != reachable) {
         reachable_ = reachable;
-        callbacks_.onReachable(reachable, name, describe(outcome, result));
+        callbacks_.onReachable(options_.store, reachable, name, describe(outcome, result));
     }
 }
 
 auto Directory::fetchItems(std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void
 {
-    call(name, request, [this, name, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome, const http::Result &result) {
+    const auto round = round_;
+    call(name, request, [this, name, round, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome, const http::Result &result) {
+        if (round != round_) {
+            return;
+        }
         if (outcome != StoreOutcome::Done) {
             onFailure(outcome);
             return;
@@ -99,9 +126,9 @@
         adapter::makeRange(options_.store, adapter::configurationKey(), ""),
         [this, askedAt](const adapter::StoreItems &items) {
             takeConfiguration(items, askedAt);
-            watchConfiguration();
+            goOn(configurationTimer_, Duration::zero(), &Directory::watchConfiguration);
         },
-        [this](StoreOutcome /*outcome*/) { configurationTimer_ = loop_.after(FailurePause, [this]() { readConfiguration(); }); });
+        [this](StoreOutcome /*outcome*/) { goOn(configurationTimer_, FailurePause, &Directory::readConfiguration); });
 }
 
 auto Directory::watchConfiguration() -> void
@@ -112,14 +139,13 @@
         adapter::makeWatch(options_.store, adapter::configurationKey(), configurationRevision_, options_.configurationWait),
         [this, askedAt](const adapter::StoreItems &items) {
             takeConfiguration(items, askedAt);
-            watchConfiguration();
+            goOn(configurationTimer_, Duration::zero(), &Directory::watchConfiguration);
         },
         [this](StoreOutcome outcome) {
-            if (outcome == StoreOutcome::HistoryGone) {
-                readConfiguration();
-                return;
-            }
-            configurationTimer_ = loop_.after(FailurePause, [this]() { watchConfiguration(); });
+            const auto isHistoryGone = outcome == StoreOutcome::HistoryGone;
+            goOn(configurationTimer_,
+                 isHistoryGone ? Duration::zero() : FailurePause,
+                 isHistoryGone ? &Directory::readConfiguration : &Directory::watchConfiguration);
         });
 }
 
@@ -127,22 +153,12 @@
 auto Directory::takeConfiguration(const adapter::StoreItems &items, TimePoint askedAt) -> void
 {
     configurationRevision_ = items.revision;
-    auto isUnderstood = true;
     for (const auto &item : items.items) {
-        if (item.isRemoved || item.key != adapter::configurationKey()) {
-            continue;
-        }
-        try {
-            callbacks_.onConfiguration(adapter::decodeConfiguration(item.value));
-        } catch (const adapter::InvalidDocument &error) {
-            isUnderstood = false;
-            callbacks_.onInvalid("configuration", error.what());
+        if (!item.isRemoved && item.key == adapter::configurationKey()) {
+            callbacks_.onConfiguration(item.value);
         }
     }
-    // a configuration that could not be read may take keys away: the one in force is not confirmed by it
-    if (isUnderstood) {
-        callbacks_.onConfirmed(askedAt);
-    }
+    callbacks_.onConfirmed(askedAt);
 }
 
 auto Directory::readServers() -> void
@@ -172,7 +188,7 @@
         },
         [this](StoreOutcome /*outcome*/) {
             serversFailed_ = true;
-            serversTimer_ = loop_.after(FailurePause, [this]() { readServers(); });
+            goOn(serversTimer_, FailurePause, &Directory::readServers);
         });
 }
 
@@ -183,7 +199,7 @@
     serversReadAt_ = readAt;
     serversFailed_ = false;
     callbacks_.onServers(page_, afterOutage);
-    serversTimer_ = loop_.after(options_.serversInterval, [this]() { readServers(); });
+    goOn(serversTimer_, options_.serversInterval, &Directory::readServers);
 }
 
 auto Directory::readEntries() -> void
@@ -194,9 +210,9 @@
         [this](const adapter::StoreItems &items) {
             entries_.clear();
             takeEntries(items);
-            watchEntries();
+            goOn(entriesTimer_, EntriesPause, &Directory::watchEntries);
         },
-        [this](StoreOutcome /*outcome*/) { entriesTimer_ = loop_.after(FailurePause, [this]() { readEntries(); }); });
+        [this](StoreOutcome /*outcome*/) { goOn(entriesTimer_, FailurePause, &Directory::readEntries); });
 }
 
 auto Directory::watchEntries() -> void
@@ -206,14 +222,11 @@
         adapter::makeWatch(options_.store, EntriesPrefix, entriesRevision_, EntriesWait),
         [this](const adapter::StoreItems &items) {
             takeEntries(items);
-            watchEntries();
+            goOn(entriesTimer_, EntriesPause, &Directory::watchEntries);
         },
         [this](StoreOutcome outcome) {
-            if (outcome == StoreOutcome::HistoryGone) {
-                readEntries();
-                return;
-            }
-            entriesTimer_ = loop_.after(FailurePause, [this]() { watchEntries(); });
+            const auto isHistoryGone = outcome == StoreOutcome::HistoryGone;
+            goOn(entriesTimer_, FailurePause, isHistoryGone ? &Directory::readEntries : &Directory::watchEntries);
         });
 }
 
@@ -231,11 +244,6 @@
             callbacks_.onInvalid("entry", error.what());
         }
     }
-    publishEntries();
-}
-
-auto Directory::publishEntries() -> void
-{
     std::vector<adapter::EntryRecord> entries;
     entries.reserve(entries_.size());
     for (const auto &[key, entry] : entries_) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,11 +1,11 @@
 /// \file
-/// What the platform's store tells this entry, and what it keeps there: the operators' configuration, the backend
-/// servers, the entries that are alive, and this entry's own registration under a lease.
+/// This entry's own dealings with the platform's store: reads of the operators' configuration, the backend servers and the
+/// entries that are alive, and this entry's registration under a lease.
 
 #pragma once
 
 #include "core/base/time.h"
-#include "core/passthrough/configuration.h"
+#include "gateway/directorystate.h"
 #include "platform/documents.h"
 #include "platform/store.h"
 #include "runtime/task/eventloop.h"
@@ -27,18 +27,7 @@
     adapter::EntryRecord self;
     Duration leaseTime = std::chrono::milliseconds(3000);
     Duration serversInterval = std::chrono::milliseconds(500);   ///< between two reads of the backend servers
-    Duration configurationWait = std::chrono::milliseconds(800); ///< of one watch; its return confirms the configuration
-};
-
-struct DirectoryCallbacks {
-    /// \p asOf: it was the newest then.
-    std::function<void(const passthrough::Configuration &configuration)> onConfiguration;
-    std::function<void(TimePoint asOf)> onConfirmed;
-    std::function<void(const std::vector<passthrough::Server> &servers, bool afterOutage)> onServers;
-    std::function<void(const std::vector<adapter::EntryRecord> &entries)> onEntries;
-    /// A call got no answer, or the first one after that did. \p detail: of the failure.
-    std::function<void(bool reachable, std::string_view call, const std::string &detail)> onReachable;
-    std::function<void(std::string_view what, const std::string &detail)> onInvalid; ///< something stored makes no sense
+    Duration configurationWait = std::chrono::milliseconds(500); ///< of one watch; its return confirms the configuration
 };
 
 class Directory
@@ -46,7 +35,11 @@
 public:
     Directory(task::EventLoop &loop, DirectoryOptions options, DirectoryCallbacks callbacks);
 
-    auto start() -> void;
+    /// Whether this entry reads the store for others: from now on it follows every change, or leaves it.
+    auto setReading(bool reading) -> void;
+    /// One read of everything, for an entry that has nobody to ask.
+    auto readOnce() -> void;
+
     /// Registers this entry, and keeps it registered.
     auto registerSelf() -> void;
     /// Ends the registration for good.
@@ -58,10 +51,13 @@
 private:
     using OnItems = std::function<void(const adapter::StoreItems &items)>;
     using OnFailure = std::function<void(adapter::StoreOutcome outcome)>;
+    using Step = void (Directory::*)();
 
     auto call(std::string_view name, const http::Request &request, std::function<void(adapter::StoreOutcome, const http::Result &)> onDone) -> void;
     auto fetchItems(std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void;
     auto noteReachable(std::string_view name, adapter::StoreOutcome outcome, const http::Result &result) -> void;
+    /// The next step of something that is followed, unless this entry has left reading since.
+    auto goOn(task::Watch &timer, Duration pause, Step step) -> void;
 
     auto readConfiguration() -> void;
     auto watchConfiguration() -> void;
@@ -74,7 +70,6 @@
     auto readEntries() -> void;
     auto watchEntries() -> void;
     auto takeEntries(const adapter::StoreItems &items) -> void;
-    auto publishEntries() -> void;
 
     auto takeLease() -> void;
     auto putSelf() -> void;
@@ -86,6 +81,8 @@
     http::Client client_;
     std::uint64_t calls_ = 0;
     std::optional<bool> reachable_; ///< as last told
+    bool reading_ = false;
+    std::uint64_t round_ = 0; ///< of reading; answers to calls of an earlier one start nothing new
 
     std::uint64_t configurationRevision_ = 0;
     std::uint64_t entriesRevision_ = 0;
--- /dev/null
+++ b/src/gateway/directoryfollower.h
@@ -0,0 +1,57 @@
+/// \file
+/// Learns the directory from the entries that read the store.
+
+#pragma once
+
+#include "gateway/directorystate.h"
+#include "runtime/task/eventloop.h"
+#include "wire/http/client.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnspread::gateway
+{
+
+/// Where an entry answers others about the directory.
+constexpr std::string_view DirectoryPath = "/directory";
+
+class DirectoryFollower
+{
+public:
+    DirectoryFollower(task::EventLoop &loop, DirectoryCallbacks callbacks);
+
+    /// Asks one of these entries several times a second; none: stops asking. \p known: what this entry has already.
+    auto follow(std::vector<std::string> readers, const DirectoryTags &known) -> void;
+
+    /// Time of the last answer that confirmed the configuration; long ago if there was none.
+    [[nodiscard]] auto confirmedAt() const -> TimePoint;
+
+private:
+    auto ask() -> void;
+    auto askAfter(Duration pause) -> void;
+    auto take(TimePoint askedAt, const http::Result &result) -> bool;
+    auto apply(const DirectoryAnswer &answer, TimePoint askedAt) -> bool;
+    auto noteReachable(bool reachable, const std::string &detail) -> void;
+    [[nodiscard]] auto reader() const -> const std::string &;
+
+    task::EventLoop &loop_;
+    DirectoryCallbacks callbacks_;
+    http::Client client_;
+    std::vector<std::string> readers_;
+    std::size_t current_ = 0;
+    std::uint64_t round_ = 0; ///< answers of an earlier choice of readers are dropped
+    DirectoryTags tags_;
+    TimePoint confirmedAt_;
+    bool reachable_ = true;
+    task::Watch timer_;
+};
+
+/// The question, and what the asked entry reads from it.
+auto makeQuestion(const std::string &reader, const DirectoryTags &known) -> http::Request;
+auto readQuestion(const std::map<std::string, std::string> &query) -> DirectoryTags;
+
+} // namespace auburnspread::gateway
--- /dev/null
+++ b/src/gateway/directorystate.cpp
@@ -0,0 +1,160 @@
+#include "gateway/directorystate.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <stdexcept>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Servers whose registration lapsed during an outage of the store are back within this time after it.
+constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
+
+auto toJson(const passthrough::Server &server) -> json
+{
+    return { server.id, server.service, server.address, server.failureDomain, server.slots, server.isLeaving };
+}
+
+auto toServer(const json &item) -> passthrough::Server
+{
+    return {
+        .id = item.at(0).get<std::string>(),
+        .service = item.at(1).get<std::string>(),
+        .address = item.at(2).get<std::string>(),
+        .failureDomain = item.at(3).get<std::string>(),
+        .slots = item.at(4).get<std::uint32_t>(),
+        .isLeaving = item.at(5).get<bool>(),
+    };
+}
+
+auto toJson(const adapter::EntryRecord &entry) -> json
+{
+    return { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain };
+}
+
+auto toEntry(const json &item) -> adapter::EntryRecord
+{
+    return {
+        .name = item.at(0).get<std::string>(),
+        .callerAddress = item.at(1).get<std::string>(),
+        .peerAddress = item.at(2).get<std::string>(),
+        .failureDomain = item.at(3).get<std::string>(),
+    };
+}
+
+template <typename Item>
+auto listToJson(const std::vector<Item> &items) -> json
+{
+    auto list = json::array();
+    for (const auto &item : items) {
+        list.push_back(toJson(item));
+    }
+    return list;
+}
+
+template <typename Item, typename Convert>
+auto listFromJson(const json &list, Convert convert) -> std::vector<Item>
+{
+    std::vector<Item> items;
+    for (const auto &item : list) {
+        items.push_back(convert(item));
+    }
+    return items;
+}
+
+auto tagOf(std::string_view bytes) -> std::uint64_t
+{
+    return XXH64(bytes.data(), bytes.size(), 1);
+}
+
+template <typename Item>
+auto tagOf(const std::vector<Item> &items) -> std::uint64_t
+{
+    std::string bytes;
+    json::to_cbor(listToJson(items), bytes);
+    return tagOf(std::string_view(bytes));
+}
+
+} // namespace
+
+auto updateTags(DirectoryState &state) -> void
+{
+    state.tags = {
+        .configuration = state.configuration.empty() ? 0 : tagOf(std::string_view(state.configuration)),
+        .servers = tagOf(state.servers),
+        .entries = tagOf(state.entries),
+    };
+}
+
+auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer
+{
+    DirectoryAnswer answer{ .tags = state.tags };
+    if (state.confirmedAt) {
+        answer.confirmedAge = now - *state.confirmedAt;
+    }
+    if (state.tags.configuration != known.configuration && !state.configuration.empty()) {
+        answer.configuration = state.configuration;
+    }
+    if (state.tags.servers != known.servers && state.serversAt) {
+        answer.servers = state.servers;
+        answer.afterOutage = state.outageEndedAt && now - *state.outageEndedAt < ReturnTime;
+    }
+    if (state.tags.entries != known.entries) {
+        answer.entries = state.entries;
+    }
+    return answer;
+}
+
+auto encodeAnswer(const DirectoryAnswer &answer) -> std::string
+{
+    json document = { { "tags", { answer.tags.configuration, answer.tags.servers, answer.tags.entries } } };
+    if (answer.confirmedAge) {
+        document["age"] = answer.confirmedAge->count();
+    }
+    if (answer.configuration) {
+        document["configuration"] = *answer.configuration;
+    }
+    if (answer.servers) {
+        document["servers"] = listToJson(*answer.servers);
+        document["after_outage"] = answer.afterOutage;
+    }
+    if (answer.entries) {
+        document["entries"] = listToJson(*answer.entries);
+    }
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
+auto decodeAnswer(std::string_view bytes) -> DirectoryAnswer
+{
+    try {
+        const auto document = json::from_cbor(bytes);
+        const auto &tags = document.at("tags");
+        DirectoryAnswer answer{ .tags = { .configuration = tags.at(0), .servers = tags.at(1), .entries = tags.at(2) } };
+        if (document.contains("age")) {
+            answer.confirmedAge = Duration(document.at("age").get<Duration::rep>());
+        }
+        if (document.contains("configuration")) {
+            answer.configuration = document.at("configuration").get<std::string>();
+        }
+        if (document.contains("servers")) {
+            answer.servers = listFromJson<passthrough::Server>(document.at("servers"), toServer);
+            answer.afterOutage = document.at("after_outage").get<bool>();
+        }
+        if (document.contains("entries")) {
+            answer.entries = listFromJson<adapter::EntryRecord>(document.at("entries"), toEntry);
+        }
+        return answer;
+    } catch (const json::exception &error) {
+        throw std::runtime_error(std::string("directory answer: ") + error.what());
+    }
+}
+
+} // namespace auburnspread::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,9 +1,12 @@
 #include "gateway/gateway.h"
 
+#include "core/passthrough/readers.h"
 #include "core/passthrough/router.h"
 #include "gateway/accounting.h"
 #include "gateway/clock.h"
 #include "gateway/directory.h"
+#include "gateway/directoryfollower.h"
+#include "gateway/directorystate.h"
 #include "gateway/frontend.h"
 #include "gateway/peerexchange.h"
 #include "gateway/upstream.h"
@@ -36,10 +39,18 @@
 
 /// Time limits are checked this often; the tightest are some hundred milliseconds.
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
-/// Reports to the other entries. A burst fills an engine within some hundred milliseconds. With many entries each
-/// report goes to all of them, so the interval grows and the datagrams a second stay about the same.
+/// Reports to the other entries: a burst fills an engine within some hundred milliseconds.
 constexpr Duration ReportInterval = std::chrono::milliseconds(100);
-constexpr Duration ReportTimePerPeer = std::chrono::milliseconds(15);
+/// With more entries than this the readers sum the reports up; a sum of 60 servers takes about 1.6 KB.
+constexpr std::size_t MostDirectPeers = 12;
+constexpr int ReportsPerTotals = 2;
+
+/// Whether this entry reads the store is looked at again this often, and whenever the entries change.
+constexpr Duration RoleInterval = std::chrono::milliseconds(250);
+/// Without a fresh answer of a reader for this long, an entry reads the store itself. It has to come well before the
+/// configuration counts as unconfirmed.
+constexpr Duration FollowPatience = std::chrono::milliseconds(1500);
+constexpr Duration ReadOnceInterval = std::chrono::milliseconds(800);
 
 /// Callers ask again for addresses after this time; some keep an answer three times as long.
 constexpr Duration AddressKeep = std::chrono::seconds(1);
@@ -126,11 +137,14 @@
     auto takeAnswer(AttemptId attempt, WholeAnswer answer) -> void;
     auto takeFailure(AttemptId attempt, const AttemptFailure &failure) -> void;
 
-    auto takeConfiguration(const passthrough::Configuration &configuration) -> void;
+    auto directoryCallbacks() -> DirectoryCallbacks;
+    auto takeConfiguration(const std::string &document) -> void;
+    auto takeConfirmed(TimePoint asOf) -> void;
     auto takeServers(const std::vector<passthrough::Server> &servers, bool afterOutage) -> void;
     auto takeEntries(const std::vector<adapter::EntryRecord> &entries) -> void;
     auto takePeerMessage(const PeerMessage &message) -> void;
 
+    auto updateRole() -> void;
     auto sweep() -> void;
     auto sendReport() -> void;
     auto checkReadiness() -> void;
@@ -146,23 +160,27 @@
     Accounting accounting;
     Frontend frontend;
     Upstream upstream;
+    DirectoryState known;
     Directory directory;
+    DirectoryFollower follower;
     PeerExchange peers;
     http::Server readinessPage;
     http::Server addressesPage;
     http::Server metricsPage;
+    http::Server directoryPage; ///< for other entries
 
     std::unordered_map<RequestId, OpenRequest> requests;
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::unordered_map<AttemptId, WholeAnswer> held; ///< whole answers that the core judges
     std::map<std::string, passthrough::Server> servers;
-    std::vector<adapter::EntryRecord> entries;
-    TimePoint serversAt;
-    bool serversKnown = false;
+    bool configurationUnderstood = false; ///< the newest document told could be read
+    bool isReader = false;
+    TimePoint readOnceAt;
     bool isReady = false;
     bool isRegistered = false;
     bool reportedUse = false; ///< the last report was not empty
-    TimePoint reportedAt;
+    int reportsSinceTotals = 0;
+    std::vector<std::string> readers; ///< addresses of the readers other than this entry
 
     std::optional<TimePoint> leavingSince;
     TimePoint lastBusyAt;
@@ -170,6 +188,7 @@
     std::function<void()> onLeft;
     task::Watch sweeper;
     task::Watch reporter;
+    task::Watch roleTimer;
     task::Watch leaving;
 };
 
@@ -218,18 +237,8 @@
                     },
                     .leaseTime = settings.leaseTime,
                 },
-                {
-                    .onConfiguration = [this](const passthrough::Configuration &configuration) { takeConfiguration(configuration); },
-                    .onConfirmed =
-                        [this](TimePoint asOf) {
-                            apply(passthrough::ConfigurationConfirmed{ .asOf = asOf });
-                            checkReadiness();
-                        },
-                    .onServers = [this](const std::vector<passthrough::Server> &list, bool afterOutage) { takeServers(list, afterOutage); },
-                    .onEntries = [this](const std::vector<adapter::EntryRecord> &list) { takeEntries(list); },
-                    .onReachable = [this](bool reachable, std::string_view call, const std::string &detail) { accounting.storeReachable(reachable, call, detail); },
-                    .onInvalid = [this](std::string_view what, const std::string &detail) { accounting.inputInvalid(what, detail); },
-                })
+                directoryCallbacks())
+    , follower(loop, directoryCallbacks())
     , peers(loop,
             settings.peerAddress,
             [this](const PeerMessage &message) { takePeerMessage(message); },
@@ -237,6 +246,7 @@
     , readinessPage(loop)
     , addressesPage(loop)
     , metricsPage(loop)
+    , directoryPage(loop)
 {
     frontend.setLimits(passthrough::CallerLimits{});
     frontend.listen(settings.callerAddress);
@@ -260,6 +270,11 @@
     metricsPage.route("/metrics", [this](const http::IncomingRequest &, const http::Replier &replier) {
         replier.reply(OkStatus, metrics::PrometheusContentType, accounting.metricsPage(passthrough::statusOf(*router, now()), directory.calls()));
     });
+    directoryPage.route(std::string(DirectoryPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
+        const auto answer = makeAnswer(known, readQuestion(request.query), now());
+        replier.reply(OkStatus, "application/cbor", encodeAnswer(answer));
+    });
+    directoryPage.listen(settings.peerAddress);
     readinessPage.listen(settings.readinessAddress);
     addressesPage.listen(settings.addressesAddress);
     metricsPage.listen(settings.metricsAddress);
@@ -267,7 +282,9 @@
 
 auto Gateway::Impl::start() -> void
 {
-    directory.start();
+    readOnceAt = now();
+    directory.readOnce();
+    roleTimer = loop.every(RoleInterval, [this]() { updateRole(); });
     sweeper = loop.every(SweepInterval, [this]() { sweep(); });
     reporter = loop.every(ReportInterval, [this]() { sendReport(); });
 }
@@ -287,7 +304,7 @@
         .request = request.callerId,
         .configurationVersion = status.configurationVersion,
         .configurationAge = status.configurationAge,
-        .serversAge = at - serversAt,
+        .serversAge = at - known.serversAt.value_or(TimePoint()),
     };
 }
 
@@ -437,15 +454,49 @@
     apply(passthrough::AttemptFailed{ .attempt = attempt, .failure = failure.failure, .answerBegun = begun, .lastEventId = failure.lastEventId });
 }
 
-auto Gateway::Impl::takeConfiguration(const passthrough::Configuration &configuration) -> void
+auto Gateway::Impl::directoryCallbacks() -> DirectoryCallbacks
+{
+    return {
+        .onConfiguration = [this](const std::string &document) { takeConfiguration(document); },
+        .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
+        .onServers = [this](const std::vector<passthrough::Server> &list, bool afterOutage) { takeServers(list, afterOutage); },
+        .onEntries = [this](const std::vector<adapter::EntryRecord> &list) { takeEntries(list); },
+        .onReachable = [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
+            accounting.dependencyReachable(peer, reachable, call, detail);
+        },
+        .onInvalid = [this](std::string_view what, const std::string &detail) { accounting.inputInvalid(what, detail); },
+    };
+}
+
+auto Gateway::Impl::takeConfiguration(const std::string &document) -> void
 {
-    const auto before = passthrough::statusOf(*router, now()).configurationVersion;
-    apply(passthrough::ConfigurationAdopted{ .configuration = configuration });
-    if (passthrough::statusOf(*router, now()).configurationVersion == before) {
+    try {
+        const auto configuration = adapter::decodeConfiguration(document);
+        configurationUnderstood = true;
+        const auto before = passthrough::statusOf(*router, now()).configurationVersion;
+        apply(passthrough::ConfigurationAdopted{ .configuration = configuration });
+        if (configuration.version <= before) {
+            return;
+        }
+        known.configuration = document;
+        updateTags(known);
+        accounting.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
+        frontend.setLimits(configuration.limits);
+    } catch (const adapter::InvalidDocument &error) {
+        configurationUnderstood = false;
+        accounting.inputInvalid("configuration", error.what());
+    }
+}
+
+/// A document that could not be read may take keys away: the configuration in force is not confirmed by it.
+auto Gateway::Impl::takeConfirmed(TimePoint asOf) -> void
+{
+    if (!configurationUnderstood) {
         return;
     }
-    accounting.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
-    frontend.setLimits(configuration.limits);
+    known.confirmedAt = std::max(known.confirmedAt.value_or(asOf), asOf);
+    apply(passthrough::ConfigurationConfirmed{ .asOf = asOf });
+    checkReadiness();
 }
 
 auto Gateway::Impl::takeServers(const std::vector<passthrough::Server> &list, bool afterOutage) -> void
@@ -467,26 +518,64 @@
         }
     }
     servers = std::move(next);
-    serversAt = now();
-    serversKnown = true;
+    known.servers = list;
+    known.serversAt = now();
+    if (afterOutage) {
+        known.outageEndedAt = known.serversAt;
+    }
+    updateTags(known);
     apply(passthrough::ServersListed{ .servers = list, .afterOutage = afterOutage });
     checkReadiness();
 }
 
 auto Gateway::Impl::takeEntries(const std::vector<adapter::EntryRecord> &list) -> void
 {
-    if (entries != list) {
-        accounting.entriesChanged(list.size());
+    if (known.entries == list) {
+        return;
     }
-    entries = list;
+    accounting.entriesChanged(list.size());
+    known.entries = list;
+    updateTags(known);
     std::vector<std::string> others;
-    for (const auto &entry : entries) {
+    for (const auto &entry : known.entries) {
         if (entry.name != settings.name) {
             others.push_back(entry.peerAddress);
         }
     }
     apply(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(others.size() + 1) });
     peers.setPeers(std::move(others));
+    updateRole();
+}
+
+/// An entry that is not among the readers asks these. One that has nobody to ask, or gets nothing fresh, reads the store
+/// itself now and then, so that it depends on no other entry.
+auto Gateway::Impl::updateRole() -> void
+{
+    std::vector<std::string> names;
+    for (const auto &entry : known.entries) {
+        names.push_back(entry.name);
+    }
+    const auto chosen = passthrough::chooseReaders(names);
+    const auto reads = !leavingSince && std::find(chosen.begin(), chosen.end(), settings.name) != chosen.end();
+    readers.clear();
+    for (const auto &name : chosen) {
+        const auto found = std::find_if(known.entries.begin(), known.entries.end(), [&](const auto &entry) { return entry.name == name; });
+        if (name != settings.name) {
+            readers.push_back(found->peerAddress);
+        }
+    }
+    if (reads != isReader) {
+        isReader = reads;
+        accounting.roleChanged(isReader, chosen.size());
+    }
+    directory.setReading(isReader);
+    follower.follow(isReader ? std::vector<std::string>() : readers, known.tags);
+    const auto at = now();
+    const auto isInformed = isReader || at - follower.confirmedAt() < FollowPatience;
+    if (!isInformed && at - readOnceAt >= ReadOnceInterval) {
+        readOnceAt = at;
+        directory.readOnce();
+    }
 }
 
 auto Gateway::Impl::takePeerMessage(const PeerMessage &message) -> void
@@ -505,32 +594,35 @@
     apply(passthrough::Tick{});
 }
 
+/// In a small fleet each entry tells each other. In a large one the entries tell the readers, which tell all the sum:
+/// datagrams grow with the number of entries, not with its square.
 auto Gateway::Impl::sendReport() -> void
 {
-    const auto at = now();
-    const auto interval = std::max(ReportInterval, ReportTimePerPeer * static_cast<Duration::rep>(peers.peers()));
-    if (at - reportedAt < interval - SweepInterval) {
-        return;
-    }
+    const auto isLarge = peers.peers() > MostDirectPeers;
     const auto report = passthrough::takeReport(*router);
     const auto hasUse = !report.uses.empty();
-    if (hasUse || reportedUse) {
+    const auto isNews = hasUse || std::exchange(reportedUse, hasUse);
+    if (isNews && isLarge) {
+        peers.sendTo(readers, report);
+    } else if (isNews) {
         peers.send(report);
     }
-    reportedUse = hasUse;
-    reportedAt = at;
+    if (isLarge && isReader && ++reportsSinceTotals >= ReportsPerTotals) {
+        reportsSinceTotals = 0;
+        peers.send(passthrough::takeTotals(*router));
+    }
 }
 
 auto Gateway::Impl::checkReadiness() -> void
 {
     const auto isFresh = passthrough::isFresh(*router, now());
-    const auto ready = isFresh && serversKnown && !leavingSince;
+    const auto ready = isFresh && known.serversAt.has_value() && !leavingSince;
     if (ready && !std::exchange(isRegistered, true)) {
         directory.registerSelf();
     }
     if (ready != isReady) {
         isReady = ready;
-        const auto *reason = leavingSince ? "leaving" : !isFresh ? "configuration not confirmed" : !serversKnown ? "no backend servers known" : "";
+        const auto *reason = leavingSince ? "leaving" : !isFresh ? "configuration not confirmed" : !known.serversAt ? "no backend servers known" : "";
         accounting.readinessChanged(ready, reason);
     }
 }
@@ -539,12 +631,12 @@
 auto Gateway::Impl::addressesForCallers() const -> std::vector<std::string>
 {
     std::vector<std::string> addresses;
-    for (const auto &entry : entries) {
+    for (const auto &entry : known.entries) {
         if (entry.name != settings.name) {
             addresses.push_back(entry.callerAddress);
         }
     }
-    const auto isUsable = !leavingSince && passthrough::isFresh(*router, now()) && serversKnown;
+    const auto isUsable = !leavingSince && passthrough::isFresh(*router, now()) && known.serversAt.has_value();
     if (isUsable || (addresses.empty() && !leavingSince)) {
         addresses.push_back(settings.callerAddress);
     }
@@ -560,6 +652,7 @@
     leavingSince = now();
     lastBusyAt = *leavingSince;
     checkReadiness();
+    updateRole();
     directory.withdraw();
     frontend.closeAfterAnswers();
     leaving = loop.every(LeavingCheck, [this]() { checkLeaving(); });
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -33,7 +33,7 @@
     for (const auto &use : report.uses) {
         uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.talkers });
     }
-    return { { "entry", report.entry }, { "uses", std::move(uses) } };
+    return { { "entry", report.entry }, { "total", report.isTotal }, { "uses", std::move(uses) } };
 }
 
 auto toJson(const passthrough::CrashesHeard &heard) -> json
@@ -49,7 +49,7 @@
             .crashes = document.at("crashes").get<std::uint32_t>(),
         };
     }
-    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>() };
+    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(), .isTotal = document.at("total").get<bool>() };
     for (const auto &use : document.at("uses")) {
         report.uses.push_back({
             .server = use.at(0).get<std::string>(),
@@ -113,13 +113,18 @@
 }
 
 auto PeerExchange::send(const PeerMessage &message) -> void
+{
+    sendTo(peers_, message);
+}
+
+auto PeerExchange::sendTo(const std::vector<std::string> &addresses, const PeerMessage &message) -> void
 {
     const auto bytes = encodePeerMessage(message);
     if (bytes.size() > MostDatagramBytes) {
         onInvalid_("own message is too long: " + std::to_string(bytes.size()) + " bytes");
         return;
     }
-    for (const auto &peer : peers_) {
+    for (const auto &peer : addresses) {
         const auto endpoint = net::parseEndpoint(peer);
         if (!endpoint) {
             continue; // its entry is registered wrongly, which was logged when the registration was read
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -37,7 +37,9 @@
 
     /// Addresses of the other entries.
     auto setPeers(std::vector<std::string> addresses) -> void;
+    /// To all of them.
     auto send(const PeerMessage &message) -> void;
+    auto sendTo(const std::vector<std::string> &addresses, const PeerMessage &message) -> void;
 
     [[nodiscard]] auto peers() const -> std::size_t;
 
