Sessions overflow to their second and third engine; a stronger bond to them

Cause: in a burst on a cold fleet quotes left their session's engine for whichever was idle (home 0 of 3 for 1,186 of 1,787 sends in seconds 5 to 9), so each session was read at many engines, 6,500 tokens instead of 2,890 a quote: more than the fleet reads, and it stayed cold as long as the burst lasted. Ruled out: memory (a bound of 0.6 made it worse: 17.3M read again). Change: three engines a session, ranked by hash, and 0.3 ms of penalty for each token read again. The line of each send tells place, load and expected reading.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -31,7 +31,15 @@
     bool isRepeat = false;     ///< the request was sent before
     Duration startTimeout{};   ///< without any answer by then the attempt has failed
     Duration silenceTimeout{}; ///< a stream without a further event for this long has failed
-    Duration estimatedStart{}; ///< expected time to the first byte, for logs
+    /// \name Why this server, for logs
+    /// @{
+    Duration estimatedStart{};        ///< expected time to the first byte
+    std::uint32_t promptTokens = 0;   ///< of the request
+    std::uint32_t unreadTokens = 0;   ///< of these, that the server is expected to read
+    std::uint32_t requestsBefore = 0; ///< on the server, of all entries
+    std::uint32_t tokensBefore = 0;   ///< of prompts that wait there
+    int home = 0;                     ///< place of the server among those of the request's session, from 1; 0: none
+    /// @}
 };
 
 /// Close the attempt's connection; whatever still arrives is dropped.
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -88,6 +88,11 @@
         .startTimeout = startTimeoutOf(request, placement.estimatedStart),
         .silenceTimeout = silenceTimeoutOf(request),
         .estimatedStart = placement.estimatedStart,
+        .promptTokens = request.call.prompt.tokens,
+        .unreadTokens = placement.load.unreadTokens,
+        .requestsBefore = placement.before.inFlight,
+        .tokensBefore = placement.before.unreadTokens,
+        .home = placement.home,
     });
 }
 
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -3,7 +3,9 @@
 #include "core/passthrough/enginesplit.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <utility>
 
 namespace auburnspread::passthrough
 {
@@ -25,7 +27,7 @@
 /// Added for each token of a shared part that would be read although another engine holds it: that engine's time is
 /// spent twice, and the readers behind it wait. A session's part of some thousand tokens is read again only where its own
 /// engine is slower by some hundred milliseconds.
-constexpr Duration RereadPenalty = std::chrono::microseconds(100);
+constexpr Duration RereadPenalty = std::chrono::microseconds(300);
 
 /// Places of an engine: its batch and a few that wait there, so that a place that becomes free is taken at once.
 constexpr double EnginePlaces = 1.1;
@@ -60,34 +62,62 @@
     return found != server.parts.end() && now - found->second < CacheMemory;
 }
 
-/// Tokens that the engine's cache holds: parts count only while all parts before them are there.
-auto cachedTokens(const ServerState &server, const Prompt &prompt, bool isHome, TimePoint now) -> std::uint32_t
+/// The engines to which all entries send a session: the first while nothing speaks against it, the next when that is busy.
+/// A session that overflows goes to few engines and finds its part there, instead of being read anew at whichever is idle.
+using Homes = std::array<const ServerState *, 3>;
+
+/// How likely the session's part is in the cache of its first, second and third home.
+constexpr std::array<double, 3> HomeCertainty{ 1.0, 0.6, 0.3 };
+
+auto homesOf(const std::vector<ServerPointer> &servers, std::uint64_t session, TimePoint now) -> Homes
 {
-    std::uint32_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-        // a first part is shared by many sessions, so every engine soon holds it
-        const auto isCommon = i == 0 && prompt.parts.size() > 2;
-        if (!isHome && !isCommon && !isRemembered(server, prompt.parts[i].id, now)) {
-            break;
+    Homes homes{};
+    if (session == 0) {
+        return homes;
+    }
+    const auto isHigher = [session](const ServerState *a, const ServerState *b) { return b == nullptr || mix(session, a->hash) > mix(session, b->hash); };
+    for (const auto &server : servers) {
+        if (!isUsable(*server, now)) {
+            continue;
+        }
+        const auto *candidate = server.get();
+        for (auto &home : homes) {
+            if (candidate != nullptr && isHigher(candidate, home)) {
+                std::swap(candidate, home);
+            }
         }
-        tokens += prompt.parts[i].tokens;
     }
-    return std::min(tokens, prompt.tokens);
+    return homes;
 }
 
-/// Where all entries send the session while nothing speaks against it.
-auto homeOf(const std::vector<ServerPointer> &servers, std::uint64_t session, TimePoint now) -> const ServerState *
+auto placeAmong(const Homes &homes, const ServerState &server) -> int
 {
-    const ServerState *home = nullptr;
-    std::uint64_t best = 0;
-    for (const auto &server : servers) {
-        const auto rank = mix(session, server->hash);
-        if (isUsable(*server, now) && (home == nullptr || rank > best)) {
-            home = server.get();
-            best = rank;
-        }
+    const auto home = std::find(homes.begin(), homes.end(), &server);
+    return home == homes.end() ? 0 : static_cast<int>(home - homes.begin()) + 1;
+}
+
+/// Probability that the engine's cache holds one shared part of the prompt.
+auto certaintyOf(const ServerState &server, const Prompt &prompt, std::size_t part, const Homes &homes, TimePoint now) -> double
+{
+    // a first part is shared by many sessions, so every engine soon holds it
+    const auto isCommon = part == 0 && prompt.parts.size() > 2;
+    if (isCommon || isRemembered(server, prompt.parts[part].id, now)) {
+        return 1;
+    }
+    const auto place = placeAmong(homes, server);
+    return place == 0 ? 0 : HomeCertainty.at(static_cast<std::size_t>(place - 1));
+}
+
+/// Tokens that the engine's cache is expected to hold: parts count only while all parts before them are there.
+auto cachedTokens(const ServerState &server, const Prompt &prompt, const Homes &homes, TimePoint now) -> std::uint32_t
+{
+    double tokens = 0;
+    double certainty = 1;
+    for (std::size_t part = 0; part + 1 < prompt.parts.size(); ++part) {
+        certainty *= certaintyOf(server, prompt, part, homes, now);
+        tokens += certainty * prompt.parts[part].tokens;
     }
-    return home;
+    return std::min(static_cast<std::uint32_t>(tokens), prompt.tokens);
 }
 
 auto toDuration(double milliseconds) -> Duration
@@ -202,10 +232,10 @@
     return !isAvoided && isUsable(server, now) && hasPlace(server, query);
 }
 
-auto loadOf(const ServerState &server, const Prompt &prompt, bool isHome, TimePoint now) -> Load
+auto loadOf(const ServerState &server, const Prompt &prompt, const Homes &homes, TimePoint now) -> Load
 {
     return {
-        .unreadTokens = prompt.tokens - cachedTokens(server, prompt, isHome, now),
+        .unreadTokens = prompt.tokens - cachedTokens(server, prompt, homes, now),
         .heldTokens = prompt.tokens + prompt.answerTokens,
         .isTalker = isTalker(prompt),
     };
@@ -214,7 +244,7 @@
 auto chooseAmong(const std::vector<ServerPointer> &servers, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now) -> Placement
 {
     const auto session = query.prompt == nullptr ? 0 : sessionOf(*query.prompt);
-    const auto *home = session == 0 ? nullptr : homeOf(servers, session, now);
+    const auto homes = homesOf(servers, session, now);
     Candidate best;
     for (const auto &server : servers) {
         if (!mayUse(*server, query, now)) {
@@ -223,11 +253,13 @@
         Candidate candidate{ .placement = { .server = server }, .tie = mix(query.tieBreak, server->hash) };
         auto &placement = candidate.placement;
         if (query.prompt != nullptr) {
-            placement.load = loadOf(*server, *query.prompt, server.get() == home, now);
+            placement.load = loadOf(*server, *query.prompt, homes, now);
+            placement.home = placeAmong(homes, *server);
             placement.estimatedStart = estimateEngine(*server, placement.load.unreadTokens, speed);
         } else {
             placement.estimatedStart = estimateService(*server);
         }
+        placement.before = totalWork(*server);
         candidate.score = placement.estimatedStart + penaltyOf(*server, query, placement.load, now);
         const auto fits = hasMemory(*server, query, placement.load);
         if (fits && (!best.placement.server || isBetter(candidate, best))) {
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -42,6 +42,8 @@
     ServerPointer server;
     Duration estimatedStart{}; ///< until the first byte
     Load load;
+    Work before;  ///< on the server, of all entries, when it was chosen
+    int home = 0; ///< place of the server among the session's engines, from 1; 0: none of them
 };
 
 /// Nothing: no usable server has room.
