Engines get no more prompts than can begin on time; the rest wait here, late ones last

Change: a request is sent only where the prompts before it can be read in what is left of its target; it waits for the engines of its session, newest that can be on time first; late ones go when an engine has little to do.

--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -13,15 +13,22 @@
 namespace
 {
 
-/// Waiting requests looked at behind one that found no server. Only those that avoid a server differ in what they may use.
-constexpr int MostPassedOver = 8;
+/// Waiting requests looked at behind one that found no server: each session has engines of its own.
+constexpr int MostPassedOver = 32;
+
+/// Part of a route's target within which the first event has to be expected: reports of others are a tenth of a second old.
+constexpr double OnTimePart = 0.85;
+/// Part of the target that a prompt's own reading takes off what may lie before it, at most.
+constexpr double MostOwnPart = 0.3;
+/// Part of the target that may lie before a late request: so little that it takes no place of one that can be on time.
+constexpr double LatePart = 0.2;
 
 /// Answers of a plain service that take longer than this many targets come from a server that is stuck.
 constexpr double StartTargets = 2.5;
 
 auto placeOf(const Request &request) -> Pool::Place
 {
-    return { request.tier, request.order, request.call.request };
+    return { request.tier, request.late, request.order, request.call.request };
 }
 
 auto mayRepeat(const Route &route) -> bool
@@ -112,12 +119,37 @@
     return isKeyValid(state, request) ? std::nullopt : std::optional(Reason::UnknownKey);
 }
 
+auto scaled(Duration duration, double factor) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 /// Whether most other entries told what they have in flight.
 auto knowsPeers(const RouterState &state) -> bool
 {
     return state.servers.totals || 2 * state.servers.peers.size() + 1 >= state.entries;
 }
 
+/// Longest work that may lie before the request on an engine.
+///
+/// Failure: a burst fills every engine with prompts to be read. Symptom: all answers are late, also of requests that come
+/// last, although the engines could serve most on time. An engine gets no more than what can still begin on time, so the
+/// rest waits here, where the newest, which can still be on time, goes first; a late one is sent when an engine has little
+/// to do. A prompt that takes long by itself is not held back for that.
+auto mostAheadOf(const RouterState &state, const Request &request) -> Duration
+{
+    const auto target = request.route->target;
+    const auto ownReading = readingTime(request.call.prompt.tokens, state.options.engineSpeed);
+    const auto own = std::min(ownReading, scaled(target, MostOwnPart));
+    const auto left = scaled(target, OnTimePart) - (state.now - request.arrived) - own;
+    return std::max(left, scaled(target, LatePart));
+}
+
+auto isLate(const RouterState &state, const Request &request) -> bool
+{
+    return mostAheadOf(state, request) <= scaled(request.route->target, LatePart);
+}
+
 auto place(const RouterState &state, const Request &request) -> Placement
 {
     const auto found = state.servers.byService.find(request.service);
@@ -133,6 +165,7 @@
         .peersKnown = knowsPeers(state),
         .cacheTokens = service == nullptr ? 0 : service->cacheTokens,
         .talkerServers = state.pools.at(request.service).split.talkerServers,
+        .mostAhead = request.route->hasPrompt ? std::optional(mostAheadOf(state, request)) : std::nullopt,
         .tieBreak = request.order,
     };
     return choosePlacement(found->second, query, state.options.engineSpeed, state.now);
@@ -149,6 +182,12 @@
         endWithoutAnswer(state, request, Reason::Quarantined, actions);
         return true;
     }
+    if (!request.late && request.route->hasPrompt && isLate(state, request)) {
+        leaveQueue(state, request);
+        request.late = true;
+        enqueue(state, request);
+        return false;
+    }
     const auto placement = place(state, request);
     if (!placement.server) {
         return false;
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -45,6 +45,7 @@
     std::uint32_t failedConnections = 0;
     std::vector<std::string> avoid; ///< servers that failed this request
     AttemptId attempt{};            ///< while running
+    bool late = false;              ///< its first event can't be on time any more: goes behind those of its tier whose can
     bool mayHaveRun = false;
     bool answerBegun = false;
     bool callerGone = false;
@@ -63,7 +64,7 @@
 
 /// The requests that wait for one service, in the order in which they are sent.
 struct Pool {
-    using Place = std::tuple<int, std::uint64_t, RequestId>; ///< tier, order of arrival
+    using Place = std::tuple<int, bool, std::uint64_t, RequestId>; ///< tier, whether late, order of arrival
     std::set<Place> waiting;
     RetryBudget budget;
     EngineSplit split;
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -133,7 +133,7 @@
 auto estimateEngine(const ServerState &server, std::uint32_t unread, const EngineSpeed &speed) -> Duration
 {
     const auto work = totalWork(server);
-    const auto reading = toDuration((work.unreadTokens + unread) / speed.tokensPerMs);
+    const auto reading = readingTime(work.unreadTokens + unread, speed);
     return scale(reading + speed.firstToken + speed.sharing * work.inFlight, server.slowness);
 }
 
@@ -218,6 +218,12 @@
     return server.own.inFlight < std::max(part, LeastPlaces);
 }
 
+/// Whether the work that waits there is short enough.
+auto isSoonEnough(const ServerState &server, const PlacementQuery &query, const EngineSpeed &speed) -> bool
+{
+    return !query.mostAhead || scale(readingTime(totalWork(server).unreadTokens, speed), server.slowness) <= *query.mostAhead;
+}
+
 /// Failure: more requests than the engine's memory holds. Symptom: it stops running answers in the middle and reads their
 /// prompts once more. A request larger than the memory goes to an empty engine, which refuses it by itself.
 auto hasMemory(const ServerState &server, const PlacementQuery &query, const Load &load) -> bool
@@ -266,11 +272,17 @@
             best = candidate;
         }
     }
-    return best.placement;
+    const auto waits = best.placement.server && !isSoonEnough(*best.placement.server, query, speed);
+    return waits ? Placement{} : best.placement;
 }
 
 } // namespace
 
+auto readingTime(std::uint32_t tokens, const EngineSpeed &speed) -> Duration
+{
+    return toDuration(tokens / speed.tokensPerMs);
+}
+
 auto choosePlacement(const std::vector<ServerPointer> &servers, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now) -> Placement
 {
     if (query.prompt == nullptr || query.talkerServers == 0) {
@@ -278,9 +290,13 @@
     }
     const auto sides = splitEngines(servers, query.talkerServers, now);
     const auto talks = isTalker(*query.prompt);
-    auto placement = chooseAmong(talks ? sides.talkers : sides.readers, query, speed, now);
-    // the other side is better than none
-    return placement.server ? placement : chooseAmong(talks ? sides.readers : sides.talkers, query, speed, now);
+    const auto &own = talks ? sides.talkers : sides.readers;
+    auto placement = chooseAmong(own, query, speed, now);
+    if (placement.server || (!own.empty() && !talks)) {
+        return placement;
+    }
+    // a talker may go to the other side too; a reader only if it has no side of its own
+    return chooseAmong(talks ? sides.readers : sides.talkers, query, speed, now);
 }
 
 auto noteCachedParts(ServerState &server, const Prompt &prompt, TimePoint now) -> void
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -12,6 +12,7 @@
 #include "core/passthrough/servertable.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -35,6 +36,7 @@
     bool peersKnown = false;            ///< most other entries told what they have in flight
     std::uint64_t cacheTokens = 0;      ///< memory of an engine; 0: not known
     std::size_t talkerServers = 0;      ///< engines that are kept for short prompts
+    std::optional<Duration> mostAhead;  ///< longest time that the work before it may take; not set: any
     std::uint64_t tieBreak = 0;         ///< spreads equal choices
 };
 
@@ -49,6 +51,9 @@
 /// Nothing: no usable server has room.
 auto choosePlacement(const std::vector<ServerPointer> &servers, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now) -> Placement;
 
+/// Time that an engine takes for this many tokens of a prompt.
+auto readingTime(std::uint32_t tokens, const EngineSpeed &speed) -> Duration;
+
 /// Remembers which prompt parts the engine's cache holds after this request.
 auto noteCachedParts(ServerState &server, const Prompt &prompt, TimePoint now) -> void;
 
