Requests that can't be on time are refused at 0.7 of the target; callers that come back go behind

A caller that came back, late by then, took the place of a fresh one. Change: a stream waits for 0.7 of its target, then its caller is told that nothing ran; one whose remaining time is shorter than what callers of the route give at first counts as late. The reading speed is 42 tokens a ms (chunk, step and attention).

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -104,7 +104,7 @@
         std::uint32_t heldTokens = 0;   ///< of memory, by all requests
         std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
     };
-    std::string entry; ///< who says so
+    std::string entry;    ///< who says so
     bool isTotal = false; ///< of all entries, the one that hears it included
     std::vector<Use> uses;
 };
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -67,24 +67,31 @@
     return route.shares.back().service;
 }
 
-/// Callers leave a stream that is silent for this long, also before its first event.
-auto callerPatience(const Route &route) -> Duration
-{
-    constexpr Duration Least = std::chrono::seconds(2);
-    constexpr int Targets = 4;
-    constexpr int Pauses = 8;
-    return std::max({ Least, route.target * Targets, route.longestPause * Pauses });
-}
-
-/// A request that waits longer for a server can't be answered in time.
+/// Until when a request waits for a server. A stream that has not begun by its target is late, and engines that could not
+/// take it by then are overloaded: its caller is told at once that nothing ran, instead of being kept until it gives up.
 auto latestWaitOf(const Request &request) -> TimePoint
 {
-    constexpr int WaitDivisor = 2;
-    const auto half = request.arrived + (request.deadline - request.arrived) / WaitDivisor;
+    constexpr double StreamPart = 0.7;
+    constexpr Duration LeastStreamWait = std::chrono::milliseconds(200);
+    constexpr int OtherDivisor = 2;
+    const auto half = request.arrived + (request.deadline - request.arrived) / OtherDivisor;
     if (request.route->repeatability != Repeatability::Stream) {
         return half;
     }
-    return std::min(half, request.arrived + callerPatience(*request.route) / WaitDivisor);
+    const auto wait = std::chrono::duration_cast<Duration>(request.route->target * StreamPart);
+    return std::min(half, request.arrived + std::max(wait, LeastStreamWait));
+}
+
+/// Whether its caller has waited before. Failure: a caller that was refused comes back when its answer can't be on time any
+/// more, and takes the place of one whose still can. Symptom: under a lasting burst nobody is on time. A caller that comes
+/// back has less time left than callers of this route have at first.
+auto hasWaitedBefore(RouterState &state, const Request &request) -> bool
+{
+    constexpr double Usual = 0.95; // first tries differ by a few milliseconds on the way
+    const auto given = request.call.deadline.value_or(request.route->timeout);
+    auto &longest = state.longestDeadlines[request.route->name];
+    longest = std::max(longest, given);
+    return given < std::chrono::duration_cast<Duration>(longest * Usual);
 }
 
 auto refuseArrival(RouterState &state, const RequestArrived &call, Reason reason, Actions &actions) -> void
@@ -122,6 +129,7 @@
     request.deadline = state.now + std::min(route.timeout, call.deadline.value_or(route.timeout));
     request.latestWait = latestWaitOf(request);
     request.lastEventId = call.lastEventId;
+    request.late = route.hasPrompt && hasWaitedBefore(state, request);
     state.due.insert({ request.latestWait, call.request });
     state.due.insert({ request.deadline, call.request });
     return request;
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -142,7 +142,8 @@
     const auto ownReading = readingTime(request.call.prompt.tokens, state.options.engineSpeed);
     const auto own = std::min(ownReading, scaled(target, MostOwnPart));
     const auto left = scaled(target, OnTimePart) - (state.now - request.arrived) - own;
-    return std::max(left, scaled(target, LatePart));
+    const auto least = scaled(target, LatePart);
+    return request.late ? least : std::max(left, least);
 }
 
 auto isLate(const RouterState &state, const Request &request) -> bool
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -92,6 +92,7 @@
     std::map<std::string, Pool> pools; ///< by service
     std::set<Due> due;                 ///< when a request must be looked at
     std::unordered_map<Fingerprint, CrashRecord> crashes;
+    std::unordered_map<std::string, Duration> longestDeadlines; ///< that callers gave, by route
     std::uint64_t lastOrder = 0;
     std::uint64_t lastAttempt = 0;
 };
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -23,7 +23,7 @@
 
 /// How fast an engine of average load works; own timings correct it for each server.
 struct EngineSpeed {
-    double tokensPerMs = 46;                             ///< of a prompt, with the steps for running answers between the chunks
+    double tokensPerMs = 42;                             ///< of a prompt, with the steps for running answers between the chunks
     Duration firstToken = std::chrono::milliseconds(27); ///< besides reading
     Duration sharing = std::chrono::microseconds(400);   ///< longer first token for each request that runs beside
 };
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -21,6 +21,7 @@
     const auto isOlder = state.table && configuration.version <= state.table->configuration().version;
     if (!isOlder) {
         state.table = std::make_shared<const RouteTable>(configuration);
+        state.longestDeadlines.clear(); // routes come and go with configurations
     }
 }
 
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -44,8 +44,8 @@
     bool isGone = false;                   ///< left the list; kept until its last attempt ended
     std::optional<TimePoint> missingSince; ///< absent from a list that may not be complete yet
 
-    Work own;    ///< attempts of this entry
-    Work others; ///< as the other entries reported
+    Work own;      ///< attempts of this entry
+    Work others;   ///< as the other entries reported
     Work reported; ///< own work as of the last report
 
     TimePoint heardAt; ///< last byte of any answer
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -24,7 +24,7 @@
     std::function<void(const std::vector<passthrough::Server> &servers, bool afterOutage)> onServers;
     std::function<void(const std::vector<adapter::EntryRecord> &entries)> onEntries;
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< lost or regained
-    std::function<void(std::string_view what, const std::string &detail)> onInvalid;                                        ///< makes no sense
+    std::function<void(std::string_view what, const std::string &detail)> onInvalid;                                          ///< makes no sense
 };
 
 /// Tell two contents apart without sending them.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -461,9 +461,10 @@
         .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
         .onServers = [this](const std::vector<passthrough::Server> &list, bool afterOutage) { takeServers(list, afterOutage); },
         .onEntries = [this](const std::vector<adapter::EntryRecord> &list) { takeEntries(list); },
-        .onReachable = [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
-            accounting.dependencyReachable(peer, reachable, call, detail);
-        },
+        .onReachable =
+            [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
+                accounting.dependencyReachable(peer, reachable, call, detail);
+            },
         .onInvalid = [this](std::string_view what, const std::string &detail) { accounting.inputInvalid(what, detail); },
     };
 }
