Entries tell what waits for an engine and release it by chance

Cause: with 66 entries the engines of a session got 50,000 to 118,000 tokens to read although each entry kept to 0.5 s: requests waited at many entries, which heard in the same moment that there was room. The sessions then left their engines. Ruled out: silence and suspension (none of 19,908 choices), slowness of single servers, memory (a third of the choices, a consequence). Change: reports carry what waits for each engine, and a waiting request goes with the probability that the room suffices for all; slowness counts against that of all engines; a server is silent only after three times the expected start.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -102,6 +102,7 @@
         std::uint32_t inFlight = 0;     ///< requests
         std::uint32_t unreadTokens = 0; ///< of prompts whose answers have not begun
         std::uint32_t heldTokens = 0;   ///< of memory, by all requests
+        std::uint32_t wantedTokens = 0; ///< of prompts that wait at the entry for this server
         std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
     };
     std::string entry;    ///< who says so
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -4,6 +4,8 @@
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/ending.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace auburnspread::passthrough::detail
@@ -124,6 +126,7 @@
     request.workspace = identified.workspace == nullptr ? "" : identified.workspace->name;
     request.tier = rankOf(route, identified.workspace);
     request.order = ++state.lastOrder;
+    request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
     request.service = chooseService(route, request.order);
     request.arrived = state.now;
     request.deadline = state.now + std::min(route.timeout, call.deadline.value_or(route.timeout));
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -36,6 +36,11 @@
     return route.repeatability == Repeatability::Idempotent || route.isResumable;
 }
 
+auto scaled(Duration duration, double factor) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 /// Only a request that may run again gains by an early end of its attempt.
 auto startTimeoutOf(const Request &request, Duration estimated) -> Duration
 {
@@ -56,6 +61,12 @@
     return request.route->isResumable && request.sends < request.route->attempts ? StreamSilence : Duration::zero();
 }
 
+/// The estimate, as far off as it has been lately.
+auto expectedStart(RouterState &state, const Request &request, const Placement &placement) -> Duration
+{
+    return scaled(placement.estimatedStart, state.pools[request.service].bias[placement.load.isTalker ? 1 : 0]);
+}
+
 auto send(RouterState &state, Request &request, const Placement &placement, Actions &actions) -> void
 {
     auto &server = *placement.server;
@@ -77,7 +88,7 @@
         .sentAt = state.now,
         .estimatedStart = placement.estimatedStart,
     };
-    noteSent(server, placement.load, state.now);
+    noteSent(server, placement.load, expectedStart(state, request, placement), state.now);
     if (isEngine) {
         noteCachedParts(server, request.call.prompt, state.now);
     }
@@ -92,7 +103,7 @@
         .lastEventId = request.lastEventId,
         .isStream = request.route->repeatability == Repeatability::Stream,
         .isRepeat = isRepeat,
-        .startTimeout = startTimeoutOf(request, placement.estimatedStart),
+        .startTimeout = startTimeoutOf(request, expectedStart(state, request, placement)),
         .silenceTimeout = silenceTimeoutOf(request),
         .estimatedStart = placement.estimatedStart,
         .promptTokens = request.call.prompt.tokens,
@@ -119,11 +130,6 @@
     return isKeyValid(state, request) ? std::nullopt : std::optional(Reason::UnknownKey);
 }
 
-auto scaled(Duration duration, double factor) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 /// Whether most other entries told what they have in flight.
 auto knowsPeers(const RouterState &state) -> bool
 {
@@ -167,7 +173,8 @@
         .cacheTokens = service == nullptr ? 0 : service->cacheTokens,
         .talkerServers = state.pools.at(request.service).split.talkerServers,
         .mostAhead = request.route->hasPrompt ? std::optional(mostAheadOf(state, request)) : std::nullopt,
-        .tieBreak = request.order,
+        .tieBreak = request.tieBreak,
+        .reports = state.servers.reports,
     };
     return choosePlacement(found->second, query, state.options.engineSpeed, state.now);
 }
@@ -190,7 +197,9 @@
         return false;
     }
     const auto placement = place(state, request);
-    if (!placement.server) {
+    request.wanted = placement.mustWait ? placement.server : nullptr;
+    request.wantedTokens = placement.load.unreadTokens;
+    if (!placement.server || placement.mustWait) {
         return false;
     }
     leaveQueue(state, request);
@@ -234,6 +243,18 @@
     }
 }
 
+auto countWanted(RouterState &state) -> void
+{
+    for (auto &[id, server] : state.servers.byId) {
+        server->own.wantedTokens = 0;
+    }
+    for (const auto &[id, request] : state.requests) {
+        if (request.stage == Stage::Waiting && request.wanted) {
+            request.wanted->own.wantedTokens += request.wantedTokens;
+        }
+    }
+}
+
 auto dispatchAll(RouterState &state, Actions &actions) -> void
 {
     for (auto &[service, pool] : state.pools) {
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -40,6 +40,18 @@
     return attempt.server;
 }
 
+/// What the time to the first byte says about a server: only what sets it apart from the others. Failure: a burst makes all
+/// engines slower than estimated. Symptom: those that an entry has just used look slow, and sessions leave their engines.
+auto learnStartTime(RouterState &state, const Request &request, const Attempt &attempt) -> void
+{
+    constexpr double Weight = 0.05; // the last twenty
+    constexpr double Most = 10;
+    auto &bias = state.pools[request.service].bias[attempt.load.isTalker ? 1 : 0];
+    const auto expected = std::chrono::duration_cast<Duration>(attempt.estimatedStart * bias);
+    const auto ratio = noteStartTime(*attempt.server, state.now - attempt.sentAt, expected);
+    bias = std::clamp(bias * (1 + Weight * (std::min(ratio, 2.0) - 1)), 1 / Most, Most);
+}
+
 auto forget(RouterState &state, Request &request) -> void
 {
     const auto id = request.call.request;
@@ -155,9 +167,12 @@
     }
     noteHeard(*attempt->server, state.now);
     noteRead(*attempt->server, attempt->load);
-    noteStartTime(*attempt->server, state.now - attempt->sentAt, attempt->estimatedStart);
     const auto found = state.requests.find(attempt->request);
-    if (found != state.requests.end() && found->second.route->repeatability == Repeatability::Stream) {
+    if (found == state.requests.end()) {
+        return;
+    }
+    learnStartTime(state, found->second, *attempt);
+    if (found->second.route->repeatability == Repeatability::Stream) {
         found->second.answerBegun = true;
         found->second.mayHaveRun = true;
     }
@@ -178,7 +193,7 @@
     }
     auto &request = state.requests.at(attempt->request);
     if (!attempt->started && event.status < FirstErrorStatus) {
-        noteStartTime(*attempt->server, state.now - attempt->sentAt, attempt->estimatedStart);
+        learnStartTime(state, request, *attempt);
     }
     const auto server = closeAttempt(state, event.attempt);
     clearCrashes(state, request.call.fingerprint);
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -11,6 +11,7 @@
 #include "core/passthrough/routetable.h"
 #include "core/passthrough/servertable.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -36,7 +37,10 @@
     std::string service;
     int tier = 0;
     Stage stage = Stage::Waiting;
-    std::uint64_t order = 0; ///< of arrival
+    std::uint64_t order = 0;    ///< of arrival
+    std::uint64_t tieBreak = 0; ///< differs between requests, also of different entries
+    ServerPointer wanted;       ///< the server that it waits for
+    std::uint32_t wantedTokens = 0;
     TimePoint arrived;
     TimePoint deadline;
     TimePoint latestWait; ///< sent later, it is of no use to its caller
@@ -68,6 +72,7 @@
     std::set<Place> waiting;
     RetryBudget budget;
     EngineSplit split;
+    std::array<double, 2> bias{ 1, 1 }; ///< moving averages of observed to estimated start, of long and of short prompts
 };
 
 /// Broken connections while a request with some fingerprint ran.
@@ -93,6 +98,7 @@
     std::set<Due> due;                 ///< when a request must be looked at
     std::unordered_map<Fingerprint, CrashRecord> crashes;
     std::unordered_map<std::string, Duration> longestDeadlines; ///< that callers gave, by route
+    std::uint64_t seed = 0;                                     ///< of this entry's tie-breaks
     std::uint64_t lastOrder = 0;
     std::uint64_t lastAttempt = 0;
 };
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -38,6 +38,8 @@
 constexpr double Overcommitment = 1.5;
 /// Part of an engine's memory that requests may fill: reports of others are a tenth of a second old.
 constexpr double MemoryPart = 0.85;
+/// Part of the room that is given out between two reports: each is on its way for about as long as the next takes to come.
+constexpr double ReleasePart = 0.6;
 
 auto mix(std::uint64_t key, std::uint64_t salt) -> std::uint64_t
 {
@@ -219,9 +221,25 @@
 }
 
 /// Whether the work that waits there is short enough.
+///
+/// Failure: requests wait at many entries for the same engine, and all of these hear in the same moment that it has room.
+/// Symptom: it gets ten times what it has room for. So the entries tell how much waits for it, and each request is sent with
+/// the probability that the room suffices for all; it draws anew when something new is known.
 auto isSoonEnough(const ServerState &server, const PlacementQuery &query, const EngineSpeed &speed) -> bool
 {
-    return !query.mostAhead || scale(readingTime(totalWork(server).unreadTokens, speed), server.slowness) <= *query.mostAhead;
+    if (!query.mostAhead) {
+        return true;
+    }
+    const auto work = totalWork(server);
+    const auto left = *query.mostAhead - scale(readingTime(work.unreadTokens, speed), server.slowness);
+    if (left < Duration::zero()) {
+        return false;
+    }
+    constexpr std::uint64_t Draws = 1000;
+    const auto room = std::chrono::duration<double, std::milli>(left).count() * speed.tokensPerMs;
+    const auto chance = work.wantedTokens == 0 ? 1 : ReleasePart * room / work.wantedTokens;
+    const auto draw = mix(query.tieBreak, mix(query.reports, server.hash)) % Draws;
+    return static_cast<double>(draw) < chance * Draws;
 }
 
 /// Failure: more requests than the engine's memory holds. Symptom: it stops running answers in the middle and reads their
@@ -272,8 +290,8 @@
             best = candidate;
         }
     }
-    const auto waits = best.placement.server && !isSoonEnough(*best.placement.server, query, speed);
-    return waits ? Placement{} : best.placement;
+    best.placement.mustWait = best.placement.server && !isSoonEnough(*best.placement.server, query, speed);
+    return best.placement;
 }
 
 } // namespace
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -37,15 +37,17 @@
     std::uint64_t cacheTokens = 0;      ///< memory of an engine; 0: not known
     std::size_t talkerServers = 0;      ///< engines that are kept for short prompts
     std::optional<Duration> mostAhead;  ///< longest time that the work before it may take; not set: any
-    std::uint64_t tieBreak = 0;         ///< spreads equal choices
+    std::uint64_t tieBreak = 0;         ///< of this request; spreads equal choices
+    std::uint64_t reports = 0;          ///< changes when something new is known of other entries
 };
 
 struct Placement {
     ServerPointer server;
     Duration estimatedStart{}; ///< until the first byte
     Load load;
-    Work before;  ///< on the server, of all entries, when it was chosen
-    int home = 0; ///< place of the server among the session's engines, from 1; 0: none of them
+    Work before;           ///< on the server, of all entries, when it was chosen
+    bool mustWait = false; ///< the server is the right one, but has too much to read
+    int home = 0;          ///< place of the server among the session's engines, from 1; 0: none of them
 };
 
 /// Nothing: no usable server has room.
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -6,6 +6,8 @@
 #include "core/passthrough/internal/ending.h"
 #include "core/passthrough/internal/state.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -114,6 +116,7 @@
 {
     auto state = RouterStatePointer(new RouterState);
     state->options = std::move(options);
+    state->seed = XXH64(state->options.entry.data(), state->options.entry.size(), 0);
     return state;
 }
 
@@ -127,6 +130,7 @@
 
 auto takeReport(RouterState &state) -> PeerReported
 {
+    detail::countWanted(state);
     return takeReport(state.servers, state.options.entry);
 }
 
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -24,8 +24,11 @@
 constexpr Duration LeastSuspension = std::chrono::milliseconds(300);
 constexpr Duration LongestSuspension = std::chrono::seconds(3);
 
-/// An engine under full load begins some answer, or sends an event of a running one, many times within this.
-constexpr Duration SilenceBound = std::chrono::milliseconds(1200);
+/// A server counts as silent after this time, or after so many times the expected start if that is longer. An entry of a large
+/// fleet has one request or none on a server, so in a burst the first byte of the only one may well take seconds; taking
+/// the server for dead then would send its sessions to others, and these would be overloaded next.
+constexpr Duration LeastSilence = std::chrono::milliseconds(1200);
+constexpr int SilenceFactor = 3;
 /// After this time without a send, one request finds out whether a silent server has come back. Dark servers stay so for
 /// some seconds; each that is tried costs one request.
 constexpr Duration SilenceProbe = std::chrono::milliseconds(2500);
@@ -114,6 +117,7 @@
     work.inFlight += use.inFlight;
     work.unreadTokens += use.unreadTokens;
     work.heldTokens += use.heldTokens;
+    work.wantedTokens += use.wantedTokens;
     work.talkers += use.talkers;
 }
 
@@ -129,6 +133,7 @@
         .inFlight = subtract(total.inFlight, reported.inFlight),
         .unreadTokens = subtract(total.unreadTokens, reported.unreadTokens),
         .heldTokens = subtract(total.heldTokens, reported.heldTokens),
+        .wantedTokens = subtract(total.wantedTokens, reported.wantedTokens),
         .talkers = subtract(total.talkers, reported.talkers),
     };
 }
@@ -164,6 +169,7 @@
         .inFlight = work.inFlight,
         .unreadTokens = work.unreadTokens,
         .heldTokens = work.heldTokens,
+        .wantedTokens = work.wantedTokens,
         .talkers = work.talkers,
     };
 }
@@ -175,7 +181,7 @@
     PeerReported report{ .entry = entry };
     for (auto &[id, server] : table.byId) {
         server->reported = server->own;
-        if (server->own.inFlight > 0) {
+        if (server->own.inFlight > 0 || server->own.wantedTokens > 0) {
             report.uses.push_back(makeUse(id, server->own));
         }
     }
@@ -187,7 +193,7 @@
     PeerReported report{ .entry = entry, .isTotal = true };
     for (const auto &[id, server] : table.byId) {
         const auto total = totalWork(*server);
-        if (total.inFlight > 0) {
+        if (total.inFlight > 0 || total.wantedTokens > 0) {
             report.uses.push_back(makeUse(id, total));
         }
     }
@@ -196,6 +202,7 @@
 
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
+    table.reports += 1;
     if (report.isTotal) {
         table.totals = ServerTable::PeerUse{ .report = report, .at = now };
     } else {
@@ -218,22 +225,22 @@
     }
 }
 
-auto noteSent(ServerState &server, const Load &load, TimePoint now) -> void
+auto noteSent(ServerState &server, const Load &load, Duration expected, TimePoint now) -> void
 {
     server.own.inFlight += 1;
     server.own.unreadTokens += load.unreadTokens;
     server.own.heldTokens += load.heldTokens;
     server.own.talkers += load.isTalker ? 1 : 0;
     server.sentAt = now;
-    if (!server.waitingSince) {
-        server.waitingSince = now;
+    if (!server.silentFrom) {
+        server.silentFrom = now + std::max(LeastSilence, expected * SilenceFactor);
     }
 }
 
 auto noteHeard(ServerState &server, TimePoint now) -> void
 {
     server.heardAt = now;
-    server.waitingSince.reset();
+    server.silentFrom.reset();
     server.failuresInRow = 0;
 }
 
@@ -242,11 +249,13 @@
     server.own.unreadTokens -= std::min(server.own.unreadTokens, load.unreadTokens);
 }
 
-auto noteStartTime(ServerState &server, Duration observed, Duration estimated) -> void
+auto noteStartTime(ServerState &server, Duration observed, Duration expected) -> double
 {
-    constexpr Duration ShortestEstimate = std::chrono::milliseconds(10);
-    const auto ratio = static_cast<double>(observed.count()) / static_cast<double>(std::max(estimated, ShortestEstimate).count());
-    server.slowness += SlownessWeight * (std::clamp(ratio, LeastSlowness, MostSlowness) - server.slowness);
+    constexpr Duration ShortestExpected = std::chrono::milliseconds(10);
+    const auto ratio = static_cast<double>(observed.count()) / static_cast<double>(std::max(expected, ShortestExpected).count());
+    const auto bounded = std::clamp(ratio, LeastSlowness, MostSlowness);
+    server.slowness += SlownessWeight * (bounded - server.slowness);
+    return bounded;
 }
 
 auto failureRateOf(const ServerState &server, TimePoint now) -> double
@@ -294,7 +303,7 @@
     server.own.heldTokens -= std::min(server.own.heldTokens, load.heldTokens);
     server.own.talkers -= std::min<std::uint32_t>(server.own.talkers, load.isTalker ? 1 : 0);
     if (server.own.inFlight == 0) {
-        server.waitingSince.reset();
+        server.silentFrom.reset();
     }
 }
 
@@ -304,13 +313,14 @@
         .inFlight = server.own.inFlight + server.others.inFlight,
         .unreadTokens = server.own.unreadTokens + server.others.unreadTokens,
         .heldTokens = server.own.heldTokens + server.others.heldTokens,
+        .wantedTokens = server.own.wantedTokens + server.others.wantedTokens,
         .talkers = server.own.talkers + server.others.talkers,
     };
 }
 
 auto isSilent(const ServerState &server, TimePoint now) -> bool
 {
-    return server.waitingSince && now - *server.waitingSince > SilenceBound && now - server.sentAt < SilenceProbe;
+    return server.silentFrom && now > *server.silentFrom && now - server.sentAt < SilenceProbe;
 }
 
 auto isUsable(const ServerState &server, TimePoint now) -> bool
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -27,6 +27,7 @@
     std::uint32_t inFlight = 0;     ///< requests
     std::uint32_t unreadTokens = 0; ///< of prompts whose answer has not begun
     std::uint32_t heldTokens = 0;   ///< of memory, prompts and answers
+    std::uint32_t wantedTokens = 0; ///< of prompts that wait at the entries for this server
     std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
 };
 
@@ -50,12 +51,12 @@
 
     TimePoint heardAt; ///< last byte of any answer
     TimePoint sentAt;
-    std::optional<TimePoint> waitingSince; ///< oldest own send since then that nothing was heard after
-    TimePoint suspendedUntil;              ///< no work before
-    std::uint32_t failuresInRow = 0;       ///< of the kind that says the server is unreachable or dead
-    double failureRate = 0;                ///< moving average of own failures, 0 to 1, as of failureRateAt
+    std::optional<TimePoint> silentFrom; ///< if nothing is heard by then, the server counts as silent; not set: nothing is due
+    TimePoint suspendedUntil;            ///< no work before
+    std::uint32_t failuresInRow = 0;     ///< of the kind that says the server is unreachable or dead
+    double failureRate = 0;              ///< moving average of own failures, 0 to 1, as of failureRateAt
     TimePoint failureRateAt;
-    double slowness = 1; ///< moving average of observed to estimated time to the first byte
+    double slowness = 1; ///< moving average of observed to expected time to the first byte
 
     std::unordered_map<std::uint64_t, TimePoint> parts; ///< prompt parts that own requests left in its cache
 };
@@ -72,6 +73,7 @@
     std::map<std::string, PeerUse> peers; ///< by entry
     std::optional<PeerUse> totals;        ///< of all entries, as one of them summed them up
     TimePoint listedAt;
+    std::uint64_t reports = 0; ///< that were taken in; tells apart what was known before and after one
 };
 
 /// Takes a new list over. What is known of servers that stay is kept.
@@ -90,11 +92,13 @@
 
 /// \name What own attempts show
 /// @{
-auto noteSent(ServerState &server, const Load &load, TimePoint now) -> void;
+/// \p expected: time to the first byte
+auto noteSent(ServerState &server, const Load &load, Duration expected, TimePoint now) -> void;
 auto noteHeard(ServerState &server, TimePoint now) -> void;
 /// The prompt was read: its first byte of answer is here, or the attempt ended.
 auto noteRead(ServerState &server, const Load &load) -> void;
-auto noteStartTime(ServerState &server, Duration observed, Duration estimated) -> void;
+/// \return observed to expected, within bounds
+auto noteStartTime(ServerState &server, Duration observed, Duration expected) -> double;
 auto noteSucceeded(ServerState &server, TimePoint now) -> void;
 auto noteFailed(ServerState &server, Failure failure, TimePoint now) -> void;
 auto noteEnded(ServerState &server, const Load &load) -> void;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -31,7 +31,7 @@
 {
     auto uses = json::array();
     for (const auto &use : report.uses) {
-        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.talkers });
+        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.wantedTokens, use.talkers });
     }
     return { { "entry", report.entry }, { "total", report.isTotal }, { "uses", std::move(uses) } };
 }
@@ -56,7 +56,8 @@
             .inFlight = use.at(1).get<std::uint32_t>(),
             .unreadTokens = use.at(2).get<std::uint32_t>(),
             .heldTokens = use.at(3).get<std::uint32_t>(),
-            .talkers = use.at(4).get<std::uint32_t>(),
+            .wantedTokens = use.at(4).get<std::uint32_t>(),
+            .talkers = use.at(5).get<std::uint32_t>(),
         });
     }
     return report;
