Refused callers come back after 0.4 to 1.4 s; the room of an engine is given out once

Change: Retry-After spreads over a second from 0.4 s on for want of servers; the release uses the whole room.

--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -132,11 +132,11 @@
     if (!entryOf(reason).retryHelps) {
         return std::nullopt;
     }
-    // callers that were refused together must not come back together
-    constexpr Duration Least = std::chrono::milliseconds(150);
+    // callers that were refused together must not come back together; a fault of one server is over sooner than a burst
     constexpr Duration Step = std::chrono::milliseconds(50);
-    constexpr std::uint64_t Steps = 10;
-    return Least + Step * static_cast<Duration::rep>(state.lastOrder++ % Steps);
+    constexpr std::uint64_t Steps = 20;
+    const auto least = std::chrono::milliseconds(reason == Reason::NoBackendServer ? 400 : 150);
+    return least + Step * static_cast<Duration::rep>(state.lastOrder++ % Steps);
 }
 
 auto endWithoutAnswer(RouterState &state, Request &request, Reason reason, Actions &actions) -> void
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -39,7 +39,7 @@
 /// Part of an engine's memory that requests may fill: reports of others are a tenth of a second old.
 constexpr double MemoryPart = 0.85;
 /// Part of the room that is given out between two reports: each is on its way for about as long as the next takes to come.
-constexpr double ReleasePart = 0.6;
+constexpr double ReleasePart = 1.0;
 
 auto mix(std::uint64_t key, std::uint64_t salt) -> std::uint64_t
 {
