--- a/src/core/passthrough/tests/placement_tests.cpp
+++ b/src/core/passthrough/tests/placement_tests.cpp
@@ -50,6 +50,61 @@
     }
 }
 
+/// What callers see: quotes that are all late in a burst, while half of the fleet's reading is done twice. A busy engine's
+/// sessions go on to one and the same second engine, so their part is read there once.
+TEST(PlacementTests, aSessionOverflowsToOneSecondEngine)
+{
+    std::map<std::string, int> second;
+    for (std::uint64_t entry = 0; entry < 7; ++entry) {
+        const auto quote = makeQuote(78);
+        const auto engines = makeEngines(18);
+        const auto home = choosePlacement(engines, { .prompt = &quote, .tieBreak = entry }, {}, Now).server;
+        home->others.unreadTokens = 60'000;
+        second[choosePlacement(engines, { .prompt = &quote, .tieBreak = entry }, {}, Now).server->record.id] += 1;
+    }
+    EXPECT_EQ(second.size(), 1U);
+}
+
+/// What callers see: in a burst every answer is late, also that of the newest request. An engine that has a third of a second of
+/// reading before it gets nothing that must begin within 0.2 s; the request waits for it instead of going elsewhere.
+TEST(PlacementTests, aRequestWaitsForAnEngineThatHasTooMuchToRead)
+{
+    const auto quote = makeQuote(79);
+    const auto engines = makeEngines(18);
+    const PlacementQuery query{ .prompt = &quote, .mostAhead = std::chrono::milliseconds(200) };
+    const auto home = choosePlacement(engines, query, {}, Now);
+    EXPECT_FALSE(home.mustWait);
+    home.server->others.unreadTokens = 15'000;
+    const auto waiting = choosePlacement(engines, query, {}, Now);
+    EXPECT_EQ(waiting.server, home.server);
+    EXPECT_TRUE(waiting.mustWait);
+}
+
+/// What callers see: an engine that was free a moment ago takes seconds to begin. Requests wait for it at 60 entries, and all
+/// of these hear at once that it has room for a few; about so many may go, not all.
+TEST(PlacementTests, noMoreGoAtOnceThanThereIsRoomFor)
+{
+    const auto quote = makeQuote(80);
+    constexpr std::uint64_t Entries = 60;
+    constexpr std::uint32_t TokensEach = 2890;
+    const auto engines = makeEngines(18);
+    PlacementQuery query{ .prompt = &quote, .mostAhead = std::chrono::milliseconds(270) };
+    const auto home = choosePlacement(engines, query, {}, Now).server;
+    home->others.wantedTokens = Entries * TokensEach;
+    auto sent = 0;
+    constexpr auto Rounds = 50;
+    for (std::uint64_t round = 0; round < Rounds; ++round) {
+        query.reports = round;
+        for (std::uint64_t entry = 0; entry < Entries; ++entry) {
+            query.tieBreak = 7919 * entry;
+            sent += choosePlacement(engines, query, {}, Now).mustWait ? 0 : 1;
+        }
+    }
+    const auto fitting = 270 * EngineSpeed{}.tokensPerMs / TokensEach;
+    EXPECT_GT(sent, 0.5 * fitting * Rounds);
+    EXPECT_LT(sent, 1.5 * fitting * Rounds);
+}
+
 TEST(PlacementTests, aSessionLeavesItsEngineOnlyWhenThatIsFarBehind)
 {
     const auto quote = makeQuote(77);
@@ -57,7 +112,7 @@
     const auto home = choosePlacement(engines, { .prompt = &quote }, {}, Now).server;
     home->others.unreadTokens = 10'000;
     EXPECT_EQ(choosePlacement(engines, { .prompt = &quote }, {}, Now).server, home);
-    home->others.unreadTokens = 60'000;
+    home->others.unreadTokens = 120'000;
     EXPECT_NE(choosePlacement(engines, { .prompt = &quote }, {}, Now).server, home);
 }
 
--- /dev/null
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -0,0 +1,71 @@
+#include "gateway/directoryfollower.h"
+#include "gateway/directorystate.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace auburnspread;
+using namespace auburnspread::gateway;
+
+namespace
+{
+
+const TimePoint Now(std::chrono::hours(1));
+
+auto makeState() -> DirectoryState
+{
+    DirectoryState state{ .configuration = "{\"version\":7}", .confirmedAt = Now - std::chrono::milliseconds(300) };
+    state.servers = { { .id = "i-1", .service = "engines", .address = "10.0.0.1:80", .failureDomain = "a", .slots = 32, .isLeaving = true } };
+    state.serversAt = Now;
+    state.entries = { { .name = "e1", .callerAddress = "10.0.0.2:80", .peerAddress = "10.0.0.2:90", .failureDomain = "a" } };
+    updateTags(state);
+    return state;
+}
+
+} // namespace
+
+TEST(DirectoryStateTests, aNewcomerGetsEverythingAndOthersWhatChanged)
+{
+    auto state = makeState();
+    const auto whole = decodeAnswer(encodeAnswer(makeAnswer(state, {}, Now)));
+    EXPECT_EQ(whole.configuration, state.configuration);
+    ASSERT_TRUE(whole.servers && whole.entries && whole.confirmedAge);
+    EXPECT_EQ(whole.servers->front(), state.servers.front());
+    EXPECT_EQ(whole.entries->front(), state.entries.front());
+    EXPECT_EQ(*whole.confirmedAge, std::chrono::milliseconds(300));
+
+    state.servers.front().isLeaving = false;
+    updateTags(state);
+    const auto change = decodeAnswer(encodeAnswer(makeAnswer(state, whole.tags, Now)));
+    EXPECT_FALSE(change.configuration);
+    EXPECT_FALSE(change.entries);
+    ASSERT_TRUE(change.servers);
+    EXPECT_FALSE(change.servers->front().isLeaving);
+}
+
+/// What callers see: every request refused after an outage of the store, although the servers live. Whoever asks shortly
+/// after the outage must hear that absent servers may be about to return.
+TEST(DirectoryStateTests, anOutageIsToldToThoseWhoAskLater)
+{
+    auto state = makeState();
+    state.outageEndedAt = Now;
+    EXPECT_TRUE(makeAnswer(state, {}, Now + std::chrono::seconds(1)).afterOutage);
+    EXPECT_FALSE(makeAnswer(state, {}, Now + std::chrono::seconds(3)).afterOutage);
+}
+
+TEST(DirectoryStateTests, anEntryWithoutAConfigurationConfirmsNothing)
+{
+    const auto answer = decodeAnswer(encodeAnswer(makeAnswer({}, {}, Now)));
+    EXPECT_FALSE(answer.confirmedAge);
+    EXPECT_FALSE(answer.configuration);
+    EXPECT_FALSE(answer.servers) << "an empty list that was never read must not be taken for the fleet";
+}
+
+RC_GTEST_PROP(DirectoryStateTests, anyBytesAreAnAnswerOrAnError, (const std::string &bytes))
+{
+    try {
+        decodeAnswer(bytes);
+    } catch (const std::runtime_error &) {
+        RC_SUCCEED("refused");
+    }
+}
