Lists are ordered by the store's revision; only servers not listed since an outage may return

Cause, from the log of the entry that sent: (1) a reader that had been cut off answered with its old lists, which replaced newer ones, and the entry changed its role every 12 ms; (2) a server that left without a word was kept 2.2 s as 'missing after an outage', though it had been listed since the outage of that reader. Ruled out: slow reads (500 ms) and asking (300 ms). Change: lists carry the store's revision and older ones change nothing; a reader's answer tells the age of its list, and one that is old is asked no more; the grace after an outage holds only for servers not listed since.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -87,7 +87,8 @@
 /// The whole list of backend servers.
 struct ServersListed {
     std::vector<Server> servers;
-    bool afterOutage = false; ///< the list could not be read for a while before: absent servers may be about to register again
+    TimePoint asOf;
+    std::optional<TimePoint> outageEndedAt; ///< the list could not be read for a while before
 };
 
 /// Entries that are alive, this one included.
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -55,7 +55,7 @@
     }
 }
 
-auto takeRecord(ServerTable &table, const Server &record) -> void
+auto takeRecord(ServerTable &table, const Server &record, TimePoint asOf) -> void
 {
     auto &server = table.byId[record.id];
     if (!server) {
@@ -63,7 +63,19 @@
         server->hash = hashOf(record.id);
     }
     server->record = record;
-    server->missingSince.reset();
+    server->listedAt = std::max(server->listedAt, asOf);
+    server->returnBy.reset();
+}
+
+/// Whether its registration may have lapsed while the registry was out of reach. One that stood in a list since then has
+/// left: it must get nothing more.
+auto mayReturn(ServerState &server, const ServersListed &list, TimePoint now) -> bool
+{
+    const auto lapsed = list.outageEndedAt && server.listedAt < *list.outageEndedAt;
+    if (lapsed) {
+        server.returnBy = *list.outageEndedAt + ReturnTime;
+    }
+    return server.returnBy && now < *server.returnBy;
 }
 
 } // namespace
@@ -73,18 +85,11 @@
     std::set<std::string_view> present;
     for (const auto &record : list.servers) {
         present.insert(record.id);
-        takeRecord(table, record);
+        takeRecord(table, record, list.asOf);
     }
     std::erase_if(table.byId, [&](const auto &item) {
         auto &server = *item.second;
-        if (present.contains(item.first)) {
-            return false;
-        }
-        if (list.afterOutage && !server.missingSince) {
-            server.missingSince = now;
-        }
-        const auto mayReturn = server.missingSince && now - *server.missingSince < ReturnTime;
-        server.isGone = !mayReturn;
+        server.isGone = !present.contains(item.first) && !mayReturn(server, list, now);
         return server.isGone;
     });
     table.listedAt = now;
@@ -95,7 +100,7 @@
 {
     const auto dropped = std::erase_if(table.byId, [now](const auto &item) {
         auto &server = *item.second;
-        server.isGone = server.missingSince && now - *server.missingSince >= ReturnTime;
+        server.isGone = server.returnBy && now >= *server.returnBy;
         return server.isGone;
     });
     if (dropped > 0) {
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -41,9 +41,10 @@
 /// One backend server.
 struct ServerState {
     Server record;
-    std::uint64_t hash = 0;                ///< of the id, for rendezvous hashing
-    bool isGone = false;                   ///< left the list; kept until its last attempt ended
-    std::optional<TimePoint> missingSince; ///< absent from a list that may not be complete yet
+    std::uint64_t hash = 0;            ///< of the id, for rendezvous hashing
+    bool isGone = false;               ///< left the list; kept until its last attempt ended
+    TimePoint listedAt;                ///< when it last stood in the list
+    std::optional<TimePoint> returnBy; ///< absent from a list that may not be complete yet: is back by then, or gone
 
     Work own;      ///< attempts of this entry
     Work others;   ///< as the other entries reported
--- a/src/core/passthrough/tests/overload_tests.cpp
+++ b/src/core/passthrough/tests/overload_tests.cpp
@@ -69,8 +69,8 @@
 TEST(OverloadTests, aCallerThatComesBackGoesBehindOneThatCanBeOnTime)
 {
     World world;
-    world.apply(makeQuote(world, std::chrono::seconds(5)));
-    world.apply(makeQuote(world, std::chrono::seconds(5)));
+    const auto earlier = find<Send>(world.apply(makeQuote(world, std::chrono::seconds(5))));
+    world.apply(AttemptStarted{ .attempt = earlier->attempt }); // its prompt was read
     fillEngines(world, 5000);
     EXPECT_EQ(count<Send>(world.apply(makeQuote(world, std::chrono::milliseconds(3500)))), 0U) << "it came back";
     EXPECT_EQ(count<Send>(world.apply(makeQuote(world, std::chrono::seconds(5)))), 1U) << "it is new";
--- a/src/core/passthrough/tests/servers_tests.cpp
+++ b/src/core/passthrough/tests/servers_tests.cpp
@@ -48,15 +48,30 @@
 TEST(ServerTests, serversMissingAfterAnOutageOfTheRegistryStayForTwoSeconds)
 {
     World world;
-    world.apply(ServersListed{ .servers = {}, .afterOutage = true });
+    world.passSilently(std::chrono::seconds(5));
+    world.confirm();
+    world.apply(ServersListed{ .servers = {}, .asOf = world.now(), .outageEndedAt = world.now() });
     EXPECT_EQ(serversUsed(world, FetchPath).size(), 3U);
     world.pass(std::chrono::milliseconds(1500));
-    world.apply(ServersListed{ .servers = { makeServer("p2", "portal", 6) } });
+    world.apply(ServersListed{ .servers = { makeServer("p2", "portal", 6) }, .asOf = world.now() });
     EXPECT_EQ(serversUsed(world, FetchPath).size(), 3U);
     world.pass(std::chrono::milliseconds(900));
     EXPECT_EQ(serversUsed(world, FetchPath), (std::set<std::string>{ "p2" }));
 }
 
+/// What a caller sees: a call cut off at a server that left two seconds ago. The store was out of reach, its first list after
+/// that showed the server, and the next does not: it left since, and is not about to return.
+TEST(ServerTests, aServerThatLeftAfterAnOutageIsGoneAtOnce)
+{
+    World world;
+    const auto outageEnded = world.now() + std::chrono::milliseconds(100);
+    world.pass(std::chrono::milliseconds(200));
+    world.apply(ServersListed{ .servers = makeServers(), .asOf = world.now(), .outageEndedAt = outageEnded });
+    world.pass(std::chrono::milliseconds(500));
+    world.apply(ServersListed{ .servers = { makeServer("p3", "portal", 6) }, .asOf = world.now(), .outageEndedAt = outageEnded });
+    EXPECT_EQ(serversUsed(world, FetchPath), (std::set<std::string>{ "p3" }));
+}
+
 TEST(ServerTests, aServerThatVanishesFromTheListIsGoneAtOnce)
 {
     World world;
--- a/src/core/passthrough/tests/world.h
+++ b/src/core/passthrough/tests/world.h
@@ -70,7 +70,7 @@
     {
         apply(ConfigurationAdopted{ makeConfiguration() });
         confirm();
-        apply(ServersListed{ .servers = makeServers() });
+        apply(ServersListed{ .servers = makeServers(), .asOf = now_ });
     }
 
     auto apply(const Event &event) -> Actions
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -163,7 +163,7 @@
 
 auto Directory::readServers() -> void
 {
-    page_.clear();
+    page_ = { .asOf = now() };
     readServersPage("");
 }
 
@@ -172,33 +172,40 @@
     fetchItems(
         "read-servers",
         adapter::makeRange(options_.store, adapter::serversPrefix(), after),
-        [this](const adapter::StoreItems &items) {
-            for (const auto &item : items.items) {
-                try {
-                    page_.push_back(adapter::decodeServer(item.key, item.value));
-                } catch (const adapter::InvalidDocument &error) {
-                    callbacks_.onInvalid("server", error.what());
-                }
-            }
-            if (items.hasMore && !items.items.empty()) {
-                readServersPage(items.items.back().key);
-                return;
-            }
-            takeServers();
-        },
+        [this](const adapter::StoreItems &items) { takeServersPage(items); },
         [this](StoreOutcome /*outcome*/) {
             serversFailed_ = true;
             goOn(serversTimer_, FailurePause, &Directory::readServers);
         });
 }
 
+/// The pages are no snapshot: what the first one shows is sure for all of them.
+auto Directory::takeServersPage(const adapter::StoreItems &items) -> void
+{
+    page_.revision = page_.revision == 0 ? items.revision : page_.revision;
+    for (const auto &item : items.items) {
+        try {
+            page_.servers.push_back(adapter::decodeServer(item.key, item.value));
+        } catch (const adapter::InvalidDocument &error) {
+            callbacks_.onInvalid("server", error.what());
+        }
+    }
+    if (items.hasMore && !items.items.empty()) {
+        readServersPage(items.items.back().key);
+    } else {
+        takeServers();
+    }
+}
+
 auto Directory::takeServers() -> void
 {
-    const auto readAt = now();
-    const auto afterOutage = serversFailed_ && serversReadAt_ && readAt - *serversReadAt_ > OutageLength;
-    serversReadAt_ = readAt;
+    if (serversFailed_ && serversReadAt_ && page_.asOf - *serversReadAt_ > OutageLength) {
+        outageEndedAt_ = page_.asOf;
+    }
+    page_.outageEndedAt = outageEndedAt_;
+    serversReadAt_ = now();
     serversFailed_ = false;
-    callbacks_.onServers(page_, afterOutage);
+    callbacks_.onServers(page_);
     goOn(serversTimer_, options_.serversInterval, &Directory::readServers);
 }
 
@@ -244,12 +251,11 @@
             callbacks_.onInvalid("entry", error.what());
         }
     }
-    std::vector<adapter::EntryRecord> entries;
-    entries.reserve(entries_.size());
+    EntriesRead read{ .revision = items.revision };
     for (const auto &[key, entry] : entries_) {
-        entries.push_back(entry);
+        read.entries.push_back(entry);
     }
-    callbacks_.onEntries(entries);
+    callbacks_.onEntries(read);
 }
 
 auto Directory::registerSelf() -> void
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -65,6 +65,7 @@
 
     auto readServers() -> void;
     auto readServersPage(const std::string &after) -> void;
+    auto takeServersPage(const adapter::StoreItems &items) -> void;
     auto takeServers() -> void;
 
     auto readEntries() -> void;
@@ -87,8 +88,9 @@
     std::uint64_t configurationRevision_ = 0;
     std::uint64_t entriesRevision_ = 0;
     std::map<std::string, adapter::EntryRecord> entries_; ///< by key
-    std::vector<passthrough::Server> page_;               ///< of the list that is being read
+    ServersRead page_;                                    ///< the list that is being read
     std::optional<TimePoint> serversReadAt_;
+    std::optional<TimePoint> outageEndedAt_;
     bool serversFailed_ = false; ///< since the last list that was read
 
     std::uint64_t lease_ = 0;
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -138,13 +138,21 @@
         confirmedAt_ = std::max(confirmedAt_, askedAt - *answer.confirmedAge);
         callbacks_.onConfirmed(askedAt - *answer.confirmedAge);
     }
-    if (answer.servers) {
-        callbacks_.onServers(*answer.servers, answer.afterOutage);
+    if (answer.servers && answer.serversAge) {
+        callbacks_.onServers({
+            .servers = *answer.servers,
+            .revision = answer.serversRevision,
+            .asOf = askedAt - *answer.serversAge,
+            .outageEndedAt = answer.outageAge ? std::optional(askedAt - *answer.outageAge) : std::nullopt,
+        });
+    } else if (answer.serversAge) {
+        callbacks_.onServersConfirmed(answer.serversRevision, askedAt - *answer.serversAge);
     }
     if (answer.entries) {
-        callbacks_.onEntries(*answer.entries);
+        callbacks_.onEntries({ .entries = *answer.entries, .revision = answer.entriesRevision });
     }
-    return round == round_ && answer.confirmedAge && *answer.confirmedAge < OldConfirmation;
+    const auto isRecent = [](const std::optional<Duration> &age) { return age && *age < OldConfirmation; };
+    return round == round_ && isRecent(answer.confirmedAge) && isRecent(answer.serversAge);
 }
 
 auto DirectoryFollower::noteReachable(bool reachable, const std::string &detail) -> void
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace auburnspread::gateway
@@ -92,9 +93,41 @@
     };
 }
 
+auto takeServers(DirectoryState &state, const ServersRead &read) -> bool
+{
+    if (read.revision < state.serversRevision) {
+        return false;
+    }
+    state.servers = read.servers;
+    state.serversRevision = read.revision;
+    state.serversAt = std::max(state.serversAt.value_or(read.asOf), read.asOf);
+    if (read.outageEndedAt) {
+        state.outageEndedAt = std::max(state.outageEndedAt.value_or(*read.outageEndedAt), *read.outageEndedAt);
+    }
+    updateTags(state);
+    return true;
+}
+
+auto takeEntries(DirectoryState &state, const EntriesRead &read) -> bool
+{
+    if (read.revision < state.entriesRevision) {
+        return false;
+    }
+    state.entriesRevision = read.revision;
+    if (read.entries == state.entries) {
+        return false;
+    }
+    state.entries = read.entries;
+    updateTags(state);
+    return true;
+}
+
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer
 {
-    DirectoryAnswer answer{ .tags = state.tags };
+    DirectoryAnswer answer{ .serversRevision = state.serversRevision, .entriesRevision = state.entriesRevision, .tags = state.tags };
+    if (state.serversAt) {
+        answer.serversAge = now - *state.serversAt;
+    }
     if (state.confirmedAt) {
         answer.confirmedAge = now - *state.confirmedAt;
     }
@@ -103,7 +136,8 @@
     }
     if (state.tags.servers != known.servers && state.serversAt) {
         answer.servers = state.servers;
-        answer.afterOutage = state.outageEndedAt && now - *state.outageEndedAt < ReturnTime;
+        const auto isRecent = state.outageEndedAt && now - *state.outageEndedAt < ReturnTime;
+        answer.outageAge = isRecent ? std::optional(now - *state.outageEndedAt) : std::nullopt;
     }
     if (state.tags.entries != known.entries) {
         answer.entries = state.entries;
@@ -113,7 +147,11 @@
 
 auto encodeAnswer(const DirectoryAnswer &answer) -> std::string
 {
-    json document = { { "tags", { answer.tags.configuration, answer.tags.servers, answer.tags.entries } } };
+    json document = { { "tags", { answer.tags.configuration, answer.tags.servers, answer.tags.entries } },
+                      { "revisions", { answer.serversRevision, answer.entriesRevision } } };
+    if (answer.serversAge) {
+        document["servers_age"] = answer.serversAge->count();
+    }
     if (answer.confirmedAge) {
         document["age"] = answer.confirmedAge->count();
     }
@@ -122,7 +160,9 @@
     }
     if (answer.servers) {
         document["servers"] = listToJson(*answer.servers);
-        document["after_outage"] = answer.afterOutage;
+        if (answer.outageAge) {
+            document["outage_age"] = answer.outageAge->count();
+        }
     }
     if (answer.entries) {
         document["entries"] = listToJson(*answer.entries);
@@ -138,6 +178,11 @@
         const auto document = json::from_cbor(bytes);
         const auto &tags = document.at("tags");
         DirectoryAnswer answer{ .tags = { .configuration = tags.at(0), .servers = tags.at(1), .entries = tags.at(2) } };
+        answer.serversRevision = document.at("revisions").at(0);
+        answer.entriesRevision = document.at("revisions").at(1);
+        if (document.contains("servers_age")) {
+            answer.serversAge = Duration(document.at("servers_age").get<Duration::rep>());
+        }
         if (document.contains("age")) {
             answer.confirmedAge = Duration(document.at("age").get<Duration::rep>());
         }
@@ -146,7 +191,9 @@
         }
         if (document.contains("servers")) {
             answer.servers = listFromJson<passthrough::Server>(document.at("servers"), toServer);
-            answer.afterOutage = document.at("after_outage").get<bool>();
+        }
+        if (document.contains("outage_age")) {
+            answer.outageAge = Duration(document.at("outage_age").get<Duration::rep>());
         }
         if (document.contains("entries")) {
             answer.entries = listFromJson<adapter::EntryRecord>(document.at("entries"), toEntry);
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -17,12 +17,27 @@
 namespace auburnspread::gateway
 {
 
+/// A list of the backend servers as it was read from the store.
+struct ServersRead {
+    std::vector<passthrough::Server> servers;
+    std::uint64_t revision = 0; ///< of the store; orders lists that come by different ways
+    TimePoint asOf;
+    std::optional<TimePoint> outageEndedAt; ///< servers not listed since then may be about to register again
+};
+
+/// The same of the entries that are alive.
+struct EntriesRead {
+    std::vector<adapter::EntryRecord> entries;
+    std::uint64_t revision = 0;
+};
+
 /// What a source of the directory tells the entry: its own reads of the store, or another entry.
 struct DirectoryCallbacks {
     std::function<void(const std::string &document)> onConfiguration; ///< as the operators wrote it
     std::function<void(TimePoint asOf)> onConfirmed;                  ///< the last configuration told was the newest then
-    std::function<void(const std::vector<passthrough::Server> &servers, bool afterOutage)> onServers;
-    std::function<void(const std::vector<adapter::EntryRecord> &entries)> onEntries;
+    std::function<void(const ServersRead &read)> onServers;
+    std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed; ///< the last list told was read again
+    std::function<void(const EntriesRead &read)> onEntries;
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< lost or regained
     std::function<void(std::string_view what, const std::string &detail)> onInvalid;                                          ///< makes no sense
 };
@@ -39,12 +54,25 @@
     std::string configuration;
     std::optional<TimePoint> confirmedAt;
     std::vector<passthrough::Server> servers;
+    std::uint64_t serversRevision = 0;
     std::optional<TimePoint> serversAt;
-    std::optional<TimePoint> outageEndedAt; ///< the list was read again after a while without
+    std::optional<TimePoint> outageEndedAt; ///< the list was read again after a while without; see ServersRead
     std::vector<adapter::EntryRecord> entries;
+    std::uint64_t entriesRevision = 0;
     DirectoryTags tags;
 };
 
+/// \name Takes over what was read, here or by another entry
+///
+/// Failure: an entry that read the store for others is cut off for a while and returns. Symptom: those that ask it get a list
+/// that is seconds old, take a server for alive that has left since, and change back and forth between two sets of readers.
+/// The store's revision orders what comes by different ways, and what is older than what is known changes nothing.
+/// @{
+/// \return whether it is news
+auto takeServers(DirectoryState &state, const ServersRead &read) -> bool;
+auto takeEntries(DirectoryState &state, const EntriesRead &read) -> bool;
+/// @}
+
 /// Brings the tags up to the contents. Call it after a change.
 auto updateTags(DirectoryState &state) -> void;
 
@@ -52,8 +80,11 @@
 struct DirectoryAnswer {
     std::optional<Duration> confirmedAge; ///< of the configuration; not set: never confirmed
     std::optional<std::string> configuration;
+    std::optional<Duration> serversAge; ///< not set: never read
+    std::uint64_t serversRevision = 0;
     std::optional<std::vector<passthrough::Server>> servers;
-    bool afterOutage = false; ///< servers absent from the list may be about to register again
+    std::optional<Duration> outageAge; ///< since the list was read again after a while without; not set: long ago
+    std::uint64_t entriesRevision = 0;
     std::optional<std::vector<adapter::EntryRecord>> entries;
     DirectoryTags tags;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -140,8 +140,9 @@
     auto directoryCallbacks() -> DirectoryCallbacks;
     auto takeConfiguration(const std::string &document) -> void;
     auto takeConfirmed(TimePoint asOf) -> void;
-    auto takeServers(const std::vector<passthrough::Server> &servers, bool afterOutage) -> void;
-    auto takeEntries(const std::vector<adapter::EntryRecord> &entries) -> void;
+    auto takeServers(const ServersRead &read) -> void;
+    auto logServerChanges(const ServersRead &read) -> void;
+    auto takeEntries(const EntriesRead &read) -> void;
     auto takePeerMessage(const PeerMessage &message) -> void;
 
     auto updateRole() -> void;
@@ -459,8 +460,15 @@
     return {
         .onConfiguration = [this](const std::string &document) { takeConfiguration(document); },
         .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
-        .onServers = [this](const std::vector<passthrough::Server> &list, bool afterOutage) { takeServers(list, afterOutage); },
-        .onEntries = [this](const std::vector<adapter::EntryRecord> &list) { takeEntries(list); },
+        .onServers = [this](const ServersRead &read) { takeServers(read); },
+        .onServersConfirmed =
+            [this](std::uint64_t revision, TimePoint asOf) {
+                if (revision >= known.serversRevision && known.serversAt) {
+                    known.serversRevision = revision;
+                    known.serversAt = std::max(*known.serversAt, asOf);
+                }
+            },
+        .onEntries = [this](const EntriesRead &read) { takeEntries(read); },
         .onReachable =
             [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
                 accounting.dependencyReachable(peer, reachable, call, detail);
@@ -500,43 +508,43 @@
     checkReadiness();
 }
 
-auto Gateway::Impl::takeServers(const std::vector<passthrough::Server> &list, bool afterOutage) -> void
+auto Gateway::Impl::takeServers(const ServersRead &read) -> void
+{
+    if (!gateway::takeServers(known, read)) {
+        return;
+    }
+    logServerChanges(read);
+    apply(passthrough::ServersListed{ .servers = read.servers, .asOf = read.asOf, .outageEndedAt = read.outageEndedAt });
+    checkReadiness();
+}
+
+auto Gateway::Impl::logServerChanges(const ServersRead &read) -> void
 {
     std::map<std::string, passthrough::Server> next;
-    for (const auto &server : list) {
+    for (const auto &server : read.servers) {
         next[server.id] = server;
-        const auto known = servers.find(server.id);
-        if (known == servers.end()) {
+        const auto before = servers.find(server.id);
+        if (before == servers.end()) {
             accounting.serversChanged("joined", server.id, server.service);
-        } else if (known->second.isLeaving != server.isLeaving) {
+        } else if (before->second.isLeaving != server.isLeaving) {
             accounting.serversChanged(server.isLeaving ? "leaving" : "available", server.id, server.service);
         }
     }
     for (const auto &[id, server] : servers) {
         if (!next.contains(id)) {
-            accounting.serversChanged(afterOutage ? "missing-after-outage" : "gone", id, server.service);
+            accounting.serversChanged("unlisted", id, server.service);
             upstream.closeIdle(id);
         }
     }
     servers = std::move(next);
-    known.servers = list;
-    known.serversAt = now();
-    if (afterOutage) {
-        known.outageEndedAt = known.serversAt;
-    }
-    updateTags(known);
-    apply(passthrough::ServersListed{ .servers = list, .afterOutage = afterOutage });
-    checkReadiness();
 }
 
-auto Gateway::Impl::takeEntries(const std::vector<adapter::EntryRecord> &list) -> void
+auto Gateway::Impl::takeEntries(const EntriesRead &read) -> void
 {
-    if (known.entries == list) {
+    if (!gateway::takeEntries(known, read)) {
         return;
     }
-    accounting.entriesChanged(list.size());
-    known.entries = list;
-    updateTags(known);
+    accounting.entriesChanged(known.entries.size());
     std::vector<std::string> others;
     for (const auto &entry : known.entries) {
         if (entry.name != settings.name) {
--- a/src/gateway/tests/directorystate_tests.cpp
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -49,8 +49,32 @@
 {
     auto state = makeState();
     state.outageEndedAt = Now;
-    EXPECT_TRUE(makeAnswer(state, {}, Now + std::chrono::seconds(1)).afterOutage);
-    EXPECT_FALSE(makeAnswer(state, {}, Now + std::chrono::seconds(3)).afterOutage);
+    EXPECT_EQ(decodeAnswer(encodeAnswer(makeAnswer(state, {}, Now + std::chrono::seconds(1)))).outageAge, std::chrono::seconds(1));
+    EXPECT_FALSE(makeAnswer(state, {}, Now + std::chrono::seconds(3)).outageAge);
+}
+
+/// What a caller sees: a call cut off at a server that left two seconds ago. An entry that reads the store for others was cut
+/// off and is back; whoever asks it first gets the list from before. It must not replace a newer one.
+TEST(DirectoryStateTests, whatAReaderKnewBeforeItWasCutOffIsNotTakenOver)
+{
+    DirectoryState state;
+    const passthrough::Server leaving{ .id = "i-1", .service = "engines", .isLeaving = true };
+    const passthrough::Server available{ .id = "i-1", .service = "engines" };
+    const std::vector<adapter::EntryRecord> both = { { .name = "e1" }, { .name = "e2" } };
+    EXPECT_TRUE(takeServers(state, { .servers = { leaving }, .revision = 20, .asOf = Now }));
+    EXPECT_TRUE(takeEntries(state, { .entries = both, .revision = 20 }));
+    EXPECT_FALSE(takeServers(state, { .servers = { available }, .revision = 12, .asOf = Now }));
+    EXPECT_FALSE(takeEntries(state, { .entries = { both.front() }, .revision = 12 }));
+    EXPECT_TRUE(state.servers.front().isLeaving);
+    EXPECT_EQ(state.entries.size(), 2U);
+}
+
+TEST(DirectoryStateTests, anAnswerTellsHowOldItsListIs)
+{
+    auto state = makeState();
+    const auto answer = decodeAnswer(encodeAnswer(makeAnswer(state, state.tags, Now + std::chrono::seconds(2))));
+    EXPECT_FALSE(answer.servers);
+    EXPECT_EQ(answer.serversAge, std::chrono::seconds(2));
 }
 
 TEST(DirectoryStateTests, anEntryWithoutAConfigurationConfirmsNothing)
