--- a/src/docscheck/tests/settingssection_tests.cpp
+++ b/src/docscheck/tests/settingssection_tests.cpp
@@ -1,5 +1,6 @@
 #include "docscheck/tests/page.h"
 #include "entry/settings/entrysettings.h"
+#include "gateway/settings/gatewaysettings.h"
 
 #include <gtest/gtest.h>
 
@@ -27,11 +28,26 @@
 
 } // namespace
 
-TEST(SettingsSectionTests, everySettingOfAnEntryHasItsRowAndNoOtherHas)
+namespace
+{
+
+auto expectedRows(const settings::Schema &schema) -> std::vector<std::string>
 {
-    std::vector<std::string> expected;
-    for (const auto &key : entry::entrySchema().keys) {
-        expected.push_back(expectedRow(key));
+    std::vector<std::string> rows;
+    for (const auto &key : schema.keys) {
+        rows.push_back(expectedRow(key));
     }
-    EXPECT_EQ(readRows(Page, "settings of auburnspread-entry"), expected);
+    return rows;
+}
+
+} // namespace
+
+TEST(SettingsSectionTests, everySettingOfAnEntryHasItsRowAndNoOtherHas)
+{
+    EXPECT_EQ(readRows(Page, "settings of auburnspread-entry"), expectedRows(entry::entrySchema()));
+}
+
+TEST(SettingsSectionTests, everySettingOfAGatewayHasItsRowAndNoOtherHas)
+{
+    EXPECT_EQ(readRows("docs/OPERATIONS.md", "settings of auburnspread-gateway"), expectedRows(gateway::gatewaySchema()));
 }
