--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -102,7 +102,7 @@
         .request = call.request,
         .reason = reason,
         .outcome = Outcome::NotRun,
-        .status = entryOf(reason).status,
+        .status = statusOfRefusal(reason),
         .retryAfter = retryAfterOf(state, reason),
         .informationAge = state.now - state.confirmedAt,
     });
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -107,8 +107,7 @@
 auto statusOfEnd(const Request &request, Reason reason) -> int
 {
     if (!request.mayHaveRun) {
-        const auto status = entryOf(reason).status;
-        return status >= FirstErrorStatus ? UnavailableStatus : status;
+        return statusOfRefusal(reason);
     }
     return reason == Reason::DeadlinePassed ? GatewayTimeoutStatus : BadGatewayStatus;
 }
@@ -127,6 +126,12 @@
 
 } // namespace
 
+auto statusOfRefusal(Reason reason) -> int
+{
+    const auto status = entryOf(reason).status;
+    return status >= FirstErrorStatus || reason == Reason::Quarantined ? UnavailableStatus : status;
+}
+
 auto retryAfterOf(RouterState &state, Reason reason) -> std::optional<Duration>
 {
     if (!entryOf(reason).retryHelps) {
--- a/src/core/passthrough/internal/ending.h
+++ b/src/core/passthrough/internal/ending.h
@@ -22,6 +22,9 @@
 /// The request's final action: a refusal, or a visible break of an answer that was begun. Forgets the request.
 auto endWithoutAnswer(RouterState &state, Request &request, Reason reason, Actions &actions) -> void;
 
+/// Status of a refusal of a request that did not run. A withheld request is proper as far as anybody can tell, so its caller
+/// gets the status that says just that.
+auto statusOfRefusal(Reason reason) -> int;
 /// When a caller that was refused for \p reason should come back.
 auto retryAfterOf(RouterState &state, Reason reason) -> std::optional<Duration>;
 
--- a/src/core/passthrough/tests/repeats_tests.cpp
+++ b/src/core/passthrough/tests/repeats_tests.cpp
@@ -126,6 +126,7 @@
     }
     killer.request = RequestId{ 200 };
     EXPECT_EQ(find<Refuse>(world.apply(killer))->reason, Reason::Quarantined);
+    EXPECT_EQ(find<Refuse>(world.apply(killer))->status, 503);
 
     World other;
     other.apply(CrashesHeard{ .fingerprint = killer.fingerprint, .crashes = told });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,12 +81,15 @@
     TimePoint sentAt;
 };
 
-auto fingerprintOf(const Payload &payload) -> Fingerprint
+/// Equal for requests that a caller sends again. The key is part of it: calls without a body of different callers are not the
+/// same request, and one of them must not be withheld for what befell another.
+auto fingerprintOf(const Payload &payload, const std::string &host, const std::string &key) -> Fingerprint
 {
-    const auto seed = XXH64(payload.target.data(), payload.target.size(), static_cast<XXH64_hash_t>(payload.method));
-    const auto key = http::findHeader(payload.headers, "Host");
-    const auto host = XXH64(key.data(), key.size(), seed);
-    return Fingerprint{ XXH64(payload.body.data(), payload.body.size(), host) };
+    auto hash = static_cast<XXH64_hash_t>(payload.method);
+    for (const auto *part : { &payload.target, &host, &key, &payload.body }) {
+        hash = XXH64(part->data(), part->size(), hash);
+    }
+    return Fingerprint{ hash };
 }
 
 auto formatSeconds(Duration duration) -> std::string
@@ -380,8 +383,9 @@
 
 auto Gateway::Impl::takeRequest(RequestId id, PayloadPointer payload) -> void
 {
-    passthrough::RequestArrived arrived{ .request = id, .path = payload->target, .fingerprint = fingerprintOf(*payload) };
+    passthrough::RequestArrived arrived{ .request = id, .path = payload->target };
     adapter::decodeCallerHeaders(payload->headers, arrived);
+    arrived.fingerprint = fingerprintOf(*payload, arrived.host, arrived.key);
     requests[id] = { .payload = std::move(payload), .callerId = arrived.callerId, .arrivedAt = now() };
     apply(arrived);
 }
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -201,6 +201,32 @@
     EXPECT_TRUE(contains(site.metrics(), "auburnspread_sends_total 0"));
 }
 
+/// What a caller sees: "withheld" for a call that harms nobody. Two callers fetch the same path; the connections of one break
+/// twice. The other one's call has no body either, but is another request.
+TEST(PassThroughTests, aCallIsNotWithheldForWhatBefellAnotherCaller)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    for (auto i = 0; i < 2; ++i) {
+        Caller caller(site.callerAddress());
+        caller.send(makeRequest("/notice/popular", "id-1", "same"));
+        auto connection = server.accept();
+        connection.readUntil("same");
+        connection.close();
+        EXPECT_TRUE(caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
+    }
+    Caller again(site.callerAddress());
+    again.send(makeRequest("/notice/popular", "id-2", "same"));
+    EXPECT_TRUE(again.readUntil(EndOfHead).starts_with("HTTP/1.1 503 ")) << "this caller's request broke two connections";
+    Caller other(site.callerAddress());
+    other.send("POST /notice/popular HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-3\r\nKey: key-other\r\nContent-Length: 4\r\n\r\nsame");
+    const auto connection = server.accept();
+    connection.readUntil("same");
+    connection.send(makeAnswer("id-3", "answer"));
+    EXPECT_TRUE(contains(other.readUntil("answer"), "200"));
+}
+
 TEST(PassThroughTests, anOversizeHeadIsRefused)
 {
     Site site;
--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -47,7 +47,7 @@
             makeRoute("/notice/", "non_idempotent", 1, "portal"),
             makeRoute("/fetch/", "idempotent", 2, "portal") } },
         { "backends", { { { "name", "portal" }, { "healthPath", "/healthz" }, { "maxConnections", 100 } } } },
-        { "tenantList", { { { "name", "roofers" }, { "apiKeys", { key } } } } }
+        { "tenantList", { { { "name", "roofers" }, { "apiKeys", { key, "key-other" } } } } }
     }.dump();
 }
 
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -39,6 +39,7 @@
 
     /// Registers a backend server and waits until the gateway knows it.
     auto addServer(const std::string &id, const std::string &service, const std::string &address) -> void;
+    /// A configuration with this key and key-other.
     auto putConfiguration(std::uint64_t version, const std::string &key) -> void;
     /// The gateway begins to leave.
     auto leave() -> void;
