Gateway: what it shares with the fleet stands in a module of its own; the last report of load is empty again

Read on the way: a report that says that nothing runs any more was never sent, because the flag was set only when there was nothing to send; others counted the old load for 1.5 s.

--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -25,7 +25,7 @@
 struct DirectoryOptions {
     std::string store; ///< address
     adapter::EntryRecord self;
-    Duration leaseTime = std::chrono::milliseconds(3000);
+    Duration leaseTime = std::chrono::milliseconds(2000);        ///< an entry that lost power is named to callers for as long
     Duration serversInterval = std::chrono::milliseconds(500);   ///< between two reads of the backend servers
     Duration configurationWait = std::chrono::milliseconds(500); ///< of one watch; its return confirms the configuration
 };
--- /dev/null
+++ b/src/gateway/fleet.cpp
@@ -0,0 +1,283 @@
+#include "gateway/fleet.h"
+
+#include "core/passthrough/readers.h"
+#include "gateway/clock.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+constexpr auto CborType = "application/cbor";
+
+/// Reports to the other entries: a burst fills an engine within some hundred milliseconds.
+constexpr Duration ReportInterval = std::chrono::milliseconds(100);
+/// With more entries than this the readers sum the reports up; a sum of 60 servers takes about 1.6 KB.
+constexpr std::size_t MostDirectPeers = 12;
+constexpr int ReportsPerTotals = 2;
+
+/// Whether this entry reads the store is looked at again this often, and whenever the entries change.
+constexpr Duration RoleInterval = std::chrono::milliseconds(250);
+/// Without a fresh answer of a reader for this long, an entry reads the store itself. It has to come well before the
+/// configuration counts as unconfirmed.
+constexpr Duration FollowPatience = std::chrono::milliseconds(1500);
+constexpr Duration ReadOnceInterval = std::chrono::milliseconds(800);
+
+} // namespace
+
+Fleet::Fleet(task::EventLoop &loop, const GatewaySettings &settings, passthrough::RouterState &router, Accounting &accounting, FleetCallbacks callbacks)
+    : loop_(loop)
+    , name_(settings.name)
+    , router_(router)
+    , accounting_(accounting)
+    , callbacks_(std::move(callbacks))
+    , directory_(loop,
+                 {
+                     .store = settings.storeAddress,
+                     .self = {
+                         .name = settings.name,
+                         .callerAddress = settings.callerAddress,
+                         .peerAddress = settings.peerAddress,
+                         .failureDomain = settings.failureDomain,
+                     },
+                     .leaseTime = settings.leaseTime,
+                 },
+                 directoryCallbacks())
+    , follower_(loop, directoryCallbacks())
+    , peers_(loop,
+             settings.peerAddress,
+             [this](const PeerMessage &message) { takePeerMessage(message); },
+             [this](const std::string &detail) { accounting_.inputInvalid("peer", detail); })
+    , directoryPage_(loop)
+{
+    directoryPage_.route(std::string(DirectoryPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
+        replier.reply(OkStatus, CborType, encodeAnswer(makeAnswer(known_, readQuestion(request.query), now())));
+    });
+    directoryPage_.listen(settings.peerAddress);
+}
+
+auto Fleet::start() -> void
+{
+    readOnceAt_ = now();
+    directory_.readOnce();
+    roleTimer_ = loop_.every(RoleInterval, [this]() { updateRole(); });
+    reporter_ = loop_.every(ReportInterval, [this]() { sendReport(); });
+}
+
+auto Fleet::registerSelf() -> void
+{
+    if (!std::exchange(isRegistered_, true)) {
+        directory_.registerSelf();
+    }
+}
+
+auto Fleet::leave() -> void
+{
+    isLeaving_ = true;
+    updateRole();
+    directory_.withdraw();
+}
+
+auto Fleet::tellCrashes(const passthrough::CrashesHeard &crashes) -> void
+{
+    peers_.send(crashes);
+}
+
+auto Fleet::knowsServers() const -> bool
+{
+    return known_.serversAt.has_value();
+}
+
+auto Fleet::serversAge(TimePoint now) const -> Duration
+{
+    return now - known_.serversAt.value_or(TimePoint());
+}
+
+auto Fleet::otherAddresses() const -> std::vector<std::string>
+{
+    std::vector<std::string> addresses;
+    for (const auto &entry : known_.entries) {
+        if (entry.name != name_) {
+            addresses.push_back(entry.callerAddress);
+        }
+    }
+    return addresses;
+}
+
+auto Fleet::storeCalls() const -> std::uint64_t
+{
+    return directory_.calls();
+}
+
+auto Fleet::directoryCallbacks() -> DirectoryCallbacks
+{
+    return {
+        .onConfiguration = [this](const std::string &document) { takeConfiguration(document); },
+        .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
+        .onServers = [this](const ServersRead &read) { takeServers(read); },
+        .onServersConfirmed = [this](std::uint64_t revision, TimePoint asOf) { takeServersConfirmed(revision, asOf); },
+        .onEntries = [this](const EntriesRead &read) { takeEntries(read); },
+        .onReachable =
+            [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
+                accounting_.dependencyReachable(peer, reachable, call, detail);
+            },
+        .onInvalid = [this](std::string_view what, const std::string &detail) { accounting_.inputInvalid(what, detail); },
+    };
+}
+
+auto Fleet::takeConfiguration(const std::string &document) -> void
+{
+    try {
+        const auto configuration = adapter::decodeConfiguration(document);
+        configurationUnderstood_ = true;
+        const auto before = passthrough::statusOf(router_, now()).configurationVersion;
+        callbacks_.onEvent(passthrough::ConfigurationAdopted{ .configuration = configuration });
+        if (configuration.version <= before) {
+            return;
+        }
+        known_.configuration = document;
+        updateTags(known_);
+        accounting_.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
+        callbacks_.onLimits(configuration.limits);
+    } catch (const adapter::InvalidDocument &error) {
+        configurationUnderstood_ = false;
+        accounting_.inputInvalid("configuration", error.what());
+    }
+}
+
+/// A document that could not be read may take keys away: the configuration in force is not confirmed by it.
+auto Fleet::takeConfirmed(TimePoint asOf) -> void
+{
+    if (!configurationUnderstood_) {
+        return;
+    }
+    known_.confirmedAt = std::max(known_.confirmedAt.value_or(asOf), asOf);
+    callbacks_.onEvent(passthrough::ConfigurationConfirmed{ .asOf = asOf });
+    callbacks_.onChanged();
+}
+
+auto Fleet::takeServers(const ServersRead &read) -> void
+{
+    if (!gateway::takeServers(known_, read)) {
+        return;
+    }
+    logServerChanges(read);
+    callbacks_.onEvent(passthrough::ServersListed{ .servers = read.servers, .asOf = read.asOf, .outageEndedAt = read.outageEndedAt });
+    callbacks_.onChanged();
+}
+
+/// What was listed and has not changed was read again.
+auto Fleet::takeServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void
+{
+    if (revision >= known_.serversRevision && known_.serversAt) {
+        known_.serversRevision = revision;
+        known_.serversAt = std::max(*known_.serversAt, asOf);
+    }
+}
+
+auto Fleet::logServerChanges(const ServersRead &read) -> void
+{
+    std::map<std::string, passthrough::Server> next;
+    for (const auto &server : read.servers) {
+        next[server.id] = server;
+        const auto before = servers_.find(server.id);
+        if (before == servers_.end()) {
+            accounting_.serversChanged("joined", server.id, server.service);
+        } else if (before->second.isLeaving != server.isLeaving) {
+            accounting_.serversChanged(server.isLeaving ? "leaving" : "available", server.id, server.service);
+        }
+    }
+    for (const auto &[id, server] : servers_) {
+        if (!next.contains(id)) {
+            accounting_.serversChanged("unlisted", id, server.service);
+            callbacks_.onServerGone(id);
+        }
+    }
+    servers_ = std::move(next);
+}
+
+auto Fleet::takeEntries(const EntriesRead &read) -> void
+{
+    if (!gateway::takeEntries(known_, read)) {
+        return;
+    }
+    accounting_.entriesChanged(known_.entries.size());
+    std::vector<std::string> others;
+    for (const auto &entry : known_.entries) {
+        if (entry.name != name_) {
+            others.push_back(entry.peerAddress);
+        }
+    }
+    callbacks_.onEvent(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(others.size() + 1) });
+    peers_.setPeers(std::move(others));
+    updateRole();
+}
+
+/// Addresses of the readers that this entry may ask; whether it is one itself stands in isReader_.
+auto Fleet::findReaders() -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    std::map<std::string, std::string> addresses;
+    for (const auto &entry : known_.entries) {
+        names.push_back(entry.name);
+        addresses[entry.name] = entry.peerAddress;
+    }
+    auto chosen = passthrough::chooseReaders(std::move(names));
+    const auto reads = std::erase(chosen, name_) > 0 && !isLeaving_;
+    if (std::exchange(isReader_, reads) != reads) {
+        accounting_.roleChanged(isReader_, chosen.size() + (reads ? 1 : 0));
+    }
+    std::transform(chosen.begin(), chosen.end(), chosen.begin(), [&](const std::string &name) { return addresses.at(name); });
+    return chosen;
+}
+
+/// An entry that is not among the readers asks these. One that has nobody to ask, or gets nothing fresh, reads the store
+/// itself now and then, so that it depends on no other entry.
+auto Fleet::updateRole() -> void
+{
+    readers_ = findReaders();
+    directory_.setReading(isReader_);
+    follower_.follow(isReader_ ? std::vector<std::string>() : readers_, known_.tags);
+    const auto at = now();
+    const auto isInformed = isReader_ || at - follower_.confirmedAt() < FollowPatience;
+    if (!isInformed && at - readOnceAt_ >= ReadOnceInterval) {
+        readOnceAt_ = at;
+        directory_.readOnce();
+    }
+}
+
+auto Fleet::takePeerMessage(const PeerMessage &message) -> void
+{
+    if (const auto *report = std::get_if<passthrough::PeerReported>(&message)) {
+        callbacks_.onEvent(*report);
+    } else {
+        callbacks_.onEvent(std::get<passthrough::CrashesHeard>(message));
+    }
+}
+
+/// In a small fleet each entry tells each other. In a large one the entries tell the readers, which tell all the sum:
+/// datagrams grow with the number of entries, not with its square.
+auto Fleet::sendReport() -> void
+{
+    const auto isLarge = peers_.peers() > MostDirectPeers;
+    const auto report = passthrough::takeReport(router_);
+    const auto hasUse = !report.uses.empty();
+    const auto isNews = std::exchange(reportedUse_, hasUse) || hasUse;
+    if (isNews && isLarge) {
+        peers_.sendTo(readers_, report);
+    } else if (isNews) {
+        peers_.send(report);
+    }
+    if (isLarge && isReader_ && ++reportsSinceTotals_ >= ReportsPerTotals) {
+        reportsSinceTotals_ = 0;
+        peers_.send(passthrough::takeTotals(router_));
+    }
+}
+
+} // namespace auburnspread::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,14 +1,10 @@
 #include "gateway/gateway.h"
 
-#include "core/passthrough/readers.h"
 #include "core/passthrough/router.h"
 #include "gateway/accounting.h"
 #include "gateway/clock.h"
-#include "gateway/directory.h"
-#include "gateway/directoryfollower.h"
-#include "gateway/directorystate.h"
+#include "gateway/fleet.h"
 #include "gateway/frontend.h"
-#include "gateway/peerexchange.h"
 #include "gateway/upstream.h"
 #include "platform/callerrequest.h"
 #include "platform/pages.h"
@@ -20,8 +16,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <map>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -39,19 +33,6 @@
 
 /// Time limits are checked this often; the tightest are some hundred milliseconds.
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
-/// Reports to the other entries: a burst fills an engine within some hundred milliseconds.
-constexpr Duration ReportInterval = std::chrono::milliseconds(100);
-/// With more entries than this the readers sum the reports up; a sum of 60 servers takes about 1.6 KB.
-constexpr std::size_t MostDirectPeers = 12;
-constexpr int ReportsPerTotals = 2;
-
-/// Whether this entry reads the store is looked at again this often, and whenever the entries change.
-constexpr Duration RoleInterval = std::chrono::milliseconds(250);
-/// Without a fresh answer of a reader for this long, an entry reads the store itself. It has to come well before the
-/// configuration counts as unconfirmed.
-constexpr Duration FollowPatience = std::chrono::milliseconds(1500);
-constexpr Duration ReadOnceInterval = std::chrono::milliseconds(800);
-
 /// Callers ask again for addresses after this time; some keep an answer three times as long.
 constexpr Duration AddressKeep = std::chrono::seconds(1);
 constexpr int LongestKeepFactor = 3;
@@ -140,17 +121,8 @@
     auto takeAnswer(AttemptId attempt, WholeAnswer answer) -> void;
     auto takeFailure(AttemptId attempt, const AttemptFailure &failure) -> void;
 
-    auto directoryCallbacks() -> DirectoryCallbacks;
-    auto takeConfiguration(const std::string &document) -> void;
-    auto takeConfirmed(TimePoint asOf) -> void;
-    auto takeServers(const ServersRead &read) -> void;
-    auto logServerChanges(const ServersRead &read) -> void;
-    auto takeEntries(const EntriesRead &read) -> void;
-    auto takePeerMessage(const PeerMessage &message) -> void;
-
-    auto updateRole() -> void;
+    auto takeStarted(AttemptId attempt) -> void;
     auto sweep() -> void;
-    auto sendReport() -> void;
     auto checkReadiness() -> void;
     auto checkLeaving() -> void;
     auto addressesForCallers() const -> std::vector<std::string>;
@@ -164,35 +136,20 @@
     Accounting accounting;
     Frontend frontend;
     Upstream upstream;
-    DirectoryState known;
-    Directory directory;
-    DirectoryFollower follower;
-    PeerExchange peers;
+    Fleet fleet;
     http::Server readinessPage;
     http::Server addressesPage;
     http::Server metricsPage;
-    http::Server directoryPage; ///< for other entries
 
     std::unordered_map<RequestId, OpenRequest> requests;
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::unordered_map<AttemptId, WholeAnswer> held; ///< whole answers that the core judges
-    std::map<std::string, passthrough::Server> servers;
-    bool configurationUnderstood = false; ///< the newest document told could be read
-    bool isReader = false;
-    TimePoint readOnceAt;
     bool isReady = false;
-    bool isRegistered = false;
-    bool reportedUse = false; ///< the last report was not empty
-    int reportsSinceTotals = 0;
-    std::vector<std::string> readers; ///< addresses of the readers other than this entry
-
     std::optional<TimePoint> leavingSince;
     TimePoint lastBusyAt;
     bool isClosing = false;
     std::function<void()> onLeft;
     task::Watch sweeper;
-    task::Watch reporter;
-    task::Watch roleTimer;
     task::Watch leaving;
 };
 
@@ -213,44 +170,26 @@
                })
     , upstream(loop,
                {
-                   .onStarted =
-                       [this](AttemptId attempt) {
-                           const auto found = attempts.find(attempt);
-                           if (found != attempts.end()) {
-                               const auto request = requests.find(found->second.request);
-                               if (request != requests.end() && !request->second.firstByteAt) {
-                                   request->second.firstByteAt = now();
-                               }
-                           }
-                           apply(passthrough::AttemptStarted{ .attempt = attempt });
-                       },
+                   .onStarted = [this](AttemptId attempt) { takeStarted(attempt); },
                    .onStreamBegun = [this](AttemptId attempt, int status, const http::Headers &headers) { beginStream(attempt, status, headers); },
                    .onEvents = [this](AttemptId attempt, std::string_view events) { takeEvents(attempt, events); },
                    .onStreamEnded = [this](AttemptId attempt) { takeStreamEnd(attempt); },
                    .onAnswer = [this](AttemptId attempt, WholeAnswer answer) { takeAnswer(attempt, std::move(answer)); },
                    .onFailed = [this](AttemptId attempt, const AttemptFailure &failure) { takeFailure(attempt, failure); },
                })
-    , directory(loop,
-                {
-                    .store = settings.storeAddress,
-                    .self = {
-                        .name = settings.name,
-                        .callerAddress = settings.callerAddress,
-                        .peerAddress = settings.peerAddress,
-                        .failureDomain = settings.failureDomain,
-                    },
-                    .leaseTime = settings.leaseTime,
-                },
-                directoryCallbacks())
-    , follower(loop, directoryCallbacks())
-    , peers(loop,
-            settings.peerAddress,
-            [this](const PeerMessage &message) { takePeerMessage(message); },
-            [this](const std::string &detail) { accounting.inputInvalid("peer", detail); })
+    , fleet(loop,
+            settings,
+            *router,
+            accounting,
+            {
+                .onEvent = [this](const passthrough::Event &event) { apply(event); },
+                .onLimits = [this](const passthrough::CallerLimits &limits) { frontend.setLimits(limits); },
+                .onServerGone = [this](const std::string &server) { upstream.closeIdle(server); },
+                .onChanged = [this]() { checkReadiness(); },
+            })
     , readinessPage(loop)
     , addressesPage(loop)
     , metricsPage(loop)
-    , directoryPage(loop)
 {
     frontend.setLimits(passthrough::CallerLimits{});
     frontend.listen(settings.callerAddress);
@@ -272,13 +211,8 @@
         replier.reply(OkStatus, JsonType, adapter::encodeAddresses(addresses, std::min(AddressKeep, settings.keepAddresses)));
     });
     metricsPage.route("/metrics", [this](const http::IncomingRequest &, const http::Replier &replier) {
-        replier.reply(OkStatus, metrics::PrometheusContentType, accounting.metricsPage(passthrough::statusOf(*router, now()), directory.calls()));
+        replier.reply(OkStatus, metrics::PrometheusContentType, accounting.metricsPage(passthrough::statusOf(*router, now()), fleet.storeCalls()));
     });
-    directoryPage.route(std::string(DirectoryPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
-        const auto answer = makeAnswer(known, readQuestion(request.query), now());
-        replier.reply(OkStatus, "application/cbor", encodeAnswer(answer));
-    });
-    directoryPage.listen(settings.peerAddress);
     readinessPage.listen(settings.readinessAddress);
     addressesPage.listen(settings.addressesAddress);
     metricsPage.listen(settings.metricsAddress);
@@ -286,11 +220,8 @@
 
 auto Gateway::Impl::start() -> void
 {
-    readOnceAt = now();
-    directory.readOnce();
-    roleTimer = loop.every(RoleInterval, [this]() { updateRole(); });
+    fleet.start();
     sweeper = loop.every(SweepInterval, [this]() { sweep(); });
-    reporter = loop.every(ReportInterval, [this]() { sendReport(); });
 }
 
 auto Gateway::Impl::apply(const passthrough::Event &event) -> void
@@ -308,7 +239,7 @@
         .request = request.callerId,
         .configurationVersion = status.configurationVersion,
         .configurationAge = status.configurationAge,
-        .serversAge = at - known.serversAt.value_or(TimePoint()),
+        .serversAge = fleet.serversAge(at),
     };
 }
 
@@ -378,7 +309,7 @@
 auto Gateway::Impl::run(const passthrough::TellCrashes &order) -> void
 {
     accounting.crashCounted(order);
-    peers.send(passthrough::CrashesHeard{ .fingerprint = order.fingerprint, .crashes = order.crashes });
+    fleet.tellCrashes({ .fingerprint = order.fingerprint, .crashes = order.crashes });
 }
 
 auto Gateway::Impl::takeRequest(RequestId id, PayloadPointer payload) -> void
@@ -400,6 +331,16 @@
     apply(passthrough::CallerGone{ .request = id });
 }
 
+auto Gateway::Impl::takeStarted(AttemptId attempt) -> void
+{
+    const auto found = attempts.find(attempt);
+    const auto request = found == attempts.end() ? requests.end() : requests.find(found->second.request);
+    if (request != requests.end() && !request->second.firstByteAt) {
+        request->second.firstByteAt = now();
+    }
+    apply(passthrough::AttemptStarted{ .attempt = attempt });
+}
+
 auto Gateway::Impl::beginStream(AttemptId attempt, int status, const http::Headers &headers) -> void
 {
     const auto id = attempts.at(attempt).request;
@@ -459,147 +400,6 @@
     apply(passthrough::AttemptFailed{ .attempt = attempt, .failure = failure.failure, .answerBegun = begun, .lastEventId = failure.lastEventId });
 }
 
-auto Gateway::Impl::directoryCallbacks() -> DirectoryCallbacks
-{
-    return {
-        .onConfiguration = [this](const std::string &document) { takeConfiguration(document); },
-        .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
-        .onServers = [this](const ServersRead &read) { takeServers(read); },
-        .onServersConfirmed =
-            [this](std::uint64_t revision, TimePoint asOf) {
-                if (revision >= known.serversRevision && known.serversAt) {
-                    known.serversRevision = revision;
-                    known.serversAt = std::max(*known.serversAt, asOf);
-                }
-            },
-        .onEntries = [this](const EntriesRead &read) { takeEntries(read); },
-        .onReachable =
-            [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
-                accounting.dependencyReachable(peer, reachable, call, detail);
-            },
-        .onInvalid = [this](std::string_view what, const std::string &detail) { accounting.inputInvalid(what, detail); },
-    };
-}
-
-auto Gateway::Impl::takeConfiguration(const std::string &document) -> void
-{
-    try {
-        const auto configuration = adapter::decodeConfiguration(document);
-        configurationUnderstood = true;
-        const auto before = passthrough::statusOf(*router, now()).configurationVersion;
-        apply(passthrough::ConfigurationAdopted{ .configuration = configuration });
-        if (configuration.version <= before) {
-            return;
-        }
-        known.configuration = document;
-        updateTags(known);
-        accounting.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
-        frontend.setLimits(configuration.limits);
-    } catch (const adapter::InvalidDocument &error) {
-        configurationUnderstood = false;
-        accounting.inputInvalid("configuration", error.what());
-    }
-}
-
-/// A document that could not be read may take keys away: the configuration in force is not confirmed by it.
-auto Gateway::Impl::takeConfirmed(TimePoint asOf) -> void
-{
-    if (!configurationUnderstood) {
-        return;
-    }
-    known.confirmedAt = std::max(known.confirmedAt.value_or(asOf), asOf);
-    apply(passthrough::ConfigurationConfirmed{ .asOf = asOf });
-    checkReadiness();
-}
-
-auto Gateway::Impl::takeServers(const ServersRead &read) -> void
-{
-    if (!gateway::takeServers(known, read)) {
-        return;
-    }
-    logServerChanges(read);
-    apply(passthrough::ServersListed{ .servers = read.servers, .asOf = read.asOf, .outageEndedAt = read.outageEndedAt });
-    checkReadiness();
-}
-
-auto Gateway::Impl::logServerChanges(const ServersRead &read) -> void
-{
-    std::map<std::string, passthrough::Server> next;
-    for (const auto &server : read.servers) {
-        next[server.id] = server;
-        const auto before = servers.find(server.id);
-        if (before == servers.end()) {
-            accounting.serversChanged("joined", server.id, server.service);
-        } else if (before->second.isLeaving != server.isLeaving) {
-            accounting.serversChanged(server.isLeaving ? "leaving" : "available", server.id, server.service);
-        }
-    }
-    for (const auto &[id, server] : servers) {
-        if (!next.contains(id)) {
-            accounting.serversChanged("unlisted", id, server.service);
-            upstream.closeIdle(id);
-        }
-    }
-    servers = std::move(next);
-}
-
-auto Gateway::Impl::takeEntries(const EntriesRead &read) -> void
-{
-    if (!gateway::takeEntries(known, read)) {
-        return;
-    }
-    accounting.entriesChanged(known.entries.size());
-    std::vector<std::string> others;
-    for (const auto &entry : known.entries) {
-        if (entry.name != settings.name) {
-            others.push_back(entry.peerAddress);
-        }
-    }
-    apply(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(others.size() + 1) });
-    peers.setPeers(std::move(others));
-    updateRole();
-}
-
-/// An entry that is not among the readers asks these. One that has nobody to ask, or gets nothing fresh, reads the store
-/// itself now and then, so that it depends on no other entry.
-auto Gateway::Impl::updateRole() -> void
-{
-    std::vector<std::string> names;
-    for (const auto &entry : known.entries) {
-        names.push_back(entry.name);
-    }
-    const auto chosen = passthrough::chooseReaders(names);
-    const auto reads = !leavingSince && std::find(chosen.begin(), chosen.end(), settings.name) != chosen.end();
-    readers.clear();
-    for (const auto &name : chosen) {
-        const auto found = std::find_if(known.entries.begin(), known.entries.end(), [&](const auto &entry) { return entry.name == name; });
-        if (name != settings.name) {
-            readers.push_back(found->peerAddress);
-        }
-    }
-    if (reads != isReader) {
-        isReader = reads;
-        accounting.roleChanged(isReader, chosen.size());
-    }
-    directory.setReading(isReader);
-    follower.follow(isReader ? std::vector<std::string>() : readers, known.tags);
-    const auto at = now();
-    const auto isInformed = isReader || at - follower.confirmedAt() < FollowPatience;
-    if (!isInformed && at - readOnceAt >= ReadOnceInterval) {
-        readOnceAt = at;
-        directory.readOnce();
-    }
-}
-
-auto Gateway::Impl::takePeerMessage(const PeerMessage &message) -> void
-{
-    if (const auto *report = std::get_if<passthrough::PeerReported>(&message)) {
-        apply(*report);
-    } else {
-        apply(std::get<passthrough::CrashesHeard>(message));
-    }
-}
-
 auto Gateway::Impl::sweep() -> void
 {
     const auto at = now();
@@ -607,50 +407,26 @@
     apply(passthrough::Tick{});
 }
 
-/// In a small fleet each entry tells each other. In a large one the entries tell the readers, which tell all the sum:
-/// datagrams grow with the number of entries, not with its square.
-auto Gateway::Impl::sendReport() -> void
-{
-    const auto isLarge = peers.peers() > MostDirectPeers;
-    const auto report = passthrough::takeReport(*router);
-    const auto hasUse = !report.uses.empty();
-    const auto isNews = hasUse || std::exchange(reportedUse, hasUse);
-    if (isNews && isLarge) {
-        peers.sendTo(readers, report);
-    } else if (isNews) {
-        peers.send(report);
-    }
-    if (isLarge && isReader && ++reportsSinceTotals >= ReportsPerTotals) {
-        reportsSinceTotals = 0;
-        peers.send(passthrough::takeTotals(*router));
-    }
-}
-
 auto Gateway::Impl::checkReadiness() -> void
 {
     const auto isFresh = passthrough::isFresh(*router, now());
-    const auto ready = isFresh && known.serversAt.has_value() && !leavingSince;
-    if (ready && !std::exchange(isRegistered, true)) {
-        directory.registerSelf();
+    const auto ready = isFresh && fleet.knowsServers() && !leavingSince;
+    if (ready) {
+        fleet.registerSelf();
     }
-    if (ready != isReady) {
-        isReady = ready;
-        const auto *reason = leavingSince ? "leaving" : !isFresh ? "configuration not confirmed" : !known.serversAt ? "no backend servers known" : "";
-        accounting.readinessChanged(ready, reason);
+    if (std::exchange(isReady, ready) == ready) {
+        return;
     }
+    const auto *reason = leavingSince ? "leaving" : !isFresh ? "configuration not confirmed" : "no backend servers known";
+    accounting.readinessChanged(ready, ready ? "" : reason);
 }
 
 /// An entry that can't confirm its configuration sends callers to the others, if it knows any.
 auto Gateway::Impl::addressesForCallers() const -> std::vector<std::string>
 {
-    std::vector<std::string> addresses;
-    for (const auto &entry : known.entries) {
-        if (entry.name != settings.name) {
-            addresses.push_back(entry.callerAddress);
-        }
-    }
-    const auto isUsable = !leavingSince && passthrough::isFresh(*router, now()) && known.serversAt.has_value();
-    if (isUsable || (addresses.empty() && !leavingSince)) {
+    auto addresses = fleet.otherAddresses();
+    const auto isUsable = passthrough::isFresh(*router, now()) && fleet.knowsServers();
+    if (!leavingSince && (isUsable || addresses.empty())) {
         addresses.push_back(settings.callerAddress);
     }
     return addresses;
@@ -665,8 +441,7 @@
     leavingSince = now();
     lastBusyAt = *leavingSince;
     checkReadiness();
-    updateRole();
-    directory.withdraw();
+    fleet.leave();
     frontend.closeAfterAnswers();
     leaving = loop.every(LeavingCheck, [this]() { checkLeaving(); });
 }
