--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -23,8 +23,8 @@
     AttemptId attempt{};
     std::string server; ///< id; another server at this address must not run the request
     std::string address;
-    std::string workspace; ///< that the key belongs to; empty: none
-    int tier = 0;
+    std::string workspace;     ///< that the key belongs to; empty: none
+    int rank = 0;              ///< of urgency, 0 first: by the route's tier, within it by the workspace's
     Duration remaining{};      ///< until the request's deadline
     std::string lastEventId;   ///< resume after this event; empty: from the beginning
     bool isStream = false;     ///< relay each event as it arrives
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -124,7 +124,7 @@
     request.table = state.table;
     request.route = &route;
     request.workspace = identified.workspace == nullptr ? "" : identified.workspace->name;
-    request.tier = rankOf(route, identified.workspace);
+    request.rank = rankOf(route, identified.workspace);
     request.order = ++state.lastOrder;
     request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
     request.service = chooseService(route, request.order);
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -28,7 +28,7 @@
 
 auto placeOf(const Request &request) -> Pool::Place
 {
-    return { request.tier, request.late, request.order, request.call.request };
+    return { request.rank, request.late, request.order, request.call.request };
 }
 
 auto mayRepeat(const Route &route) -> bool
@@ -98,7 +98,7 @@
         .server = server.record.id,
         .address = server.record.address,
         .workspace = request.workspace,
-        .tier = request.tier,
+        .rank = request.rank,
         .remaining = request.deadline - state.now,
         .lastEventId = request.lastEventId,
         .isStream = request.route->repeatability == Repeatability::Stream,
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -35,7 +35,7 @@
     const Route *route = nullptr;
     std::string workspace;
     std::string service;
-    int tier = 0;
+    int rank = 0; ///< of urgency, 0 first
     Stage stage = Stage::Waiting;
     std::uint64_t order = 0;    ///< of arrival
     std::uint64_t tieBreak = 0; ///< differs between requests, also of different entries
@@ -68,7 +68,7 @@
 
 /// The requests that wait for one service, in the order in which they are sent.
 struct Pool {
-    using Place = std::tuple<int, bool, std::uint64_t, RequestId>; ///< tier, whether late, order of arrival
+    using Place = std::tuple<int, bool, std::uint64_t, RequestId>; ///< rank, whether late, order of arrival
     std::set<Place> waiting;
     RetryBudget budget;
     EngineSplit split;
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -56,7 +56,7 @@
           { { "request", labels.request },
             { "peer", order.server },
             { "attempt", static_cast<std::uint64_t>(order.attempt) },
-            { "tier", order.tier },
+            { "rank", order.rank },
             { "repeat", order.isRepeat },
             { "resumed_after", order.lastEventId },
             { "estimated_start_ms", wholeMilliseconds(order.estimatedStart) },
--- a/src/gateway/tests/directory_tests.cpp
+++ b/src/gateway/tests/directory_tests.cpp
@@ -95,10 +95,8 @@
 /// not ready at once, ends the answer under way, and tells the caller to use its connection no more.
 TEST(DirectoryTests, aLeavingEntryEndsWhatItBegan)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -18,10 +18,8 @@
 
 TEST(PassThroughTests, methodPathQueryBodyAndHeadersPassUnchangedAndTheKeyDoesNot)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/a%2Fb?x=1&y=%20", "id-1", "body of the request", "X-Own: 7\r\nDeadline-Ms: 2500\r\n"));
     const auto connection = server.accept();
     const auto received = connection.readUntil("body of the request");
@@ -39,10 +37,8 @@
 
 TEST(PassThroughTests, aChunkedBodyPassesWhole)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send("POST /notice/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-1\r\nKey: key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
                 "5\r\nfirst\r\n7\r\n second\r\n0\r\n\r\n");
     const auto connection = server.accept();
@@ -53,10 +49,8 @@
 /// have run, so nobody may repeat it, and the caller must get an error that promises nothing.
 TEST(PassThroughTests, anAnswerThatWasCutIsNeverDelivered)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     {
         const auto connection = server.accept();
@@ -73,10 +67,8 @@
 /// its id gives it away.
 TEST(PassThroughTests, anotherRequestsAnswerIsNeverDelivered)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
@@ -90,10 +82,8 @@
 /// not be used again.
 TEST(PassThroughTests, aConnectionWithBytesLeftOverIsNotUsedAgain)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     const auto first = server.accept();
     first.readUntil(EndOfHead);
@@ -108,10 +98,8 @@
 
 TEST(PassThroughTests, anAnswerWithoutLengthEndsWithItsConnection)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     {
         const auto connection = server.accept();
@@ -124,10 +112,8 @@
 /// What a caller sees: a success that no backend server gave. Only an answer with the server's signature may pass as one.
 TEST(PassThroughTests, aSuccessWithoutSignatureIsNotDelivered)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
@@ -139,10 +125,8 @@
 /// nothing; passing it on would promise what nobody knows.
 TEST(PassThroughTests, aBare503OfAServerIsNoPromise)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
@@ -172,10 +156,8 @@
 /// connection to the server must be closed at once.
 TEST(PassThroughTests, aCallerThatLeavesEndsTheWorkAtTheServer)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/fetch/1", "id-1"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -178,6 +178,12 @@
     return running_->left;
 }
 
+ServedSite::ServedSite()
+    : caller(site.callerAddress())
+{
+    site.addServer("i-1", "portal", server.address());
+}
+
 auto waitUntil(const std::function<bool()> &isTrue) -> bool
 {
     const auto bound = std::chrono::steady_clock::now() + WaitBound;
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -54,6 +54,15 @@
     std::thread thread_;
 };
 
+/// A site with one backend server of the service, and a caller.
+struct ServedSite {
+    ServedSite();
+
+    Site site;
+    const Server server;
+    Caller caller;
+};
+
 /// Repeats \p isTrue until it holds; false after a generous bound.
 auto waitUntil(const std::function<bool()> &isTrue) -> bool;
 
--- a/src/gateway/tests/streams_tests.cpp
+++ b/src/gateway/tests/streams_tests.cpp
@@ -19,10 +19,8 @@
 
 TEST(StreamTests, eachEventIsRelayedWhenItArrives)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/quote/1", "id-1", "x"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
@@ -38,10 +36,8 @@
 /// resumed, so the caller's connection must end without the last chunk.
 TEST(StreamTests, aBrokenStreamDoesNotLookComplete)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/quote/1", "id-1", "x"));
     {
         const auto connection = server.accept();
@@ -81,10 +77,8 @@
 
 TEST(StreamTests, aServersRefusalOfAStreamIsPassedOnWhole)
 {
-    Site site;
-    const Server server;
-    site.addServer("i-1", "portal", server.address());
-    Caller caller(site.callerAddress());
+    ServedSite served;
+    auto &[site, server, caller] = served;
     caller.send(makeRequest("/quote/1", "id-1", "x"));
     const auto connection = server.accept();
     connection.readUntil(EndOfHead);
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -222,7 +222,7 @@
                                                        {
                                                            .server = order.server,
                                                            .workspace = order.workspace,
-                                                           .tier = order.tier,
+                                                           .rank = order.rank,
                                                            .remaining = order.remaining,
                                                            .lastEventId = order.lastEventId,
                                                        });
