A caller's haste says nothing about the server; a refused connection is no second first send

Found while reading: a request whose caller had 60 ms left counted against its server as silence when the time was up, so the server got no work for 0.3 s; and a request that was sent again after a refused connection counted twice among the requests that pay for repeats. Change: only a silence of a second counts; a first send is counted once. Before: ServerTests.aCallerWithLittleTimeSaysNothingAboutTheServer failed.

--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -74,7 +74,7 @@
     const auto id = AttemptId{ ++state.lastAttempt };
     auto &budget = state.pools[request.service].budget;
     const auto isRepeat = request.sends > 0;
-    if (!isRepeat) {
+    if (!isRepeat && request.failedConnections == 0) {
         noteFirstSend(budget, state.options.retries, state.now);
     }
     request.sends += 1;
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -114,11 +114,14 @@
 
 auto endRunning(RouterState &state, Request &request, Actions &actions) -> void
 {
+    // a server that said nothing for so long may be dead; less time is its caller's haste
+    constexpr Duration LongSilence = std::chrono::seconds(1);
     actions.emplace_back(Cancel{ .attempt = request.attempt });
     request.mayHaveRun = true;
-    const auto silent = !state.attempts.at(request.attempt).started;
+    const auto &attempt = state.attempts.at(request.attempt);
+    const auto isSilent = !attempt.started && state.now - attempt.sentAt >= LongSilence;
     const auto server = closeAttempt(state, request.attempt);
-    if (silent) {
+    if (isSilent) {
         noteFailed(*server, Failure::FirstTokenTimeout, state.now);
     }
     endWithoutAnswer(state, request, Reason::DeadlinePassed, actions);
--- a/src/core/passthrough/tests/servers_tests.cpp
+++ b/src/core/passthrough/tests/servers_tests.cpp
@@ -101,6 +101,19 @@
     EXPECT_FALSE(serversUsed(world, FetchPath).contains(first->server));
 }
 
+/// What callers see: requests wait although all servers are well. Callers with very little time left give up on them one after
+/// the other; that says nothing about the servers.
+TEST(ServerTests, aCallerWithLittleTimeSaysNothingAboutTheServer)
+{
+    World world;
+    world.apply(ServersListed{ .servers = { makeServer("p1", "portal", 6) }, .asOf = world.now() });
+    auto hasty = world.request(NoticePath);
+    hasty.deadline = std::chrono::milliseconds(60);
+    ASSERT_TRUE(find<Send>(world.apply(hasty)));
+    EXPECT_TRUE(find<Refuse>(world.pass(std::chrono::milliseconds(80))));
+    EXPECT_TRUE(find<Send>(world.arrive(FetchPath)));
+}
+
 /// What callers see: every request refused although the only server has woken up. It was silent for a moment; now and then
 /// one request finds out whether it still is.
 TEST(ServerTests, aSilentServerIsTriedAgain)
