--- a/src/core/passthrough/tests/overload_tests.cpp
+++ b/src/core/passthrough/tests/overload_tests.cpp
@@ -116,8 +116,10 @@
 /// VM, so entries deal the engines in different ways. Strong VMs read and sum up.
 TEST(ReaderTests, strongVmsComeFirst)
 {
+    constexpr auto Entries = 60;
     std::vector<ReaderCandidate> entries;
-    for (auto i = 0; i < 60; ++i) {
+    entries.reserve(Entries);
+    for (auto i = 0; i < Entries; ++i) {
         entries.push_back({ .name = "entry-" + std::to_string(i), .strength = i % 20 == 0 ? 50U : 12U });
     }
     for (const auto &reader : chooseReaders(entries)) {
