--- a/src/gateway/tests/directory_tests.cpp
+++ b/src/gateway/tests/directory_tests.cpp
@@ -96,9 +96,10 @@
 TEST(DirectoryTests, aLeavingEntryEndsWhatItBegan)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
+    auto &site = served.site;
+    auto &caller = served.caller;
     caller.send(makeRequest("/notice/1", "id-1", "x"));
-    const auto connection = server.accept();
+    const auto connection = served.server.accept();
     connection.readUntil(EndOfHead);
     site.leave();
     EXPECT_NE(site.readiness().find("503"), std::string::npos);
