The pass-through entry counts its retries by the failure that caused them

Cause: auburnspread_retries_total was declared on the entry's metrics page and promised in the operators' page, and nothing ever added to it. It stood at zero while calls were repeated. The failure that led to a repeat was known in the core and forgotten before the next send.

Ruled out: counting in the gateway from failed attempts. An answer of 500 and above that is repeated is judged in the core and never is a failed attempt there, and a failed attempt is not yet a repeat.

Change: a request keeps the failure of its last attempt until it is sent again; Send tells it and the counter is added to at that place.

Before: auburnspread_retries_total{reason="broken-before-first-byte"} 0 after one repeat; the new test of the gateway failed on that. Tests of the core for connections that failed, wrong servers and errors of a server. Nothing about routing changes.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -23,14 +23,15 @@
     AttemptId attempt{};
     std::string server; ///< id; another server at this address must not run the request
     std::string address;
-    std::string workspace;     ///< that the key belongs to; empty: none
-    int rank = 0;              ///< of urgency, 0 first: by the route's tier, within it by the workspace's
-    Duration remaining{};      ///< until the request's deadline
-    std::string lastEventId;   ///< resume after this event; empty: from the beginning
-    bool isStream = false;     ///< relay each event as it arrives
-    bool isRepeat = false;     ///< the request was sent before
-    Duration startTimeout{};   ///< without any answer by then the attempt has failed
-    Duration silenceTimeout{}; ///< a stream without a further event for this long has failed
+    std::string workspace;                ///< that the key belongs to; empty: none
+    int rank = 0;                         ///< of urgency, 0 first: by the route's tier, within it by the workspace's
+    Duration remaining{};                 ///< until the request's deadline
+    std::string lastEventId;              ///< resume after this event; empty: from the beginning
+    bool isStream = false;                ///< relay each event as it arrives
+    bool isRepeat = false;                ///< the request was sent before
+    std::optional<Failure> repeatedAfter; ///< of the attempt before; not set: this is the first
+    Duration startTimeout{};              ///< without any answer by then the attempt has failed
+    Duration silenceTimeout{};            ///< a stream without a further event for this long has failed
     /// \name Why this server, for logs
     /// @{
     Duration estimatedStart{};        ///< expected time to the first byte
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -103,6 +103,7 @@
         .lastEventId = request.lastEventId,
         .isStream = request.route->repeatability == Repeatability::Stream,
         .isRepeat = isRepeat,
+        .repeatedAfter = request.repeatedAfter,
         .startTimeout = startTimeoutOf(request, expectedStart(state, request, placement)),
         .silenceTimeout = silenceTimeoutOf(request),
         .estimatedStart = placement.estimatedStart,
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -99,6 +99,7 @@
         return;
     }
     const auto service = request.service;
+    request.repeatedAfter = failure;
     enqueue(state, request);
     dispatchService(state, service, actions);
 }
@@ -210,6 +211,7 @@
         noteFailed(*server, Failure::ServerError, state.now);
         if (isSafeToRepeat(request, Failure::ServerError) && !whyNoRepeat(state, request, Failure::ServerError)) {
             request.avoid.push_back(server->record.id);
+            request.repeatedAfter = Failure::ServerError;
             enqueue(state, request);
             dispatchService(state, service, actions);
             return;
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -47,9 +48,10 @@
 
     std::uint32_t sends = 0; ///< attempts whose bytes may have reached a backend server
     std::uint32_t failedConnections = 0;
-    std::vector<std::string> avoid; ///< servers that failed this request
-    AttemptId attempt{};            ///< while running
-    bool late = false;              ///< its first event can't be on time any more: goes behind those of its tier whose can
+    std::vector<std::string> avoid;       ///< servers that failed this request
+    std::optional<Failure> repeatedAfter; ///< how its last attempt failed
+    AttemptId attempt{};                  ///< while running
+    bool late = false;                    ///< its first event can't be on time any more: goes behind those of its tier whose can
     bool mayHaveRun = false;
     bool answerBegun = false;
     bool callerGone = false;
--- a/src/core/passthrough/tests/repeats_tests.cpp
+++ b/src/core/passthrough/tests/repeats_tests.cpp
@@ -43,9 +43,22 @@
         const auto second = find<Send>(fail(world, first->attempt, failure));
         ASSERT_TRUE(second) << failureName(failure);
         EXPECT_NE(second->server, first->server);
+        EXPECT_EQ(second->repeatedAfter, failure);
     }
 }
 
+/// What an operator sees: no retry in the counters while a server answers every call with an error.
+TEST(RepeatTests, aRepeatNamesTheFailureThatCausedIt)
+{
+    World world;
+    const auto first = find<Send>(world.arrive(FetchPath));
+    ASSERT_TRUE(first);
+    EXPECT_FALSE(first->repeatedAfter);
+    const auto second = find<Send>(world.apply(AttemptAnswered{ .attempt = first->attempt, .status = 500 }));
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->repeatedAfter, Failure::ServerError);
+}
+
 /// What a caller sees: an answer "503, not run" for a notice that a server refused. That is true and may be repeated.
 TEST(RepeatTests, aRefusalOfTheOnlyServerAllowedPromisesThatNothingRan)
 {
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -51,6 +51,9 @@
 auto Accounting::sent(const RequestLabels &labels, const passthrough::Send &order) -> void
 {
     sends_.add();
+    if (order.repeatedAfter) {
+        retries_.add(*order.repeatedAfter);
+    }
     event(Level::Info,
           "sent",
           { { "request", labels.request },
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -152,6 +152,25 @@
     EXPECT_TRUE(contains(caller.readUntil("answer"), "200"));
 }
 
+/// What an operator sees: an alert on retries that never comes. A call breaks at its first server and is repeated at its
+/// second; the repeat counts under the failure that caused it.
+TEST(PassThroughTests, aRepeatIsCountedByTheFailureThatCausedIt)
+{
+    Site site;
+    auto first = std::make_unique<Server>();
+    site.addServer("i-1", "portal", first->address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/fetch/1", "id-1"));
+    auto broken = first->accept();
+    broken.readUntil(EndOfHead);
+    const Server second;
+    site.addServer("i-2", "portal", second.address());
+    broken.close();
+    const auto connection = second.accept();
+    connection.readUntil(EndOfHead);
+    EXPECT_TRUE(contains(site.metrics(), "auburnspread_retries_total{reason=\"broken-before-first-byte\"} 1"));
+}
+
 /// What an operator sees: servers at work for callers that left long ago. The caller closes before the answer; the
 /// connection to the server must be closed at once.
 TEST(PassThroughTests, aCallerThatLeavesEndsTheWorkAtTheServer)
