The platform's wire names stand in platform/ alone, also in tests

Change: platform/standins/wiretext writes what callers, backend servers and operators write; the gateway's tests use it. The words are spelled in the stand-in and not taken from the adapter, so a wrong name in the adapter still fails these tests. On the way the tests' common opening (send, accept, read the head) became one function, and the test of the retry counter joined the one whose steps it repeated; all expectations stay.

Ruled out: wirenames.h in the gateway's tests. It would have followed a misspelling.

--- a/src/gateway/tests/directory_tests.cpp
+++ b/src/gateway/tests/directory_tests.cpp
@@ -1,21 +1,22 @@
 #include "gateway/tests/site.h"
+#include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
 
 using namespace auburnspread::gateway::tests;
-using auburnspread::adapter::standins::StoreStandin;
+namespace standins = auburnspread::adapter::standins;
+using standins::StoreStandin;
 
 namespace
 {
 
-constexpr auto EndOfHead = "\r\n\r\n";
 constexpr auto EntryKey = "auburnspread/entries/entry-1";
 
 /// Status of a request on a route that no server serves: 401 for an unknown key, else it waits or is refused.
 auto statusOf(const Site &site, const std::string &key) -> std::string
 {
     Caller caller(site.callerAddress());
-    caller.send("GET /fetch/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id\r\nDeadline-Ms: 50\r\nKey: " + key + "\r\n\r\n");
+    caller.send(makeHead("GET /fetch/1", "id", key) + standins::deadlineLine(50) + "\r\n\r\n");
     return caller.readUntil(EndOfHead).substr(9, 3);
 }
 
@@ -32,7 +33,7 @@
 {
     const Site site;
     EXPECT_TRUE(waitUntil([&]() { return isRegistered(site); }));
-    EXPECT_NE(site.addresses().find("ttlS"), std::string::npos);
+    EXPECT_NE(site.addresses().find(standins::KeepField), std::string::npos);
     EXPECT_NE(site.addresses().find("127.0.0.1:"), std::string::npos);
 }
 
@@ -97,15 +98,12 @@
 {
     ServedSite served;
     auto &site = served.site;
-    auto &caller = served.caller;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
-    const auto connection = served.server.accept();
-    connection.readUntil(EndOfHead);
+    const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
     site.leave();
     EXPECT_NE(site.readiness().find("503"), std::string::npos);
     EXPECT_EQ(site.addresses().find("\"127"), std::string::npos);
     EXPECT_TRUE(waitUntil([&]() { return !isRegistered(site); }));
     connection.send(makeAnswer("id-1", "whole answer"));
-    EXPECT_NE(caller.readUntil("whole answer").find("Connection: close"), std::string::npos);
+    EXPECT_NE(served.caller.readUntil("whole answer").find("Connection: close"), std::string::npos);
     EXPECT_TRUE(waitUntil([&]() { return site.hasLeft(); }));
 }
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -1,47 +1,39 @@
 #include "gateway/tests/site.h"
+#include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
 
 using namespace auburnspread::gateway::tests;
-
-namespace
-{
-
-constexpr auto EndOfHead = "\r\n\r\n";
-
-auto contains(const std::string &text, const std::string &part) -> bool
-{
-    return text.find(part) != std::string::npos;
-}
-
-} // namespace
+namespace standins = auburnspread::adapter::standins;
 
 TEST(PassThroughTests, methodPathQueryBodyAndHeadersPassUnchangedAndTheKeyDoesNot)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/a%2Fb?x=1&y=%20", "id-1", "body of the request", "X-Own: 7\r\nDeadline-Ms: 2500\r\n"));
-    const auto connection = server.accept();
+    served.caller.send(makeRequest("/notice/a%2Fb?x=1&y=%20", "id-1", "body of the request", "X-Own: 7\r\n" + standins::deadlineLine(2500) + "\r\n"));
+    const auto connection = served.server.accept();
     const auto received = connection.readUntil("body of the request");
     EXPECT_TRUE(received.starts_with("POST /notice/a%2Fb?x=1&y=%20 HTTP/1.1\r\n")) << received;
-    for (const auto *header : { "Host: quotes.example", "Attempt-Id: id-1", "X-Own: 7", "Tenant-Name: roofers", "Expect-Instance: i-1" }) {
+    const std::vector<std::string> headers = {
+        "Host: quotes.example", "X-Own: 7", standins::attemptIdLine("id-1"), standins::workspaceLine("roofers"), standins::expectedServerLine("i-1"),
+    };
+    for (const auto &header : headers) {
         EXPECT_TRUE(contains(received, header)) << header << " in " << received;
     }
     EXPECT_FALSE(contains(received, "key-1"));
     connection.send(makeAnswer("id-1", "the answer", "201 Created"));
-    const auto answer = caller.readUntil("the answer");
+    const auto answer = served.caller.readUntil("the answer");
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 201 ")) << answer;
-    EXPECT_TRUE(contains(answer, "Response-Signature: sig-id-1"));
+    EXPECT_TRUE(contains(answer, standins::signatureLine("sig-id-1")));
     EXPECT_TRUE(contains(answer, "Content-Length: 10"));
 }
 
 TEST(PassThroughTests, aChunkedBodyPassesWhole)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send("POST /notice/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-1\r\nKey: key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                "5\r\nfirst\r\n7\r\n second\r\n0\r\n\r\n");
-    const auto connection = server.accept();
+    served.caller.send(makeHead("POST /notice/1", "id-1")
+                       + "Transfer-Encoding: chunked\r\n\r\n"
+                         "5\r\nfirst\r\n7\r\n second\r\n0\r\n\r\n");
+    const auto connection = served.server.accept();
     EXPECT_TRUE(contains(connection.readUntil("first second"), "Content-Length: 12"));
 }
 
@@ -50,15 +42,12 @@
 TEST(PassThroughTests, anAnswerThatWasCutIsNeverDelivered)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
     {
-        const auto connection = server.accept();
-        connection.readUntil(EndOfHead);
+        const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
         auto answer = makeAnswer("id-1", "a whole answer");
         connection.send(answer.substr(0, answer.size() - 5));
     }
-    const auto answer = caller.readUntil(EndOfHead);
+    const auto answer = served.caller.readUntil(EndOfHead);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
     EXPECT_FALSE(contains(answer, "Retry-After"));
 }
@@ -68,12 +57,9 @@
 TEST(PassThroughTests, anotherRequestsAnswerIsNeverDelivered)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
-    const auto connection = server.accept();
-    connection.readUntil(EndOfHead);
+    const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
     connection.send(makeAnswer("id-other", "secret of another"));
-    const auto answer = caller.readUntil(EndOfHead);
+    const auto answer = served.caller.readUntil(EndOfHead);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
     EXPECT_TRUE(connection.seesEnd()) << "what still comes on this connection can't be told apart";
 }
@@ -83,42 +69,31 @@
 TEST(PassThroughTests, aConnectionWithBytesLeftOverIsNotUsedAgain)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
-    const auto first = server.accept();
-    first.readUntil(EndOfHead);
+    const auto first = served.receive(makeRequest("/notice/1", "id-1", "x"));
     first.send(makeAnswer("id-1", "first") + makeAnswer("id-2", "forged"));
-    EXPECT_TRUE(contains(caller.readUntil("first"), "200"));
-    caller.send(makeRequest("/notice/2", "id-2", "x"));
-    const auto second = server.accept();
-    second.readUntil(EndOfHead);
+    EXPECT_TRUE(contains(served.caller.readUntil("first"), "200"));
+    const auto second = served.receive(makeRequest("/notice/2", "id-2", "x"));
     second.send(makeAnswer("id-2", "second"));
-    EXPECT_TRUE(contains(caller.readUntil("second"), "200"));
+    EXPECT_TRUE(contains(served.caller.readUntil("second"), "200"));
 }
 
 TEST(PassThroughTests, anAnswerWithoutLengthEndsWithItsConnection)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
     {
-        const auto connection = server.accept();
-        connection.readUntil(EndOfHead);
-        connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Signature: s\r\n\r\nuntil the end");
+        const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
+        connection.send(makeAnswerHead("id-1") + "\r\nuntil the end");
     }
-    EXPECT_TRUE(contains(caller.readUntil("until the end"), "Content-Length: 13"));
+    EXPECT_TRUE(contains(served.caller.readUntil("until the end"), "Content-Length: 13"));
 }
 
 /// What a caller sees: a success that no backend server gave. Only an answer with the server's signature may pass as one.
 TEST(PassThroughTests, aSuccessWithoutSignatureIsNotDelivered)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
-    const auto connection = server.accept();
-    connection.readUntil(EndOfHead);
-    connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nContent-Length: 2\r\n\r\nok");
-    EXPECT_TRUE(caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
+    const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
+    connection.send("HTTP/1.1 200 OK\r\n" + standins::attemptIdLine("id-1") + "\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(served.caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
 }
 
 /// What a caller sees: "not run, come again" for a notice that was sent. A server answers 503 without the word that it ran
@@ -126,14 +101,13 @@
 TEST(PassThroughTests, aBare503OfAServerIsNoPromise)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/notice/1", "id-1", "x"));
-    const auto connection = server.accept();
-    connection.readUntil(EndOfHead);
+    const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
     connection.send(makeAnswer("id-1", "", "503 Service Unavailable"));
-    EXPECT_TRUE(caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
+    EXPECT_TRUE(served.caller.readUntil(EndOfHead).starts_with("HTTP/1.1 502 "));
 }
 
+/// What an operator sees: an alert on retries that never comes. A call breaks at its first server and goes to its second; the
+/// repeat counts under the failure that caused it.
 TEST(PassThroughTests, anIdempotentCallGoesToAnotherServerWhenItsFirstBreaks)
 {
     Site site;
@@ -147,40 +121,19 @@
     site.addServer("i-2", "portal", second.address());
     broken.close();
     const auto connection = second.accept();
-    EXPECT_TRUE(contains(connection.readUntil(EndOfHead), "Expect-Instance: i-2"));
+    EXPECT_TRUE(contains(connection.readUntil(EndOfHead), standins::expectedServerLine("i-2")));
+    EXPECT_TRUE(contains(site.metrics(), "auburnspread_retries_total{reason=\"broken-before-first-byte\"} 1"));
     connection.send(makeAnswer("id-1", "answer"));
     EXPECT_TRUE(contains(caller.readUntil("answer"), "200"));
 }
 
-/// What an operator sees: an alert on retries that never comes. A call breaks at its first server and is repeated at its
-/// second; the repeat counts under the failure that caused it.
-TEST(PassThroughTests, aRepeatIsCountedByTheFailureThatCausedIt)
-{
-    Site site;
-    auto first = std::make_unique<Server>();
-    site.addServer("i-1", "portal", first->address());
-    Caller caller(site.callerAddress());
-    caller.send(makeRequest("/fetch/1", "id-1"));
-    auto broken = first->accept();
-    broken.readUntil(EndOfHead);
-    const Server second;
-    site.addServer("i-2", "portal", second.address());
-    broken.close();
-    const auto connection = second.accept();
-    connection.readUntil(EndOfHead);
-    EXPECT_TRUE(contains(site.metrics(), "auburnspread_retries_total{reason=\"broken-before-first-byte\"} 1"));
-}
-
 /// What an operator sees: servers at work for callers that left long ago. The caller closes before the answer; the
 /// connection to the server must be closed at once.
 TEST(PassThroughTests, aCallerThatLeavesEndsTheWorkAtTheServer)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/fetch/1", "id-1"));
-    const auto connection = server.accept();
-    connection.readUntil(EndOfHead);
-    caller.close();
+    const auto connection = served.receive(makeRequest("/fetch/1", "id-1"));
+    served.caller.close();
     EXPECT_TRUE(connection.seesEnd());
 }
 
@@ -193,8 +146,7 @@
     site.addServer("i-1", "portal", server.address());
     for (const auto *headers : { "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n" }) {
         Caller caller(site.callerAddress());
-        caller.send("POST /notice/1 HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-1\r\nKey: key-1\r\n" + std::string(headers)
-                    + "\r\n0\r\n\r\nGET /fetch/smuggled HTTP/1.1\r\nHost: quotes.example\r\nKey: key-1\r\n\r\n");
+        caller.send(makeHead("POST /notice/1", "id-1") + headers + "\r\n0\r\n\r\n" + makeHead("GET /fetch/smuggled", "id-2") + "\r\n");
         const auto answer = caller.readToEnd();
         EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << headers << answer;
         EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
@@ -221,7 +173,7 @@
     again.send(makeRequest("/notice/popular", "id-2", "same"));
     EXPECT_TRUE(again.readUntil(EndOfHead).starts_with("HTTP/1.1 503 ")) << "this caller's request broke two connections";
     Caller other(site.callerAddress());
-    other.send("POST /notice/popular HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: id-3\r\nKey: key-other\r\nContent-Length: 4\r\n\r\nsame");
+    other.send(makeHead("POST /notice/popular", "id-3", "key-other") + "Content-Length: 4\r\n\r\nsame");
     const auto connection = server.accept();
     connection.readUntil("same");
     connection.send(makeAnswer("id-3", "answer"));
--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -1,6 +1,6 @@
 #include "gateway/tests/site.h"
 
-#include <nlohmann/json.hpp>
+#include "platform/standins/wiretext.h"
 
 #include <array>
 #include <atomic>
@@ -16,6 +16,8 @@
 namespace auburnspread::gateway::tests
 {
 
+namespace standins = adapter::standins;
+
 namespace
 {
 
@@ -34,27 +36,31 @@
     return "127." + std::to_string(high) + "." + std::to_string(low) + ".1:" + std::to_string(nextPort++);
 }
 
-auto makeRoute(const std::string &prefix, const std::string &kind, int attempts, const std::string &service) -> nlohmann::json
+auto makeRoute(const std::string &prefix, passthrough::Repeatability repeatability, std::uint32_t attempts) -> passthrough::Route
 {
-    return { { "name", prefix },       { "hostname", "quotes.example" }, { "prefix", prefix },     { "routeType", kind },
-             { "timeoutMs", 5000 },    { "targetLatencyMs", 300 },       { "priorityClass", 0 },   { "backend", service },
-             { "attempts", attempts }, { "anonymous", false },           { "streamResume", false } };
+    return {
+        .name = prefix,
+        .host = Host,
+        .prefix = prefix,
+        .repeatability = repeatability,
+        .timeout = std::chrono::seconds(5),
+        .target = std::chrono::milliseconds(300),
+        .attempts = attempts,
+    };
 }
 
 auto makeDocument(std::uint64_t version, const std::string &key) -> std::string
 {
-    auto check = makeRoute("/check/", "streaming", 2, "portal");
-    check["streamResume"] = true;
-    return nlohmann::json{
-        { "version", version },
-        { "routeList",
-          { makeRoute("/quote/", "streaming", 1, "portal"),
-            check,
-            makeRoute("/notice/", "non_idempotent", 1, "portal"),
-            makeRoute("/fetch/", "idempotent", 2, "portal") } },
-        { "backends", { { { "name", "portal" }, { "healthPath", "/healthz" }, { "maxConnections", 100 } } } },
-        { "tenantList", { { { "name", "roofers" }, { "apiKeys", { key, "key-other" } } } } }
-    }.dump();
+    using passthrough::Repeatability;
+    auto check = makeRoute("/check/", Repeatability::Stream, 2);
+    check.isResumable = true;
+    const std::vector<passthrough::Route> routes = {
+        makeRoute("/quote/", Repeatability::Stream, 1),
+        check,
+        makeRoute("/notice/", Repeatability::AtMostOnce, 1),
+        makeRoute("/fetch/", Repeatability::Idempotent, 2),
+    };
+    return standins::configurationText(version, routes, "portal", "roofers", { key, "key-other" });
 }
 
 auto fetchPage(const std::string &address, const std::string &path) -> std::string
@@ -68,7 +74,7 @@
 
 struct Site::Running {
     task::EventLoop loop;
-    std::unique_ptr<adapter::standins::StoreStandin> store;
+    std::unique_ptr<standins::StoreStandin> store;
     std::unique_ptr<Gateway> gateway;
     GatewaySettings settings;
     std::string callerAddress;
@@ -79,8 +85,8 @@
     : running_(std::make_unique<Running>())
 {
     auto &running = *running_;
-    running.store = std::make_unique<adapter::standins::StoreStandin>(running.loop);
-    running.store->put("op/config", makeDocument(1, "key-1"));
+    running.store = std::make_unique<standins::StoreStandin>(running.loop);
+    running.store->put(std::string(standins::ConfigurationKey), makeDocument(1, "key-1"));
     running.settings = {
         .name = "entry-1",
         .failureDomain = "a",
@@ -123,12 +129,12 @@
 
 auto Site::readiness() const -> std::string
 {
-    return fetchPage(running_->settings.readinessAddress, "/auburnspread/readyz");
+    return fetchPage(running_->settings.readinessAddress, std::string(standins::ReadinessPath));
 }
 
 auto Site::addresses() const -> std::string
 {
-    return fetchPage(running_->settings.addressesAddress, "/auburnspread/resolve?name=quotes.example&zoneName=a");
+    return fetchPage(running_->settings.addressesAddress, standins::addressesQuestion(Host, "a"));
 }
 
 auto Site::metrics() const -> std::string
@@ -136,7 +142,7 @@
     return fetchPage(running_->settings.metricsAddress, "/metrics");
 }
 
-auto Site::onLoop(const std::function<void(adapter::standins::StoreStandin &store)> &action) const -> void
+auto Site::onLoop(const std::function<void(standins::StoreStandin &store)> &action) const -> void
 {
     std::promise<void> done;
     const auto watch = running_->loop.after(Duration::zero(), [&]() {
@@ -148,8 +154,7 @@
 
 auto Site::addServer(const std::string &id, const std::string &service, const std::string &address) -> void
 {
-    const nlohmann::json entry = { { "backend", service }, { "address", address },   { "zoneName", "a" },      { "version", "v1" },
-                                   { "capacitySlots", 6 }, { "phase", "available" }, { "coldRemainingMs", 0 }, { "sequence", 1 } };
+    const auto entry = standins::serverText({ .service = service, .address = address, .failureDomain = "a", .slots = 6 });
     const auto known = [this]() {
         const auto page = metrics();
         const std::string name = "\nauburnspread_backend_servers ";
@@ -157,7 +162,7 @@
         return at == std::string::npos ? 0 : std::stoi(page.substr(at + name.size()));
     };
     const auto before = known();
-    onLoop([&](adapter::standins::StoreStandin &store) { store.put("servers/" + id, entry.dump()); });
+    onLoop([&](standins::StoreStandin &store) { store.put(standins::serverKey(id), entry); });
     if (!waitUntil([&]() { return known() > before; })) {
         throw std::runtime_error("the gateway does not see the server");
     }
@@ -165,12 +170,12 @@
 
 auto Site::putConfiguration(std::uint64_t version, const std::string &key) -> void
 {
-    onLoop([&](adapter::standins::StoreStandin &store) { store.put("op/config", makeDocument(version, key)); });
+    onLoop([&](standins::StoreStandin &store) { store.put(std::string(standins::ConfigurationKey), makeDocument(version, key)); });
 }
 
 auto Site::leave() -> void
 {
-    onLoop([this](adapter::standins::StoreStandin &) { running_->gateway->leave([this]() { running_->left = true; }); });
+    onLoop([this](standins::StoreStandin &) { running_->gateway->leave([this]() { running_->left = true; }); });
 }
 
 auto Site::hasLeft() const -> bool
@@ -184,6 +189,19 @@
     site.addServer("i-1", "portal", server.address());
 }
 
+auto ServedSite::receive(const std::string &request) const -> Connection
+{
+    caller.send(request);
+    auto connection = server.accept();
+    connection.readUntil(EndOfHead);
+    return connection;
+}
+
+auto contains(const std::string &text, std::string_view part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
 auto waitUntil(const std::function<bool()> &isTrue) -> bool
 {
     const auto bound = std::chrono::steady_clock::now() + WaitBound;
@@ -196,10 +214,17 @@
     return true;
 }
 
+auto makeHead(const std::string &methodAndPath, const std::string &id, const std::string &key) -> std::string
+{
+    std::ostringstream text;
+    text << methodAndPath << " HTTP/1.1\r\nHost: " << Host << "\r\n" << standins::attemptIdLine(id) << "\r\n" << standins::keyLine(key) << "\r\n";
+    return text.str();
+}
+
 auto makeRequest(const std::string &path, const std::string &id, const std::string &body, const std::string &headers) -> std::string
 {
     std::ostringstream text;
-    text << (body.empty() ? "GET " : "POST ") << path << " HTTP/1.1\r\nHost: quotes.example\r\nAttempt-Id: " << id << "\r\nKey: key-1\r\n" << headers;
+    text << makeHead((body.empty() ? "GET " : "POST ") + path, id) << headers;
     if (!body.empty()) {
         text << "Content-Length: " << body.size() << "\r\n";
     }
@@ -207,16 +232,19 @@
     return text.str();
 }
 
+auto makeAnswerHead(const std::string &id, const std::string &status) -> std::string
+{
+    return "HTTP/1.1 " + status + "\r\n" + standins::attemptIdLine(id) + "\r\n" + standins::signatureLine("sig-" + id) + "\r\n";
+}
+
 auto makeAnswer(const std::string &id, const std::string &body, const std::string &status) -> std::string
 {
-    return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nResponse-Signature: sig-" + id + "\r\nContent-Length: " + std::to_string(body.size())
-        + "\r\n\r\n" + body;
+    return makeAnswerHead(id, status) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 auto makeStreamHead(const std::string &id) -> std::string
 {
-    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Signature: sig-" + id
-        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return makeAnswerHead(id, "200 OK") + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 auto makeChunk(const std::string &bytes) -> std::string
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace auburnspread::gateway::tests
@@ -21,6 +22,9 @@
 using Server = entry::TcpServer;
 using Connection = entry::TcpConnection;
 
+constexpr auto Host = "quotes.example"; ///< of all routes
+constexpr auto EndOfHead = "\r\n\r\n";
+
 class Site
 {
 public:
@@ -58,16 +62,25 @@
 struct ServedSite {
     ServedSite();
 
+    /// The caller sends \p request, and the server has read it to the end of its head.
+    [[nodiscard]] auto receive(const std::string &request) const -> Connection;
+
     Site site;
     const Server server;
     Caller caller;
 };
 
+auto contains(const std::string &text, std::string_view part) -> bool;
+
 /// Repeats \p isTrue until it holds; false after a generous bound.
 auto waitUntil(const std::function<bool()> &isTrue) -> bool;
 
+/// The beginning of a request: its first line, host, id and key.
+auto makeHead(const std::string &methodAndPath, const std::string &id, const std::string &key = "key-1") -> std::string;
 /// A request with a key, an id and a body.
 auto makeRequest(const std::string &path, const std::string &id, const std::string &body = "", const std::string &headers = "") -> std::string;
+/// The beginning of an answer of a backend server: its first line, id and signature.
+auto makeAnswerHead(const std::string &id, const std::string &status = "200 OK") -> std::string;
 /// A whole answer of a backend server.
 auto makeAnswer(const std::string &id, const std::string &body, const std::string &status = "200 OK") -> std::string;
 /// The head of a streamed answer, and one event as a chunk.
--- a/src/gateway/tests/streams_tests.cpp
+++ b/src/gateway/tests/streams_tests.cpp
@@ -1,35 +1,28 @@
 #include "gateway/tests/site.h"
+#include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
 
 using namespace auburnspread::gateway::tests;
+namespace standins = auburnspread::adapter::standins;
 
 namespace
 {
 
-constexpr auto EndOfHead = "\r\n\r\n";
 constexpr auto LastChunk = "0\r\n\r\n";
 
-auto contains(const std::string &text, const std::string &part) -> bool
-{
-    return text.find(part) != std::string::npos;
-}
-
 } // namespace
 
 TEST(StreamTests, eachEventIsRelayedWhenItArrives)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/quote/1", "id-1", "x"));
-    const auto connection = server.accept();
-    connection.readUntil(EndOfHead);
+    const auto connection = served.receive(makeRequest("/quote/1", "id-1", "x"));
     connection.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n"));
-    EXPECT_TRUE(contains(caller.readUntil("data: a\n\n"), "Response-Signature: sig-id-1"));
+    EXPECT_TRUE(contains(served.caller.readUntil("data: a\n\n"), standins::signatureLine("sig-id-1")));
     connection.send(makeChunk("id: 2\ndata: b\n\n"));
-    caller.readUntil("data: b\n\n");
+    served.caller.readUntil("data: b\n\n");
     connection.send(LastChunk);
-    EXPECT_TRUE(contains(caller.readUntil(LastChunk), LastChunk));
+    EXPECT_TRUE(contains(served.caller.readUntil(LastChunk), LastChunk));
 }
 
 /// What a caller sees: a quote that ends in the middle and looks whole. The server breaks off; the stream may not be
@@ -37,15 +30,12 @@
 TEST(StreamTests, aBrokenStreamDoesNotLookComplete)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/quote/1", "id-1", "x"));
     {
-        const auto connection = server.accept();
-        connection.readUntil(EndOfHead);
+        const auto connection = served.receive(makeRequest("/quote/1", "id-1", "x"));
         connection.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n"));
-        caller.readUntil("data: a\n\n");
+        served.caller.readUntil("data: a\n\n");
     }
-    EXPECT_FALSE(contains(caller.readToEnd(), LastChunk));
+    EXPECT_FALSE(contains(served.caller.readToEnd(), LastChunk));
 }
 
 /// What a caller sees: half an event joined to a whole one, or an event twice. The server breaks off in the middle of event
@@ -65,7 +55,7 @@
     site.addServer("i-2", "portal", second.address());
     broken.close();
     const auto connection = second.accept();
-    EXPECT_TRUE(contains(connection.readUntil(EndOfHead), "Last-Event-Id: 1"));
+    EXPECT_TRUE(contains(connection.readUntil(EndOfHead), standins::lastEventLine("1")));
     connection.send(makeStreamHead("id-1") + makeChunk("id: 2\ndata: b\n\n") + LastChunk);
     answer += caller.readUntil(LastChunk);
     EXPECT_TRUE(contains(answer, "id: 2\ndata: b\n\n"));
@@ -78,10 +68,7 @@
 TEST(StreamTests, aServersRefusalOfAStreamIsPassedOnWhole)
 {
     ServedSite served;
-    auto &[site, server, caller] = served;
-    caller.send(makeRequest("/quote/1", "id-1", "x"));
-    const auto connection = server.accept();
-    connection.readUntil(EndOfHead);
+    const auto connection = served.receive(makeRequest("/quote/1", "id-1", "x"));
     connection.send(makeAnswer("id-1", "wrong model", "400 Bad Request"));
-    EXPECT_TRUE(caller.readUntil("wrong model").starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(served.caller.readUntil("wrong model").starts_with("HTTP/1.1 400 "));
 }
