Twins made one: words of headers, levels of the log, scaled durations, the registry's return time

Cause: the pass-through entry compared header words in three places, scaled durations in four, kept the two seconds of a registration's return twice, and each settings schema listed the log levels anew. Fields that nothing read were kept up to date (health path of a service, when a server was last heard or gone, stopListening). The tags of the directory's contents had to be brought up by hand after each change.

Ruled out: leaving the tag update to the callers. Each of the three takers knows which part changed, so each sets its own tag.

Change: one isSameWord, one scaled, one ReturnTime, one list of levels; release and repeat of a request stand once; the fields that were never read are gone.

--- a/src/apps/console/consolesettings.cpp
+++ b/src/apps/console/consolesettings.cpp
@@ -1,5 +1,7 @@
 #include "apps/console/consolesettings.h"
 
+#include "runtime/logging/logging.h"
+
 #include <array>
 
 namespace auburnspread::console
@@ -17,8 +19,6 @@
 constexpr std::int64_t Minute = 60'000;
 constexpr std::int64_t Day = 86'400'000;
 
-constexpr auto Levels = std::to_array<std::string_view>({ "debug", "info", "warning", "error" });
-
 constexpr auto Keys = std::to_array<Key>({
     { .section = "listen", .name = "address", .kind = Kind::Address, .explanation = "Address for operators' browsers." },
     { .section = "platform", .name = "address", .kind = Kind::Address, .explanation = "Address of the platform's key-value service." },
@@ -50,7 +50,7 @@
       .defaultValue = "21600000",
       .range = { Minute, Day },
       .explanation = "Time between two looks for parts of old documents; each look reads all parts." },
-    { .section = "log", .name = "level", .kind = Kind::Choice, .defaultValue = "info", .choices = Levels, .explanation = "Least level logged." },
+    { .section = "log", .name = "level", .kind = Kind::Choice, .defaultValue = "info", .choices = logging::LevelNames, .explanation = "Least level logged." },
     { .section = "log", .name = "file", .defaultValue = "", .explanation = "File that log lines are appended to; empty: standard error." },
 });
 
--- a/src/apps/placer/placersettings.cpp
+++ b/src/apps/placer/placersettings.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::int64_t LongestName = 64;
 constexpr std::int64_t Hour = 3'600'000;
-constexpr auto Levels = std::to_array<std::string_view>({ "debug", "info", "warning", "error" });
 
 constexpr auto Keys = std::to_array<Key>({
     { .section = "placer", .name = "name", .range = { 1, LongestName }, .explanation = "Name of this process, unique in the deployment." },
@@ -91,7 +90,12 @@
       .defaultValue = "5000",
       .range = { 10, Hour },
       .explanation = "Longest time of a read." },
-    { .section = "log", .name = "level", .kind = Kind::Choice, .defaultValue = "info", .choices = Levels, .explanation = "Least level that is written." },
+    { .section = "log",
+      .name = "level",
+      .kind = Kind::Choice,
+      .defaultValue = "info",
+      .choices = logging::LevelNames,
+      .explanation = "Least level that is written." },
     { .section = "log", .name = "file", .defaultValue = "", .explanation = "File for the log; empty: standard error." },
 });
 
--- a/src/core/base/nametable.h
+++ b/src/core/base/nametable.h
@@ -41,4 +41,15 @@
     return std::nullopt;
 }
 
+/// The names of \p table, in its order.
+template <typename Enum, std::size_t Size>
+constexpr auto namesOf(const std::array<NamedValue<Enum>, Size> &table) -> std::array<std::string_view, Size>
+{
+    std::array<std::string_view, Size> names;
+    for (std::size_t i = 0; i < Size; ++i) {
+        names[i] = table[i].name;
+    }
+    return names;
+}
+
 } // namespace auburnspread
--- a/src/core/base/time.h
+++ b/src/core/base/time.h
@@ -23,4 +23,9 @@
 
 using TimePoint = CoreClock::time_point;
 
+constexpr auto scaled(Duration duration, double factor) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 } // namespace auburnspread
--- a/src/core/passthrough/configuration.h
+++ b/src/core/passthrough/configuration.h
@@ -47,7 +47,6 @@
 /// The group of backend servers behind routes.
 struct Service {
     std::string name;
-    std::string healthPath;
     std::uint32_t connections = 100;         ///< that one backend server takes from all entries together
     std::optional<std::uint32_t> batchSlots; ///< of an engine: requests that it runs at once
     std::uint64_t cacheTokens = 0;           ///< of an engine: memory
@@ -56,7 +55,7 @@
 struct Workspace {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<int> tier; ///< goes before the route's
+    std::optional<int> tier; ///< among requests of one route's tier; see Send::rank
 };
 
 /// Bounds of what a caller may send.
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -38,7 +38,7 @@
     std::string key;  ///< of a workspace; empty: none
     std::optional<Duration> deadline;
     Prompt prompt;
-    Fingerprint fingerprint{}; ///< of method, path and body
+    Fingerprint fingerprint{}; ///< of method, host, path, key and body
     std::string lastEventId;   ///< the caller resumes a stream after this event; empty: from the beginning
 };
 
@@ -85,6 +85,9 @@
     TimePoint asOf;
 };
 
+/// After the registry was unreachable, servers whose registration lapsed meanwhile need about two seconds to be back.
+constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
+
 /// The whole list of backend servers.
 struct ServersListed {
     std::vector<Server> servers;
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -80,7 +80,7 @@
     if (request.route->repeatability != Repeatability::Stream) {
         return half;
     }
-    const auto wait = std::chrono::duration_cast<Duration>(request.route->target * StreamPart);
+    const auto wait = scaled(request.route->target, StreamPart);
     return std::min(half, request.arrived + std::max(wait, LeastStreamWait));
 }
 
@@ -93,7 +93,7 @@
     const auto given = request.call.deadline.value_or(request.route->timeout);
     auto &longest = state.longestDeadlines[request.route->name];
     longest = std::max(longest, given);
-    return given < std::chrono::duration_cast<Duration>(longest * Usual);
+    return given < scaled(longest, Usual);
 }
 
 auto refuseArrival(RouterState &state, const RequestArrived &call, Reason reason, Actions &actions) -> void
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -36,11 +36,6 @@
     return route.repeatability == Repeatability::Idempotent || route.isResumable;
 }
 
-auto scaled(Duration duration, double factor) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 /// Only a request that may run again gains by an early end of its attempt.
 auto startTimeoutOf(const Request &request, Duration estimated) -> Duration
 {
@@ -52,7 +47,7 @@
         constexpr Duration StreamStart = std::chrono::seconds(1); // half of a caller's least patience with a silent stream
         return std::max(StreamStart, 2 * estimated);
     }
-    return std::chrono::duration_cast<Duration>(route.target * StartTargets);
+    return scaled(route.target, StartTargets);
 }
 
 auto silenceTimeoutOf(const Request &request) -> Duration
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -47,7 +47,7 @@
     constexpr double Weight = 0.05; // the last twenty
     constexpr double Most = 10;
     auto &bias = state.pools[request.service].bias[attempt.load.isTalker ? 1 : 0];
-    const auto expected = std::chrono::duration_cast<Duration>(attempt.estimatedStart * bias);
+    const auto expected = scaled(attempt.estimatedStart, bias);
     const auto ratio = noteStartTime(*attempt.server, state.now - attempt.sentAt, expected);
     bias = std::clamp(bias * (1 + Weight * (std::min(ratio, 2.0) - 1)), 1 / Most, Most);
 }
@@ -92,15 +92,18 @@
     return std::nullopt;
 }
 
-auto repeatOrEnd(RouterState &state, Request &request, Failure failure, Actions &actions) -> void
+/// Back to the queue; the caller dispatches.
+auto repeat(RouterState &state, Request &request, Failure failure) -> void
 {
-    if (const auto reason = whyNoRepeat(state, request, failure)) {
-        endWithoutAnswer(state, request, *reason, actions);
-        return;
-    }
-    const auto service = request.service;
     request.repeatedAfter = failure;
     enqueue(state, request);
+}
+
+/// The request is over without a further action; what waits for the same service may take its place.
+auto release(RouterState &state, Request &request, Actions &actions) -> void
+{
+    const auto service = request.service;
+    forget(state, request);
     dispatchService(state, service, actions);
 }
 
@@ -174,7 +177,7 @@
     if (attempt == nullptr || std::exchange(attempt->started, true)) {
         return;
     }
-    noteHeard(*attempt->server, state.now);
+    noteHeard(*attempt->server);
     noteRead(*attempt->server, attempt->load);
     const auto found = state.requests.find(attempt->request);
     if (found == state.requests.end()) {
@@ -188,7 +191,7 @@
 auto takeProgress(RouterState &state, const AttemptProgress &event) -> void
 {
     if (auto *attempt = findAttempt(state, event.attempt)) {
-        noteHeard(*attempt->server, state.now);
+        noteHeard(*attempt->server);
     }
 }
 
@@ -204,24 +207,22 @@
     }
     const auto server = closeAttempt(state, event.attempt);
     clearCrashes(state, request.call.fingerprint);
-    noteHeard(*server, state.now);
     request.mayHaveRun = true;
-    const auto service = request.service;
-    if (event.status >= FirstErrorStatus) {
+    if (event.status < FirstErrorStatus) {
+        noteSucceeded(*server, state.now);
+    } else {
+        noteHeard(*server);
         noteFailed(*server, Failure::ServerError, state.now);
-        if (isSafeToRepeat(request, Failure::ServerError) && !whyNoRepeat(state, request, Failure::ServerError)) {
+        if (!whyNoRepeat(state, request, Failure::ServerError)) {
+            const auto service = request.service;
             request.avoid.push_back(server->record.id);
-            request.repeatedAfter = Failure::ServerError;
-            enqueue(state, request);
+            repeat(state, request, Failure::ServerError);
             dispatchService(state, service, actions);
             return;
         }
-    } else {
-        noteSucceeded(*server, state.now);
     }
     actions.emplace_back(Deliver{ .request = request.call.request, .attempt = event.attempt, .status = event.status });
-    forget(state, request);
-    dispatchService(state, service, actions);
+    release(state, request, actions);
 }
 
 auto takeFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void
@@ -234,10 +235,8 @@
     const auto server = closeAttempt(state, event.attempt);
     noteSucceeded(*server, state.now);
     clearCrashes(state, request.call.fingerprint);
-    const auto service = request.service;
     actions.emplace_back(Complete{ .request = request.call.request });
-    forget(state, request);
-    dispatchService(state, service, actions);
+    release(state, request, actions);
 }
 
 auto takeFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void
@@ -263,7 +262,11 @@
     }
     request.avoid.push_back(server->record.id);
     const auto service = request.service;
-    repeatOrEnd(state, request, event.failure, actions);
+    if (const auto reason = whyNoRepeat(state, request, event.failure)) {
+        endWithoutAnswer(state, request, *reason, actions);
+    } else {
+        repeat(state, request, event.failure);
+    }
     dispatchService(state, service, actions);
 }
 
@@ -274,7 +277,6 @@
         return;
     }
     auto &request = found->second;
-    const auto service = request.service;
     if (request.stage == Stage::Running) {
         // a call that may run only once is let run to its end: cut in the middle it would be neither done nor undone
         if (request.route->repeatability == Repeatability::AtMostOnce) {
@@ -284,8 +286,7 @@
         actions.emplace_back(Cancel{ .attempt = request.attempt });
         closeAttempt(state, request.attempt);
     }
-    forget(state, request);
-    dispatchService(state, service, actions);
+    release(state, request, actions);
 }
 
 auto endOverdue(RouterState &state, Actions &actions) -> void
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -127,23 +127,18 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
-auto scale(Duration duration, double factor) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 auto estimateEngine(const ServerState &server, std::uint32_t unread, const EngineSpeed &speed) -> Duration
 {
     const auto work = totalWork(server);
     const auto reading = readingTime(work.unreadTokens + unread, speed);
-    return scale(reading + speed.firstToken + speed.sharing * work.inFlight, server.slowness);
+    return scaled(reading + speed.firstToken + speed.sharing * work.inFlight, server.slowness);
 }
 
 auto estimateService(const ServerState &server) -> Duration
 {
     const auto slots = std::max<std::uint32_t>(server.record.slots, 1);
     const auto before = static_cast<double>(totalWork(server).inFlight) / slots;
-    return scale(CallTime, server.slowness * (1 + before));
+    return scaled(CallTime, server.slowness * (1 + before));
 }
 
 auto isTalker(const Prompt &prompt) -> bool
@@ -163,7 +158,7 @@
 /// What besides time speaks against a server.
 auto penaltyOf(const ServerState &server, const PlacementQuery &query, const Load &load, TimePoint now) -> Duration
 {
-    auto penalty = scale(FailurePenalty, failureRateOf(server, now));
+    auto penalty = scaled(FailurePenalty, failureRateOf(server, now));
     if (server.record.failureDomain != query.failureDomain) {
         penalty += DistancePenalty;
     }
@@ -231,7 +226,7 @@
         return true;
     }
     const auto work = totalWork(server);
-    const auto left = *query.mostAhead - scale(readingTime(work.unreadTokens, speed), server.slowness);
+    const auto left = *query.mostAhead - scaled(readingTime(work.unreadTokens, speed), server.slowness);
     if (left < Duration::zero()) {
         return false;
     }
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -160,9 +160,4 @@
     return state.table && now - state.confirmedAt < state.options.keyFreshness;
 }
 
-auto limitsOf(const RouterState &state) -> CallerLimits
-{
-    return state.table ? state.table->configuration().limits : CallerLimits{};
-}
-
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -56,6 +56,5 @@
 
 /// Whether the configuration was confirmed lately enough to admit keys.
 auto isFresh(const RouterState &state, TimePoint now) -> bool;
-auto limitsOf(const RouterState &state) -> CallerLimits;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -12,10 +12,6 @@
 namespace
 {
 
-/// After the registry was unreachable, servers whose registration lapsed meanwhile need about two seconds to be back.
-/// Dropping them at once would empty the list although every server lives.
-constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
-
 /// A report is sent several times a second; after this time the peer has stopped or cannot reach us.
 constexpr Duration PeerReportAge = std::chrono::milliseconds(1500);
 
@@ -67,7 +63,8 @@
     server->returnBy.reset();
 }
 
-/// Whether its registration may have lapsed while the registry was out of reach. One that stood in a list since then has
+/// Whether its registration may have lapsed while the registry was out of reach: dropping such servers at once would empty the
+/// list although every one lives. One that stood in a list since then has
 /// left: it must get nothing more.
 auto mayReturn(ServerState &server, const ServersListed &list, TimePoint now) -> bool
 {
@@ -87,21 +84,15 @@
         present.insert(record.id);
         takeRecord(table, record, list.asOf);
     }
-    std::erase_if(table.byId, [&](const auto &item) {
-        auto &server = *item.second;
-        server.isGone = !present.contains(item.first) && !mayReturn(server, list, now);
-        return server.isGone;
-    });
-    table.listedAt = now;
+    std::erase_if(table.byId, [&](const auto &item) { return !present.contains(item.first) && !mayReturn(*item.second, list, now); });
     indexByService(table);
 }
 
 auto dropMissing(ServerTable &table, TimePoint now) -> void
 {
     const auto dropped = std::erase_if(table.byId, [now](const auto &item) {
-        auto &server = *item.second;
-        server.isGone = server.returnBy && now >= *server.returnBy;
-        return server.isGone;
+        const auto &returnBy = item.second->returnBy;
+        return returnBy && now >= *returnBy;
     });
     if (dropped > 0) {
         indexByService(table);
@@ -242,9 +233,8 @@
     }
 }
 
-auto noteHeard(ServerState &server, TimePoint now) -> void
+auto noteHeard(ServerState &server) -> void
 {
-    server.heardAt = now;
     server.silentFrom.reset();
     server.failuresInRow = 0;
 }
@@ -283,7 +273,7 @@
 
 auto noteSucceeded(ServerState &server, TimePoint now) -> void
 {
-    noteHeard(server, now);
+    noteHeard(server);
     noteOutcome(server, 0, now);
 }
 
@@ -330,7 +320,7 @@
 
 auto isUsable(const ServerState &server, TimePoint now) -> bool
 {
-    return !server.record.isLeaving && !server.isGone && now >= server.suspendedUntil && !isSilent(server, now);
+    return !server.record.isLeaving && now >= server.suspendedUntil && !isSilent(server, now);
 }
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -42,7 +42,6 @@
 struct ServerState {
     Server record;
     std::uint64_t hash = 0;            ///< of the id, for rendezvous hashing
-    bool isGone = false;               ///< left the list; kept until its last attempt ended
     TimePoint listedAt;                ///< when it last stood in the list
     std::optional<TimePoint> returnBy; ///< absent from a list that may not be complete yet: is back by then, or gone
 
@@ -50,7 +49,6 @@
     Work others;   ///< as the other entries reported
     Work reported; ///< own work as of the last report
 
-    TimePoint heardAt; ///< last byte of any answer
     TimePoint sentAt;
     std::optional<TimePoint> silentFrom; ///< if nothing is heard by then, the server counts as silent; not set: nothing is due
     TimePoint suspendedUntil;            ///< no work before
@@ -64,6 +62,7 @@
 
 using ServerPointer = std::shared_ptr<ServerState>;
 
+/// A server that left the list is in none of these; its attempts keep its state until they end.
 struct ServerTable {
     std::map<std::string, ServerPointer, std::less<>> byId;
     std::unordered_map<std::string, std::vector<ServerPointer>> byService;
@@ -73,8 +72,7 @@
     };
     std::map<std::string, PeerUse> peers; ///< by entry
     std::optional<PeerUse> totals;        ///< of all entries, as one of them summed them up
-    TimePoint listedAt;
-    std::uint64_t reports = 0; ///< that were taken in; tells apart what was known before and after one
+    std::uint64_t reports = 0;            ///< that were taken in; tells apart what was known before and after one
 };
 
 /// Takes a new list over. What is known of servers that stay is kept.
@@ -95,7 +93,7 @@
 /// @{
 /// \p expected: time to the first byte
 auto noteSent(ServerState &server, const Load &load, Duration expected, TimePoint now) -> void;
-auto noteHeard(ServerState &server, TimePoint now) -> void;
+auto noteHeard(ServerState &server) -> void;
 /// The prompt was read: its first byte of answer is here, or the attempt ended.
 auto noteRead(ServerState &server, const Load &load) -> void;
 /// \return observed to expected, within bounds
--- a/src/entry/settings/entrysettings.cpp
+++ b/src/entry/settings/entrysettings.cpp
@@ -1,5 +1,6 @@
 #include "entry/settings/entrysettings.h"
 
+#include "runtime/logging/logging.h"
 #include "runtime/settings/settings.h"
 
 #include <array>
@@ -20,7 +21,6 @@
 constexpr std::int64_t MiB = 1'048'576;
 
 constexpr auto Policies = std::to_array<std::string_view>({ "standard", "naive" });
-constexpr auto Levels = std::to_array<std::string_view>({ "debug", "info", "warning", "error" });
 
 constexpr auto Keys = std::to_array<Key>({
     { .section = "entry", .name = "name", .range = { 1, 64 }, .explanation = "Name of this entry, unique in the deployment." },
@@ -108,7 +108,12 @@
       .defaultValue = "1000",
       .range = { 10, Hour },
       .explanation = "A connection to a backend server must stand within this time." },
-    { .section = "log", .name = "level", .kind = Kind::Choice, .defaultValue = "info", .choices = Levels, .explanation = "Least level that is written." },
+    { .section = "log",
+      .name = "level",
+      .kind = Kind::Choice,
+      .defaultValue = "info",
+      .choices = logging::LevelNames,
+      .explanation = "Least level that is written." },
     { .section = "log", .name = "file", .defaultValue = "", .explanation = "File for the log; empty: standard error." },
 });
 
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -1,5 +1,7 @@
 #include "gateway/directorystate.h"
 
+#include "core/passthrough/events.h"
+
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -14,9 +16,6 @@
 
 using nlohmann::json;
 
-/// Servers whose registration lapsed during an outage of the store are back within this time after it.
-constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
-
 auto toJson(const passthrough::Server &server) -> json
 {
     return { server.id, server.service, server.address, server.failureDomain, server.slots, server.isLeaving };
@@ -85,13 +84,10 @@
 
 } // namespace
 
-auto updateTags(DirectoryState &state) -> void
+auto takeConfiguration(DirectoryState &state, const std::string &document) -> void
 {
-    state.tags = {
-        .configuration = state.configuration.empty() ? 0 : tagOf(std::string_view(state.configuration)),
-        .servers = tagOf(state.servers),
-        .entries = tagOf(state.entries),
-    };
+    state.configuration = document;
+    state.tags.configuration = tagOf(std::string_view(document));
 }
 
 auto takeServers(DirectoryState &state, const ServersRead &read) -> bool
@@ -99,13 +95,15 @@
     if (read.revision < state.serversRevision) {
         return false;
     }
-    state.servers = read.servers;
+    if (!state.serversAt || read.servers != state.servers) {
+        state.servers = read.servers;
+        state.tags.servers = tagOf(state.servers);
+    }
     state.serversRevision = read.revision;
     state.serversAt = std::max(state.serversAt.value_or(read.asOf), read.asOf);
     if (read.outageEndedAt) {
         state.outageEndedAt = std::max(state.outageEndedAt.value_or(*read.outageEndedAt), *read.outageEndedAt);
     }
-    updateTags(state);
     return true;
 }
 
@@ -119,7 +117,7 @@
         return false;
     }
     state.entries = read.entries;
-    updateTags(state);
+    state.tags.entries = tagOf(state.entries);
     return true;
 }
 
@@ -137,7 +135,7 @@
     }
     if (state.tags.servers != known.servers && state.serversAt) {
         answer.servers = state.servers;
-        const auto isRecent = state.outageEndedAt && now - *state.outageEndedAt < ReturnTime;
+        const auto isRecent = state.outageEndedAt && now - *state.outageEndedAt < passthrough::ReturnTime;
         answer.outageAge = isRecent ? std::optional(now - *state.outageEndedAt) : std::nullopt;
     }
     if (state.tags.entries != known.entries) {
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -49,7 +49,7 @@
     std::uint64_t entries = 0;
 };
 
-/// The directory as one entry knows it.
+/// The directory as one entry knows it. The functions below change its parts, each with its tag.
 struct DirectoryState {
     std::string configuration;
     std::optional<TimePoint> confirmedAt;
@@ -68,14 +68,12 @@
 /// that is seconds old, take a server for alive that has left since, and change back and forth between two sets of readers.
 /// The store's revision orders what comes by different ways, and what is older than what is known changes nothing.
 /// @{
+auto takeConfiguration(DirectoryState &state, const std::string &document) -> void;
 /// \return whether it is news
 auto takeServers(DirectoryState &state, const ServersRead &read) -> bool;
 auto takeEntries(DirectoryState &state, const EntriesRead &read) -> bool;
 /// @}
 
-/// Brings the tags up to the contents. Call it after a change.
-auto updateTags(DirectoryState &state) -> void;
-
 /// What another entry answers: the parts that differ from the asker's tags, and how old they are.
 struct DirectoryAnswer {
     std::optional<Duration> confirmedAge; ///< of the configuration; not set: never confirmed
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -144,8 +144,7 @@
         if (configuration.version <= before) {
             return;
         }
-        known_.configuration = document;
-        updateTags(known_);
+        gateway::takeConfiguration(known_, document);
         accounting_.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
         callbacks_.onLimits(configuration.limits);
     } catch (const adapter::InvalidDocument &error) {
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -14,7 +14,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
@@ -54,6 +53,7 @@
 struct Exchange {
     RequestId id{};
     evhttp_request *request = nullptr; ///< owned by the library
+    evhttp_connection *connection = nullptr;
     task::EventPointer closedWatch;
 };
 
@@ -66,15 +66,8 @@
 
 auto countHeaders(const http::Headers &headers, std::string_view name) -> std::ptrdiff_t
 {
-    const auto isNamed = [name](const http::Header &header) { return !http::findHeader({ header }, name).empty(); };
-    return std::count_if(headers.begin(), headers.end(), isNamed);
-}
-
-auto isChunked(std::string_view value) -> bool
-{
-    constexpr std::string_view Word = "chunked";
-    return value.size() == Word.size()
-        && std::equal(value.begin(), value.end(), Word.begin(), [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; });
+    return std::count_if(
+        headers.begin(), headers.end(), [name](const http::Header &header) { return !header.value.empty() && http::isSameWord(header.name, name); });
 }
 
 /// Failure: a body's length is given twice, or in a form that the two ends read differently. Symptom: the rest of one
@@ -87,7 +80,7 @@
     if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
         return true;
     }
-    return encodings == 1 && !isChunked(http::findHeader(headers, "Transfer-Encoding"));
+    return encodings == 1 && !http::isSameWord(http::findHeader(headers, "Transfer-Encoding"), "chunked");
 }
 
 auto readPayload(evhttp_request *request, http::Headers headers) -> PayloadPointer
@@ -171,6 +164,7 @@
     auto &exchange = exchanges[id];
     exchange.id = id;
     exchange.request = request;
+    exchange.connection = connection;
     byConnection[connection] = id;
     watchCaller(exchange);
     callbacks.onRequest(id, readPayload(request, std::move(headers)));
@@ -187,7 +181,7 @@
 //! watch for the closed state alone does, without taking bytes of a further request
 auto Frontend::Impl::watchCaller(Exchange &exchange) -> void
 {
-    auto *connection = evhttp_request_get_connection(exchange.request);
+    auto *connection = exchange.connection;
     const auto onClosed
         = [](evutil_socket_t /*descriptor*/, short /*what*/, void *context) { evhttp_connection_free(static_cast<evhttp_connection *>(context)); };
     const auto descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
@@ -229,7 +223,9 @@
 auto Frontend::Impl::finish(RequestId id) -> void
 {
     const auto node = exchanges.extract(id);
-    std::erase_if(byConnection, [id](const auto &item) { return item.second == id; });
+    if (node) {
+        byConnection.erase(node.mapped().connection);
+    }
 }
 
 Frontend::Frontend(task::EventLoop &loop, FrontendCallbacks callbacks)
@@ -273,13 +269,6 @@
     impl_->closing = true;
 }
 
-auto Frontend::stopListening() -> void
-{
-    if (impl_->listener != nullptr) {
-        evhttp_del_accept_socket(impl_->server.get(), std::exchange(impl_->listener, nullptr));
-    }
-}
-
 auto Frontend::answer(RequestId request, const WholeAnswer &answer) -> void
 {
     auto *exchange = impl_->find(request);
@@ -310,7 +299,7 @@
     if (exchange == nullptr) {
         return;
     }
-    auto *output = bufferevent_get_output(evhttp_connection_get_bufferevent(evhttp_request_get_connection(exchange->request)));
+    auto *output = bufferevent_get_output(evhttp_connection_get_bufferevent(exchange->connection));
     if (evbuffer_get_length(output) > MostBacklogBytes) {
         breakOff(request);
         impl_->callbacks.onGone(request);
@@ -331,7 +320,7 @@
 auto Frontend::breakOff(RequestId request) -> void
 {
     if (auto *exchange = impl_->find(request)) {
-        auto *connection = evhttp_request_get_connection(exchange->request);
+        auto *connection = exchange->connection;
         impl_->finish(request);
         evhttp_connection_free(connection);
     }
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -38,7 +38,6 @@
 
     /// From now on each answer is the last on its connection.
     auto closeAfterAnswers() -> void;
-    auto stopListening() -> void;
 
     /// \name Answers; unknown requests, whose callers have gone, are ignored
     /// @{
--- a/src/gateway/settings/gatewaysettings.cpp
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -19,7 +19,6 @@
 constexpr std::int64_t LongestName = 64;
 constexpr std::int64_t LongestNumber = 16;
 constexpr std::int64_t Minute = 60'000;
-constexpr auto Levels = std::to_array<std::string_view>({ "debug", "info", "warning", "error" });
 
 constexpr auto Keys = std::to_array<Key>({
     { .section = "gateway", .name = "name", .range = { 1, LongestName }, .explanation = "Name of this entry, unique in the deployment." },
@@ -58,7 +57,12 @@
       .defaultValue = "5",
       .range = { 1, LongestNumber },
       .explanation = "Longest time in seconds for which callers keep the answer of where to connect." },
-    { .section = "log", .name = "level", .kind = Kind::Choice, .defaultValue = "info", .choices = Levels, .explanation = "Least level that is written." },
+    { .section = "log",
+      .name = "level",
+      .kind = Kind::Choice,
+      .defaultValue = "info",
+      .choices = logging::LevelNames,
+      .explanation = "Least level that is written." },
 });
 
 auto number(const settings::Settings &settings, std::string_view key) -> double
--- a/src/gateway/tests/directorystate_tests.cpp
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -12,13 +12,17 @@
 
 constexpr TimePoint Now(std::chrono::hours(1));
 
+auto makeServer(bool isLeaving) -> passthrough::Server
+{
+    return { .id = "i-1", .service = "engines", .address = "10.0.0.1:80", .failureDomain = "a", .slots = 32, .isLeaving = isLeaving };
+}
+
 auto makeState() -> DirectoryState
 {
-    DirectoryState state{ .configuration = "{\"version\":7}", .confirmedAt = Now - std::chrono::milliseconds(300) };
-    state.servers = { { .id = "i-1", .service = "engines", .address = "10.0.0.1:80", .failureDomain = "a", .slots = 32, .isLeaving = true } };
-    state.serversAt = Now;
-    state.entries = { { .name = "e1", .callerAddress = "10.0.0.2:80", .peerAddress = "10.0.0.2:90", .failureDomain = "a" } };
-    updateTags(state);
+    DirectoryState state{ .confirmedAt = Now - std::chrono::milliseconds(300) };
+    takeConfiguration(state, "{\"version\":7}");
+    takeServers(state, { .servers = { makeServer(true) }, .asOf = Now });
+    takeEntries(state, { .entries = { { .name = "e1", .callerAddress = "10.0.0.2:80", .peerAddress = "10.0.0.2:90", .failureDomain = "a" } } });
     return state;
 }
 
@@ -34,8 +38,7 @@
     EXPECT_EQ(whole.entries->front(), state.entries.front());
     EXPECT_EQ(*whole.confirmedAge, std::chrono::milliseconds(300));
 
-    state.servers.front().isLeaving = false;
-    updateTags(state);
+    takeServers(state, { .servers = { makeServer(false) }, .asOf = Now });
     const auto change = decodeAnswer(encodeAnswer(makeAnswer(state, whole.tags, Now)));
     EXPECT_FALSE(change.configuration);
     EXPECT_FALSE(change.entries);
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -12,11 +12,6 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -55,9 +50,9 @@
     WholeAnswer whole; ///< head of any answer, body of one that is not relayed as a stream
     EventSplitter splitter;
     bool headSeen = false;
-    bool relays = false;  ///< the answer is a stream
-    bool relayed = false; ///< some of it was passed on
-    bool over = false;
+    bool relays = false;            ///< the answer is a stream
+    bool relayed = false;           ///< some of it was passed on
+    bool over = false;              ///< calls back no more, or not yet
     std::optional<Failure> verdict; ///< why the answer can't be used, known before its end
     TimePoint connectBy;
     TimePoint startBy;  ///< not set: no bound
@@ -65,6 +60,12 @@
     Duration silence{};
 };
 
+/// Not set for a timeout of 0.
+auto boundAfter(Duration timeout) -> TimePoint
+{
+    return timeout == Duration::zero() ? TimePoint() : now() + timeout;
+}
+
 auto isSuccess(int status) -> bool
 {
     return status >= FirstSuccessStatus && status < FirstRedirectStatus;
@@ -241,7 +242,7 @@
     attempt.head = adapter::decodeAnswerHead(attempt.whole.status, attempt.whole.headers, attempt.callerId);
     attempt.verdict = judgeHead(attempt);
     attempt.relays = attempt.isStream && isSuccess(attempt.whole.status) && !attempt.verdict;
-    attempt.silentBy = attempt.silence == Duration::zero() ? TimePoint() : now() + attempt.silence;
+    attempt.silentBy = boundAfter(attempt.silence);
     if (!attempt.relays && !attempt.verdict) {
         callbacks.onStarted(attempt.id, false);
     }
@@ -270,7 +271,7 @@
     if (events.empty()) {
         return;
     }
-    attempt.silentBy = attempt.silence == Duration::zero() ? TimePoint() : now() + attempt.silence;
+    attempt.silentBy = boundAfter(attempt.silence);
     if (!std::exchange(attempt.relayed, true)) {
         callbacks.onStarted(attempt.id, true);
         callbacks.onStreamBegun(attempt.id, attempt.whole.status, adapter::encodeAnswerHeaders(attempt.whole.headers));
@@ -379,9 +380,8 @@
     attempt.callerId = callerId;
     attempt.server = order.server;
     attempt.isStream = order.isStream;
-    const auto startedAt = now();
-    attempt.connectBy = startedAt + ConnectTimeout;
-    attempt.startBy = order.startTimeout == Duration::zero() ? TimePoint() : startedAt + order.startTimeout;
+    attempt.connectBy = now() + ConnectTimeout;
+    attempt.startBy = boundAfter(order.startTimeout);
     attempt.silence = order.silenceTimeout;
     attempt.over = true; // while it starts: a connect that fails at once calls back from within
     const auto started = impl.start(attempt, order, *payload);
--- a/src/runtime/logging/logging.cpp
+++ b/src/runtime/logging/logging.cpp
@@ -1,6 +1,5 @@
 #include "runtime/logging/logging.h"
 
-#include "core/base/nametable.h"
 #include "runtime/logging/floodlimit.h"
 #include "runtime/logging/internal/jsonline.h"
 #include "runtime/task/eventloop.h"
@@ -28,21 +27,6 @@
 namespace
 {
 
-constexpr auto Levels = std::to_array<NamedValue<Level>>({
-    { Level::Debug, "debug" },
-    { Level::Info, "info" },
-    { Level::Warning, "warning" },
-    { Level::Error, "error" },
-});
-
-constexpr auto LevelNames = []() {
-    std::array<std::string_view, Levels.size()> names;
-    for (std::size_t i = 0; i < names.size(); ++i) {
-        names[i] = Levels[i].name;
-    }
-    return names;
-}();
-
 constexpr std::string_view SuppressedEvent = "log-lines-suppressed";
 
 auto toLog4cxx(Level level) -> log4cxx::LevelPtr
@@ -208,11 +192,6 @@
     return findValue(Levels, name);
 }
 
-auto levelNames() -> std::span<const std::string_view>
-{
-    return LevelNames;
-}
-
 auto configure(const Options &options) -> void
 {
     log().apply(options);
--- a/src/runtime/logging/logging.h
+++ b/src/runtime/logging/logging.h
@@ -5,11 +5,13 @@
 
 #pragma once
 
+#include "core/base/nametable.h"
+
+#include <array>
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -25,12 +27,18 @@
     Error,
 };
 
+constexpr auto Levels = std::to_array<NamedValue<Level>>({
+    { Level::Debug, "debug" },
+    { Level::Info, "info" },
+    { Level::Warning, "warning" },
+    { Level::Error, "error" },
+});
+/// As a choice in a settings schema.
+constexpr auto LevelNames = namesOf(Levels);
+
 auto levelName(Level level) -> std::string_view;
 auto levelFromName(std::string_view name) -> std::optional<Level>;
 
-/// The names of all levels, as a choice in a settings schema.
-auto levelNames() -> std::span<const std::string_view>;
-
 struct Options {
     Level level = Level::Info;
     std::string file;        ///< appended to; empty: stderr; StandardOutput: stdout
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -32,11 +32,14 @@
     return findValue(Methods, name);
 }
 
+auto isSameWord(std::string_view one, std::string_view other) -> bool
+{
+    return one.size() == other.size() && ::strncasecmp(one.data(), other.data(), one.size()) == 0;
+}
+
 auto findHeader(const Headers &headers, std::string_view name) -> std::string_view
 {
-    const auto found = std::find_if(headers.begin(), headers.end(), [name](const Header &header) {
-        return header.name.size() == name.size() && ::strncasecmp(header.name.data(), name.data(), name.size()) == 0;
-    });
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const Header &header) { return isSameWord(header.name, name); });
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
--- a/src/wire/http/message.h
+++ b/src/wire/http/message.h
@@ -28,6 +28,9 @@
 
 using Headers = std::vector<Header>;
 
+/// Names and words of headers are equal in any case.
+auto isSameWord(std::string_view one, std::string_view other) -> bool;
+
 /// Value of the first header of this name, in any case; "" if there is none.
 auto findHeader(const Headers &headers, std::string_view name) -> std::string_view;
 
