--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -1,6 +1,7 @@
 #include "gateway/tests/site.h"
 
 #include "platform/standins/wiretext.h"
+#include "standins/testing/loopback.h"
 
 #include <array>
 #include <atomic>
@@ -11,7 +12,6 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace auburnspread::gateway::tests
 {
@@ -23,19 +23,6 @@
 
 constexpr auto WaitBound = std::chrono::seconds(30);
 
-/// An address that nobody else takes: each process has a loopback number of its own, and the ports lie below those that the
-/// system gives out by itself. A port that was merely free a moment ago may be taken by a connection of another process.
-auto ownAddress() -> std::string
-{
-    constexpr int FirstPort = 20'001;
-    constexpr int ByteValues = 256;
-    static auto nextPort = FirstPort;
-    const auto process = ::getpid();
-    const auto high = 1 + process / ByteValues % (ByteValues - 2);
-    const auto low = process % ByteValues;
-    return "127." + std::to_string(high) + "." + std::to_string(low) + ".1:" + std::to_string(nextPort++);
-}
-
 auto makeRoute(const std::string &prefix, passthrough::Repeatability repeatability, std::uint32_t attempts) -> passthrough::Route
 {
     return {
@@ -91,10 +78,10 @@
         .name = "entry-1",
         .failureDomain = "a",
         .callerAddress = "127.0.0.1:0",
-        .readinessAddress = ownAddress(),
-        .addressesAddress = ownAddress(),
-        .peerAddress = ownAddress(),
-        .metricsAddress = ownAddress(),
+        .readinessAddress = auburnspread::standins::takeLoopbackAddress(),
+        .addressesAddress = auburnspread::standins::takeLoopbackAddress(),
+        .peerAddress = auburnspread::standins::takeLoopbackAddress(),
+        .metricsAddress = auburnspread::standins::takeLoopbackAddress(),
         .storeAddress = running.store->address(),
         .leaseTime = std::chrono::milliseconds(3000),
         .keyWithdrawal = std::chrono::milliseconds(std::stoi(keyWithdrawalMs)),
--- /dev/null
+++ b/src/soak/callers.cpp
@@ -0,0 +1,175 @@
+#include "soak/callers.h"
+
+#include "platform/standins/wiretext.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace auburnspread::soak
+{
+
+namespace
+{
+
+namespace standins = adapter::standins;
+
+constexpr Duration AskInterval = std::chrono::seconds(1); ///< callers keep an answer for this long
+constexpr Duration CallerPatience = std::chrono::seconds(7);
+constexpr int OkStatus = 200;
+constexpr int FirstRedirectStatus = 300;
+/// One caller in so many keeps to an entry whatever the addresses say, as one that can't get a new answer does.
+constexpr std::size_t StickyCallers = 4;
+/// An entry that has not heard of a key after this time knows that its configuration is old, and admits none.
+constexpr Duration KeyKnownAfter = std::chrono::seconds(4);
+/// One request in so many comes with a key that was taken away, if any was.
+constexpr std::size_t WithdrawnKeys = 10;
+
+auto splitLine(const std::string &line) -> http::Header
+{
+    const auto colon = line.find(": ");
+    return { line.substr(0, colon), line.substr(colon + 2) };
+}
+
+auto makeBody(const std::string &id) -> std::string
+{
+    constexpr std::size_t Filling = 200;
+    return "request " + id + std::string(Filling, '.');
+}
+
+} // namespace
+
+Callers::Callers(task::EventLoop &loop, CallersOptions options, const Site &site, Ledger &ledger)
+    : loop_(loop)
+    , options_(options)
+    , site_(site)
+    , ledger_(ledger)
+    , client_(loop, { .idlePerAddress = 16 })
+    , random_(options.seed)
+{
+}
+
+auto Callers::drawBelow(std::size_t end) -> std::size_t
+{
+    return std::uniform_int_distribution<std::size_t>(0, end - 1)(random_);
+}
+
+auto Callers::start() -> void
+{
+    askAddresses();
+    asker_ = loop_.every(AskInterval, [this]() { askAddresses(); });
+    const auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / options_.requestsPerSecond));
+    sender_ = loop_.every(interval, [this]() { send(); });
+}
+
+auto Callers::stop() -> void
+{
+    sender_ = {};
+    asker_ = {};
+}
+
+auto Callers::isIdle() const -> bool
+{
+    return open_ == 0;
+}
+
+auto Callers::servedInRow() const -> std::size_t
+{
+    return servedInRow_;
+}
+
+auto Callers::askAddresses() -> void
+{
+    const http::Request question{
+        .address = site_.addressesPage(drawBelow(site_.entries())),
+        .path = standins::addressesQuestion(SiteHost, "a"),
+        .timeout = AskInterval,
+    };
+    client_.fetch(question, [this](const http::Result &result) {
+        const auto *response = std::get_if<http::Response>(&result);
+        if (response != nullptr && response->status == OkStatus) {
+            takeAddresses(response->body);
+        }
+    });
+}
+
+auto Callers::takeAddresses(const std::string &body) -> void
+{
+    entries_.clear();
+    for (const auto &address : standins::readAddresses(body)) {
+        entries_.push_back(site_.findEntry(address));
+    }
+}
+
+auto Callers::chooseEntry() -> std::size_t
+{
+    const auto isSticky = entries_.empty() || drawBelow(StickyCallers) == 0;
+    return isSticky ? drawBelow(site_.entries()) : entries_.at(drawBelow(entries_.size()));
+}
+
+auto Callers::send() -> void
+{
+    sendKind(KindRoutes.at(drawBelow(KindRoutes.size())), chooseEntry());
+}
+
+auto Callers::sendKind(const KindRoute &route, std::size_t entry) -> void
+{
+    const auto isMarker = route.kind == RequestKind::Marker;
+    const auto takesWithdrawn = !site_.withdrawnKey().empty() && drawBelow(WithdrawnKeys) == 0;
+    const auto isKeyKnown = task::monotonicNow() - site_.key().since > KeyKnownAfter;
+    const auto version = site_.version() > 3 && drawBelow(2) == 0 ? site_.version() - 3 : site_.version();
+    Sent request{
+        .id = "a" + std::to_string(options_.seed) + "-" + std::to_string(++lastId_),
+        .entry = std::to_string(entry),
+        .incarnation = site_.incarnation(entry),
+        .method = route.method,
+        .key = takesWithdrawn ? site_.withdrawnKey() : site_.key().name,
+        .workspace = SiteWorkspace,
+        .mostRuns = route.attempts,
+        .isAllowed = !isMarker && !takesWithdrawn && isKeyKnown,
+        .onlyVersion = isMarker ? version : 0,
+        .at = task::monotonicNow(),
+    };
+    request.target = std::string(route.prefix) + (isMarker ? std::to_string(version) + "/" : "") + request.id;
+    request.body = request.method == "POST" ? makeBody(request.id) : "";
+    request.expectedAnswer
+        = request.target.starts_with(StreamPrefix) ? standins::streamAnswerOf(request.id, StreamEvents) : standins::wholeAnswerOf(request.id);
+    ledger_.sent(request);
+    open_ += 1;
+    constexpr int DeadlineMs = 5000;
+    const http::Request call{
+        .method = http::methodFromName(request.method).value(),
+        .address = site_.callerAddress(entry),
+        .path = request.target,
+        .headers = { { "Host", SiteHost },
+                     splitLine(standins::attemptIdLine(request.id)),
+                     splitLine(standins::keyLine(request.key)),
+                     splitLine(standins::deadlineLine(DeadlineMs)) },
+        .body = request.body,
+        .timeout = CallerPatience,
+    };
+    client_.fetch(call, [this, request = std::move(request)](const http::Result &result) { takeResult(request, result); });
+}
+
+auto Callers::takeResult(const Sent &request, const http::Result &result) -> void
+{
+    open_ -= 1;
+    Ended ended{ .id = request.id, .at = task::monotonicNow() };
+    if (const auto *error = std::get_if<http::Error>(&result)) {
+        ended.cause = error->text;
+    } else {
+        const auto &response = std::get<http::Response>(result);
+        ended.status = response.status;
+        ended.signature = http::findHeader(response.headers, splitLine(standins::signatureLine("")).name);
+        ended.body = response.body;
+    }
+    ledger_.ended(ended);
+    const auto isServed = ended.status >= OkStatus && ended.status < FirstRedirectStatus;
+    if (request.isAllowed) {
+        servedInRow_ = isServed ? servedInRow_ + 1 : 0;
+    }
+}
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/ledger.cpp
@@ -0,0 +1,195 @@
+#include "soak/ledger.h"
+
+#include <algorithm>
+
+namespace auburnspread::soak
+{
+
+namespace
+{
+
+using adapter::standins::Execution;
+
+constexpr int FirstSuccess = 200;
+constexpr int FirstRedirect = 300;
+
+/// Statuses that say: not run, and never will be.
+constexpr auto NotRunStatuses = std::to_array<int>({ 408, 421, 429, 503 });
+
+/// Statuses that say: this must not be asked for.
+constexpr auto DenyingStatuses = std::to_array<int>({ 400, 401, 403, 404 });
+
+/// A fault may show this long after its end: connections that it harmed are found out, servers are tried again.
+constexpr Duration Aftermath = std::chrono::seconds(4);
+
+auto isSuccess(int status) -> bool
+{
+    return status >= FirstSuccess && status < FirstRedirect;
+}
+
+auto saysNotRun(int status) -> bool
+{
+    return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) != NotRunStatuses.end();
+}
+
+auto describe(const Execution &run) -> std::string
+{
+    return "at " + run.server + ": " + run.method + " " + run.target;
+}
+
+} // namespace
+
+auto Ledger::sent(const Sent &request) -> void
+{
+    records_[request.id].sent = request;
+}
+
+auto Ledger::ended(const Ended &end) -> void
+{
+    records_.at(end.id).ended = end;
+}
+
+auto Ledger::ran(const Execution &run) -> void
+{
+    const auto found = records_.find(run.id);
+    if (found == records_.end()) {
+        unasked_.push_back({ Promise::Asked, run.id, "nobody sent it; ran " + describe(run) });
+        return;
+    }
+    found->second.runs.push_back(run);
+}
+
+auto Ledger::keyWithdrawn(const std::string &key, TimePoint at) -> void
+{
+    withdrawnKeys_[key] = at;
+}
+
+auto Ledger::serverLeaves(const std::string &server, TimePoint at) -> void
+{
+    leavingServers_[server] = at;
+}
+
+auto Ledger::disturbed(TimePoint from, TimePoint to) -> void
+{
+    disturbances_.push_back({ from, to + Aftermath });
+}
+
+auto Ledger::isCalm(TimePoint from, TimePoint to) const -> bool
+{
+    return std::none_of(disturbances_.begin(), disturbances_.end(), [&](const Interval &each) { return each.from < to && from < each.to; });
+}
+
+auto Ledger::checkRuns(const Record &record, Violations &violations) const -> void
+{
+    const auto &sent = record.sent;
+    for (const auto &run : record.runs) {
+        const auto isUnchanged = run.method == sent.method && run.target == sent.target && run.body == sent.body;
+        if (!isUnchanged || run.hasKey || run.workspace != sent.workspace) {
+            violations.push_back({ Promise::Asked, sent.id, "changed on the way; ran " + describe(run) + " for workspace '" + run.workspace + "'" });
+        }
+    }
+    if (record.runs.size() > sent.mostRuns) {
+        violations.push_back({ Promise::Once, sent.id, "ran " + std::to_string(record.runs.size()) + " times: " + sent.target });
+    }
+}
+
+auto Ledger::checkAnswer(const Record &record, Violations &violations) const -> void
+{
+    if (!record.ended || record.ended->status == 0) {
+        return;
+    }
+    const auto &ended = *record.ended;
+    if (saysNotRun(ended.status) && !record.runs.empty()) {
+        violations.push_back({ Promise::TrueRefusal, ended.id, "refused with " + std::to_string(ended.status) + ", ran " + describe(record.runs.front()) });
+    }
+    const auto isDenied = std::find(DenyingStatuses.begin(), DenyingStatuses.end(), ended.status) != DenyingStatuses.end();
+    // a request may be on its way while its key is taken away
+    const auto withdrawn = withdrawnKeys_.find(record.sent.key);
+    const auto lostItsKey = withdrawn != withdrawnKeys_.end() && withdrawn->second < ended.at;
+    if (isDenied && record.sent.isAllowed && !lostItsKey) {
+        violations.push_back({ Promise::Admitted, ended.id, "answered " + std::to_string(ended.status) + ": " + record.sent.target });
+    }
+    if (!isSuccess(ended.status)) {
+        return;
+    }
+    const auto isSigned
+        = std::any_of(record.runs.begin(), record.runs.end(), [&](const Execution &run) { return ended.signature == run.server + "." + run.id; });
+    if (!isSigned || ended.body != record.sent.expectedAnswer) {
+        violations.push_back({ Promise::OwnAnswer, ended.id, "got '" + ended.body + "', signature '" + ended.signature + "'" });
+    }
+}
+
+auto Ledger::checkPlannedWork(const Record &record, Violations &violations) const -> void
+{
+    const auto isLost = record.ended && record.ended->status == 0 && !record.runs.empty();
+    if (isLost && isCalm(record.sent.at, record.ended->at)) {
+        violations.push_back({ Promise::NothingLost, record.sent.id, "ran and got no answer: " + record.ended->cause });
+    }
+}
+
+auto Ledger::checkBounds(const Record &record, const TimeBounds &bounds, Violations &violations) const -> void
+{
+    const auto withdrawn = withdrawnKeys_.find(record.sent.key);
+    for (const auto &run : record.runs) {
+        if (withdrawn != withdrawnKeys_.end() && record.sent.at > withdrawn->second + bounds.keyWithdrawal) {
+            violations.push_back({ Promise::KeyWithdrawn, run.id, "ran with a key that was taken away" });
+        }
+        const auto leaving = leavingServers_.find(run.server);
+        const auto isLate = leaving != leavingServers_.end() && run.at > leaving->second + bounds.leavingServer;
+        if (isLate && isCalm(leaving->second, run.at)) {
+            violations.push_back({ Promise::LeavingServer, run.id, "sent to " + run.server + ", which had left" });
+        }
+    }
+    const auto hasLasted = record.ended && record.ended->at - record.sent.at > bounds.answer;
+    if (hasLasted && isCalm(record.sent.at, record.ended->at)) {
+        violations.push_back({ Promise::Answered, record.sent.id, "no answer within the bound" });
+    }
+}
+
+/// A version is in force in a process from the moment at which a request was run that only this version allows.
+auto Ledger::checkVersions(Violations &violations) const -> void
+{
+    for (const auto &[newId, newer] : records_) {
+        if (newer.sent.onlyVersion == 0 || newer.runs.empty()) {
+            continue;
+        }
+        for (const auto &[oldId, older] : records_) {
+            const auto isSameProcess = older.sent.entry == newer.sent.entry && older.sent.incarnation == newer.sent.incarnation;
+            const auto isOlder = older.sent.onlyVersion != 0 && older.sent.onlyVersion < newer.sent.onlyVersion;
+            if (isSameProcess && isOlder && !older.runs.empty() && older.sent.at > newer.runs.front().at) {
+                violations.push_back(
+                    { Promise::NeverBack, oldId, "version " + std::to_string(older.sent.onlyVersion) + " after " + std::to_string(newer.sent.onlyVersion) });
+            }
+        }
+    }
+}
+
+auto Ledger::check(const std::optional<TimeBounds> &bounds) const -> std::vector<Violation>
+{
+    auto violations = unasked_;
+    for (const auto &[id, record] : records_) {
+        checkRuns(record, violations);
+        checkAnswer(record, violations);
+        checkPlannedWork(record, violations);
+        if (bounds) {
+            checkBounds(record, *bounds, violations);
+        }
+    }
+    checkVersions(violations);
+    return violations;
+}
+
+auto Ledger::totals() const -> Totals
+{
+    Totals totals{ .sent = records_.size() };
+    for (const auto &[id, record] : records_) {
+        const auto status = record.ended ? record.ended->status : 0;
+        totals.served += isSuccess(status) ? 1 : 0;
+        totals.refused += saysNotRun(status) ? 1 : 0;
+        totals.broken += status == 0 ? 1 : 0;
+        totals.runs += record.runs.size();
+    }
+    return totals;
+}
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/ledger.h
@@ -0,0 +1,138 @@
+/// \file
+/// What callers sent and got and what backend servers ran, and whether the promises were kept between the two.
+
+#pragma once
+
+#include "core/base/nametable.h"
+#include "core/base/time.h"
+#include "platform/standins/serverstandin.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnspread::soak
+{
+
+enum class Promise {
+    Asked,         ///< a server runs only what a caller sent, unchanged, for the workspace that holds its key
+    Once,          ///< what must not be repeated runs at most once, everything else at most as often as its route allows
+    TrueRefusal,   ///< what is refused as not run never runs
+    OwnAnswer,     ///< a success is the whole answer of a server that ran this request, and nobody else's
+    KeyWithdrawn,  ///< a key that was taken away admits nothing after the bound
+    NeverBack,     ///< a process that served a version serves no older one
+    LeavingServer, ///< a server that leaves gets nothing after the bound
+    NothingLost,   ///< around planned work alone, a request that ran is answered
+    Admitted,      ///< what every version of the last seconds allows is never answered as unknown or forbidden
+    Answered,      ///< a request on a sound way is answered soon after its timeout at the latest
+    Recovers,      ///< after the last fault everything is served again
+};
+
+constexpr auto Promises = std::to_array<NamedValue<Promise>>({
+    { Promise::Asked, "asked" },
+    { Promise::Once, "once" },
+    { Promise::TrueRefusal, "true-refusal" },
+    { Promise::OwnAnswer, "own-answer" },
+    { Promise::KeyWithdrawn, "key-withdrawn" },
+    { Promise::NeverBack, "never-back" },
+    { Promise::LeavingServer, "leaving-server" },
+    { Promise::NothingLost, "nothing-lost" },
+    { Promise::Admitted, "admitted" },
+    { Promise::Answered, "answered" },
+    { Promise::Recovers, "recovers" },
+});
+
+/// A request as its caller sent it.
+struct Sent {
+    std::string id;
+    std::string entry;
+    std::uint32_t incarnation = 0; ///< of the entry's process
+    std::string method;
+    std::string target;
+    std::string body;
+    std::string key;
+    std::string workspace;         ///< that holds the key
+    std::uint32_t mostRuns = 1;    ///< that its route allows
+    std::string expectedAnswer;    ///< whole
+    bool isAllowed = true;         ///< by every version that may be in force
+    std::uint64_t onlyVersion = 0; ///< the configuration that has its route; 0: all have
+    TimePoint at;
+};
+
+/// How it ended for the caller.
+struct Ended {
+    std::string id;
+    int status = 0; ///< 0: the connection broke or stayed silent
+    std::string signature;
+    std::string body;
+    std::string cause; ///< of a broken connection
+    TimePoint at;
+};
+
+struct Violation {
+    Promise promise{};
+    std::string id;
+    std::string detail;
+};
+
+/// Bounds in time, for runs on a machine that is not busy with other things.
+struct TimeBounds {
+    Duration keyWithdrawal = std::chrono::seconds(5);
+    Duration leavingServer = std::chrono::seconds(2);
+    Duration answer = std::chrono::milliseconds(6500); ///< timeout of every route, 5 s, and some more
+};
+
+class Ledger
+{
+public:
+    auto sent(const Sent &request) -> void;
+    auto ended(const Ended &end) -> void;
+    auto ran(const adapter::standins::Execution &run) -> void;
+    auto keyWithdrawn(const std::string &key, TimePoint at) -> void;
+    auto serverLeaves(const std::string &server, TimePoint at) -> void;
+    /// Something other than planned work harmed the deployment between the two.
+    auto disturbed(TimePoint from, TimePoint to) -> void;
+
+    /// \p bounds not set: promises that hold within a time are not checked.
+    [[nodiscard]] auto check(const std::optional<TimeBounds> &bounds) const -> std::vector<Violation>;
+
+    struct Totals {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+        std::size_t refused = 0;
+        std::size_t broken = 0;
+        std::size_t runs = 0;
+    };
+    [[nodiscard]] auto totals() const -> Totals;
+
+private:
+    struct Record {
+        Sent sent;
+        std::optional<Ended> ended;
+        std::vector<adapter::standins::Execution> runs;
+    };
+    using Violations = std::vector<Violation>;
+
+    auto checkRuns(const Record &record, Violations &violations) const -> void;
+    auto checkAnswer(const Record &record, Violations &violations) const -> void;
+    auto checkPlannedWork(const Record &record, Violations &violations) const -> void;
+    auto checkBounds(const Record &record, const TimeBounds &bounds, Violations &violations) const -> void;
+    auto checkVersions(Violations &violations) const -> void;
+    [[nodiscard]] auto isCalm(TimePoint from, TimePoint to) const -> bool;
+
+    std::map<std::string, Record> records_;
+    Violations unasked_;
+    std::map<std::string, TimePoint> withdrawnKeys_;
+    std::map<std::string, TimePoint> leavingServers_;
+    struct Interval {
+        TimePoint from;
+        TimePoint to;
+    };
+    std::vector<Interval> disturbances_;
+};
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/plan.h
@@ -0,0 +1,80 @@
+/// \file
+/// Which faults a soak injects and when, drawn from a seed: in series and overlapping, on any process and path.
+
+#pragma once
+
+#include "core/base/nametable.h"
+#include "core/base/time.h"
+#include "soak/proxy.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace auburnspread::soak
+{
+
+enum class FaultKind {
+    EntryKilled,   ///< and started again
+    EntryStopped,  ///< asked to end by SIGTERM, started again when it has ended
+    EntryPaused,   ///< SIGSTOP, then SIGCONT
+    EntryReloads,  ///< SIGHUP
+    AllKilled,     ///< every entry at one moment
+    CallerPath,    ///< between callers and one entry
+    StorePath,     ///< between one entry and the store
+    ServerPath,    ///< between all entries and one backend server
+    ServerCrashes, ///< and registers anew, under another id, some time later
+    ServerLeaves,  ///< says so, serves on for a while, and is replaced
+    StoreBusy,     ///< answers 503 to everyone
+    StoreSilent,   ///< answers nobody
+    StoreForgets,  ///< its history of changes
+    LeasesEnd,     ///< of all entries at one moment
+    Configuration, ///< a new version; a key is taken away and another one added
+};
+
+constexpr auto FaultKinds = std::to_array<NamedValue<FaultKind>>({
+    { FaultKind::EntryKilled, "entry-killed" },
+    { FaultKind::EntryStopped, "entry-stopped" },
+    { FaultKind::EntryPaused, "entry-paused" },
+    { FaultKind::EntryReloads, "entry-reloads" },
+    { FaultKind::AllKilled, "all-killed" },
+    { FaultKind::CallerPath, "caller-path" },
+    { FaultKind::StorePath, "store-path" },
+    { FaultKind::ServerPath, "server-path" },
+    { FaultKind::ServerCrashes, "server-crashes" },
+    { FaultKind::ServerLeaves, "server-leaves" },
+    { FaultKind::StoreBusy, "store-busy" },
+    { FaultKind::StoreSilent, "store-silent" },
+    { FaultKind::StoreForgets, "store-forgets" },
+    { FaultKind::LeasesEnd, "leases-end" },
+    { FaultKind::Configuration, "configuration" },
+});
+
+/// Planned work, around which no request may be lost.
+constexpr auto isPlannedWork(FaultKind kind) -> bool
+{
+    return kind == FaultKind::EntryStopped || kind == FaultKind::EntryReloads || kind == FaultKind::ServerLeaves || kind == FaultKind::Configuration;
+}
+
+struct Fault {
+    Duration at{};     ///< since the start of the load
+    Duration length{}; ///< until it is undone
+    FaultKind kind{};
+    std::size_t target = 0; ///< number of an entry or a backend server
+    PathFault path = PathFault::None;
+};
+
+struct PlanOptions {
+    std::uint64_t seed = 1;
+    Duration length{}; ///< faults begin within it
+    std::size_t entries = 0;
+    std::size_t servers = 0;
+    double faultsPerSecond = 1;
+    bool onlyPlannedWork = false;
+};
+
+/// In the order of their beginning.
+auto makePlan(const PlanOptions &options) -> std::vector<Fault>;
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/proxy.cpp
@@ -0,0 +1,222 @@
+#include "soak/proxy.h"
+
+#include "runtime/net/endpoint.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <deque>
+#include <stdexcept>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace auburnspread::soak
+{
+
+namespace
+{
+
+struct BuffereventDeleter {
+    auto operator()(bufferevent *end) const -> void
+    {
+        bufferevent_free(end);
+    }
+};
+using End = std::unique_ptr<bufferevent, BuffereventDeleter>;
+
+struct ListenerDeleter {
+    auto operator()(evconnlistener *listener) const -> void
+    {
+        evconnlistener_free(listener);
+    }
+};
+
+/// Closing then sends a reset in place of an orderly end.
+auto makeReset(bufferevent *end) -> void
+{
+    const linger immediately{ .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+}
+
+} // namespace
+
+class Proxy::Impl
+{
+public:
+    Impl(task::EventLoop &eventLoop, const std::string &targetAddress);
+
+    /// One connection, from its caller to the target.
+    struct Pair {
+        Impl *proxy = nullptr;
+        std::uint64_t number = 0;
+        End caller;
+        End target;
+        bool forgotten = false;          ///< silent for good
+        std::deque<task::Watch> delayed; ///< bytes that are held up, in the order of their arrival
+        bool ending = false;             ///< one end has closed; the pair ends when the other has got everything
+    };
+
+    auto accept(evutil_socket_t descriptor) -> void;
+    auto pass(Pair &pair, bufferevent *from) -> void;
+    auto deliver(std::uint64_t number, bool goesToTarget, const std::string &bytes) -> void;
+    static auto write(Pair &pair, bool goesToTarget, const std::string &bytes) -> void;
+    auto endIfDone(Pair &pair) -> void;
+    auto end(Pair &pair, bufferevent *ended, bool isReset) -> void;
+    auto resetAll() -> void;
+    auto listen(Pair &pair) const -> void;
+
+    task::EventLoop &loop;
+    net::SocketAddress target;
+    std::unique_ptr<evconnlistener, ListenerDeleter> listener;
+    std::string address;
+    PathFault fault = PathFault::None;
+    std::uint64_t lastPair = 0;
+    std::map<std::uint64_t, std::unique_ptr<Pair>> pairs;
+};
+
+Proxy::Impl::Impl(task::EventLoop &eventLoop, const std::string &targetAddress)
+    : loop(eventLoop)
+    , target(net::toSocketAddress(net::parseEndpoint(targetAddress).value()))
+{
+    const auto any = net::toSocketAddress({ .host = "127.0.0.1", .port = 0 });
+    constexpr int Backlog = 512;
+    const auto onAccept = [](evconnlistener * /*listener*/, evutil_socket_t descriptor, sockaddr * /*peer*/, int /*size*/, void *context) {
+        static_cast<Impl *>(context)->accept(descriptor);
+    };
+    listener.reset(evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, Backlog, any.get(), static_cast<int>(any.size)));
+    if (!listener) {
+        throw std::runtime_error("proxy: no address to listen at");
+    }
+    net::SocketAddress own{ .size = sizeof(sockaddr_storage) };
+    ::getsockname(evconnlistener_get_fd(listener.get()), own.get(), &own.size);
+    address = net::formatAddress(own.get());
+}
+
+auto Proxy::Impl::accept(evutil_socket_t descriptor) -> void
+{
+    auto pair = std::make_unique<Pair>();
+    pair->proxy = this;
+    pair->number = ++lastPair;
+    pair->caller.reset(bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE));
+    if (fault == PathFault::Reset) {
+        makeReset(pair->caller.get());
+        return;
+    }
+    pair->target.reset(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE));
+    const auto onBytes = [](bufferevent *end, void *context) {
+        auto &each = *static_cast<Pair *>(context);
+        each.proxy->pass(each, end);
+    };
+    const auto onWritten = [](bufferevent * /*end*/, void *context) {
+        auto &each = *static_cast<Pair *>(context);
+        each.proxy->endIfDone(each);
+    };
+    const auto onEvent = [](bufferevent *end, short what, void *context) {
+        auto &each = *static_cast<Pair *>(context);
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            each.proxy->end(each, end, (what & BEV_EVENT_ERROR) != 0);
+        }
+    };
+    bufferevent_setcb(pair->caller.get(), onBytes, onWritten, onEvent, pair.get());
+    bufferevent_setcb(pair->target.get(), onBytes, onWritten, onEvent, pair.get());
+    listen(*pair);
+    auto &kept = *pairs.emplace(pair->number, std::move(pair)).first->second;
+    bufferevent_socket_connect(kept.target.get(), target.get(), static_cast<int>(target.size));
+}
+
+/// Reads from an end only if its bytes may pass; what is not read waits in the kernel as it would behind a partition.
+auto Proxy::Impl::listen(Pair &pair) const -> void
+{
+    const auto set
+        = [&pair](bufferevent *end, bool passes) { passes && !pair.forgotten ? bufferevent_enable(end, EV_READ) : bufferevent_disable(end, EV_READ); };
+    set(pair.caller.get(), fault != PathFault::Cut && fault != PathFault::CutThere);
+    set(pair.target.get(), fault != PathFault::Cut && fault != PathFault::CutBack);
+}
+
+auto Proxy::Impl::pass(Pair &pair, bufferevent *from) -> void
+{
+    auto *input = bufferevent_get_input(from);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    const auto goesToTarget = from == pair.caller.get();
+    if (fault != PathFault::Delayed && pair.delayed.empty()) {
+        write(pair, goesToTarget, bytes);
+        return;
+    }
+    // timers of one length end in the order in which they began, so the bytes keep theirs
+    pair.delayed.push_back(loop.after(PathDelay, [this, number = pair.number, goesToTarget, bytes]() { deliver(number, goesToTarget, bytes); }));
+}
+
+auto Proxy::Impl::deliver(std::uint64_t number, bool goesToTarget, const std::string &bytes) -> void
+{
+    const auto found = pairs.find(number);
+    if (found == pairs.end()) {
+        return;
+    }
+    auto &pair = *found->second;
+    pair.delayed.pop_front();
+    write(pair, goesToTarget, bytes);
+    endIfDone(pair);
+}
+
+auto Proxy::Impl::write(Pair &pair, bool goesToTarget, const std::string &bytes) -> void
+{
+    bufferevent_write(goesToTarget ? pair.target.get() : pair.caller.get(), bytes.data(), bytes.size());
+}
+
+auto Proxy::Impl::end(Pair &pair, bufferevent *ended, bool isReset) -> void
+{
+    if (isReset) {
+        makeReset(ended == pair.caller.get() ? pair.target.get() : pair.caller.get());
+        pairs.erase(pair.number);
+        return;
+    }
+    bufferevent_disable(ended, EV_READ);
+    pair.ending = true;
+    endIfDone(pair);
+}
+
+auto Proxy::Impl::endIfDone(Pair &pair) -> void
+{
+    const auto isEmpty = [](const End &each) { return evbuffer_get_length(bufferevent_get_output(each.get())) == 0; };
+    if (pair.ending && pair.delayed.empty() && isEmpty(pair.caller) && isEmpty(pair.target)) {
+        pairs.erase(pair.number);
+    }
+}
+
+auto Proxy::Impl::resetAll() -> void
+{
+    for (const auto &[number, pair] : pairs) {
+        makeReset(pair->caller.get());
+        makeReset(pair->target.get());
+    }
+    pairs.clear();
+}
+
+Proxy::Proxy(task::EventLoop &loop, const std::string &target)
+    : impl_(std::make_unique<Impl>(loop, target))
+{
+}
+
+Proxy::~Proxy() = default;
+
+auto Proxy::address() const -> const std::string &
+{
+    return impl_->address;
+}
+
+auto Proxy::setFault(PathFault fault) -> void
+{
+    impl_->fault = fault;
+    if (fault == PathFault::Reset) {
+        impl_->resetAll();
+    }
+    for (const auto &[number, pair] : impl_->pairs) {
+        pair->forgotten = pair->forgotten || fault == PathFault::Silenced;
+        impl_->listen(*pair);
+    }
+}
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/site.cpp
@@ -0,0 +1,344 @@
+#include "soak/site.h"
+
+#include "platform/standins/wiretext.h"
+#include "standins/testing/loopback.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace auburnspread::soak
+{
+
+namespace
+{
+
+namespace standins = adapter::standins;
+using passthrough::Repeatability;
+
+constexpr auto GatewayProgram = "auburnspread-gateway";
+constexpr auto ServiceName = "portal";
+constexpr std::uint32_t ServerSlots = 64;
+/// Of a process that is asked to end: long enough for the addresses that callers keep, short enough for many ends in a run.
+constexpr auto LeavingSeconds = "6";
+constexpr std::size_t KeysInForce = 3;
+constexpr std::uint64_t VersionStep = 3; ///< versions grow unevenly
+
+auto repeatabilityOf(RequestKind kind) -> Repeatability
+{
+    switch (kind) {
+    case RequestKind::Quote:
+    case RequestKind::Check:
+        return Repeatability::Stream;
+    case RequestKind::Notice:
+        return Repeatability::AtMostOnce;
+    case RequestKind::Fetch:
+    case RequestKind::Marker:
+        return Repeatability::Idempotent;
+    }
+    return Repeatability::AtMostOnce;
+}
+
+auto makeRoutes(std::uint64_t version) -> std::vector<passthrough::Route>
+{
+    std::vector<passthrough::Route> routes;
+    for (const auto &each : KindRoutes) {
+        const std::string prefix = each.prefix;
+        passthrough::Route route{
+            .name = prefix,
+            .host = SiteHost,
+            .prefix = each.kind == RequestKind::Marker ? prefix + std::to_string(version) + "/" : prefix,
+            .repeatability = repeatabilityOf(each.kind),
+            .timeout = std::chrono::seconds(5),
+            .target = std::chrono::milliseconds(300),
+            .attempts = each.attempts,
+        };
+        route.isResumable = each.kind == RequestKind::Check;
+        routes.push_back(route);
+    }
+    return routes;
+}
+
+} // namespace
+
+Site::Site(task::EventLoop &loop, SiteOptions options, Ledger &ledger)
+    : loop_(loop)
+    , options_(std::move(options))
+    , ledger_(ledger)
+    , store_(loop)
+{
+    for (std::size_t i = 0; i < KeysInForce; ++i) {
+        addKey();
+    }
+    putConfiguration();
+    servers_.resize(options_.servers);
+    for (std::size_t number = 0; number < options_.servers; ++number) {
+        startServer(number);
+    }
+    for (std::size_t number = 0; number < options_.entries; ++number) {
+        addEntry(number);
+    }
+}
+
+auto Site::addEntry(std::size_t number) -> void
+{
+    Entry entry{ .name = "entry-" + std::to_string(number) };
+    for (auto *address : { &entry.caller, &entry.addresses, &entry.readiness, &entry.peer, &entry.metrics }) {
+        *address = auburnspread::standins::takeLoopbackAddress();
+    }
+    entry.callerProxy = std::make_unique<Proxy>(loop_, entry.caller);
+    entry.storeProxy = std::make_unique<Proxy>(loop_, store_.address());
+    startProcess(entry);
+    entries_.push_back(std::move(entry));
+}
+
+auto Site::writeSettings(const Entry &entry) const -> std::string
+{
+    const auto path = options_.folder / (entry.name + ".ini");
+    std::ofstream file(path);
+    file << "[gateway]\nname = " << entry.name << "\nfailure_domain = a\n"
+         << "[listen]\ncaller = " << entry.caller << "\nreadiness = " << entry.readiness << "\naddresses = " << entry.addresses << "\npeer = " << entry.peer
+         << "\nmetrics = " << entry.metrics << "\n[platform]\nstore = " << entry.storeProxy->address() << "\n[bounds]\nleaving_s = " << LeavingSeconds << "\n";
+    return path;
+}
+
+auto Site::startProcess(Entry &entry) -> void
+{
+    entry.incarnation += 1;
+    entry.mayEnd = false;
+    entry.process = std::make_unique<failuretests::Process>(failuretests::ProcessOptions{
+        .program = GatewayProgram,
+        .arguments = { "--config", writeSettings(entry) },
+        .output = options_.folder / (entry.name + "." + std::to_string(entry.incarnation) + ".log"),
+    });
+}
+
+auto Site::signal(Entry &entry, int number) -> void
+{
+    if (!entry.process->exitCode()) {
+        entry.process->signal(number);
+    }
+}
+
+auto Site::restartEnded() -> int
+{
+    int unasked = 0;
+    for (auto &entry : entries_) {
+        if (entry.process->exitCode()) {
+            unasked += entry.mayEnd ? 0 : 1;
+            startProcess(entry);
+        }
+    }
+    return unasked;
+}
+
+auto Site::startServer(std::size_t number) -> void
+{
+    auto &server = servers_.at(number);
+    server.id = "i-" + std::to_string(++lastServer_);
+    server.standin = std::make_unique<standins::ServerStandin>(loop_,
+                                                               standins::ServerStandinOptions{
+                                                                   .id = server.id,
+                                                                   .streamPrefix = StreamPrefix,
+                                                                   .events = StreamEvents,
+                                                                   .onExecuted = [this](const standins::Execution &run) { ledger_.ran(run); },
+                                                               });
+    server.proxy = std::make_unique<Proxy>(loop_, server.standin->address());
+    server.replacement = {};
+    server.isLeaving = false;
+    putServer(server);
+}
+
+auto Site::putServer(const Server &server) -> void
+{
+    const passthrough::Server record{
+        .service = ServiceName, .address = server.proxy->address(), .failureDomain = "a", .slots = ServerSlots, .isLeaving = server.isLeaving
+    };
+    store_.put(standins::serverKey(server.id), standins::serverText(record));
+}
+
+auto Site::stopServer(std::size_t number) -> void
+{
+    auto &server = servers_.at(number);
+    server.replacement = {};
+    server.standin.reset();
+    server.proxy.reset();
+    store_.remove(standins::serverKey(server.id));
+}
+
+/// It serves on for some time, so that what is under way ends, and gives its place to a new one.
+auto Site::announceLeaving(std::size_t number) -> void
+{
+    constexpr Duration ServesOn = std::chrono::seconds(4);
+    auto &server = servers_.at(number);
+    if (!server.standin || server.isLeaving) {
+        return;
+    }
+    server.isLeaving = true;
+    putServer(server);
+    ledger_.serverLeaves(server.id, task::monotonicNow());
+    server.replacement = loop_.after(ServesOn, [this, number]() {
+        stopServer(number);
+        startServer(number);
+    });
+}
+
+auto Site::putConfiguration() -> void
+{
+    version_ += VersionStep;
+    std::vector<std::string> names;
+    std::transform(keys_.begin(), keys_.end(), std::back_inserter(names), [](const Key &key) { return key.name; });
+    store_.put(std::string(standins::ConfigurationKey), standins::configurationText(version_, makeRoutes(version_), ServiceName, SiteWorkspace, names));
+}
+
+auto Site::addKey() -> void
+{
+    keys_.push_back({ .name = "key-" + std::to_string(++lastKey_), .since = task::monotonicNow() });
+}
+
+auto Site::rotateKeys() -> void
+{
+    withdrawnKey_ = keys_.front().name;
+    keys_.pop_front();
+    addKey();
+    putConfiguration();
+    ledger_.keyWithdrawn(withdrawnKey_, task::monotonicNow());
+}
+
+auto Site::begin(const Fault &fault) -> void
+{
+    switch (fault.kind) {
+    case FaultKind::EntryKilled:
+    case FaultKind::EntryStopped: {
+        auto &entry = entries_.at(fault.target);
+        entry.mayEnd = true;
+        signal(entry, fault.kind == FaultKind::EntryKilled ? SIGKILL : SIGTERM);
+        break;
+    }
+    case FaultKind::AllKilled:
+        for (auto &entry : entries_) {
+            entry.mayEnd = true;
+            signal(entry, SIGKILL);
+        }
+        break;
+    case FaultKind::EntryPaused:
+        signal(entries_.at(fault.target), SIGSTOP);
+        break;
+    case FaultKind::EntryReloads:
+        signal(entries_.at(fault.target), SIGHUP);
+        break;
+    case FaultKind::CallerPath:
+        entries_.at(fault.target).callerProxy->setFault(fault.path);
+        break;
+    case FaultKind::StorePath:
+        entries_.at(fault.target).storeProxy->setFault(fault.path);
+        break;
+    case FaultKind::ServerPath:
+        if (servers_.at(fault.target).proxy) {
+            servers_.at(fault.target).proxy->setFault(fault.path);
+        }
+        break;
+    case FaultKind::ServerCrashes:
+        stopServer(fault.target);
+        break;
+    case FaultKind::ServerLeaves:
+        announceLeaving(fault.target);
+        break;
+    case FaultKind::StoreBusy:
+        store_.setBusy(true);
+        break;
+    case FaultKind::StoreSilent:
+        store_.setSilent(true);
+        break;
+    case FaultKind::StoreForgets:
+        store_.dropHistory();
+        break;
+    case FaultKind::LeasesEnd:
+        store_.endLeases();
+        break;
+    case FaultKind::Configuration:
+        rotateKeys();
+        break;
+    }
+}
+
+auto Site::end(const Fault &fault) -> void
+{
+    switch (fault.kind) {
+    case FaultKind::EntryPaused:
+        signal(entries_.at(fault.target), SIGCONT);
+        break;
+    case FaultKind::CallerPath:
+        entries_.at(fault.target).callerProxy->setFault(PathFault::None);
+        break;
+    case FaultKind::StorePath:
+        entries_.at(fault.target).storeProxy->setFault(PathFault::None);
+        break;
+    case FaultKind::ServerPath:
+        if (servers_.at(fault.target).proxy) {
+            servers_.at(fault.target).proxy->setFault(PathFault::None);
+        }
+        break;
+    case FaultKind::ServerCrashes:
+        if (!servers_.at(fault.target).standin) {
+            startServer(fault.target);
+        }
+        break;
+    case FaultKind::StoreBusy:
+        store_.setBusy(false);
+        break;
+    case FaultKind::StoreSilent:
+        store_.setSilent(false);
+        break;
+    default:
+        break;
+    }
+}
+
+auto Site::entries() const -> std::size_t
+{
+    return entries_.size();
+}
+
+auto Site::addressesPage(std::size_t entry) const -> const std::string &
+{
+    return entries_.at(entry).addresses;
+}
+
+auto Site::callerAddress(std::size_t entry) const -> const std::string &
+{
+    return entries_.at(entry).callerProxy->address();
+}
+
+auto Site::findEntry(const std::string &address) const -> std::size_t
+{
+    std::size_t number = 0;
+    while (number < entries_.size() && entries_[number].caller != address) {
+        ++number;
+    }
+    return number;
+}
+
+auto Site::incarnation(std::size_t entry) const -> std::uint32_t
+{
+    return entries_.at(entry).incarnation;
+}
+
+auto Site::version() const -> std::uint64_t
+{
+    return version_;
+}
+
+auto Site::key() const -> const Key &
+{
+    return keys_.front();
+}
+
+auto Site::withdrawnKey() const -> const std::string &
+{
+    return withdrawnKey_;
+}
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/site.h
@@ -0,0 +1,136 @@
+/// \file
+/// The deployment of a soak on one machine: entries as processes of their own, backend servers and the store as stand-ins on
+/// the driver's event loop, and a proxy on each way that a fault can harm.
+
+#pragma once
+
+#include "failuretests/process.h"
+#include "platform/standins/serverstandin.h"
+#include "platform/standins/storestandin.h"
+#include "runtime/task/eventloop.h"
+#include "soak/ledger.h"
+#include "soak/plan.h"
+#include "soak/proxy.h"
+
+#include <cstdint>
+#include <deque>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnspread::soak
+{
+
+constexpr auto SiteHost = "quotes.example"; ///< of all routes
+constexpr auto SiteWorkspace = "roofers";
+constexpr int StreamEvents = 8;
+
+/// Kinds of requests, each with a route of its own.
+enum class RequestKind {
+    Quote,  ///< a stream that runs once
+    Check,  ///< a stream that may be resumed
+    Notice, ///< at most once
+    Fetch,  ///< idempotent
+    Marker, ///< idempotent, on a route that one version of the configuration has
+};
+
+struct KindRoute {
+    RequestKind kind;
+    const char *prefix;
+    const char *method;
+    std::uint32_t attempts;
+};
+constexpr auto KindRoutes = std::to_array<KindRoute>({
+    { RequestKind::Quote, "/stream/quote/", "POST", 1 },
+    { RequestKind::Check, "/stream/check/", "POST", 2 },
+    { RequestKind::Notice, "/notice/", "POST", 1 },
+    { RequestKind::Fetch, "/fetch/", "GET", 2 },
+    { RequestKind::Marker, "/version-", "GET", 1 },
+});
+constexpr auto StreamPrefix = "/stream/"; ///< of all routes whose answers are streams
+
+struct SiteOptions {
+    std::size_t entries = 3;
+    std::size_t servers = 4;
+    std::filesystem::path folder; ///< for settings and logs
+};
+
+class Site
+{
+public:
+    Site(task::EventLoop &loop, SiteOptions options, Ledger &ledger);
+
+    auto begin(const Fault &fault) -> void;
+    auto end(const Fault &fault) -> void;
+    /// Starts entries anew that have ended. \return how many ended by themselves, unasked
+    auto restartEnded() -> int;
+
+    /// \name For callers
+    /// @{
+    [[nodiscard]] auto entries() const -> std::size_t;
+    [[nodiscard]] auto addressesPage(std::size_t entry) const -> const std::string &;
+    /// Where a caller connects for an entry's address.
+    [[nodiscard]] auto callerAddress(std::size_t entry) const -> const std::string &;
+    /// The entry of an address that an entry told.
+    [[nodiscard]] auto findEntry(const std::string &address) const -> std::size_t;
+    [[nodiscard]] auto incarnation(std::size_t entry) const -> std::uint32_t;
+    [[nodiscard]] auto version() const -> std::uint64_t;
+    /// The oldest of the keys in force, and since when the store has it.
+    struct Key {
+        std::string name;
+        TimePoint since;
+    };
+    [[nodiscard]] auto key() const -> const Key &;
+    /// The key that was taken away last; empty: none yet.
+    [[nodiscard]] auto withdrawnKey() const -> const std::string &;
+    /// @}
+
+private:
+    struct Entry {
+        std::string name;
+        std::string caller;
+        std::string addresses;
+        std::string readiness;
+        std::string peer;
+        std::string metrics;
+        std::unique_ptr<Proxy> callerProxy;
+        std::unique_ptr<Proxy> storeProxy;
+        std::unique_ptr<failuretests::Process> process;
+        std::uint32_t incarnation = 0;
+        bool mayEnd = false; ///< it was killed or asked to end
+    };
+    struct Server {
+        std::string id;
+        std::unique_ptr<adapter::standins::ServerStandin> standin;
+        std::unique_ptr<Proxy> proxy;
+        bool isLeaving = false;  ///< and said so
+        task::Watch replacement; ///< of a server that leaves
+    };
+
+    auto addEntry(std::size_t number) -> void;
+    auto writeSettings(const Entry &entry) const -> std::string;
+    auto startProcess(Entry &entry) -> void;
+    auto signal(Entry &entry, int number) -> void;
+    auto startServer(std::size_t number) -> void;
+    auto putServer(const Server &server) -> void;
+    auto stopServer(std::size_t number) -> void;
+    auto announceLeaving(std::size_t number) -> void;
+    auto putConfiguration() -> void;
+    auto addKey() -> void;
+    auto rotateKeys() -> void;
+
+    task::EventLoop &loop_;
+    SiteOptions options_;
+    Ledger &ledger_;
+    adapter::standins::StoreStandin store_;
+    std::vector<Entry> entries_;
+    std::vector<Server> servers_;
+    std::uint64_t lastServer_ = 0;
+    std::uint64_t version_ = 0;
+    std::uint64_t lastKey_ = 0;
+    std::deque<Key> keys_;
+    std::string withdrawnKey_;
+};
+
+} // namespace auburnspread::soak
--- /dev/null
+++ b/src/soak/tests/ledger_tests.cpp
@@ -0,0 +1,207 @@
+#include "soak/ledger.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+using namespace auburnspread;
+using namespace auburnspread::soak;
+
+namespace
+{
+
+constexpr TimePoint Start(std::chrono::hours(1));
+
+auto at(int milliseconds) -> TimePoint
+{
+    return Start + std::chrono::milliseconds(milliseconds);
+}
+
+auto makeSent(const std::string &id) -> Sent
+{
+    return { .id = id,
+             .entry = "0",
+             .incarnation = 1,
+             .method = "POST",
+             .target = "/notice/" + id,
+             .body = "body of " + id,
+             .key = "key-1",
+             .workspace = "roofers",
+             .expectedAnswer = "answer to " + id,
+             .at = at(0) };
+}
+
+auto makeRun(const Sent &sent, const std::string &server = "i-1") -> adapter::standins::Execution
+{
+    return { .id = sent.id, .server = server, .method = sent.method, .target = sent.target, .body = sent.body, .workspace = sent.workspace, .at = at(10) };
+}
+
+auto makeSuccess(const Sent &sent) -> Ended
+{
+    return { .id = sent.id, .status = 200, .signature = "i-1." + sent.id, .body = sent.expectedAnswer, .at = at(50) };
+}
+
+auto breaks(const Ledger &ledger, Promise promise) -> bool
+{
+    const auto violations = ledger.check(TimeBounds{});
+    return std::any_of(violations.begin(), violations.end(), [promise](const Violation &each) { return each.promise == promise; });
+}
+
+/// A request that was sent, ran once and was answered.
+struct Served {
+    Served()
+    {
+        ledger.sent(sent);
+        ledger.ran(makeRun(sent));
+        ledger.ended(makeSuccess(sent));
+    }
+
+    Sent sent = makeSent("a");
+    Ledger ledger;
+};
+
+} // namespace
+
+TEST(LedgerTests, aServedRequestBreaksNothing)
+{
+    const Served served;
+    EXPECT_TRUE(served.ledger.check(TimeBounds{}).empty());
+    EXPECT_EQ(served.ledger.totals().served, 1U);
+}
+
+TEST(LedgerTests, aSecondRunIsSeen)
+{
+    Served served;
+    served.ledger.ran(makeRun(served.sent, "i-2"));
+    EXPECT_TRUE(breaks(served.ledger, Promise::Once));
+}
+
+TEST(LedgerTests, aRunThatNobodyAskedForIsSeen)
+{
+    Served served;
+    served.ledger.ran(makeRun(makeSent("b")));
+    EXPECT_TRUE(breaks(served.ledger, Promise::Asked));
+}
+
+TEST(LedgerTests, aChangedBodyAnotherWorkspaceAndAKeyPassedOnAreSeen)
+{
+    for (const auto &change : std::vector<std::function<void(adapter::standins::Execution &)>>{
+             [](auto &run) { run.body += "x"; }, [](auto &run) { run.workspace = "others"; }, [](auto &run) { run.hasKey = true; } }) {
+        Ledger ledger;
+        const auto sent = makeSent("a");
+        ledger.sent(sent);
+        auto run = makeRun(sent);
+        change(run);
+        ledger.ran(run);
+        EXPECT_TRUE(breaks(ledger, Promise::Asked));
+    }
+}
+
+TEST(LedgerTests, aRefusalOfWhatRanIsSeenAlsoWhenItRunsLater)
+{
+    Ledger ledger;
+    const auto sent = makeSent("a");
+    ledger.sent(sent);
+    ledger.ended({ .id = "a", .status = 503, .at = at(20) });
+    EXPECT_FALSE(breaks(ledger, Promise::TrueRefusal));
+    ledger.ran(makeRun(sent));
+    EXPECT_TRUE(breaks(ledger, Promise::TrueRefusal));
+}
+
+TEST(LedgerTests, aForeignACutAndAnUnsignedAnswerAreSeen)
+{
+    for (const auto &[signature, body] : { std::pair("i-1.a", "answer to b"), std::pair("i-1.a", "answer"), std::pair("", "answer to a") }) {
+        Ledger ledger;
+        const auto sent = makeSent("a");
+        ledger.sent(sent);
+        ledger.ran(makeRun(sent));
+        ledger.ended({ .id = "a", .status = 200, .signature = signature, .body = body, .at = at(50) });
+        EXPECT_TRUE(breaks(ledger, Promise::OwnAnswer)) << signature << " " << body;
+    }
+}
+
+TEST(LedgerTests, anAnswerLostAroundPlannedWorkIsSeenAndOneLostInAFailureIsNot)
+{
+    for (const auto isDisturbed : { false, true }) {
+        Ledger ledger;
+        const auto sent = makeSent("a");
+        ledger.sent(sent);
+        ledger.ran(makeRun(sent));
+        ledger.ended({ .id = "a", .cause = "reset", .at = at(50) });
+        if (isDisturbed) {
+            ledger.disturbed(at(30), at(40));
+        }
+        EXPECT_EQ(breaks(ledger, Promise::NothingLost), !isDisturbed);
+    }
+}
+
+TEST(LedgerTests, aWithdrawnKeyMayRunUntilTheBoundAndNotLater)
+{
+    for (const auto withdrawn : { -4900, -5100 }) {
+        Served served;
+        served.ledger.keyWithdrawn("key-1", at(withdrawn));
+        EXPECT_EQ(breaks(served.ledger, Promise::KeyWithdrawn), withdrawn < -5000);
+    }
+}
+
+TEST(LedgerTests, aServerThatLeavesMayGetRequestsUntilTheBoundAndNotLater)
+{
+    for (const auto left : { -1900, -2100 }) {
+        Served served;
+        served.ledger.serverLeaves("i-1", at(left));
+        EXPECT_EQ(breaks(served.ledger, Promise::LeavingServer), left < -2000);
+    }
+}
+
+TEST(LedgerTests, aProcessThatGoesBackToAnOlderVersionIsSeen)
+{
+    for (const auto incarnation : { 1U, 2U }) {
+        Ledger ledger;
+        auto newer = makeSent("new");
+        newer.onlyVersion = 6;
+        ledger.sent(newer);
+        ledger.ran(makeRun(newer));
+        auto older = makeSent("old");
+        older.onlyVersion = 3;
+        older.at = at(100);
+        older.incarnation = incarnation;
+        ledger.sent(older);
+        ledger.ran(makeRun(older));
+        EXPECT_EQ(breaks(ledger, Promise::NeverBack), incarnation == 1) << "another process may still learn";
+    }
+}
+
+TEST(LedgerTests, aDenialOfWhatIsAllowedIsSeen)
+{
+    for (const auto isAllowed : { true, false }) {
+        Ledger ledger;
+        auto sent = makeSent("a");
+        sent.isAllowed = isAllowed;
+        ledger.sent(sent);
+        ledger.ended({ .id = "a", .status = 404, .at = at(20) });
+        EXPECT_EQ(breaks(ledger, Promise::Admitted), isAllowed);
+    }
+}
+
+TEST(LedgerTests, aKeyThatIsTakenAwayUnderWayMayBeDenied)
+{
+    for (const auto withdrawn : { 10, 30 }) {
+        Ledger ledger;
+        ledger.sent(makeSent("a"));
+        ledger.keyWithdrawn("key-1", at(withdrawn));
+        ledger.ended({ .id = "a", .status = 401, .at = at(20) });
+        EXPECT_EQ(breaks(ledger, Promise::Admitted), withdrawn > 20);
+    }
+}
+
+TEST(LedgerTests, anAnswerThatComesTooLateIsSeen)
+{
+    Ledger ledger;
+    const auto sent = makeSent("a");
+    ledger.sent(sent);
+    ledger.ended({ .id = "a", .status = 504, .at = at(6600) });
+    EXPECT_TRUE(breaks(ledger, Promise::Answered));
+}
--- a/src/wire/http/client.h
+++ b/src/wire/http/client.h
@@ -22,7 +22,7 @@
     Method method = Method::Get;
     std::string address; ///< IP number and port
     std::string path;    ///< with the query; encoded
-    Headers headers;
+    Headers headers;     ///< the host is the address unless one of them names it
     std::string body;
     Duration timeout = std::chrono::seconds(5); ///< of the whole exchange, connecting included
     bool freshConnection = false;               ///< uses no idle connection: for probes and retries
--- a/src/wire/http/internal/rawrequest.cpp
+++ b/src/wire/http/internal/rawrequest.cpp
@@ -73,7 +73,9 @@
     EvhttpRequest raw(evhttp_request_new(onRequestDone, &connection));
     evhttp_request_set_error_cb(raw.get(), onError);
     auto *headers = evhttp_request_get_output_headers(raw.get());
-    evhttp_add_header(headers, "Host", request.address.c_str());
+    if (findHeader(request.headers, "Host").empty()) {
+        evhttp_add_header(headers, "Host", request.address.c_str());
+    }
     for (const auto &header : request.headers) {
         if (evhttp_add_header(headers, header.name.c_str(), header.value.c_str()) != 0) {
             return nullptr;
