--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -275,6 +275,7 @@
             return;
         }
         lease_ = lease->id;
+        leaseTime_ = lease->lifetime;
         putSelf();
     });
 }
@@ -287,7 +288,7 @@
     const auto key = std::string(EntriesPrefix) + options_.self.name;
     call("register", adapter::makePut(options_.store, key, adapter::encodeEntry(options_.self), lease_), [this](StoreOutcome outcome, const http::Result &) {
         if (outcome == StoreOutcome::Done) {
-            leaseTimer_ = loop_.after(options_.leaseTime / RenewalsPerLease, [this]() { renewLease(); });
+            leaseTimer_ = loop_.after(leaseTime_ / RenewalsPerLease, [this]() { renewLease(); });
             return;
         }
         // an answer that was lost may belong to a write that was done: writing the same again does no harm
@@ -306,7 +307,7 @@
             takeLease();
             return;
         }
-        const auto pause = outcome == StoreOutcome::Done ? options_.leaseTime / RenewalsPerLease : FailurePause;
+        const auto pause = outcome == StoreOutcome::Done ? leaseTime_ / RenewalsPerLease : FailurePause;
         leaseTimer_ = loop_.after(pause, [this]() { renewLease(); });
     });
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -94,6 +94,7 @@
     bool serversFailed_ = false; ///< since the last list that was read
 
     std::uint64_t lease_ = 0;
+    Duration leaseTime_{}; ///< that the store granted
     bool isWithdrawn_ = false;
 
     task::Watch configurationTimer_;
--- a/src/gateway/tests/directory_tests.cpp
+++ b/src/gateway/tests/directory_tests.cpp
@@ -1,8 +1,11 @@
+#include "gateway/directory.h"
 #include "gateway/tests/site.h"
 #include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
 
+using namespace auburnspread;
+using namespace auburnspread::gateway;
 using namespace auburnspread::gateway::tests;
 namespace standins = auburnspread::adapter::standins;
 using standins::StoreStandin;
@@ -47,6 +50,26 @@
     EXPECT_TRUE(waitUntil([&]() { return isRegistered(site); }));
 }
 
+/// What callers see: an entry that comes and goes in the list of addresses. The store grants a shorter lease than the entry asks
+/// for; an entry that renews by what it asked for has lost its registration before each renewal.
+TEST(DirectoryTests, theLeaseIsRenewedByTheTimeThatTheStoreGranted)
+{
+    task::EventLoop loop;
+    StoreStandin store(loop);
+    store.setGrantedLease(std::chrono::milliseconds(300));
+    constexpr auto AskedFor = std::chrono::minutes(10);
+    Directory directory(loop, { .store = store.address(), .self = { .name = "entry-1" }, .leaseTime = AskedFor }, { .onReachable = [](auto &&...) {} });
+    directory.registerSelf();
+    const auto look = loop.every(std::chrono::milliseconds(10), [&]() {
+        if (store.renewals() >= 2) {
+            loop.stop();
+        }
+    });
+    const auto bound = loop.after(std::chrono::seconds(30), [&]() { loop.stop(); });
+    loop.run();
+    EXPECT_GE(store.renewals(), 2U);
+}
+
 TEST(DirectoryTests, aNewConfigurationIsInForceWithoutARestart)
 {
     Site site;
