--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -83,6 +83,13 @@
     return encodings == 1 && !http::isSameWord(http::findHeader(headers, "Transfer-Encoding"), "chunked");
 }
 
+/// Failure: a line end that the library does not take for one stands in the request's target, as a lone carriage return may.
+/// Symptom: a backend server that does take it for one reads a second request out of the first. Nothing proper holds one.
+auto hasLineEnd(std::string_view target) -> bool
+{
+    return target.find_first_of("\r\n") != std::string_view::npos;
+}
+
 auto readPayload(evhttp_request *request, http::Headers headers) -> PayloadPointer
 {
     auto payload = std::make_shared<Payload>();
@@ -160,6 +167,10 @@
         refuseInput(request, "length of the body is given more than once or in an unknown form");
         return;
     }
+    if (hasLineEnd(evhttp_request_get_uri(request))) {
+        refuseInput(request, "a line end stands in the target");
+        return;
+    }
     const auto id = RequestId{ ++lastId };
     auto &exchange = exchanges[id];
     exchange.id = id;
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -180,6 +180,17 @@
     EXPECT_TRUE(contains(other.readUntil("answer"), "200"));
 }
 
+/// What an operator sees: as above. A lone carriage return stands in the target; a backend server that takes it for the end of
+/// the line would read two requests.
+TEST(PassThroughTests, aLineEndInTheTargetIsRefused)
+{
+    const ServedSite served;
+    Caller caller(served.site.callerAddress());
+    caller.send(makeHead("GET /fetch/1\rX-Smuggled: 1", "id-1") + "\r\n");
+    EXPECT_TRUE(caller.readToEnd().starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(contains(served.site.metrics(), "auburnspread_sends_total 0"));
+}
+
 TEST(PassThroughTests, anOversizeHeadIsRefused)
 {
     Site site;
