A changed settings file takes effect, and a wrong number no longer ends a running entry

Cause: after SIGHUP the file was read and checked, and nothing of it held before the next start; a change without a signal was not seen at all. Reading the numbers threw outside of the check: `--check` passed "leaving_s = x", and taking the file over in a running entry would have ended it (seen while trying this change: "not-started").

Ruled out: a restart for each change. Bounds can hold at once; names and addresses can't, because other entries, callers and the store know the entry by them.

Change: numbers are rules of the schema, so the check names them. Bounds and the log level take effect at once, also for requests that wait; the line settings-reread says whether something needs a restart. The file's text is compared once a second.

Before: DirectoryTests.aBoundThatChangesHoldsInARunningEntry failed with the router's bounds left as they were.

--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -14,6 +14,7 @@
 #include <exception>
 #include <functional>
 #include <string>
+#include <utility>
 #include <variant>
 
 using namespace auburnspread;
@@ -38,13 +39,43 @@
     return settings::readCommandLine(argc, argv, gateway::gatewaySchema(), ProgramName, AUBURNSPREAD_VERSION);
 }
 
-/// The settings file was changed. What is in force stays until the next start; the line tells whether that will succeed.
-auto checkNewSettings(int argc, char **argv) -> void
+/// Takes over what can take effect at once; the rest holds from the next start. Settings that are not valid change nothing.
+auto takeNewSettings(gateway::Gateway &entry, int argc, char **argv) -> void
 {
     const auto read = readSettings(argc, argv);
-    logging::event(logging::Level::Info, "settings-reread", { { "valid", std::holds_alternative<settings::Settings>(read) } });
+    const auto *valid = std::get_if<settings::Settings>(&read);
+    if (valid == nullptr) {
+        logging::event(logging::Level::Warning, "settings-reread", { { "valid", false } });
+        return;
+    }
+    const auto changed = gateway::readGatewaySettings(*valid);
+    const auto isAllInForce = entry.takeSettings(changed);
+    logging::setLevel(logging::levelFromName(changed.logLevel).value_or(logging::Level::Info));
+    logging::event(logging::Level::Info, "settings-reread", { { "valid", true }, { "needs_restart", !isAllInForce } });
 }
 
+/// The file may change without a signal. Tells of each change once, also of one to something that is not valid.
+class FileWatch
+{
+public:
+    FileWatch(task::EventLoop &loop, int argc, char **argv, std::function<void()> onChanged)
+        : text_(settings::readSettingsFile(argc, argv))
+        , timer_(loop.every(Interval, [this, argc, argv, onChanged = std::move(onChanged)]() {
+            auto text = settings::readSettingsFile(argc, argv);
+            if (std::exchange(text_, text) != text) {
+                onChanged();
+            }
+        }))
+    {
+    }
+
+private:
+    static constexpr Duration Interval = std::chrono::seconds(1); // half of the least time in which a change has to hold
+
+    std::string text_;
+    task::Watch timer_;
+};
+
 auto run(const gateway::GatewaySettings &settings, int argc, char **argv) -> void
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -54,7 +85,8 @@
         logging::event(logging::Level::Info, "leaving", { { "entry", settings.name } });
         entry.leave([&loop]() { loop.stop(); });
     };
-    std::function<void()> reload = [argc, argv]() { checkNewSettings(argc, argv); };
+    std::function<void()> reload = [&entry, argc, argv]() { takeNewSettings(entry, argc, argv); };
+    const FileWatch fileWatch(loop, argc, argv, reload);
     const auto onTerminate = onSignal(loop, SIGTERM, leave);
     const auto onInterrupt = onSignal(loop, SIGINT, leave);
     const auto onHangup = onSignal(loop, SIGHUP, reload);
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -128,6 +128,12 @@
     return actions;
 }
 
+auto changeBounds(RouterState &state, const RetryBounds &retries, Duration keyFreshness) -> void
+{
+    state.options.retries = retries;
+    state.options.keyFreshness = keyFreshness;
+}
+
 auto takeReport(RouterState &state) -> PeerReported
 {
     detail::countWanted(state);
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -38,6 +38,9 @@
 /// Takes one event in at \p now, never earlier than the last one.
 auto step(RouterState &state, const Event &event, TimePoint now) -> Actions;
 
+/// From now on these bounds hold, also for requests that wait.
+auto changeBounds(RouterState &state, const RetryBounds &retries, Duration keyFreshness) -> void;
+
 /// What this entry has in flight, for the other entries.
 auto takeReport(RouterState &state) -> PeerReported;
 /// What all entries have in flight, as far as they reported to this one.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,11 @@
     return Fingerprint{ hash };
 }
 
+auto retryBoundsOf(const GatewaySettings &settings) -> passthrough::RetryBounds
+{
+    return { .ratio = settings.retryRatio, .allowance = settings.retryAllowance, .window = settings.retryWindow };
+}
+
 auto formatSeconds(Duration duration) -> std::string
 {
     constexpr int Decimals = 3;
@@ -102,6 +107,7 @@
     Impl(task::EventLoop &eventLoop, GatewaySettings gatewaySettings);
 
     auto start() -> void;
+    auto takeSettings(const GatewaySettings &changed) -> bool;
     auto leave(std::function<void()> onLeft) -> void;
 
     auto apply(const passthrough::Event &event) -> void;
@@ -159,7 +165,7 @@
     , router(passthrough::makeRouter({
           .entry = settings.name,
           .failureDomain = settings.failureDomain,
-          .retries = { .ratio = settings.retryRatio, .allowance = settings.retryAllowance, .window = settings.retryWindow },
+          .retries = retryBoundsOf(settings),
           .keyFreshness = settings.keyWithdrawal - KeyMargin,
       }))
     , frontend(loop,
@@ -432,6 +438,14 @@
     return addresses;
 }
 
+auto Gateway::Impl::takeSettings(const GatewaySettings &changed) -> bool
+{
+    settings = withBoundsOf(std::move(settings), changed);
+    passthrough::changeBounds(*router, retryBoundsOf(settings), settings.keyWithdrawal - KeyMargin);
+    checkReadiness();
+    return settings == changed;
+}
+
 auto Gateway::Impl::leave(std::function<void()> whenLeft) -> void
 {
     if (leavingSince) {
@@ -478,6 +492,11 @@
     impl_->start();
 }
 
+auto Gateway::takeSettings(const GatewaySettings &changed) -> bool
+{
+    return impl_->takeSettings(changed);
+}
+
 auto Gateway::leave(std::function<void()> onLeft) -> void
 {
     impl_->leave(std::move(onLeft));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,8 @@
     auto operator=(const Gateway &) -> Gateway & = delete;
 
     auto start() -> void;
+    /// Takes over what of \p changed can take effect at once. \return whether that is all that differs
+    auto takeSettings(const GatewaySettings &changed) -> bool;
     /// Takes part in nothing new, ends what is under way and calls \p onLeft.
     auto leave(std::function<void()> onLeft) -> void;
 
--- a/src/gateway/settings/gatewaysettings.cpp
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -5,7 +5,11 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <stdexcept>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
 
 namespace auburnspread::gateway
 {
@@ -65,15 +69,48 @@
       .explanation = "Least level that is written." },
 });
 
-auto number(const settings::Settings &settings, std::string_view key) -> double
+auto readNumber(const std::string &text) -> std::optional<double>
 {
-    const auto &text = settings.text(key);
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < 0) {
-        throw std::runtime_error(std::string(key) + ": expected a number from 0, got " + text);
-    }
-    return value;
+    const auto isNumber = error == std::errc() && end == text.data() + text.size() && value >= 0;
+    return isNumber ? std::optional(value) : std::nullopt;
+}
+
+/// Keys whose text is a number, fractions included.
+struct NumberKey {
+    std::string_view section;
+    std::string_view name;
+    std::string_view key; ///< both
+};
+constexpr auto NumberKeys = std::to_array<NumberKey>({
+    { "vm", "core_part", "vm.core_part" },
+    { "vm", "link_mbps", "vm.link_mbps" },
+    { "bounds", "leaving_s", "bounds.leaving_s" },
+    { "bounds", "retry_ratio", "bounds.retry_ratio" },
+    { "bounds", "retry_window_s", "bounds.retry_window_s" },
+    { "bounds", "retry_allowance", "bounds.retry_allowance" },
+    { "bounds", "keep_addresses_s", "bounds.keep_addresses_s" },
+});
+
+template <std::size_t Index>
+auto holdsNumber(const settings::Settings &settings) -> bool
+{
+    return readNumber(settings.text(NumberKeys.at(Index).key)).has_value();
+}
+
+template <std::size_t... Indices>
+constexpr auto makeNumberRules(std::index_sequence<Indices...> /*indices*/) -> std::array<settings::Rule, sizeof...(Indices)>
+{
+    return { { { NumberKeys[Indices].section, NumberKeys[Indices].name, &holdsNumber<Indices>, "a number from 0" }... } };
+}
+
+constexpr auto Rules = makeNumberRules(std::make_index_sequence<NumberKeys.size()>());
+
+/// The rules have checked it.
+auto number(const settings::Settings &settings, std::string_view key) -> double
+{
+    return readNumber(settings.text(key)).value();
 }
 
 auto seconds(const settings::Settings &settings, std::string_view key) -> Duration
@@ -94,7 +131,19 @@
 
 auto gatewaySchema() -> settings::Schema
 {
-    return { .keys = Keys, .rules = {} };
+    return { .keys = Keys, .rules = Rules };
+}
+
+auto withBoundsOf(GatewaySettings current, const GatewaySettings &changed) -> GatewaySettings
+{
+    current.keyWithdrawal = changed.keyWithdrawal;
+    current.leavingTime = changed.leavingTime;
+    current.retryRatio = changed.retryRatio;
+    current.retryWindow = changed.retryWindow;
+    current.retryAllowance = changed.retryAllowance;
+    current.keepAddresses = changed.keepAddresses;
+    current.logLevel = changed.logLevel;
+    return current;
 }
 
 auto readGatewaySettings(const settings::Settings &settings) -> GatewaySettings
--- a/src/gateway/settings/gatewaysettings.h
+++ b/src/gateway/settings/gatewaysettings.h
@@ -31,8 +31,14 @@
     double retryAllowance = 0;
     Duration keepAddresses{}; ///< longest time for which callers keep an answer
     std::string logLevel;
+
+    auto operator==(const GatewaySettings &) const -> bool = default;
 };
 
+/// \p current with what of \p changed can take effect in a running entry: its bounds and the log level. Names and addresses stay,
+/// because other entries, callers and the store know this one by them.
+auto withBoundsOf(GatewaySettings current, const GatewaySettings &changed) -> GatewaySettings;
+
 auto gatewaySchema() -> settings::Schema;
 auto readGatewaySettings(const settings::Settings &settings) -> GatewaySettings;
 
--- a/src/gateway/tests/directory_tests.cpp
+++ b/src/gateway/tests/directory_tests.cpp
@@ -106,6 +106,18 @@
     EXPECT_TRUE(waitUntil([&]() { return statusOf(site, "unknown") == "401"; }));
 }
 
+/// What callers see: a key that was taken away runs for longer than the operators now say. They shorten the bound while the entry
+/// runs; with the store away, the entry stops to admit keys by the new bound, not by the one that it was started with.
+TEST(DirectoryTests, aBoundThatChangesHoldsInARunningEntry)
+{
+    Site site("60000");
+    site.onLoop([](StoreStandin &store) { store.setBusy(true); });
+    EXPECT_TRUE(site.setKeyWithdrawal(std::chrono::seconds(2)));
+    EXPECT_TRUE(waitUntil([&]() { return !contains(site.readiness(), " 200 "); }));
+    EXPECT_EQ(statusOf(site, "key-1"), "503");
+    EXPECT_TRUE(contains(site.metrics(), "reason=\"stale-configuration\"} 1"));
+}
+
 TEST(DirectoryTests, aListOfServersInPagesIsReadWhole)
 {
     Site site;
--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -160,6 +160,17 @@
     onLoop([&](standins::StoreStandin &store) { store.put(std::string(standins::ConfigurationKey), makeDocument(version, key)); });
 }
 
+auto Site::setKeyWithdrawal(Duration keyWithdrawal) -> bool
+{
+    auto isAllInForce = false;
+    onLoop([&](standins::StoreStandin &) {
+        auto changed = running_->settings;
+        changed.keyWithdrawal = keyWithdrawal;
+        isAllInForce = running_->gateway->takeSettings(changed);
+    });
+    return isAllInForce;
+}
+
 auto Site::leave() -> void
 {
     onLoop([this](standins::StoreStandin &) { running_->gateway->leave([this]() { running_->left = true; }); });
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -45,6 +45,8 @@
     auto addServer(const std::string &id, const std::string &service, const std::string &address) -> void;
     /// A configuration with this key and key-other.
     auto putConfiguration(std::uint64_t version, const std::string &key) -> void;
+    /// Another bound on the life of a withdrawn key. \return whether all that changed is in force
+    [[nodiscard]] auto setKeyWithdrawal(Duration keyWithdrawal) -> bool;
     /// The gateway begins to leave.
     auto leave() -> void;
     [[nodiscard]] auto hasLeft() const -> bool;
--- a/src/runtime/settings/commandline.cpp
+++ b/src/runtime/settings/commandline.cpp
@@ -127,6 +127,11 @@
 
 } // namespace
 
+auto readSettingsFile(int argc, char *const *argv) -> std::string
+{
+    return readFile(readOptions(argc, argv).configFile).value_or("");
+}
+
 auto printSchema(const Schema &schema, std::ostream &output) -> void
 {
     std::string_view section;
--- a/src/runtime/settings/commandline.h
+++ b/src/runtime/settings/commandline.h
@@ -6,6 +6,7 @@
 #include "runtime/settings/settings.h"
 
 #include <iosfwd>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -24,6 +25,9 @@
 auto readCommandLine(int argc, char *const *argv, const Schema &schema, std::string_view programName, std::string_view version)
     -> std::variant<Settings, ExitCode>;
 
+/// What stands in the file that the command line names, as it is now; empty if it names none or it can't be read.
+auto readSettingsFile(int argc, char *const *argv) -> std::string;
+
 /// Every key with kind, default and explanation, as --help prints it.
 auto printSchema(const Schema &schema, std::ostream &output) -> void;
 
