Gateway: leaving and the entry's own answers stand in modules of their own

Change: gateway/leaving decides over a plain struct, gateway/refusalanswer writes the answers of refusals. Behaviour stays.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include "gateway/clock.h"
 #include "gateway/fleet.h"
 #include "gateway/frontend.h"
+#include "gateway/leaving.h"
+#include "gateway/refusalanswer.h"
 #include "gateway/upstream.h"
 #include "platform/callerrequest.h"
 #include "platform/pages.h"
@@ -14,8 +16,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <unordered_map>
 #include <utility>
 
@@ -33,17 +33,11 @@
 
 /// Time limits are checked this often; the tightest are some hundred milliseconds.
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
-/// Callers ask again for addresses after this time; some keep an answer three times as long.
-constexpr Duration AddressKeep = std::chrono::seconds(1);
-constexpr int LongestKeepFactor = 3;
 
 /// The configuration counts as confirmed for this much less than a withdrawn key may live: a watch may be deaf for a
 /// second before it is cut, and a timer may be late.
 constexpr Duration KeyMargin = std::chrono::milliseconds(1500);
 
-/// Requests that arrive later than this before the end may not end in time, and are refused.
-constexpr Duration ClosingTime = std::chrono::milliseconds(2500);
-constexpr Duration LeavingMargin = std::chrono::milliseconds(300);
 constexpr Duration LeavingCheck = std::chrono::milliseconds(50);
 
 /// A request under way, or one that its caller left and that runs to its end.
@@ -78,27 +72,6 @@
     return { .ratio = settings.retryRatio, .allowance = settings.retryAllowance, .window = settings.retryWindow };
 }
 
-auto formatSeconds(Duration duration) -> std::string
-{
-    constexpr int Decimals = 3;
-    std::array<char, 32> text{};
-    const auto seconds = std::chrono::duration<double>(duration).count();
-    const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed, Decimals);
-    return error == std::errc() ? std::string(text.data(), end) : "1";
-}
-
-auto makeRefusal(const passthrough::Refuse &refusal) -> WholeAnswer
-{
-    WholeAnswer answer{ .status = refusal.status, .headers = { { "Content-Type", TextType } } };
-    answer.headers.push_back({ "Auburnspread-Reason", std::string(entryOf(refusal.reason).name) });
-    answer.headers.push_back({ "Auburnspread-Outcome", std::string(outcomeName(refusal.outcome)) });
-    if (refusal.retryAfter) {
-        answer.headers.push_back({ "Retry-After", formatSeconds(*refusal.retryAfter) });
-    }
-    answer.body = std::string(entryOf(refusal.reason).name) + "\n";
-    return answer;
-}
-
 } // namespace
 
 class Gateway::Impl
@@ -151,12 +124,10 @@
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::unordered_map<AttemptId, WholeAnswer> held; ///< whole answers that the core judges
     bool isReady = false;
-    std::optional<TimePoint> leavingSince;
-    TimePoint lastBusyAt;
-    bool isClosing = false;
+    std::optional<Leaving> leaving; ///< set once it has begun to leave
     std::function<void()> onLeft;
     task::Watch sweeper;
-    task::Watch leaving;
+    task::Watch leavingCheck;
 };
 
 Gateway::Impl::Impl(task::EventLoop &eventLoop, GatewaySettings gatewaySettings)
@@ -416,14 +387,14 @@
 auto Gateway::Impl::checkReadiness() -> void
 {
     const auto isFresh = passthrough::isFresh(*router, now());
-    const auto ready = isFresh && fleet.knowsServers() && !leavingSince;
+    const auto ready = isFresh && fleet.knowsServers() && !leaving;
     if (ready) {
         fleet.registerSelf();
     }
     if (std::exchange(isReady, ready) == ready) {
         return;
     }
-    const auto *reason = leavingSince ? "leaving" : !isFresh ? "configuration not confirmed" : "no backend servers known";
+    const auto *reason = leaving ? "leaving" : !isFresh ? "configuration not confirmed" : "no backend servers known";
     accounting.readinessChanged(ready, ready ? "" : reason);
 }
 
@@ -432,7 +403,7 @@
 {
     auto addresses = fleet.otherAddresses();
     const auto isUsable = passthrough::isFresh(*router, now()) && fleet.knowsServers();
-    if (!leavingSince && (isUsable || addresses.empty())) {
+    if (!leaving && (isUsable || addresses.empty())) {
         addresses.push_back(settings.callerAddress);
     }
     return addresses;
@@ -448,35 +419,30 @@
 
 auto Gateway::Impl::leave(std::function<void()> whenLeft) -> void
 {
-    if (leavingSince) {
+    if (leaving) {
         return;
     }
     onLeft = std::move(whenLeft);
-    leavingSince = now();
-    lastBusyAt = *leavingSince;
+    leaving = beginLeaving(now());
     checkReadiness();
     fleet.leave();
     frontend.closeAfterAnswers();
-    leaving = loop.every(LeavingCheck, [this]() { checkLeaving(); });
+    leavingCheck = loop.every(LeavingCheck, [this]() { checkLeaving(); });
 }
 
-/// Callers keep their list of entries for some seconds, and their connections until an answer closes them. So the entry
-/// serves on for as long as any may come, and refuses what could not end before the process does.
 auto Gateway::Impl::checkLeaving() -> void
 {
-    const auto at = now();
-    const auto gone = at - *leavingSince;
     const auto isBusy = frontend.openRequests() > 0 || upstream.attempts() > 0;
-    lastBusyAt = isBusy ? at : lastBusyAt;
-    if (!isClosing && gone >= settings.leavingTime - ClosingTime) {
-        isClosing = true;
+    switch (stepLeaving(*leaving, isBusy, settings.leavingTime, now())) {
+    case LeavingStep::ServeOn:
+        break;
+    case LeavingStep::RefuseNew:
         apply(passthrough::ClosingStarted{});
-    }
-    constexpr Duration QuietTime = std::chrono::milliseconds(300);
-    const auto isUnused = gone > AddressKeep * LongestKeepFactor && at - lastBusyAt > QuietTime;
-    if (isUnused || gone >= settings.leavingTime - LeavingMargin) {
-        leaving = {};
+        break;
+    case LeavingStep::End:
+        leavingCheck = {};
         onLeft();
+        break;
     }
 }
 
--- /dev/null
+++ b/src/gateway/refusalanswer.cpp
@@ -0,0 +1,41 @@
+#include "gateway/refusalanswer.h"
+
+#include "core/base/reason.h"
+
+#include <array>
+#include <charconv>
+#include <string>
+#include <system_error>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+constexpr auto TextType = "text/plain";
+
+auto formatSeconds(Duration duration) -> std::string
+{
+    constexpr int Decimals = 3;
+    std::array<char, 32> text{};
+    const auto seconds = std::chrono::duration<double>(duration).count();
+    const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed, Decimals);
+    return error == std::errc() ? std::string(text.data(), end) : "1";
+}
+
+} // namespace
+
+auto makeRefusal(const passthrough::Refuse &refusal) -> WholeAnswer
+{
+    WholeAnswer answer{ .status = refusal.status, .headers = { { "Content-Type", TextType } } };
+    answer.headers.push_back({ "Auburnspread-Reason", std::string(entryOf(refusal.reason).name) });
+    answer.headers.push_back({ "Auburnspread-Outcome", std::string(outcomeName(refusal.outcome)) });
+    if (refusal.retryAfter) {
+        answer.headers.push_back({ "Retry-After", formatSeconds(*refusal.retryAfter) });
+    }
+    answer.body = std::string(entryOf(refusal.reason).name) + "\n";
+    return answer;
+}
+
+} // namespace auburnspread::gateway
