--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -16,6 +16,8 @@
 #include <filesystem>
 #include <getopt.h>
 #include <iostream>
+#include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -239,6 +241,9 @@
             return UsageExit;
         }
         return runSoak(*options);
+    } catch (const std::logic_error &) {
+        std::cerr << "auburnspread-soak: an option needs a number\n" << Usage;
+        return UsageExit;
     } catch (const std::exception &error) {
         std::cerr << "auburnspread-soak: " << error.what() << "\n";
         return UsageExit;
