Soak: the step between two versions stands once

Cause: the callers spelled the step of the site's versions as a bare 3, twice, to find the version before the one in force; the site has it as a named constant.

Change: the site tells the previous version.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -119,7 +119,7 @@
     const auto isMarker = route.kind == RequestKind::Marker;
     const auto takesWithdrawn = !site_.withdrawnKey().empty() && drawBelow(WithdrawnKeys) == 0;
     const auto isKeyKnown = task::monotonicNow() - site_.key().since > KeyKnownAfter;
-    const auto version = site_.version() > 3 && drawBelow(2) == 0 ? site_.version() - 3 : site_.version();
+    const auto version = site_.previousVersion() > 0 && drawBelow(2) == 0 ? site_.previousVersion() : site_.version();
     Sent request{
         .id = "a" + std::to_string(options_.seed) + "-" + std::to_string(++lastId_),
         .entry = std::to_string(entry),
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -331,6 +331,11 @@
     return version_;
 }
 
+auto Site::previousVersion() const -> std::uint64_t
+{
+    return version_ - VersionStep;
+}
+
 auto Site::key() const -> const Key &
 {
     return keys_.front();
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -76,6 +76,8 @@
     [[nodiscard]] auto findEntry(const std::string &address) const -> std::size_t;
     [[nodiscard]] auto incarnation(std::size_t entry) const -> std::uint32_t;
     [[nodiscard]] auto version() const -> std::uint64_t;
+    /// 0: there was none.
+    [[nodiscard]] auto previousVersion() const -> std::uint64_t;
     /// The oldest of the keys in force, and since when the store has it.
     struct Key {
         std::string name;
