A server that starts again under its id is known as new; registrations of other writers name no server

Cause: the state of a server was kept by its id alone, so after a restart under the same id its cache, load, failures and connections of the earlier run were still believed. Ruled out: dropping the state when an attempt fails. A crash shows in the registration alone where no attempt was under way. Change: Server::startedAt; another start makes another state, attempts keep the state of their run, idle connections are closed.

--- a/src/core/passthrough/configuration.h
+++ b/src/core/passthrough/configuration.h
@@ -75,7 +75,7 @@
     CallerLimits limits;
 };
 
-/// A backend server as it registered itself. A restart makes a new one with a new id.
+/// A backend server as it registered itself. It may start again under its id: then \c startedAt differs.
 struct Server {
     std::string id;
     std::string service;
@@ -83,7 +83,8 @@
     std::string failureDomain;
     std::uint32_t slots = 1; ///< requests that it works on at once
     bool isLeaving = false;
-    Duration coldFor{}; ///< how much longer it stays slow after its start
+    Duration coldFor{};         ///< how much longer it stays slow after its start
+    std::int64_t startedAt = 0; ///< Unix time of its start in ms, told by itself; 0: not told
 
     auto operator==(const Server &) const -> bool = default;
 };
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -51,10 +51,14 @@
     }
 }
 
+/// Failure: a server crashes and starts again under its id. Symptom: sessions go to a cache that is empty, requests wait for
+/// work that died with it, and it is passed over for failures of its earlier run. So a later start is another server: attempts of
+/// the earlier run keep its state to their end.
 auto takeRecord(ServerTable &table, const Server &record, TimePoint asOf) -> void
 {
     auto &server = table.byId[record.id];
-    if (!server) {
+    const auto isRestarted = server && server->record.startedAt != record.startedAt;
+    if (!server || isRestarted) {
         server = std::make_shared<ServerState>();
         server->hash = hashOf(record.id);
     }
--- a/src/core/passthrough/tests/servers_tests.cpp
+++ b/src/core/passthrough/tests/servers_tests.cpp
@@ -43,6 +43,42 @@
     EXPECT_EQ(serversUsed(world, FetchPath), (std::set<std::string>{ "p2", "p3" }));
 }
 
+/// What callers see: nothing for seconds. A server crashes, which suspends it here, and starts again under its id; it is
+/// ready at once, but everything remembered of its earlier run speaks against it.
+TEST(ServerTests, aServerThatStartedAgainIsKnownAsNew)
+{
+    World world;
+    std::vector<Server> servers{ makeServer("p1", "portal", 6) };
+    servers[0].startedAt = 1000;
+    world.apply(ServersListed{ .servers = servers, .asOf = world.now() });
+    const auto sent = find<Send>(world.arrive(NoticePath));
+    ASSERT_TRUE(sent);
+    world.apply(AttemptFailed{ .attempt = sent->attempt, .failure = Failure::BrokenBeforeFirstByte });
+    EXPECT_FALSE(find<Send>(world.arrive(NoticePath))) << "it may still be down";
+    servers[0].startedAt = 2000;
+    const auto actions = world.apply(ServersListed{ .servers = servers, .asOf = world.now() });
+    EXPECT_TRUE(find<Send>(actions));
+}
+
+/// What callers see: requests that wait although an engine is idle. It crashes with prompts unread and starts again under its
+/// id; an attempt of its earlier run ends later and must not be taken from the account of its new one.
+TEST(ServerTests, attemptsOfAnEarlierRunEndInTheAccountsOfThatRun)
+{
+    ServerTable table;
+    Server record = makeServer("e1", "engines", 32);
+    adoptServers(table, { .servers = { record } }, {});
+    const auto before = findServer(table, "e1");
+    noteSent(*before, { .unreadTokens = 9000, .heldTokens = 9000 }, {}, {});
+    record.startedAt = 1;
+    adoptServers(table, { .servers = { record } }, {});
+    const auto after = findServer(table, "e1");
+    EXPECT_EQ(after->own.inFlight, 0U);
+    noteSent(*after, { .unreadTokens = 100, .heldTokens = 100 }, {}, {});
+    noteEnded(*before, { .unreadTokens = 9000, .heldTokens = 9000 });
+    EXPECT_EQ(after->own.inFlight, 1U);
+    EXPECT_EQ(after->own.unreadTokens, 100U);
+}
+
 /// What callers see: every request refused, although all servers live. The store was away so long that registrations
 /// lapsed; its first list is empty, and the servers are back in it within two seconds.
 TEST(ServerTests, serversMissingAfterAnOutageOfTheRegistryStayForTwoSeconds)
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -44,6 +44,7 @@
     , entries_(registry_.gauge({ .name = "auburnspread_entries", .help = "Entries that are alive." }))
     , version_(registry_.gauge({ .name = "auburnspread_configuration_version", .help = "Version in force here." }))
     , age_(registry_.gauge({ .name = "auburnspread_configuration_age_seconds", .help = "Since the configuration was last confirmed." }))
+    , invalidInputs_(registry_.counter({ .name = "auburnspread_invalid_inputs_total", .help = "Documents, registrations and messages that made no sense." }))
     , storeCalls_(registry_.gauge({ .name = "auburnspread_store_calls", .help = "Calls to the platform's store since the start." }))
 {
 }
@@ -165,6 +166,7 @@
 
 auto Accounting::inputInvalid(std::string_view source, std::string_view detail) -> void
 {
+    invalidInputs_.add();
     event(Level::Error, "input-invalid", { { "step", source }, { "detail", detail } });
 }
 
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -74,6 +74,7 @@
     metrics::Gauge &entries_;
     metrics::Gauge &version_;
     metrics::Gauge &age_;
+    metrics::Counter &invalidInputs_;
     metrics::Gauge &storeCalls_;
 };
 
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -187,7 +187,7 @@
         try {
             page_.servers.push_back(adapter::decodeServer(item.key, item.value));
         } catch (const adapter::InvalidDocument &error) {
-            callbacks_.onInvalid("server", error.what());
+            tellInvalidServer(item, error.what());
         }
     }
     if (items.hasMore && !items.items.empty()) {
@@ -197,6 +197,19 @@
     }
 }
 
+/// A registration of another writer stays for hours and is read twice a second: it is told once for each time it was written.
+auto Directory::tellInvalidServer(const adapter::StoreItem &item, std::string_view detail) -> void
+{
+    constexpr std::size_t MostRemembered = 1000;
+    if (invalidServers_.size() >= MostRemembered) {
+        invalidServers_.clear();
+    }
+    auto &told = invalidServers_[item.key];
+    if (std::exchange(told, item.revision) != item.revision) {
+        callbacks_.onInvalid("server", item.key + ": " + std::string(detail));
+    }
+}
+
 auto Directory::takeServers() -> void
 {
     if (serversFailed_ && serversReadAt_ && page_.asOf - *serversReadAt_ > OutageLength) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -67,6 +67,7 @@
     auto readServersPage(const std::string &after) -> void;
     auto takeServersPage(const adapter::StoreItems &items) -> void;
     auto takeServers() -> void;
+    auto tellInvalidServer(const adapter::StoreItem &item, std::string_view detail) -> void;
 
     auto readEntries() -> void;
     auto watchEntries() -> void;
@@ -89,6 +90,7 @@
     std::uint64_t entriesRevision_ = 0;
     std::map<std::string, adapter::EntryRecord> entries_; ///< by key
     ServersRead page_;                                    ///< the list that is being read
+    std::map<std::string, std::uint64_t> invalidServers_; ///< revision of the last registration told as invalid, by key
     std::optional<TimePoint> serversReadAt_;
     std::optional<TimePoint> outageEndedAt_;
     bool serversFailed_ = false; ///< since the last list that was read
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -189,6 +189,9 @@
         const auto before = servers_.find(server.id);
         if (before == servers_.end()) {
             accounting_.serversChanged("joined", server.id, server.service);
+        } else if (before->second.startedAt != server.startedAt) {
+            accounting_.serversChanged("restarted", server.id, server.service);
+            callbacks_.onServerGone(server.id);
         } else if (before->second.isLeaving != server.isLeaving) {
             accounting_.serversChanged(server.isLeaving ? "leaving" : "available", server.id, server.service);
         }
