Placement by what engines hold, copies of KV cache, and an order of release that no longer piles up

Change: entries tell the shared parts that they sent; parts held count, the hash only breaks ties; what another engine has read is copied from it; each request looks at a few engines, those with more room sooner; what waits, and what is sent unseen, is released in proportion to all room; less lies ahead of less urgent tiers; reading speed is learnt; engines for short prompts are counted by reading time too; after a start each engine is asked by two entries what it holds.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -32,13 +32,17 @@
     std::optional<Failure> repeatedAfter; ///< of the attempt before; not set: this is the first
     Duration startTimeout{};              ///< without any answer by then the attempt has failed
     Duration silenceTimeout{};            ///< a stream without a further event for this long has failed
+    std::string fetchFrom;                ///< address of an engine to copy KV cache from; empty: none
     /// \name Why this server, for logs
     /// @{
     Duration estimatedStart{};        ///< expected time to the first byte
     std::uint32_t promptTokens = 0;   ///< of the request
     std::uint32_t unreadTokens = 0;   ///< of these, that the server is expected to read
+    std::uint32_t fetchedTokens = 0;  ///< of these, that it copies from another engine
     std::uint32_t requestsBefore = 0; ///< on the server, of all entries
     std::uint32_t tokensBefore = 0;   ///< of prompts that wait there
+    std::uint32_t roomTokens = 0;     ///< that all engines may still be given to read
+    std::uint32_t waitingTokens = 0;  ///< of prompts that wait at all entries
     int home = 0;                     ///< place of the server among those of the request's session, from 1; 0: none
     /// @}
 };
--- /dev/null
+++ b/src/core/passthrough/enginecache.cpp
@@ -0,0 +1,99 @@
+#include "core/passthrough/enginecache.h"
+
+#include <algorithm>
+
+namespace auburnspread::passthrough
+{
+
+namespace
+{
+
+/// An engine's memory yields the parts used least recently; a part that nobody asked for in this time may be gone.
+constexpr Duration CacheMemory = std::chrono::seconds(20);
+constexpr std::size_t MostParts = 1024;
+/// An engine takes on no more than it can begin within some hundred milliseconds, so it has read by then what was sent.
+constexpr Duration ReadingPatience = std::chrono::milliseconds(500);
+/// Uses are told to others within some hundred milliseconds; older ones are dropped.
+constexpr Duration RecentTime = std::chrono::milliseconds(400);
+
+auto dropOldest(EngineCache &cache) -> void
+{
+    const auto isOlder = [](const auto &a, const auto &b) { return a.second.usedAt < b.second.usedAt; };
+    const auto oldest = std::min_element(cache.parts.begin(), cache.parts.end(), isOlder);
+    cache.tokens -= oldest->second.tokens;
+    cache.parts.erase(oldest);
+}
+
+auto isTooFull(const EngineCache &cache, std::uint64_t capacity) -> bool
+{
+    return cache.parts.size() > MostParts || (capacity > 0 && cache.tokens > capacity);
+}
+
+} // namespace
+
+auto noteUse(EngineCache &cache, const PromptPart &part, std::uint64_t capacity, TimePoint now) -> void
+{
+    auto &known = cache.parts[part.id];
+    cache.tokens += part.tokens;
+    cache.tokens -= known.tokens;
+    const auto isNew = known.tokens == 0 || now - known.usedAt >= CacheMemory;
+    known = { .tokens = part.tokens, .sentAt = isNew ? now : known.sentAt, .usedAt = now };
+    while (cache.parts.size() > 1 && isTooFull(cache, capacity)) {
+        dropOldest(cache);
+    }
+}
+
+namespace
+{
+
+template <typename Counts>
+auto prefixTokens(const EngineCache &cache, const Prompt &prompt, Counts counts) -> std::uint32_t
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        const auto found = cache.parts.find(prompt.parts[i].id);
+        if (found == cache.parts.end() || !counts(found->second)) {
+            break;
+        }
+        tokens += prompt.parts[i].tokens;
+    }
+    return std::min(tokens, prompt.tokens);
+}
+
+} // namespace
+
+auto heldPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t
+{
+    return prefixTokens(cache, prompt, [now](const EngineCache::Part &part) { return now - part.usedAt < CacheMemory; });
+}
+
+auto readPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t
+{
+    return prefixTokens(cache, prompt, [now](const EngineCache::Part &part) { return now - part.usedAt < CacheMemory && now - part.sentAt >= ReadingPatience; });
+}
+
+auto holds(const EngineCache &cache, std::uint64_t part, TimePoint now) -> bool
+{
+    const auto found = cache.parts.find(part);
+    return found != cache.parts.end() && now - found->second.usedAt < CacheMemory;
+}
+
+auto noteSent(RecentParts &recent, const PromptPart &part, TimePoint now) -> void
+{
+    recent.sent.push_back({ .part = part, .at = now });
+    while (now - recent.sent.front().at > RecentTime) {
+        recent.sent.pop_front();
+    }
+}
+
+auto addSentWithin(const RecentParts &recent, Duration window, TimePoint now, std::vector<PromptPart> &list) -> void
+{
+    for (auto each = recent.sent.rbegin(); each != recent.sent.rend() && now - each->at <= window; ++each) {
+        const auto isListed = std::any_of(list.begin(), list.end(), [each](const PromptPart &part) { return part.id == each->part.id; });
+        if (!isListed) {
+            list.push_back(each->part);
+        }
+    }
+}
+
+} // namespace auburnspread::passthrough
--- /dev/null
+++ b/src/core/passthrough/enginecache.h
@@ -0,0 +1,54 @@
+/// \file
+/// What the prefix cache of an engine is believed to hold: the parts of the prompts that entries sent there, each as long as
+/// it is likely to have stayed. Entries tell each other what they sent, so all of them believe the same.
+
+#pragma once
+
+#include "core/base/time.h"
+#include "core/passthrough/events.h"
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace auburnspread::passthrough
+{
+
+struct EngineCache {
+    struct Part {
+        std::uint32_t tokens = 0;
+        TimePoint sentAt; ///< there first, by any entry
+        TimePoint usedAt; ///< sent there last
+    };
+    std::unordered_map<std::uint64_t, Part> parts; ///< by id
+    std::uint64_t tokens = 0;                      ///< of all parts
+};
+
+/// A prompt with this part was sent. \p capacity: tokens that the engine's memory holds; 0: not known
+auto noteUse(EngineCache &cache, const PromptPart &part, std::uint64_t capacity, TimePoint now) -> void;
+
+auto holds(const EngineCache &cache, std::uint64_t part, TimePoint now) -> bool;
+
+/// Tokens of the prompt's leading parts that the engine keeps, or will when it has read what was sent: a part counts only while
+/// all parts before it are there too. The last part is the request's own and never counts.
+auto heldPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t;
+
+/// The same of what it has surely read by now, so that another engine can fetch it.
+auto readPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t;
+
+/// The parts that were sent to one engine lately, oldest first, to be told to other entries.
+struct RecentParts {
+    struct Sent {
+        PromptPart part;
+        TimePoint at;
+    };
+    std::deque<Sent> sent;
+};
+
+auto noteSent(RecentParts &recent, const PromptPart &part, TimePoint now) -> void;
+
+/// Adds the parts sent no longer ago than \p window to \p list, each once.
+auto addSentWithin(const RecentParts &recent, Duration window, TimePoint now, std::vector<PromptPart> &list) -> void;
+
+} // namespace auburnspread::passthrough
--- a/src/core/passthrough/enginesplit.cpp
+++ b/src/core/passthrough/enginesplit.cpp
@@ -15,11 +15,38 @@
 /// Part of an engine's batch that talkers fill; the rest is for the spread between engines. Each engine more for readers is a
 /// sixtieth of a large fleet's reading: with 0.65, 3 in 100 fewer quotes were on time in its bursts. At 0.9 one short answer in ten more stutters.
 constexpr double TalkerFill = 0.75;
+/// Part of an engine's time that talkers' prompts fill. Failure: prompts of a thousand tokens with short answers fill an engine's
+/// time long before its batch. Symptom: the engines kept for them read all the time, and answers there reach their deadlines.
+constexpr double TalkerReading = 0.5;
 /// Readers keep at least this part of the engines, talkers at most the rest.
 constexpr double MostTalkerPart = 0.6;
 
 } // namespace
 
+namespace
+{
+
+auto moveAverage(double &average, Duration value) -> void
+{
+    constexpr double Weight = 0.1;
+    const auto milliseconds = std::chrono::duration<double, std::milli>(value).count();
+    average = average == 0 ? milliseconds : average + Weight * (milliseconds - average);
+}
+
+/// Engines' time that talkers take, by Little's law: as many arrive as are under way, divided by the time that each stays.
+auto readingEngines(const EngineSplit &split) -> double
+{
+    return split.lifetimeMs == 0 ? 0 : split.talkers * split.readingMs / split.lifetimeMs;
+}
+
+} // namespace
+
+auto noteTalkerEnded(EngineSplit &split, Duration reading, Duration lifetime) -> void
+{
+    moveAverage(split.readingMs, reading);
+    moveAverage(split.lifetimeMs, lifetime);
+}
+
 auto updateSplit(EngineSplit &split, const std::vector<ServerPointer> &servers, TimePoint now) -> void
 {
     std::uint32_t talkers = 0;
@@ -40,7 +67,7 @@
         return;
     }
     const auto slotsEach = static_cast<double>(slots) / static_cast<double>(usable);
-    const auto wanted = std::ceil(split.talkers / (slotsEach * TalkerFill));
+    const auto wanted = std::ceil(std::max(split.talkers / (slotsEach * TalkerFill), readingEngines(split) / TalkerReading));
     const auto most = std::max(1.0, std::floor(static_cast<double>(usable) * MostTalkerPart));
     split.talkerServers = static_cast<std::size_t>(std::clamp(wanted, 1.0, most));
 }
--- a/src/core/passthrough/enginesplit.h
+++ b/src/core/passthrough/enginesplit.h
@@ -24,8 +24,13 @@
     std::size_t talkerServers = 0; ///< engines of lowest rank that are kept for talkers
     double talkers = 0;            ///< demand: requests in flight, rises at once and decays slowly
     TimePoint updatedAt;
+    double readingMs = 0;  ///< moving average of an engine's time for one of their prompts
+    double lifetimeMs = 0; ///< moving average of the time from sending to the end of one of them; 0: none has ended yet
 };
 
+/// One of the talkers was answered. \p reading: an engine's time for its prompt
+auto noteTalkerEnded(EngineSplit &split, Duration reading, Duration lifetime) -> void;
+
 auto updateSplit(EngineSplit &split, const std::vector<ServerPointer> &servers, TimePoint now) -> void;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -113,12 +113,20 @@
         std::uint32_t heldTokens = 0;   ///< of memory, by all requests
         std::uint32_t wantedTokens = 0; ///< of prompts that wait at the entry for this server
         std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
+        std::vector<PromptPart> sent;   ///< shared parts of prompts that were sent there lately
     };
     std::string entry;    ///< who says so
     bool isTotal = false; ///< of all entries, the one that hears it included
+    bool isRest = false;  ///< holds what parts of prompts did not fit into the report before it, and nothing else
     std::vector<Use> uses;
 };
 
+/// An engine told which parts of prompts its cache holds.
+struct CacheListed {
+    std::string server; ///< id
+    std::vector<PromptPart> parts;
+};
+
 /// Another entry saw backend servers crash while they ran this request.
 struct CrashesHeard {
     Fingerprint fingerprint{};
@@ -145,6 +153,7 @@
                            ServersListed,
                            EntriesCounted,
                            PeerReported,
+                           CacheListed,
                            CrashesHeard,
                            ClosingStarted,
                            Tick>;
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -128,6 +128,7 @@
     request.order = ++state.lastOrder;
     request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
     request.service = chooseService(route, request.order);
+    request.lessUrgentTiers = state.table->lessUrgentTiers(route);
     request.arrived = state.now;
     request.deadline = state.now + std::min(route.timeout, call.deadline.value_or(route.timeout));
     request.latestWait = latestWaitOf(request);
@@ -161,6 +162,7 @@
         return;
     }
     auto &request = admit(state, call, identified);
+    noteArrival(state.pools[request.service].arrivals, state.now);
     enqueue(state, request);
     dispatchService(state, request.service, actions);
 }
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -6,6 +6,7 @@
 #include "core/passthrough/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburnspread::passthrough::detail
 {
@@ -26,6 +27,13 @@
 /// Answers of a plain service that take longer than this many targets come from a server that is stuck.
 constexpr double StartTargets = 2.5;
 
+/// What may lie before a request of the least urgent tier of a service: enough to keep an engine busy until the entries know better,
+/// reports being a tenth of a second old and more. Failure: prompts with a long target fill the engines up to that target. Symptom:
+/// more urgent ones with a short target find no engine, and running answers stall because engines read all the time.
+constexpr Duration LongestAhead = std::chrono::milliseconds(300);
+/// What more may lie before it for each less urgent tier: these get nothing while a more urgent request just finds room.
+constexpr Duration MoreAheadForTier = std::chrono::milliseconds(100);
+
 auto placeOf(const Request &request) -> Pool::Place
 {
     return { request.rank, request.late, request.order, request.call.request };
@@ -62,6 +70,12 @@
     return scaled(placement.estimatedStart, state.pools[request.service].bias[placement.load.isTalker ? 1 : 0]);
 }
 
+auto noteUnread(Pool &pool, std::uint32_t tokens) -> void
+{
+    constexpr double Weight = 0.05; // the last twenty
+    pool.unreadEach += Weight * (tokens - pool.unreadEach);
+}
+
 auto send(RouterState &state, Request &request, const Placement &placement, Actions &actions) -> void
 {
     auto &server = *placement.server;
@@ -82,10 +96,12 @@
         .load = placement.load,
         .sentAt = state.now,
         .estimatedStart = placement.estimatedStart,
+        .readTokens = static_cast<double>(placement.before.unreadTokens) + placement.load.unreadTokens,
     };
     noteSent(server, placement.load, expectedStart(state, request, placement), state.now);
     if (isEngine) {
-        noteCachedParts(server, request.call.prompt, state.now);
+        noteUnread(state.pools[request.service], placement.load.unreadTokens);
+        notePrompt(state.servers, server, request.call.prompt, state.now);
     }
     actions.emplace_back(Send{
         .request = request.call.request,
@@ -101,11 +117,15 @@
         .repeatedAfter = request.repeatedAfter,
         .startTimeout = startTimeoutOf(request, expectedStart(state, request, placement)),
         .silenceTimeout = silenceTimeoutOf(request),
+        .fetchFrom = placement.fetchFrom ? placement.fetchFrom->record.address : "",
         .estimatedStart = placement.estimatedStart,
         .promptTokens = request.call.prompt.tokens,
         .unreadTokens = placement.load.unreadTokens,
+        .fetchedTokens = placement.fetchedTokens,
         .requestsBefore = placement.before.inFlight,
         .tokensBefore = placement.before.unreadTokens,
+        .roomTokens = static_cast<std::uint32_t>(std::min(placement.demand.room, 4e9)),
+        .waitingTokens = static_cast<std::uint32_t>(placement.demand.waiting),
         .home = placement.home,
     });
 }
@@ -141,16 +161,39 @@
 auto mostAheadOf(const RouterState &state, const Request &request) -> Duration
 {
     const auto target = request.route->target;
-    const auto ownReading = readingTime(request.call.prompt.tokens, state.options.engineSpeed);
+    const auto ownReading = readingTime(request.call.prompt.tokens, state.pools.at(request.service).speed);
     const auto own = std::min(ownReading, scaled(target, MostOwnPart));
     const auto left = scaled(target, OnTimePart) - (state.now - request.arrived) - own;
-    const auto least = scaled(target, LatePart);
-    return request.late ? least : std::max(left, least);
+    const auto least = std::min(scaled(target, LatePart), LongestAhead);
+    const auto most = LongestAhead + MoreAheadForTier * request.lessUrgentTiers;
+    return request.late ? least : std::clamp(left, least, most);
 }
 
 auto isLate(const RouterState &state, const Request &request) -> bool
 {
-    return mostAheadOf(state, request) <= scaled(request.route->target, LatePart);
+    return state.now - request.arrived >= scaled(request.route->target, OnTimePart - MostOwnPart - LatePart);
+}
+
+auto rateAt(const ArrivalRate &rate, TimePoint now) -> double
+{
+    return rate.perSecond * std::exp(-std::chrono::duration<double>(now - rate.updatedAt).count());
+}
+
+/// Requests that all entries together send until this one hears of them.
+auto unseenRequests(const RouterState &state, const Pool &pool) -> double
+{
+    // seconds, of what is known of the others' requests, on average: told by each, or by way of a sum
+    constexpr double ReportAge = 0.04;
+    constexpr double SumAge = 0.12;
+    return rateAt(pool.arrivals, state.now) * (state.entries - 1) * (state.servers.totals ? SumAge : ReportAge);
+}
+
+/// Engines that one request looks at: where all entries together send many requests between two reports, each chooses
+/// among few engines; where they send less than one, among all.
+auto lookedAtOf(double unseen, std::size_t engines) -> double
+{
+    constexpr double Least = 3; // engines; with two, a choice between two bad ones is common
+    return std::max(Least, static_cast<double>(engines) / std::max(unseen, 0.1));
 }
 
 auto place(const RouterState &state, const Request &request) -> Placement
@@ -160,6 +203,8 @@
         return {};
     }
     const auto *service = request.table->findService(request.service);
+    const auto &pool = state.pools.at(request.service);
+    const auto unseen = unseenRequests(state, pool);
     const PlacementQuery query{
         .prompt = request.route->hasPrompt ? &request.call.prompt : nullptr,
         .failureDomain = state.options.failureDomain,
@@ -167,12 +212,16 @@
         .entries = state.entries,
         .peersKnown = knowsPeers(state),
         .cacheTokens = service == nullptr ? 0 : service->cacheTokens,
-        .talkerServers = state.pools.at(request.service).split.talkerServers,
+        .fetchTokensPerMs = service == nullptr ? 0 : service->fetchTokensPerMs,
+        .talkerServers = pool.split.talkerServers,
+        .lookedAt = request.route->hasPrompt ? std::optional(lookedAtOf(unseen, found->second.size())) : std::nullopt,
+        .isUrgent = request.lessUrgentTiers > 0,
+        .unseenTokens = unseen * pool.unreadEach,
         .mostAhead = request.route->hasPrompt ? std::optional(mostAheadOf(state, request)) : std::nullopt,
         .tieBreak = request.tieBreak,
         .reports = state.servers.reports,
     };
-    return choosePlacement(found->second, query, state.options.engineSpeed, state.now);
+    return choosePlacement(found->second, query, pool.speed, state.now);
 }
 
 /// \return false if no server has room for it
@@ -229,6 +278,12 @@
     }
 }
 
+auto noteArrival(ArrivalRate &rate, TimePoint now) -> void
+{
+    rate.perSecond = rateAt(rate, now) + 1;
+    rate.updatedAt = now;
+}
+
 auto updateSplits(RouterState &state) -> void
 {
     for (auto &[service, pool] : state.pools) {
--- a/src/core/passthrough/internal/dispatching.h
+++ b/src/core/passthrough/internal/dispatching.h
@@ -19,6 +19,7 @@
 auto countWanted(RouterState &state) -> void;
 auto dispatchAll(RouterState &state, Actions &actions) -> void;
 /// Deals the engines anew between long prompts and long answers, as their demand has changed.
+auto noteArrival(ArrivalRate &rate, TimePoint now) -> void;
 auto updateSplits(RouterState &state) -> void;
 
 } // namespace auburnspread::passthrough::detail
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -4,6 +4,7 @@
 #include "core/passthrough/internal/dispatching.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace auburnspread::passthrough::detail
@@ -40,6 +41,21 @@
     return attempt.server;
 }
 
+/// Failure: engines read slower than assumed, beside many running answers or on other hardware. Symptom: prompts are believed read
+/// that still wait, and engines get far more than they can begin on time. The time to a first event behind much reading tells.
+auto learnReadingSpeed(EngineSpeed &speed, const Attempt &attempt, Duration observed) -> void
+{
+    constexpr double LeastTokens = 4000; // fewer say more about the first token than about reading
+    constexpr double Weight = 0.05;      // the last twenty
+    constexpr double MostChange = 2;
+    if (attempt.readTokens < LeastTokens) {
+        return;
+    }
+    const auto reading = std::max(observed - speed.firstToken, observed / 4);
+    const auto shown = attempt.readTokens / std::chrono::duration<double, std::milli>(reading).count();
+    speed.tokensPerMs *= std::pow(std::clamp(shown / speed.tokensPerMs, 1 / MostChange, MostChange), Weight);
+}
+
 /// What the time to the first byte says about a server: only what sets it apart from the others. Failure: a burst makes all
 /// engines slower than estimated. Symptom: those that an entry has just used look slow, and sessions leave their engines.
 auto learnStartTime(RouterState &state, const Request &request, const Attempt &attempt) -> void
@@ -50,6 +66,7 @@
     const auto expected = scaled(attempt.estimatedStart, bias);
     const auto ratio = noteStartTime(*attempt.server, state.now - attempt.sentAt, expected);
     bias = std::clamp(bias * (1 + Weight * (std::min(ratio, 2.0) - 1)), 1 / Most, Most);
+    learnReadingSpeed(state.pools[request.service].speed, attempt, state.now - attempt.sentAt);
 }
 
 auto forget(RouterState &state, Request &request) -> void
@@ -232,6 +249,10 @@
         return;
     }
     auto &request = state.requests.at(attempt->request);
+    if (attempt->load.isTalker) {
+        auto &pool = state.pools[request.service];
+        noteTalkerEnded(pool.split, readingTime(attempt->load.unreadTokens, pool.speed), state.now - attempt->sentAt);
+    }
     const auto server = closeAttempt(state, event.attempt);
     noteSucceeded(*server, state.now);
     clearCrashes(state, request.call.fingerprint);
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -37,6 +37,7 @@
     std::string workspace;
     std::string service;
     int rank = 0; ///< of urgency, 0 first
+    int lessUrgentTiers = 0; ///< of the routes to the same service
     Stage stage = Stage::Waiting;
     std::uint64_t order = 0;    ///< of arrival
     std::uint64_t tieBreak = 0; ///< differs between requests, also of different entries
@@ -66,6 +67,13 @@
     bool started = false;
     TimePoint sentAt;
     Duration estimatedStart{};
+    double readTokens = 0; ///< that were to be read before its first event, its own included
+};
+
+/// Arrivals a second, of about the last second.
+struct ArrivalRate {
+    double perSecond = 0;
+    TimePoint updatedAt;
 };
 
 /// The requests that wait for one service, in the order in which they are sent.
@@ -74,6 +82,9 @@
     std::set<Place> waiting;
     RetryBudget budget;
     EngineSplit split;
+    ArrivalRate arrivals;
+    double unreadEach = 0; ///< moving average of the tokens that a request has to be read
+    EngineSpeed speed; ///< as own attempts show it
     std::array<double, 2> bias{ 1, 1 }; ///< moving averages of observed to estimated start, of long and of short prompts
 };
 
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -37,16 +37,29 @@
     std::uint32_t entries = 1;          ///< alive, this one included
     bool peersKnown = false;            ///< most other entries told what they have in flight
     std::uint64_t cacheTokens = 0;      ///< memory of an engine; 0: not known
+    double fetchTokensPerMs = 0;        ///< see Service
     std::size_t talkerServers = 0;      ///< engines that are kept for short prompts
+    std::optional<double> lookedAt;     ///< engines that are looked at besides those that hold most of the prompt; not set: all
+    bool isUrgent = false;              ///< there are less urgent tiers, which leave room for it
+    double unseenTokens = 0;            ///< of prompts that other entries may have sent since they last told
     std::optional<Duration> mostAhead;  ///< longest time that the work before it may take; not set: any
     std::uint64_t tieBreak = 0;         ///< of this request; spreads equal choices
     std::uint64_t reports = 0;          ///< changes when something new is known of other entries
 };
 
+/// Prompt tokens that engines still may be given, and that wait for them at all entries.
+struct Demand {
+    double room = 0;
+    double waiting = 0;
+};
+
 struct Placement {
     ServerPointer server;
     Duration estimatedStart{}; ///< until the first byte
     Load load;
+    ServerPointer fetchFrom;         ///< engine that has read more of the prompt; null: none
+    std::uint32_t fetchedTokens = 0; ///< that are copied from there instead of being read
+    Demand demand;
     Work before;           ///< on the server, of all entries, when it was chosen
     bool mustWait = false; ///< the server is the right one, but has too much to read
     int home = 0;          ///< place of the server among the session's engines, from 1; 0: none of them
@@ -58,7 +71,4 @@
 /// Time that an engine takes for this many tokens of a prompt.
 auto readingTime(std::uint32_t tokens, const EngineSpeed &speed) -> Duration;
 
-/// Remembers which prompt parts the engine's cache holds after this request.
-auto noteCachedParts(ServerState &server, const Prompt &prompt, TimePoint now) -> void;
-
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/readers.cpp
+++ b/src/core/passthrough/readers.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+auto asksCacheOf(const std::string &server, const std::vector<std::string> &entries, const std::string &self) -> bool
+{
+    const auto weightOf = [&server](const std::string &entry) { return XXH64(server.data(), server.size(), rankOf(entry)); };
+    const auto isBefore = [&](const std::string &entry) { return entry != self && weightOf(entry) > weightOf(self); };
+    return std::count_if(entries.begin(), entries.end(), isBefore) < static_cast<std::ptrdiff_t>(AskersOfEngine);
+}
+
 auto chooseReaders(std::vector<ReaderCandidate> entries) -> std::vector<std::string>
 {
     const auto isBefore = [](const ReaderCandidate &a, const ReaderCandidate &b) {
--- a/src/core/passthrough/readers.h
+++ b/src/core/passthrough/readers.h
@@ -28,6 +28,12 @@
     std::uint32_t strength = 0; ///< of its VM; more is better
 };
 
+/// Entries that ask one engine for its cache: enough that the loss of one in that moment leaves one.
+constexpr std::size_t AskersOfEngine = 2;
+
+/// Whether \p self is one of the entries that ask \p server for its cache. All that know the same entries choose the same ones.
+auto asksCacheOf(const std::string &server, const std::vector<std::string> &entries, const std::string &self) -> bool;
+
 /// Names of the readers among \p entries, the first in rank first.
 auto chooseReaders(std::vector<ReaderCandidate> entries) -> std::vector<std::string>;
 
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -24,6 +24,10 @@
     if (!isOlder) {
         state.table = std::make_shared<const RouteTable>(configuration);
         state.longestDeadlines.clear(); // routes come and go with configurations
+        state.servers.cacheTokens.clear();
+        for (const auto &service : configuration.services) {
+            state.servers.cacheTokens[service.name] = service.cacheTokens;
+        }
     }
 }
 
@@ -91,6 +95,10 @@
     {
         notePeerReport(state.servers, event, state.now);
     }
+    auto operator()(const CacheListed &event) const -> void
+    {
+        noteCacheListed(state.servers, event, state.now);
+    }
     auto operator()(const CrashesHeard &event) const -> void
     {
         detail::hearCrashes(state, event);
@@ -137,12 +145,12 @@
 auto takeReport(RouterState &state) -> PeerReported
 {
     detail::countWanted(state);
-    return takeReport(state.servers, state.options.entry);
+    return takeReport(state.servers, state.options.entry, state.now);
 }
 
 auto takeTotals(const RouterState &state) -> PeerReported
 {
-    return takeTotals(state.servers, state.options.entry);
+    return takeTotals(state.servers, state.options.entry, state.now);
 }
 
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
--- a/src/core/passthrough/routetable.cpp
+++ b/src/core/passthrough/routetable.cpp
@@ -25,6 +25,9 @@
 {
     for (const auto &route : configuration_.routes) {
         routesByHost_[normalizeHost(route.host)].push_back(&route);
+        for (const auto &share : route.shares) {
+            tiers_[share.service].insert(route.tier);
+        }
     }
     for (auto &[host, routes] : routesByHost_) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) { return a->prefix.size() > b->prefix.size(); });
@@ -63,6 +66,16 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+auto RouteTable::lessUrgentTiers(const Route &route) const -> int
+{
+    std::set<int> tiers;
+    for (const auto &share : route.shares) {
+        const auto &ofService = tiers_.at(share.service);
+        tiers.insert(ofService.upper_bound(route.tier), ofService.end());
+    }
+    return static_cast<int>(tiers.size());
+}
+
 auto RouteTable::configuration() const -> const Configuration &
 {
     return configuration_;
--- a/src/core/passthrough/routetable.h
+++ b/src/core/passthrough/routetable.h
@@ -5,6 +5,7 @@
 
 #include "core/passthrough/configuration.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -24,6 +25,8 @@
     [[nodiscard]] auto findRoute(std::string_view host, std::string_view path) const -> const Route *;
     [[nodiscard]] auto findWorkspace(std::string_view key) const -> const Workspace *;
     [[nodiscard]] auto findService(std::string_view name) const -> const Service *;
+    /// How many tiers less urgent than that of \p route the routes to its services have.
+    [[nodiscard]] auto lessUrgentTiers(const Route &route) const -> int;
     [[nodiscard]] auto configuration() const -> const Configuration &;
 
 private:
@@ -31,6 +34,7 @@
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_; ///< longest prefix first
     std::unordered_map<std::string_view, const Workspace *> workspacesByKey_;
     std::unordered_map<std::string_view, const Service *> services_;
+    std::unordered_map<std::string_view, std::set<int>> tiers_; ///< of the routes to a service
 };
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -162,7 +162,7 @@
     }
 }
 
-auto makeUse(const std::string &server, const Work &work) -> PeerReported::Use
+auto makeUse(const std::string &server, const Work &work, std::vector<PromptPart> sent) -> PeerReported::Use
 {
     return {
         .server = server,
@@ -171,37 +171,106 @@
         .heldTokens = work.heldTokens,
         .wantedTokens = work.wantedTokens,
         .talkers = work.talkers,
+        .sent = std::move(sent),
     };
 }
 
+auto isNews(const PeerReported::Use &use) -> bool
+{
+    return use.inFlight > 0 || use.wantedTokens > 0 || !use.sent.empty();
+}
+
+/// Parts smaller than this are read again in less time than a report of them is worth.
+constexpr std::uint32_t LeastToldTokens = 512;
+
+auto partsToTell(const ServerState &server, Duration window, bool alsoOfPeers, TimePoint now) -> std::vector<PromptPart>
+{
+    std::vector<PromptPart> parts;
+    addSentWithin(server.sentHere, window, now, parts);
+    if (alsoOfPeers) {
+        addSentWithin(server.sentByPeers, window, now, parts);
+    }
+    return parts;
+}
+
+/// Datagrams get lost now and then, so each use of a cache is told in two reports; a sum goes to a part of the entries at a time.
+constexpr Duration SentWindow = 2 * ReportInterval;
+constexpr Duration TotalSentWindow = 4 * ReportInterval;
+
 } // namespace
 
-auto takeReport(ServerTable &table, const std::string &entry) -> PeerReported
+auto capacityOf(const ServerTable &table, const ServerState &server) -> std::uint64_t
+{
+    const auto found = table.cacheTokens.find(server.record.service);
+    return found == table.cacheTokens.end() ? 0 : found->second;
+}
+
+auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
 {
     PeerReported report{ .entry = entry };
     for (auto &[id, server] : table.byId) {
         server->reported = server->own;
-        if (server->own.inFlight > 0 || server->own.wantedTokens > 0) {
-            report.uses.push_back(makeUse(id, server->own));
+        auto use = makeUse(id, server->own, partsToTell(*server, SentWindow, false, now));
+        if (isNews(use)) {
+            report.uses.push_back(std::move(use));
         }
     }
     return report;
 }
 
-auto takeTotals(const ServerTable &table, const std::string &entry) -> PeerReported
+auto takeTotals(const ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
 {
     PeerReported report{ .entry = entry, .isTotal = true };
     for (const auto &[id, server] : table.byId) {
-        const auto total = totalWork(*server);
-        if (total.inFlight > 0 || total.wantedTokens > 0) {
-            report.uses.push_back(makeUse(id, total));
+        auto use = makeUse(id, totalWork(*server), partsToTell(*server, TotalSentWindow, true, now));
+        if (isNews(use)) {
+            report.uses.push_back(std::move(use));
         }
     }
     return report;
 }
 
+namespace
+{
+
+auto noteSentParts(ServerTable &table, const PeerReported &report, TimePoint now) -> void
+{
+    for (const auto &use : report.uses) {
+        const auto server = findServer(table, use.server);
+        if (!server) {
+            continue;
+        }
+        for (const auto &part : use.sent) {
+            noteUse(server->cache, part, capacityOf(table, *server), now);
+            if (!report.isTotal) {
+                noteSent(server->sentByPeers, part, now);
+            }
+        }
+    }
+}
+
+} // namespace
+
+auto noteCacheListed(ServerTable &table, const CacheListed &listed, TimePoint now) -> void
+{
+    const auto server = findServer(table, listed.server);
+    if (!server) {
+        return;
+    }
+    for (const auto &part : listed.parts) {
+        noteUse(server->cache, part, capacityOf(table, *server), now);
+        if (part.tokens >= LeastToldTokens) {
+            noteSent(server->sentHere, part, now);
+        }
+    }
+}
+
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
+    noteSentParts(table, report, now);
+    if (report.isRest) {
+        return;
+    }
     table.reports += 1;
     if (report.isTotal) {
         table.totals = ServerTable::PeerUse{ .report = report, .at = now };
@@ -306,6 +375,17 @@
     }
 }
 
+auto notePrompt(ServerTable &table, ServerState &server, const Prompt &prompt, TimePoint now) -> void
+{
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        const auto &part = prompt.parts[i];
+        noteUse(server.cache, part, capacityOf(table, server), now);
+        if (part.tokens >= LeastToldTokens) {
+            noteSent(server.sentHere, part, now);
+        }
+    }
+}
+
 auto totalWork(const ServerState &server) -> Work
 {
     return {
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -8,6 +8,7 @@
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/passthrough/configuration.h"
+#include "core/passthrough/enginecache.h"
 #include "core/passthrough/events.h"
 
 #include <cstdint>
@@ -57,7 +58,9 @@
     TimePoint failureRateAt;
     double slowness = 1; ///< moving average of observed to expected time to the first byte
 
-    std::unordered_map<std::uint64_t, TimePoint> parts; ///< prompt parts that own requests left in its cache
+    EngineCache cache;
+    RecentParts sentHere;   ///< by this entry
+    RecentParts sentByPeers; ///< by entries that told this one themselves
 };
 
 using ServerPointer = std::shared_ptr<ServerState>;
@@ -73,6 +76,7 @@
     std::map<std::string, PeerUse> peers; ///< by entry
     std::optional<PeerUse> totals;        ///< of all entries, as one of them summed them up
     std::uint64_t reports = 0;            ///< that were taken in; tells apart what was known before and after one
+    std::unordered_map<std::string, std::uint64_t> cacheTokens; ///< memory of an engine, by service
 };
 
 /// Takes a new list over. What is known of servers that stay is kept.
@@ -82,10 +86,12 @@
 
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
 
+/// Believed from now on, and told to the other entries.
+auto noteCacheListed(ServerTable &table, const CacheListed &listed, TimePoint now) -> void;
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void;
 /// This entry's own report, or the sum of all fresh ones with its own.
-auto takeReport(ServerTable &table, const std::string &entry) -> PeerReported;
-auto takeTotals(const ServerTable &table, const std::string &entry) -> PeerReported;
+auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported;
+auto takeTotals(const ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported;
 /// Forgets reports that are too old to say anything.
 auto expirePeerReports(ServerTable &table, TimePoint now) -> void;
 
@@ -103,6 +109,9 @@
 auto noteEnded(ServerState &server, const Load &load) -> void;
 /// @}
 
+/// A prompt goes there: its shared parts, all but the last, will be in the engine's cache.
+auto notePrompt(ServerTable &table, ServerState &server, const Prompt &prompt, TimePoint now) -> void;
+
 /// Of all entries, as far as known here.
 auto totalWork(const ServerState &server) -> Work;
 
--- a/src/core/passthrough/tests/replay.h
+++ b/src/core/passthrough/tests/replay.h
@@ -49,6 +49,7 @@
     Served shortPrompts;
     std::uint64_t tokensRead = 0;
     std::uint64_t sharedTokensReadAgain = 0; ///< of parts that another engine held
+    std::uint64_t tokensFetched = 0;         ///< of parts that were copied from another engine
 };
 
 struct ReplayOptions {
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -66,8 +66,11 @@
             { "estimated_start_ms", wholeMilliseconds(order.estimatedStart) },
             { "prompt_tokens", order.promptTokens },
             { "unread_tokens", order.unreadTokens },
+            { "fetched_tokens", order.fetchedTokens },
             { "requests_before", order.requestsBefore },
             { "tokens_before", order.tokensBefore },
+            { "room_tokens", order.roomTokens },
+            { "waiting_tokens", order.waitingTokens },
             { "home", order.home },
             { "remaining_ms", wholeMilliseconds(order.remaining) },
             { "configuration", labels.configurationVersion },
@@ -170,6 +173,20 @@
     event(Level::Error, "input-invalid", { { "step", source }, { "detail", detail } });
 }
 
+auto Accounting::cacheListed(const passthrough::CacheListed &listed) -> void
+{
+    std::uint64_t tokens = 0;
+    for (const auto &part : listed.parts) {
+        tokens += part.tokens;
+    }
+    event(Level::Info, "cache-listed", { { "peer", listed.server }, { "parts", listed.parts.size() }, { "tokens", tokens } });
+}
+
+auto Accounting::cacheNotListed(std::string_view server, std::string_view detail) -> void
+{
+    event(Level::Warning, "cache-not-listed", { { "peer", server }, { "detail", detail } });
+}
+
 auto Accounting::crashCounted(const passthrough::TellCrashes &crashes) -> void
 {
     event(Level::Warning, "crash-counted", { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) }, { "crashes", crashes.crashes } });
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -50,6 +50,8 @@
     auto dependencyReachable(std::string_view peer, bool reachable, std::string_view call, std::string_view detail) -> void;
     auto roleChanged(bool readsStore, std::size_t readers) -> void;
     auto inputInvalid(std::string_view source, std::string_view detail) -> void;
+    auto cacheListed(const passthrough::CacheListed &listed) -> void;
+    auto cacheNotListed(std::string_view server, std::string_view detail) -> void;
     auto crashCounted(const passthrough::TellCrashes &crashes) -> void;
     auto readinessChanged(bool ready, std::string_view reason) -> void;
     /// @}
--- /dev/null
+++ b/src/gateway/cachereader.cpp
@@ -0,0 +1,48 @@
+#include "gateway/cachereader.h"
+
+#include "core/passthrough/readers.h"
+#include "platform/enginecalls.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace auburnspread::gateway
+{
+
+CacheReader::CacheReader(task::EventLoop &loop, CacheReaderCallbacks callbacks)
+    : client_(loop, {})
+    , callbacks_(std::move(callbacks))
+{
+}
+
+auto CacheReader::readOnce(const std::vector<passthrough::Server> &servers, const std::vector<std::string> &entries, const std::string &self) -> void
+{
+    if (std::exchange(hasRead_, true)) {
+        return;
+    }
+    for (const auto &server : servers) {
+        if (passthrough::asksCacheOf(server.id, entries, self)) {
+            ask(server);
+        }
+    }
+}
+
+auto CacheReader::ask(const passthrough::Server &server) -> void
+{
+    client_.fetch(adapter::makeCacheList(server.address), [this, id = server.id](const http::Result &result) {
+        if (const auto *error = std::get_if<http::Error>(&result)) {
+            callbacks_.onFailed(id, error->text);
+            return;
+        }
+        const auto &response = std::get<http::Response>(result);
+        auto parts = adapter::decodeCacheList(response);
+        if (!parts) {
+            callbacks_.onFailed(id, "status " + std::to_string(response.status));
+            return;
+        }
+        callbacks_.onListed({ .server = id, .parts = std::move(*parts) });
+    });
+}
+
+} // namespace auburnspread::gateway
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -4,6 +4,7 @@
 #include "gateway/clock.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -55,6 +56,11 @@
              settings.peerAddress,
              [this](const PeerMessage &message) { takePeerMessage(message); },
              [this](const std::string &detail) { accounting_.inputInvalid("peer", detail); })
+    , caches_(loop,
+              {
+                  .onListed = [this](const passthrough::CacheListed &listed) { takeCacheList(listed); },
+                  .onFailed = [this](std::string_view server, const std::string &detail) { accounting_.cacheNotListed(server, detail); },
+              })
     , directoryPage_(loop)
 {
     directoryPage_.route(std::string(DirectoryPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
@@ -143,6 +149,12 @@
             return;
         }
         gateway::takeConfiguration(known_, document);
+        engineServices_.clear();
+        for (const auto &service : configuration.services) {
+            if (service.batchSlots) {
+                engineServices_.insert(service.name);
+            }
+        }
         accounting_.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
         callbacks_.onLimits(configuration.limits);
     } catch (const adapter::InvalidDocument &error) {
@@ -244,6 +256,7 @@
 /// itself now and then, so that it depends on no other entry.
 auto Fleet::updateRole() -> void
 {
+    readCaches();
     readers_ = findReaders();
     directory_.setReading(isReader_);
     follower_.follow(isReader_ ? std::vector<std::string>() : readers_, known_.tags);
@@ -255,6 +268,27 @@
     }
 }
 
+/// Once, as soon as engines and other entries are known.
+auto Fleet::readCaches() -> void
+{
+    if (engineServices_.empty() || !known_.serversAt || known_.entries.empty()) {
+        return;
+    }
+    std::vector<passthrough::Server> engines;
+    std::copy_if(known_.servers.begin(), known_.servers.end(), std::back_inserter(engines), [this](const passthrough::Server &server) {
+        return engineServices_.contains(server.service);
+    });
+    std::vector<std::string> entries;
+    std::transform(known_.entries.begin(), known_.entries.end(), std::back_inserter(entries), [](const adapter::EntryRecord &entry) { return entry.name; });
+    caches_.readOnce(engines, entries, name_);
+}
+
+auto Fleet::takeCacheList(const passthrough::CacheListed &listed) -> void
+{
+    accounting_.cacheListed(listed);
+    callbacks_.onEvent(listed);
+}
+
 auto Fleet::takePeerMessage(const PeerMessage &message) -> void
 {
     if (const auto *report = std::get_if<passthrough::PeerReported>(&message)) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -9,6 +9,7 @@
 #include "core/passthrough/events.h"
 #include "core/passthrough/router.h"
 #include "gateway/accounting.h"
+#include "gateway/cachereader.h"
 #include "gateway/directory.h"
 #include "gateway/directoryfollower.h"
 #include "gateway/directorystate.h"
@@ -20,6 +21,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,6 +67,8 @@
     auto takePeerMessage(const PeerMessage &message) -> void;
 
     auto updateRole() -> void;
+    auto readCaches() -> void;
+    auto takeCacheList(const passthrough::CacheListed &listed) -> void;
     auto findReaders() -> std::vector<std::string>;
     auto sendReport() -> void;
 
@@ -77,6 +81,8 @@
     Directory directory_;
     DirectoryFollower follower_;
     PeerExchange peers_;
+    CacheReader caches_;
+    std::set<std::string> engineServices_;
     http::Server directoryPage_; ///< for other entries
 
     std::map<std::string, passthrough::Server> servers_; ///< as last logged, by id
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -23,17 +23,38 @@
 
 /// Datagrams beyond this are not sent whole by every network; a report of sixty servers takes about half.
 constexpr std::size_t MostDatagramBytes = 8192;
+/// Parts of prompts in one report; those beyond go into further ones.
+constexpr std::size_t MostParts = 300;
 /// Datagrams read before the loop goes on, so that a flood of them can't hold up callers.
 constexpr int MostReadsAtOnce = 64;
 
 /// Keys are short because a report goes to every entry several times a second.
+auto partsToJson(const std::vector<passthrough::PromptPart> &parts) -> json
+{
+    auto list = json::array();
+    for (const auto &part : parts) {
+        list.push_back(part.id);
+        list.push_back(part.tokens);
+    }
+    return list;
+}
+
+auto partsFromJson(const json &list) -> std::vector<passthrough::PromptPart>
+{
+    std::vector<passthrough::PromptPart> parts;
+    for (std::size_t i = 0; i + 1 < list.size(); i += 2) {
+        parts.push_back({ .id = list.at(i).get<std::uint64_t>(), .tokens = list.at(i + 1).get<std::uint32_t>() });
+    }
+    return parts;
+}
+
 auto toJson(const passthrough::PeerReported &report) -> json
 {
     auto uses = json::array();
     for (const auto &use : report.uses) {
-        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.wantedTokens, use.talkers });
+        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.wantedTokens, use.talkers, partsToJson(use.sent) });
     }
-    return { { "entry", report.entry }, { "total", report.isTotal }, { "uses", std::move(uses) } };
+    return { { "entry", report.entry }, { "total", report.isTotal }, { "rest", report.isRest }, { "uses", std::move(uses) } };
 }
 
 auto toJson(const passthrough::CrashesHeard &heard) -> json
@@ -49,7 +70,7 @@
             .crashes = document.at("crashes").get<std::uint32_t>(),
         };
     }
-    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(), .isTotal = document.at("total").get<bool>() };
+    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(), .isTotal = document.at("total").get<bool>(), .isRest = document.at("rest").get<bool>() };
     for (const auto &use : document.at("uses")) {
         report.uses.push_back({
             .server = use.at(0).get<std::string>(),
@@ -58,11 +79,45 @@
             .heldTokens = use.at(3).get<std::uint32_t>(),
             .wantedTokens = use.at(4).get<std::uint32_t>(),
             .talkers = use.at(5).get<std::uint32_t>(),
+            .sent = partsFromJson(use.at(6)),
         });
     }
     return report;
 }
 
+/// The report with at most so many parts, and the rest in further messages.
+auto splitParts(const PeerMessage &message) -> std::vector<PeerMessage>
+{
+    const auto *report = std::get_if<passthrough::PeerReported>(&message);
+    if (report == nullptr) {
+        return { message };
+    }
+    auto first = *report;
+    std::vector<passthrough::PeerReported> rests;
+    std::size_t parts = 0;
+    for (auto &use : first.uses) {
+        std::vector<passthrough::PromptPart> kept;
+        for (const auto &part : use.sent) {
+            if (parts++ < MostParts) {
+                kept.push_back(part);
+                continue;
+            }
+            if (parts % MostParts == 1 || rests.empty()) {
+                rests.push_back({ .entry = first.entry, .isTotal = first.isTotal, .isRest = true });
+            }
+            auto &uses = rests.back().uses;
+            if (uses.empty() || uses.back().server != use.server) {
+                uses.push_back({ .server = use.server });
+            }
+            uses.back().sent.push_back(part);
+        }
+        use.sent = std::move(kept);
+    }
+    std::vector<PeerMessage> messages{ std::move(first) };
+    messages.insert(messages.end(), rests.begin(), rests.end());
+    return messages;
+}
+
 } // namespace
 
 auto encodePeerMessage(const PeerMessage &message) -> std::string
@@ -128,6 +183,13 @@
 }
 
 auto PeerExchange::sendTo(const std::vector<std::string> &addresses, const PeerMessage &message) -> void
+{
+    for (const auto &each : splitParts(message)) {
+        sendOne(addresses, each);
+    }
+}
+
+auto PeerExchange::sendOne(const std::vector<std::string> &addresses, const PeerMessage &message) -> void
 {
     const auto bytes = encodePeerMessage(message);
     if (bytes.size() > MostDatagramBytes) {
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -46,6 +46,7 @@
     [[nodiscard]] auto peers() const -> std::size_t;
 
 private:
+    auto sendOne(const std::vector<std::string> &addresses, const PeerMessage &message) -> void;
     auto receive() -> void;
 
     OnMessage onMessage_;
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -226,6 +226,7 @@
                                                            .rank = order.rank,
                                                            .remaining = order.remaining,
                                                            .lastEventId = order.lastEventId,
+                                                           .fetchFrom = order.fetchFrom,
                                                        });
     for (const auto &header : encoded) {
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
