What waits is released by the strain of running answers; placement, peer reports and reuse stand apart

Which is right depends on chunks, lengths of answers and patience, so no figure serves both. Ruled out: one factor for all (1, 3 and 10 played on both fleets); a higher age of reports (no change). Change: answers that won't end in time or pause too long at their pace (caller's guess of the length, events seen) make the release and the work ahead less, long and short prompts apart; careful at the start. What others told counts as read in part by its age. Short prompts, which have engines of their own, are released like others. placement.cpp is split into candidate, promptreuse and enginechoice, servertable.cpp into peerreports; words of our own (talker, home, wanted) gave way to short prompt, preferred engine and waiting.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -43,7 +43,7 @@
     std::uint32_t tokensBefore = 0;   ///< of prompts that wait there
     std::uint32_t roomTokens = 0;     ///< that all engines may still be given to read
     std::uint32_t waitingTokens = 0;  ///< of prompts that wait at all entries
-    int home = 0;                     ///< place of the server among those of the request's session, from 1; 0: none
+    int preference = 0;               ///< place of the server among those of the request's session, from 1; 0: none
     /// @}
 };
 
--- a/src/core/passthrough/configuration.h
+++ b/src/core/passthrough/configuration.h
@@ -50,6 +50,7 @@
     std::uint32_t connections = 100;         ///< that one backend server takes from all entries together
     std::optional<std::uint32_t> batchSlots; ///< of an engine: requests that it runs at once
     std::uint64_t cacheTokens = 0;           ///< of an engine: memory
+    std::uint32_t tokensPerEvent = 1;        ///< of an engine: that one event of a stream holds
     double fetchTokensPerMs = 0;             ///< of an engine: KV cache that it can copy from another one; 0: it can't
 };
 
--- a/src/core/passthrough/enginecache.cpp
+++ b/src/core/passthrough/enginecache.cpp
@@ -69,7 +69,8 @@
 
 auto readPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t
 {
-    return prefixTokens(cache, prompt, [now](const EngineCache::Part &part) { return now - part.usedAt < CacheMemory && now - part.sentAt >= ReadingPatience; });
+    return prefixTokens(
+        cache, prompt, [now](const EngineCache::Part &part) { return now - part.usedAt < CacheMemory && now - part.sentAt >= ReadingPatience; });
 }
 
 auto holds(const EngineCache &cache, std::uint64_t part, TimePoint now) -> bool
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -26,6 +26,7 @@
 struct Prompt {
     std::uint32_t tokens = 0;       ///< to be read
     std::uint32_t answerTokens = 0; ///< to be generated at most
+    std::uint32_t likelyTokens = 0; ///< to be generated, as the caller guesses: right at the median, often far off; 0: no guess
     std::vector<PromptPart> parts;  ///< in order; the last is the request's own
 };
 
@@ -56,6 +57,7 @@
 /// More of a stream arrived.
 struct AttemptProgress {
     AttemptId attempt{};
+    std::uint32_t events = 1; ///< that came since the last word
 };
 
 /// A whole answer was received; nothing of it has gone to the caller.
@@ -107,13 +109,13 @@
 /// What another entry has in flight, or all entries together.
 struct PeerReported {
     struct Use {
-        std::string server;             ///< id
-        std::uint32_t inFlight = 0;     ///< requests
-        std::uint32_t unreadTokens = 0; ///< of prompts whose answers have not begun
-        std::uint32_t heldTokens = 0;   ///< of memory, by all requests
-        std::uint32_t wantedTokens = 0; ///< of prompts that wait at the entry for this server
-        std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
-        std::vector<PromptPart> sent;   ///< shared parts of prompts that were sent there lately
+        std::string server;              ///< id
+        std::uint32_t inFlight = 0;      ///< requests
+        std::uint32_t unreadTokens = 0;  ///< of prompts whose answers have not begun
+        std::uint32_t heldTokens = 0;    ///< of memory, by all requests
+        std::uint32_t waitingTokens = 0; ///< of prompts that wait at the entry for this server
+        std::uint32_t shortPrompts = 0;  ///< of the requests, those with a short prompt
+        std::vector<PromptPart> sent;    ///< shared parts of prompts that were sent there lately
     };
     std::string entry;    ///< who says so
     bool isTotal = false; ///< of all entries, the one that hears it included
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -3,6 +3,7 @@
 #include "core/passthrough/internal/arriving.h"
 #include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/ending.h"
+#include "core/passthrough/peerreports.h"
 #include "core/passthrough/placement.h"
 
 #include <algorithm>
@@ -67,7 +68,7 @@
 /// The estimate, as far off as it has been lately.
 auto expectedStart(RouterState &state, const Request &request, const Placement &placement) -> Duration
 {
-    return scaled(placement.estimatedStart, state.pools[request.service].bias[placement.load.isTalker ? 1 : 0]);
+    return scaled(placement.estimatedStart, state.pools[request.service].bias[placement.load.isShort ? 1 : 0]);
 }
 
 auto noteUnread(Pool &pool, std::uint32_t tokens) -> void
@@ -126,7 +127,7 @@
         .tokensBefore = placement.before.unreadTokens,
         .roomTokens = static_cast<std::uint32_t>(std::min(placement.demand.room, 4e9)),
         .waitingTokens = static_cast<std::uint32_t>(placement.demand.waiting),
-        .home = placement.home,
+        .preference = placement.preference,
     });
 }
 
@@ -152,6 +153,17 @@
     return state.servers.totals || 2 * state.servers.peers.size() + 1 >= state.entries;
 }
 
+/// Whether less urgent tiers leave room for it. Short prompts have engines of their own, where nothing less urgent leaves any.
+auto isUrgent(const Request &request) -> bool
+{
+    return request.lessUrgentTiers > 0 && !isShort(request.call.prompt);
+}
+
+auto strainOf(const Pool &pool, const Request &request) -> const Strain &
+{
+    return pool.strain[isShort(request.call.prompt) ? 1 : 0];
+}
+
 /// Longest work that may lie before the request on an engine.
 ///
 /// Failure: a burst fills every engine with prompts to be read. Symptom: all answers are late, also of requests that come
@@ -164,8 +176,8 @@
     const auto ownReading = readingTime(request.call.prompt.tokens, state.pools.at(request.service).speed);
     const auto own = std::min(ownReading, scaled(target, MostOwnPart));
     const auto left = scaled(target, OnTimePart) - (state.now - request.arrived) - own;
-    const auto least = std::min(scaled(target, LatePart), LongestAhead);
-    const auto most = LongestAhead + MoreAheadForTier * request.lessUrgentTiers;
+    const auto least = std::min(scaled(target, LatePart), scaled(LongestAhead, LeastAheadPart));
+    const auto most = scaled(LongestAhead, aheadUnder(strainOf(state.pools.at(request.service), request))) + MoreAheadForTier * request.lessUrgentTiers;
     return request.late ? least : std::clamp(left, least, most);
 }
 
@@ -179,13 +191,18 @@
     return rate.perSecond * std::exp(-std::chrono::duration<double>(now - rate.updatedAt).count());
 }
 
+/// Age of what is known of the others' requests, on average: told by each, or by way of a sum.
+auto reportAgeOf(const RouterState &state) -> Duration
+{
+    constexpr Duration OfReports = std::chrono::milliseconds(40);
+    constexpr Duration OfSums = std::chrono::milliseconds(120);
+    return state.servers.totals ? OfSums : OfReports;
+}
+
 /// Requests that all entries together send until this one hears of them.
 auto unseenRequests(const RouterState &state, const Pool &pool) -> double
 {
-    // seconds, of what is known of the others' requests, on average: told by each, or by way of a sum
-    constexpr double ReportAge = 0.04;
-    constexpr double SumAge = 0.12;
-    return rateAt(pool.arrivals, state.now) * (state.entries - 1) * (state.servers.totals ? SumAge : ReportAge);
+    return rateAt(pool.arrivals, state.now) * (state.entries - 1) * std::chrono::duration<double>(reportAgeOf(state)).count();
 }
 
 /// Engines that one request looks at: where all entries together send many requests between two reports, each chooses
@@ -213,9 +230,11 @@
         .peersKnown = knowsPeers(state),
         .cacheTokens = service == nullptr ? 0 : service->cacheTokens,
         .fetchTokensPerMs = service == nullptr ? 0 : service->fetchTokensPerMs,
-        .talkerServers = pool.split.talkerServers,
+        .shortPromptEngines = pool.split.shortPromptEngines,
         .lookedAt = request.route->hasPrompt ? std::optional(lookedAtOf(unseen, found->second.size())) : std::nullopt,
-        .isUrgent = request.lessUrgentTiers > 0,
+        .isUrgent = isUrgent(request),
+        .reportAge = reportAgeOf(state),
+        .releases = releasesUnder(strainOf(pool, request)),
         .unseenTokens = unseen * pool.unreadEach,
         .mostAhead = request.route->hasPrompt ? std::optional(mostAheadOf(state, request)) : std::nullopt,
         .tieBreak = request.tieBreak,
@@ -242,8 +261,8 @@
         return false;
     }
     const auto placement = place(state, request);
-    request.wanted = placement.mustWait ? placement.server : nullptr;
-    request.wantedTokens = placement.load.unreadTokens;
+    request.waitsFor = placement.mustWait ? placement.server : nullptr;
+    request.waitingTokens = placement.load.unreadTokens;
     if (!placement.server || placement.mustWait) {
         return false;
     }
@@ -294,14 +313,14 @@
     }
 }
 
-auto countWanted(RouterState &state) -> void
+auto countWaiting(RouterState &state) -> void
 {
     for (auto &[id, server] : state.servers.byId) {
-        server->own.wantedTokens = 0;
+        server->own.waitingTokens = 0;
     }
     for (const auto &[id, request] : state.requests) {
-        if (request.stage == Stage::Waiting && request.wanted) {
-            request.wanted->own.wantedTokens += request.wantedTokens;
+        if (request.stage == Stage::Waiting && request.waitsFor) {
+            request.waitsFor->own.waitingTokens += request.waitingTokens;
         }
     }
 }
--- a/src/core/passthrough/internal/dispatching.h
+++ b/src/core/passthrough/internal/dispatching.h
@@ -16,7 +16,7 @@
 /// Sends what waits for the service while servers have room.
 auto dispatchService(RouterState &state, const std::string &service, Actions &actions) -> void;
 /// Sums up, by server, what waits here.
-auto countWanted(RouterState &state) -> void;
+auto countWaiting(RouterState &state) -> void;
 auto dispatchAll(RouterState &state, Actions &actions) -> void;
 /// Deals the engines anew between long prompts and long answers, as their demand has changed.
 auto noteArrival(ArrivalRate &rate, TimePoint now) -> void;
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -62,13 +62,25 @@
 {
     constexpr double Weight = 0.05; // the last twenty
     constexpr double Most = 10;
-    auto &bias = state.pools[request.service].bias[attempt.load.isTalker ? 1 : 0];
+    auto &bias = state.pools[request.service].bias[attempt.load.isShort ? 1 : 0];
     const auto expected = scaled(attempt.estimatedStart, bias);
     const auto ratio = noteStartTime(*attempt.server, state.now - attempt.sentAt, expected);
     bias = std::clamp(bias * (1 + Weight * (std::min(ratio, 2.0) - 1)), 1 / Most, Most);
     learnReadingSpeed(state.pools[request.service].speed, attempt, state.now - attempt.sentAt);
 }
 
+auto makePace(const Request &request, TimePoint now) -> AnswerPace
+{
+    const auto *service = request.table->findService(request.service);
+    const auto each = service == nullptr ? 1 : service->tokensPerEvent;
+    return {
+        .begunAt = now,
+        .likelyEvents = request.call.prompt.likelyTokens / each,
+        .deadline = request.deadline,
+        .longestPause = request.route->longestPause,
+    };
+}
+
 auto forget(RouterState &state, Request &request) -> void
 {
     const auto id = request.call.request;
@@ -201,14 +213,22 @@
         return;
     }
     learnStartTime(state, found->second, *attempt);
+    attempt->pace = makePace(found->second, state.now);
     found->second.answerBegun = found->second.answerBegun || event.goesToCaller;
     found->second.mayHaveRun = found->second.mayHaveRun || event.goesToCaller;
 }
 
 auto takeProgress(RouterState &state, const AttemptProgress &event) -> void
 {
-    if (auto *attempt = findAttempt(state, event.attempt)) {
-        noteHeard(*attempt->server);
+    auto *attempt = findAttempt(state, event.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    noteHeard(*attempt->server);
+    const auto found = state.requests.find(attempt->request);
+    if (found != state.requests.end() && found->second.route->hasPrompt) {
+        attempt->pace.events += event.events;
+        noteEvents(state.pools[found->second.service].strain[attempt->load.isShort ? 1 : 0], event.events, isStrained(attempt->pace, state.now));
     }
 }
 
@@ -249,9 +269,9 @@
         return;
     }
     auto &request = state.requests.at(attempt->request);
-    if (attempt->load.isTalker) {
+    if (attempt->load.isShort) {
         auto &pool = state.pools[request.service];
-        noteTalkerEnded(pool.split, readingTime(attempt->load.unreadTokens, pool.speed), state.now - attempt->sentAt);
+        noteShortPromptEnded(pool.split, readingTime(attempt->load.unreadTokens, pool.speed), state.now - attempt->sentAt);
     }
     const auto server = closeAttempt(state, event.attempt);
     noteSucceeded(*server, state.now);
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -10,6 +10,7 @@
 #include "core/passthrough/router.h"
 #include "core/passthrough/routetable.h"
 #include "core/passthrough/servertable.h"
+#include "core/passthrough/strain.h"
 
 #include <array>
 #include <cstdint>
@@ -36,13 +37,13 @@
     const Route *route = nullptr;
     std::string workspace;
     std::string service;
-    int rank = 0; ///< of urgency, 0 first
+    int rank = 0;            ///< of urgency, 0 first
     int lessUrgentTiers = 0; ///< of the routes to the same service
     Stage stage = Stage::Waiting;
     std::uint64_t order = 0;    ///< of arrival
     std::uint64_t tieBreak = 0; ///< differs between requests, also of different entries
-    ServerPointer wanted;       ///< the server that it waits for
-    std::uint32_t wantedTokens = 0;
+    ServerPointer waitsFor;     ///< the server that it waits for
+    std::uint32_t waitingTokens = 0;
     TimePoint arrived;
     TimePoint deadline;
     TimePoint latestWait; ///< sent later, it is of no use to its caller
@@ -67,6 +68,7 @@
     bool started = false;
     TimePoint sentAt;
     Duration estimatedStart{};
+    AnswerPace pace;
     double readTokens = 0; ///< that were to be read before its first event, its own included
 };
 
@@ -83,8 +85,9 @@
     RetryBudget budget;
     EngineSplit split;
     ArrivalRate arrivals;
-    double unreadEach = 0; ///< moving average of the tokens that a request has to be read
-    EngineSpeed speed; ///< as own attempts show it
+    std::array<Strain, 2> strain;       ///< of answers to long and to short prompts, which have engines of their own
+    double unreadEach = 0;              ///< moving average of the tokens that a request has to be read
+    EngineSpeed speed;                  ///< as own attempts show it
     std::array<double, 2> bias{ 1, 1 }; ///< moving averages of observed to estimated start, of long and of short prompts
 };
 
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -38,9 +38,11 @@
     bool peersKnown = false;            ///< most other entries told what they have in flight
     std::uint64_t cacheTokens = 0;      ///< memory of an engine; 0: not known
     double fetchTokensPerMs = 0;        ///< see Service
-    std::size_t talkerServers = 0;      ///< engines that are kept for short prompts
+    std::size_t shortPromptEngines = 0; ///< engines that are kept for short prompts
     std::optional<double> lookedAt;     ///< engines that are looked at besides those that hold most of the prompt; not set: all
     bool isUrgent = false;              ///< there are less urgent tiers, which leave room for it
+    Duration reportAge{};               ///< of what is known of the other entries' requests
+    double releases = 1;                ///< times the room of the engines that what waits is released by
     double unseenTokens = 0;            ///< of prompts that other entries may have sent since they last told
     std::optional<Duration> mostAhead;  ///< longest time that the work before it may take; not set: any
     std::uint64_t tieBreak = 0;         ///< of this request; spreads equal choices
@@ -62,7 +64,7 @@
     Demand demand;
     Work before;           ///< on the server, of all entries, when it was chosen
     bool mustWait = false; ///< the server is the right one, but has too much to read
-    int home = 0;          ///< place of the server among the session's engines, from 1; 0: none of them
+    int preference = 0;    ///< place of the server among the session's engines, from 1; 0: none of them
 };
 
 /// Nothing: no usable server has room.
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -5,6 +5,7 @@
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/ending.h"
 #include "core/passthrough/internal/state.h"
+#include "core/passthrough/peerreports.h"
 
 #include <xxhash.h>
 
@@ -144,7 +145,7 @@
 
 auto takeReport(RouterState &state) -> PeerReported
 {
-    detail::countWanted(state);
+    detail::countWaiting(state);
     return takeReport(state.servers, state.options.entry, state.now);
 }
 
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// A report is sent several times a second; after this time the peer has stopped or cannot reach us.
-constexpr Duration PeerReportAge = std::chrono::milliseconds(1500);
-
 /// First pause of a server that refused or broke a connection, and the longest after repeated failures. A crashed
 /// backend server is back after some seconds, with a new id.
 constexpr Duration LeastSuspension = std::chrono::milliseconds(300);
@@ -109,197 +106,12 @@
     return found == table.byId.end() ? nullptr : found->second;
 }
 
-namespace
-{
-
-auto addUse(Work &work, const PeerReported::Use &use) -> void
-{
-    work.inFlight += use.inFlight;
-    work.unreadTokens += use.unreadTokens;
-    work.heldTokens += use.heldTokens;
-    work.wantedTokens += use.wantedTokens;
-    work.talkers += use.talkers;
-}
-
-auto subtract(std::uint32_t all, std::uint32_t own) -> std::uint32_t
-{
-    return all - std::min(all, own);
-}
-
-/// A total holds what this entry last reported, not what it has now.
-auto withoutOwn(const Work &total, const Work &reported) -> Work
-{
-    return {
-        .inFlight = subtract(total.inFlight, reported.inFlight),
-        .unreadTokens = subtract(total.unreadTokens, reported.unreadTokens),
-        .heldTokens = subtract(total.heldTokens, reported.heldTokens),
-        .wantedTokens = subtract(total.wantedTokens, reported.wantedTokens),
-        .talkers = subtract(total.talkers, reported.talkers),
-    };
-}
-
-auto sumPeerReports(ServerTable &table) -> void
-{
-    for (auto &[id, server] : table.byId) {
-        server->others = {};
-    }
-    const auto add = [&table](const PeerReported &report) {
-        for (const auto &use : report.uses) {
-            if (const auto server = findServer(table, use.server)) {
-                addUse(server->others, use);
-            }
-        }
-    };
-    if (!table.totals) {
-        for (const auto &[entry, use] : table.peers) {
-            add(use.report);
-        }
-        return;
-    }
-    add(table.totals->report);
-    for (auto &[id, server] : table.byId) {
-        server->others = withoutOwn(server->others, server->reported);
-    }
-}
-
-auto makeUse(const std::string &server, const Work &work, std::vector<PromptPart> sent) -> PeerReported::Use
-{
-    return {
-        .server = server,
-        .inFlight = work.inFlight,
-        .unreadTokens = work.unreadTokens,
-        .heldTokens = work.heldTokens,
-        .wantedTokens = work.wantedTokens,
-        .talkers = work.talkers,
-        .sent = std::move(sent),
-    };
-}
-
-auto isNews(const PeerReported::Use &use) -> bool
-{
-    return use.inFlight > 0 || use.wantedTokens > 0 || !use.sent.empty();
-}
-
-/// Parts smaller than this are read again in less time than a report of them is worth.
-constexpr std::uint32_t LeastToldTokens = 512;
-
-auto partsToTell(const ServerState &server, Duration window, bool alsoOfPeers, TimePoint now) -> std::vector<PromptPart>
-{
-    std::vector<PromptPart> parts;
-    addSentWithin(server.sentHere, window, now, parts);
-    if (alsoOfPeers) {
-        addSentWithin(server.sentByPeers, window, now, parts);
-    }
-    return parts;
-}
-
-/// Datagrams get lost now and then, so each use of a cache is told in two reports; a sum goes to a part of the entries at a time.
-constexpr Duration SentWindow = 2 * ReportInterval;
-constexpr Duration TotalSentWindow = 4 * ReportInterval;
-
-} // namespace
-
-auto capacityOf(const ServerTable &table, const ServerState &server) -> std::uint64_t
-{
-    const auto found = table.cacheTokens.find(server.record.service);
-    return found == table.cacheTokens.end() ? 0 : found->second;
-}
-
-auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
-{
-    PeerReported report{ .entry = entry };
-    for (auto &[id, server] : table.byId) {
-        server->reported = server->own;
-        auto use = makeUse(id, server->own, partsToTell(*server, SentWindow, false, now));
-        if (isNews(use)) {
-            report.uses.push_back(std::move(use));
-        }
-    }
-    return report;
-}
-
-auto takeTotals(const ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
-{
-    PeerReported report{ .entry = entry, .isTotal = true };
-    for (const auto &[id, server] : table.byId) {
-        auto use = makeUse(id, totalWork(*server), partsToTell(*server, TotalSentWindow, true, now));
-        if (isNews(use)) {
-            report.uses.push_back(std::move(use));
-        }
-    }
-    return report;
-}
-
-namespace
-{
-
-auto noteSentParts(ServerTable &table, const PeerReported &report, TimePoint now) -> void
-{
-    for (const auto &use : report.uses) {
-        const auto server = findServer(table, use.server);
-        if (!server) {
-            continue;
-        }
-        for (const auto &part : use.sent) {
-            noteUse(server->cache, part, capacityOf(table, *server), now);
-            if (!report.isTotal) {
-                noteSent(server->sentByPeers, part, now);
-            }
-        }
-    }
-}
-
-} // namespace
-
-auto noteCacheListed(ServerTable &table, const CacheListed &listed, TimePoint now) -> void
-{
-    const auto server = findServer(table, listed.server);
-    if (!server) {
-        return;
-    }
-    for (const auto &part : listed.parts) {
-        noteUse(server->cache, part, capacityOf(table, *server), now);
-        if (part.tokens >= LeastToldTokens) {
-            noteSent(server->sentHere, part, now);
-        }
-    }
-}
-
-auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
-{
-    noteSentParts(table, report, now);
-    if (report.isRest) {
-        return;
-    }
-    table.reports += 1;
-    if (report.isTotal) {
-        table.totals = ServerTable::PeerUse{ .report = report, .at = now };
-    } else {
-        table.peers[report.entry] = { .report = report, .at = now };
-        table.totals.reset();
-    }
-    sumPeerReports(table);
-}
-
-auto expirePeerReports(ServerTable &table, TimePoint now) -> void
-{
-    const auto isOld = [now](const ServerTable::PeerUse &use) { return now - use.at > PeerReportAge; };
-    const auto expired = std::erase_if(table.peers, [&](const auto &item) { return isOld(item.second); });
-    const auto totalIsOld = table.totals && isOld(*table.totals);
-    if (totalIsOld) {
-        table.totals.reset();
-    }
-    if (expired > 0 || totalIsOld) {
-        sumPeerReports(table);
-    }
-}
-
 auto noteSent(ServerState &server, const Load &load, Duration expected, TimePoint now) -> void
 {
     server.own.inFlight += 1;
     server.own.unreadTokens += load.unreadTokens;
     server.own.heldTokens += load.heldTokens;
-    server.own.talkers += load.isTalker ? 1 : 0;
+    server.own.shortPrompts += load.isShort ? 1 : 0;
     server.sentAt = now;
     if (!server.silentFrom) {
         server.silentFrom = now + std::max(LeastSilence, expected * SilenceFactor);
@@ -369,31 +181,20 @@
 {
     server.own.inFlight -= std::min<std::uint32_t>(server.own.inFlight, 1);
     server.own.heldTokens -= std::min(server.own.heldTokens, load.heldTokens);
-    server.own.talkers -= std::min<std::uint32_t>(server.own.talkers, load.isTalker ? 1 : 0);
+    server.own.shortPrompts -= std::min<std::uint32_t>(server.own.shortPrompts, load.isShort ? 1 : 0);
     if (server.own.inFlight == 0) {
         server.silentFrom.reset();
     }
 }
 
-auto notePrompt(ServerTable &table, ServerState &server, const Prompt &prompt, TimePoint now) -> void
-{
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-        const auto &part = prompt.parts[i];
-        noteUse(server.cache, part, capacityOf(table, server), now);
-        if (part.tokens >= LeastToldTokens) {
-            noteSent(server.sentHere, part, now);
-        }
-    }
-}
-
 auto totalWork(const ServerState &server) -> Work
 {
     return {
         .inFlight = server.own.inFlight + server.others.inFlight,
         .unreadTokens = server.own.unreadTokens + server.others.unreadTokens,
         .heldTokens = server.own.heldTokens + server.others.heldTokens,
-        .wantedTokens = server.own.wantedTokens + server.others.wantedTokens,
-        .talkers = server.own.talkers + server.others.talkers,
+        .waitingTokens = server.own.waitingTokens + server.others.waitingTokens,
+        .shortPrompts = server.own.shortPrompts + server.others.shortPrompts,
     };
 }
 
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -25,18 +25,18 @@
 
 /// What some entries have on a backend server.
 struct Work {
-    std::uint32_t inFlight = 0;     ///< requests
-    std::uint32_t unreadTokens = 0; ///< of prompts whose answer has not begun
-    std::uint32_t heldTokens = 0;   ///< of memory, prompts and answers
-    std::uint32_t wantedTokens = 0; ///< of prompts that wait at the entries for this server
-    std::uint32_t talkers = 0;      ///< of the requests, those with a short prompt
+    std::uint32_t inFlight = 0;      ///< requests
+    std::uint32_t unreadTokens = 0;  ///< of prompts whose answer has not begun
+    std::uint32_t heldTokens = 0;    ///< of memory, prompts and answers
+    std::uint32_t waitingTokens = 0; ///< of prompts that wait at the entries for this server
+    std::uint32_t shortPrompts = 0;  ///< of the requests, those with a short prompt
 };
 
 /// What one request puts on a server.
 struct Load {
     std::uint32_t unreadTokens = 0;
     std::uint32_t heldTokens = 0;
-    bool isTalker = false;
+    bool isShort = false;
 };
 
 /// One backend server.
@@ -59,7 +59,7 @@
     double slowness = 1; ///< moving average of observed to expected time to the first byte
 
     EngineCache cache;
-    RecentParts sentHere;   ///< by this entry
+    RecentParts sentHere;    ///< by this entry
     RecentParts sentByPeers; ///< by entries that told this one themselves
 };
 
@@ -73,9 +73,9 @@
         PeerReported report;
         TimePoint at;
     };
-    std::map<std::string, PeerUse> peers; ///< by entry
-    std::optional<PeerUse> totals;        ///< of all entries, as one of them summed them up
-    std::uint64_t reports = 0;            ///< that were taken in; tells apart what was known before and after one
+    std::map<std::string, PeerUse> peers;                       ///< by entry
+    std::optional<PeerUse> totals;                              ///< of all entries, as one of them summed them up
+    std::uint64_t reports = 0;                                  ///< that were taken in; tells apart what was known before and after one
     std::unordered_map<std::string, std::uint64_t> cacheTokens; ///< memory of an engine, by service
 };
 
@@ -86,15 +86,6 @@
 
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
 
-/// Believed from now on, and told to the other entries.
-auto noteCacheListed(ServerTable &table, const CacheListed &listed, TimePoint now) -> void;
-auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void;
-/// This entry's own report, or the sum of all fresh ones with its own.
-auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported;
-auto takeTotals(const ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported;
-/// Forgets reports that are too old to say anything.
-auto expirePeerReports(ServerTable &table, TimePoint now) -> void;
-
 /// \name What own attempts show
 /// @{
 /// \p expected: time to the first byte
@@ -109,9 +100,6 @@
 auto noteEnded(ServerState &server, const Load &load) -> void;
 /// @}
 
-/// A prompt goes there: its shared parts, all but the last, will be in the engine's cache.
-auto notePrompt(ServerTable &table, ServerState &server, const Prompt &prompt, TimePoint now) -> void;
-
 /// Of all entries, as far as known here.
 auto totalWork(const ServerState &server) -> Work;
 
--- /dev/null
+++ b/src/core/passthrough/tests/enginecache_tests.cpp
@@ -0,0 +1,93 @@
+#include "core/passthrough/enginecache.h"
+#include "core/passthrough/readers.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+
+namespace
+{
+
+constexpr TimePoint Now(std::chrono::hours(1));
+constexpr PromptPart Document{ .id = 1, .tokens = 2000 };
+constexpr PromptPart Session{ .id = 2, .tokens = 4000 };
+
+auto makePrompt() -> Prompt
+{
+    return { .tokens = 7000, .parts = { Document, Session, { .id = 3, .tokens = 1000 } } };
+}
+
+} // namespace
+
+TEST(EngineCacheTests, aPartCountsOnlyBehindAllPartsBeforeIt)
+{
+    EngineCache cache;
+    noteUse(cache, Session, 0, Now);
+    EXPECT_EQ(heldPrefix(cache, makePrompt(), Now), 0U);
+    noteUse(cache, Document, 0, Now);
+    EXPECT_EQ(heldPrefix(cache, makePrompt(), Now), 6000U) << "and the request's own part never does";
+}
+
+TEST(EngineCacheTests, whatWasJustSentIsHeldButNotReadYet)
+{
+    EngineCache cache;
+    noteUse(cache, Document, 0, Now);
+    EXPECT_EQ(heldPrefix(cache, makePrompt(), Now), 2000U);
+    EXPECT_EQ(readPrefix(cache, makePrompt(), Now), 0U);
+    EXPECT_EQ(readPrefix(cache, makePrompt(), Now + std::chrono::seconds(1)), 2000U);
+}
+
+TEST(EngineCacheTests, aPartThatNobodyUsesForLongMayBeGone)
+{
+    EngineCache cache;
+    noteUse(cache, Document, 0, Now);
+    EXPECT_FALSE(holds(cache, Document.id, Now + std::chrono::minutes(1)));
+    noteUse(cache, Document, 0, Now + std::chrono::minutes(1));
+    EXPECT_EQ(readPrefix(cache, makePrompt(), Now + std::chrono::minutes(1)), 0U) << "it is read anew";
+}
+
+/// What callers see: first events later than expected. An engine's memory yields the parts used least recently, and a part that is
+/// believed there for longer draws requests to an engine that must read it.
+TEST(EngineCacheTests, theOldestPartsYieldWhenTheMemoryIsFull)
+{
+    EngineCache cache;
+    noteUse(cache, Document, 5000, Now);
+    noteUse(cache, Session, 5000, Now + std::chrono::milliseconds(1));
+    EXPECT_FALSE(holds(cache, Document.id, Now + std::chrono::milliseconds(1)));
+    EXPECT_TRUE(holds(cache, Session.id, Now + std::chrono::milliseconds(1)));
+    EXPECT_EQ(cache.tokens, 4000U);
+}
+
+TEST(EngineCacheTests, aPartIsToldOnceForAsLongAsItIsNews)
+{
+    RecentParts recent;
+    noteSent(recent, Document, Now);
+    noteSent(recent, Document, Now + std::chrono::milliseconds(10));
+    noteSent(recent, Session, Now + std::chrono::milliseconds(90));
+    std::vector<PromptPart> list;
+    addSentWithin(recent, std::chrono::milliseconds(100), Now + std::chrono::milliseconds(100), list);
+    EXPECT_EQ(list.size(), 2U);
+    list.clear();
+    addSentWithin(recent, std::chrono::milliseconds(100), Now + std::chrono::milliseconds(150), list);
+    ASSERT_EQ(list.size(), 1U);
+    EXPECT_EQ(list[0].id, Session.id);
+}
+
+/// What callers see: after all entries have restarted, either nobody asks an engine for its cache or each engine is asked by a
+/// hundred entries at once. Whichever of the entries know each other, an engine is asked by two of them.
+TEST(EngineCacheTests, eachEngineIsAskedByAFewEntries)
+{
+    std::vector<std::string> entries;
+    for (auto i = 0; i < 88; ++i) {
+        entries.push_back("entry-" + std::to_string(i));
+    }
+    for (auto engine = 0; engine < 60; ++engine) {
+        const auto server = "engine-" + std::to_string(engine);
+        const auto asks = [&](const std::string &entry) { return asksCacheOf(server, entries, entry); };
+        EXPECT_EQ(std::count_if(entries.begin(), entries.end(), asks), static_cast<std::ptrdiff_t>(AskersOfEngine)) << server;
+    }
+    EXPECT_TRUE(asksCacheOf("engine-1", { "entry-1" }, "entry-1"));
+}
--- a/src/core/passthrough/tests/replay.cpp
+++ b/src/core/passthrough/tests/replay.cpp
@@ -333,6 +333,7 @@
             after(OneWay, [this, work]() { apply(work.entry, AttemptStarted{ .attempt = work.attempt, .goesToCaller = true }); });
         } else if (work.sinceEvent == TokensPerEvent) {
             ask.isLate = ask.isLate || now_ - work.lastEvent > (ask.isLong ? LongLongestPause : ShortLongestPause);
+            after(OneWay, [this, work]() { apply(work.entry, AttemptProgress{ .attempt = work.attempt }); });
         }
         if (isFirst || work.sinceEvent == TokensPerEvent) {
             work.sinceEvent = 0;
--- a/src/core/passthrough/tests/replay_tests.cpp
+++ b/src/core/passthrough/tests/replay_tests.cpp
@@ -42,7 +42,7 @@
 
 /// What callers see: a third of the quotes of a burst refused although engines stand idle at times. Three times as many come
 /// as on a calm day. Word of the engines is old when it comes, and more engines than needed are kept for short answers. Reports
-/// every 100 ms, talkers that fill 0.65 of a batch, or a wait of 0.7 of the target: each alone fails the first line.
+/// every 100 ms, shortPrompts that fill 0.65 of a batch, or a wait of 0.7 of the target: each alone fails the first line.
 TEST(ReplayTests, aBurstIsServedByEnginesThatReadAllTheTime)
 {
     const auto parts = replayAll({ .load = { .burst = 3 } });
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -71,7 +71,7 @@
             { "tokens_before", order.tokensBefore },
             { "room_tokens", order.roomTokens },
             { "waiting_tokens", order.waitingTokens },
-            { "home", order.home },
+            { "preference", order.preference },
             { "remaining_ms", wholeMilliseconds(order.remaining) },
             { "configuration", labels.configurationVersion },
             { "configuration_age_ms", wholeMilliseconds(labels.configurationAge) },
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -79,4 +79,19 @@
     return pending_.size() > mostBytes_;
 }
 
+auto countEvents(std::string_view events) -> std::uint32_t
+{
+    std::uint32_t count = 0;
+    auto isLineEmpty = false;
+    for (const auto letter : events) {
+        if (letter == '\r') {
+            continue;
+        }
+        const auto isLineEnd = letter == '\n';
+        count += isLineEnd && isLineEmpty ? 1 : 0;
+        isLineEmpty = isLineEnd;
+    }
+    return count;
+}
+
 } // namespace auburnspread::gateway
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -37,4 +37,7 @@
     std::string lastEventId_;
 };
 
+/// Whole events in what EventSplitter passes: each ends with an empty line.
+auto countEvents(std::string_view events) -> std::uint32_t;
+
 } // namespace auburnspread::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/passthrough/router.h"
 #include "gateway/accounting.h"
 #include "gateway/clock.h"
+#include "gateway/eventsplitter.h"
 #include "gateway/fleet.h"
 #include "gateway/frontend.h"
 #include "gateway/leaving.h"
@@ -333,7 +334,7 @@
     const auto found = attempts.find(attempt);
     if (found != attempts.end()) {
         frontend.writeStream(found->second.request, events);
-        apply(passthrough::AttemptProgress{ .attempt = attempt });
+        apply(passthrough::AttemptProgress{ .attempt = attempt, .events = countEvents(events) });
     }
 }
 
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -52,7 +52,7 @@
 {
     auto uses = json::array();
     for (const auto &use : report.uses) {
-        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.wantedTokens, use.talkers, partsToJson(use.sent) });
+        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.waitingTokens, use.shortPrompts, partsToJson(use.sent) });
     }
     return { { "entry", report.entry }, { "total", report.isTotal }, { "rest", report.isRest }, { "uses", std::move(uses) } };
 }
@@ -70,22 +70,25 @@
             .crashes = document.at("crashes").get<std::uint32_t>(),
         };
     }
-    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(), .isTotal = document.at("total").get<bool>(), .isRest = document.at("rest").get<bool>() };
+    passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(),
+                                      .isTotal = document.at("total").get<bool>(),
+                                      .isRest = document.at("rest").get<bool>() };
     for (const auto &use : document.at("uses")) {
         report.uses.push_back({
             .server = use.at(0).get<std::string>(),
             .inFlight = use.at(1).get<std::uint32_t>(),
             .unreadTokens = use.at(2).get<std::uint32_t>(),
             .heldTokens = use.at(3).get<std::uint32_t>(),
-            .wantedTokens = use.at(4).get<std::uint32_t>(),
-            .talkers = use.at(5).get<std::uint32_t>(),
+            .waitingTokens = use.at(4).get<std::uint32_t>(),
+            .shortPrompts = use.at(5).get<std::uint32_t>(),
             .sent = partsFromJson(use.at(6)),
         });
     }
     return report;
 }
 
-/// The report with at most so many parts, and the rest in further messages.
+} // namespace
+
 auto splitParts(const PeerMessage &message) -> std::vector<PeerMessage>
 {
     const auto *report = std::get_if<passthrough::PeerReported>(&message);
@@ -118,8 +121,6 @@
     return messages;
 }
 
-} // namespace
-
 auto encodePeerMessage(const PeerMessage &message) -> std::string
 {
     const auto document = std::visit([](const auto &each) { return toJson(each); }, message);
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -19,6 +19,8 @@
 
 using PeerMessage = std::variant<passthrough::PeerReported, passthrough::CrashesHeard>;
 
+/// The message with as many parts of prompts as one datagram takes, and the rest in further ones.
+auto splitParts(const PeerMessage &message) -> std::vector<PeerMessage>;
 auto encodePeerMessage(const PeerMessage &message) -> std::string;
 /// Throws std::runtime_error for bytes that are no message.
 auto decodePeerMessage(std::string_view bytes) -> PeerMessage;
