More urgent prompts are not released by chance, short ones neither

Change: urgent prompts go past the release again, whatever their length. For short prompts all that was told counts as unread. Tests: moreUrgentPromptsAreNotReleasedByChance fails without (shown); the bound in lessUrgentPromptsLeaveRoom... follows the less careful start.

--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -153,12 +153,6 @@
     return state.servers.totals || 2 * state.servers.peers.size() + 1 >= state.entries;
 }
 
-/// Whether less urgent tiers leave room for it. Short prompts have engines of their own, where nothing less urgent leaves any.
-auto isUrgent(const Request &request) -> bool
-{
-    return request.lessUrgentTiers > 0 && !isShort(request.call.prompt);
-}
-
 auto strainOf(const Pool &pool, const Request &request) -> const Strain &
 {
     return pool.strain[isShort(request.call.prompt) ? 1 : 0];
@@ -232,8 +226,9 @@
         .fetchTokensPerMs = service == nullptr ? 0 : service->fetchTokensPerMs,
         .shortPromptEngines = pool.split.shortPromptEngines,
         .lookedAt = request.route->hasPrompt ? std::optional(lookedAtOf(unseen, found->second.size())) : std::nullopt,
-        .isUrgent = isUrgent(request),
-        .reportAge = reportAgeOf(state),
+        .isUrgent = request.lessUrgentTiers > 0,
+        // short prompts that pile up make answers pause, so for them all counts that was told
+        .reportAge = isShort(request.call.prompt) ? Duration::zero() : reportAgeOf(state),
         .releases = releasesUnder(strainOf(pool, request)),
         .unseenTokens = unseen * pool.unreadEach,
         .mostAhead = request.route->hasPrompt ? std::optional(mostAheadOf(state, request)) : std::nullopt,
