--- a/src/core/passthrough/tests/enginecache_tests.cpp
+++ b/src/core/passthrough/tests/enginecache_tests.cpp
@@ -80,8 +80,10 @@
 /// hundred entries at once. Whichever of the entries know each other, an engine is asked by two of them.
 TEST(EngineCacheTests, eachEngineIsAskedByAFewEntries)
 {
+    constexpr auto Entries = 88;
     std::vector<std::string> entries;
-    for (auto i = 0; i < 88; ++i) {
+    entries.reserve(Entries);
+    for (auto i = 0; i < Entries; ++i) {
         entries.push_back("entry-" + std::to_string(i));
     }
     for (auto engine = 0; engine < 60; ++engine) {
