--- a/src/core/passthrough/enginecache.cpp
+++ b/src/core/passthrough/enginecache.cpp
@@ -29,6 +29,11 @@
     return cache.parts.size() > MostParts || (capacity > 0 && cache.tokens > capacity);
 }
 
+auto isKept(const EngineCache::Part &part, TimePoint now) -> bool
+{
+    return now - part.usedAt < CacheMemory;
+}
+
 } // namespace
 
 auto noteUse(EngineCache &cache, const PromptPart &part, std::uint64_t capacity, TimePoint now) -> void
@@ -36,7 +41,7 @@
     auto &known = cache.parts[part.id];
     cache.tokens += part.tokens;
     cache.tokens -= known.tokens;
-    const auto isNew = known.tokens == 0 || now - known.usedAt >= CacheMemory;
+    const auto isNew = known.tokens == 0 || !isKept(known, now);
     known = { .tokens = part.tokens, .sentAt = isNew ? now : known.sentAt, .usedAt = now };
     while (cache.parts.size() > 1 && isTooFull(cache, capacity)) {
         dropOldest(cache);
@@ -64,19 +69,18 @@
 
 auto heldPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t
 {
-    return prefixTokens(cache, prompt, [now](const EngineCache::Part &part) { return now - part.usedAt < CacheMemory; });
+    return prefixTokens(cache, prompt, [now](const EngineCache::Part &part) { return isKept(part, now); });
 }
 
 auto readPrefix(const EngineCache &cache, const Prompt &prompt, TimePoint now) -> std::uint32_t
 {
-    return prefixTokens(
-        cache, prompt, [now](const EngineCache::Part &part) { return now - part.usedAt < CacheMemory && now - part.sentAt >= ReadingPatience; });
+    return prefixTokens(cache, prompt, [now](const EngineCache::Part &part) { return isKept(part, now) && now - part.sentAt >= ReadingPatience; });
 }
 
 auto holds(const EngineCache &cache, std::uint64_t part, TimePoint now) -> bool
 {
     const auto found = cache.parts.find(part);
-    return found != cache.parts.end() && now - found->second.usedAt < CacheMemory;
+    return found != cache.parts.end() && isKept(found->second, now);
 }
 
 auto noteSent(RecentParts &recent, const PromptPart &part, TimePoint now) -> void
--- a/src/core/passthrough/enginesplit.cpp
+++ b/src/core/passthrough/enginesplit.cpp
@@ -1,5 +1,7 @@
 #include "core/passthrough/enginesplit.h"
 
+#include "core/passthrough/internal/milliseconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -29,7 +31,7 @@
 auto moveAverage(double &average, Duration value) -> void
 {
     constexpr double Weight = 0.1;
-    const auto milliseconds = std::chrono::duration<double, std::milli>(value).count();
+    const auto milliseconds = detail::toMilliseconds(value);
     average = average == 0 ? milliseconds : average + Weight * (milliseconds - average);
 }
 
--- a/src/core/passthrough/internal/candidate.cpp
+++ b/src/core/passthrough/internal/candidate.cpp
@@ -69,9 +69,4 @@
     return value ^ (value >> 31U);
 }
 
-auto toDuration(double milliseconds) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
-}
-
 } // namespace auburnspread::passthrough::detail
--- a/src/core/passthrough/internal/candidate.h
+++ b/src/core/passthrough/internal/candidate.h
@@ -28,6 +28,4 @@
 /// A number that depends on every bit of both.
 auto mix(std::uint64_t key, std::uint64_t salt) -> std::uint64_t;
 
-auto toDuration(double milliseconds) -> Duration;
-
 } // namespace auburnspread::passthrough::detail
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -2,6 +2,7 @@
 
 #include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/dispatching.h"
+#include "core/passthrough/internal/milliseconds.h"
 
 #include <algorithm>
 #include <cmath>
@@ -52,7 +53,7 @@
         return;
     }
     const auto reading = std::max(observed - speed.firstToken, observed / 4);
-    const auto shown = attempt.readTokens / std::chrono::duration<double, std::milli>(reading).count();
+    const auto shown = attempt.readTokens / toMilliseconds(reading);
     speed.tokensPerMs *= std::pow(std::clamp(shown / speed.tokensPerMs, 1 / MostChange, MostChange), Weight);
 }
 
--- a/src/core/passthrough/internal/enginechoice.cpp
+++ b/src/core/passthrough/internal/enginechoice.cpp
@@ -2,6 +2,7 @@
 
 #include "core/passthrough/enginesplit.h"
 #include "core/passthrough/internal/candidate.h"
+#include "core/passthrough/internal/milliseconds.h"
 
 #include <algorithm>
 #include <array>
@@ -87,9 +88,10 @@
 /// An engine that may take the request.
 struct EngineOption {
     Candidate candidate;
-    double room = 0;   ///< tokens that it may still be given to read
-    double weight = 0; ///< greater: looked at sooner
-    bool holdsMost = false;
+    double room = 0;              ///< tokens that it may still be given to read
+    double weight = 0;            ///< greater: looked at sooner
+    std::uint32_t heldTokens = 0; ///< of the prompt
+    bool holdsMost = false;       ///< no other one holds more
 };
 
 auto roomOf(const ServerState &server, const Work &work, const PlacementQuery &query, const EngineSpeed &speed) -> double
@@ -98,7 +100,7 @@
         return std::numeric_limits<double>::max();
     }
     const auto left = *query.mostAhead - scaled(readingTime(work.unreadTokens, speed), server.slowness);
-    return std::chrono::duration<double, std::milli>(left).count() * speed.tokensPerMs / server.slowness;
+    return toMilliseconds(left) * speed.tokensPerMs / server.slowness;
 }
 
 /// Evenly between 0 and 1, never either of them.
@@ -115,7 +117,7 @@
 auto currentWork(const ServerState &server, const PlacementQuery &query, const EngineSpeed &speed) -> Work
 {
     auto work = totalWork(server);
-    const auto readSince = std::chrono::duration<double, std::milli>(query.reportAge).count() * speed.tokensPerMs / server.slowness;
+    const auto readSince = toMilliseconds(query.reportAge) * speed.tokensPerMs / server.slowness;
     work.unreadTokens -= std::min(server.others.unreadTokens, static_cast<std::uint32_t>(readSince));
     return work;
 }
@@ -143,6 +145,7 @@
     const auto &placement = option.candidate.placement;
     option.candidate.score = placement.estimatedStart + serverPenalty(*server, query, now) + reusePenalty(*query.prompt, reuse);
     option.candidate.score -= placement.preference > 0 ? PreferenceBonus.at(static_cast<std::size_t>(placement.preference - 1)) : Duration::zero();
+    option.heldTokens = reuse.heldTokens;
     option.room = roomOf(*server, work, query, speed);
     option.weight = std::log(drawOf(mix(query.tieBreak, query.reports), ~server->hash)) / std::max(option.room, 1.0);
     return option;
@@ -160,12 +163,12 @@
         }
         auto option = makeOption(server, preferred, source, query, speed, now);
         if (hasMemory(option.candidate.placement.before, query, option.candidate.placement.load)) {
-            longest = std::max(longest, heldPrefix(server->cache, *query.prompt, now));
+            longest = std::max(longest, option.heldTokens);
             options.push_back(std::move(option));
         }
     }
     for (auto &option : options) {
-        option.holdsMost = heldPrefix(option.candidate.placement.server->cache, *query.prompt, now) >= longest;
+        option.holdsMost = option.heldTokens >= longest;
     }
     return options;
 }
--- a/src/core/passthrough/internal/promptreuse.cpp
+++ b/src/core/passthrough/internal/promptreuse.cpp
@@ -47,7 +47,7 @@
 {
     const auto held = heldPrefix(server.cache, prompt, now);
     const auto fetched = source.tokens > held + LeastFetchedTokens ? source.tokens - held : 0;
-    return { .fetchedTokens = fetched, .unreadTokens = prompt.tokens - held - fetched };
+    return { .heldTokens = held, .fetchedTokens = fetched, .unreadTokens = prompt.tokens - held - fetched };
 }
 
 auto reusePenalty(const Prompt &prompt, const Reuse &reuse) -> Duration
--- a/src/core/passthrough/internal/promptreuse.h
+++ b/src/core/passthrough/internal/promptreuse.h
@@ -15,6 +15,7 @@
 constexpr std::uint32_t LeastFetchedTokens = 512;
 
 struct Reuse {
+    std::uint32_t heldTokens = 0;    ///< in its cache
     std::uint32_t fetchedTokens = 0; ///< copied from another engine
     std::uint32_t unreadTokens = 0;  ///< read
 };
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -6,6 +6,7 @@
 #include "core/passthrough/actions.h"
 #include "core/passthrough/enginesplit.h"
 #include "core/passthrough/events.h"
+#include "core/passthrough/placement.h"
 #include "core/passthrough/retrybudget.h"
 #include "core/passthrough/router.h"
 #include "core/passthrough/routetable.h"
--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -93,18 +93,27 @@
     return parts;
 }
 
-/// Datagrams get lost now and then, so each use of a cache is told in two reports; a sum goes to a part of the entries at a time.
-constexpr Duration SentWindow = 2 * ReportInterval;
-constexpr Duration TotalSentWindow = 4 * ReportInterval;
-
-} // namespace
-
 auto capacityOf(const ServerTable &table, const ServerState &server) -> std::uint64_t
 {
     const auto found = table.cacheTokens.find(server.record.service);
     return found == table.cacheTokens.end() ? 0 : found->second;
 }
 
+/// A shared part was sent there, or is there: believed from now on, and told to the other entries.
+auto noteOwnUse(const ServerTable &table, ServerState &server, const PromptPart &part, TimePoint now) -> void
+{
+    noteUse(server.cache, part, capacityOf(table, server), now);
+    if (part.tokens >= LeastToldTokens) {
+        noteSent(server.sentHere, part, now);
+    }
+}
+
+/// Datagrams get lost now and then, so each use of a cache is told in two reports; a sum goes to a part of the entries at a time.
+constexpr Duration SentWindow = 2 * ReportInterval;
+constexpr Duration TotalSentWindow = 4 * ReportInterval;
+
+} // namespace
+
 auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
 {
     PeerReported report{ .entry = entry };
@@ -158,10 +167,7 @@
         return;
     }
     for (const auto &part : listed.parts) {
-        noteUse(server->cache, part, capacityOf(table, *server), now);
-        if (part.tokens >= LeastToldTokens) {
-            noteSent(server->sentHere, part, now);
-        }
+        noteOwnUse(table, *server, part, now);
     }
 }
 
@@ -197,11 +203,7 @@
 auto notePrompt(ServerTable &table, ServerState &server, const Prompt &prompt, TimePoint now) -> void
 {
     for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-        const auto &part = prompt.parts[i];
-        noteUse(server.cache, part, capacityOf(table, server), now);
-        if (part.tokens >= LeastToldTokens) {
-            noteSent(server.sentHere, part, now);
-        }
+        noteOwnUse(table, server, prompt.parts[i], now);
     }
 }
 
--- a/src/core/passthrough/placement.cpp
+++ b/src/core/passthrough/placement.cpp
@@ -3,6 +3,7 @@
 #include "core/passthrough/enginesplit.h"
 #include "core/passthrough/internal/candidate.h"
 #include "core/passthrough/internal/enginechoice.h"
+#include "core/passthrough/internal/milliseconds.h"
 #include "core/passthrough/internal/promptreuse.h"
 
 #include <algorithm>
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -8,7 +8,6 @@
 #include "core/base/time.h"
 #include "core/passthrough/actions.h"
 #include "core/passthrough/events.h"
-#include "core/passthrough/placement.h"
 #include "core/passthrough/retrybudget.h"
 
 #include <cstdint>
@@ -22,7 +21,6 @@
     std::string entry; ///< this entry's name
     std::string failureDomain;
     RetryBounds retries;
-    EngineSpeed engineSpeed;
     Duration keyFreshness = std::chrono::milliseconds(4500); ///< a configuration confirmed longer ago admits no key
 };
 
--- a/src/core/passthrough/tests/replay.cpp
+++ b/src/core/passthrough/tests/replay.cpp
@@ -1,5 +1,6 @@
 #include "core/passthrough/tests/replay.h"
 
+#include "core/passthrough/internal/milliseconds.h"
 #include "core/passthrough/tests/world.h"
 
 #include <algorithm>
@@ -53,10 +54,7 @@
 constexpr std::uint64_t Documents = 4;
 constexpr std::size_t Readers = 3; ///< entries that sum up the reports
 
-auto toDuration(double milliseconds) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
-}
+using detail::toDuration;
 
 /// One caller's request with its tries.
 struct Ask {
--- a/src/core/passthrough/tests/servers_tests.cpp
+++ b/src/core/passthrough/tests/servers_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/passthrough/servertable.h"
 #include "core/passthrough/tests/world.h"
 
 #include <gtest/gtest.h>
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -105,7 +105,7 @@
                 kept.push_back(part);
                 continue;
             }
-            if (parts % MostParts == 1 || rests.empty()) {
+            if (parts % MostParts == 1) {
                 rests.push_back({ .entry = first.entry, .isTotal = first.isTotal, .isRest = true });
             }
             auto &uses = rests.back().uses;
--- a/src/gateway/tests/messages_tests.cpp
+++ b/src/gateway/tests/messages_tests.cpp
@@ -82,6 +82,13 @@
     EXPECT_EQ(splitter.lastEventId(), "2");
 }
 
+TEST(EventSplitterTests, wholeEventsAreCounted)
+{
+    EXPECT_EQ(countEvents(""), 0U);
+    EXPECT_EQ(countEvents("id: 1\ndata: a\n\n"), 1U);
+    EXPECT_EQ(countEvents("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n"), 3U);
+}
+
 TEST(EventSplitterTests, anEventWithoutEndIsNoticed)
 {
     EventSplitter splitter(100);
