--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -140,9 +140,9 @@
     event(Level::Info, "caller-gone", { { "request", labels.request }, { "after_ms", wholeMilliseconds(since) } });
 }
 
-auto Accounting::configurationAdopted(std::uint64_t version, std::size_t routes, std::size_t workspaces) -> void
+auto Accounting::configurationAdopted(std::uint64_t version, std::size_t bytes, std::size_t routes, std::size_t workspaces) -> void
 {
-    event(Level::Info, "configuration-adopted", { { "configuration", version }, { "routes", routes }, { "workspaces", workspaces } });
+    event(Level::Info, "configuration-adopted", { { "configuration", version }, { "bytes", bytes }, { "routes", routes }, { "workspaces", workspaces } });
 }
 
 auto Accounting::serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -44,7 +44,7 @@
 
     /// \name Beliefs
     /// @{
-    auto configurationAdopted(std::uint64_t version, std::size_t routes, std::size_t workspaces) -> void;
+    auto configurationAdopted(std::uint64_t version, std::size_t bytes, std::size_t routes, std::size_t workspaces) -> void;
     auto serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void;
     auto entriesChanged(std::size_t entries) -> void;
     auto dependencyReachable(std::string_view peer, bool reachable, std::string_view call, std::string_view detail) -> void;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -155,7 +155,7 @@
                 engineServices_.insert(service.name);
             }
         }
-        accounting_.configurationAdopted(configuration.version, configuration.routes.size(), configuration.workspaces.size());
+        accounting_.configurationAdopted(configuration.version, document.size(), configuration.routes.size(), configuration.workspaces.size());
         callbacks_.onLimits(configuration.limits);
     } catch (const adapter::InvalidDocument &error) {
         configurationUnderstood_ = false;
--- a/src/wire/http/client.cpp
+++ b/src/wire/http/client.cpp
@@ -35,13 +35,17 @@
 
 auto describe(const Error &error) -> std::string
 {
-    const auto text = std::string(stepName(error.step)) + " " + error.peer + ": " + std::string(causeName(error.cause));
+    auto text = std::string(stepName(error.step)) + " " + error.peer + ": " + std::string(causeName(error.cause));
+    // an answer that was cut off half-way through differs from a peer that did not answer
+    if (error.receivedBytes > 0) {
+        text += " after " + std::to_string(error.receivedBytes) + " bytes";
+    }
     return error.reusedConnection ? text + " (reused connection)" : text;
 }
 
 auto reachedStep(const Connection &connection) -> Step
 {
-    if (connection.hasReceived) {
+    if (connection.receivedBytes > 0) {
         return Step::Receive;
     }
     return connection.hasSent ? Step::Wait : Step::Connect;
@@ -49,7 +53,13 @@
 
 auto makeError(const Connection &connection, Cause cause) -> Error
 {
-    Error error{ .step = reachedStep(connection), .cause = cause, .peer = connection.peer, .reusedConnection = connection.wasUsedBefore };
+    Error error{
+        .step = reachedStep(connection),
+        .cause = cause,
+        .peer = connection.peer,
+        .receivedBytes = connection.receivedBytes,
+        .reusedConnection = connection.wasUsedBefore,
+    };
     error.text = describe(error);
     return error;
 }
--- a/src/wire/http/client.h
+++ b/src/wire/http/client.h
@@ -58,6 +58,7 @@
     Step step = Step::Prepare;
     Cause cause = Cause::Invalid;
     std::string peer;              ///< address
+    std::size_t receivedBytes = 0; ///< of the response, head included
     bool reusedConnection = false; ///< with Step::Wait and Cause::Closed the peer had most likely ended the idle connection
     std::string text;              ///< all of the above in one line
 };
--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -21,7 +21,7 @@
 auto countReceived(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) -> void
 {
     auto &connection = *static_cast<Connection *>(context);
-    connection.hasReceived = connection.hasReceived || info->n_added > 0;
+    connection.receivedBytes += info->n_added;
 }
 
 auto isOpen(const Connection &connection) -> bool
@@ -41,7 +41,7 @@
 {
     connection.wasUsedBefore = true;
     connection.hasSent = false;
-    connection.hasReceived = false;
+    connection.receivedBytes = 0;
     connection.error.reset();
 }
 
--- a/src/wire/http/connectionpool.h
+++ b/src/wire/http/connectionpool.h
@@ -32,7 +32,7 @@
     std::optional<Duration> idleTime; ///< for which the peer keeps it open while idle; not set: the pool's own bound alone
     bool wasUsedBefore = false;
     bool hasSent = false;
-    bool hasReceived = false;
+    std::size_t receivedBytes = 0;
     std::optional<evhttp_request_error> error;
     std::function<void(evhttp_request *raw)> onDone; ///< of the current exchange; empty: no one waits
     std::shared_ptr<void> context;                   ///< what evhttp's callbacks of the current exchange use; lives as long as they may come
