--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/directoryfollower.h"
 
 #include "gateway/clock.h"
+#include "gateway/directorypage.h"
 
 #include <charconv>
 #include <stdexcept>
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -16,9 +16,6 @@
 namespace auburnspread::gateway
 {
 
-/// Where an entry answers others about the directory.
-constexpr std::string_view DirectoryPath = "/directory";
-
 class DirectoryFollower
 {
 public:
--- /dev/null
+++ b/src/gateway/directorypage.h
@@ -0,0 +1,31 @@
+/// \file
+/// Answers other entries about the directory as this entry knows it.
+
+#pragma once
+
+#include "gateway/directorystate.h"
+#include "runtime/task/eventloop.h"
+#include "wire/http/server.h"
+
+#include <string>
+
+namespace auburnspread::gateway
+{
+
+/// Where an entry answers others about the directory.
+constexpr std::string_view DirectoryPath = "/directory";
+
+class DirectoryPage
+{
+public:
+    /// \p state must outlive it.
+    DirectoryPage(task::EventLoop &loop, const DirectoryState &state);
+
+    /// Throws if the address can't be bound. \return the address in use
+    auto listen(const std::string &address) -> std::string;
+
+private:
+    http::Server server_;
+};
+
+} // namespace auburnspread::gateway
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-constexpr int OkStatus = 200;
-constexpr auto CborType = "application/cbor";
-
 /// With more entries than this the readers sum the reports up; a sum of 60 servers takes about 1.6 KB.
 constexpr std::size_t MostDirectPeers = 12;
 /// A reader sends its sum to each entry once in this many reports. With three readers each entry hears one about ten times a
@@ -61,11 +58,8 @@
                   .onListed = [this](const passthrough::CacheListed &listed) { takeCacheList(listed); },
                   .onFailed = [this](std::string_view server, const std::string &detail) { accounting_.cacheNotListed(server, detail); },
               })
-    , directoryPage_(loop)
+    , directoryPage_(loop, known_)
 {
-    directoryPage_.route(std::string(DirectoryPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
-        replier.reply(OkStatus, CborType, encodeAnswer(makeAnswer(known_, readQuestion(request.query), now())));
-    });
     directoryPage_.listen(settings.peerAddress);
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -12,11 +12,11 @@
 #include "gateway/cachereader.h"
 #include "gateway/directory.h"
 #include "gateway/directoryfollower.h"
+#include "gateway/directorypage.h"
 #include "gateway/directorystate.h"
 #include "gateway/peerexchange.h"
 #include "gateway/settings/gatewaysettings.h"
 #include "runtime/task/eventloop.h"
-#include "wire/http/server.h"
 
 #include <cstdint>
 #include <functional>
@@ -83,7 +83,7 @@
     PeerExchange peers_;
     CacheReader caches_;
     std::set<std::string> engineServices_;
-    http::Server directoryPage_; ///< for other entries
+    DirectoryPage directoryPage_; ///< for other entries
 
     std::map<std::string, passthrough::Server> servers_; ///< as last logged, by id
     bool configurationUnderstood_ = false;               ///< the newest document told could be read
