A configuration is fetched in parts that are kept, and a timeout bounds silence, not the size of an answer

Cause: an answer of another entry had to be whole within 350 ms, one of the store within 600 ms. A document of 575 KB takes longer over 10 Mbit/s, one of 290 KB as well where 63 entries ask the same reader; each answer was thrown away and asked for anew, from the next reader and from the store, so that the links stayed full and nobody made progress. Change: entries offer the document by revision, tag and size; it is fetched in parts of 32 KB, which are kept when the asked entry changes, and a transfer that has begun ends before a newer one. Each entry begins with another reader. A confirmation counts only for the configuration that one has. An entry that reads the store itself asks what changed since the revision it has, not for the document.

--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -45,6 +45,8 @@
     , version_(registry_.gauge({ .name = "auburnspread_configuration_version", .help = "Version in force here." }))
     , age_(registry_.gauge({ .name = "auburnspread_configuration_age_seconds", .help = "Since the configuration was last confirmed." }))
     , invalidInputs_(registry_.counter({ .name = "auburnspread_invalid_inputs_total", .help = "Documents, registrations and messages that made no sense." }))
+    , documentPartFailures_(registry_.counter(
+          { .name = "auburnspread_configuration_part_failures_total", .help = "Parts of a configuration that did not come from another entry." }))
     , storeCalls_(registry_.gauge({ .name = "auburnspread_store_calls", .help = "Calls to the platform's store since the start." }))
 {
 }
@@ -145,6 +147,12 @@
     event(Level::Info, "configuration-adopted", { { "configuration", version }, { "bytes", bytes }, { "routes", routes }, { "workspaces", workspaces } });
 }
 
+auto Accounting::documentPartFailed(std::string_view peer, std::string_view detail) -> void
+{
+    documentPartFailures_.add();
+    event(Level::Warning, "configuration-part-failed", { { "peer", peer }, { "detail", detail } });
+}
+
 auto Accounting::serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void
 {
     event(Level::Info, "backend-server-changed", { { "peer", server }, { "change", change }, { "service", service } });
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -44,6 +44,8 @@
 
     /// \name Beliefs
     /// @{
+    /// A part of a newer configuration did not come from another entry.
+    auto documentPartFailed(std::string_view peer, std::string_view detail) -> void;
     auto configurationAdopted(std::uint64_t version, std::size_t bytes, std::size_t routes, std::size_t workspaces) -> void;
     auto serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void;
     auto entriesChanged(std::size_t entries) -> void;
@@ -77,6 +79,7 @@
     metrics::Gauge &version_;
     metrics::Gauge &age_;
     metrics::Counter &invalidInputs_;
+    metrics::Counter &documentPartFailures_;
     metrics::Gauge &storeCalls_;
 };
 
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/clock.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -18,6 +19,8 @@
 
 /// Pause after a call that failed. The store takes some thousands of calls a second from all entries together.
 constexpr Duration FailurePause = std::chrono::milliseconds(300);
+/// Of a question for changes that is to be answered at once.
+constexpr Duration ShortestWait = std::chrono::milliseconds(1);
 /// Entries come and go rarely, and a change ends the wait.
 constexpr Duration EntriesWait = std::chrono::seconds(10);
 /// Between two watches of the entries: where many start at once, one answer tells of several.
@@ -59,9 +62,14 @@
     }
 }
 
+auto Directory::noteConfiguration(std::uint64_t revision) -> void
+{
+    configurationRevision_ = std::max(configurationRevision_, revision);
+}
+
 auto Directory::readOnce() -> void
 {
-    readConfiguration();
+    checkConfiguration();
     readServers();
     readEntries();
 }
@@ -131,31 +139,48 @@
         [this](StoreOutcome /*outcome*/) { goOn(configurationTimer_, FailurePause, &Directory::readConfiguration); });
 }
 
+/// Failure: entries that hear nothing of the others read the store themselves, all at once. Symptom: the document, which they have,
+/// fills their links over and over. What changed since the known one confirms it as well, and is a few bytes.
+auto Directory::checkConfiguration() -> void
+{
+    if (configurationRevision_ == 0) {
+        readConfiguration();
+    } else {
+        askForChange(ShortestWait);
+    }
+}
+
 auto Directory::watchConfiguration() -> void
+{
+    askForChange(options_.configurationWait);
+}
+
+auto Directory::askForChange(Duration wait) -> void
 {
     const auto askedAt = now();
     fetchItems(
         "watch-configuration",
-        adapter::makeWatch(options_.store, adapter::configurationKey(), configurationRevision_, options_.configurationWait),
+        adapter::makeWatch(options_.store, adapter::configurationKey(), configurationRevision_, wait),
         [this, askedAt](const adapter::StoreItems &items) {
             takeConfiguration(items, askedAt);
             goOn(configurationTimer_, Duration::zero(), &Directory::watchConfiguration);
         },
         [this](StoreOutcome outcome) {
-            const auto isHistoryGone = outcome == StoreOutcome::HistoryGone;
-            goOn(configurationTimer_,
-                 isHistoryGone ? Duration::zero() : FailurePause,
-                 isHistoryGone ? &Directory::readConfiguration : &Directory::watchConfiguration);
+            if (outcome == StoreOutcome::HistoryGone) {
+                readConfiguration();
+                return;
+            }
+            goOn(configurationTimer_, FailurePause, &Directory::watchConfiguration);
         });
 }
 
 /// The answer shows the state at some time after it was asked for, so the moment of asking is the one that is sure.
 auto Directory::takeConfiguration(const adapter::StoreItems &items, TimePoint askedAt) -> void
 {
-    configurationRevision_ = items.revision;
+    configurationRevision_ = std::max(configurationRevision_, items.revision);
     for (const auto &item : items.items) {
         if (!item.isRemoved && item.key == adapter::configurationKey()) {
-            callbacks_.onConfiguration(item.value);
+            callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
         }
     }
     callbacks_.onConfirmed(askedAt);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -39,6 +39,8 @@
     auto setReading(bool reading) -> void;
     /// One read of everything, for an entry that has nobody to ask.
     auto readOnce() -> void;
+    /// A configuration of this revision came by another way.
+    auto noteConfiguration(std::uint64_t revision) -> void;
 
     /// Registers this entry, and keeps it registered.
     auto registerSelf() -> void;
@@ -60,7 +62,9 @@
     auto goOn(task::Watch &timer, Duration pause, Step step) -> void;
 
     auto readConfiguration() -> void;
+    auto checkConfiguration() -> void;
     auto watchConfiguration() -> void;
+    auto askForChange(Duration wait) -> void;
     auto takeConfiguration(const adapter::StoreItems &items, TimePoint askedAt) -> void;
 
     auto readServers() -> void;
@@ -86,7 +90,7 @@
     bool reading_ = false;
     std::uint64_t round_ = 0; ///< of reading; answers to calls of an earlier one start nothing new
 
-    std::uint64_t configurationRevision_ = 0;
+    std::uint64_t configurationRevision_ = 0; ///< of the store, since which changes of the configuration are asked for
     std::uint64_t entriesRevision_ = 0;
     std::map<std::string, adapter::EntryRecord> entries_; ///< by key
     ServersRead page_;                                    ///< the list that is being read
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -2,8 +2,9 @@
 
 #include "gateway/clock.h"
 #include "gateway/directorypage.h"
+#include "gateway/querynumber.h"
 
-#include <charconv>
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 #include <variant>
@@ -17,48 +18,49 @@
 /// A change of the store reaches every entry within this and the reader's own interval, a third of the least time in which
 /// a leaving server must get nothing new.
 constexpr Duration AskInterval = std::chrono::milliseconds(300);
-/// A reader answers within some milliseconds; after this time the next one is asked.
-constexpr Duration AskTimeout = std::chrono::milliseconds(350);
+/// A reader answers within some milliseconds; without a byte for this long the next one is asked.
+constexpr Duration SilenceTimeout = std::chrono::milliseconds(350);
+/// Of an answer as long as its bytes come: lists of 600 servers and 330 entries are 100 KB, which a third of the entries get from
+/// one link of 25 MB/s in 0.44 s when all of them start.
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(1500);
 /// A reader whose own confirmation is older is cut off from the store, or the store is away: the next one is asked. In the
 /// normal course it is up to 1 s old.
 constexpr Duration OldConfirmation = std::chrono::milliseconds(1600);
 
 constexpr int OkStatus = 200;
 
-auto readTag(const std::map<std::string, std::string> &query, const std::string &name) -> std::uint64_t
-{
-    const auto found = query.find(name);
-    std::uint64_t tag = 0;
-    if (found != query.end()) {
-        std::from_chars(found->second.data(), found->second.data() + found->second.size(), tag);
-    }
-    return tag;
-}
-
 } // namespace
 
 auto makeQuestion(const std::string &reader, const DirectoryTags &known) -> http::Request
 {
-    const auto path = std::string(DirectoryPath) + "?configuration=" + std::to_string(known.configuration) + "&servers=" + std::to_string(known.servers)
-        + "&entries=" + std::to_string(known.entries);
-    return { .method = http::Method::Get, .address = reader, .path = path, .timeout = AskTimeout, .isIdempotent = true };
+    const auto path = std::string(DirectoryPath) + "?servers=" + std::to_string(known.servers) + "&entries=" + std::to_string(known.entries);
+    return { .address = reader, .path = path, .timeout = AnswerTimeout, .silenceTimeout = SilenceTimeout, .isIdempotent = true };
 }
 
 auto readQuestion(const std::map<std::string, std::string> &query) -> DirectoryTags
 {
-    return { .configuration = readTag(query, "configuration"), .servers = readTag(query, "servers"), .entries = readTag(query, "entries") };
+    return { .servers = detail::readQueryNumber(query, "servers"), .entries = detail::readQueryNumber(query, "entries") };
 }
 
-DirectoryFollower::DirectoryFollower(task::EventLoop &loop, DirectoryCallbacks callbacks)
+DirectoryFollower::DirectoryFollower(task::EventLoop &loop, const DirectoryTags &known, std::size_t spread, DirectoryCallbacks callbacks)
     : loop_(loop)
     , callbacks_(std::move(callbacks))
+    , known_(known)
+    , spread_(spread)
     , client_(loop)
+    , documents_(loop,
+                 client_,
+                 spread,
+                 {
+                     .onDocument = [this](const ConfigurationRead &read) { callbacks_.onConfiguration(read); },
+                     .onPartFailed = [this](std::string_view peer, const std::string &detail) { callbacks_.onPartFailed(peer, detail); },
+                 })
 {
 }
 
-auto DirectoryFollower::confirmedAt() const -> TimePoint
+auto DirectoryFollower::informedAt() const -> TimePoint
 {
-    return confirmedAt_;
+    return std::max(confirmedAt_, documents_.progressAt());
 }
 
 auto DirectoryFollower::reader() const -> const std::string &
@@ -66,17 +68,17 @@
     return readers_.at(current_);
 }
 
-auto DirectoryFollower::follow(std::vector<std::string> readers, const DirectoryTags &known) -> void
+auto DirectoryFollower::follow(std::vector<std::string> readers) -> void
 {
-    tags_ = known;
     if (readers == readers_) {
         return;
     }
     readers_ = std::move(readers);
-    current_ = 0;
     round_ += 1;
     timer_ = {};
+    documents_.setReaders(readers_);
     if (!readers_.empty()) {
+        current_ = spread_ % readers_.size();
         ask();
     }
 }
@@ -84,7 +86,7 @@
 auto DirectoryFollower::ask() -> void
 {
     const auto askedAt = now();
-    client_.fetch(makeQuestion(reader(), tags_), [this, askedAt, round = round_](const http::Result &result) {
+    client_.fetch(makeQuestion(reader(), known_), [this, askedAt, round = round_](const http::Result &result) {
         if (round != round_) {
             return;
         }
@@ -128,15 +130,14 @@
 }
 
 /// The reader's age counts from the moment of asking: a reader that was suspended on the way can only make the configuration
-/// look older than it is.
+/// look older than it is. It confirms the reader's configuration, so it says nothing while that one is still to be fetched.
 auto DirectoryFollower::apply(const DirectoryAnswer &answer, TimePoint askedAt) -> bool
 {
-    tags_ = answer.tags;
     const auto round = round_;
-    if (answer.configuration) {
-        callbacks_.onConfiguration(*answer.configuration);
+    if (answer.configuration && answer.configuration->revision > known_.configuration) {
+        documents_.want(*answer.configuration);
     }
-    if (answer.confirmedAge) {
+    if (answer.confirmedAge && answer.tags.configuration == known_.configuration) {
         confirmedAt_ = std::max(confirmedAt_, askedAt - *answer.confirmedAge);
         callbacks_.onConfirmed(askedAt - *answer.confirmedAge);
     }
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/directorystate.h"
+#include "gateway/documentfetcher.h"
 #include "runtime/task/eventloop.h"
 #include "wire/http/client.h"
 
@@ -19,13 +20,15 @@
 class DirectoryFollower
 {
 public:
-    DirectoryFollower(task::EventLoop &loop, DirectoryCallbacks callbacks);
+    /// \p known: what this entry has already; must outlive it. \p spread: which of the entries is asked first, so that not all
+    /// ask the same one: 63 entries that fetched 290 KB from one of three at once had 139 KB each after 350 ms.
+    DirectoryFollower(task::EventLoop &loop, const DirectoryTags &known, std::size_t spread, DirectoryCallbacks callbacks);
 
-    /// Asks one of these entries several times a second; none: stops asking. \p known: what this entry has already.
-    auto follow(std::vector<std::string> readers, const DirectoryTags &known) -> void;
+    /// Asks one of these entries several times a second; none: stops asking.
+    auto follow(std::vector<std::string> readers) -> void;
 
-    /// Time of the last answer that confirmed the configuration; long ago if there was none.
-    [[nodiscard]] auto confirmedAt() const -> TimePoint;
+    /// Time of the last answer that confirmed the configuration or brought a part of a newer one; long ago if there was none.
+    [[nodiscard]] auto informedAt() const -> TimePoint;
 
 private:
     auto ask() -> void;
@@ -37,11 +40,13 @@
 
     task::EventLoop &loop_;
     DirectoryCallbacks callbacks_;
+    const DirectoryTags &known_;
+    std::size_t spread_;
     http::Client client_;
+    DocumentFetcher documents_;
     std::vector<std::string> readers_;
     std::size_t current_ = 0;
     std::uint64_t round_ = 0; ///< answers of an earlier choice of readers are dropped
-    DirectoryTags tags_;
     TimePoint confirmedAt_;
     bool reachable_ = true;
     task::Watch timer_;
--- a/src/gateway/directorypage.cpp
+++ b/src/gateway/directorypage.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/clock.h"
 #include "gateway/directoryfollower.h"
+#include "gateway/documentfetcher.h"
 
 namespace auburnspread::gateway
 {
@@ -10,16 +11,26 @@
 {
 
 constexpr int OkStatus = 200;
+constexpr int NotFoundStatus = 404;
 constexpr auto CborType = "application/cbor";
+constexpr auto BytesType = "application/octet-stream";
+
+/// Of 330 entries that ask one other each may have two connections, for its questions and for the parts of a document.
+constexpr http::ServerOptions PageOptions{ .connections = 1024 };
 
 } // namespace
 
 DirectoryPage::DirectoryPage(task::EventLoop &loop, const DirectoryState &state)
-    : server_(loop)
+    : server_(loop, PageOptions)
 {
     server_.route(std::string(DirectoryPath), [&state](const http::IncomingRequest &request, const http::Replier &replier) {
         replier.reply(OkStatus, CborType, encodeAnswer(makeAnswer(state, readQuestion(request.query), now())));
     });
+    server_.route(std::string(DocumentPath), [&state](const http::IncomingRequest &request, const http::Replier &replier) {
+        const auto question = readPartQuestion(request.query);
+        const auto part = readPart(state.configurations, question.tag, question.from);
+        replier.reply(part ? OkStatus : NotFoundStatus, BytesType, part.value_or(std::string_view()));
+    });
 }
 
 auto DirectoryPage::listen(const std::string &address) -> std::string
--- a/src/gateway/directorypage.h
+++ b/src/gateway/directorypage.h
@@ -12,8 +12,9 @@
 namespace auburnspread::gateway
 {
 
-/// Where an entry answers others about the directory.
-constexpr std::string_view DirectoryPath = "/directory";
+/// Where an entry answers others about the directory. An entry that does not know this path, or one that another version of the
+/// product answers with a document in it, is left for the next one.
+constexpr std::string_view DirectoryPath = "/directory/summary";
 
 class DirectoryPage
 {
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -85,10 +85,14 @@
 
 } // namespace
 
-auto takeConfiguration(DirectoryState &state, const std::string &document) -> void
+auto takeConfiguration(DirectoryState &state, const ConfigurationRead &read) -> void
 {
-    state.configuration = document;
-    state.tags.configuration = tagOf(std::string_view(document));
+    if (read.revision <= state.tags.configuration) {
+        return;
+    }
+    state.tags.configuration = read.revision;
+    state.configurations.insert(state.configurations.begin(), makeOffered(read));
+    state.configurations.resize(std::min(state.configurations.size(), KeptDocuments));
 }
 
 auto takeServers(DirectoryState &state, const ServersRead &read) -> bool
@@ -131,8 +135,8 @@
     if (state.confirmedAt) {
         answer.confirmedAge = now - *state.confirmedAt;
     }
-    if (state.tags.configuration != known.configuration && !state.configuration.empty()) {
-        answer.configuration = state.configuration;
+    if (!state.configurations.empty()) {
+        answer.configuration = state.configurations.front().offer;
     }
     if (state.tags.servers != known.servers && state.serversAt) {
         answer.servers = state.servers;
@@ -156,7 +160,8 @@
         document["age"] = answer.confirmedAge->count();
     }
     if (answer.configuration) {
-        document["configuration"] = *answer.configuration;
+        const auto &offer = *answer.configuration;
+        document["configuration"] = { offer.revision, offer.tag, offer.bytes };
     }
     if (answer.servers) {
         document["servers"] = listToJson(*answer.servers);
@@ -187,7 +192,8 @@
             answer.confirmedAge = Duration(document.at("age").get<Duration::rep>());
         }
         if (document.contains("configuration")) {
-            answer.configuration = document.at("configuration").get<std::string>();
+            const auto &offer = document.at("configuration");
+            answer.configuration = DocumentOffer{ .revision = offer.at(0), .tag = offer.at(1), .bytes = offer.at(2) };
         }
         if (document.contains("servers")) {
             answer.servers = listFromJson<passthrough::Server>(document.at("servers"), toServer);
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -5,6 +5,7 @@
 
 #include "core/base/time.h"
 #include "core/passthrough/configuration.h"
+#include "gateway/documenttransfer.h"
 #include "platform/documents.h"
 
 #include <cstdint>
@@ -33,25 +34,26 @@
 
 /// What a source of the directory tells the entry: its own reads of the store, or another entry.
 struct DirectoryCallbacks {
-    std::function<void(const std::string &document)> onConfiguration; ///< as the operators wrote it
-    std::function<void(TimePoint asOf)> onConfirmed;                  ///< the last configuration told was the newest then
+    std::function<void(const ConfigurationRead &read)> onConfiguration;
+    std::function<void(TimePoint asOf)> onConfirmed; ///< the last configuration told was the newest then
     std::function<void(const ServersRead &read)> onServers;
     std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed; ///< the last list told was read again
     std::function<void(const EntriesRead &read)> onEntries;
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< lost or regained
-    std::function<void(std::string_view what, const std::string &detail)> onInvalid;                                          ///< makes no sense
+    std::function<void(std::string_view peer, const std::string &detail)> onPartFailed; ///< of a configuration, from another entry
+    std::function<void(std::string_view what, const std::string &detail)> onInvalid;    ///< makes no sense
 };
 
 /// Tell two contents apart without sending them.
 struct DirectoryTags {
-    std::uint64_t configuration = 0; ///< 0: none
-    std::uint64_t servers = 0;
+    std::uint64_t configuration = 0; ///< its revision in the store; 0: none
+    std::uint64_t servers = 0;       ///< of the content, as the next one
     std::uint64_t entries = 0;
 };
 
 /// The directory as one entry knows it. The functions below change its parts, each with its tag.
 struct DirectoryState {
-    std::string configuration;
+    std::vector<OfferedDocument> configurations; ///< the newest, which is in force, and some before it
     std::optional<TimePoint> confirmedAt;
     std::vector<passthrough::Server> servers;
     std::uint64_t serversRevision = 0;
@@ -68,17 +70,17 @@
 /// that is seconds old, take a server for alive that has left since, and change back and forth between two sets of readers.
 /// The store's revision orders what comes by different ways, and what is older than what is known changes nothing.
 /// @{
-auto takeConfiguration(DirectoryState &state, const std::string &document) -> void;
+auto takeConfiguration(DirectoryState &state, const ConfigurationRead &read) -> void;
 /// \return whether it is news
 auto takeServers(DirectoryState &state, const ServersRead &read) -> bool;
 auto takeEntries(DirectoryState &state, const EntriesRead &read) -> bool;
 /// @}
 
-/// What another entry answers: the parts that differ from the asker's tags, and how old they are.
+/// What another entry answers: the lists that differ from the asker's tags, and how old they are.
 struct DirectoryAnswer {
-    std::optional<Duration> confirmedAge; ///< of the configuration; not set: never confirmed
-    std::optional<std::string> configuration;
-    std::optional<Duration> serversAge; ///< not set: never read
+    std::optional<Duration> confirmedAge;       ///< of the configuration; not set: never confirmed
+    std::optional<DocumentOffer> configuration; ///< the newest one, to be fetched in parts; not set: none
+    std::optional<Duration> serversAge;         ///< not set: never read
     std::uint64_t serversRevision = 0;
     std::optional<std::vector<passthrough::Server>> servers;
     std::optional<Duration> outageAge; ///< since the list was read again after a while without; not set: long ago
--- /dev/null
+++ b/src/gateway/documenttransfer.cpp
@@ -0,0 +1,53 @@
+#include "gateway/documenttransfer.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+auto tagOf(std::string_view bytes) -> std::uint64_t
+{
+    return XXH64(bytes.data(), bytes.size(), 1);
+}
+
+} // namespace
+
+auto makeOffered(const ConfigurationRead &read) -> OfferedDocument
+{
+    return { .offer = { .revision = read.revision, .tag = tagOf(read.document), .bytes = read.document.size() }, .bytes = read.document };
+}
+
+auto readPart(const std::vector<OfferedDocument> &documents, std::uint64_t tag, std::uint64_t from) -> std::optional<std::string_view>
+{
+    const auto found = std::find_if(documents.begin(), documents.end(), [tag](const OfferedDocument &each) { return each.offer.tag == tag; });
+    if (found == documents.end() || from >= found->bytes.size()) {
+        return std::nullopt;
+    }
+    return std::string_view(found->bytes).substr(from, PartBytes);
+}
+
+auto takePart(DocumentTransfer &transfer, std::string_view part) -> PartOutcome
+{
+    transfer.bytes += part;
+    const auto isComplete = transfer.bytes.size() >= transfer.offer.bytes;
+    if (!part.empty() && !isComplete) {
+        return PartOutcome::More;
+    }
+    if (transfer.bytes.size() == transfer.offer.bytes && tagOf(transfer.bytes) == transfer.offer.tag) {
+        return PartOutcome::Whole;
+    }
+    transfer.bytes.clear();
+    return PartOutcome::Spoilt;
+}
+
+auto readDocument(const DocumentTransfer &transfer) -> ConfigurationRead
+{
+    return { .document = transfer.bytes, .revision = transfer.offer.revision };
+}
+
+} // namespace auburnspread::gateway
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -3,6 +3,8 @@
 #include "core/passthrough/readers.h"
 #include "gateway/clock.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -48,7 +50,7 @@
                      .leaseTime = settings.leaseTime,
                  },
                  directoryCallbacks())
-    , follower_(loop, directoryCallbacks())
+    , follower_(loop, known_.tags, XXH64(name_.data(), name_.size(), 0), directoryCallbacks())
     , peers_(loop,
              settings.peerAddress,
              [this](const PeerMessage &message) { takePeerMessage(message); },
@@ -119,7 +121,7 @@
 auto Fleet::directoryCallbacks() -> DirectoryCallbacks
 {
     return {
-        .onConfiguration = [this](const std::string &document) { takeConfiguration(document); },
+        .onConfiguration = [this](const ConfigurationRead &read) { takeConfiguration(read); },
         .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
         .onServers = [this](const ServersRead &read) { takeServers(read); },
         .onServersConfirmed = [this](std::uint64_t revision, TimePoint asOf) { takeServersConfirmed(revision, asOf); },
@@ -128,28 +130,33 @@
             [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
                 accounting_.dependencyReachable(peer, reachable, call, detail);
             },
+        .onPartFailed = [this](std::string_view peer, const std::string &detail) { accounting_.documentPartFailed(peer, detail); },
         .onInvalid = [this](std::string_view what, const std::string &detail) { accounting_.inputInvalid(what, detail); },
     };
 }
 
-auto Fleet::takeConfiguration(const std::string &document) -> void
+auto Fleet::takeConfiguration(const ConfigurationRead &read) -> void
 {
     try {
-        const auto configuration = adapter::decodeConfiguration(document);
+        const auto configuration = adapter::decodeConfiguration(read.document);
         configurationUnderstood_ = true;
         const auto before = passthrough::statusOf(router_, now()).configurationVersion;
         callbacks_.onEvent(passthrough::ConfigurationAdopted{ .configuration = configuration });
-        if (configuration.version <= before) {
+        if (configuration.version < before) {
+            return;
+        }
+        gateway::takeConfiguration(known_, read);
+        directory_.noteConfiguration(read.revision);
+        if (configuration.version == before) {
             return;
         }
-        gateway::takeConfiguration(known_, document);
         engineServices_.clear();
         for (const auto &service : configuration.services) {
             if (service.batchSlots) {
                 engineServices_.insert(service.name);
             }
         }
-        accounting_.configurationAdopted(configuration.version, document.size(), configuration.routes.size(), configuration.workspaces.size());
+        accounting_.configurationAdopted(configuration.version, read.document.size(), configuration.routes.size(), configuration.workspaces.size());
         callbacks_.onLimits(configuration.limits);
     } catch (const adapter::InvalidDocument &error) {
         configurationUnderstood_ = false;
@@ -253,9 +260,9 @@
     readCaches();
     readers_ = findReaders();
     directory_.setReading(isReader_);
-    follower_.follow(isReader_ ? std::vector<std::string>() : readers_, known_.tags);
+    follower_.follow(isReader_ ? std::vector<std::string>() : readers_);
     const auto at = now();
-    const auto isInformed = isReader_ || at - follower_.confirmedAt() < FollowPatience;
+    const auto isInformed = isReader_ || at - follower_.informedAt() < FollowPatience;
     if (!isInformed && at - readOnceAt_ >= ReadOnceInterval) {
         readOnceAt_ = at;
         directory_.readOnce();
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -58,7 +58,7 @@
 
 private:
     auto directoryCallbacks() -> DirectoryCallbacks;
-    auto takeConfiguration(const std::string &document) -> void;
+    auto takeConfiguration(const ConfigurationRead &read) -> void;
     auto takeConfirmed(TimePoint asOf) -> void;
     auto takeServers(const ServersRead &read) -> void;
     auto takeServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void;
--- /dev/null
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -0,0 +1,204 @@
+#include "gateway/directoryfollower.h"
+#include "gateway/directorypage.h"
+#include "gateway/documentfetcher.h"
+#include "gateway/documenttransfer.h"
+#include "wire/http/server.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace auburnspread;
+using namespace auburnspread::gateway;
+
+namespace
+{
+
+constexpr Duration Bound = std::chrono::seconds(30);
+
+/// Each byte differs from its neighbours, so that parts in a wrong place are seen.
+auto makeDocument(std::size_t size, char first) -> std::string
+{
+    constexpr std::size_t Letters = 26;
+    std::string document(size, ' ');
+    for (std::size_t at = 0; at < size; at += 1) {
+        document[at] = static_cast<char>('a' + (at / PartBytes + at + static_cast<std::size_t>(first)) % Letters);
+    }
+    return document;
+}
+
+/// An entry that sends the parts of a few documents, and may stop to do so.
+struct Reader {
+    explicit Reader(task::EventLoop &loop)
+        : server(loop)
+    {
+        server.route(std::string(DocumentPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
+            const auto question = readPartQuestion(request.query);
+            asked.push_back(question);
+            if (asked.size() > answers) {
+                replier.reply(503, "text/plain", "");
+                return;
+            }
+            const auto part = readPart(documents, question.tag, question.from);
+            replier.reply(part ? 200 : 404, "application/octet-stream", part.value_or(std::string_view()));
+        });
+        address = server.listen("127.0.0.1:0");
+    }
+
+    auto put(const std::string &document, std::uint64_t revision) -> DocumentOffer
+    {
+        documents.insert(documents.begin(), makeOffered({ .document = document, .revision = revision }));
+        return documents.front().offer;
+    }
+
+    http::Server server;
+    std::string address;
+    std::vector<OfferedDocument> documents;
+    std::vector<PartQuestion> asked;
+    std::size_t answers = 1000; ///< before it answers no more
+};
+
+struct FetcherTests : testing::Test {
+    task::EventLoop loop;
+    http::Client client{ loop };
+    std::vector<ConfigurationRead> taken;
+    DocumentFetcher fetcher{ loop,
+                             client,
+                             0,
+                             { .onDocument = [this](const ConfigurationRead &read) { taken.push_back(read); }, .onPartFailed = [](auto &&...) {} } };
+
+    auto runUntilTaken(std::size_t documents) -> void
+    {
+        const auto look = loop.every(std::chrono::milliseconds(1), [&]() {
+            if (taken.size() >= documents) {
+                loop.stop();
+            }
+        });
+        const auto bound = loop.after(Bound, [&]() { loop.stop(); });
+        loop.run();
+    }
+};
+
+} // namespace
+
+/// The entry that sends a document dies half-way. What came of it is kept, and the next entry is asked for the rest alone: otherwise a
+/// fleet that is restarted in turn could fetch the beginning of a large document again and again.
+TEST_F(FetcherTests, whatCameFromAnEntryThatDiedIsKept)
+{
+    Reader dying(loop);
+    Reader other(loop);
+    const auto document = makeDocument(5 * PartBytes, 'a');
+    const auto offer = dying.put(document, 7);
+    other.put(document, 7);
+    dying.answers = 3;
+    fetcher.setReaders({ dying.address, other.address });
+    fetcher.want(offer);
+    runUntilTaken(1);
+    ASSERT_EQ(taken.size(), 1U);
+    EXPECT_TRUE(taken.front().document == document);
+    EXPECT_EQ(taken.front().revision, 7U);
+    EXPECT_EQ(other.asked.front().from, 3 * PartBytes);
+    EXPECT_EQ(dying.asked.size() + other.asked.size(), 6U) << "five parts and one question that was not answered";
+}
+
+/// Operators write three documents while the first one is still on its way. Each is offered as it comes; the one that has begun ends
+/// first, and then the newest one is fetched. An entry that turned to each newer one would never have any.
+TEST_F(FetcherTests, aTransferThatHasBegunEndsBeforeANewerOne)
+{
+    Reader reader(loop);
+    const auto first = makeDocument(3 * PartBytes, 'a');
+    const auto last = makeDocument(3 * PartBytes, 'c');
+    fetcher.setReaders({ reader.address });
+    fetcher.want(reader.put(first, 7));
+    fetcher.want(reader.put(makeDocument(3 * PartBytes, 'b'), 8));
+    fetcher.want(reader.put(last, 9));
+    runUntilTaken(2);
+    ASSERT_EQ(taken.size(), 2U);
+    EXPECT_TRUE(taken.front().document == first);
+    EXPECT_TRUE(taken.back().document == last);
+}
+
+TEST_F(FetcherTests, aDocumentThatIsGoneIsGivenUpForTheNewerOne)
+{
+    Reader reader(loop);
+    const auto newer = makeDocument(PartBytes + 1, 'b');
+    fetcher.setReaders({ reader.address });
+    fetcher.want({ .revision = 7, .tag = 1, .bytes = 10 });
+    fetcher.want(reader.put(newer, 8));
+    runUntilTaken(1);
+    ASSERT_EQ(taken.size(), 1U);
+    EXPECT_TRUE(taken.front().document == newer);
+}
+
+TEST_F(FetcherTests, anAbsurdSizeIsNotFetched)
+{
+    Reader reader(loop);
+    auto offer = reader.put("{}", 7);
+    offer.bytes = MostDocumentBytes + 1;
+    fetcher.setReaders({ reader.address });
+    fetcher.want(offer);
+    fetcher.want(reader.put(makeDocument(1, 'b'), 8));
+    runUntilTaken(1);
+    ASSERT_EQ(reader.asked.size(), 1U);
+    EXPECT_EQ(taken.front().revision, 8U);
+}
+
+/// What an operator sees: a key that was withdrawn still runs work at an entry that says it is up to date. It had heard that a newer
+/// configuration was the newest, and had not got it yet.
+TEST(DirectoryFollowerTests, aConfigurationIsNotConfirmedBeforeItIsThere)
+{
+    task::EventLoop loop;
+    DirectoryState reader{ .confirmedAt = task::monotonicNow(), .serversAt = task::monotonicNow() };
+    takeConfiguration(reader, { .document = makeDocument(4 * PartBytes, 'a'), .revision = 7 });
+    DirectoryPage page(loop, reader);
+
+    DirectoryTags known{ .configuration = 3 };
+    std::vector<std::uint64_t> confirmed; ///< revisions that the entry had when it heard that its configuration is the newest
+    DirectoryFollower follower(loop,
+                               known,
+                               0,
+                               {
+                                   .onConfiguration = [&](const ConfigurationRead &read) { known.configuration = read.revision; },
+                                   .onConfirmed = [&](TimePoint) { confirmed.push_back(known.configuration); },
+                                   .onServersConfirmed = [](auto &&...) {},
+                                   .onReachable = [](auto &&...) {},
+                               });
+    follower.follow({ page.listen("127.0.0.1:0") });
+    const auto look = loop.every(std::chrono::milliseconds(1), [&]() {
+        if (!confirmed.empty()) {
+            loop.stop();
+        }
+    });
+    const auto bound = loop.after(Bound, [&]() { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(confirmed, std::vector<std::uint64_t>{ 7 });
+}
+
+TEST(DocumentTransferTests, otherBytesThanTheOfferedOnesBeginAnew)
+{
+    const auto offered = makeOffered({ .document = "document", .revision = 1 });
+    for (const auto *part : { "documents", "DOCUMENT", "" }) {
+        DocumentTransfer transfer{ .offer = offered.offer };
+        EXPECT_EQ(takePart(transfer, part), PartOutcome::Spoilt) << part;
+        EXPECT_TRUE(transfer.bytes.empty());
+    }
+}
+
+RC_GTEST_PROP(DocumentTransferTests, everyDocumentArrivesPartByPart, ())
+{
+    const auto size = *rc::gen::inRange<std::size_t>(1, 3 * PartBytes + 2);
+    const auto document = makeDocument(size, 'a');
+    const std::vector<OfferedDocument> documents = { makeOffered({ .document = document, .revision = 5 }) };
+    DocumentTransfer transfer{ .offer = documents.front().offer };
+    auto outcome = PartOutcome::More;
+    while (outcome == PartOutcome::More) {
+        const auto part = readPart(documents, transfer.offer.tag, transfer.bytes.size());
+        RC_ASSERT(part && part->size() <= PartBytes);
+        outcome = takePart(transfer, *part);
+    }
+    RC_ASSERT(outcome == PartOutcome::Whole);
+    RC_ASSERT(readDocument(transfer).document == document);
+    RC_ASSERT(!readPart(documents, transfer.offer.tag, size));
+}
--- a/src/gateway/tests/narrowlink.cpp
+++ b/src/gateway/tests/narrowlink.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace auburnspread::gateway::tests
@@ -34,6 +35,13 @@
     }
 };
 
+/// What passes in pieces must not wait for the other end's acknowledgements.
+auto sendAtOnce(evutil_socket_t descriptor) -> void
+{
+    const int on = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 } // namespace
 
 class NarrowLink::Impl
@@ -87,6 +95,7 @@
 
 auto NarrowLink::Impl::accept(evutil_socket_t descriptor) -> void
 {
+    sendAtOnce(descriptor);
     auto pair = std::make_unique<Pair>();
     pair->link = this;
     pair->number = ++lastPair;
--- a/src/wire/http/client.cpp
+++ b/src/wire/http/client.cpp
@@ -7,6 +7,7 @@
 
 #include <event2/http.h>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -87,6 +88,8 @@
     OnDone onDone;
     std::optional<Request> resend; ///< what to send if the reused connection turns out to be dead
     std::unique_ptr<Connection> connection;
+    TimePoint endsAt; ///< of the whole exchange
+    std::optional<Duration> silenceTimeout;
     task::Watch timer;
 };
 
@@ -110,6 +113,8 @@
     auto begin(Handle handle, Exchange &exchange, const Request &request) -> void;
     auto start(Handle handle, Exchange &exchange, const Request &request) -> std::optional<Error>;
     auto takeResponse(Handle handle, evhttp_request *raw) -> void;
+    auto armTimer(Handle handle, Exchange &exchange, TimePoint heardAt) -> void;
+    auto checkTimeout(Handle handle) -> void;
     auto timeOut(Handle handle) -> void;
     auto finish(Handle handle, Result result) -> void;
 
@@ -128,7 +133,10 @@
         exchange.resend = request;
         exchange.resend->freshConnection = true;
     }
-    exchange.timer = loop_.after(request.timeout, [this, handle]() { timeOut(handle); });
+    const auto now = task::monotonicNow();
+    exchange.endsAt = now + request.timeout;
+    exchange.silenceTimeout = request.silenceTimeout;
+    armTimer(handle, exchange, now);
     begin(handle, exchange, request);
     return handle;
 }
@@ -192,6 +200,27 @@
     finish(handle, std::move(error));
 }
 
+auto Client::Impl::armTimer(Handle handle, Exchange &exchange, TimePoint heardAt) -> void
+{
+    const auto endsAt = exchange.silenceTimeout ? std::min(exchange.endsAt, heardAt + *exchange.silenceTimeout) : exchange.endsAt;
+    const auto pause = std::max(Duration::zero(), endsAt - task::monotonicNow());
+    exchange.timer = loop_.after(pause, [this, handle]() { checkTimeout(handle); });
+}
+
+/// Time over for want of bytes is counted from the last one that came.
+auto Client::Impl::checkTimeout(Handle handle) -> void
+{
+    auto &exchange = exchanges_.at(handle);
+    const auto now = task::monotonicNow();
+    const auto heardAt = exchange.connection->lastReceivedAt;
+    const auto isSilent = !exchange.silenceTimeout || now - heardAt >= *exchange.silenceTimeout;
+    if (isSilent || now >= exchange.endsAt) {
+        timeOut(handle);
+    } else {
+        armTimer(handle, exchange, heardAt);
+    }
+}
+
 // A connection that went silent has siblings which the same fault may have struck: those that wait are closed too,
 // so that the next exchange with this address proves itself on a new connection.
 auto Client::Impl::timeOut(Handle handle) -> void
--- a/src/wire/http/client.h
+++ b/src/wire/http/client.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -25,6 +26,7 @@
     Headers headers;     ///< the host is the address unless one of them names it
     std::string body;
     Duration timeout = std::chrono::seconds(5); ///< of the whole exchange, connecting included
+    std::optional<Duration> silenceTimeout;     ///< ends the exchange sooner if no byte of the answer came for this long
     bool freshConnection = false;               ///< uses no idle connection: for probes and retries
     bool isIdempotent = false;                  ///< sent again, once and on a fresh connection, if the peer had ended the idle one
 };
--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -21,7 +21,10 @@
 auto countReceived(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) -> void
 {
     auto &connection = *static_cast<Connection *>(context);
-    connection.receivedBytes += info->n_added;
+    if (info->n_added > 0) {
+        connection.receivedBytes += info->n_added;
+        connection.lastReceivedAt = task::monotonicNow();
+    }
 }
 
 auto isOpen(const Connection &connection) -> bool
@@ -42,6 +45,7 @@
     connection.wasUsedBefore = true;
     connection.hasSent = false;
     connection.receivedBytes = 0;
+    connection.lastReceivedAt = {};
     connection.error.reset();
 }
 
--- a/src/wire/http/connectionpool.h
+++ b/src/wire/http/connectionpool.h
@@ -33,6 +33,7 @@
     bool wasUsedBefore = false;
     bool hasSent = false;
     std::size_t receivedBytes = 0;
+    TimePoint lastReceivedAt; ///< of the current exchange's bytes; long ago if none came
     std::optional<evhttp_request_error> error;
     std::function<void(evhttp_request *raw)> onDone; ///< of the current exchange; empty: no one waits
     std::shared_ptr<void> context;                   ///< what evhttp's callbacks of the current exchange use; lives as long as they may come
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -113,6 +113,8 @@
     , raw_(evhtp_new(loop.base(), nullptr))
 {
     detail::ignoreBrokenPipes();
+    // an answer in several segments would wait for the acknowledgement of the first, which the other end delays by 40 ms
+    evhtp_enable_flag(raw_.get(), EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_max_body_size(raw_.get(), options.bodyBytes);
     evhtp_set_pre_accept_cb(raw_.get(), onPreAccept, this);
     evhtp_set_post_accept_cb(raw_.get(), onPostAccept, this);
