The first line of a request goes to libevhtp's parser when it is whole

Cause: libevhtp misreads a first line that is divided between two segments. Ruled out: a route that is missing (the same path answers a moment later), parts of another transfer (a raw caller that divides the line shows it on loopback, in 35 of 92 places). Change: readWholeFirstLines holds the line back until its end is there; used by the HTTP server, the chat face's callers' side and the stand-ins, the three places that use libevhtp.

--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -3,6 +3,7 @@
 #include "entry/caller/internal/exchange.h"
 #include "entry/caller/internal/requestreader.h"
 #include "runtime/task/eventloop.h"
+#include "wire/http/wholefirstline.h"
 
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -135,6 +136,7 @@
 
 auto CallerTask::State::accept(evhtp_connection *handle) -> evhtp_res
 {
+    http::readWholeFirstLines(handle);
     auto &connection = connections[handle];
     connection.owner = this;
     connection.handle = handle;
--- a/src/standins/httpserver.cpp
+++ b/src/standins/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "standins/httpserver.h"
 
+#include "wire/http/wholefirstline.h"
+
 #include <evhtp/evhtp.h>
 
 #include <arpa/inet.h>
@@ -117,6 +119,7 @@
     auto &state = *static_cast<ServerState *>(context);
     const auto connection = std::make_shared<Connection>(Connection{ .raw = raw, .source = sourceOf(raw) });
     state.connections[raw] = connection;
+    http::readWholeFirstLines(raw);
     evhtp_connection_set_hook(raw, evhtp_hook_on_connection_fini, toHook(&ServerState::endConnection), context);
     if (state.down) {
         closeSoon(*connection);
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -4,6 +4,7 @@
 #include "wire/http/internal/brokenpipe.h"
 #include "wire/http/internal/pendingreply.h"
 #include "wire/http/internal/requestreader.h"
+#include "wire/http/wholefirstline.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -186,6 +187,7 @@
 auto Server::Impl::onPostAccept(evhtp_connection_t *raw, void *context) -> evhtp_res
 {
     auto &self = *static_cast<Impl *>(context);
+    readWholeFirstLines(raw);
     auto &caller = self.callers_[raw];
     caller.raw = raw;
     const auto hook = [raw, context](evhtp_hook_type type, auto *function) {
--- a/src/wire/http/tests/server_tests.cpp
+++ b/src/wire/http/tests/server_tests.cpp
@@ -157,6 +157,22 @@
     }
 }
 
+/// The same where the connection has been used before.
+TEST_F(ServerTests, aLaterRequestThatArrivesInTwoPiecesIsReadWhole)
+{
+    const std::string request = "GET /echo/document HTTP/1.1\r\nHost: entry\r\n\r\n";
+    RawCaller caller(loop_, address_);
+    for (std::size_t split = 1; split < request.size(); split += 1) {
+        const auto before = caller.received().size();
+        caller.send(request.substr(0, split));
+        constexpr int Turns = 3;
+        runUntil(loop_, [turn = 0]() mutable { return ++turn > Turns; });
+        caller.send(request.substr(split));
+        ASSERT_TRUE(runUntil(loop_, [&]() { return caller.received().find('}', before) != std::string::npos; }));
+        EXPECT_NE(caller.received().find("\"path\":\"/echo/document\"", before), std::string::npos) << "divided after: " << request.substr(0, split);
+    }
+}
+
 TEST_F(ServerTests, everyRequestGetsAnAnswerAlsoIfItsHandlerFails)
 {
     EXPECT_EQ(outcomeOf(get("/unknown")), "404");
