--- a/src/gateway/fuzztests/requests_fuzz_tests.cpp
+++ b/src/gateway/fuzztests/requests_fuzz_tests.cpp
@@ -4,6 +4,7 @@
 #include "gateway/frontend.h"
 #include "gateway/fuzztests/mutation.h"
 #include "runtime/net/endpoint.h"
+#include "standins/testing/relayparts.h"
 
 #include <gtest/gtest.h>
 
@@ -11,7 +12,6 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -25,14 +25,6 @@
 constexpr std::uint64_t Seed = 20261203;
 constexpr int Rounds = 1500;
 
-struct EndDeleter {
-    auto operator()(bufferevent *end) const -> void
-    {
-        bufferevent_free(end);
-    }
-};
-using End = std::unique_ptr<bufferevent, EndDeleter>;
-
 auto hasLineEnd(const std::string &text) -> bool
 {
     return text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
@@ -72,7 +64,7 @@
     auto send(const std::string &bytes, Duration patience = std::chrono::milliseconds(3)) -> std::string
     {
         const auto address = net::toSocketAddress(net::parseEndpoint(frontend_.address()).value());
-        const End end(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE));
+        const standins::BuffereventPointer end(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE));
         bufferevent_setcb(
             end.get(),
             nullptr,
--- a/src/gateway/tests/narrowlink.cpp
+++ b/src/gateway/tests/narrowlink.cpp
@@ -1,14 +1,14 @@
 #include "gateway/tests/narrowlink.h"
 
 #include "runtime/net/endpoint.h"
+#include "standins/testing/relayparts.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
+#include <event2/event.h>
 
 #include <algorithm>
 #include <map>
-#include <stdexcept>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -20,21 +20,6 @@
 namespace
 {
 
-struct BuffereventDeleter {
-    auto operator()(bufferevent *end) const -> void
-    {
-        bufferevent_free(end);
-    }
-};
-using End = std::unique_ptr<bufferevent, BuffereventDeleter>;
-
-struct ListenerDeleter {
-    auto operator()(evconnlistener *listener) const -> void
-    {
-        evconnlistener_free(listener);
-    }
-};
-
 /// What passes in pieces must not wait for the other end's acknowledgements.
 auto sendAtOnce(evutil_socket_t descriptor) -> void
 {
@@ -52,8 +37,8 @@
     struct Pair {
         Impl *link = nullptr;
         std::uint64_t number = 0;
-        End asker;
-        End target;
+        standins::BuffereventPointer asker;
+        standins::BuffereventPointer target;
         std::size_t room = 0; ///< bytes of the current answer that may pass now
         task::Watch refill;
     };
@@ -66,8 +51,7 @@
     task::EventLoop &loop;
     net::SocketAddress target;
     LinkOptions options;
-    std::unique_ptr<evconnlistener, ListenerDeleter> listener;
-    std::string address;
+    standins::LoopbackListener listener;
     std::size_t cutOff = 0;
     std::size_t passed = 0;
     std::uint64_t lastPair = 0;
@@ -78,19 +62,8 @@
     : loop(eventLoop)
     , target(net::toSocketAddress(net::parseEndpoint(targetAddress).value()))
     , options(linkOptions)
+    , listener(eventLoop, [this](evutil_socket_t descriptor) { accept(descriptor); })
 {
-    const auto any = net::toSocketAddress({ .host = "127.0.0.1", .port = 0 });
-    constexpr int Backlog = 64;
-    const auto onAccept = [](evconnlistener * /*listener*/, evutil_socket_t descriptor, sockaddr * /*peer*/, int /*size*/, void *context) {
-        static_cast<Impl *>(context)->accept(descriptor);
-    };
-    listener.reset(evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, Backlog, any.get(), static_cast<int>(any.size)));
-    if (!listener) {
-        throw std::runtime_error("narrow link: no address to listen at");
-    }
-    net::SocketAddress own{ .size = sizeof(sockaddr_storage) };
-    ::getsockname(evconnlistener_get_fd(listener.get()), own.get(), &own.size);
-    address = net::formatAddress(own.get());
 }
 
 auto NarrowLink::Impl::accept(evutil_socket_t descriptor) -> void
@@ -160,7 +133,7 @@
 
 auto NarrowLink::address() const -> const std::string &
 {
-    return impl_->address;
+    return impl_->listener.address();
 }
 
 auto NarrowLink::cutOff() const -> std::size_t
--- a/src/soak/proxy.cpp
+++ b/src/soak/proxy.cpp
@@ -1,13 +1,13 @@
 #include "soak/proxy.h"
 
 #include "runtime/net/endpoint.h"
+#include "standins/testing/relayparts.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
+#include <event2/event.h>
 
 #include <deque>
-#include <stdexcept>
 #include <utility>
 
 #include <sys/socket.h>
@@ -18,21 +18,6 @@
 namespace
 {
 
-struct BuffereventDeleter {
-    auto operator()(bufferevent *end) const -> void
-    {
-        bufferevent_free(end);
-    }
-};
-using End = std::unique_ptr<bufferevent, BuffereventDeleter>;
-
-struct ListenerDeleter {
-    auto operator()(evconnlistener *listener) const -> void
-    {
-        evconnlistener_free(listener);
-    }
-};
-
 /// Closing then sends a reset in place of an orderly end.
 auto makeReset(bufferevent *end) -> void
 {
@@ -51,8 +36,8 @@
     struct Pair {
         Impl *proxy = nullptr;
         std::uint64_t number = 0;
-        End caller;
-        End target;
+        standins::BuffereventPointer caller;
+        standins::BuffereventPointer target;
         bool forgotten = false;          ///< silent for good
         std::deque<task::Watch> delayed; ///< bytes that are held up, in the order of their arrival
         bool ending = false;             ///< one end has closed; the pair ends when the other has got everything
@@ -69,8 +54,7 @@
 
     task::EventLoop &loop;
     net::SocketAddress target;
-    std::unique_ptr<evconnlistener, ListenerDeleter> listener;
-    std::string address;
+    standins::LoopbackListener listener;
     PathFault fault = PathFault::None;
     std::uint64_t lastPair = 0;
     std::map<std::uint64_t, std::unique_ptr<Pair>> pairs;
@@ -79,19 +63,8 @@
 Proxy::Impl::Impl(task::EventLoop &eventLoop, const std::string &targetAddress)
     : loop(eventLoop)
     , target(net::toSocketAddress(net::parseEndpoint(targetAddress).value()))
+    , listener(eventLoop, [this](evutil_socket_t descriptor) { accept(descriptor); })
 {
-    const auto any = net::toSocketAddress({ .host = "127.0.0.1", .port = 0 });
-    constexpr int Backlog = 512;
-    const auto onAccept = [](evconnlistener * /*listener*/, evutil_socket_t descriptor, sockaddr * /*peer*/, int /*size*/, void *context) {
-        static_cast<Impl *>(context)->accept(descriptor);
-    };
-    listener.reset(evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, Backlog, any.get(), static_cast<int>(any.size)));
-    if (!listener) {
-        throw std::runtime_error("proxy: no address to listen at");
-    }
-    net::SocketAddress own{ .size = sizeof(sockaddr_storage) };
-    ::getsockname(evconnlistener_get_fd(listener.get()), own.get(), &own.size);
-    address = net::formatAddress(own.get());
 }
 
 auto Proxy::Impl::accept(evutil_socket_t descriptor) -> void
@@ -180,7 +153,7 @@
 
 auto Proxy::Impl::endIfDone(Pair &pair) -> void
 {
-    const auto isEmpty = [](const End &each) { return evbuffer_get_length(bufferevent_get_output(each.get())) == 0; };
+    const auto isEmpty = [](const standins::BuffereventPointer &each) { return evbuffer_get_length(bufferevent_get_output(each.get())) == 0; };
     if (pair.ending && pair.delayed.empty() && isEmpty(pair.caller) && isEmpty(pair.target)) {
         pairs.erase(pair.number);
     }
@@ -204,7 +177,7 @@
 
 auto Proxy::address() const -> const std::string &
 {
-    return impl_->address;
+    return impl_->listener.address();
 }
 
 auto Proxy::setFault(PathFault fault) -> void
