--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -2,6 +2,7 @@
 #include "gateway/directorypage.h"
 #include "gateway/documentfetcher.h"
 #include "gateway/documenttransfer.h"
+#include "platform/standins/wiretext.h"
 #include "wire/http/server.h"
 
 #include <gtest/gtest.h>
@@ -223,10 +224,10 @@
 TEST(DocumentTransferTests, aListOfRoutesTravelsInASixthOfItsSize)
 {
     std::mt19937 random(7);
-    std::string document;
-    for (int route = 0; route < 1400; route += 1) {
-        document += R"({"name":"r)" + std::to_string(random()) + R"(","hostname":"quotes.example","prefix":"/p)" + std::to_string(random())
-            + R"(/","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":600,"priorityClass":1,"attempts":2,"anonymous":false},)";
+    std::vector<passthrough::Route> routes(1400);
+    for (auto &route : routes) {
+        route = { .name = "route-" + std::to_string(random()), .host = "quotes.example", .prefix = "/" + std::to_string(random()) + "/" };
     }
+    const auto document = adapter::standins::configurationText(1, routes, "portal", "roofers", { "key-1" });
     EXPECT_LT(makeOffered({ .document = document, .revision = 1 }).offer.bytes * 6, document.size());
 }
