--- a/src/gateway/directorypage.h
+++ b/src/gateway/directorypage.h
@@ -12,8 +12,8 @@
 namespace auburnspread::gateway
 {
 
-/// Where an entry answers others about the directory. An entry that does not know this path, or one that another version of the
-/// product answers with a document in it, is left for the next one.
+/// Where an entry answers others about the directory. The path names the form of the answer: an entry of a version with another form
+/// answers 404, and the next one or the store is asked.
 constexpr std::string_view DirectoryPath = "/directory/summary";
 
 class DirectoryPage
--- a/src/gateway/documentfetcher.cpp
+++ b/src/gateway/documentfetcher.cpp
@@ -18,7 +18,7 @@
 
 /// Without a byte for this long the next entry is asked; see PartBytes for what a part takes.
 constexpr Duration SilenceTimeout = std::chrono::milliseconds(350);
-/// Of one part as long as its bytes come: 32 KB in this time are 8 KB/s, which a link keeps for no other use.
+/// Of one part as long as its bytes come: 8 KB/s, less than a hundredth of a link of 10 Mbit/s.
 constexpr Duration PartTimeout = std::chrono::seconds(4);
 /// After a part that did not come; the fault may have struck all connections.
 constexpr Duration FailurePause = std::chrono::milliseconds(100);
