--- a/src/wire/http/tests/client_tests.cpp
+++ b/src/wire/http/tests/client_tests.cpp
@@ -181,6 +181,25 @@
     EXPECT_EQ(client_.idleConnections(), 0U);
 }
 
+// The caller of a large answer gets a timeout long before the time that the whole answer may take.
+// 1. The peer sends the head and a first byte, and falls silent. 2. No byte comes for the time allowed between two.
+// 3. The error tells how far the answer had come.
+TEST_F(ClientTests, anAnswerThatFallsSilentEndsBeforeItsTimeout)
+{
+    const std::string begun = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\no";
+    server_.answerWith(begun);
+    const auto error = errorOf({
+        .address = server_.address(),
+        .path = "/",
+        .timeout = std::chrono::hours(1),
+        .silenceTimeout = std::chrono::milliseconds(30),
+    });
+    EXPECT_EQ(error.step, Step::Receive);
+    EXPECT_EQ(error.cause, Cause::Timeout);
+    EXPECT_EQ(error.receivedBytes, begun.size());
+    EXPECT_EQ(error.text, "receive " + server_.address() + ": timeout after " + std::to_string(begun.size()) + " bytes");
+}
+
 // The caller sees a closed connection that says it was reused, so it may ask again on a fresh one.
 // 1. An exchange leaves an idle connection. 2. The peer reads the next request and closes, as one that restarts does.
 // 3. No byte of an answer came, and the error says so.
