--- a/src/gateway/documenttransfer.cpp
+++ b/src/gateway/documenttransfer.cpp
@@ -22,11 +22,14 @@
 
 auto makeOffered(const ConfigurationRead &read) -> OfferedDocument
 {
-    auto packed = text::pack(read.document);
-    return {
-        .offer = { .revision = read.revision, .tag = tagOf(packed), .bytes = packed.size(), .documentBytes = read.document.size() },
-        .bytes = std::move(packed),
+    OfferedDocument offered{ .bytes = text::pack(read.document) };
+    offered.offer = {
+        .revision = read.revision,
+        .tag = tagOf(offered.bytes),
+        .bytes = offered.bytes.size(),
+        .documentBytes = read.document.size(),
     };
+    return offered;
 }
 
 auto readPart(const std::vector<OfferedDocument> &documents, std::uint64_t tag, std::uint64_t from) -> std::optional<std::string_view>
