--- /dev/null
+++ b/src/gateway/contenttag.h
@@ -0,0 +1,21 @@
+/// \file
+/// Tells contents apart without sending them.
+
+#pragma once
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace auburnspread::gateway::detail
+{
+
+/// The same for the same bytes at every entry.
+inline auto contentTag(std::string_view bytes) -> std::uint64_t
+{
+    constexpr XXH64_hash_t Seed = 1;
+    return XXH64(bytes.data(), bytes.size(), Seed);
+}
+
+} // namespace auburnspread::gateway::detail
--- a/src/gateway/directorypage.cpp
+++ b/src/gateway/directorypage.cpp
@@ -15,7 +15,7 @@
 constexpr auto CborType = "application/cbor";
 constexpr auto BytesType = "application/octet-stream";
 
-/// Of 330 entries that ask one other each may have two connections, for its questions and for the parts of a document.
+/// 330 entries may ask the same one, each over two connections: one for its questions, one for the parts of a document.
 constexpr http::ServerOptions PageOptions{ .connections = 1024 };
 
 } // namespace
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -1,9 +1,9 @@
 #include "gateway/directorystate.h"
 
 #include "core/passthrough/events.h"
+#include "gateway/contenttag.h"
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -70,17 +70,12 @@
     return items;
 }
 
-auto tagOf(std::string_view bytes) -> std::uint64_t
-{
-    return XXH64(bytes.data(), bytes.size(), 1);
-}
-
 template <typename Item>
 auto tagOf(const std::vector<Item> &items) -> std::uint64_t
 {
     std::string bytes;
     json::to_cbor(listToJson(items), bytes);
-    return tagOf(std::string_view(bytes));
+    return detail::contentTag(bytes);
 }
 
 } // namespace
--- a/src/gateway/documenttransfer.cpp
+++ b/src/gateway/documenttransfer.cpp
@@ -1,31 +1,20 @@
 #include "gateway/documenttransfer.h"
 
+#include "gateway/contenttag.h"
 #include "wire/text/deflate.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace auburnspread::gateway
 {
 
-namespace
-{
-
-auto tagOf(std::string_view bytes) -> std::uint64_t
-{
-    return XXH64(bytes.data(), bytes.size(), 1);
-}
-
-} // namespace
-
 auto makeOffered(const ConfigurationRead &read) -> OfferedDocument
 {
     OfferedDocument offered{ .bytes = text::pack(read.document) };
     offered.offer = {
         .revision = read.revision,
-        .tag = tagOf(offered.bytes),
+        .tag = detail::contentTag(offered.bytes),
         .bytes = offered.bytes.size(),
         .documentBytes = read.document.size(),
     };
@@ -48,7 +37,7 @@
     if (!part.empty() && !isComplete) {
         return PartOutcome::More;
     }
-    if (transfer.bytes.size() == transfer.offer.bytes && tagOf(transfer.bytes) == transfer.offer.tag) {
+    if (transfer.bytes.size() == transfer.offer.bytes && detail::contentTag(transfer.bytes) == transfer.offer.tag) {
         return PartOutcome::Whole;
     }
     transfer.bytes.clear();
