Reading the change again: an answer carries no tags that nobody reads; tests wait by the function that exists

Cause: since an entry asks by the tags that it has itself, those in an answer were sent for nothing, and the configuration's revision stood in it twice. Three loops of the new tests were http::tests::runUntil once more. Change: DirectoryAnswer without tags; a confirmation compares the offered revision; the tests call runUntil with the same bound, their checks as they were. No decision changes: without a configuration there was nothing to confirm before either.

--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -137,7 +137,7 @@
     if (answer.configuration && answer.configuration->revision > known_.configuration) {
         documents_.want(*answer.configuration);
     }
-    if (answer.confirmedAge && answer.tags.configuration == known_.configuration) {
+    if (answer.confirmedAge && answer.configuration && answer.configuration->revision == known_.configuration) {
         confirmedAt_ = std::max(confirmedAt_, askedAt - *answer.confirmedAge);
         callbacks_.onConfirmed(askedAt - *answer.confirmedAge);
     }
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -123,7 +123,7 @@
 
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer
 {
-    DirectoryAnswer answer{ .serversRevision = state.serversRevision, .entriesRevision = state.entriesRevision, .tags = state.tags };
+    DirectoryAnswer answer{ .serversRevision = state.serversRevision, .entriesRevision = state.entriesRevision };
     if (state.serversAt) {
         answer.serversAge = now - *state.serversAt;
     }
@@ -146,8 +146,7 @@
 
 auto encodeAnswer(const DirectoryAnswer &answer) -> std::string
 {
-    json document = { { "tags", { answer.tags.configuration, answer.tags.servers, answer.tags.entries } },
-                      { "revisions", { answer.serversRevision, answer.entriesRevision } } };
+    json document = { { "revisions", { answer.serversRevision, answer.entriesRevision } } };
     if (answer.serversAge) {
         document["servers_age"] = answer.serversAge->count();
     }
@@ -176,8 +175,7 @@
 {
     try {
         const auto document = json::from_cbor(bytes);
-        const auto &tags = document.at("tags");
-        DirectoryAnswer answer{ .tags = { .configuration = tags.at(0), .servers = tags.at(1), .entries = tags.at(2) } };
+        DirectoryAnswer answer;
         answer.serversRevision = document.at("revisions").at(0);
         answer.entriesRevision = document.at("revisions").at(1);
         if (document.contains("servers_age")) {
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -86,7 +86,6 @@
     std::optional<Duration> outageAge; ///< since the list was read again after a while without; not set: long ago
     std::uint64_t entriesRevision = 0;
     std::optional<std::vector<adapter::EntryRecord>> entries;
-    DirectoryTags tags;
 };
 
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer;
--- a/src/gateway/tests/directorystate_tests.cpp
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -42,8 +42,9 @@
     EXPECT_EQ(whole.entries->front(), state.entries.front());
     EXPECT_EQ(*whole.confirmedAge, std::chrono::milliseconds(300));
 
+    const auto known = state.tags;
     takeServers(state, { .servers = { makeServer(false) }, .asOf = Now });
-    const auto change = decodeAnswer(encodeAnswer(makeAnswer(state, whole.tags, Now)));
+    const auto change = decodeAnswer(encodeAnswer(makeAnswer(state, known, Now)));
     EXPECT_EQ(change.configuration, whole.configuration);
     EXPECT_FALSE(change.entries);
     ASSERT_TRUE(change.servers);
--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -4,6 +4,7 @@
 #include "gateway/documenttransfer.h"
 #include "platform/standins/wiretext.h"
 #include "wire/http/server.h"
+#include "wire/http/tests/exchange.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -14,6 +15,7 @@
 
 using namespace auburnspread;
 using namespace auburnspread::gateway;
+using http::tests::runUntil;
 
 namespace
 {
@@ -75,13 +77,8 @@
 
     auto runUntilTaken(std::size_t documents) -> void
     {
-        const auto look = loop.every(std::chrono::milliseconds(1), [&]() {
-            if (taken.size() >= documents) {
-                loop.stop();
-            }
-        });
-        const auto bound = loop.after(Bound, [&]() { loop.stop(); });
-        loop.run();
+        runUntil(
+            loop, [&]() { return taken.size() >= documents; }, Bound);
     }
 };
 
@@ -170,13 +167,8 @@
                                    .onReachable = [](auto &&...) {},
                                });
     follower.follow({ page.listen("127.0.0.1:0") });
-    const auto look = loop.every(std::chrono::milliseconds(1), [&]() {
-        if (!confirmed.empty()) {
-            loop.stop();
-        }
-    });
-    const auto bound = loop.after(Bound, [&]() { loop.stop(); });
-    loop.run();
+    runUntil(
+        loop, [&]() { return !confirmed.empty(); }, Bound);
     EXPECT_EQ(confirmed, std::vector<std::uint64_t>{ 7 });
 }
 
--- a/src/gateway/tests/largedocument_tests.cpp
+++ b/src/gateway/tests/largedocument_tests.cpp
@@ -13,6 +13,7 @@
 #include "gateway/tests/narrowlink.h"
 #include "platform/standins/storestandin.h"
 #include "platform/standins/wiretext.h"
+#include "wire/http/tests/exchange.h"
 
 #include <gtest/gtest.h>
 
@@ -22,6 +23,7 @@
 using namespace auburnspread;
 using namespace auburnspread::gateway;
 using namespace auburnspread::gateway::tests;
+using http::tests::runUntil;
 namespace standins = auburnspread::adapter::standins;
 
 namespace
@@ -48,18 +50,6 @@
     return document;
 }
 
-/// Runs the loop until \p isDone.
-auto runUntil(task::EventLoop &loop, const std::function<bool()> &isDone) -> void
-{
-    const auto look = loop.every(std::chrono::milliseconds(1), [&]() {
-        if (isDone()) {
-            loop.stop();
-        }
-    });
-    const auto bound = loop.after(Bound, [&]() { loop.stop(); });
-    loop.run();
-}
-
 } // namespace
 
 TEST(LargeDocumentTests, aDocumentLargerThanTheLinkCarriesInOneAnswerArrives)
@@ -76,7 +66,8 @@
     DirectoryFollower follower(
         loop, nothing, 0, { .onConfiguration = [&](const ConfigurationRead &read) { taken = read.document; }, .onReachable = [](auto &&...) {} });
     follower.follow({ link.address() });
-    runUntil(loop, [&]() { return !taken.empty() || link.cutOff() >= MostCutOff; });
+    runUntil(
+        loop, [&]() { return !taken.empty() || link.cutOff() >= MostCutOff; }, Bound);
 
     EXPECT_TRUE(taken == document) << taken.size() << " bytes taken over, " << link.cutOff() << " answers cut off";
 }
@@ -102,7 +93,8 @@
                             .onReachable = [](auto &&...) {},
                         });
     directory.setReading(true);
-    runUntil(loop, [&]() { return !taken.empty() || link.cutOff() >= MostCutOff; });
+    runUntil(
+        loop, [&]() { return !taken.empty() || link.cutOff() >= MostCutOff; }, Bound);
 
     EXPECT_TRUE(taken == document) << taken.size() << " bytes taken over, " << link.cutOff() << " answers cut off";
 }
@@ -129,7 +121,8 @@
     constexpr int Reads = 4;
     for (int read = 1; read <= Reads; read += 1) {
         directory.readOnce();
-        runUntil(loop, [&]() { return confirmations >= read; });
+        runUntil(
+            loop, [&]() { return confirmations >= read; }, Bound);
     }
     EXPECT_EQ(confirmations, Reads);
     EXPECT_LT(link.passed(), 2 * LargestDocument) << "one document as base64 and some lists";
