Programs that tests start listen in a loopback network that their test holds

The gateway's tests and the soak had left this way earlier for addresses of their own below the kernel's ports; the failure tests had not, and nothing kept two processes with the same remainder of their number from the same network. Ruled out: a longer wait or another try of the start, which would make the collision rarer and hide it. Change: LoopbackNetwork holds a network number by a socket that stays bound; all programs of all sites get their addresses from it. The same cause elsewhere: two tests that expect a refused connection used a port that they had just closed, which another process may listen at by then; they use such addresses now. NarrowLink moved beside the other relays, as tests of another module need it.

--- a/src/entry/backend/tests/tcpserver.cpp
+++ b/src/entry/backend/tests/tcpserver.cpp
@@ -1,6 +1,8 @@
 #include "entry/backend/tests/tcpserver.h"
 
-#include <netinet/in.h>
+#include "runtime/net/endpoint.h"
+#include "standins/testing/loopback.h"
+
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -86,17 +88,13 @@
 
 TcpServer::TcpServer()
     : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , address_(standins::takeLoopbackAddress())
 {
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    auto *generic = reinterpret_cast<sockaddr *>(&name);
-    socklen_t length = sizeof name;
-    if (::bind(descriptor_, generic, length) != 0 || ::listen(descriptor_, Backlog) != 0 || ::getsockname(descriptor_, generic, &length) != 0) {
-        throw std::runtime_error("listen on 127.0.0.1");
+    const auto name = net::toSocketAddress(net::parseEndpoint(address_).value());
+    if (::bind(descriptor_, name.get(), name.size) != 0 || ::listen(descriptor_, Backlog) != 0) {
+        throw std::runtime_error("listen on " + address_);
     }
     boundReads(descriptor_);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
 }
 
 TcpServer::~TcpServer()
--- a/src/entry/backend/tests/tcpserver.h
+++ b/src/entry/backend/tests/tcpserver.h
@@ -42,7 +42,7 @@
     [[nodiscard]] auto address() const -> std::string;
     /// The next connection. \throws std::runtime_error if none comes
     [[nodiscard]] auto accept() const -> TcpConnection;
-    /// Later connections are refused.
+    /// Later connections are refused: nobody else takes the address.
     auto close() -> void;
 
 private:
--- a/src/failuretests/site.cpp
+++ b/src/failuretests/site.cpp
@@ -1,15 +1,12 @@
 #include "failuretests/site.h"
 
 #include "core/configuration/manifest.h"
+#include "standins/testing/loopback.h"
 
-#include <arpa/inet.h>
-#include <array>
 #include <cerrno>
 #include <cstdlib>
 #include <fstream>
-#include <netinet/in.h>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <system_error>
 #include <unistd.h>
 #include <utility>
@@ -20,39 +17,6 @@
 namespace
 {
 
-/// A socket bound to a free port for as long as it lives.
-class PortHolder
-{
-public:
-    PortHolder()
-        : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{ .sin_family = AF_INET };
-        address.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto *generic = reinterpret_cast<sockaddr *>(&address);
-        if (::bind(descriptor_, generic, size) != 0 || ::getsockname(descriptor_, generic, &size) != 0) {
-            throw std::system_error(errno, std::generic_category(), "site: free port");
-        }
-        port_ = ::ntohs(address.sin_port);
-    }
-    ~PortHolder()
-    {
-        ::close(descriptor_);
-    }
-    PortHolder(const PortHolder &) = delete;
-    auto operator=(const PortHolder &) -> PortHolder & = delete;
-
-    [[nodiscard]] auto address() const -> std::string
-    {
-        return "127.0.0.1:" + std::to_string(port_);
-    }
-
-private:
-    int descriptor_;
-    int port_ = 0;
-};
-
 auto makeFolder() -> std::filesystem::path
 {
     auto pattern = (std::filesystem::temp_directory_path() / "auburnspread-site-XXXXXX").string();
@@ -79,17 +43,6 @@
 
 } // namespace
 
-auto freeAddresses(std::size_t count) -> std::vector<std::string>
-{
-    const std::vector<PortHolder> holders(count);
-    std::vector<std::string> addresses;
-    addresses.reserve(count);
-    for (const auto &holder : holders) {
-        addresses.push_back(holder.address());
-    }
-    return addresses;
-}
-
 Site::Site()
     : folder_(makeFolder())
 {
@@ -108,7 +61,7 @@
 auto Site::startStandIn(const std::string &program, const std::string &name, std::vector<std::string> arguments) -> StandIn &
 {
     auto &standIn = *(standIns[name] = std::make_unique<StandIn>());
-    const auto addresses = freeAddresses(2);
+    const auto addresses = standins::takeLoopbackAddresses(2);
     standIn.name = name;
     standIn.address = addresses[0];
     standIn.control = addresses[1];
@@ -163,7 +116,7 @@
         seeds += (seeds.empty() ? "" : ", ") + entry->peerAddress;
     }
     auto &entry = *(entries[name] = std::make_unique<Entry>());
-    const auto addresses = freeAddresses(3);
+    const auto addresses = standins::takeLoopbackAddresses(3);
     entry.name = name;
     entry.callerAddress = addresses[0];
     entry.adminAddress = addresses[1];
@@ -184,7 +137,7 @@
 {
     auto &placer = *(placers[name] = std::make_unique<Placer>());
     placer.name = name;
-    placer.adminAddress = freeAddresses(1).front();
+    placer.adminAddress = standins::takeLoopbackAddress();
     const auto settings = writeFile(name + ".ini",
                                     "[placer]\nname = " + name + "\n[listen]\nadmin = " + placer.adminAddress + "\n[platform]\naddress = " + platform->address
                                         + "\n[lease]\nduration_ms = 2000\nrenew_ms = 200\nsafety_margin_ms = 300\nstandby_ms = 100\n"
--- a/src/failuretests/site.h
+++ b/src/failuretests/site.h
@@ -47,7 +47,7 @@
     Site(const Site &) = delete;
     auto operator=(const Site &) -> Site & = delete;
 
-    /// Starts \p program on a free port; \p arguments besides --name, --listen and --control.
+    /// Starts \p program on an address of its own; \p arguments besides --name, --listen and --control.
     auto startStandIn(const std::string &program, const std::string &name, std::vector<std::string> arguments = {}) -> StandIn &;
     /// Starts it again on the address that it had: a VM that came back.
     auto restartStandIn(StandIn &standIn) -> void;
@@ -91,7 +91,4 @@
     std::uint64_t version_ = 0;
 };
 
-/// Addresses on loopback whose ports were free a moment ago, all different.
-auto freeAddresses(std::size_t count) -> std::vector<std::string>;
-
 } // namespace auburnspread::failuretests
--- a/src/gateway/tests/largedocument_tests.cpp
+++ b/src/gateway/tests/largedocument_tests.cpp
@@ -10,9 +10,9 @@
 #include "gateway/directory.h"
 #include "gateway/directoryfollower.h"
 #include "gateway/directorypage.h"
-#include "gateway/tests/narrowlink.h"
 #include "platform/standins/storestandin.h"
 #include "platform/standins/wiretext.h"
+#include "standins/testing/narrowlink.h"
 #include "wire/http/tests/exchange.h"
 
 #include <gtest/gtest.h>
@@ -22,9 +22,10 @@
 
 using namespace auburnspread;
 using namespace auburnspread::gateway;
-using namespace auburnspread::gateway::tests;
+using adapter::standins::ConfigurationKey;
+using adapter::standins::StoreStandin;
 using http::tests::runUntil;
-namespace standins = auburnspread::adapter::standins;
+using standins::NarrowLink;
 
 namespace
 {
@@ -78,8 +79,8 @@
 {
     const auto document = makeDocument(LargestDocument);
     task::EventLoop loop;
-    standins::StoreStandin store(loop);
-    store.put(std::string(standins::ConfigurationKey), document);
+    StoreStandin store(loop);
+    store.put(std::string(ConfigurationKey), document);
     const NarrowLink link(loop, store.address(), { .bytes = 160000, .pause = std::chrono::milliseconds(125) });
 
     std::string taken;
@@ -104,8 +105,8 @@
 TEST(LargeDocumentTests, aKnownDocumentIsConfirmedWithoutBeingRead)
 {
     task::EventLoop loop;
-    standins::StoreStandin store(loop);
-    store.put(std::string(standins::ConfigurationKey), makeDocument(LargestDocument));
+    StoreStandin store(loop);
+    store.put(std::string(ConfigurationKey), makeDocument(LargestDocument));
     const NarrowLink link(loop, store.address(), { .bytes = 4 * LargestDocument });
 
     int confirmations = 0;
--- a/src/standins/testing/loopback.h
+++ b/src/standins/testing/loopback.h
@@ -1,15 +1,40 @@
 /// \file
-/// Loopback addresses for processes that a test starts and that must know their port beforehand.
+/// Loopback addresses for what a test starts and that must know its port beforehand, or is to refuse connections for sure.
 
 #pragma once
 
+#include <cstddef>
 #include <string>
+#include <vector>
 
 namespace auburnspread::standins
 {
 
-/// An address that nobody else takes: each process has a loopback number of its own, and the ports lie below those that the
-/// system gives out by itself. A port that was merely free a moment ago may be taken by a connection of another process.
+/// A loopback network that no other process takes, for as long as it lives.
+///
+/// Failure: a test takes a port that is free and lets go of it for the program that is to listen there. Symptom: another process got
+/// it in between, for a connection of its own, and the program does not start. Here the network number is held by a socket that stays
+/// bound, and the ports lie below those that the kernel hands out by itself.
+class LoopbackNetwork
+{
+public:
+    /// The first free one from \p number on.
+    explicit LoopbackNetwork(unsigned number);
+    ~LoopbackNetwork();
+    LoopbackNetwork(const LoopbackNetwork &) = delete;
+    auto operator=(const LoopbackNetwork &) -> LoopbackNetwork & = delete;
+
+    /// Not taken before.
+    auto takeAddress() -> std::string;
+
+private:
+    int claim_;
+    std::string host_;
+    int nextPort_;
+};
+
+/// An address of this process's own network.
 auto takeLoopbackAddress() -> std::string;
+auto takeLoopbackAddresses(std::size_t count) -> std::vector<std::string>;
 
 } // namespace auburnspread::standins
--- a/src/standins/testing/narrowlink.cpp
+++ b/src/standins/testing/narrowlink.cpp
@@ -1,4 +1,4 @@
-#include "gateway/tests/narrowlink.h"
+#include "standins/testing/narrowlink.h"
 
 #include "runtime/net/endpoint.h"
 #include "standins/testing/relayparts.h"
@@ -14,7 +14,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace auburnspread::gateway::tests
+namespace auburnspread::standins
 {
 
 namespace
@@ -37,8 +37,8 @@
     struct Pair {
         Impl *link = nullptr;
         std::uint64_t number = 0;
-        standins::BuffereventPointer asker;
-        standins::BuffereventPointer target;
+        BuffereventPointer asker;
+        BuffereventPointer target;
         std::size_t room = 0; ///< bytes of the current answer that may pass now
         task::Watch refill;
     };
@@ -51,7 +51,7 @@
     task::EventLoop &loop;
     net::SocketAddress target;
     LinkOptions options;
-    standins::LoopbackListener listener;
+    LoopbackListener listener;
     std::size_t cutOff = 0;
     std::size_t passed = 0;
     std::uint64_t lastPair = 0;
@@ -146,4 +146,4 @@
     return impl_->passed;
 }
 
-} // namespace auburnspread::gateway::tests
+} // namespace auburnspread::standins
--- a/src/standins/testing/narrowlink.h
+++ b/src/standins/testing/narrowlink.h
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-namespace auburnspread::gateway::tests
+namespace auburnspread::standins
 {
 
 struct LinkOptions {
@@ -39,4 +39,4 @@
     std::unique_ptr<Impl> impl_;
 };
 
-} // namespace auburnspread::gateway::tests
+} // namespace auburnspread::standins
--- a/src/wire/http/tests/client_tests.cpp
+++ b/src/wire/http/tests/client_tests.cpp
@@ -1,4 +1,5 @@
 #include "runtime/net/endpoint.h"
+#include "standins/testing/loopback.h"
 #include "wire/http/client.h"
 #include "wire/http/server.h"
 #include "wire/http/tests/exchange.h"
@@ -153,11 +154,7 @@
 
 TEST_F(ClientTests, aRefusedConnectionProvesThatNothingWasSent)
 {
-    std::string address;
-    {
-        const RawServer gone(loop_);
-        address = gone.address();
-    }
+    const auto address = standins::takeLoopbackAddress(); // nobody listens there
     const auto error = errorOf({ .address = address, .path = "/" });
     EXPECT_EQ(error.step, Step::Connect);
     EXPECT_EQ(error.cause, Cause::Closed);
