A read of the operators' store is bounded by silence, not as a whole

Ruled out: a longer bound as a whole, which only moves the size at which it begins. Change: reads end after 3 s without a byte (with the waiting time where they wait for a change) or 15 s more than that as a whole; one function makes the question of all reads. Writes are bounded as before. Left, without a run that shows it: a write of 1 MB takes longer than 3 s below 3 Mbit/s as well.

--- a/src/wire/platform/store.cpp
+++ b/src/wire/platform/store.cpp
@@ -22,6 +22,16 @@
     { CallOutcome::Failed, "failed" },
 });
 
+/// Of a read as long as its bytes come: the largest value, 1 MB and as text a third more, takes 11 s at 1 Mbit/s. Failure: bounded as
+/// a whole, an answer that is longer than a narrow link carries in time is thrown away and asked for again, for ever.
+constexpr Duration TransferTimeout = std::chrono::seconds(15);
+
+/// \p silence: longest time without a byte of the answer.
+auto makeRead(std::string path, Duration silence) -> http::Request
+{
+    return { .path = std::move(path), .timeout = silence + TransferTimeout, .silenceTimeout = silence, .isIdempotent = true };
+}
+
 /// "10s", or "1500ms" for what is not whole seconds.
 auto formatDuration(Duration duration) -> std::string
 {
@@ -85,7 +95,7 @@
 auto Store::wait(const std::string &key, bool isPrefix, const Waiting &waiting, OnRead onRead) -> Call
 {
     const auto path = keyPath(key) + (isPrefix ? "?recurse&" : "?") + waitQuery(waiting);
-    return read(CallKind::Wait, path, timeoutOf(waiting), std::move(onRead));
+    return read(CallKind::Wait, path, silenceOf(waiting), std::move(onRead));
 }
 
 auto Store::put(const Put &put, OnWritten onWritten) -> Call
@@ -135,10 +145,9 @@
 
 auto Store::listVms(const std::optional<Waiting> &waiting, OnVms onVms) -> Call
 {
-    return send(
-        CallKind::Vms,
-        { .path = waiting ? "/v1/vms?" + waitQuery(*waiting) : "/v1/vms", .timeout = waiting ? timeoutOf(*waiting) : options_.timeout, .isIdempotent = true },
-        [this, onVms = std::move(onVms)](const http::Result &result) { onVms(detail::toVmResult(result, options_.address)); });
+    return send(CallKind::Vms,
+                waiting ? makeRead("/v1/vms?" + waitQuery(*waiting), silenceOf(*waiting)) : makeRead("/v1/vms", options_.timeout),
+                [this, onVms = std::move(onVms)](const http::Result &result) { onVms(detail::toVmResult(result, options_.address)); });
 }
 
 auto Store::cancel(Call call) -> void
@@ -157,9 +166,9 @@
     });
 }
 
-auto Store::read(CallKind kind, const std::string &path, Duration timeout, OnRead onRead) -> Call
+auto Store::read(CallKind kind, const std::string &path, Duration silence, OnRead onRead) -> Call
 {
-    return send(kind, { .path = path, .timeout = timeout, .isIdempotent = true }, [this, onRead = std::move(onRead)](const http::Result &result) {
+    return send(kind, makeRead(path, silence), [this, onRead = std::move(onRead)](const http::Result &result) {
         onRead(detail::toReadResult(result, options_.address));
     });
 }
@@ -173,7 +182,7 @@
 }
 
 // The service adds up to a sixteenth to the waiting time, so that waiting clients do not return all at once.
-auto Store::timeoutOf(const Waiting &waiting) const -> Duration
+auto Store::silenceOf(const Waiting &waiting) const -> Duration
 {
     constexpr int SpreadShare = 16;
     return waiting.wait + waiting.wait / SpreadShare + options_.timeout;
--- a/src/wire/platform/store.h
+++ b/src/wire/platform/store.h
@@ -27,8 +27,8 @@
 auto callOutcomeName(CallOutcome outcome) -> std::string_view;
 
 struct StoreOptions {
-    std::string address; ///< IP number and port
-    Duration timeout = std::chrono::seconds(3);
+    std::string address;                                            ///< IP number and port
+    Duration timeout = std::chrono::seconds(3);                     ///< of a write; of a read, without a byte of its answer
     std::function<void(CallKind kind, CallOutcome outcome)> onCall; ///< for metrics
 };
 
@@ -109,9 +109,9 @@
 
 private:
     auto send(CallKind kind, http::Request request, std::function<void(http::Result)> onDone) -> Call;
-    auto read(CallKind kind, const std::string &path, Duration timeout, OnRead onRead) -> Call;
+    auto read(CallKind kind, const std::string &path, Duration silence, OnRead onRead) -> Call;
     auto write(CallKind kind, http::Request request, OnWritten onWritten) -> Call;
-    [[nodiscard]] auto timeoutOf(const Waiting &waiting) const -> Duration;
+    [[nodiscard]] auto silenceOf(const Waiting &waiting) const -> Duration;
 
     StoreOptions options_;
     http::Client client_;
