--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,12 +7,10 @@
 #include "gateway/fleet.h"
 #include "gateway/frontend.h"
 #include "gateway/leaving.h"
+#include "gateway/pages.h"
 #include "gateway/refusalanswer.h"
 #include "gateway/upstream.h"
 #include "platform/callerrequest.h"
-#include "platform/pages.h"
-#include "runtime/metrics/prometheus.h"
-#include "wire/http/server.h"
 
 #include <xxhash.h>
 
@@ -27,10 +25,7 @@
 {
 
 constexpr int OkStatus = 200;
-constexpr int UnavailableStatus = 503;
 constexpr int FirstRedirectStatus = 300;
-constexpr auto JsonType = "application/json";
-constexpr auto TextType = "text/plain";
 
 /// Time limits are checked this often; the tightest are some hundred milliseconds.
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
@@ -117,7 +112,7 @@
     [[nodiscard]] auto whyNotReady() const -> std::string_view;
     auto checkLeaving() -> void;
     auto addressesForCallers() const -> std::vector<std::string>;
-    auto openPages() -> void;
+    auto pagesCallbacks() -> PagesCallbacks;
     auto labelsOf(const OpenRequest &request) const -> RequestLabels;
     auto endLine(RequestId id, int status) -> void;
 
@@ -128,9 +123,7 @@
     Frontend frontend;
     Upstream upstream;
     Fleet fleet;
-    http::Server readinessPage;
-    http::Server addressesPage;
-    http::Server metricsPage;
+    Pages pages;
 
     std::unordered_map<RequestId, OpenRequest> requests;
     std::unordered_map<AttemptId, OpenAttempt> attempts;
@@ -171,35 +164,24 @@
                 .onServerGone = [this](const std::string &server) { upstream.closeIdle(server); },
                 .onChanged = [this]() { checkReadiness(); },
             })
-    , readinessPage(loop)
-    , addressesPage(loop)
-    , metricsPage(loop)
+    , pages(loop, { .readiness = settings.readinessAddress, .addresses = settings.addressesAddress, .metrics = settings.metricsAddress }, pagesCallbacks())
 {
     frontend.setLimits(passthrough::CallerLimits{});
     frontend.listen(settings.callerAddress);
-    openPages();
 }
 
-auto Gateway::Impl::openPages() -> void
+auto Gateway::Impl::pagesCallbacks() -> PagesCallbacks
 {
-    readinessPage.route(std::string(adapter::readinessPath()), [this](const http::IncomingRequest &, const http::Replier &replier) {
-        checkReadiness();
-        replier.reply(isReady ? OkStatus : UnavailableStatus, TextType, isReady ? "ready\n" : "not ready\n");
-    });
-    addressesPage.route(std::string(adapter::addressesPath()), [this](const http::IncomingRequest &, const http::Replier &replier) {
-        const auto addresses = addressesForCallers();
-        if (addresses.empty()) {
-            replier.reply(UnavailableStatus, TextType, "no entry is known to be ready\n");
-            return;
-        }
-        replier.reply(OkStatus, JsonType, adapter::encodeAddresses(addresses, std::min(AddressKeep, settings.keepAddresses)));
-    });
-    metricsPage.route("/metrics", [this](const http::IncomingRequest &, const http::Replier &replier) {
-        replier.reply(OkStatus, metrics::PrometheusContentType, accounting.metricsPage(passthrough::statusOf(*router, now()), fleet.storeCalls()));
-    });
-    readinessPage.listen(settings.readinessAddress);
-    addressesPage.listen(settings.addressesAddress);
-    metricsPage.listen(settings.metricsAddress);
+    return {
+        .isReady =
+            [this]() {
+                checkReadiness();
+                return isReady;
+            },
+        .addresses = [this]() { return addressesForCallers(); },
+        .keepAddresses = [this]() { return std::min(AddressKeep, settings.keepAddresses); },
+        .metrics = [this]() { return accounting.metricsPage(passthrough::statusOf(*router, now()), fleet.storeCalls()); },
+    };
 }
 
 auto Gateway::Impl::start() -> void
