A configuration that came packed is offered as it came

Cause: an entry that fetched a document packed it once more for others, and where two versions of the packing library differ, offered other bytes than it had been sent: a transfer could then go on only at entries that packed alike. Ruled out: packing at the first question (its tag is part of every answer). Change: what came packed is kept with the document and offered as it is. Found on reading the change again.

--- a/src/gateway/documentfetcher.cpp
+++ b/src/gateway/documentfetcher.cpp
@@ -169,8 +169,8 @@
 {
     const auto round = round_;
     lastRevision_ = transfer_->offer.revision;
-    const auto whole = *std::exchange(transfer_, std::nullopt);
-    if (const auto document = readDocument(whole)) {
+    auto whole = *std::exchange(transfer_, std::nullopt);
+    if (const auto document = readDocument(std::move(whole))) {
         callbacks_.onDocument(*document);
     } else {
         callbacks_.onPartFailed(readers_.at(current_), "the document can't be unpacked");
--- a/src/gateway/documenttransfer.cpp
+++ b/src/gateway/documenttransfer.cpp
@@ -11,7 +11,7 @@
 
 auto makeOffered(const ConfigurationRead &read) -> OfferedDocument
 {
-    OfferedDocument offered{ .bytes = text::pack(read.document) };
+    OfferedDocument offered{ .bytes = read.packed.empty() ? text::pack(read.document) : read.packed };
     offered.offer = {
         .revision = read.revision,
         .tag = detail::contentTag(offered.bytes),
@@ -44,13 +44,13 @@
     return PartOutcome::Spoilt;
 }
 
-auto readDocument(const DocumentTransfer &transfer) -> std::optional<ConfigurationRead>
+auto readDocument(DocumentTransfer transfer) -> std::optional<ConfigurationRead>
 {
     auto document = text::unpack(transfer.bytes, transfer.offer.documentBytes);
     if (!document) {
         return std::nullopt;
     }
-    return ConfigurationRead{ .document = std::move(*document), .revision = transfer.offer.revision };
+    return ConfigurationRead{ .document = std::move(*document), .revision = transfer.offer.revision, .packed = std::move(transfer.bytes) };
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/documenttransfer.h
+++ b/src/gateway/documenttransfer.h
@@ -22,6 +22,7 @@
 struct ConfigurationRead {
     std::string document;       ///< as the operators wrote it
     std::uint64_t revision = 0; ///< of the store; orders documents that come by different ways
+    std::string packed;         ///< as another entry sent it; empty: read from the store
 };
 
 /// What an entry says of a document that it has.
@@ -50,6 +51,7 @@
 /// come, which is three times as long.
 constexpr std::size_t KeptDocuments = 3;
 
+/// What came packed is offered as it came: entries that offer the same bytes can send each other's parts.
 auto makeOffered(const ConfigurationRead &read) -> OfferedDocument;
 
 /// The next bytes of the document with this tag; nothing if it is not there (any more) or has no byte at \p from.
@@ -70,6 +72,6 @@
 auto takePart(DocumentTransfer &transfer, std::string_view part) -> PartOutcome;
 
 /// Of a transfer that is whole; nothing if its bytes do not unpack to what was offered.
-auto readDocument(const DocumentTransfer &transfer) -> std::optional<ConfigurationRead>;
+auto readDocument(DocumentTransfer transfer) -> std::optional<ConfigurationRead>;
 
 } // namespace auburnspread::gateway
--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -198,10 +198,22 @@
         outcome = takePart(transfer, *part);
     }
     RC_ASSERT(outcome == PartOutcome::Whole);
-    RC_ASSERT(readDocument(transfer).value().document == document);
+    const auto read = readDocument(transfer).value();
+    RC_ASSERT(read.document == document);
+    RC_ASSERT(makeOffered(read).offer == transfer.offer); // so that any entry can send the rest to one that has a part
     RC_ASSERT(!readPart(documents, transfer.offer.tag, transfer.offer.bytes));
 }
 
+/// Entries of two versions of the packing library may pack a document in different ways. One that fetched it offers the bytes that came,
+/// so that a transfer goes on at any entry that has fetched the same ones.
+TEST(DocumentTransferTests, whatCamePackedIsOfferedAsItCame)
+{
+    const auto offered = makeOffered({ .document = "document", .revision = 1, .packed = "packed otherwise" });
+    EXPECT_EQ(offered.bytes, "packed otherwise");
+    EXPECT_EQ(offered.offer.bytes, offered.bytes.size());
+    EXPECT_NE(offered.offer.tag, makeOffered({ .document = "document", .revision = 1 }).offer.tag);
+}
+
 /// An offer that says less than its document has must not make an entry take over the beginning of it, nor fill its memory.
 TEST(DocumentTransferTests, aDocumentOfAnotherSizeThanOfferedIsNotRead)
 {
