Settings know numbers with fractions; a patience of at least half the time in which a configuration comes into force

Cause: the pass-through entry read its numbers as texts and judged them by rules of its own, with an index sequence and a second table of their names; infinity passed them, and as seconds it is no time at all. Found on reading the settings again for the new bound. Change: Kind::Number beside Kind::Integer, with range, unit and message; the second table goes. Where the bound on a configuration is near the 0.8 s in which an entry may hear late, half of it is left for the document.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,7 +74,7 @@
         .failureDomain = settings.failureDomain,
         .retries = { .ratio = settings.retryRatio, .allowance = settings.retryAllowance, .window = settings.retryWindow },
         .keyFreshness = settings.keyWithdrawal - KeyMargin,
-        .overduePatience = settings.configurationApply - HearingTime,
+        .overduePatience = std::max(settings.configurationApply - HearingTime, settings.configurationApply / 2),
     };
 }
 
--- a/src/gateway/settings/gatewaysettings.cpp
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -4,12 +4,8 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cstddef>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace auburnspread::gateway
 {
@@ -21,7 +17,7 @@
 using settings::Kind;
 
 constexpr std::int64_t LongestName = 64;
-constexpr std::int64_t LongestNumber = 16;
+constexpr std::int64_t LargestNumber = 1'000'000;
 constexpr std::int64_t Minute = 60'000;
 
 constexpr auto Keys = std::to_array<Key>({
@@ -40,8 +36,18 @@
       .defaultValue = "2000",
       .range = { 1000, Minute },
       .explanation = "Time to live of this entry's registration." },
-    { .section = "vm", .name = "core_part", .defaultValue = "1", .range = { 1, LongestNumber }, .explanation = "Part of a core that the VM has." },
-    { .section = "vm", .name = "link_mbps", .defaultValue = "1000", .range = { 1, LongestNumber }, .explanation = "Megabits a second of the VM's link." },
+    { .section = "vm",
+      .name = "core_part",
+      .kind = Kind::Number,
+      .defaultValue = "1",
+      .range = { 0, LargestNumber },
+      .explanation = "Part of a core that the VM has." },
+    { .section = "vm",
+      .name = "link_mbps",
+      .kind = Kind::Number,
+      .defaultValue = "1000",
+      .range = { 0, LargestNumber },
+      .explanation = "Megabits a second of the VM's link." },
     { .section = "bounds",
       .name = "key_withdrawal_ms",
       .kind = Kind::Duration,
@@ -55,18 +61,35 @@
       .range = { 1000, Minute },
       .explanation
       = "A configuration that was accepted is in force after this time; an entry that knows of a newer one and has not got it admits no request." },
-    { .section = "bounds", .name = "leaving_s", .defaultValue = "8", .range = { 1, LongestNumber }, .explanation = "Seconds from SIGTERM to the end." },
-    { .section = "bounds", .name = "retry_ratio", .defaultValue = "0.2", .range = { 1, LongestNumber }, .explanation = "Repeats for each first send." },
-    { .section = "bounds", .name = "retry_window_s", .defaultValue = "10", .range = { 1, LongestNumber }, .explanation = "Seconds over which repeats count." },
+    { .section = "bounds",
+      .name = "leaving_s",
+      .kind = Kind::Number,
+      .defaultValue = "8",
+      .range = { 0, LargestNumber },
+      .explanation = "Seconds from SIGTERM to the end." },
+    { .section = "bounds",
+      .name = "retry_ratio",
+      .kind = Kind::Number,
+      .defaultValue = "0.2",
+      .range = { 0, LargestNumber },
+      .explanation = "Repeats for each first send." },
+    { .section = "bounds",
+      .name = "retry_window_s",
+      .kind = Kind::Number,
+      .defaultValue = "10",
+      .range = { 0, LargestNumber },
+      .explanation = "Seconds over which repeats count." },
     { .section = "bounds",
       .name = "retry_allowance",
+      .kind = Kind::Number,
       .defaultValue = "50",
-      .range = { 1, LongestNumber },
+      .range = { 0, LargestNumber },
       .explanation = "Repeats in a window besides, of all entries together." },
     { .section = "bounds",
       .name = "keep_addresses_s",
+      .kind = Kind::Number,
       .defaultValue = "5",
-      .range = { 1, LongestNumber },
+      .range = { 0, LargestNumber },
       .explanation = "Longest time in seconds for which callers keep the answer of where to connect." },
     { .section = "log",
       .name = "level",
@@ -76,53 +99,9 @@
       .explanation = "Least level that is written." },
 });
 
-auto readNumber(const std::string &text) -> std::optional<double>
-{
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const auto isNumber = error == std::errc() && end == text.data() + text.size() && value >= 0;
-    return isNumber ? std::optional(value) : std::nullopt;
-}
-
-/// Keys whose text is a number, fractions included.
-struct NumberKey {
-    std::string_view section;
-    std::string_view name;
-    std::string_view key; ///< both
-};
-constexpr auto NumberKeys = std::to_array<NumberKey>({
-    { "vm", "core_part", "vm.core_part" },
-    { "vm", "link_mbps", "vm.link_mbps" },
-    { "bounds", "leaving_s", "bounds.leaving_s" },
-    { "bounds", "retry_ratio", "bounds.retry_ratio" },
-    { "bounds", "retry_window_s", "bounds.retry_window_s" },
-    { "bounds", "retry_allowance", "bounds.retry_allowance" },
-    { "bounds", "keep_addresses_s", "bounds.keep_addresses_s" },
-});
-
-template <std::size_t Index>
-auto holdsNumber(const settings::Settings &settings) -> bool
-{
-    return readNumber(settings.text(NumberKeys.at(Index).key)).has_value();
-}
-
-template <std::size_t... Indices>
-constexpr auto makeNumberRules(std::index_sequence<Indices...> /*indices*/) -> std::array<settings::Rule, sizeof...(Indices)>
-{
-    return { { { NumberKeys[Indices].section, NumberKeys[Indices].name, &holdsNumber<Indices>, "a number from 0" }... } };
-}
-
-constexpr auto Rules = makeNumberRules(std::make_index_sequence<NumberKeys.size()>());
-
-/// The rules have checked it.
-auto number(const settings::Settings &settings, std::string_view key) -> double
-{
-    return readNumber(settings.text(key)).value();
-}
-
 auto seconds(const settings::Settings &settings, std::string_view key) -> Duration
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number(settings, key)));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(settings.number(key)));
 }
 
 /// Links beyond this are no bottleneck, so the processor decides.
@@ -131,14 +110,14 @@
 auto strengthOf(const settings::Settings &settings) -> std::uint32_t
 {
     constexpr double Scale = 10; // whole numbers tell apart parts of a core
-    return static_cast<std::uint32_t>(Scale * number(settings, "vm.core_part") * std::min(number(settings, "vm.link_mbps"), EnoughMbps));
+    return static_cast<std::uint32_t>(Scale * settings.number("vm.core_part") * std::min(settings.number("vm.link_mbps"), EnoughMbps));
 }
 
 } // namespace
 
 auto gatewaySchema() -> settings::Schema
 {
-    return { .keys = Keys, .rules = Rules };
+    return { .keys = Keys };
 }
 
 auto withBoundsOf(GatewaySettings current, const GatewaySettings &changed) -> GatewaySettings
@@ -171,9 +150,9 @@
         .keyWithdrawal = settings.duration("bounds.key_withdrawal_ms"),
         .configurationApply = settings.duration("bounds.configuration_apply_ms"),
         .leavingTime = seconds(settings, "bounds.leaving_s"),
-        .retryRatio = number(settings, "bounds.retry_ratio"),
+        .retryRatio = settings.number("bounds.retry_ratio"),
         .retryWindow = seconds(settings, "bounds.retry_window_s"),
-        .retryAllowance = number(settings, "bounds.retry_allowance"),
+        .retryAllowance = settings.number("bounds.retry_allowance"),
         .keepAddresses = seconds(settings, "bounds.keep_addresses_s"),
         .logLevel = settings.text("log.level"),
     };
--- a/src/runtime/settings/internal/value.cpp
+++ b/src/runtime/settings/internal/value.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace auburnspread::settings
 {
@@ -16,6 +17,7 @@
 constexpr auto Kinds = std::to_array<NamedValue<Kind>>({
     { Kind::Text, "text" },
     { Kind::Integer, "integer" },
+    { Kind::Number, "number" },
     { Kind::Duration, "duration_ms" },
     { Kind::Bytes, "bytes" },
     { Kind::Address, "address" },
@@ -58,13 +60,16 @@
 auto describeNumber(const Key &key) -> std::string
 {
     const auto range = describeRange(key.range);
+    const auto unit = key.unit.empty() ? std::string() : " of " + std::string(key.unit);
     switch (key.kind) {
     case Kind::Duration:
         return "a whole number of milliseconds" + range + ", without a unit";
     case Kind::Bytes:
         return "a whole number of bytes" + range + ", without a unit";
+    case Kind::Number:
+        return "a number" + unit + range;
     default:
-        return (key.unit.empty() ? "a whole number" : "a whole number of " + std::string(key.unit)) + range;
+        return "a whole number" + unit + range;
     }
 }
 
@@ -82,12 +87,18 @@
     return number >= range.least && number <= range.most;
 }
 
-auto isNumberOf(const Key &key, const std::string &text) -> bool
+auto isIntegerOf(const Key &key, const std::string &text) -> bool
 {
     const auto number = parseInteger(text);
     return number && isInside(key.range, *number);
 }
 
+auto isNumberOf(const Key &key, const std::string &text) -> bool
+{
+    const auto number = parseNumber(text);
+    return number && *number >= static_cast<double>(key.range.least) && *number <= static_cast<double>(key.range.most);
+}
+
 auto isAddress(const std::string &text) -> bool
 {
     return net::parseEndpoint(text).has_value();
@@ -108,6 +119,8 @@
     case Kind::Integer:
     case Kind::Duration:
     case Kind::Bytes:
+        return isIntegerOf(key, text);
+    case Kind::Number:
         return isNumberOf(key, text);
     case Kind::Address:
         return isAddress(text);
@@ -119,6 +132,18 @@
     return false;
 }
 
+/// All of \p text as one value.
+template <typename Value>
+auto parseWhole(std::string_view text) -> std::optional<Value>
+{
+    Value value{};
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (fault != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 auto mayBeEmpty(const Key &key) -> bool
 {
     return key.defaultValue && key.defaultValue->empty();
@@ -128,12 +153,13 @@
 
 auto parseInteger(std::string_view text) -> std::optional<std::int64_t>
 {
-    std::int64_t number = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (fault != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return number;
+    return parseWhole<std::int64_t>(text);
+}
+
+auto parseNumber(std::string_view text) -> std::optional<double>
+{
+    const auto number = parseWhole<double>(text);
+    return number && std::isfinite(*number) ? number : std::nullopt;
 }
 
 auto splitList(std::string_view text) -> std::vector<std::string>
@@ -159,6 +185,7 @@
     case Kind::Secret:
         return "a secret" + describeLength(key);
     case Kind::Integer:
+    case Kind::Number:
     case Kind::Duration:
     case Kind::Bytes:
         return describeNumber(key);
--- a/src/runtime/settings/internal/value.h
+++ b/src/runtime/settings/internal/value.h
@@ -20,6 +20,8 @@
 auto describeExpected(const Key &key) -> std::string;
 
 auto parseInteger(std::string_view text) -> std::optional<std::int64_t>;
+/// Nothing for what is not finite.
+auto parseNumber(std::string_view text) -> std::optional<double>;
 
 /// Parts of a comma-separated list without the blanks around them; an empty text has none.
 auto splitList(std::string_view text) -> std::vector<std::string>;
--- a/src/runtime/settings/schema.h
+++ b/src/runtime/settings/schema.h
@@ -18,6 +18,7 @@
 enum class Kind {
     Text,
     Integer,
+    Number,    ///< with or without a fraction
     Duration,  ///< a whole number of milliseconds; by convention the key ends with _ms
     Bytes,     ///< a whole number of bytes; by convention the key ends with _bytes
     Address,   ///< IP number and port: 127.0.0.1:8080 or [::1]:8080
@@ -38,7 +39,7 @@
     std::string_view section;
     std::string_view name;
     Kind kind = Kind::Text;
-    std::string_view unit;                        ///< of an integer, for help only
+    std::string_view unit;                        ///< of an integer or number, for help only
     std::optional<std::string_view> defaultValue; ///< absent: the key is required; "": the value may be empty
     Range range;
     std::span<const std::string_view> choices; ///< of Kind::Choice
--- a/src/runtime/settings/settings.cpp
+++ b/src/runtime/settings/settings.cpp
@@ -215,6 +215,11 @@
     return detail::parseInteger(find(key, Kind::Integer).text).value_or(0);
 }
 
+auto Settings::number(std::string_view key) const -> double
+{
+    return detail::parseNumber(find(key, Kind::Number).text).value_or(0);
+}
+
 auto Settings::bytes(std::string_view key) const -> std::size_t
 {
     return static_cast<std::size_t>(detail::parseInteger(find(key, Kind::Bytes).text).value_or(0));
--- a/src/runtime/settings/settings.h
+++ b/src/runtime/settings/settings.h
@@ -57,6 +57,7 @@
     [[nodiscard]] auto text(std::string_view key) const -> const std::string &; ///< Kind::Text, Choice
     [[nodiscard]] auto secret(std::string_view key) const -> const std::string &;
     [[nodiscard]] auto integer(std::string_view key) const -> std::int64_t;
+    [[nodiscard]] auto number(std::string_view key) const -> double;
     [[nodiscard]] auto bytes(std::string_view key) const -> std::size_t;
     [[nodiscard]] auto duration(std::string_view key) const -> Duration;
     [[nodiscard]] auto address(std::string_view key) const -> const std::string &; ///< "" if it may be empty and is
--- a/src/runtime/settings/tests/settings_tests.cpp
+++ b/src/runtime/settings/tests/settings_tests.cpp
@@ -121,3 +121,23 @@
     }
     RC_ASSERT(read(text).text("entry.name") == "entry-1");
 }
+
+TEST(SettingsTests, aNumberMayHaveAFractionAndIsFinite)
+{
+    constexpr auto Ratio = std::to_array<settings::Key>({
+        { .section = "bounds", .name = "ratio", .kind = Kind::Number, .unit = "repeats", .range = { 0, 10 }, .explanation = "Ratio." },
+    });
+    const auto readRatio = [&](const std::string &value) {
+        return settings::readSettings({ .keys = Ratio }, { .file = "entry.ini", .text = "[bounds]\nratio = " + value + "\n" }).number("bounds.ratio");
+    };
+    EXPECT_EQ(readRatio("0.25"), 0.25);
+    EXPECT_EQ(readRatio("10"), 10);
+    for (const auto *value : { "10.1", "-0.5", "inf", "nan", "1.5x", "1e999" }) {
+        try {
+            readRatio(value);
+            ADD_FAILURE() << value;
+        } catch (const settings::InvalidSettings &invalid) {
+            EXPECT_STREQ(invalid.what(), ("entry.ini:2: [bounds] ratio = " + std::string(value) + ": expected a number of repeats from 0 to 10").c_str());
+        }
+    }
+}
