An older version that was written again is passed over, not waited for

Cause: an entry that reads a document of a lower version under a newer revision keeps what it has, as versions never go back, but kept the older revision as well. Ruled out: clearing the offer alone (the next answer makes it anew, 300 ms later). Change: the revision counts as seen, so that nobody asks for it again and what is in force is confirmed against it.

--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -85,12 +85,17 @@
     if (read.revision <= state.tags.configuration) {
         return;
     }
-    state.tags.configuration = read.revision;
-    state.offeredAt.erase(state.offeredAt.begin(), state.offeredAt.upper_bound(read.revision));
+    passOverConfiguration(state, read.revision);
     state.configurations.insert(state.configurations.begin(), makeOffered(read));
     state.configurations.resize(std::min(state.configurations.size(), KeptDocuments));
 }
 
+auto passOverConfiguration(DirectoryState &state, std::uint64_t revision) -> void
+{
+    state.tags.configuration = std::max(state.tags.configuration, revision);
+    state.offeredAt.erase(state.offeredAt.begin(), state.offeredAt.upper_bound(revision));
+}
+
 auto takeConfirmed(DirectoryState &state, TimePoint asOf) -> void
 {
     state.confirmedAt = std::max(state.confirmedAt.value_or(asOf), asOf);
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -144,6 +144,8 @@
         const auto before = passthrough::statusOf(router_, now()).configurationVersion;
         callbacks_.onEvent(passthrough::ConfigurationAdopted{ .configuration = configuration });
         if (configuration.version < before) {
+            passOverConfiguration(known_, read.revision);
+            tellOutdated();
             return;
         }
         gateway::takeConfiguration(known_, read);
--- a/src/gateway/tests/overdueconfiguration_tests.cpp
+++ b/src/gateway/tests/overdueconfiguration_tests.cpp
@@ -76,9 +76,9 @@
 
 /// An entry that asks the reader. It read the store once, at its start, and has had no answer of it since.
 struct Following {
-    Following()
+    explicit Following(std::uint64_t version = 1)
     {
-        store.put(std::string(platform::ConfigurationKey), makeDocument(1));
+        store.put(std::string(platform::ConfigurationKey), makeDocument(version));
         for (const auto *name : { "reader-1", "reader-2", "reader-3" }) {
             const adapter::EntryRecord record{
                 .name = name, .callerAddress = reader.address, .peerAddress = reader.address, .failureDomain = "a", .strength = 10
@@ -170,3 +170,15 @@
     EXPECT_FALSE(runUntil(
         entry.loop, [&]() { return entry.isOutOfDate(); }, InForce));
 }
+
+/// Operators wrote an older version again, and an entry that started since has it in force. The others keep the newer one, as versions
+/// never go back; they have seen what is offered and don't wait for it.
+TEST(OverdueConfigurationTests, anOlderVersionThatWasWrittenAgainStopsNobody)
+{
+    Following entry(5);
+    entry.reader.sendsParts = true;
+    entry.offer(3);
+    EXPECT_FALSE(runUntil(
+        entry.loop, [&]() { return entry.isOutOfDate(); }, InForce));
+    EXPECT_EQ(passthrough::statusOf(*entry.router, now()).configurationVersion, 5U);
+}
