A read of the store that is under way is awaited, not begun again

Ruled out: a longer pause between reads (an outage of the store would be noticed later, and a larger document would meet it again). Change: Directory has three topics, configuration, servers and entries, each with one call under way at a time; whoever wants a read gets the answer that is on its way. An entry that becomes a reader keeps what it has begun, too.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -53,12 +53,13 @@
     if (std::exchange(reading_, reading) == reading) {
         return;
     }
-    round_ += 1;
-    for (auto *timer : { &configurationTimer_, &serversTimer_, &entriesTimer_ }) {
-        *timer = {};
-    }
     if (reading) {
         readOnce();
+        return;
+    }
+    round_ += 1;
+    for (auto *topic : { &configuration_, &servers_, &entries_ }) {
+        *topic = {};
     }
 }
 
@@ -69,15 +70,22 @@
 
 auto Directory::readOnce() -> void
 {
-    checkConfiguration();
-    readServers();
-    readEntries();
+    if (!configuration_.isUnderWay) {
+        checkConfiguration();
+    }
+    if (!servers_.isUnderWay) {
+        readServers();
+    }
+    if (!entries_.isUnderWay) {
+        readEntries();
+    }
 }
 
-auto Directory::goOn(task::Watch &timer, Duration pause, Step step) -> void
+auto Directory::goOn(Topic &topic, Duration pause, Step step) -> void
 {
-    if (reading_) {
-        timer = loop_.after(pause, [this, step]() { (this->*step)(); });
+    // what an answer told may have begun the next call
+    if (reading_ && !topic.isUnderWay) {
+        topic.timer = loop_.after(pause, [this, step]() { (this->*step)(); });
     }
 }
 
@@ -105,38 +113,43 @@
     }
 }
 
-auto Directory::fetchItems(std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void
+auto Directory::fetchItems(Topic &topic, std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void
 {
     const auto round = round_;
-    call(name, request, [this, name, round, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome, const http::Result &result) {
-        if (round != round_) {
-            return;
-        }
-        if (outcome != StoreOutcome::Done) {
-            onFailure(outcome);
-            return;
-        }
-        const auto items = adapter::decodeItems(std::get<http::Response>(result));
-        if (!items) {
-            callbacks_.onInvalid(name, "answer of the store can't be read");
-            onFailure(StoreOutcome::Unknown);
-            return;
-        }
-        onItems(*items);
-    });
+    topic.isUnderWay = true;
+    call(name,
+         request,
+         [this, &topic, name, round, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome, const http::Result &result) {
+             if (round != round_) {
+                 return;
+             }
+             topic.isUnderWay = false;
+             if (outcome != StoreOutcome::Done) {
+                 onFailure(outcome);
+                 return;
+             }
+             const auto items = adapter::decodeItems(std::get<http::Response>(result));
+             if (!items) {
+                 callbacks_.onInvalid(name, "answer of the store can't be read");
+                 onFailure(StoreOutcome::Unknown);
+                 return;
+             }
+             onItems(*items);
+         });
 }
 
 auto Directory::readConfiguration() -> void
 {
     const auto askedAt = now();
     fetchItems(
+        configuration_,
         "read-configuration",
         adapter::makeRange(options_.store, adapter::configurationKey(), ""),
         [this, askedAt](const adapter::StoreItems &items) {
             takeConfiguration(items, askedAt);
-            goOn(configurationTimer_, Duration::zero(), &Directory::watchConfiguration);
+            goOn(configuration_, Duration::zero(), &Directory::watchConfiguration);
         },
-        [this](StoreOutcome /*outcome*/) { goOn(configurationTimer_, FailurePause, &Directory::readConfiguration); });
+        [this](StoreOutcome /*outcome*/) { goOn(configuration_, FailurePause, &Directory::readConfiguration); });
 }
 
 /// Failure: entries that hear nothing of the others read the store themselves, all at once. Symptom: the document, which they have,
@@ -159,18 +172,19 @@
 {
     const auto askedAt = now();
     fetchItems(
+        configuration_,
         "watch-configuration",
         adapter::makeWatch(options_.store, adapter::configurationKey(), configurationRevision_, wait),
         [this, askedAt](const adapter::StoreItems &items) {
             takeConfiguration(items, askedAt);
-            goOn(configurationTimer_, Duration::zero(), &Directory::watchConfiguration);
+            goOn(configuration_, Duration::zero(), &Directory::watchConfiguration);
         },
         [this](StoreOutcome outcome) {
             if (outcome == StoreOutcome::HistoryGone) {
                 readConfiguration();
                 return;
             }
-            goOn(configurationTimer_, FailurePause, &Directory::watchConfiguration);
+            goOn(configuration_, FailurePause, &Directory::watchConfiguration);
         });
 }
 
@@ -195,12 +209,13 @@
 auto Directory::readServersPage(const std::string &after) -> void
 {
     fetchItems(
+        servers_,
         "read-servers",
         adapter::makeRange(options_.store, adapter::serversPrefix(), after),
         [this](const adapter::StoreItems &items) { takeServersPage(items); },
         [this](StoreOutcome /*outcome*/) {
             serversFailed_ = true;
-            goOn(serversTimer_, FailurePause, &Directory::readServers);
+            goOn(servers_, FailurePause, &Directory::readServers);
         });
 }
 
@@ -244,34 +259,36 @@
     serversReadAt_ = now();
     serversFailed_ = false;
     callbacks_.onServers(page_);
-    goOn(serversTimer_, options_.serversInterval, &Directory::readServers);
+    goOn(servers_, options_.serversInterval, &Directory::readServers);
 }
 
 auto Directory::readEntries() -> void
 {
     fetchItems(
+        entries_,
         "read-entries",
         adapter::makeRange(options_.store, EntriesPrefix, ""),
         [this](const adapter::StoreItems &items) {
-            entries_.clear();
+            knownEntries_.clear();
             takeEntries(items);
-            goOn(entriesTimer_, EntriesPause, &Directory::watchEntries);
+            goOn(entries_, EntriesPause, &Directory::watchEntries);
         },
-        [this](StoreOutcome /*outcome*/) { goOn(entriesTimer_, FailurePause, &Directory::readEntries); });
+        [this](StoreOutcome /*outcome*/) { goOn(entries_, FailurePause, &Directory::readEntries); });
 }
 
 auto Directory::watchEntries() -> void
 {
     fetchItems(
+        entries_,
         "watch-entries",
         adapter::makeWatch(options_.store, EntriesPrefix, entriesRevision_, EntriesWait),
         [this](const adapter::StoreItems &items) {
             takeEntries(items);
-            goOn(entriesTimer_, EntriesPause, &Directory::watchEntries);
+            goOn(entries_, EntriesPause, &Directory::watchEntries);
         },
         [this](StoreOutcome outcome) {
             const auto isHistoryGone = outcome == StoreOutcome::HistoryGone;
-            goOn(entriesTimer_, FailurePause, isHistoryGone ? &Directory::readEntries : &Directory::watchEntries);
+            goOn(entries_, FailurePause, isHistoryGone ? &Directory::readEntries : &Directory::watchEntries);
         });
 }
 
@@ -280,17 +297,17 @@
     entriesRevision_ = items.revision;
     for (const auto &item : items.items) {
         if (item.isRemoved) {
-            entries_.erase(item.key);
+            knownEntries_.erase(item.key);
             continue;
         }
         try {
-            entries_[item.key] = adapter::decodeEntry(item.value);
+            knownEntries_[item.key] = adapter::decodeEntry(item.value);
         } catch (const adapter::InvalidDocument &error) {
             callbacks_.onInvalid("entry", error.what());
         }
     }
     EntriesRead read{ .revision = items.revision };
-    for (const auto &[key, entry] : entries_) {
+    for (const auto &[key, entry] : knownEntries_) {
         read.entries.push_back(entry);
     }
     callbacks_.onEntries(read);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -51,15 +51,24 @@
     [[nodiscard]] auto calls() const -> std::uint64_t;
 
 private:
+    /// Something that is read, and read again while this entry reads for others. One call at a time is under way.
+    ///
+    /// Failure: an answer takes longer than the time after which it is asked for again. Symptom: several answers share the link and delay
+    /// each other, and lists that come in pages are mixed. What is under way is awaited, and its timeout bounds the wait.
+    struct Topic {
+        task::Watch timer; ///< of the next call
+        bool isUnderWay = false;
+    };
+
     using OnItems = std::function<void(const adapter::StoreItems &items)>;
     using OnFailure = std::function<void(adapter::StoreOutcome outcome)>;
     using Step = void (Directory::*)();
 
     auto call(std::string_view name, const http::Request &request, std::function<void(adapter::StoreOutcome, const http::Result &)> onDone) -> void;
-    auto fetchItems(std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void;
+    auto fetchItems(Topic &topic, std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void;
     auto noteReachable(std::string_view name, adapter::StoreOutcome outcome, const http::Result &result) -> void;
-    /// The next step of something that is followed, unless this entry has left reading since.
-    auto goOn(task::Watch &timer, Duration pause, Step step) -> void;
+    /// The next step, if this entry reads for others.
+    auto goOn(Topic &topic, Duration pause, Step step) -> void;
 
     auto readConfiguration() -> void;
     auto checkConfiguration() -> void;
@@ -88,13 +97,16 @@
     std::uint64_t calls_ = 0;
     std::optional<bool> reachable_; ///< as last told
     bool reading_ = false;
-    std::uint64_t round_ = 0; ///< of reading; answers to calls of an earlier one start nothing new
+    std::uint64_t round_ = 0; ///< ends when this entry no longer reads for others; answers to calls of an earlier one are dropped
+    Topic configuration_;
+    Topic servers_;
+    Topic entries_;
 
     std::uint64_t configurationRevision_ = 0; ///< of the store, since which changes of the configuration are asked for
     std::uint64_t entriesRevision_ = 0;
-    std::map<std::string, adapter::EntryRecord> entries_; ///< by key
-    ServersRead page_;                                    ///< the list that is being read
-    std::map<std::string, std::uint64_t> invalidServers_; ///< revision of the last registration told as invalid, by key
+    std::map<std::string, adapter::EntryRecord> knownEntries_; ///< by key
+    ServersRead page_;                                         ///< the list that is being read
+    std::map<std::string, std::uint64_t> invalidServers_;      ///< revision of the last registration told as invalid, by key
     std::optional<TimePoint> serversReadAt_;
     std::optional<TimePoint> outageEndedAt_;
     bool serversFailed_ = false; ///< since the last list that was read
@@ -103,9 +115,6 @@
     Duration leaseTime_{}; ///< that the store granted
     bool isWithdrawn_ = false;
 
-    task::Watch configurationTimer_;
-    task::Watch serversTimer_;
-    task::Watch entriesTimer_;
     task::Watch leaseTimer_;
 };
 
