--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -34,7 +34,8 @@
     if (!state.table) {
         return Reason::NoConfiguration;
     }
-    // an entry that only hears nothing serves on without keys; this one knows that what it has is out of date, and others have better
+    // An entry that can't confirm its configuration may still have the newest one, and goes on serving what needs no key. This one knows
+    // that a newer one is in force: routed by the old one, a request could reach a service that it must not reach any more.
     if (isOverdue(state, state.now)) {
         return Reason::StaleConfiguration;
     }
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -48,7 +48,7 @@
 
 /// Tell two contents apart without sending them.
 struct DirectoryTags {
-    std::uint64_t configuration = 0; ///< its revision in the store; 0: none
+    std::uint64_t configuration = 0; ///< revision in the store of the newest one read, also if an older version stood there; 0: none
     std::uint64_t servers = 0;       ///< of the content, as the next one
     std::uint64_t entries = 0;
 };
