Reading the change again: one way through taking a configuration, and no list of addresses that nobody needs

Change: no behaviour. What a configuration that was read changes about waiting is told once, for an older version as for a newer one; noteConfigurationRead is called in both cases, and passOver was wrong for one. takeLoopbackAddresses goes: addresses had to be taken together only while their ports had to be held side by side.

--- a/src/failuretests/site.cpp
+++ b/src/failuretests/site.cpp
@@ -61,10 +61,9 @@
 auto Site::startStandIn(const std::string &program, const std::string &name, std::vector<std::string> arguments) -> StandIn &
 {
     auto &standIn = *(standIns[name] = std::make_unique<StandIn>());
-    const auto addresses = standins::takeLoopbackAddresses(2);
     standIn.name = name;
-    standIn.address = addresses[0];
-    standIn.control = addresses[1];
+    standIn.address = standins::takeLoopbackAddress();
+    standIn.control = standins::takeLoopbackAddress();
     commands_[name] = { program, std::move(arguments) };
     launch(standIn);
     return standIn;
@@ -116,11 +115,10 @@
         seeds += (seeds.empty() ? "" : ", ") + entry->peerAddress;
     }
     auto &entry = *(entries[name] = std::make_unique<Entry>());
-    const auto addresses = standins::takeLoopbackAddresses(3);
     entry.name = name;
-    entry.callerAddress = addresses[0];
-    entry.adminAddress = addresses[1];
-    entry.peerAddress = addresses[2];
+    entry.callerAddress = standins::takeLoopbackAddress();
+    entry.adminAddress = standins::takeLoopbackAddress();
+    entry.peerAddress = standins::takeLoopbackAddress();
     const auto settings = writeFile(name + ".ini", settingsOf(entry, platform->address, seeds));
     entry.process = std::make_unique<Process>(
         ProcessOptions{ .program = "auburnspread-entry", .arguments = { "--config", settings.string() }, .output = folder_ / (name + ".log") });
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -85,12 +85,12 @@
     if (read.revision <= state.tags.configuration) {
         return;
     }
-    passOverConfiguration(state, read.revision);
+    noteConfigurationRead(state, read.revision);
     state.configurations.insert(state.configurations.begin(), makeOffered(read));
     state.configurations.resize(std::min(state.configurations.size(), KeptDocuments));
 }
 
-auto passOverConfiguration(DirectoryState &state, std::uint64_t revision) -> void
+auto noteConfigurationRead(DirectoryState &state, std::uint64_t revision) -> void
 {
     state.tags.configuration = std::max(state.tags.configuration, revision);
     state.offeredAt.erase(state.offeredAt.begin(), state.offeredAt.upper_bound(revision));
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -74,8 +74,8 @@
 /// The store's revision orders what comes by different ways, and what is older than what is known changes nothing.
 /// @{
 auto takeConfiguration(DirectoryState &state, const ConfigurationRead &read) -> void;
-/// The configuration of this revision was read and is not taken over, as its version is older than the one in force: it is not waited for.
-auto passOverConfiguration(DirectoryState &state, std::uint64_t revision) -> void;
+/// The configuration of this revision was read, whether or not its version is newer than the one in force: it is not waited for any more.
+auto noteConfigurationRead(DirectoryState &state, std::uint64_t revision) -> void;
 /// The configuration that is known was the newest at \p asOf. A newer one that was heard of before can't be true.
 auto takeConfirmed(DirectoryState &state, TimePoint asOf) -> void;
 /// \return whether it is news
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -144,14 +144,13 @@
         const auto before = passthrough::statusOf(router_, now()).configurationVersion;
         callbacks_.onEvent(passthrough::ConfigurationAdopted{ .configuration = configuration });
         if (configuration.version < before) {
-            passOverConfiguration(known_, read.revision);
-            tellOutdated();
-            return;
+            noteConfigurationRead(known_, read.revision);
+        } else {
+            gateway::takeConfiguration(known_, read);
+            directory_.noteConfiguration(read.revision);
         }
-        gateway::takeConfiguration(known_, read);
-        directory_.noteConfiguration(read.revision);
         tellOutdated();
-        if (configuration.version == before) {
+        if (configuration.version <= before) {
             return;
         }
         engineServices_.clear();
--- a/src/standins/testing/loopback.cpp
+++ b/src/standins/testing/loopback.cpp
@@ -2,7 +2,6 @@
 
 #include "runtime/net/endpoint.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <sys/socket.h>
@@ -64,11 +63,4 @@
     return network.takeAddress();
 }
 
-auto takeLoopbackAddresses(std::size_t count) -> std::vector<std::string>
-{
-    std::vector<std::string> addresses(count);
-    std::generate(addresses.begin(), addresses.end(), takeLoopbackAddress);
-    return addresses;
-}
-
 } // namespace auburnspread::standins
--- a/src/standins/testing/loopback.h
+++ b/src/standins/testing/loopback.h
@@ -3,9 +3,7 @@
 
 #pragma once
 
-#include <cstddef>
 #include <string>
-#include <vector>
 
 namespace auburnspread::standins
 {
@@ -35,6 +33,5 @@
 
 /// An address of this process's own network.
 auto takeLoopbackAddress() -> std::string;
-auto takeLoopbackAddresses(std::size_t count) -> std::vector<std::string>;
 
 } // namespace auburnspread::standins
