--- a/src/core/passthrough/readers.cpp
+++ b/src/core/fleet/readers.cpp
@@ -1,12 +1,11 @@
-#include "core/passthrough/readers.h"
+#include "core/fleet/readers.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <cstdint>
-#include <iterator>
 
-namespace auburnspread::passthrough
+namespace auburnspread::fleet
 {
 
 namespace
@@ -27,16 +26,14 @@
     return std::count_if(entries.begin(), entries.end(), isBefore) < static_cast<std::ptrdiff_t>(AskersOfEngine);
 }
 
-auto chooseReaders(std::vector<ReaderCandidate> entries) -> std::vector<std::string>
+auto chooseReaders(std::vector<EntryRecord> entries, std::size_t count) -> std::vector<EntryRecord>
 {
-    const auto isBefore = [](const ReaderCandidate &a, const ReaderCandidate &b) {
-        return a.strength != b.strength ? a.strength > b.strength : rankOf(a.name) > rankOf(b.name);
-    };
-    std::sort(entries.begin(), entries.end(), isBefore);
-    entries.resize(std::min(entries.size(), ReaderCount));
-    std::vector<std::string> readers;
-    std::transform(entries.begin(), entries.end(), std::back_inserter(readers), [](const ReaderCandidate &entry) { return entry.name; });
-    return readers;
+    const auto isBefore
+        = [](const EntryRecord &a, const EntryRecord &b) { return a.strength != b.strength ? a.strength > b.strength : rankOf(a.name) > rankOf(b.name); };
+    const auto kept = std::min(entries.size(), count);
+    std::partial_sort(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(kept), entries.end(), isBefore);
+    entries.resize(kept);
+    return entries;
 }
 
-} // namespace auburnspread::passthrough
+} // namespace auburnspread::fleet
--- a/src/core/passthrough/readers.h
+++ b/src/core/fleet/readers.h
@@ -6,27 +6,22 @@
 /// election, and entries that know the same list choose the same readers. Where lists differ for a moment there are some
 /// readers more.
 ///
-/// In a large fleet the readers also send the sums of load to all others, some megabits a second. Failure: a reader's link is
-/// full. Symptom: its sums are lost, and the entries place requests by different pictures of the fleet. So VMs with more
-/// link and processor come first.
+/// The readers answer all others and hear their heartbeats. Failure: a reader's link is full. Symptom: its answers are late, and the
+/// entries take it for lost. So VMs with more link and processor come first.
 
 #pragma once
 
+#include "core/fleet/entryrecord.h"
+
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <vector>
 
-namespace auburnspread::passthrough
+namespace auburnspread::fleet
 {
 
-/// Enough that the loss of two at once leaves one; each more costs its calls.
-constexpr std::size_t ReaderCount = 3;
-
-struct ReaderCandidate {
-    std::string name;
-    std::uint32_t strength = 0; ///< of its VM; more is better
-};
+/// While one is lost the other answers. Each costs its calls, and the next in rank takes over within a second.
+constexpr std::size_t ReaderCount = 2;
 
 /// Entries that ask one engine for its cache: enough that the loss of one in that moment leaves one.
 constexpr std::size_t AskersOfEngine = 2;
@@ -34,7 +29,7 @@
 /// Whether \p self is one of the entries that ask \p server for its cache. All that know the same entries choose the same ones.
 auto asksCacheOf(const std::string &server, const std::vector<std::string> &entries, const std::string &self) -> bool;
 
-/// Names of the readers among \p entries, the first in rank first.
-auto chooseReaders(std::vector<ReaderCandidate> entries) -> std::vector<std::string>;
+/// The first \p count among \p entries, the first in rank first.
+auto chooseReaders(std::vector<EntryRecord> entries, std::size_t count = ReaderCount) -> std::vector<EntryRecord>;
 
-} // namespace auburnspread::passthrough
+} // namespace auburnspread::fleet
--- a/src/gateway/cachereader.cpp
+++ b/src/gateway/cachereader.cpp
@@ -1,6 +1,6 @@
 #include "gateway/cachereader.h"
 
-#include "core/passthrough/readers.h"
+#include "core/fleet/readers.h"
 #include "platform/enginecalls.h"
 
 #include <algorithm>
@@ -22,7 +22,7 @@
         return;
     }
     for (const auto &server : servers) {
-        if (passthrough::asksCacheOf(server.id, entries, self)) {
+        if (fleet::asksCacheOf(server.id, entries, self)) {
             ask(server);
         }
     }
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -17,8 +17,10 @@
 /// Where the entries register; the product's own part of the store.
 constexpr std::string_view EntriesPrefix = "auburnspread/entries/";
 
-/// Pause after a call that failed. The store takes some thousands of calls a second from all entries together.
+/// Pause after a call that failed, doubled after each further one. A store that is weak must not be asked by many at once, and one that
+/// is back is to be noticed within a second.
 constexpr Duration FailurePause = std::chrono::milliseconds(300);
+constexpr int MostDoublings = 2;
 /// Of a question for changes that is to be answered at once.
 constexpr Duration ShortestWait = std::chrono::milliseconds(1);
 /// Entries come and go rarely, and a change ends the wait.
@@ -27,8 +29,12 @@
 constexpr Duration EntriesPause = std::chrono::milliseconds(200);
 /// A lease is renewed this often within its time, so that two lost calls do not end it.
 constexpr int RenewalsPerLease = 3;
+/// What an outdated read tells is no older than this.
+constexpr Duration OldestOutdated = std::chrono::seconds(10);
 /// Without a list for this long, servers may have lost their registration while they live.
 constexpr Duration OutageLength = std::chrono::milliseconds(1500);
+/// The same for an entry that did not try to read.
+constexpr Duration UnnoticedOutageLength = std::chrono::milliseconds(3500);
 
 auto describe(StoreOutcome outcome, const http::Result &result) -> std::string
 {
@@ -58,7 +64,7 @@
         return;
     }
     round_ += 1;
-    for (auto *topic : { &configuration_, &servers_, &entries_ }) {
+    for (auto *topic : { &configuration_, &serversTopic_, &entries_ }) {
         *topic = {};
     }
 }
@@ -73,14 +79,92 @@
     if (!configuration_.isUnderWay) {
         checkConfiguration();
     }
-    if (!servers_.isUnderWay) {
-        readServers();
+    readsRest_ = reachable_ == false;
+    if (!readsRest_) {
+        readRest();
+    }
+}
+
+/// Failure: the store is away. Symptom: every entry that tries it asks for everything at once, again and again. Where the last call
+/// failed, one question finds out, and the rest is asked when it was answered.
+auto Directory::readRest() -> void
+{
+    readsRest_ = false;
+    if (!serversTopic_.isUnderWay) {
+        checkServers();
     }
     if (!entries_.isUnderWay) {
         readEntries();
     }
 }
 
+auto Directory::readRegistrations() -> void
+{
+    if (!entries_.isUnderWay) {
+        readEntries();
+    }
+}
+
+auto Directory::noteServers(const ServersRead &read) -> void
+{
+    if (read.revision <= servers_.revision) {
+        return;
+    }
+    servers_ = { .revision = read.revision, .asOf = read.asOf };
+    for (const auto &server : read.servers) {
+        servers_.byId[server.id] = server;
+    }
+}
+
+auto Directory::noteServersConfirmed(TimePoint asOf) -> void
+{
+    serversKnownAt_ = std::max(serversKnownAt_.value_or(asOf), asOf);
+}
+
+auto Directory::readOutdated() -> void
+{
+    call("read-outdated-configuration",
+         adapter::makeOutdatedRange(options_.store, adapter::configurationKey(), ""),
+         [this](StoreOutcome outcome, const http::Result &result) {
+             const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
+             if (!items) {
+                 return; // other entries have it, and are asked beside
+             }
+             for (const auto &item : items->items) {
+                 if (item.key == adapter::configurationKey()) {
+                     callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
+                 }
+             }
+         });
+    readOutdatedServers("", std::make_shared<ServersRead>());
+}
+
+auto Directory::readOutdatedServers(const std::string &after, const std::shared_ptr<ServersRead> &read) -> void
+{
+    const auto request = adapter::makeOutdatedRange(options_.store, adapter::serversPrefix(), after);
+    call("read-outdated-servers", request, [this, read](StoreOutcome outcome, const http::Result &result) {
+        const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
+        if (!items) {
+            return; // as above
+        }
+        ServerList page;
+        for (const auto &item : items->items) {
+            takeServer(page, item);
+        }
+        for (auto &[id, server] : page.byId) {
+            read->servers.push_back(std::move(server));
+        }
+        read->revision = read->revision == 0 ? items->revision : read->revision;
+        if (items->hasMore && !items->items.empty()) {
+            readOutdatedServers(items->items.back().key, read);
+            return;
+        }
+        read->asOf = now() - OldestOutdated;
+        noteServers(*read);
+        callbacks_.onServers(*read);
+    });
+}
+
 auto Directory::goOn(Topic &topic, Duration pause, Step step) -> void
 {
     // what an answer told may have begun the next call
@@ -89,6 +173,17 @@
     }
 }
 
+auto Directory::goOnAfterFailure(Topic &topic, Step step) -> void
+{
+    if (&topic != &configuration_ && configuration_.failures > 0) {
+        readsRest_ = true;
+        return;
+    }
+    const auto doublings = std::min(topic.failures, MostDoublings);
+    topic.failures += 1;
+    goOn(topic, FailurePause * (1 << doublings), step);
+}
+
 auto Directory::calls() const -> std::uint64_t
 {
     return calls_;
@@ -128,6 +223,7 @@
                  onFailure(outcome);
                  return;
              }
+             topic.failures = 0;
              const auto items = adapter::decodeItems(std::get<http::Response>(result));
              if (!items) {
                  callbacks_.onInvalid(name, "answer of the store can't be read");
@@ -149,7 +245,7 @@
             takeConfiguration(items, askedAt);
             goOn(configuration_, Duration::zero(), &Directory::watchConfiguration);
         },
-        [this](StoreOutcome /*outcome*/) { goOn(configuration_, FailurePause, &Directory::readConfiguration); });
+        [this](StoreOutcome /*outcome*/) { goOnAfterFailure(configuration_, &Directory::readConfiguration); });
 }
 
 /// Failure: entries that hear nothing of the others read the store themselves, all at once. Symptom: the document, which they have,
@@ -184,7 +280,7 @@
                 readConfiguration();
                 return;
             }
-            goOn(configuration_, FailurePause, &Directory::watchConfiguration);
+            goOnAfterFailure(configuration_, &Directory::watchConfiguration);
         });
 }
 
@@ -198,6 +294,19 @@
         }
     }
     callbacks_.onConfirmed(askedAt);
+    if (readsRest_) {
+        readRest();
+    }
+}
+
+/// Where a list is known, what changed since then is one call instead of one for each page.
+auto Directory::checkServers() -> void
+{
+    if (servers_.revision == 0) {
+        readServers();
+    } else {
+        askForServerChanges(ShortestWait);
+    }
 }
 
 auto Directory::readServers() -> void
@@ -209,13 +318,13 @@
 auto Directory::readServersPage(const std::string &after) -> void
 {
     fetchItems(
-        servers_,
+        serversTopic_,
         "read-servers",
         adapter::makeRange(options_.store, adapter::serversPrefix(), after),
         [this](const adapter::StoreItems &items) { takeServersPage(items); },
         [this](StoreOutcome /*outcome*/) {
             serversFailed_ = true;
-            goOn(servers_, FailurePause, &Directory::readServers);
+            goOnAfterFailure(serversTopic_, &Directory::readServers);
         });
 }
 
@@ -224,16 +333,66 @@
 {
     page_.revision = page_.revision == 0 ? items.revision : page_.revision;
     for (const auto &item : items.items) {
-        try {
-            page_.servers.push_back(adapter::decodeServer(item.key, item.value));
-        } catch (const adapter::InvalidDocument &error) {
-            tellInvalidServer(item, error.what());
-        }
+        takeServer(page_, item);
     }
     if (items.hasMore && !items.items.empty()) {
         readServersPage(items.items.back().key);
-    } else {
-        takeServers();
+        return;
+    }
+    servers_ = std::exchange(page_, {});
+    takeServers();
+}
+
+auto Directory::watchServers() -> void
+{
+    askForServerChanges(options_.serversWait);
+}
+
+auto Directory::askForServerChanges(Duration wait) -> void
+{
+    const auto askedAt = now();
+    fetchItems(
+        serversTopic_,
+        "watch-servers",
+        adapter::makeWatch(options_.store, adapter::serversPrefix(), servers_.revision, wait),
+        [this, askedAt](const adapter::StoreItems &items) {
+            servers_.asOf = std::max(servers_.asOf, askedAt);
+            takeServerChanges(items);
+        },
+        [this](StoreOutcome outcome) {
+            serversFailed_ = true;
+            if (outcome == StoreOutcome::HistoryGone) {
+                readServers();
+                return;
+            }
+            goOnAfterFailure(serversTopic_, &Directory::watchServers);
+        });
+}
+
+/// A list that came by another way while the question was under way may be newer than the answer; it holds all of that already.
+auto Directory::takeServerChanges(const adapter::StoreItems &items) -> void
+{
+    if (items.revision >= servers_.revision) {
+        servers_.revision = items.revision;
+        for (const auto &item : items.items) {
+            takeServer(servers_, item);
+        }
+    }
+    takeServers();
+}
+
+auto Directory::takeServer(ServerList &list, const adapter::StoreItem &item) -> void
+{
+    const auto id = adapter::serverIdOf(item.key);
+    if (item.isRemoved) {
+        list.byId.erase(id);
+        return;
+    }
+    try {
+        list.byId[id] = adapter::decodeServer(item.key, item.value);
+    } catch (const adapter::InvalidDocument &error) {
+        list.byId.erase(id);
+        tellInvalidServer(item, error.what());
     }
 }
 
@@ -250,16 +409,22 @@
     }
 }
 
+/// After a while without the store, servers may have lost their registration while they live. An entry that takes the reading over may
+/// not have tried meanwhile, so a long gap counts as such a while too; it is longer than what the loss of a reader takes.
 auto Directory::takeServers() -> void
 {
-    if (serversFailed_ && serversReadAt_ && page_.asOf - *serversReadAt_ > OutageLength) {
-        outageEndedAt_ = page_.asOf;
+    const auto gap = serversKnownAt_ ? servers_.asOf - *serversKnownAt_ : Duration::zero();
+    if (gap > (serversFailed_ ? OutageLength : UnnoticedOutageLength)) {
+        outageEndedAt_ = servers_.asOf;
     }
-    page_.outageEndedAt = outageEndedAt_;
-    serversReadAt_ = now();
     serversFailed_ = false;
-    callbacks_.onServers(page_);
-    goOn(servers_, options_.serversInterval, &Directory::readServers);
+    noteServersConfirmed(servers_.asOf);
+    ServersRead read{ .revision = servers_.revision, .asOf = servers_.asOf, .outageEndedAt = outageEndedAt_ };
+    for (const auto &[id, server] : servers_.byId) {
+        read.servers.push_back(server);
+    }
+    callbacks_.onServers(read);
+    goOn(serversTopic_, options_.serversPause, &Directory::watchServers);
 }
 
 auto Directory::readEntries() -> void
@@ -273,7 +438,10 @@
             takeEntries(items);
             goOn(entries_, EntriesPause, &Directory::watchEntries);
         },
-        [this](StoreOutcome /*outcome*/) { goOn(entries_, FailurePause, &Directory::readEntries); });
+        [this](StoreOutcome /*outcome*/) {
+            callbacks_.onRegistrationsFailed();
+            goOnAfterFailure(entries_, &Directory::readEntries);
+        });
 }
 
 auto Directory::watchEntries() -> void
@@ -288,7 +456,7 @@
         },
         [this](StoreOutcome outcome) {
             const auto isHistoryGone = outcome == StoreOutcome::HistoryGone;
-            goOn(entries_, FailurePause, isHistoryGone ? &Directory::readEntries : &Directory::watchEntries);
+            goOnAfterFailure(entries_, isHistoryGone ? &Directory::readEntries : &Directory::watchEntries);
         });
 }
 
@@ -306,16 +474,18 @@
             callbacks_.onInvalid("entry", error.what());
         }
     }
-    EntriesRead read{ .revision = items.revision };
+    std::vector<adapter::EntryRecord> registered;
     for (const auto &[key, entry] : knownEntries_) {
-        read.entries.push_back(entry);
+        registered.push_back(entry);
     }
-    callbacks_.onEntries(read);
+    callbacks_.onRegistrations(registered);
 }
 
 auto Directory::registerSelf() -> void
 {
-    takeLease();
+    if (!std::exchange(isRegistered_, true)) {
+        takeLease();
+    }
 }
 
 auto Directory::takeLease() -> void
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,6 +1,6 @@
 /// \file
 /// This entry's own dealings with the platform's store: reads of the operators' configuration, the backend servers and the
-/// entries that are alive, and this entry's registration under a lease.
+/// registered entries, and this entry's registration under a lease.
 
 #pragma once
 
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,9 +26,10 @@
 struct DirectoryOptions {
     std::string store; ///< address
     adapter::EntryRecord self;
-    Duration leaseTime = std::chrono::milliseconds(2000);        ///< an entry that lost power is named to callers for as long
-    Duration serversInterval = std::chrono::milliseconds(500);   ///< between two reads of the backend servers
-    Duration configurationWait = std::chrono::milliseconds(500); ///< of one watch; its return confirms the configuration
+    Duration leaseTime = std::chrono::seconds(10);          ///< an entry that lost power is asked by those that start for as long
+    Duration serversPause = std::chrono::milliseconds(400); ///< between two watches of the backend servers
+    Duration serversWait = std::chrono::milliseconds(400);  ///< of such a watch; a change ends it
+    Duration configurationWait = std::chrono::seconds(1);   ///< of one watch; its return confirms the configuration
 };
 
 class Directory
@@ -39,10 +41,18 @@
     auto setReading(bool reading) -> void;
     /// One read of everything, for an entry that has nobody to ask.
     auto readOnce() -> void;
-    /// A configuration of this revision came by another way.
+    /// One read of the configuration and the servers as they may have been some seconds ago, at a tenth of the price. Confirms nothing.
+    auto readOutdated() -> void;
+    /// One read of who is registered.
+    auto readRegistrations() -> void;
+    /// \name What came by another way
+    /// @{
     auto noteConfiguration(std::uint64_t revision) -> void;
+    auto noteServers(const ServersRead &read) -> void;
+    auto noteServersConfirmed(TimePoint asOf) -> void;
+    /// @}
 
-    /// Registers this entry, and keeps it registered.
+    /// Registers this entry, and keeps it registered. Does nothing if it is.
     auto registerSelf() -> void;
     /// Ends the registration for good.
     auto withdraw() -> void;
@@ -58,6 +68,14 @@
     struct Topic {
         task::Watch timer; ///< of the next call
         bool isUnderWay = false;
+        int failures = 0; ///< since the last answer
+    };
+
+    /// The backend servers as of a revision of the store.
+    struct ServerList {
+        std::map<std::string, passthrough::Server> byId;
+        std::uint64_t revision = 0; ///< 0: nothing is known
+        TimePoint asOf;
     };
 
     using OnItems = std::function<void(const adapter::StoreItems &items)>;
@@ -69,6 +87,10 @@
     auto noteReachable(std::string_view name, adapter::StoreOutcome outcome, const http::Result &result) -> void;
     /// The next step, if this entry reads for others.
     auto goOn(Topic &topic, Duration pause, Step step) -> void;
+    /// The same after a call that failed; later each time, as the others that try do so too.
+    auto goOnAfterFailure(Topic &topic, Step step) -> void;
+
+    auto readRest() -> void;
 
     auto readConfiguration() -> void;
     auto checkConfiguration() -> void;
@@ -76,12 +98,19 @@
     auto askForChange(Duration wait) -> void;
     auto takeConfiguration(const adapter::StoreItems &items, TimePoint askedAt) -> void;
 
+    auto checkServers() -> void;
     auto readServers() -> void;
     auto readServersPage(const std::string &after) -> void;
     auto takeServersPage(const adapter::StoreItems &items) -> void;
+    auto watchServers() -> void;
+    auto askForServerChanges(Duration wait) -> void;
+    auto takeServerChanges(const adapter::StoreItems &items) -> void;
+    auto takeServer(ServerList &list, const adapter::StoreItem &item) -> void;
     auto takeServers() -> void;
     auto tellInvalidServer(const adapter::StoreItem &item, std::string_view detail) -> void;
 
+    auto readOutdatedServers(const std::string &after, const std::shared_ptr<ServersRead> &read) -> void;
+
     auto readEntries() -> void;
     auto watchEntries() -> void;
     auto takeEntries(const adapter::StoreItems &items) -> void;
@@ -97,20 +126,23 @@
     std::uint64_t calls_ = 0;
     std::optional<bool> reachable_; ///< as last told
     bool reading_ = false;
+    bool readsRest_ = false; ///< the servers and entries are to be read once the store has answered for the configuration
     std::uint64_t round_ = 0; ///< ends when this entry no longer reads for others; answers to calls of an earlier one are dropped
     Topic configuration_;
-    Topic servers_;
+    Topic serversTopic_;
     Topic entries_;
 
     std::uint64_t configurationRevision_ = 0; ///< of the store, since which changes of the configuration are asked for
     std::uint64_t entriesRevision_ = 0;
     std::map<std::string, adapter::EntryRecord> knownEntries_; ///< by key
-    ServersRead page_;                                         ///< the list that is being read
+    ServerList servers_;                                       ///< the last one known
+    ServerList page_;                                          ///< the one that is being read
     std::map<std::string, std::uint64_t> invalidServers_;      ///< revision of the last registration told as invalid, by key
-    std::optional<TimePoint> serversReadAt_;
+    std::optional<TimePoint> serversKnownAt_;                  ///< the newest time as of which the list was known, here or by another entry
     std::optional<TimePoint> outageEndedAt_;
     bool serversFailed_ = false; ///< since the last list that was read
 
+    bool isRegistered_ = false; ///< or about to be
     std::uint64_t lease_ = 0;
     Duration leaseTime_{}; ///< that the store granted
     bool isWithdrawn_ = false;
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -1,5 +1,6 @@
 #include "gateway/directoryfollower.h"
 
+#include "core/fleet/membership.h"
 #include "gateway/clock.h"
 #include "gateway/directorypage.h"
 #include "gateway/querynumber.h"
@@ -27,6 +28,9 @@
 /// normal course it is up to 1 s old.
 constexpr Duration OldConfirmation = std::chrono::milliseconds(1600);
 
+/// An entry that knows nothing yet asks sooner: the first answers decide how soon it can serve.
+constexpr Duration StartInterval = std::chrono::milliseconds(60);
+
 constexpr int OkStatus = 200;
 
 } // namespace
@@ -63,9 +67,9 @@
     return std::max(confirmedAt_, documents_.progressAt());
 }
 
-auto DirectoryFollower::reader() const -> const std::string &
+auto DirectoryFollower::answeredAt() const -> TimePoint
 {
-    return readers_.at(current_);
+    return answeredAt_;
 }
 
 auto DirectoryFollower::follow(std::vector<std::string> readers) -> void
@@ -74,54 +78,60 @@
         return;
     }
     readers_ = std::move(readers);
-    round_ += 1;
-    timer_ = {};
     documents_.setReaders(readers_);
-    if (!readers_.empty()) {
-        current_ = spread_ % readers_.size();
+    if (readers_.empty()) {
+        timer_ = {};
+        isScheduled_ = false;
+        return;
+    }
+    current_ = spread_ % readers_.size();
+    if (!isUnderWay_ && !isScheduled_) {
         ask();
     }
 }
 
 auto DirectoryFollower::ask() -> void
 {
-    const auto askedAt = now();
-    client_.fetch(makeQuestion(reader(), known_), [this, askedAt, round = round_](const http::Result &result) {
-        if (round != round_) {
-            return;
-        }
-        const auto good = take(askedAt, result);
-        // applying an answer may have changed whom to ask
-        if (round != round_) {
-            return;
-        }
-        if (!good) {
-            current_ = (current_ + 1) % readers_.size();
-        }
-        askAfter(AskInterval);
-    });
+    isScheduled_ = false;
+    isUnderWay_ = true;
+    const auto &reader = readers_.at(current_);
+    client_.fetch(makeQuestion(reader, known_), [this, reader, askedAt = now()](const http::Result &result) { takeResult(reader, askedAt, result); });
 }
 
-auto DirectoryFollower::askAfter(Duration pause) -> void
+/// The pause is the same after a good answer and a bad one: where all are bad, the search for a better one must not become a flood.
+auto DirectoryFollower::takeResult(const std::string &reader, TimePoint askedAt, const http::Result &result) -> void
 {
-    timer_ = loop_.after(pause, [this]() { ask(); });
+    isUnderWay_ = false;
+    const auto isFit = take(reader, askedAt, result);
+    const auto isCurrent = !readers_.empty() && readers_.at(current_) == reader;
+    if (!isFit && isCurrent) {
+        current_ = (current_ + 1) % readers_.size();
+    }
+    if (!readers_.empty()) {
+        const auto knowsNothing = known_.configuration == 0;
+        isScheduled_ = true;
+        timer_ = loop_.after(knowsNothing ? StartInterval : AskInterval, [this]() { ask(); });
+    }
+    // the answer may change whom to ask
+    callbacks_.onAsked(reader, isFit);
 }
 
 /// \return whether this reader is a good one
-auto DirectoryFollower::take(TimePoint askedAt, const http::Result &result) -> bool
+auto DirectoryFollower::take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> bool
 {
     if (const auto *error = std::get_if<http::Error>(&result)) {
-        noteReachable(false, error->text);
+        noteReachable(reader, false, error->text);
         return false;
     }
     const auto &response = std::get<http::Response>(result);
     if (response.status != OkStatus) {
-        noteReachable(false, "status " + std::to_string(response.status));
+        noteReachable(reader, false, "status " + std::to_string(response.status));
         return false;
     }
     try {
         const auto answer = decodeAnswer(response.body);
-        noteReachable(true, "");
+        noteReachable(reader, true, "");
+        answeredAt_ = now();
         return apply(answer, askedAt);
     } catch (const std::runtime_error &error) {
         callbacks_.onInvalid("directory", error.what());
@@ -133,7 +143,6 @@
 /// look older than it is. It confirms the reader's configuration, so it says nothing while that one is still to be fetched.
 auto DirectoryFollower::apply(const DirectoryAnswer &answer, TimePoint askedAt) -> bool
 {
-    const auto round = round_;
     if (answer.configuration && answer.configuration->revision > known_.configuration) {
         callbacks_.onOffered(answer.configuration->revision);
         documents_.want(*answer.configuration);
@@ -144,7 +153,7 @@
     }
     if (answer.servers && answer.serversAge) {
         callbacks_.onServers({
-            .servers = *answer.servers,
+            .servers = unpackServers(*answer.servers),
             .revision = answer.serversRevision,
             .asOf = askedAt - *answer.serversAge,
             .outageEndedAt = answer.outageAge ? std::optional(askedAt - *answer.outageAge) : std::nullopt,
@@ -152,17 +161,30 @@
     } else if (answer.serversAge) {
         callbacks_.onServersConfirmed(answer.serversRevision, askedAt - *answer.serversAge);
     }
+    applyEntries(answer, askedAt);
+    const auto isRecent = [](const std::optional<Duration> &age) { return age && *age < OldConfirmation; };
+    return isRecent(answer.confirmedAge) && isRecent(answer.serversAge);
+}
+
+/// Failure: the asked entry was cut off from the others and hears only some of them. Symptom: whoever asks it takes the rest for dead.
+/// Its list is from before by then, and is not taken over.
+auto DirectoryFollower::applyEntries(const DirectoryAnswer &answer, TimePoint askedAt) -> void
+{
+    if (!answer.entriesAge || *answer.entriesAge > fleet::MemberAge) {
+        return;
+    }
+    const auto asOf = askedAt - *answer.entriesAge;
     if (answer.entries) {
-        callbacks_.onEntries({ .entries = *answer.entries, .revision = answer.entriesRevision });
+        callbacks_.onEntries(unpackEntries(*answer.entries), asOf);
+    } else {
+        callbacks_.onEntriesConfirmed(asOf);
     }
-    const auto isRecent = [](const std::optional<Duration> &age) { return age && *age < OldConfirmation; };
-    return round == round_ && isRecent(answer.confirmedAge) && isRecent(answer.serversAge);
 }
 
-auto DirectoryFollower::noteReachable(bool reachable, const std::string &detail) -> void
+auto DirectoryFollower::noteReachable(const std::string &reader, bool reachable, const std::string &detail) -> void
 {
     if (std::exchange(reachable_, reachable) != reachable) {
-        callbacks_.onReachable(reader(), reachable, "ask-directory", detail);
+        callbacks_.onReachable(reader, reachable, "ask-directory", detail);
     }
 }
 
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -24,19 +24,21 @@
     /// ask the same one: 63 entries that fetched 290 KB from one of three at once had 139 KB each after 350 ms.
     DirectoryFollower(task::EventLoop &loop, const DirectoryTags &known, std::size_t spread, DirectoryCallbacks callbacks);
 
-    /// Asks one of these entries several times a second; none: stops asking.
+    /// Asks one of these entries several times a second, the next one when one is not fit; none: stops asking.
     auto follow(std::vector<std::string> readers) -> void;
 
     /// Time of the last answer that confirmed the configuration or brought a part of a newer one; long ago if there was none.
     [[nodiscard]] auto informedAt() const -> TimePoint;
+    /// Time of the last answer of any kind; long ago if there was none.
+    [[nodiscard]] auto answeredAt() const -> TimePoint;
 
 private:
     auto ask() -> void;
-    auto askAfter(Duration pause) -> void;
-    auto take(TimePoint askedAt, const http::Result &result) -> bool;
+    auto takeResult(const std::string &reader, TimePoint askedAt, const http::Result &result) -> void;
+    auto take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> bool;
     auto apply(const DirectoryAnswer &answer, TimePoint askedAt) -> bool;
-    auto noteReachable(bool reachable, const std::string &detail) -> void;
-    [[nodiscard]] auto reader() const -> const std::string &;
+    auto applyEntries(const DirectoryAnswer &answer, TimePoint askedAt) -> void;
+    auto noteReachable(const std::string &reader, bool reachable, const std::string &detail) -> void;
 
     task::EventLoop &loop_;
     DirectoryCallbacks callbacks_;
@@ -46,8 +48,10 @@
     DocumentFetcher documents_;
     std::vector<std::string> readers_;
     std::size_t current_ = 0;
-    std::uint64_t round_ = 0; ///< answers of an earlier choice of readers are dropped
+    bool isUnderWay_ = false;
+    bool isScheduled_ = false; ///< the next question
     TimePoint confirmedAt_;
+    TimePoint answeredAt_;
     bool reachable_ = true;
     task::Watch timer_;
 };
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -2,6 +2,7 @@
 
 #include "core/passthrough/events.h"
 #include "gateway/contenttag.h"
+#include "wire/text/deflate.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,12 +35,12 @@
     };
 }
 
-auto toJson(const adapter::EntryRecord &entry) -> json
+auto toJson(const fleet::EntryRecord &entry) -> json
 {
     return { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength };
 }
 
-auto toEntry(const json &item) -> adapter::EntryRecord
+auto toEntry(const json &item) -> fleet::EntryRecord
 {
     return {
         .name = item.at(0).get<std::string>(),
@@ -70,12 +71,40 @@
     return items;
 }
 
+/// Lists longer than this are of no fleet.
+constexpr std::size_t MostListBytes = std::size_t{ 4 } * 1024 * 1024;
+
 template <typename Item>
-auto tagOf(const std::vector<Item> &items) -> std::uint64_t
+auto packList(const std::vector<Item> &items) -> PackedList
 {
     std::string bytes;
     json::to_cbor(listToJson(items), bytes);
-    return detail::contentTag(bytes);
+    return { .bytes = text::pack(bytes), .size = bytes.size() };
+}
+
+template <typename Item, typename Convert>
+auto unpackList(const PackedList &list, Convert convert) -> std::vector<Item>
+{
+    const auto bytes = list.size > MostListBytes ? std::nullopt : text::unpack(list.bytes, list.size);
+    if (!bytes) {
+        throw std::runtime_error("directory answer: a list can't be unpacked");
+    }
+    try {
+        return listFromJson<Item>(json::from_cbor(*bytes), convert);
+    } catch (const json::exception &error) {
+        throw std::runtime_error(std::string("directory answer: ") + error.what());
+    }
+}
+
+auto toJson(const PackedList &list) -> json
+{
+    return { list.size, json::binary(std::vector<std::uint8_t>(list.bytes.begin(), list.bytes.end())) };
+}
+
+auto toPackedList(const json &item) -> PackedList
+{
+    const auto &bytes = item.at(1).get_binary();
+    return { .bytes = std::string(bytes.begin(), bytes.end()), .size = item.at(0).get<std::size_t>() };
 }
 
 } // namespace
@@ -123,7 +152,8 @@
     }
     if (!state.serversAt || read.servers != state.servers) {
         state.servers = read.servers;
-        state.tags.servers = tagOf(state.servers);
+        state.packedServers = packList(state.servers);
+        state.tags.servers = detail::contentTag(state.packedServers.bytes);
     }
     state.serversRevision = read.revision;
     state.serversAt = std::max(state.serversAt.value_or(read.asOf), read.asOf);
@@ -133,23 +163,26 @@
     return true;
 }
 
-auto takeEntries(DirectoryState &state, const EntriesRead &read) -> bool
+auto takeEntriesConfirmed(DirectoryState &state, TimePoint asOf) -> void
 {
-    if (read.revision < state.entriesRevision) {
-        return false;
-    }
-    state.entriesRevision = read.revision;
-    if (read.entries == state.entries) {
+    state.entriesAt = std::max(state.entriesAt.value_or(asOf), asOf);
+}
+
+auto takeEntries(DirectoryState &state, const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> bool
+{
+    takeEntriesConfirmed(state, asOf);
+    if (alive == state.entries) {
         return false;
     }
-    state.entries = read.entries;
-    state.tags.entries = tagOf(state.entries);
+    state.entries = alive;
+    state.packedEntries = packList(state.entries);
+    state.tags.entries = detail::contentTag(state.packedEntries.bytes);
     return true;
 }
 
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer
 {
-    DirectoryAnswer answer{ .serversRevision = state.serversRevision, .entriesRevision = state.entriesRevision };
+    DirectoryAnswer answer{ .serversRevision = state.serversRevision };
     if (state.serversAt) {
         answer.serversAge = now - *state.serversAt;
     }
@@ -160,19 +193,22 @@
         answer.configuration = state.configurations.front().offer;
     }
     if (state.tags.servers != known.servers && state.serversAt) {
-        answer.servers = state.servers;
+        answer.servers = state.packedServers;
         const auto isRecent = state.outageEndedAt && now - *state.outageEndedAt < passthrough::ReturnTime;
         answer.outageAge = isRecent ? std::optional(now - *state.outageEndedAt) : std::nullopt;
     }
-    if (state.tags.entries != known.entries) {
-        answer.entries = state.entries;
+    if (state.entriesAt) {
+        answer.entriesAge = now - *state.entriesAt;
+    }
+    if (state.tags.entries != known.entries && state.entriesAt) {
+        answer.entries = state.packedEntries;
     }
     return answer;
 }
 
 auto encodeAnswer(const DirectoryAnswer &answer) -> std::string
 {
-    json document = { { "revisions", { answer.serversRevision, answer.entriesRevision } } };
+    json document = { { "servers_revision", answer.serversRevision } };
     if (answer.serversAge) {
         document["servers_age"] = answer.serversAge->count();
     }
@@ -184,13 +220,16 @@
         document["configuration"] = { offer.revision, offer.tag, offer.bytes, offer.documentBytes };
     }
     if (answer.servers) {
-        document["servers"] = listToJson(*answer.servers);
+        document["servers"] = toJson(*answer.servers);
         if (answer.outageAge) {
             document["outage_age"] = answer.outageAge->count();
         }
     }
+    if (answer.entriesAge) {
+        document["entries_age"] = answer.entriesAge->count();
+    }
     if (answer.entries) {
-        document["entries"] = listToJson(*answer.entries);
+        document["entries"] = toJson(*answer.entries);
     }
     std::string bytes;
     json::to_cbor(document, bytes);
@@ -202,8 +241,7 @@
     try {
         const auto document = json::from_cbor(bytes);
         DirectoryAnswer answer;
-        answer.serversRevision = document.at("revisions").at(0);
-        answer.entriesRevision = document.at("revisions").at(1);
+        answer.serversRevision = document.at("servers_revision");
         if (document.contains("servers_age")) {
             answer.serversAge = Duration(document.at("servers_age").get<Duration::rep>());
         }
@@ -215,13 +253,16 @@
             answer.configuration = DocumentOffer{ .revision = offer.at(0), .tag = offer.at(1), .bytes = offer.at(2), .documentBytes = offer.at(3) };
         }
         if (document.contains("servers")) {
-            answer.servers = listFromJson<passthrough::Server>(document.at("servers"), toServer);
+            answer.servers = toPackedList(document.at("servers"));
         }
         if (document.contains("outage_age")) {
             answer.outageAge = Duration(document.at("outage_age").get<Duration::rep>());
         }
+        if (document.contains("entries_age")) {
+            answer.entriesAge = Duration(document.at("entries_age").get<Duration::rep>());
+        }
         if (document.contains("entries")) {
-            answer.entries = listFromJson<adapter::EntryRecord>(document.at("entries"), toEntry);
+            answer.entries = toPackedList(document.at("entries"));
         }
         return answer;
     } catch (const json::exception &error) {
@@ -229,4 +270,14 @@
     }
 }
 
+auto unpackServers(const PackedList &list) -> std::vector<passthrough::Server>
+{
+    return unpackList<passthrough::Server>(list, toServer);
+}
+
+auto unpackEntries(const PackedList &list) -> std::vector<fleet::EntryRecord>
+{
+    return unpackList<fleet::EntryRecord>(list, toEntry);
+}
+
 } // namespace auburnspread::gateway
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -4,10 +4,11 @@
 #pragma once
 
 #include "core/base/time.h"
+#include "core/fleet/entryrecord.h"
 #include "core/passthrough/configuration.h"
 #include "gateway/documenttransfer.h"
-#include "platform/documents.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,20 +28,18 @@
     std::optional<TimePoint> outageEndedAt; ///< servers not listed since then may be about to register again
 };
 
-/// The same of the entries that are alive.
-struct EntriesRead {
-    std::vector<adapter::EntryRecord> entries;
-    std::uint64_t revision = 0;
-};
-
 /// What a source of the directory tells the entry: its own reads of the store, or another entry.
 struct DirectoryCallbacks {
     std::function<void(const ConfigurationRead &read)> onConfiguration;
     std::function<void(TimePoint asOf)> onConfirmed;       ///< the last configuration told was the newest then
     std::function<void(std::uint64_t revision)> onOffered; ///< of a newer configuration, which another entry has
     std::function<void(const ServersRead &read)> onServers;
-    std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed; ///< the last list told was read again
-    std::function<void(const EntriesRead &read)> onEntries;
+    std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed;              ///< the last list told was read again
+    std::function<void(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf)> onEntries; ///< as another entry hears them
+    std::function<void(TimePoint asOf)> onEntriesConfirmed;                                      ///< the last ones told were heard again
+    std::function<void(const std::vector<fleet::EntryRecord> &registered)> onRegistrations;      ///< in the store
+    std::function<void()> onRegistrationsFailed;
+    std::function<void(const std::string &peer, bool isFit)> onAsked; ///< an entry answered with fresh knowledge of the store, or did not
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< lost or regained
     std::function<void(std::string_view peer, const std::string &detail)> onPartFailed; ///< of a configuration, from another entry
     std::function<void(std::string_view what, const std::string &detail)> onInvalid;    ///< makes no sense
@@ -53,6 +52,14 @@
     std::uint64_t entries = 0;
 };
 
+/// A list as it goes to other entries, packed once for all of them.
+struct PackedList {
+    std::string bytes;
+    std::size_t size = 0; ///< unpacked
+
+    auto operator==(const PackedList &) const -> bool = default;
+};
+
 /// The directory as one entry knows it. The functions below change its parts, each with its tag.
 struct DirectoryState {
     std::vector<OfferedDocument> configurations; ///< the newest, which is in force, and some before it
@@ -61,9 +68,11 @@
     std::vector<passthrough::Server> servers;
     std::uint64_t serversRevision = 0;
     std::optional<TimePoint> serversAt;
-    std::optional<TimePoint> outageEndedAt; ///< the list was read again after a while without; see ServersRead
-    std::vector<adapter::EntryRecord> entries;
-    std::uint64_t entriesRevision = 0;
+    std::optional<TimePoint> outageEndedAt;  ///< the list was read again after a while without; see ServersRead
+    std::vector<fleet::EntryRecord> entries; ///< alive
+    std::optional<TimePoint> entriesAt;
+    PackedList packedServers;
+    PackedList packedEntries;
     DirectoryTags tags;
 };
 
@@ -82,7 +91,9 @@
 auto takeOffer(DirectoryState &state, std::uint64_t revision, TimePoint now) -> bool;
 /// \return whether it is news
 auto takeServers(DirectoryState &state, const ServersRead &read) -> bool;
-auto takeEntries(DirectoryState &state, const EntriesRead &read) -> bool;
+/// \return whether it is news
+auto takeEntries(DirectoryState &state, const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> bool;
+auto takeEntriesConfirmed(DirectoryState &state, TimePoint asOf) -> void;
 /// @}
 
 /// Since when this entry has known of a newer configuration than its own; nothing if there is none.
@@ -94,10 +105,10 @@
     std::optional<DocumentOffer> configuration; ///< the newest one, to be fetched in parts; not set: none
     std::optional<Duration> serversAge;         ///< not set: never read
     std::uint64_t serversRevision = 0;
-    std::optional<std::vector<passthrough::Server>> servers;
-    std::optional<Duration> outageAge; ///< since the list was read again after a while without; not set: long ago
-    std::uint64_t entriesRevision = 0;
-    std::optional<std::vector<adapter::EntryRecord>> entries;
+    std::optional<PackedList> servers;
+    std::optional<Duration> outageAge;  ///< since the list was read again after a while without; not set: long ago
+    std::optional<Duration> entriesAge; ///< not set: nobody was heard yet
+    std::optional<PackedList> entries;
 };
 
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer;
@@ -105,5 +116,10 @@
 auto encodeAnswer(const DirectoryAnswer &answer) -> std::string;
 /// Throws std::runtime_error for bytes that are no answer.
 auto decodeAnswer(std::string_view bytes) -> DirectoryAnswer;
+/// \name The lists of an answer; throws as above
+/// @{
+auto unpackServers(const PackedList &list) -> std::vector<passthrough::Server>;
+auto unpackEntries(const PackedList &list) -> std::vector<fleet::EntryRecord>;
+/// @}
 
 } // namespace auburnspread::gateway
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -1,6 +1,5 @@
 #include "gateway/fleet.h"
 
-#include "core/passthrough/readers.h"
 #include "gateway/clock.h"
 
 #include <xxhash.h>
@@ -24,10 +23,31 @@
 
 /// Whether this entry reads the store is looked at again this often, and whenever the entries change.
 constexpr Duration RoleInterval = std::chrono::milliseconds(250);
-/// Without a fresh answer of a reader for this long, an entry reads the store itself. A confirmation is up to 1.3 s old in the
-/// normal course (two watches of a reader and one question), and the configuration counts as unconfirmed after some 3.5 s.
+/// An entry to which nobody answers for this long reads the store itself, so that it depends on no other entry; then again after
+/// a pause that doubles. An answer is due three times a second.
 constexpr Duration FollowPatience = std::chrono::milliseconds(2200);
-constexpr Duration ReadOnceInterval = std::chrono::milliseconds(800);
+constexpr Duration LeastReadOncePause = std::chrono::milliseconds(800);
+constexpr Duration MostReadOncePause = std::chrono::milliseconds(3200);
+/// An entry that reads the store for others and gets no answer for this long lets the next one try; a watch takes a second.
+constexpr Duration ReadPatience = std::chrono::milliseconds(1500);
+/// Between two lists of the entries that are alive: where many start at once, one list tells of several.
+constexpr Duration ListInterval = std::chrono::milliseconds(500);
+/// A leaving entry says so more than once, as datagrams get lost.
+constexpr int LeavingHeartbeats = 3;
+/// Until the fleet is known, an entry keeps to its share of the repeats as in a fleet of hundreds: with its small first list it would
+/// take the whole of what all entries may send.
+constexpr std::uint32_t AssumedEntries = 300;
+
+auto recordOf(const GatewaySettings &settings) -> fleet::EntryRecord
+{
+    return {
+        .name = settings.name,
+        .callerAddress = settings.callerAddress,
+        .peerAddress = settings.peerAddress,
+        .failureDomain = settings.failureDomain,
+        .strength = settings.strength,
+    };
+}
 
 } // namespace
 
@@ -40,49 +60,52 @@
     , directory_(loop,
                  {
                      .store = settings.storeAddress,
-                     .self = {
-                         .name = settings.name,
-                         .callerAddress = settings.callerAddress,
-                         .peerAddress = settings.peerAddress,
-                         .failureDomain = settings.failureDomain,
-                         .strength = settings.strength,
-                     },
+                     .self = recordOf(settings),
                      .leaseTime = settings.leaseTime,
                  },
                  directoryCallbacks())
     , follower_(loop, known_.tags, XXH64(name_.data(), name_.size(), 0), directoryCallbacks())
-    , peers_(loop,
-             settings.peerAddress,
-             [this](const PeerMessage &message) { takePeerMessage(message); },
-             [this](const std::string &detail) { accounting_.inputInvalid("peer", detail); })
+    , peers_(
+          loop,
+          settings.peerAddress,
+          [this](const PeerMessage &message) { takePeerMessage(message); },
+          [this](const std::string &detail) { accounting_.inputInvalid("peer", detail); })
     , caches_(loop,
               {
                   .onListed = [this](const passthrough::CacheListed &listed) { takeCacheList(listed); },
                   .onFailed = [this](std::string_view server, const std::string &detail) { accounting_.cacheNotListed(server, detail); },
               })
     , directoryPage_(loop, known_)
+    , role_(fleet::makeRole({ .self = recordOf(settings), .seeds = settings.seeds }, now()))
+    , incarnation_(static_cast<std::uint64_t>(now().time_since_epoch().count()))
 {
     directoryPage_.listen(settings.peerAddress);
 }
 
 auto Fleet::start() -> void
 {
-    readOnceAt_ = now();
-    directory_.readOnce();
+    callbacks_.onEvent(passthrough::EntriesCounted{ .entries = AssumedEntries });
+    directory_.readOutdated();
+    updateRole();
     roleTimer_ = loop_.every(RoleInterval, [this]() { updateRole(); });
+    heartbeats_ = loop_.every(fleet::HeartbeatInterval, [this]() { sendHeartbeat(); });
     reporter_ = loop_.every(passthrough::ReportInterval, [this]() { sendReport(); });
 }
 
-auto Fleet::registerSelf() -> void
+auto Fleet::announce() -> void
 {
-    if (!std::exchange(isRegistered_, true)) {
-        directory_.registerSelf();
+    if (!std::exchange(serves_, true)) {
+        sendHeartbeat();
+        updateRole();
     }
 }
 
 auto Fleet::leave() -> void
 {
-    isLeaving_ = true;
+    role_.isLeaving = true;
+    for (auto i = 0; i < LeavingHeartbeats; ++i) {
+        sendHeartbeat();
+    }
     updateRole();
     directory_.withdraw();
 }
@@ -102,13 +125,18 @@
     return now - known_.serversAt.value_or(TimePoint());
 }
 
+auto Fleet::others() const -> std::vector<fleet::EntryRecord>
+{
+    auto entries = known_.entries.empty() ? role_.registered : known_.entries;
+    std::erase_if(entries, [this](const fleet::EntryRecord &entry) { return entry.name == name_; });
+    return entries;
+}
+
 auto Fleet::otherAddresses() const -> std::vector<std::string>
 {
     std::vector<std::string> addresses;
-    for (const auto &entry : known_.entries) {
-        if (entry.name != name_) {
-            addresses.push_back(entry.callerAddress);
-        }
+    for (const auto &entry : others()) {
+        addresses.push_back(entry.callerAddress);
     }
     return addresses;
 }
@@ -126,7 +154,11 @@
         .onOffered = [this](std::uint64_t revision) { takeOffer(revision); },
         .onServers = [this](const ServersRead &read) { takeServers(read); },
         .onServersConfirmed = [this](std::uint64_t revision, TimePoint asOf) { takeServersConfirmed(revision, asOf); },
-        .onEntries = [this](const EntriesRead &read) { takeEntries(read); },
+        .onEntries = [this](const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) { takeEntries(alive, asOf); },
+        .onEntriesConfirmed = [this](TimePoint asOf) { gateway::takeEntriesConfirmed(known_, asOf); },
+        .onRegistrations = [this](const std::vector<fleet::EntryRecord> &registered) { takeRegistrations(registered); },
+        .onRegistrationsFailed = [this]() { takeRegistrations(role_.registered); },
+        .onAsked = [this](const std::string &peer, bool isFit) { takeAsked(peer, isFit); },
         .onReachable =
             [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
                 accounting_.dependencyReachable(peer, reachable, call, detail);
@@ -197,6 +229,7 @@
     if (!gateway::takeServers(known_, read)) {
         return;
     }
+    directory_.noteServers(read);
     logServerChanges(read);
     callbacks_.onEvent(passthrough::ServersListed{ .servers = read.servers, .asOf = read.asOf, .outageEndedAt = read.outageEndedAt });
     callbacks_.onChanged();
@@ -208,6 +241,7 @@
     if (revision >= known_.serversRevision && known_.serversAt) {
         known_.serversRevision = revision;
         known_.serversAt = std::max(*known_.serversAt, asOf);
+        directory_.noteServersConfirmed(asOf);
     }
 }
 
@@ -235,57 +269,126 @@
     servers_ = std::move(next);
 }
 
-auto Fleet::takeEntries(const EntriesRead &read) -> void
+auto Fleet::takeEntries(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> void
 {
-    if (!gateway::takeEntries(known_, read)) {
+    if (!gateway::takeEntries(known_, alive, asOf)) {
         return;
     }
     accounting_.entriesChanged(known_.entries.size());
-    std::vector<std::string> others;
-    for (const auto &entry : known_.entries) {
-        if (entry.name != name_) {
-            others.push_back(entry.peerAddress);
-        }
+    role_.entries = known_.entries;
+    std::vector<std::string> addresses;
+    for (const auto &entry : others()) {
+        addresses.push_back(entry.peerAddress);
     }
-    callbacks_.onEvent(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(others.size() + 1) });
-    peers_.setPeers(std::move(others));
+    callbacks_.onEvent(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(addresses.size() + 1) });
+    peers_.setPeers(std::move(addresses));
     updateRole();
 }
 
-/// Addresses of the readers that this entry may ask; whether it is one itself stands in isReader_.
-auto Fleet::findReaders() -> std::vector<std::string>
+auto Fleet::takeRegistrations(const std::vector<fleet::EntryRecord> &registered) -> void
 {
-    std::vector<passthrough::ReaderCandidate> candidates;
-    std::map<std::string, std::string> addresses;
-    for (const auto &entry : known_.entries) {
-        candidates.push_back({ .name = entry.name, .strength = entry.strength });
-        addresses[entry.name] = entry.peerAddress;
-    }
-    auto chosen = passthrough::chooseReaders(std::move(candidates));
-    const auto reads = std::erase(chosen, name_) > 0 && !isLeaving_;
-    if (std::exchange(isReader_, reads) != reads) {
-        accounting_.roleChanged(isReader_, chosen.size() + (reads ? 1 : 0));
-    }
-    std::transform(chosen.begin(), chosen.end(), chosen.begin(), [&](const std::string &name) { return addresses.at(name); });
-    return chosen;
+    role_.registered = registered;
+    role_.registrationsAt = now();
+    updateRole();
 }
 
-/// An entry that is not among the readers asks these. One that has nobody to ask, or gets nothing fresh, reads the store
-/// itself now and then, so that it depends on no other entry.
+auto Fleet::takeAsked(const std::string &peer, bool isFit) -> void
+{
+    isFit ? fleet::noteFit(role_, peer, now()) : fleet::noteUnfit(role_, peer, now());
+    updateRole();
+}
+
+/// Gives the entry its part: to read the store for others and to list the entries, or to ask those that do.
 auto Fleet::updateRole() -> void
 {
-    readCaches();
-    readers_ = findReaders();
-    directory_.setReading(isReader_);
-    follower_.follow(isReader_ ? std::vector<std::string>() : readers_);
     const auto at = now();
-    const auto isInformed = isReader_ || at - follower_.informedAt() < FollowPatience;
-    if (!isInformed && at - readOnceAt_ >= ReadOnceInterval) {
-        readOnceAt_ = at;
+    checkOwnReading(at);
+    const auto reads = std::exchange(assignment_, fleet::assign(role_, at)).reads;
+    if (assignment_.reads != reads) {
+        accounting_.roleChanged(assignment_.reads, assignment_.ask.size() + (assignment_.reads ? 1 : 0));
+    }
+    if (assignment_.reads && !reads) {
+        readingSince_ = at;
+        fleet::beginCollecting(membership_, others(), at);
+    }
+    directory_.setReading(assignment_.reads);
+    if (assignment_.reads && serves_) {
+        directory_.registerSelf();
+    }
+    follower_.follow(assignment_.reads ? std::vector<std::string>() : assignment_.ask);
+    listEntries(at);
+    checkAlone(at);
+    readCaches();
+}
+
+/// Failure: an entry that reads the store for others is cut off from it. Symptom: it is the first in rank and never asks those that can.
+auto Fleet::checkOwnReading(TimePoint now) -> void
+{
+    if (!assignment_.reads) {
+        return;
+    }
+    const auto &self = role_.options.self.peerAddress;
+    const auto heardAt = std::max(readingSince_, known_.confirmedAt.value_or(readingSince_));
+    if (now - heardAt > ReadPatience) {
+        fleet::noteUnfit(role_, self, now);
+    } else if (known_.confirmedAt) {
+        fleet::noteFit(role_, self, now);
+    }
+}
+
+auto Fleet::checkAlone(TimePoint now) -> void
+{
+    if (assignment_.reads) {
+        return;
+    }
+    if (fleet::needsRegistrations(role_, now)) {
+        directory_.readRegistrations();
+    }
+    if (now - std::max(follower_.answeredAt(), role_.startedAt) < FollowPatience) {
+        readOncePause_ = LeastReadOncePause;
+        return;
+    }
+    if (now - readOnceAt_ >= readOncePause_) {
+        readOnceAt_ = now;
+        readOncePause_ = std::min(2 * readOncePause_, MostReadOncePause);
         directory_.readOnce();
     }
 }
 
+/// The entries that this one hears, for those that ask it.
+auto Fleet::listEntries(TimePoint now) -> void
+{
+    fleet::expireMembers(membership_, now);
+    if (!assignment_.reads || now - listedAt_ < ListInterval) {
+        return;
+    }
+    auto alive = fleet::listMembers(membership_, now);
+    if (!alive) {
+        return;
+    }
+    listedAt_ = now;
+    if (serves_) {
+        alive->push_back(role_.options.self);
+    }
+    takeEntries(*alive, now);
+}
+
+auto Fleet::sendHeartbeat() -> void
+{
+    if (serves_) {
+        peers_.sendTo(assignment_.heartbeatsTo, fleet::Heartbeat{ .entry = role_.options.self, .incarnation = incarnation_, .isLeaving = role_.isLeaving });
+    }
+}
+
+auto Fleet::takeHeartbeat(const fleet::Heartbeat &heartbeat) -> void
+{
+    fleet::noteHeartbeat(membership_, heartbeat, now());
+    if (heartbeat.isLeaving) {
+        listedAt_ = {};
+        listEntries(now());
+    }
+}
+
 /// Once, as soon as engines and other entries are known.
 auto Fleet::readCaches() -> void
 {
@@ -297,7 +400,7 @@
         return engineServices_.contains(server.service);
     });
     std::vector<std::string> entries;
-    std::transform(known_.entries.begin(), known_.entries.end(), std::back_inserter(entries), [](const adapter::EntryRecord &entry) { return entry.name; });
+    std::transform(known_.entries.begin(), known_.entries.end(), std::back_inserter(entries), [](const fleet::EntryRecord &entry) { return entry.name; });
     caches_.readOnce(engines, entries, name_);
 }
 
@@ -311,6 +414,8 @@
 {
     if (const auto *report = std::get_if<passthrough::PeerReported>(&message)) {
         callbacks_.onEvent(*report);
+    } else if (const auto *heartbeat = std::get_if<fleet::Heartbeat>(&message)) {
+        takeHeartbeat(*heartbeat);
     } else {
         callbacks_.onEvent(std::get<passthrough::CrashesHeard>(message));
     }
@@ -325,11 +430,11 @@
     const auto hasUse = !report.uses.empty();
     const auto isNews = std::exchange(reportedUse_, hasUse) || hasUse;
     if (isNews && isLarge) {
-        peers_.sendTo(readers_, report);
+        peers_.sendTo(assignment_.heartbeatsTo, report);
     } else if (isNews) {
         peers_.send(report);
     }
-    if (isLarge && isReader_) {
+    if (isLarge && assignment_.reads) {
         reportTurn_ = (reportTurn_ + 1) % ReportsPerTotals;
         peers_.sendToPart(reportTurn_, ReportsPerTotals, passthrough::takeTotals(router_));
     }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -1,10 +1,12 @@
 /// \file
 /// What this entry shares with the rest of the fleet: the directory, which it reads from the store for others or asks others
-/// for, its registration, and the reports of load.
+/// for, the heartbeats by which entries know of each other, and the reports of load.
 
 #pragma once
 
 #include "core/base/time.h"
+#include "core/fleet/membership.h"
+#include "core/fleet/role.h"
 #include "core/passthrough/configuration.h"
 #include "core/passthrough/events.h"
 #include "core/passthrough/router.h"
@@ -42,8 +44,8 @@
     Fleet(task::EventLoop &loop, const GatewaySettings &settings, passthrough::RouterState &router, Accounting &accounting, FleetCallbacks callbacks);
 
     auto start() -> void;
-    /// Names this entry to callers; the first call counts.
-    auto registerSelf() -> void;
+    /// This entry serves from now on: the others may name it to callers.
+    auto announce() -> void;
     /// Out of the addresses, and of the entries that read the store, for good.
     auto leave() -> void;
 
@@ -65,13 +67,20 @@
     auto takeServers(const ServersRead &read) -> void;
     auto takeServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void;
     auto logServerChanges(const ServersRead &read) -> void;
-    auto takeEntries(const EntriesRead &read) -> void;
+    auto takeEntries(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> void;
+    auto takeRegistrations(const std::vector<fleet::EntryRecord> &registered) -> void;
+    auto takeAsked(const std::string &peer, bool isFit) -> void;
     auto takePeerMessage(const PeerMessage &message) -> void;
+    auto takeHeartbeat(const fleet::Heartbeat &heartbeat) -> void;
 
+    [[nodiscard]] auto others() const -> std::vector<fleet::EntryRecord>;
     auto updateRole() -> void;
+    auto checkOwnReading(TimePoint now) -> void;
+    auto checkAlone(TimePoint now) -> void;
+    auto listEntries(TimePoint now) -> void;
+    auto sendHeartbeat() -> void;
     auto readCaches() -> void;
     auto takeCacheList(const passthrough::CacheListed &listed) -> void;
-    auto findReaders() -> std::vector<std::string>;
     auto sendReport() -> void;
 
     task::EventLoop &loop_;
@@ -89,14 +98,19 @@
 
     std::map<std::string, passthrough::Server> servers_; ///< as last logged, by id
     bool configurationUnderstood_ = false;               ///< the newest document told could be read
-    bool isReader_ = false;
-    bool isRegistered_ = false;
-    bool isLeaving_ = false;
+    fleet::Role role_;
+    fleet::Membership membership_; ///< as this entry hears the others, while it reads the store for them
+    fleet::Assignment assignment_;
+    bool serves_ = false;
+    std::uint64_t incarnation_ = 0;
+    TimePoint listedAt_;     ///< the entries, by this entry
+    TimePoint readingSince_; ///< the store, for others
     TimePoint readOnceAt_;
-    bool reportedUse_ = false;         ///< the last report was not empty
-    int reportTurn_ = 0;               ///< which part of the entries gets the sum next
-    std::vector<std::string> readers_; ///< peer addresses of the readers other than this entry
+    Duration readOncePause_{};
+    bool reportedUse_ = false; ///< the last report was not empty
+    int reportTurn_ = 0;       ///< which part of the entries gets the sum next
     task::Watch reporter_;
+    task::Watch heartbeats_;
     task::Watch roleTimer_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -378,7 +378,7 @@
     const auto isFresh = passthrough::isFresh(*router, now());
     const auto ready = isFresh && fleet.knowsServers() && !leaving;
     if (ready) {
-        fleet.registerSelf();
+        fleet.announce();
     }
     if (std::exchange(isReady, ready) == ready) {
         return;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -62,8 +62,35 @@
     return { { "fingerprint", static_cast<std::uint64_t>(heard.fingerprint) }, { "crashes", heard.crashes } };
 }
 
+auto toJson(const fleet::Heartbeat &heartbeat) -> json
+{
+    const auto &entry = heartbeat.entry;
+    return { { "alive", { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength } },
+             { "incarnation", heartbeat.incarnation },
+             { "leaving", heartbeat.isLeaving } };
+}
+
+auto toHeartbeat(const json &document) -> fleet::Heartbeat
+{
+    const auto &entry = document.at("alive");
+    return {
+        .entry = {
+            .name = entry.at(0).get<std::string>(),
+            .callerAddress = entry.at(1).get<std::string>(),
+            .peerAddress = entry.at(2).get<std::string>(),
+            .failureDomain = entry.at(3).get<std::string>(),
+            .strength = entry.at(4).get<std::uint32_t>(),
+        },
+        .incarnation = document.at("incarnation").get<std::uint64_t>(),
+        .isLeaving = document.at("leaving").get<bool>(),
+    };
+}
+
 auto fromJson(const json &document) -> PeerMessage
 {
+    if (document.contains("alive")) {
+        return toHeartbeat(document);
+    }
     if (document.contains("fingerprint")) {
         return passthrough::CrashesHeard{
             .fingerprint = Fingerprint{ document.at("fingerprint").get<std::uint64_t>() },
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -1,9 +1,10 @@
 /// \file
-/// Tells the other entries what this one has in flight, by datagrams. A report replaces the one before and a lost one
-/// is made good by the next, so nothing is acknowledged or sent again.
+/// Tells the other entries that this one is there and what it has in flight, by datagrams. A report replaces the one before and a
+/// lost one is made good by the next, so nothing is acknowledged or sent again.
 
 #pragma once
 
+#include "core/fleet/membership.h"
 #include "core/passthrough/events.h"
 #include "runtime/task/eventloop.h"
 
@@ -17,7 +18,7 @@
 namespace auburnspread::gateway
 {
 
-using PeerMessage = std::variant<passthrough::PeerReported, passthrough::CrashesHeard>;
+using PeerMessage = std::variant<passthrough::PeerReported, passthrough::CrashesHeard, fleet::Heartbeat>;
 
 /// The message with as many parts of prompts as one datagram takes, and the rest in further ones.
 auto splitParts(const PeerMessage &message) -> std::vector<PeerMessage>;
--- a/src/gateway/settings/gatewaysettings.cpp
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -29,13 +29,18 @@
     { .section = "listen", .name = "addresses", .kind = Kind::Address, .explanation = "Address at which callers ask which entries to use." },
     { .section = "listen", .name = "peer", .kind = Kind::Address, .explanation = "Address for datagrams of other entries." },
     { .section = "listen", .name = "metrics", .kind = Kind::Address, .explanation = "Address of the metrics page." },
+    { .section = "fleet",
+      .name = "seeds",
+      .kind = Kind::Addresses,
+      .defaultValue = "",
+      .explanation = "Addresses of entries that may be there when this one starts. Their IP numbers count: all entries have the same peer port." },
     { .section = "platform", .name = "store", .kind = Kind::Address, .explanation = "Address of the platform's store." },
     { .section = "platform",
       .name = "lease_ms",
       .kind = Kind::Duration,
-      .defaultValue = "2000",
+      .defaultValue = "10000",
       .range = { 1000, Minute },
-      .explanation = "Time to live of this entry's registration." },
+      .explanation = "Time to live of this entry's registration, which it makes once it reads the store for others." },
     { .section = "vm",
       .name = "core_part",
       .kind = Kind::Number,
@@ -107,6 +112,18 @@
 /// Links beyond this are no bottleneck, so the processor decides.
 constexpr double EnoughMbps = 100;
 
+/// Seeds are given with a port of another service of theirs.
+auto seedsOf(const settings::Settings &settings) -> std::vector<std::string>
+{
+    const auto self = settings.address("listen.peer");
+    const auto port = self.substr(self.rfind(':'));
+    auto seeds = settings.addresses("fleet.seeds");
+    for (auto &seed : seeds) {
+        seed = seed.substr(0, seed.rfind(':')) + port;
+    }
+    return seeds;
+}
+
 auto strengthOf(const settings::Settings &settings) -> std::uint32_t
 {
     constexpr double Scale = 10; // whole numbers tell apart parts of a core
@@ -144,6 +161,7 @@
         .addressesAddress = settings.address("listen.addresses"),
         .peerAddress = settings.address("listen.peer"),
         .metricsAddress = settings.address("listen.metrics"),
+        .seeds = seedsOf(settings),
         .storeAddress = settings.address("platform.store"),
         .strength = strengthOf(settings),
         .leaseTime = settings.duration("platform.lease_ms"),
--- a/src/gateway/settings/gatewaysettings.h
+++ b/src/gateway/settings/gatewaysettings.h
@@ -7,7 +7,9 @@
 #include "runtime/settings/schema.h"
 #include "runtime/settings/settings.h"
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace auburnspread::gateway
 {
@@ -21,6 +23,7 @@
     std::string addressesAddress; ///< where callers ask for addresses
     std::string peerAddress;
     std::string metricsAddress;
+    std::vector<std::string> seeds; ///< peer addresses of entries that may be there when this one starts
     std::string storeAddress;
     std::uint32_t strength = 0; ///< of the VM, for the choice of the entries that read the store
     Duration leaseTime{};
--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -165,6 +165,7 @@
                                    .onConfirmed = [&](TimePoint) { confirmed.push_back(known.configuration); },
                                    .onOffered = [](auto &&...) {},
                                    .onServersConfirmed = [](auto &&...) {},
+                                   .onAsked = [](auto &&...) {},
                                    .onReachable = [](auto &&...) {},
                                });
     follower.follow({ page.listen("127.0.0.1:0") });
