--- /dev/null
+++ b/src/core/fleet/tests/hubs_tests.cpp
@@ -0,0 +1,80 @@
+#include "core/fleet/hubs.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace auburnspread;
+using namespace auburnspread::fleet;
+
+namespace
+{
+
+constexpr TimePoint Start(std::chrono::hours(1));
+
+auto at(int milliseconds) -> TimePoint
+{
+    return Start + std::chrono::milliseconds(milliseconds);
+}
+
+/// Entries of five failure domains, those with a low number first in rank.
+auto makeFleet(int count) -> std::vector<EntryRecord>
+{
+    std::vector<EntryRecord> entries;
+    for (auto i = 0; i < count; ++i) {
+        const auto name = "entry-" + std::to_string(i);
+        entries.push_back({ .name = name,
+                            .peerAddress = name + ":1",
+                            .failureDomain = "domain-" + std::to_string(i % 5),
+                            .strength = static_cast<std::uint32_t>(1000 - i) });
+    }
+    return entries;
+}
+
+auto namesOf(const std::vector<EntryRecord> &entries) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto &entry : entries) {
+        names.push_back(entry.name);
+    }
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST(HubTests, eachFailureDomainHasTwo)
+{
+    const auto entries = makeFleet(60);
+    Hubs hubs;
+    EXPECT_EQ(namesOf(chooseHubs(hubs, entries, entries[17], at(0))), (Names{ "entry-2", "entry-7" }));
+    EXPECT_EQ(namesOf(hubsOfOtherDomains(entries, entries[2], 0)), (Names{ "entry-0", "entry-1", "entry-3", "entry-4" }));
+    EXPECT_EQ(namesOf(hubsOfOtherDomains(entries, entries[7], 1)), (Names{ "entry-5", "entry-6", "entry-8", "entry-9" }));
+}
+
+/// What callers see: requests on engines that are full. Both hubs of a failure domain die in the same moment; the list of entries says
+/// so only seconds later. Half a second after the loss their entries tell the next two.
+TEST(HubTests, silentHubsAreReplacedWithinHalfASecond)
+{
+    const auto entries = makeFleet(60);
+    Hubs hubs;
+    for (auto now = 0; now <= 1000; now += 50) {
+        chooseHubs(hubs, entries, entries[17], at(now));
+        noteSum(hubs, "entry-2", at(now));
+        noteSum(hubs, "entry-7", at(now));
+    }
+    for (auto now = 1050; now <= 1400; now += 50) {
+        chooseHubs(hubs, entries, entries[17], at(now));
+    }
+    EXPECT_EQ(namesOf(chooseHubs(hubs, entries, entries[17], at(1450))), (Names{ "entry-12", "entry-17" }));
+    noteSum(hubs, "entry-2", at(1500));
+    EXPECT_EQ(namesOf(chooseHubs(hubs, entries, entries[17], at(1500))), (Names{ "entry-2", "entry-12" })) << "it is back";
+}
+
+TEST(HubTests, anEntryThatIsNotListedYetSumsUpForNobodyButItself)
+{
+    Hubs hubs;
+    const EntryRecord self{ .name = "new", .failureDomain = "domain-9" };
+    EXPECT_EQ(namesOf(chooseHubs(hubs, makeFleet(60), self, at(0))), Names{ "new" });
+}
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -110,8 +110,17 @@
 /// Between two reports of an entry to the others: a burst fills an engine within some hundred milliseconds. With 100 ms, 3 in 100
 /// fewer quotes were on time in the bursts of a large fleet; 30 ms brought no more.
 constexpr Duration ReportInterval = std::chrono::milliseconds(50);
+/// Between two reports where requests were sent meanwhile: in a large fleet an entry sends few, and each is told at once.
+constexpr Duration LeastReportInterval = std::chrono::milliseconds(20);
 
-/// What another entry has in flight, or all entries together.
+/// Whose requests a report counts.
+enum class ReportScope {
+    Entry,         ///< those of the entry that sends it
+    FailureDomain, ///< of all entries of its failure domain
+    Fleet,         ///< of all entries, the one that hears it included
+};
+
+/// What another entry has in flight, or many entries together.
 struct PeerReported {
     struct Use {
         std::string server;              ///< id
@@ -122,10 +131,18 @@
         std::uint32_t shortPrompts = 0;  ///< of the requests, those with a short prompt
         std::vector<PromptPart> sent;    ///< shared parts of prompts that were sent there lately
     };
-    std::string entry;    ///< who says so
-    bool isTotal = false; ///< of all entries, the one that hears it included
-    bool isRest = false;  ///< holds what parts of prompts did not fit into the report before it, and nothing else
+    struct Arrivals {
+        std::string service;
+        double perSecond = 0; ///< requests, of about the last second
+    };
+    std::string entry;         ///< who says so
+    std::string failureDomain; ///< of the entry that says so
+    ReportScope scope = ReportScope::Entry;
+    std::uint32_t entries = 1; ///< whose requests it counts
+    bool isRelayed = false;    ///< by an entry that got it, to others of its failure domain that need it
+    bool isRest = false;       ///< holds what parts of prompts did not fit into the report before it, and nothing else
     std::vector<Use> uses;
+    std::vector<Arrivals> arrivals;
 };
 
 /// An engine told which parts of prompts its cache holds.
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -150,7 +150,7 @@
 /// Whether most other entries told what they have in flight.
 auto knowsPeers(const RouterState &state) -> bool
 {
-    return state.servers.totals || 2 * state.servers.peers.size() + 1 >= state.entries;
+    return state.servers.believesTotals || 2 * entriesHeard(state.servers) + 1 >= state.entries;
 }
 
 auto strainOf(const Pool &pool, const Request &request) -> const Strain &
@@ -190,13 +190,15 @@
 {
     constexpr Duration OfReports = std::chrono::milliseconds(40);
     constexpr Duration OfSums = std::chrono::milliseconds(120);
-    return state.servers.totals ? OfSums : OfReports;
+    return state.servers.believesTotals ? OfSums : OfReports;
 }
 
-/// Requests that all entries together send until this one hears of them.
-auto unseenRequests(const RouterState &state, const Pool &pool) -> double
+/// Requests that all other entries together send until this one hears of them: as they tell, or as many each as come here.
+auto unseenRequests(const RouterState &state, const std::string &service) -> double
 {
-    return rateAt(pool.arrivals, state.now) * (state.entries - 1) * std::chrono::duration<double>(reportAgeOf(state)).count();
+    const auto perSecond
+        = knowsPeers(state) ? arrivalsOfOthers(state.servers, service) : rateAt(state.pools.at(service).arrivals, state.now) * (state.entries - 1);
+    return perSecond * std::chrono::duration<double>(reportAgeOf(state)).count();
 }
 
 /// Engines that one request looks at: where all entries together send many requests between two reports, each chooses
@@ -215,7 +217,7 @@
     }
     const auto *service = request.table->findService(request.service);
     const auto &pool = state.pools.at(request.service);
-    const auto unseen = unseenRequests(state, pool);
+    const auto unseen = unseenRequests(state, request.service);
     const PlacementQuery query{
         .prompt = request.route->hasPrompt ? &request.call.prompt : nullptr,
         .failureDomain = state.options.failureDomain,
@@ -320,6 +322,13 @@
     }
 }
 
+auto countArrivals(RouterState &state) -> void
+{
+    for (const auto &[service, pool] : state.pools) {
+        state.servers.ownArrivals[service] = rateAt(pool.arrivals, state.now);
+    }
+}
+
 auto dispatchAll(RouterState &state, Actions &actions) -> void
 {
     for (auto &[service, pool] : state.pools) {
--- a/src/core/passthrough/internal/dispatching.h
+++ b/src/core/passthrough/internal/dispatching.h
@@ -17,6 +17,8 @@
 auto dispatchService(RouterState &state, const std::string &service, Actions &actions) -> void;
 /// Sums up, by server, what waits here.
 auto countWaiting(RouterState &state) -> void;
+/// Notes what arrives a second for each service, to be told to the other entries.
+auto countArrivals(RouterState &state) -> void;
 auto dispatchAll(RouterState &state, Actions &actions) -> void;
 /// Deals the engines anew between long prompts and long answers, as their demand has changed.
 auto noteArrival(ArrivalRate &rate, TimePoint now) -> void;
--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -1,6 +1,8 @@
 #include "core/passthrough/peerreports.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace auburnspread::passthrough
@@ -21,44 +23,67 @@
     work.shortPrompts += use.shortPrompts;
 }
 
-auto subtract(std::uint32_t all, std::uint32_t own) -> std::uint32_t
+auto workOf(const PeerReported::Use &use) -> Work
 {
-    return all - std::min(all, own);
+    Work work;
+    addUse(work, use);
+    return work;
 }
 
-/// A total holds what this entry last reported, not what it has now.
-auto withoutOwn(const Work &total, const Work &reported) -> Work
+auto subtract(std::uint32_t all, std::uint32_t part) -> std::uint32_t
+{
+    return all - std::min(all, part);
+}
+
+auto without(const Work &all, const Work &part) -> Work
 {
     return {
-        .inFlight = subtract(total.inFlight, reported.inFlight),
-        .unreadTokens = subtract(total.unreadTokens, reported.unreadTokens),
-        .heldTokens = subtract(total.heldTokens, reported.heldTokens),
-        .waitingTokens = subtract(total.waitingTokens, reported.waitingTokens),
-        .shortPrompts = subtract(total.shortPrompts, reported.shortPrompts),
+        .inFlight = subtract(all.inFlight, part.inFlight),
+        .unreadTokens = subtract(all.unreadTokens, part.unreadTokens),
+        .heldTokens = subtract(all.heldTokens, part.heldTokens),
+        .waitingTokens = subtract(all.waitingTokens, part.waitingTokens),
+        .shortPrompts = subtract(all.shortPrompts, part.shortPrompts),
     };
 }
 
-auto sumPeerReports(ServerTable &table) -> void
+/// A sum that holds this much fewer entries than the one before is one of an entry that hears only some of them.
+constexpr double LeastPartOfEntries = 0.95;
+/// Once the sum before is older than this it is replaced all the same: the entries may be gone.
+constexpr Duration SumAge = std::chrono::milliseconds(350);
+
+/// Failure: several entries sum up, one of them hears only a part of the fleet, and its sum comes later. Symptom: engines are taken for
+/// nearly idle, and get three times the work that they can do.
+auto replaces(const PeerReported &sum, const ServerTable::PeerUse &held, TimePoint now) -> bool
 {
-    for (auto &[id, server] : table.byId) {
-        server->others = {};
-    }
-    const auto add = [&table](const PeerReported &report) {
-        for (const auto &use : report.uses) {
-            if (const auto server = findServer(table, use.server)) {
-                addUse(server->others, use);
-            }
-        }
-    };
-    if (!table.totals) {
-        for (const auto &[entry, use] : table.peers) {
-            add(use.report);
+    return sum.entries >= LeastPartOfEntries * held.report.entries || now - held.at > SumAge;
+}
+
+/// The entries of a failure domain whose sum is known are in that sum.
+auto isCounted(const ServerTable &table, const PeerReported &report) -> bool
+{
+    return report.failureDomain == table.failureDomain || !table.domains.contains(report.failureDomain);
+}
+
+auto prefersTotals(const ServerTable &table) -> bool
+{
+    return table.totals && table.totals->report.entries > entriesHeard(table) + 1;
+}
+
+auto addUses(const ServerTable &table, const PeerReported &report) -> void
+{
+    for (const auto &use : report.uses) {
+        if (const auto server = findServer(table, use.server)) {
+            addUse(server->others, use);
         }
-        return;
     }
-    add(table.totals->report);
-    for (auto &[id, server] : table.byId) {
-        server->others = withoutOwn(server->others, server->reported);
+}
+
+auto subtractUses(const ServerTable &table, const PeerReported &report) -> void
+{
+    for (const auto &use : report.uses) {
+        if (const auto server = findServer(table, use.server)) {
+            server->others = without(server->others, workOf(use));
+        }
     }
 }
 
@@ -83,12 +108,20 @@
 /// Parts smaller than this are read again in less time than a report of them is worth.
 constexpr std::uint32_t LeastToldTokens = 512;
 
-auto partsToTell(const ServerState &server, Duration window, bool alsoOfPeers, TimePoint now) -> std::vector<PromptPart>
+/// Datagrams get lost now and then, so each use of a cache is told in two reports, and in two sums or by two hubs.
+constexpr Duration SentWindow = 2 * ReportInterval;
+
+/// Failure: what one failure domain told goes back to it as another one's. Symptom: parts are told for ever, and datagrams grow with
+/// all that was ever sent. So a sum tells the parts of those whose requests it counts.
+auto partsToTell(const ServerState &server, ReportScope scope, TimePoint now) -> std::vector<PromptPart>
 {
     std::vector<PromptPart> parts;
-    addSentWithin(server.sentHere, window, now, parts);
-    if (alsoOfPeers) {
-        addSentWithin(server.sentByPeers, window, now, parts);
+    addSentWithin(server.sentHere, SentWindow, now, parts);
+    if (scope != ReportScope::Entry) {
+        addSentWithin(server.sentByPeers, SentWindow, now, parts);
+    }
+    if (scope == ReportScope::Fleet) {
+        addSentWithin(server.sentByDomains, SentWindow, now, parts);
     }
     return parts;
 }
@@ -108,18 +141,92 @@
     }
 }
 
-/// Datagrams get lost now and then, so each use of a cache is told in two reports; a sum goes to a part of the entries at a time.
-constexpr Duration SentWindow = 2 * ReportInterval;
-constexpr Duration TotalSentWindow = 4 * ReportInterval;
+} // namespace
+
+auto entriesHeard(const ServerTable &table) -> std::uint32_t
+{
+    std::uint32_t entries = 0;
+    for (const auto &[name, use] : table.peers) {
+        entries += isCounted(table, use.report) ? 1 : 0;
+    }
+    for (const auto &[domain, use] : table.domains) {
+        entries += use.report.entries;
+    }
+    return entries;
+}
+
+auto recountPeers(ServerTable &table) -> void
+{
+    table.believesTotals = prefersTotals(table);
+    for (auto &[id, server] : table.byId) {
+        server->others = {};
+    }
+    if (table.believesTotals) {
+        addUses(table, table.totals->report);
+        for (auto &[id, server] : table.byId) {
+            server->others = without(server->others, server->reported); // not what it has now: that was not told yet
+        }
+        return;
+    }
+    for (const auto &[name, use] : table.peers) {
+        if (isCounted(table, use.report)) {
+            addUses(table, use.report);
+        }
+    }
+    for (const auto &[domain, use] : table.domains) {
+        addUses(table, use.report);
+    }
+}
+
+namespace
+{
+
+auto arrivalsIn(const PeerReported &report, const std::string &service) -> double
+{
+    const auto found
+        = std::find_if(report.arrivals.begin(), report.arrivals.end(), [&service](const PeerReported::Arrivals &each) { return each.service == service; });
+    return found == report.arrivals.end() ? 0 : found->perSecond;
+}
+
+auto sumArrivals(const ServerTable &table, const std::string &service, ReportScope scope) -> double
+{
+    double sum = 0;
+    for (const auto &[name, use] : table.peers) {
+        const auto isOwnDomain = use.report.failureDomain == table.failureDomain;
+        sum += (scope == ReportScope::Fleet ? isCounted(table, use.report) : isOwnDomain) ? arrivalsIn(use.report, service) : 0;
+    }
+    for (const auto &[domain, use] : table.domains) {
+        sum += scope == ReportScope::Fleet ? arrivalsIn(use.report, service) : 0;
+    }
+    return sum;
+}
 
 } // namespace
 
+auto arrivalsOfOthers(const ServerTable &table, const std::string &service) -> double
+{
+    if (!table.believesTotals) {
+        return sumArrivals(table, service, ReportScope::Fleet);
+    }
+    const auto own = table.ownArrivals.find(service);
+    return std::max(0.0, arrivalsIn(table.totals->report, service) - (own == table.ownArrivals.end() ? 0 : own->second));
+}
+
+auto entriesHeardOfOwnDomain(const ServerTable &table) -> std::uint32_t
+{
+    const auto isOwn = [&table](const auto &item) { return item.second.report.failureDomain == table.failureDomain; };
+    return static_cast<std::uint32_t>(std::count_if(table.peers.begin(), table.peers.end(), isOwn));
+}
+
 auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
 {
-    PeerReported report{ .entry = entry };
+    PeerReported report{ .entry = entry, .failureDomain = table.failureDomain };
+    for (const auto &[service, perSecond] : table.ownArrivals) {
+        report.arrivals.push_back({ .service = service, .perSecond = perSecond });
+    }
     for (auto &[id, server] : table.byId) {
         server->reported = server->own;
-        auto use = makeUse(id, server->own, partsToTell(*server, SentWindow, false, now));
+        auto use = makeUse(id, server->own, partsToTell(*server, ReportScope::Entry, now));
         if (isNews(use)) {
             report.uses.push_back(std::move(use));
         }
@@ -127,11 +234,52 @@
     return report;
 }
 
-auto takeTotals(const ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
+namespace
+{
+
+/// Own work with that of the entries that told this one; by server.
+auto sumWork(const ServerTable &table, ReportScope scope) -> std::map<std::string_view, Work>
 {
-    PeerReported report{ .entry = entry, .isTotal = true };
+    std::map<std::string_view, Work> sum;
     for (const auto &[id, server] : table.byId) {
-        auto use = makeUse(id, totalWork(*server), partsToTell(*server, TotalSentWindow, true, now));
+        sum[id] = server->own;
+    }
+    const auto add = [&sum](const PeerReported &report) {
+        for (const auto &use : report.uses) {
+            const auto found = sum.find(use.server);
+            if (found != sum.end()) {
+                addUse(found->second, use);
+            }
+        }
+    };
+    const auto isOfScope
+        = [&](const PeerReported &report) { return scope == ReportScope::Fleet ? isCounted(table, report) : report.failureDomain == table.failureDomain; };
+    for (const auto &[name, use] : table.peers) {
+        if (isOfScope(use.report)) {
+            add(use.report);
+        }
+    }
+    if (scope == ReportScope::Fleet) {
+        for (const auto &[domain, use] : table.domains) {
+            add(use.report);
+        }
+    }
+    return sum;
+}
+
+} // namespace
+
+auto takeSum(const ServerTable &table, const std::string &entry, ReportScope scope, TimePoint now) -> PeerReported
+{
+    PeerReported report{ .entry = entry, .failureDomain = table.failureDomain, .scope = scope };
+    for (const auto &[service, perSecond] : table.ownArrivals) {
+        report.arrivals.push_back({ .service = service, .perSecond = perSecond + sumArrivals(table, service, scope) });
+    }
+    report.entries += scope == ReportScope::Fleet ? entriesHeard(table) : entriesHeardOfOwnDomain(table);
+    for (const auto &[id, work] : sumWork(table, scope)) {
+        const auto server = findServer(table, id);
+        auto parts = partsToTell(*server, scope, now);
+        auto use = makeUse(std::string(id), work, std::move(parts));
         if (isNews(use)) {
             report.uses.push_back(std::move(use));
         }
@@ -151,8 +299,8 @@
         }
         for (const auto &part : use.sent) {
             noteUse(server->cache, part, capacityOf(table, *server), now);
-            if (!report.isTotal) {
-                noteSent(server->sentByPeers, part, now);
+            if (report.scope != ReportScope::Fleet) {
+                noteSent(report.scope == ReportScope::Entry ? server->sentByPeers : server->sentByDomains, part, now);
             }
         }
     }
@@ -171,6 +319,40 @@
     }
 }
 
+namespace
+{
+
+/// Only what changed is counted: an entry that sums up hears a thousand reports a second.
+auto takeEntryReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
+{
+    auto &held = table.peers[report.entry];
+    const auto isInOthers = !table.believesTotals && isCounted(table, report);
+    if (isInOthers) {
+        subtractUses(table, held.report);
+    }
+    held = { .report = report, .at = now };
+    if (isInOthers) {
+        addUses(table, held.report);
+    }
+    if (table.believesTotals != prefersTotals(table)) {
+        recountPeers(table);
+    }
+}
+
+auto takeDomainSum(ServerTable &table, const PeerReported &report, TimePoint now) -> void
+{
+    if (report.failureDomain == table.failureDomain) {
+        return;
+    }
+    const auto found = table.domains.find(report.failureDomain);
+    if (found == table.domains.end() || replaces(report, found->second, now)) {
+        table.domains[report.failureDomain] = { .report = report, .at = now };
+        recountPeers(table);
+    }
+}
+
+} // namespace
+
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
     noteSentParts(table, report, now);
@@ -178,25 +360,33 @@
         return;
     }
     table.reports += 1;
-    if (report.isTotal) {
-        table.totals = ServerTable::PeerUse{ .report = report, .at = now };
-    } else {
-        table.peers[report.entry] = { .report = report, .at = now };
-        table.totals.reset();
+    switch (report.scope) {
+    case ReportScope::Entry:
+        takeEntryReport(table, report, now);
+        break;
+    case ReportScope::FailureDomain:
+        takeDomainSum(table, report, now);
+        break;
+    case ReportScope::Fleet:
+        if (!table.totals || replaces(report, *table.totals, now)) {
+            table.totals = ServerTable::PeerUse{ .report = report, .at = now };
+            recountPeers(table);
+        }
+        break;
     }
-    sumPeerReports(table);
 }
 
 auto expirePeerReports(ServerTable &table, TimePoint now) -> void
 {
     const auto isOld = [now](const ServerTable::PeerUse &use) { return now - use.at > PeerReportAge; };
-    const auto expired = std::erase_if(table.peers, [&](const auto &item) { return isOld(item.second); });
+    auto expired = std::erase_if(table.peers, [&](const auto &item) { return isOld(item.second); });
+    expired += std::erase_if(table.domains, [&](const auto &item) { return isOld(item.second); });
     const auto totalIsOld = table.totals && isOld(*table.totals);
     if (totalIsOld) {
         table.totals.reset();
     }
     if (expired > 0 || totalIsOld) {
-        sumPeerReports(table);
+        recountPeers(table);
     }
 }
 
--- a/src/core/passthrough/peerreports.h
+++ b/src/core/passthrough/peerreports.h
@@ -1,5 +1,9 @@
 /// \file
 /// What entries tell each other of the backend servers: what they have in flight there, and what engines' caches hold.
+///
+/// In a large fleet each entry tells a few of its failure domain, which tell their sum to those of the other domains and the sum of all
+/// to the entries of their own. An entry hears the same from several sides, and not always the whole: it believes what counts the
+/// most entries.
 
 #pragma once
 
@@ -7,6 +11,7 @@
 #include "core/passthrough/events.h"
 #include "core/passthrough/servertable.h"
 
+#include <cstdint>
 #include <string>
 
 namespace auburnspread::passthrough
@@ -15,9 +20,17 @@
 /// Believed from now on, and told to the other entries.
 auto noteCacheListed(ServerTable &table, const CacheListed &listed, TimePoint now) -> void;
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void;
-/// This entry's own report, or the sum of all fresh ones with its own.
+/// This entry's own report, or the sum of its own with the fresh ones of its failure domain, or of all.
 auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported;
-auto takeTotals(const ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported;
+auto takeSum(const ServerTable &table, const std::string &entry, ReportScope scope, TimePoint now) -> PeerReported;
+/// The servers changed: what was reported of them is summed up anew.
+auto recountPeers(ServerTable &table) -> void;
+/// Requests a second for this service at the other entries, as they told.
+auto arrivalsOfOthers(const ServerTable &table, const std::string &service) -> double;
+/// Entries whose requests this one knows of, itself not included.
+auto entriesHeard(const ServerTable &table) -> std::uint32_t;
+/// The same of the own failure domain.
+auto entriesHeardOfOwnDomain(const ServerTable &table) -> std::uint32_t;
 /// Forgets reports that are too old to say anything.
 auto expirePeerReports(ServerTable &table, TimePoint now) -> void;
 
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -90,6 +90,7 @@
     auto operator()(const ServersListed &event) const -> void
     {
         adoptServers(state.servers, event, state.now);
+        recountPeers(state.servers);
         detail::dispatchAll(state, actions);
     }
     auto operator()(const EntriesCounted &event) const -> void
@@ -129,6 +130,7 @@
 {
     auto state = RouterStatePointer(new RouterState);
     state->options = std::move(options);
+    state->servers.failureDomain = state->options.failureDomain;
     state->seed = XXH64(state->options.entry.data(), state->options.entry.size(), 0);
     return state;
 }
@@ -151,12 +153,18 @@
 auto takeReport(RouterState &state) -> PeerReported
 {
     detail::countWaiting(state);
+    detail::countArrivals(state);
     return takeReport(state.servers, state.options.entry, state.now);
 }
 
-auto takeTotals(const RouterState &state) -> PeerReported
+auto takeSum(const RouterState &state, ReportScope scope) -> PeerReported
 {
-    return takeTotals(state.servers, state.options.entry, state.now);
+    return takeSum(state.servers, state.options.entry, scope, state.now);
+}
+
+auto entriesHeardOfOwnDomain(const RouterState &state) -> std::uint32_t
+{
+    return entriesHeardOfOwnDomain(state.servers);
 }
 
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -42,8 +42,10 @@
 
 /// What this entry has in flight, for the other entries.
 auto takeReport(RouterState &state) -> PeerReported;
-/// What all entries have in flight, as far as they reported to this one.
-auto takeTotals(const RouterState &state) -> PeerReported;
+/// What the entries of this one's failure domain, or all, have in flight, as far as they reported to this one.
+auto takeSum(const RouterState &state, ReportScope scope) -> PeerReported;
+/// Entries of the own failure domain that report to this one.
+auto entriesHeardOfOwnDomain(const RouterState &state) -> std::uint32_t;
 
 /// What an operator sees.
 struct RouterStatus {
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -59,8 +59,9 @@
     double slowness = 1; ///< moving average of observed to expected time to the first byte
 
     EngineCache cache;
-    RecentParts sentHere;    ///< by this entry
-    RecentParts sentByPeers; ///< by entries that told this one themselves
+    RecentParts sentHere;      ///< by this entry
+    RecentParts sentByPeers;   ///< by entries that told this one themselves
+    RecentParts sentByDomains; ///< by entries of other failure domains, as their hubs told
 };
 
 using ServerPointer = std::shared_ptr<ServerState>;
@@ -73,8 +74,12 @@
         PeerReported report;
         TimePoint at;
     };
-    std::map<std::string, PeerUse> peers;                       ///< by entry
+    std::string failureDomain;                                  ///< of this entry
+    std::map<std::string, PeerUse> peers;                       ///< reports of entries, by name
+    std::map<std::string, PeerUse> domains;                     ///< sums of the other failure domains, by name
     std::optional<PeerUse> totals;                              ///< of all entries, as one of them summed them up
+    std::map<std::string, double> ownArrivals;                  ///< a second, by service, as last told
+    bool believesTotals = false;                                ///< it holds more entries than told this one themselves
     std::uint64_t reports = 0;                                  ///< that were taken in; tells apart what was known before and after one
     std::unordered_map<std::string, std::uint64_t> cacheTokens; ///< memory of an engine, by service
 };
--- a/src/core/passthrough/tests/overload_tests.cpp
+++ b/src/core/passthrough/tests/overload_tests.cpp
@@ -139,7 +139,8 @@
     noteSent(server, load, Duration::zero(), now);
     noteSent(server, load, Duration::zero(), now);
     takeReport(table, "entry-1", {});
-    notePeerReport(table, { .entry = "reader", .isTotal = true, .uses = { { .server = "e1", .inFlight = 10, .unreadTokens = 30'000 } } }, now);
+    notePeerReport(
+        table, { .entry = "reader", .scope = ReportScope::Fleet, .entries = 5, .uses = { { .server = "e1", .inFlight = 10, .unreadTokens = 30'000 } } }, now);
     EXPECT_EQ(totalWork(server).inFlight, 10U);
     EXPECT_EQ(totalWork(server).unreadTokens, 30'000U);
     noteRead(server, load);
--- a/src/core/passthrough/tests/replay.cpp
+++ b/src/core/passthrough/tests/replay.cpp
@@ -1,13 +1,15 @@
 #include "core/passthrough/tests/replay.h"
 
+#include "core/fleet/hubs.h"
 #include "core/passthrough/internal/milliseconds.h"
+#include "core/passthrough/peerreports.h"
 #include "core/passthrough/tests/world.h"
 
 #include <algorithm>
-#include <array>
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 #include <set>
@@ -52,7 +54,9 @@
 constexpr std::uint32_t ShortOwnTokens = 628;
 constexpr std::uint32_t ShortAnswerTokens = 294;
 constexpr std::uint64_t Documents = 4;
-constexpr std::size_t Readers = 3; ///< entries that sum up the reports
+constexpr std::size_t MostDirectEntries = 13; ///< that tell each other themselves
+constexpr std::int64_t ReportsPerSum = 2;
+constexpr Duration BeliefInterval = std::chrono::milliseconds(500);
 
 using detail::toDuration;
 
@@ -103,8 +107,7 @@
         scheduleAsk(false);
         tick();
         report();
-        constexpr Duration Rest = std::chrono::seconds(6); // until the last answers have ended
-        while (!queue_.empty() && queue_.top().at < end + Rest) {
+        while (!queue_.empty() && queue_.top().at < end + options_.rest) {
             auto next = queue_.top();
             queue_.pop();
             now_ = next.at;
@@ -144,7 +147,13 @@
             addresses_[servers.back().address] = i;
         }
         for (std::size_t i = 0; i < options_.load.entries; ++i) {
-            routers_.push_back(makeRouter({ .entry = "entry-" + std::to_string(i), .failureDomain = "a" }));
+            entries_.push_back({
+                .name = "entry-" + std::to_string(i),
+                .peerAddress = std::to_string(i),
+                .failureDomain = domainOf(i),
+                .strength = static_cast<std::uint32_t>(options_.load.entries - i),
+            });
+            routers_.push_back(makeRouter({ .entry = entries_.back().name, .failureDomain = domainOf(i) }));
             step(*routers_.back(), ConfigurationAdopted{ configuration }, now_);
             step(*routers_.back(), ConfigurationConfirmed{ .asOf = now_ + std::chrono::hours(1) }, now_);
             step(*routers_.back(), ServersListed{ .servers = servers, .asOf = now_ }, now_);
@@ -152,6 +161,27 @@
         }
     }
 
+    [[nodiscard]] auto domainOf(std::size_t entry) const -> std::string
+    {
+        return std::string(1, static_cast<char>('a' + entry % options_.reports.failureDomains));
+    }
+
+    [[nodiscard]] auto isDead(std::size_t entry) const -> bool
+    {
+        return isBurst() && entry < options_.reports.lostHubs;
+    }
+
+    /// The entries that this one knows.
+    [[nodiscard]] auto knownTo(std::size_t entry) const -> std::vector<fleet::EntryRecord>
+    {
+        constexpr std::size_t Third = 3;
+        auto known = entries_;
+        if (options_.reports.listsDiffer && isBurst() && entry % Third == 0) {
+            std::erase_if(known, [](const fleet::EntryRecord &each) { return std::stoul(each.peerAddress) % Third == 0; });
+        }
+        return known;
+    }
+
     auto drawBelow(std::size_t end) -> std::size_t
     {
         return std::uniform_int_distribution<std::size_t>(0, end - 1)(random_);
@@ -204,7 +234,10 @@
     auto arrive(std::size_t number) -> void
     {
         const auto &ask = asks_.at(number);
-        const auto entry = drawBelow(routers_.size());
+        auto entry = drawBelow(routers_.size());
+        while (isDead(entry)) {
+            entry = drawBelow(routers_.size());
+        }
         const auto id = RequestId{ ++lastRequest_ };
         RequestArrived arrived{ .request = id, .host = "quotes.example", .path = ask.isLong ? QuotePath : CheckPath, .key = "key-1" };
         arrived.deadline = CallerDeadline - (now_ - ask.firstTry);
@@ -221,9 +254,14 @@
 
     auto apply(std::size_t entry, const Event &event) -> void
     {
+        if (isDead(entry)) {
+            return;
+        }
         for (const auto &action : step(*routers_.at(entry), event, now_)) {
             if (const auto *send = std::get_if<Send>(&action)) {
                 const auto engine = numbers_.at(send->server);
+                noteBelief(*send, engine, entry);
+                tellSoon(entry);
                 const Work work{ .entry = entry, .attempt = send->attempt, .ask = asked_.at(send->request) };
                 const auto fetched = send->fetchFrom.empty() ? Duration::zero() : fetch(asks_.at(work.ask).prompt, addresses_.at(send->fetchFrom), engine);
                 after(OneWay + fetched, [this, engine, work]() { enter(engine, work); });
@@ -233,6 +271,19 @@
         }
     }
 
+    auto noteBelief(const Send &send, std::size_t engine, std::size_t entry) -> void
+    {
+        if (asks_.at(asked_.at(send.request)).isLong) {
+            const auto place = static_cast<std::size_t>((now_ - Start) / BeliefInterval);
+            result_.beliefs.resize(std::max(result_.beliefs.size(), place + 1));
+            result_.beliefs[place].believed += send.requestsBefore;
+            const auto &running = inFlight_[engine];
+            result_.beliefs[place].true_
+                += static_cast<std::uint64_t>(std::count_if(running.begin(), running.end(), [this](const auto &item) { return !isDead(item.second); }));
+        }
+        inFlight_[engine][{ entry, send.attempt }] = entry;
+    }
+
     auto takeRefusal(std::size_t number, const Refuse &refusal) -> void
     {
         auto &ask = asks_.at(number);
@@ -313,6 +364,11 @@
         for (auto &work : engine.running) {
             giveToken(work);
         }
+        for (const auto &work : engine.running) {
+            if (work.answerLeft == 0) {
+                inFlight_[number].erase({ work.entry, work.attempt });
+            }
+        }
         std::erase_if(engine.running, [](const Work &work) { return work.answerLeft == 0; });
         engine.isStepping = !engine.running.empty() || !engine.prompts.empty();
         if (engine.isStepping) {
@@ -368,40 +424,97 @@
         after(TickInterval, [this]() { tick(); });
     }
 
-    /// Each entry tells the readers, each at a moment of its own, and a reader tells a third of the entries at a time.
+    /// Each entry tells the hubs of its failure domain, or all others, each at a moment of its own.
     auto report() -> void
     {
         for (std::size_t entry = 0; entry < routers_.size(); ++entry) {
             const auto phase = options_.reportInterval * static_cast<std::int64_t>(entry) / static_cast<std::int64_t>(routers_.size());
-            after(phase, [this, entry]() { tellReaders(entry); });
-        }
-        for (std::size_t reader = 0; reader < Readers; ++reader) {
-            after(options_.reportInterval * static_cast<std::int64_t>(reader) / static_cast<std::int64_t>(Readers), [this, reader]() { tellSum(reader); });
+            after(phase, [this, entry]() { tell(entry); });
         }
+        turn_ += 1;
         after(options_.reportInterval, [this]() { report(); });
     }
 
-    auto tellReaders(std::size_t entry) -> void
+    auto tellSoon(std::size_t entry) -> void
+    {
+        constexpr Duration Gathering = std::chrono::milliseconds(2);
+        auto &due = tellsAt_[entry];
+        if (due <= now_) {
+            due = std::max(now_ + Gathering, toldAt_[entry] + LeastReportInterval);
+            after(due - now_, [this, entry]() { tellReport(entry); });
+        }
+    }
+
+    auto tell(std::size_t entry) -> void
+    {
+        tellReport(entry);
+        const auto &hubs = chosenHubs_[entry];
+        const auto own = std::find(hubs.begin(), hubs.end(), entries_.at(entry));
+        if (own != hubs.end() && !isDead(entry)) {
+            tellSums(entry, knownTo(entry), own == hubs.begin());
+        }
+    }
+
+    auto tellReport(std::size_t entry) -> void
     {
+        if (isDead(entry)) {
+            return;
+        }
+        const auto known = knownTo(entry);
+        const auto &self = entries_.at(entry);
         const auto told = takeReport(*routers_.at(entry));
-        for (std::size_t reader = 0; reader < Readers; ++reader) {
-            if (reader != entry) {
-                after(OneWay, [this, reader, told]() { apply(reader, told); });
+        toldAt_[entry] = now_;
+        if (entries_.size() <= MostDirectEntries) {
+            sendTo(known, self, told);
+            return;
+        }
+        auto &hubs = chosenHubs_[entry];
+        hubs = fleet::chooseHubs(hubs_[entry], known, self, now_);
+        sendTo(hubs, self, told);
+    }
+
+    auto tellSums(std::size_t entry, const std::vector<fleet::EntryRecord> &known, bool isFirst) -> void
+    {
+        const auto &self = entries_.at(entry);
+        if (isFirst) {
+            sendTo(fleet::hubsOfOtherDomains(known, self, static_cast<std::size_t>(turn_)), self, takeSum(*routers_.at(entry), ReportScope::FailureDomain));
+        }
+        std::vector<fleet::EntryRecord> members;
+        std::int64_t number = 0;
+        for (const auto &each : known) {
+            if (each.failureDomain == self.failureDomain && (number++ + (isFirst ? 0 : 1)) % ReportsPerSum == turn_ % ReportsPerSum) {
+                members.push_back(each);
             }
         }
+        sendTo(members, self, takeSum(*routers_.at(entry), ReportScope::Fleet));
     }
 
-    auto tellSum(std::size_t reader) -> void
+    auto sendTo(const std::vector<fleet::EntryRecord> &receivers, const fleet::EntryRecord &self, PeerReported report) -> void
     {
-        const auto turn = turns_.at(reader)++ % Readers;
-        const auto sum = takeTotals(*routers_.at(reader));
-        after(OneWay, [this, sum, turn]() {
-            for (auto entry = turn; entry < routers_.size(); entry += Readers) {
-                if (entry >= Readers) {
-                    apply(entry, sum);
-                }
+        const auto told = std::make_shared<const PeerReported>(std::move(report));
+        for (const auto &receiver : receivers) {
+            const auto isLost = std::uniform_real_distribution<double>(0, 1)(datagrams_) < options_.reports.lostDatagrams;
+            if (receiver.name != self.name && !isLost) {
+                after(OneWay, [this, entry = std::stoul(receiver.peerAddress), told]() { hear(entry, *told); });
             }
-        });
+        }
+    }
+
+    auto hear(std::size_t entry, const PeerReported &told) -> void
+    {
+        const auto &self = entries_.at(entry);
+        const auto &hubs = chosenHubs_[entry];
+        if (told.scope == ReportScope::Fleet) {
+            fleet::noteSum(hubs_[entry], told.entry, now_);
+        }
+        const auto isHub = std::find(hubs.begin(), hubs.end(), self) != hubs.end();
+        const auto isForHubs = told.scope == ReportScope::FailureDomain || (told.scope == ReportScope::Entry && !isHub);
+        if (isForHubs && !told.isRelayed && !hubs.empty()) {
+            auto relayed = told;
+            relayed.isRelayed = true;
+            sendTo(hubs, self, relayed);
+        }
+        apply(entry, told);
     }
 
     ReplayOptions options_;
@@ -417,7 +530,14 @@
     std::uint64_t lastOwnPart_ = 1'000'000;
     std::vector<Ask> asks_;
     std::map<RequestId, std::size_t> asked_;
-    std::array<std::size_t, Readers> turns_{ 0, 1, 2 };
+    std::vector<fleet::EntryRecord> entries_;
+    std::map<std::size_t, fleet::Hubs> hubs_; ///< as each entry sees them
+    std::map<std::size_t, std::vector<fleet::EntryRecord>> chosenHubs_;
+    std::map<std::size_t, TimePoint> toldAt_;
+    std::map<std::size_t, TimePoint> tellsAt_; ///< the next report that is due because of a request
+    std::mt19937_64 datagrams_{ 7 };
+    std::int64_t turn_ = 0;
+    std::map<std::size_t, std::map<std::pair<std::size_t, AttemptId>, std::size_t>> inFlight_; ///< entry of each attempt, by engine
     ReplayResult result_;
 };
 
--- a/src/core/passthrough/tests/replay.h
+++ b/src/core/passthrough/tests/replay.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace auburnspread::passthrough::tests
 {
@@ -44,7 +45,19 @@
     }
 };
 
+/// What entries believed of the engines that they chose, against what ran there.
+struct Belief {
+    std::uint64_t believed = 0; ///< requests on the chosen engine, summed over all that were sent
+    std::uint64_t true_ = 0;
+
+    [[nodiscard]] auto part() const -> double
+    {
+        return true_ == 0 ? 1 : static_cast<double>(believed) / static_cast<double>(true_);
+    }
+};
+
 struct ReplayResult {
+    std::vector<Belief> beliefs; ///< of long prompts, for each half second from the start
     Served longPrompts;
     Served shortPrompts;
     std::uint64_t tokensRead = 0;
@@ -52,9 +65,19 @@
     std::uint64_t tokensFetched = 0;         ///< of parts that were copied from another engine
 };
 
+/// What befalls the exchange of reports.
+struct ReportTroubles {
+    std::size_t failureDomains = 1;
+    std::size_t lostHubs = 0;     ///< entries that die in the middle, the first in rank
+    bool listsDiffer = false;     ///< in the second half a third of the entries know only the other two thirds, and these know all
+    double lostDatagrams = 0.001; ///< part of all
+};
+
 struct ReplayOptions {
     LoadPattern load;
+    ReportTroubles reports;
     Duration reportInterval = ReportInterval;
+    Duration rest = std::chrono::seconds(6); ///< after the load, until the last answers have ended
 };
 
 auto replay(const ReplayOptions &options) -> ReplayResult;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -1,5 +1,7 @@
 #include "gateway/fleet.h"
 
+#include "core/passthrough/peerreports.h"
+
 #include "gateway/clock.h"
 
 #include <xxhash.h>
@@ -15,11 +17,10 @@
 namespace
 {
 
-/// With more entries than this the readers sum the reports up; a sum of 60 servers takes about 1.6 KB.
+/// With more entries than this the reports are summed up; a sum of 60 servers takes about 1.6 KB.
 constexpr std::size_t MostDirectPeers = 12;
-/// A reader sends its sum to each entry once in this many reports. With three readers each entry hears one about ten times a
-/// second, and a reader of 85 others sends half a megabyte a second.
-constexpr int ReportsPerTotals = 3;
+/// A hub sends its sum to each entry once in this many reports, so that with two hubs each entry hears one with every report.
+constexpr int ReportsPerSum = 2;
 
 /// Whether this entry reads the store is looked at again this often, and whenever the entries change.
 constexpr Duration RoleInterval = std::chrono::milliseconds(250);
@@ -34,10 +35,24 @@
 constexpr Duration ListInterval = std::chrono::milliseconds(500);
 /// A leaving entry says so more than once, as datagrams get lost.
 constexpr int LeavingHeartbeats = 3;
+/// What is sent in the same moment is told in one report.
+constexpr Duration Gathering = std::chrono::milliseconds(2);
 /// Until the fleet is known, an entry keeps to its share of the repeats as in a fleet of hundreds: with its small first list it would
 /// take the whole of what all entries may send.
 constexpr std::uint32_t AssumedEntries = 300;
 
+/// Peer addresses without that of \p self.
+auto addressesOf(const std::vector<fleet::EntryRecord> &entries, const fleet::EntryRecord &self) -> std::vector<std::string>
+{
+    std::vector<std::string> addresses;
+    for (const auto &entry : entries) {
+        if (entry.name != self.name) {
+            addresses.push_back(entry.peerAddress);
+        }
+    }
+    return addresses;
+}
+
 auto recordOf(const GatewaySettings &settings) -> fleet::EntryRecord
 {
     return {
@@ -89,7 +104,10 @@
     updateRole();
     roleTimer_ = loop_.every(RoleInterval, [this]() { updateRole(); });
     heartbeats_ = loop_.every(fleet::HeartbeatInterval, [this]() { sendHeartbeat(); });
-    reporter_ = loop_.every(passthrough::ReportInterval, [this]() { sendReport(); });
+    reporter_ = loop_.every(passthrough::ReportInterval, [this]() {
+        sendReport();
+        sendSums();
+    });
 }
 
 auto Fleet::announce() -> void
@@ -110,6 +128,14 @@
     directory_.withdraw();
 }
 
+auto Fleet::noteSent() -> void
+{
+    if (!std::exchange(reportsSoon_, true)) {
+        const auto due = reportedAt_ + passthrough::LeastReportInterval - now();
+        soonReporter_ = loop_.after(std::max(due, Gathering), [this]() { sendReport(); });
+    }
+}
+
 auto Fleet::tellCrashes(const passthrough::CrashesHeard &crashes) -> void
 {
     peers_.send(crashes);
@@ -276,10 +302,7 @@
     }
     accounting_.entriesChanged(known_.entries.size());
     role_.entries = known_.entries;
-    std::vector<std::string> addresses;
-    for (const auto &entry : others()) {
-        addresses.push_back(entry.peerAddress);
-    }
+    auto addresses = addressesOf(known_.entries, role_.options.self);
     callbacks_.onEvent(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(addresses.size() + 1) });
     peers_.setPeers(std::move(addresses));
     updateRole();
@@ -413,6 +436,10 @@
 auto Fleet::takePeerMessage(const PeerMessage &message) -> void
 {
     if (const auto *report = std::get_if<passthrough::PeerReported>(&message)) {
+        if (report->scope == passthrough::ReportScope::Fleet) {
+            fleet::noteSum(hubs_, report->entry, now());
+        }
+        relayReport(*report);
         callbacks_.onEvent(*report);
     } else if (const auto *heartbeat = std::get_if<fleet::Heartbeat>(&message)) {
         takeHeartbeat(*heartbeat);
@@ -421,23 +448,70 @@
     }
 }
 
-/// In a small fleet each entry tells each other. In a large one the entries tell the readers, which tell all the sum:
-/// datagrams grow with the number of entries, not with its square.
+/// In a small fleet each entry tells each other; in a large one, see hubs.h.
 auto Fleet::sendReport() -> void
 {
-    const auto isLarge = peers_.peers() > MostDirectPeers;
+    reportsSoon_ = false;
+    soonReporter_ = {};
+    reportedAt_ = now();
     const auto report = passthrough::takeReport(router_);
     const auto hasUse = !report.uses.empty();
     const auto isNews = std::exchange(reportedUse_, hasUse) || hasUse;
-    if (isNews && isLarge) {
-        peers_.sendTo(assignment_.heartbeatsTo, report);
+    if (peers_.peers() > MostDirectPeers) {
+        reportToHubs(report, isNews);
     } else if (isNews) {
         peers_.send(report);
     }
-    if (isLarge && assignment_.reads) {
-        reportTurn_ = (reportTurn_ + 1) % ReportsPerTotals;
-        peers_.sendToPart(reportTurn_, ReportsPerTotals, passthrough::takeTotals(router_));
+}
+
+auto Fleet::reportToHubs(const passthrough::PeerReported &report, bool isNews) -> void
+{
+    const auto &self = role_.options.self;
+    const auto hubs = fleet::chooseHubs(hubs_, known_.entries, self, now());
+    hubAddresses_ = addressesOf(hubs, self);
+    const auto own = std::find_if(hubs.begin(), hubs.end(), [&self](const fleet::EntryRecord &hub) { return hub.name == self.name; });
+    isHub_ = own != hubs.end();
+    isFirstHub_ = own == hubs.begin();
+    if (isNews) {
+        peers_.sendTo(hubAddresses_, report);
+    }
+}
+
+/// What others of the failure domain need is passed on to them.
+///
+/// Failure: an entry knows only a part of the fleet, and takes another one for a hub. Symptom: its requests are in no sum. Whoever is
+/// taken for a hub tells those that are. A sum of another domain comes to one of the hubs, in turn, and is passed on to the other.
+auto Fleet::relayReport(const passthrough::PeerReported &report) -> void
+{
+    const auto isForHubs = report.scope == passthrough::ReportScope::FailureDomain || (report.scope == passthrough::ReportScope::Entry && !isHub_);
+    if (isForHubs && !report.isRelayed && peers_.peers() > MostDirectPeers) {
+        auto relayed = report;
+        relayed.isRelayed = true;
+        peers_.sendTo(hubAddresses_, relayed);
+    }
+}
+
+/// The first of the hubs speaks for the failure domain; the other takes its place when it is silent.
+auto Fleet::sendSums() -> void
+{
+    if (!isHub_ || peers_.peers() <= MostDirectPeers) {
+        return;
+    }
+    const auto &self = role_.options.self;
+    reportTurn_ = (reportTurn_ + 1) % ReportsPerSum;
+    if (isFirstHub_) {
+        const auto others = fleet::hubsOfOtherDomains(known_.entries, self, static_cast<std::size_t>(reportTurn_));
+        peers_.sendTo(addressesOf(others, self), passthrough::takeSum(router_, passthrough::ReportScope::FailureDomain));
+    }
+    std::vector<std::string> addresses;
+    auto number = 0;
+    for (const auto &entry : known_.entries) {
+        const auto isMember = entry.failureDomain == self.failureDomain && entry.name != self.name;
+        if (isMember && number++ % ReportsPerSum == reportTurn_) {
+            addresses.push_back(entry.peerAddress);
+        }
     }
+    peers_.sendTo(addresses, passthrough::takeSum(router_, passthrough::ReportScope::Fleet));
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/base/time.h"
+#include "core/fleet/hubs.h"
 #include "core/fleet/membership.h"
 #include "core/fleet/role.h"
 #include "core/passthrough/configuration.h"
@@ -20,6 +21,7 @@
 #include "gateway/settings/gatewaysettings.h"
 #include "runtime/task/eventloop.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -49,6 +51,8 @@
     /// Out of the addresses, and of the entries that read the store, for good.
     auto leave() -> void;
 
+    /// A request was sent to a backend server: the others are told soon.
+    auto noteSent() -> void;
     auto tellCrashes(const passthrough::CrashesHeard &crashes) -> void;
 
     [[nodiscard]] auto knowsServers() const -> bool;
@@ -82,6 +86,9 @@
     auto readCaches() -> void;
     auto takeCacheList(const passthrough::CacheListed &listed) -> void;
     auto sendReport() -> void;
+    auto reportToHubs(const passthrough::PeerReported &report, bool isNews) -> void;
+    auto relayReport(const passthrough::PeerReported &report) -> void;
+    auto sendSums() -> void;
 
     task::EventLoop &loop_;
     std::string name_;
@@ -108,8 +115,15 @@
     TimePoint readOnceAt_;
     Duration readOncePause_{};
     bool reportedUse_ = false; ///< the last report was not empty
-    int reportTurn_ = 0;       ///< which part of the entries gets the sum next
+    fleet::Hubs hubs_;
+    std::vector<std::string> hubAddresses_; ///< of those other than this entry
+    bool isHub_ = false;
+    bool isFirstHub_ = false; ///< in rank
+    int reportTurn_ = 0;      ///< which part of the entries gets the sum next
+    TimePoint reportedAt_;
+    bool reportsSoon_ = false;
     task::Watch reporter_;
+    task::Watch soonReporter_;
     task::Watch heartbeats_;
     task::Watch roleTimer_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -220,6 +220,7 @@
     attempts[order.attempt] = { .request = order.request, .server = order.server, .sentAt = now() };
     accounting.sent(labelsOf(request), order);
     upstream.send(order, request.payload, request.callerId);
+    fleet.noteSent();
 }
 
 auto Gateway::Impl::run(const passthrough::Cancel &order) -> void
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -54,7 +55,14 @@
     for (const auto &use : report.uses) {
         uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.waitingTokens, use.shortPrompts, partsToJson(use.sent) });
     }
-    return { { "entry", report.entry }, { "total", report.isTotal }, { "rest", report.isRest }, { "uses", std::move(uses) } };
+    auto arrivals = json::array();
+    for (const auto &each : report.arrivals) {
+        arrivals.push_back({ each.service, static_cast<float>(each.perSecond) });
+    }
+    return { { "entry", report.entry },          { "arrivals", std::move(arrivals) },
+             { "domain", report.failureDomain }, { "scope", static_cast<int>(report.scope) },
+             { "entries", report.entries },      { "relayed", report.isRelayed },
+             { "rest", report.isRest },          { "uses", std::move(uses) } };
 }
 
 auto toJson(const passthrough::CrashesHeard &heard) -> json
@@ -62,6 +70,12 @@
     return { { "fingerprint", static_cast<std::uint64_t>(heard.fingerprint) }, { "crashes", heard.crashes } };
 }
 
+auto toScope(const json &number) -> passthrough::ReportScope
+{
+    constexpr auto Last = static_cast<int>(passthrough::ReportScope::Fleet);
+    return static_cast<passthrough::ReportScope>(std::clamp(number.get<int>(), 0, Last));
+}
+
 auto toJson(const fleet::Heartbeat &heartbeat) -> json
 {
     const auto &entry = heartbeat.entry;
@@ -98,8 +112,14 @@
         };
     }
     passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(),
-                                      .isTotal = document.at("total").get<bool>(),
+                                      .failureDomain = document.at("domain").get<std::string>(),
+                                      .scope = toScope(document.at("scope")),
+                                      .entries = document.at("entries").get<std::uint32_t>(),
+                                      .isRelayed = document.at("relayed").get<bool>(),
                                       .isRest = document.at("rest").get<bool>() };
+    for (const auto &each : document.at("arrivals")) {
+        report.arrivals.push_back({ .service = each.at(0).get<std::string>(), .perSecond = each.at(1).get<double>() });
+    }
     for (const auto &use : document.at("uses")) {
         report.uses.push_back({
             .server = use.at(0).get<std::string>(),
@@ -133,7 +153,12 @@
                 continue;
             }
             if (parts % MostParts == 1) {
-                rests.push_back({ .entry = first.entry, .isTotal = first.isTotal, .isRest = true });
+                rests.push_back({ .entry = first.entry,
+                                  .failureDomain = first.failureDomain,
+                                  .scope = first.scope,
+                                  .entries = first.entries,
+                                  .isRelayed = first.isRelayed,
+                                  .isRest = true });
             }
             auto &uses = rests.back().uses;
             if (uses.empty() || uses.back().server != use.server) {
