--- a/src/core/fleet/role.cpp
+++ b/src/core/fleet/role.cpp
@@ -135,6 +135,7 @@
     for (const auto &reader : chooseReaders(keepFit(candidates, role, now))) {
         if (reader.peerAddress == self) {
             assignment.reads = true;
+            assignment.isFirst = assignment.ask.empty();
         } else {
             assignment.ask.push_back(reader.peerAddress);
         }
--- a/src/core/fleet/role.h
+++ b/src/core/fleet/role.h
@@ -47,6 +47,7 @@
 
 struct Assignment {
     bool reads = false;                    ///< this entry reads the store for others
+    bool isFirst = false;                  ///< and is the first in rank to do so
     std::vector<std::string> ask;          ///< peer addresses to ask, if it does not
     std::vector<std::string> heartbeatsTo; ///< peer addresses of those that list the entries, also of unfit ones
 };
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -105,6 +105,7 @@
 /// Entries that are alive, this one included.
 struct EntriesCounted {
     std::uint32_t entries = 1;
+    bool isGuess = false; ///< nobody has told yet
 };
 
 /// Between two reports of an entry to the others: a burst fills an engine within some hundred milliseconds. With 100 ms, 3 in 100
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -116,7 +116,7 @@
         return Reason::DeadlinePassed;
     }
     const auto arrives = request.sends > 0;
-    if (arrives && !takeRepeat(state.pools[request.service].budget, state.options.retries, state.entries, state.now)) {
+    if (arrives && !takeRepeat(state.pools[request.service].budget, state.options.retries, state.repeatShares, state.now)) {
         return Reason::RetryBudget;
     }
     return std::nullopt;
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -108,6 +108,7 @@
     std::optional<TimePoint> outdatedSince; ///< see ConfigurationOutdated
     ServerTable servers;
     std::uint32_t entries = 1;
+    std::uint32_t repeatShares = 1; ///< entries among which the repeats that are allowed are divided
     bool closing = false;
 
     std::unordered_map<RequestId, Request> requests;
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -18,6 +18,10 @@
 namespace
 {
 
+/// Until the fleet is known, an entry keeps to its share of the repeats as in a fleet of hundreds: alone as it seems to be, it would take
+/// the whole of what all entries may send.
+constexpr std::uint32_t AssumedEntries = 300;
+
 /// An older version that arrives late, from a read that was overtaken or another entry, changes nothing.
 auto adoptConfiguration(RouterState &state, const Configuration &configuration) -> void
 {
@@ -96,6 +100,7 @@
     auto operator()(const EntriesCounted &event) const -> void
     {
         state.entries = std::max<std::uint32_t>(event.entries, 1);
+        state.repeatShares = event.isGuess ? AssumedEntries : state.entries;
     }
     auto operator()(const PeerReported &event) const -> void
     {
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -16,6 +16,8 @@
 
 /// Where the entries register; the product's own part of the store.
 constexpr std::string_view EntriesPrefix = "auburnspread/entries/";
+/// All entries as they were listed last.
+constexpr std::string_view RememberedKey = "auburnspread/fleet";
 
 /// Pause after a call that failed, doubled after each further one. A store that is weak must not be asked by many at once, and one that
 /// is back is to be noticed within a second.
@@ -29,6 +31,8 @@
 constexpr Duration EntriesPause = std::chrono::milliseconds(200);
 /// A lease is renewed this often within its time, so that two lost calls do not end it.
 constexpr int RenewalsPerLease = 3;
+/// A renewal that failed is tried again after this part of the lease's time.
+constexpr int RetriesPerLease = 10;
 /// What an outdated read tells is no older than this.
 constexpr Duration OldestOutdated = std::chrono::seconds(10);
 /// Without a list for this long, servers may have lost their registration while they live.
@@ -123,22 +127,54 @@
 
 auto Directory::readOutdated() -> void
 {
-    call("read-outdated-configuration",
-         adapter::makeOutdatedRange(options_.store, adapter::configurationKey(), ""),
-         [this](StoreOutcome outcome, const http::Result &result) {
-             const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
-             if (!items) {
-                 return; // other entries have it, and are asked beside
-             }
-             for (const auto &item : items->items) {
-                 if (item.key == adapter::configurationKey()) {
-                     callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
-                 }
-             }
-         });
+    readOutdatedEntries();
+    readOutdatedConfiguration();
     readOutdatedServers("", std::make_shared<ServersRead>());
 }
 
+auto Directory::confirmOnce() -> void
+{
+    if (!configuration_.isUnderWay) {
+        checkConfiguration();
+    }
+}
+
+/// A write that fails is not repeated: the next change is written as well.
+auto Directory::rememberEntries(const std::string &list) -> void
+{
+    constexpr std::uint64_t NoLease = 0;
+    call("remember-entries", adapter::makePut(options_.store, RememberedKey, list, NoLease), [](StoreOutcome, const http::Result &) {});
+}
+
+auto Directory::readOutdatedConfiguration() -> void
+{
+    const auto request = adapter::makeOutdatedRange(options_.store, adapter::configurationKey(), "");
+    call("read-outdated-configuration", request, [this](StoreOutcome outcome, const http::Result &result) {
+        const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
+        if (!items) {
+            return; // other entries have it, and are asked beside
+        }
+        for (const auto &item : items->items) {
+            if (item.key == adapter::configurationKey()) {
+                callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
+            }
+        }
+    });
+}
+
+auto Directory::readOutdatedEntries() -> void
+{
+    const auto request = adapter::makeOutdatedRange(options_.store, RememberedKey, "");
+    call("read-outdated-entries", request, [this](StoreOutcome outcome, const http::Result &result) {
+        const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
+        for (const auto &item : items ? items->items : std::vector<adapter::StoreItem>()) {
+            if (item.key == RememberedKey) {
+                callbacks_.onRemembered(item.value);
+            }
+        }
+    });
+}
+
 auto Directory::readOutdatedServers(const std::string &after, const std::shared_ptr<ServersRead> &read) -> void
 {
     const auto request = adapter::makeOutdatedRange(options_.store, adapter::serversPrefix(), after);
@@ -532,7 +568,7 @@
             takeLease();
             return;
         }
-        const auto pause = outcome == StoreOutcome::Done ? leaseTime_ / RenewalsPerLease : FailurePause;
+        const auto pause = outcome == StoreOutcome::Done ? leaseTime_ / RenewalsPerLease : std::max(FailurePause, leaseTime_ / RetriesPerLease);
         leaseTimer_ = loop_.after(pause, [this]() { renewLease(); });
     });
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -26,10 +26,10 @@
 struct DirectoryOptions {
     std::string store; ///< address
     adapter::EntryRecord self;
-    Duration leaseTime = std::chrono::seconds(10);          ///< an entry that lost power is asked by those that start for as long
-    Duration serversPause = std::chrono::milliseconds(400); ///< between two watches of the backend servers
-    Duration serversWait = std::chrono::milliseconds(400);  ///< of such a watch; a change ends it
-    Duration configurationWait = std::chrono::seconds(1);   ///< of one watch; its return confirms the configuration
+    Duration leaseTime = std::chrono::seconds(10);               ///< an entry that lost power is asked by those that start for as long
+    Duration serversPause = std::chrono::milliseconds(400);      ///< between two watches of the backend servers
+    Duration serversWait = std::chrono::milliseconds(400);       ///< of such a watch; a change ends it
+    Duration configurationWait = std::chrono::milliseconds(500); ///< of one watch; its return confirms the configuration as of its beginning
 };
 
 class Directory
@@ -41,8 +41,13 @@
     auto setReading(bool reading) -> void;
     /// One read of everything, for an entry that has nobody to ask.
     auto readOnce() -> void;
-    /// One read of the configuration and the servers as they may have been some seconds ago, at a tenth of the price. Confirms nothing.
+    /// One read of the configuration, the servers and the entries as they may have been some seconds ago, at a tenth of the price.
+    /// Confirms nothing.
     auto readOutdated() -> void;
+    /// One question whether the known configuration is the newest.
+    auto confirmOnce() -> void;
+    /// Keeps the list of entries for those that start when nobody can tell it.
+    auto rememberEntries(const std::string &list) -> void;
     /// One read of who is registered.
     auto readRegistrations() -> void;
     /// \name What came by another way
@@ -109,6 +114,8 @@
     auto takeServers() -> void;
     auto tellInvalidServer(const adapter::StoreItem &item, std::string_view detail) -> void;
 
+    auto readOutdatedConfiguration() -> void;
+    auto readOutdatedEntries() -> void;
     auto readOutdatedServers(const std::string &after, const std::shared_ptr<ServersRead> &read) -> void;
 
     auto readEntries() -> void;
@@ -126,7 +133,7 @@
     std::uint64_t calls_ = 0;
     std::optional<bool> reachable_; ///< as last told
     bool reading_ = false;
-    bool readsRest_ = false; ///< the servers and entries are to be read once the store has answered for the configuration
+    bool readsRest_ = false;  ///< the servers and entries are to be read once the store has answered for the configuration
     std::uint64_t round_ = 0; ///< ends when this entry no longer reads for others; answers to calls of an earlier one are dropped
     Topic configuration_;
     Topic serversTopic_;
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -29,7 +29,9 @@
 constexpr Duration OldConfirmation = std::chrono::milliseconds(1600);
 
 /// An entry that knows nothing yet asks sooner: the first answers decide how soon it can serve.
-constexpr Duration StartInterval = std::chrono::milliseconds(60);
+constexpr Duration StartInterval = std::chrono::milliseconds(30);
+/// Entries that start together are there within some tens of milliseconds, but not all at once.
+constexpr Duration StartSilenceTimeout = std::chrono::milliseconds(100);
 
 constexpr int OkStatus = 200;
 
@@ -85,48 +87,68 @@
         return;
     }
     current_ = spread_ % readers_.size();
+    dropQuestion();
     if (!isUnderWay_ && !isScheduled_) {
         ask();
     }
 }
 
+/// A question to one that is not to be asked any more may be waiting for a VM that is gone.
+auto DirectoryFollower::dropQuestion() -> void
+{
+    if (isUnderWay_ && std::find(readers_.begin(), readers_.end(), asked_) == readers_.end()) {
+        client_.cancel(question_);
+        isUnderWay_ = false;
+    }
+}
+
+auto DirectoryFollower::knowsNothing() const -> bool
+{
+    return confirmedAt_ == TimePoint();
+}
+
 auto DirectoryFollower::ask() -> void
 {
     isScheduled_ = false;
     isUnderWay_ = true;
-    const auto &reader = readers_.at(current_);
-    client_.fetch(makeQuestion(reader, known_), [this, reader, askedAt = now()](const http::Result &result) { takeResult(reader, askedAt, result); });
+    asked_ = readers_.at(current_);
+    auto question = makeQuestion(asked_, known_);
+    if (knowsNothing()) {
+        question.silenceTimeout = StartSilenceTimeout;
+    }
+    question_ = client_.fetch(question, [this, askedAt = now()](const http::Result &result) { takeResult(askedAt, result); });
 }
 
 /// The pause is the same after a good answer and a bad one: where all are bad, the search for a better one must not become a flood.
-auto DirectoryFollower::takeResult(const std::string &reader, TimePoint askedAt, const http::Result &result) -> void
+auto DirectoryFollower::takeResult(TimePoint askedAt, const http::Result &result) -> void
 {
     isUnderWay_ = false;
-    const auto isFit = take(reader, askedAt, result);
+    const auto reader = asked_;
+    const auto fitness = take(reader, askedAt, result);
     const auto isCurrent = !readers_.empty() && readers_.at(current_) == reader;
-    if (!isFit && isCurrent) {
+    if (fitness != Fitness::Fit && isCurrent) {
         current_ = (current_ + 1) % readers_.size();
     }
     if (!readers_.empty()) {
-        const auto knowsNothing = known_.configuration == 0;
         isScheduled_ = true;
-        timer_ = loop_.after(knowsNothing ? StartInterval : AskInterval, [this]() { ask(); });
+        timer_ = loop_.after(knowsNothing() ? StartInterval : AskInterval, [this]() { ask(); });
     }
     // the answer may change whom to ask
-    callbacks_.onAsked(reader, isFit);
+    if (fitness != Fitness::Starting) {
+        callbacks_.onAsked(reader, fitness == Fitness::Fit);
+    }
 }
 
-/// \return whether this reader is a good one
-auto DirectoryFollower::take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> bool
+auto DirectoryFollower::take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> Fitness
 {
     if (const auto *error = std::get_if<http::Error>(&result)) {
         noteReachable(reader, false, error->text);
-        return false;
+        return Fitness::Unfit;
     }
     const auto &response = std::get<http::Response>(result);
     if (response.status != OkStatus) {
         noteReachable(reader, false, "status " + std::to_string(response.status));
-        return false;
+        return Fitness::Unfit;
     }
     try {
         const auto answer = decodeAnswer(response.body);
@@ -135,13 +157,13 @@
         return apply(answer, askedAt);
     } catch (const std::runtime_error &error) {
         callbacks_.onInvalid("directory", error.what());
-        return false;
+        return Fitness::Unfit;
     }
 }
 
 /// The reader's age counts from the moment of asking: a reader that was suspended on the way can only make the configuration
 /// look older than it is. It confirms the reader's configuration, so it says nothing while that one is still to be fetched.
-auto DirectoryFollower::apply(const DirectoryAnswer &answer, TimePoint askedAt) -> bool
+auto DirectoryFollower::apply(const DirectoryAnswer &answer, TimePoint askedAt) -> Fitness
 {
     if (answer.configuration && answer.configuration->revision > known_.configuration) {
         callbacks_.onOffered(answer.configuration->revision);
@@ -162,8 +184,10 @@
         callbacks_.onServersConfirmed(answer.serversRevision, askedAt - *answer.serversAge);
     }
     applyEntries(answer, askedAt);
-    const auto isRecent = [](const std::optional<Duration> &age) { return age && *age < OldConfirmation; };
-    return isRecent(answer.confirmedAge) && isRecent(answer.serversAge);
+    if (!answer.confirmedAge || !answer.serversAge) {
+        return Fitness::Starting;
+    }
+    return std::max(*answer.confirmedAge, *answer.serversAge) < OldConfirmation ? Fitness::Fit : Fitness::Unfit;
 }
 
 /// Failure: the asked entry was cut off from the others and hears only some of them. Symptom: whoever asks it takes the rest for dead.
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -34,9 +34,17 @@
 
 private:
     auto ask() -> void;
-    auto takeResult(const std::string &reader, TimePoint askedAt, const http::Result &result) -> void;
-    auto take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> bool;
-    auto apply(const DirectoryAnswer &answer, TimePoint askedAt) -> bool;
+    auto dropQuestion() -> void;
+    [[nodiscard]] auto knowsNothing() const -> bool;
+    auto takeResult(TimePoint askedAt, const http::Result &result) -> void;
+    /// What an answer shows of the entry that was asked.
+    enum class Fitness {
+        Fit,
+        Starting, ///< it knows nothing yet
+        Unfit,    ///< it is silent, or has had nothing fresh from the store
+    };
+    auto take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> Fitness;
+    auto apply(const DirectoryAnswer &answer, TimePoint askedAt) -> Fitness;
     auto applyEntries(const DirectoryAnswer &answer, TimePoint askedAt) -> void;
     auto noteReachable(const std::string &reader, bool reachable, const std::string &detail) -> void;
 
@@ -48,6 +56,8 @@
     DocumentFetcher documents_;
     std::vector<std::string> readers_;
     std::size_t current_ = 0;
+    std::string asked_; ///< the reader to which a question is under way
+    http::Handle question_{};
     bool isUnderWay_ = false;
     bool isScheduled_ = false; ///< the next question
     TimePoint confirmedAt_;
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -270,6 +270,22 @@
     }
 }
 
+auto encodeList(const PackedList &list) -> std::string
+{
+    std::string bytes;
+    json::to_cbor(toJson(list), bytes);
+    return bytes;
+}
+
+auto decodeList(std::string_view bytes) -> PackedList
+{
+    try {
+        return toPackedList(json::from_cbor(bytes));
+    } catch (const json::exception &error) {
+        throw std::runtime_error(std::string("list of entries: ") + error.what());
+    }
+}
+
 auto unpackServers(const PackedList &list) -> std::vector<passthrough::Server>
 {
     return unpackList<passthrough::Server>(list, toServer);
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -39,6 +39,7 @@
     std::function<void(TimePoint asOf)> onEntriesConfirmed;                                      ///< the last ones told were heard again
     std::function<void(const std::vector<fleet::EntryRecord> &registered)> onRegistrations;      ///< in the store
     std::function<void()> onRegistrationsFailed;
+    std::function<void(const std::string &list)> onRemembered;        ///< the entries as they were listed last, from the store
     std::function<void(const std::string &peer, bool isFit)> onAsked; ///< an entry answered with fresh knowledge of the store, or did not
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< lost or regained
     std::function<void(std::string_view peer, const std::string &detail)> onPartFailed; ///< of a configuration, from another entry
@@ -116,6 +117,12 @@
 auto encodeAnswer(const DirectoryAnswer &answer) -> std::string;
 /// Throws std::runtime_error for bytes that are no answer.
 auto decodeAnswer(std::string_view bytes) -> DirectoryAnswer;
+/// \name A list as it is kept in the store; reading throws as above
+/// @{
+auto encodeList(const PackedList &list) -> std::string;
+auto decodeList(std::string_view bytes) -> PackedList;
+/// @}
+
 /// \name The lists of an answer; throws as above
 /// @{
 auto unpackServers(const PackedList &list) -> std::vector<passthrough::Server>;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <stdexcept>
 #include <utility>
 #include <variant>
 
@@ -24,12 +25,20 @@
 
 /// Whether this entry reads the store is looked at again this often, and whenever the entries change.
 constexpr Duration RoleInterval = std::chrono::milliseconds(250);
+/// An entry that starts and gets its configuration confirmed by no other one asks the store, each at a moment of its own.
+constexpr Duration StartPatience = std::chrono::milliseconds(300);
+constexpr Duration StartConfirmationSpread = std::chrono::milliseconds(300);
+/// Between two writes of the list of entries.
+constexpr Duration RememberInterval = std::chrono::seconds(3);
+/// The remembered list is not told as fresh.
+constexpr Duration RememberedAge = std::chrono::seconds(10);
 /// An entry to which nobody answers for this long reads the store itself, so that it depends on no other entry; then again after
 /// a pause that doubles. An answer is due three times a second.
 constexpr Duration FollowPatience = std::chrono::milliseconds(2200);
 constexpr Duration LeastReadOncePause = std::chrono::milliseconds(800);
 constexpr Duration MostReadOncePause = std::chrono::milliseconds(3200);
-/// An entry that reads the store for others and gets no answer for this long lets the next one try; a watch takes a second.
+/// An entry that reads the store for others and whose last confirmation is older lets the next one try. In the normal course it is up
+/// to two watches old.
 constexpr Duration ReadPatience = std::chrono::milliseconds(1500);
 /// Between two lists of the entries that are alive: where many start at once, one list tells of several.
 constexpr Duration ListInterval = std::chrono::milliseconds(500);
@@ -37,10 +46,6 @@
 constexpr int LeavingHeartbeats = 3;
 /// What is sent in the same moment is told in one report.
 constexpr Duration Gathering = std::chrono::milliseconds(2);
-/// Until the fleet is known, an entry keeps to its share of the repeats as in a fleet of hundreds: with its small first list it would
-/// take the whole of what all entries may send.
-constexpr std::uint32_t AssumedEntries = 300;
-
 /// Peer addresses without that of \p self.
 auto addressesOf(const std::vector<fleet::EntryRecord> &entries, const fleet::EntryRecord &self) -> std::vector<std::string>
 {
@@ -99,8 +104,14 @@
 
 auto Fleet::start() -> void
 {
-    callbacks_.onEvent(passthrough::EntriesCounted{ .entries = AssumedEntries });
+    callbacks_.onEvent(passthrough::EntriesCounted{ .isGuess = true });
     directory_.readOutdated();
+    const auto spread = XXH64(name_.data(), name_.size(), 0) % static_cast<std::uint64_t>(StartConfirmationSpread.count());
+    startConfirmation_ = loop_.after(StartPatience + Duration(static_cast<Duration::rep>(spread)), [this]() {
+        if (!known_.confirmedAt) {
+            directory_.confirmOnce();
+        }
+    });
     updateRole();
     roleTimer_ = loop_.every(RoleInterval, [this]() { updateRole(); });
     heartbeats_ = loop_.every(fleet::HeartbeatInterval, [this]() { sendHeartbeat(); });
@@ -184,6 +195,7 @@
         .onEntriesConfirmed = [this](TimePoint asOf) { gateway::takeEntriesConfirmed(known_, asOf); },
         .onRegistrations = [this](const std::vector<fleet::EntryRecord> &registered) { takeRegistrations(registered); },
         .onRegistrationsFailed = [this]() { takeRegistrations(role_.registered); },
+        .onRemembered = [this](const std::string &list) { takeRemembered(list); },
         .onAsked = [this](const std::string &peer, bool isFit) { takeAsked(peer, isFit); },
         .onReachable =
             [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
@@ -315,6 +327,20 @@
     updateRole();
 }
 
+/// Failure: all entries restart together. Symptom: for a second nobody knows the others, each sends its requests as if it were alone, and
+/// callers get one address. The list from before the fault holds nearly all of them.
+auto Fleet::takeRemembered(const std::string &list) -> void
+{
+    if (!known_.entries.empty()) {
+        return;
+    }
+    try {
+        takeEntries(unpackEntries(decodeList(list)), now() - RememberedAge);
+    } catch (const std::runtime_error &error) {
+        accounting_.inputInvalid("remembered entries", error.what());
+    }
+}
+
 auto Fleet::takeAsked(const std::string &peer, bool isFit) -> void
 {
     isFit ? fleet::noteFit(role_, peer, now()) : fleet::noteUnfit(role_, peer, now());
@@ -393,7 +419,19 @@
     if (serves_) {
         alive->push_back(role_.options.self);
     }
+    // entries that hear the same list the same
+    std::sort(alive->begin(), alive->end(), [](const fleet::EntryRecord &a, const fleet::EntryRecord &b) { return a.name < b.name; });
     takeEntries(*alive, now);
+    rememberEntries(now);
+}
+
+auto Fleet::rememberEntries(TimePoint now) -> void
+{
+    if (assignment_.isFirst && rememberedTag_ != known_.tags.entries && now - rememberedAt_ >= RememberInterval) {
+        rememberedTag_ = known_.tags.entries;
+        rememberedAt_ = now;
+        directory_.rememberEntries(encodeList(known_.packedEntries));
+    }
 }
 
 auto Fleet::sendHeartbeat() -> void
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -73,6 +73,7 @@
     auto logServerChanges(const ServersRead &read) -> void;
     auto takeEntries(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> void;
     auto takeRegistrations(const std::vector<fleet::EntryRecord> &registered) -> void;
+    auto takeRemembered(const std::string &list) -> void;
     auto takeAsked(const std::string &peer, bool isFit) -> void;
     auto takePeerMessage(const PeerMessage &message) -> void;
     auto takeHeartbeat(const fleet::Heartbeat &heartbeat) -> void;
@@ -81,6 +82,7 @@
     auto updateRole() -> void;
     auto checkOwnReading(TimePoint now) -> void;
     auto checkAlone(TimePoint now) -> void;
+    auto rememberEntries(TimePoint now) -> void;
     auto listEntries(TimePoint now) -> void;
     auto sendHeartbeat() -> void;
     auto readCaches() -> void;
@@ -113,6 +115,8 @@
     TimePoint listedAt_;     ///< the entries, by this entry
     TimePoint readingSince_; ///< the store, for others
     TimePoint readOnceAt_;
+    TimePoint rememberedAt_;
+    std::uint64_t rememberedTag_ = 0;
     Duration readOncePause_{};
     bool reportedUse_ = false; ///< the last report was not empty
     fleet::Hubs hubs_;
@@ -126,6 +130,7 @@
     task::Watch soonReporter_;
     task::Watch heartbeats_;
     task::Watch roleTimer_;
+    task::Watch startConfirmation_;
 };
 
 } // namespace auburnspread::gateway
--- a/src/gateway/tests/largedocument_tests.cpp
+++ b/src/gateway/tests/largedocument_tests.cpp
@@ -97,6 +97,7 @@
                             .onServers = [](const ServersRead &) {},
                             .onRegistrations = [](auto &&...) {},
                             .onRegistrationsFailed = []() {},
+                            .onRemembered = [](auto &&...) {},
                             .onReachable = [](auto &&...) {},
                         });
     directory.setReading(true);
@@ -124,6 +125,7 @@
                             .onServers = [](const ServersRead &) {},
                             .onRegistrations = [](auto &&...) {},
                             .onRegistrationsFailed = []() {},
+                            .onRemembered = [](auto &&...) {},
                             .onReachable = [](auto &&...) {},
                         });
     constexpr int Reads = 4;
--- a/src/gateway/tests/repeatedread_tests.cpp
+++ b/src/gateway/tests/repeatedread_tests.cpp
@@ -54,6 +54,7 @@
                              .onServers = [this](const ServersRead &read) { lists.push_back(read); },
                              .onRegistrations = [](auto &&...) {},
                              .onRegistrationsFailed = []() {},
+                             .onRemembered = [](auto &&...) {},
                              .onReachable = [](auto &&...) {},
                          } };
 };
