An entry that leaves tells all others, and no list from before brings it back

These left or restarted too; the next lister began with its own older list, and one that restarted with the remembered list, so callers were sent to the leaving entry up to 5 s after its SIGTERM and cut when it ended. Ruled out: late datagrams (none was lost), the time that callers keep an answer (within its bound).

Change: leaving is told to all known entries; each drops the leaving start of an entry (name and incarnation, which records now carry) from any list that it is told; a remembered list is no beginning for a lister, which asks the others first, and is named to callers only if nobody knew better within 150 ms.

Tests: MembershipTests.aLateHeartbeatDoesNotBringALeavingEntryBack (list from before), RoleTests.anEntryWithARememberedListAsksFirst.

--- a/src/core/fleet/entryrecord.h
+++ b/src/core/fleet/entryrecord.h
@@ -15,7 +15,8 @@
     std::string callerAddress;
     std::string peerAddress;
     std::string failureDomain;
-    std::uint32_t strength = 0; ///< of its VM: link and processor, for the choice of readers
+    std::uint32_t strength = 0;    ///< of its VM: link and processor, for the choice of readers
+    std::uint64_t incarnation = 0; ///< differs between two starts of the entry
 
     auto operator==(const EntryRecord &) const -> bool = default;
 };
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -14,7 +14,7 @@
     if (membership.left.size() >= MostRemembered) {
         membership.left.clear();
     }
-    membership.left[heartbeat.entry.name] = heartbeat.incarnation;
+    membership.left[heartbeat.entry.name] = heartbeat.entry.incarnation;
     return membership.members.erase(heartbeat.entry.name) > 0;
 }
 
@@ -34,7 +34,7 @@
         return noteLeft(membership, heartbeat);
     }
     const auto left = membership.left.find(heartbeat.entry.name);
-    if (left != membership.left.end() && left->second == heartbeat.incarnation) {
+    if (left != membership.left.end() && left->second == heartbeat.entry.incarnation) {
         return false;
     }
     if (!membership.collectingSince) {
@@ -46,6 +46,14 @@
     return isNews;
 }
 
+auto dropLeaving(const Membership &membership, std::vector<EntryRecord> &entries) -> void
+{
+    std::erase_if(entries, [&membership](const EntryRecord &entry) {
+        const auto left = membership.left.find(entry.name);
+        return left != membership.left.end() && left->second == entry.incarnation;
+    });
+}
+
 auto expireMembers(Membership &membership, TimePoint now) -> void
 {
     const auto hadMembers = !membership.members.empty();
--- a/src/core/fleet/membership.h
+++ b/src/core/fleet/membership.h
@@ -28,8 +28,7 @@
 /// An entry says that it is there.
 struct Heartbeat {
     EntryRecord entry;
-    std::uint64_t incarnation = 0; ///< differs between two starts of an entry
-    bool isLeaving = false;        ///< callers must not be sent there any more
+    bool isLeaving = false; ///< callers must not be sent there any more
 };
 
 struct Membership {
@@ -48,6 +47,12 @@
 /// \return whether an entry came or left
 auto noteHeartbeat(Membership &membership, const Heartbeat &heartbeat, TimePoint now) -> bool;
 
+/// Takes those out that said to this entry that they are leaving.
+///
+/// Failure: a list from before goes round after an entry has said that it leaves. Symptom: callers are sent to it for as long as the list
+/// is believed, and their requests are cut when it ends.
+auto dropLeaving(const Membership &membership, std::vector<EntryRecord> &entries) -> void;
+
 auto expireMembers(Membership &membership, TimePoint now) -> void;
 
 /// The entries that are heard, sorted by name; nothing while the entry has collected for too short a time to know.
--- a/src/core/fleet/role.cpp
+++ b/src/core/fleet/role.cpp
@@ -60,10 +60,18 @@
     return role.entries.empty() && now - role.answeredAt.value_or(role.startedAt) >= patienceOf(role.options);
 }
 
+/// With a list from before, an entry asks first: the others may know better who is there.
+constexpr Duration RememberedPatience = std::chrono::milliseconds(40);
+
 auto mayRead(const Role &role, TimePoint now) -> bool
 {
-    const auto isAsked = role.registrationsAt || isSeed(role.options);
-    return !role.isLeaving && (!role.entries.empty() || (isAlone(role, now) && isAsked));
+    if (role.isLeaving) {
+        return false;
+    }
+    if (role.entries.empty()) {
+        return isAlone(role, now) && (role.registrationsAt || isSeed(role.options));
+    }
+    return !role.entriesAreOld || now - role.startedAt >= RememberedPatience;
 }
 
 auto addCandidates(std::vector<EntryRecord> &candidates, const std::vector<EntryRecord> &entries) -> void
--- a/src/core/fleet/role.h
+++ b/src/core/fleet/role.h
@@ -31,6 +31,7 @@
     TimePoint startedAt;
     std::optional<TimePoint> answeredAt;      ///< an entry told what it knows
     std::vector<EntryRecord> entries;         ///< alive, this one included, as listed; empty: nobody told yet
+    bool entriesAreOld = false;               ///< they are remembered from before this entry started
     std::vector<EntryRecord> registered;      ///< in the store: entries that read it, for those that know nobody
     std::optional<TimePoint> registrationsAt; ///< the store was asked for them
     bool isLeaving = false;
--- a/src/core/fleet/tests/membership_tests.cpp
+++ b/src/core/fleet/tests/membership_tests.cpp
@@ -17,12 +17,12 @@
 
 auto makeEntry(const std::string &name) -> EntryRecord
 {
-    return { .name = name, .peerAddress = name + ":1" };
+    return { .name = name, .peerAddress = name + ":1", .incarnation = 1 };
 }
 
 auto beat(Membership &membership, const std::string &name, TimePoint now) -> bool
 {
-    return noteHeartbeat(membership, { .entry = makeEntry(name), .incarnation = 1 }, now);
+    return noteHeartbeat(membership, { .entry = makeEntry(name) }, now);
 }
 
 } // namespace
@@ -64,9 +64,14 @@
     Membership membership;
     beginCollecting(membership, {}, at(0));
     beat(membership, "a", at(10));
-    EXPECT_TRUE(noteHeartbeat(membership, { .entry = makeEntry("a"), .incarnation = 1, .isLeaving = true }, at(600)));
+    EXPECT_TRUE(noteHeartbeat(membership, { .entry = makeEntry("a"), .isLeaving = true }, at(600)));
     EXPECT_FALSE(beat(membership, "a", at(601)));
     EXPECT_TRUE(listMembers(membership, at(700))->empty());
-    EXPECT_TRUE(noteHeartbeat(membership, { .entry = makeEntry("a"), .incarnation = 2 }, at(3000)));
-    EXPECT_EQ(listMembers(membership, at(3600))->size(), 1U);
+    std::vector<EntryRecord> fromOthers = { makeEntry("a"), makeEntry("b") };
+    dropLeaving(membership, fromOthers);
+    EXPECT_EQ(fromOthers, std::vector<EntryRecord>{ makeEntry("b") }) << "a list from before";
+    auto next = makeEntry("a");
+    next.incarnation = 2;
+    EXPECT_TRUE(noteHeartbeat(membership, { .entry = next }, at(3000)));
+    EXPECT_EQ(listMembers(membership, at(3600)), std::vector<EntryRecord>{ next });
 }
--- a/src/core/fleet/tests/role_tests.cpp
+++ b/src/core/fleet/tests/role_tests.cpp
@@ -104,6 +104,17 @@
     EXPECT_EQ(assign(other, at(1710)).ask, (Addresses{ "entry-3:1", "entry-4:1" }));
 }
 
+/// What callers see: requests cut at an entry that has left. The first in rank restarts with a list from before, in which somebody stands
+/// who is leaving; it asks before it reads for others.
+TEST(RoleTests, anEntryWithARememberedListAsksFirst)
+{
+    auto role = makeMember(0);
+    role.entriesAreOld = true;
+    EXPECT_FALSE(assign(role, at(20)).reads);
+    EXPECT_EQ(assign(role, at(20)).ask, (Addresses{ "entry-1:1", "entry-2:1" }));
+    EXPECT_TRUE(assign(role, at(50)).reads);
+}
+
 TEST(RoleTests, aLeavingEntryReadsForNobody)
 {
     auto role = makeMember(0);
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -37,7 +37,7 @@
 
 auto toJson(const fleet::EntryRecord &entry) -> json
 {
-    return { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength };
+    return { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength, entry.incarnation };
 }
 
 auto toEntry(const json &item) -> fleet::EntryRecord
@@ -48,6 +48,7 @@
         .peerAddress = item.at(2).get<std::string>(),
         .failureDomain = item.at(3).get<std::string>(),
         .strength = item.at(4).get<std::uint32_t>(),
+        .incarnation = item.at(5).get<std::uint64_t>(),
     };
 }
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -32,6 +32,10 @@
 constexpr Duration RememberInterval = std::chrono::seconds(3);
 /// The remembered list is not told as fresh.
 constexpr Duration RememberedAge = std::chrono::seconds(10);
+/// After a list was remembered, this entry's part is looked at again.
+constexpr Duration RememberedCheck = std::chrono::milliseconds(45);
+/// Until then callers are told of no others: one of those that are remembered may be leaving, and who lives says so first.
+constexpr Duration RememberedSilence = std::chrono::milliseconds(150);
 /// An entry to which nobody answers for this long reads the store itself, so that it depends on no other entry; then again after
 /// a pause that doubles. An answer is due three times a second.
 constexpr Duration FollowPatience = std::chrono::milliseconds(2200);
@@ -66,6 +70,7 @@
         .peerAddress = settings.peerAddress,
         .failureDomain = settings.failureDomain,
         .strength = settings.strength,
+        .incarnation = static_cast<std::uint64_t>(now().time_since_epoch().count()),
     };
 }
 
@@ -97,7 +102,6 @@
               })
     , directoryPage_(loop, known_)
     , role_(fleet::makeRole({ .self = recordOf(settings), .seeds = settings.seeds }, now()))
-    , incarnation_(static_cast<std::uint64_t>(now().time_since_epoch().count()))
 {
     directoryPage_.listen(settings.peerAddress);
 }
@@ -132,8 +136,9 @@
 auto Fleet::leave() -> void
 {
     role_.isLeaving = true;
+    const fleet::Heartbeat heartbeat{ .entry = role_.options.self, .isLeaving = true };
     for (auto i = 0; i < LeavingHeartbeats; ++i) {
-        sendHeartbeat();
+        peers_.send(heartbeat);
     }
     updateRole();
     directory_.withdraw();
@@ -172,6 +177,9 @@
 auto Fleet::otherAddresses() const -> std::vector<std::string>
 {
     std::vector<std::string> addresses;
+    if (role_.entriesAreOld && now() - role_.startedAt < RememberedSilence) {
+        return addresses;
+    }
     for (const auto &entry : others()) {
         addresses.push_back(entry.callerAddress);
     }
@@ -307,8 +315,10 @@
     servers_ = std::move(next);
 }
 
-auto Fleet::takeEntries(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> void
+auto Fleet::takeEntries(std::vector<fleet::EntryRecord> alive, TimePoint asOf) -> void
 {
+    fleet::dropLeaving(membership_, alive);
+    role_.entriesAreOld = now() - asOf > fleet::MemberAge;
     if (!gateway::takeEntries(known_, alive, asOf)) {
         return;
     }
@@ -336,6 +346,7 @@
     }
     try {
         takeEntries(unpackEntries(decodeList(list)), now() - RememberedAge);
+        rememberedTimer_ = loop_.after(RememberedCheck, [this]() { updateRole(); });
     } catch (const std::runtime_error &error) {
         accounting_.inputInvalid("remembered entries", error.what());
     }
@@ -358,7 +369,7 @@
     }
     if (assignment_.reads && !reads) {
         readingSince_ = at;
-        fleet::beginCollecting(membership_, others(), at);
+        fleet::beginCollecting(membership_, role_.entriesAreOld ? std::vector<fleet::EntryRecord>() : others(), at);
     }
     directory_.setReading(assignment_.reads);
     if (assignment_.reads && serves_) {
@@ -437,7 +448,7 @@
 auto Fleet::sendHeartbeat() -> void
 {
     if (serves_) {
-        peers_.sendTo(assignment_.heartbeatsTo, fleet::Heartbeat{ .entry = role_.options.self, .incarnation = incarnation_, .isLeaving = role_.isLeaving });
+        peers_.sendTo(assignment_.heartbeatsTo, fleet::Heartbeat{ .entry = role_.options.self, .isLeaving = role_.isLeaving });
     }
 }
 
@@ -445,8 +456,7 @@
 {
     fleet::noteHeartbeat(membership_, heartbeat, now());
     if (heartbeat.isLeaving) {
-        listedAt_ = {};
-        listEntries(now());
+        takeEntries(known_.entries, known_.entriesAt.value_or(TimePoint()));
     }
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -71,7 +71,7 @@
     auto takeServers(const ServersRead &read) -> void;
     auto takeServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void;
     auto logServerChanges(const ServersRead &read) -> void;
-    auto takeEntries(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> void;
+    auto takeEntries(std::vector<fleet::EntryRecord> alive, TimePoint asOf) -> void;
     auto takeRegistrations(const std::vector<fleet::EntryRecord> &registered) -> void;
     auto takeRemembered(const std::string &list) -> void;
     auto takeAsked(const std::string &peer, bool isFit) -> void;
@@ -111,7 +111,6 @@
     fleet::Membership membership_; ///< as this entry hears the others, while it reads the store for them
     fleet::Assignment assignment_;
     bool serves_ = false;
-    std::uint64_t incarnation_ = 0;
     TimePoint listedAt_;     ///< the entries, by this entry
     TimePoint readingSince_; ///< the store, for others
     TimePoint readOnceAt_;
@@ -131,6 +130,7 @@
     task::Watch heartbeats_;
     task::Watch roleTimer_;
     task::Watch startConfirmation_;
+    task::Watch rememberedTimer_;
 };
 
 } // namespace auburnspread::gateway
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -79,8 +79,7 @@
 auto toJson(const fleet::Heartbeat &heartbeat) -> json
 {
     const auto &entry = heartbeat.entry;
-    return { { "alive", { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength } },
-             { "incarnation", heartbeat.incarnation },
+    return { { "alive", { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength, entry.incarnation } },
              { "leaving", heartbeat.isLeaving } };
 }
 
@@ -94,8 +93,8 @@
             .peerAddress = entry.at(2).get<std::string>(),
             .failureDomain = entry.at(3).get<std::string>(),
             .strength = entry.at(4).get<std::uint32_t>(),
+            .incarnation = entry.at(5).get<std::uint64_t>(),
         },
-        .incarnation = document.at("incarnation").get<std::uint64_t>(),
         .isLeaving = document.at("leaving").get<bool>(),
     };
 }
