One record of an entry says one incarnation; account of the large deployment

Cause: the entry's record was made three times, each with another incarnation, so that the one in the store could not be told from an earlier start. Change: made once.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -57,18 +57,18 @@
 
 Fleet::Fleet(task::EventLoop &loop, const GatewaySettings &settings, passthrough::RouterState &router, Accounting &accounting, FleetCallbacks callbacks)
     : loop_(loop)
-    , name_(settings.name)
+    , self_(recordOf(settings))
     , router_(router)
     , accounting_(accounting)
     , callbacks_(std::move(callbacks))
     , directory_(loop,
                  {
                      .store = settings.storeAddress,
-                     .self = recordOf(settings),
+                     .self = self_,
                      .leaseTime = settings.leaseTime,
                  },
                  directoryCallbacks())
-    , follower_(loop, known_.tags, XXH64(name_.data(), name_.size(), 0), directoryCallbacks())
+    , follower_(loop, known_.tags, XXH64(self_.name.data(), self_.name.size(), 0), directoryCallbacks())
     , peers_(
           loop,
           settings.peerAddress,
@@ -80,8 +80,8 @@
                   .onFailed = [this](std::string_view server, const std::string &detail) { accounting_.cacheNotListed(server, detail); },
               })
     , directoryPage_(loop, known_)
-    , reports_(loop, router, peers_, known_, recordOf(settings))
-    , role_(fleet::makeRole({ .self = recordOf(settings), .seeds = settings.seeds }, now()))
+    , reports_(loop, router, peers_, known_, self_)
+    , role_(fleet::makeRole({ .self = self_, .seeds = settings.seeds }, now()))
 {
     directoryPage_.listen(settings.peerAddress);
 }
@@ -90,7 +90,7 @@
 {
     callbacks_.onEvent(passthrough::EntriesCounted{ .isGuess = true });
     directory_.readOutdated();
-    const auto spread = XXH64(name_.data(), name_.size(), 0) % static_cast<std::uint64_t>(StartConfirmationSpread.count());
+    const auto spread = XXH64(self_.name.data(), self_.name.size(), 0) % static_cast<std::uint64_t>(StartConfirmationSpread.count());
     startConfirmation_ = loop_.after(StartPatience + Duration(static_cast<Duration::rep>(spread)), [this]() {
         if (!known_.confirmedAt) {
             directory_.confirmOnce();
@@ -113,7 +113,7 @@
 auto Fleet::leave() -> void
 {
     role_.isLeaving = true;
-    const fleet::Heartbeat heartbeat{ .entry = role_.options.self, .isLeaving = true };
+    const fleet::Heartbeat heartbeat{ .entry = self_, .isLeaving = true };
     for (auto i = 0; i < LeavingHeartbeats; ++i) {
         peers_.send(heartbeat);
     }
@@ -144,7 +144,7 @@
 auto Fleet::others() const -> std::vector<fleet::EntryRecord>
 {
     auto entries = known_.entries.empty() ? role_.registered : known_.entries;
-    std::erase_if(entries, [this](const fleet::EntryRecord &entry) { return entry.name == name_; });
+    std::erase_if(entries, [this](const fleet::EntryRecord &entry) { return entry.name == self_.name; });
     return entries;
 }
 
@@ -298,7 +298,7 @@
     }
     accounting_.entriesChanged(known_.entries.size());
     role_.entries = known_.entries;
-    auto addresses = peerAddresses(known_.entries, role_.options.self);
+    auto addresses = peerAddresses(known_.entries, self_);
     callbacks_.onEvent(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(addresses.size() + 1) });
     peers_.setPeers(std::move(addresses));
     updateRole();
@@ -361,7 +361,7 @@
     if (!assignment_.reads) {
         return;
     }
-    const auto &self = role_.options.self.peerAddress;
+    const auto &self = self_.peerAddress;
     const auto heardAt = std::max(readingSince_, known_.confirmedAt.value_or(readingSince_));
     if (now - heardAt > ReadPatience) {
         fleet::noteUnfit(role_, self, now);
@@ -402,7 +402,7 @@
     }
     listedAt_ = now;
     if (serves_) {
-        alive->push_back(role_.options.self);
+        alive->push_back(self_);
     }
     // entries that hear the same list the same
     std::sort(alive->begin(), alive->end(), [](const fleet::EntryRecord &a, const fleet::EntryRecord &b) { return a.name < b.name; });
@@ -422,7 +422,7 @@
 auto Fleet::sendHeartbeat() -> void
 {
     if (serves_) {
-        peers_.sendTo(assignment_.heartbeatsTo, fleet::Heartbeat{ .entry = role_.options.self, .isLeaving = role_.isLeaving });
+        peers_.sendTo(assignment_.heartbeatsTo, fleet::Heartbeat{ .entry = self_, .isLeaving = role_.isLeaving });
     }
 }
 
@@ -446,7 +446,7 @@
     });
     std::vector<std::string> entries;
     std::transform(known_.entries.begin(), known_.entries.end(), std::back_inserter(entries), [](const fleet::EntryRecord &entry) { return entry.name; });
-    caches_.readOnce(engines, entries, name_);
+    caches_.readOnce(engines, entries, self_.name);
 }
 
 auto Fleet::takeCacheList(const passthrough::CacheListed &listed) -> void
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -89,7 +89,7 @@
     auto takeCacheList(const passthrough::CacheListed &listed) -> void;
 
     task::EventLoop &loop_;
-    std::string name_;
+    fleet::EntryRecord self_;
     passthrough::RouterState &router_;
     Accounting &accounting_;
     FleetCallbacks callbacks_;
