--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -64,11 +64,6 @@
 {
 }
 
-auto DirectoryFollower::informedAt() const -> TimePoint
-{
-    return std::max(confirmedAt_, documents_.progressAt());
-}
-
 auto DirectoryFollower::answeredAt() const -> TimePoint
 {
     return answeredAt_;
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -27,8 +27,6 @@
     /// Asks one of these entries several times a second, the next one when one is not fit; none: stops asking.
     auto follow(std::vector<std::string> readers) -> void;
 
-    /// Time of the last answer that confirmed the configuration or brought a part of a newer one; long ago if there was none.
-    [[nodiscard]] auto informedAt() const -> TimePoint;
     /// Time of the last answer of any kind; long ago if there was none.
     [[nodiscard]] auto answeredAt() const -> TimePoint;
 
--- a/src/gateway/documentfetcher.cpp
+++ b/src/gateway/documentfetcher.cpp
@@ -1,6 +1,5 @@
 #include "gateway/documentfetcher.h"
 
-#include "gateway/clock.h"
 #include "gateway/querynumber.h"
 
 #include <algorithm>
@@ -44,11 +43,6 @@
 {
 }
 
-auto DocumentFetcher::progressAt() const -> TimePoint
-{
-    return progressAt_;
-}
-
 auto DocumentFetcher::setReaders(std::vector<std::string> readers) -> void
 {
     if (readers == readers_) {
@@ -127,11 +121,9 @@
 {
     switch (takePart(*transfer_, part)) {
     case PartOutcome::More:
-        progressAt_ = now();
         askNext();
         break;
     case PartOutcome::Whole:
-        progressAt_ = now();
         finish();
         break;
     case PartOutcome::Spoilt:
--- a/src/gateway/documentfetcher.h
+++ b/src/gateway/documentfetcher.h
@@ -40,9 +40,6 @@
     /// One of the entries has this document. A transfer that has begun goes on first, for as long as somebody has its document.
     auto want(const DocumentOffer &offer) -> void;
 
-    /// When the last part came; long ago if none did.
-    [[nodiscard]] auto progressAt() const -> TimePoint;
-
 private:
     auto askNext() -> void;
     auto take(const std::string &peer, const http::Result &result) -> void;
@@ -64,7 +61,6 @@
     std::optional<DocumentTransfer> transfer_;
     std::optional<DocumentOffer> waiting_; ///< offered since the transfer began
     std::uint64_t lastRevision_ = 0;       ///< of the last document told; not fetched twice, also if it could not be read
-    TimePoint progressAt_;
     task::Watch timer_;
 };
 
