--- a/src/gateway/settings/gatewaysettings.cpp
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -115,11 +115,12 @@
 /// Seeds are given with a port of another service of theirs.
 auto seedsOf(const settings::Settings &settings) -> std::vector<std::string>
 {
-    const auto self = settings.address("listen.peer");
+    const auto &self = settings.address("listen.peer");
     const auto port = self.substr(self.rfind(':'));
     auto seeds = settings.addresses("fleet.seeds");
     for (auto &seed : seeds) {
-        seed = seed.substr(0, seed.rfind(':')) + port;
+        seed.erase(seed.rfind(':'));
+        seed += port;
     }
     return seeds;
 }
