Reading the change again: one walk over the reports of a sum, one outdated read, one form of an entry's record

The choice of which reports a sum counts stood five times, the handling of an outdated read three times, an entry's record on the wire twice; a count that nobody asked for is gone. No change of behaviour.

--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -64,6 +64,30 @@
     return report.failureDomain == table.failureDomain || !table.domains.contains(report.failureDomain);
 }
 
+/// The reports that a sum of this scope counts, each once; without this entry's own.
+template <typename Visit>
+auto forEachReport(const ServerTable &table, ReportScope scope, Visit visit) -> void
+{
+    const auto isFleet = scope == ReportScope::Fleet;
+    for (const auto &[name, use] : table.peers) {
+        if (isFleet ? isCounted(table, use.report) : use.report.failureDomain == table.failureDomain) {
+            visit(use.report);
+        }
+    }
+    if (isFleet) {
+        for (const auto &[domain, use] : table.domains) {
+            visit(use.report);
+        }
+    }
+}
+
+auto countEntries(const ServerTable &table, ReportScope scope) -> std::uint32_t
+{
+    std::uint32_t entries = 0;
+    forEachReport(table, scope, [&entries](const PeerReported &report) { entries += report.scope == ReportScope::Entry ? 1 : report.entries; });
+    return entries;
+}
+
 auto prefersTotals(const ServerTable &table) -> bool
 {
     return table.totals && table.totals->report.entries > entriesHeard(table) + 1;
@@ -145,14 +169,7 @@
 
 auto entriesHeard(const ServerTable &table) -> std::uint32_t
 {
-    std::uint32_t entries = 0;
-    for (const auto &[name, use] : table.peers) {
-        entries += isCounted(table, use.report) ? 1 : 0;
-    }
-    for (const auto &[domain, use] : table.domains) {
-        entries += use.report.entries;
-    }
-    return entries;
+    return countEntries(table, ReportScope::Fleet);
 }
 
 auto recountPeers(ServerTable &table) -> void
@@ -168,14 +185,7 @@
         }
         return;
     }
-    for (const auto &[name, use] : table.peers) {
-        if (isCounted(table, use.report)) {
-            addUses(table, use.report);
-        }
-    }
-    for (const auto &[domain, use] : table.domains) {
-        addUses(table, use.report);
-    }
+    forEachReport(table, ReportScope::Fleet, [&table](const PeerReported &report) { addUses(table, report); });
 }
 
 namespace
@@ -191,13 +201,7 @@
 auto sumArrivals(const ServerTable &table, const std::string &service, ReportScope scope) -> double
 {
     double sum = 0;
-    for (const auto &[name, use] : table.peers) {
-        const auto isOwnDomain = use.report.failureDomain == table.failureDomain;
-        sum += (scope == ReportScope::Fleet ? isCounted(table, use.report) : isOwnDomain) ? arrivalsIn(use.report, service) : 0;
-    }
-    for (const auto &[domain, use] : table.domains) {
-        sum += scope == ReportScope::Fleet ? arrivalsIn(use.report, service) : 0;
-    }
+    forEachReport(table, scope, [&](const PeerReported &report) { sum += arrivalsIn(report, service); });
     return sum;
 }
 
@@ -212,12 +216,6 @@
     return std::max(0.0, arrivalsIn(table.totals->report, service) - (own == table.ownArrivals.end() ? 0 : own->second));
 }
 
-auto entriesHeardOfOwnDomain(const ServerTable &table) -> std::uint32_t
-{
-    const auto isOwn = [&table](const auto &item) { return item.second.report.failureDomain == table.failureDomain; };
-    return static_cast<std::uint32_t>(std::count_if(table.peers.begin(), table.peers.end(), isOwn));
-}
-
 auto takeReport(ServerTable &table, const std::string &entry, TimePoint now) -> PeerReported
 {
     PeerReported report{ .entry = entry, .failureDomain = table.failureDomain };
@@ -244,26 +242,14 @@
     for (const auto &[id, server] : table.byId) {
         sum[id] = server->own;
     }
-    const auto add = [&sum](const PeerReported &report) {
+    forEachReport(table, scope, [&sum](const PeerReported &report) {
         for (const auto &use : report.uses) {
             const auto found = sum.find(use.server);
             if (found != sum.end()) {
                 addUse(found->second, use);
             }
         }
-    };
-    const auto isOfScope
-        = [&](const PeerReported &report) { return scope == ReportScope::Fleet ? isCounted(table, report) : report.failureDomain == table.failureDomain; };
-    for (const auto &[name, use] : table.peers) {
-        if (isOfScope(use.report)) {
-            add(use.report);
-        }
-    }
-    if (scope == ReportScope::Fleet) {
-        for (const auto &[domain, use] : table.domains) {
-            add(use.report);
-        }
-    }
+    });
     return sum;
 }
 
@@ -275,7 +261,7 @@
     for (const auto &[service, perSecond] : table.ownArrivals) {
         report.arrivals.push_back({ .service = service, .perSecond = perSecond + sumArrivals(table, service, scope) });
     }
-    report.entries += scope == ReportScope::Fleet ? entriesHeard(table) : entriesHeardOfOwnDomain(table);
+    report.entries += countEntries(table, scope);
     for (const auto &[id, work] : sumWork(table, scope)) {
         const auto server = findServer(table, id);
         auto parts = partsToTell(*server, scope, now);
--- a/src/core/passthrough/peerreports.h
+++ b/src/core/passthrough/peerreports.h
@@ -29,8 +29,6 @@
 auto arrivalsOfOthers(const ServerTable &table, const std::string &service) -> double;
 /// Entries whose requests this one knows of, itself not included.
 auto entriesHeard(const ServerTable &table) -> std::uint32_t;
-/// The same of the own failure domain.
-auto entriesHeardOfOwnDomain(const ServerTable &table) -> std::uint32_t;
 /// Forgets reports that are too old to say anything.
 auto expirePeerReports(ServerTable &table, TimePoint now) -> void;
 
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -167,11 +167,6 @@
     return takeSum(state.servers, state.options.entry, scope, state.now);
 }
 
-auto entriesHeardOfOwnDomain(const RouterState &state) -> std::uint32_t
-{
-    return entriesHeardOfOwnDomain(state.servers);
-}
-
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
 {
     std::uint32_t waiting = 0;
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -44,8 +44,6 @@
 auto takeReport(RouterState &state) -> PeerReported;
 /// What the entries of this one's failure domain, or all, have in flight, as far as they reported to this one.
 auto takeSum(const RouterState &state, ReportScope scope) -> PeerReported;
-/// Entries of the own failure domain that report to this one.
-auto entriesHeardOfOwnDomain(const RouterState &state) -> std::uint32_t;
 
 /// What an operator sees.
 struct RouterStatus {
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -156,15 +156,22 @@
     call("remember-entries", adapter::makePut(options_.store, RememberedKey, list, NoLease), [](StoreOutcome, const http::Result &) {});
 }
 
-auto Directory::readOutdatedConfiguration() -> void
+/// What fails is not asked again: other entries have it, and are asked beside.
+auto Directory::readOutdatedRange(std::string_view name, std::string_view prefix, const std::string &after, OnItems onItems) -> void
 {
-    const auto request = adapter::makeOutdatedRange(options_.store, adapter::configurationKey(), "");
-    call("read-outdated-configuration", request, [this](StoreOutcome outcome, const http::Result &result) {
+    const auto request = adapter::makeOutdatedRange(options_.store, prefix, after);
+    call(name, request, [onItems = std::move(onItems)](StoreOutcome outcome, const http::Result &result) {
         const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
-        if (!items) {
-            return; // other entries have it, and are asked beside
+        if (items) {
+            onItems(*items);
         }
-        for (const auto &item : items->items) {
+    });
+}
+
+auto Directory::readOutdatedConfiguration() -> void
+{
+    readOutdatedRange("read-outdated-configuration", adapter::configurationKey(), "", [this](const adapter::StoreItems &items) {
+        for (const auto &item : items.items) {
             if (item.key == adapter::configurationKey()) {
                 callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
             }
@@ -174,10 +181,8 @@
 
 auto Directory::readOutdatedEntries() -> void
 {
-    const auto request = adapter::makeOutdatedRange(options_.store, RememberedKey, "");
-    call("read-outdated-entries", request, [this](StoreOutcome outcome, const http::Result &result) {
-        const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
-        for (const auto &item : items ? items->items : std::vector<adapter::StoreItem>()) {
+    readOutdatedRange("read-outdated-entries", RememberedKey, "", [this](const adapter::StoreItems &items) {
+        for (const auto &item : items.items) {
             if (item.key == RememberedKey) {
                 callbacks_.onRemembered(item.value);
             }
@@ -187,22 +192,17 @@
 
 auto Directory::readOutdatedServers(const std::string &after, const std::shared_ptr<ServersRead> &read) -> void
 {
-    const auto request = adapter::makeOutdatedRange(options_.store, adapter::serversPrefix(), after);
-    call("read-outdated-servers", request, [this, read](StoreOutcome outcome, const http::Result &result) {
-        const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
-        if (!items) {
-            return; // as above
-        }
+    readOutdatedRange("read-outdated-servers", adapter::serversPrefix(), after, [this, read](const adapter::StoreItems &items) {
         ServerList page;
-        for (const auto &item : items->items) {
+        for (const auto &item : items.items) {
             takeServer(page, item);
         }
         for (auto &[id, server] : page.byId) {
             read->servers.push_back(std::move(server));
         }
-        read->revision = read->revision == 0 ? items->revision : read->revision;
-        if (items->hasMore && !items->items.empty()) {
-            readOutdatedServers(items->items.back().key, read);
+        read->revision = read->revision == 0 ? items.revision : read->revision;
+        if (items.hasMore && !items.items.empty()) {
+            readOutdatedServers(items.items.back().key, read);
             return;
         }
         read->asOf = now() - OldestOutdated;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -23,13 +23,17 @@
 namespace auburnspread::gateway
 {
 
+/// Of one watch of the configuration; its return confirms the configuration as of its beginning, so that this is half of how old a
+/// confirmation gets in the normal course.
+constexpr Duration ConfigurationWait = std::chrono::milliseconds(500);
+
 struct DirectoryOptions {
     std::string store; ///< address
     adapter::EntryRecord self;
-    Duration leaseTime = std::chrono::seconds(10);               ///< an entry that lost power is asked by those that start for as long
-    Duration serversPause = std::chrono::milliseconds(400);      ///< between two watches of the backend servers
-    Duration serversWait = std::chrono::milliseconds(400);       ///< of such a watch; a change ends it
-    Duration configurationWait = std::chrono::milliseconds(500); ///< of one watch; its return confirms the configuration as of its beginning
+    Duration leaseTime = std::chrono::seconds(10);          ///< an entry that lost power is asked by those that start for as long
+    Duration serversPause = std::chrono::milliseconds(400); ///< between two watches of the backend servers
+    Duration serversWait = std::chrono::milliseconds(400);  ///< of such a watch; a change ends it
+    Duration configurationWait = ConfigurationWait;
 };
 
 class Directory
@@ -115,6 +119,7 @@
     auto takeServers() -> void;
     auto tellInvalidServer(const adapter::StoreItem &item, std::string_view detail) -> void;
 
+    auto readOutdatedRange(std::string_view name, std::string_view prefix, const std::string &after, OnItems onItems) -> void;
     auto readOutdatedConfiguration() -> void;
     auto readOutdatedEntries() -> void;
     auto readOutdatedServers(const std::string &after, const std::shared_ptr<ServersRead> &read) -> void;
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -2,6 +2,7 @@
 
 #include "core/fleet/membership.h"
 #include "gateway/clock.h"
+#include "gateway/directory.h"
 #include "gateway/directorypage.h"
 #include "gateway/querynumber.h"
 
@@ -27,6 +28,7 @@
 /// A reader whose own confirmation is older is cut off from the store, or the store is away: the next one is asked. In the
 /// normal course it is up to 1 s old.
 constexpr Duration OldConfirmation = std::chrono::milliseconds(1600);
+static_assert(2 * ConfigurationWait < OldConfirmation, "readers that are well would be taken for unfit, one after the other");
 
 /// An entry that knows nothing yet asks sooner: the first answers decide how soon it can serve.
 constexpr Duration StartInterval = std::chrono::milliseconds(30);
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -2,6 +2,7 @@
 
 #include "core/passthrough/events.h"
 #include "gateway/contenttag.h"
+#include "gateway/entryform.h"
 #include "wire/text/deflate.h"
 
 #include <nlohmann/json.hpp>
@@ -37,19 +38,7 @@
 
 auto toJson(const fleet::EntryRecord &entry) -> json
 {
-    return { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength, entry.incarnation };
-}
-
-auto toEntry(const json &item) -> fleet::EntryRecord
-{
-    return {
-        .name = item.at(0).get<std::string>(),
-        .callerAddress = item.at(1).get<std::string>(),
-        .peerAddress = item.at(2).get<std::string>(),
-        .failureDomain = item.at(3).get<std::string>(),
-        .strength = item.at(4).get<std::uint32_t>(),
-        .incarnation = item.at(5).get<std::uint64_t>(),
-    };
+    return detail::entryToJson(entry);
 }
 
 template <typename Item>
@@ -294,7 +283,7 @@
 
 auto unpackEntries(const PackedList &list) -> std::vector<fleet::EntryRecord>
 {
-    return unpackList<fleet::EntryRecord>(list, toEntry);
+    return unpackList<fleet::EntryRecord>(list, detail::entryFromJson);
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -19,8 +19,8 @@
 /// Whether this entry reads the store is looked at again this often, and whenever the entries change.
 constexpr Duration RoleInterval = std::chrono::milliseconds(250);
 /// An entry that starts and gets its configuration confirmed by no other one asks the store, each at a moment of its own.
-constexpr Duration StartPatience = std::chrono::milliseconds(300);
-constexpr Duration StartConfirmationSpread = std::chrono::milliseconds(300);
+constexpr Duration ConfirmationPatience = std::chrono::milliseconds(300);
+constexpr Duration ConfirmationSpread = std::chrono::milliseconds(300);
 /// Between two writes of the list of entries.
 constexpr Duration RememberInterval = std::chrono::seconds(3);
 /// The remembered list is not told as fresh.
@@ -37,6 +37,7 @@
 /// An entry that reads the store for others and whose last confirmation is older lets the next one try. In the normal course it is up
 /// to two watches old.
 constexpr Duration ReadPatience = std::chrono::milliseconds(1500);
+static_assert(2 * ConfigurationWait < ReadPatience, "a reader that is well would give up each second");
 /// Between two lists of the entries that are alive: where many start at once, one list tells of several.
 constexpr Duration ListInterval = std::chrono::milliseconds(500);
 /// A leaving entry says so more than once, as datagrams get lost.
@@ -90,8 +91,8 @@
 {
     callbacks_.onEvent(passthrough::EntriesCounted{ .isGuess = true });
     directory_.readOutdated();
-    const auto spread = XXH64(self_.name.data(), self_.name.size(), 0) % static_cast<std::uint64_t>(StartConfirmationSpread.count());
-    startConfirmation_ = loop_.after(StartPatience + Duration(static_cast<Duration::rep>(spread)), [this]() {
+    const auto spread = XXH64(self_.name.data(), self_.name.size(), 0) % static_cast<std::uint64_t>(ConfirmationSpread.count());
+    startConfirmation_ = loop_.after(ConfirmationPatience + Duration(static_cast<Duration::rep>(spread)), [this]() {
         if (!known_.confirmedAt) {
             directory_.confirmOnce();
         }
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peerexchange.h"
 
+#include "gateway/entryform.h"
 #include "runtime/net/endpoint.h"
 
 #include <nlohmann/json.hpp>
@@ -78,25 +79,12 @@
 
 auto toJson(const fleet::Heartbeat &heartbeat) -> json
 {
-    const auto &entry = heartbeat.entry;
-    return { { "alive", { entry.name, entry.callerAddress, entry.peerAddress, entry.failureDomain, entry.strength, entry.incarnation } },
-             { "leaving", heartbeat.isLeaving } };
+    return { { "alive", detail::entryToJson(heartbeat.entry) }, { "leaving", heartbeat.isLeaving } };
 }
 
 auto toHeartbeat(const json &document) -> fleet::Heartbeat
 {
-    const auto &entry = document.at("alive");
-    return {
-        .entry = {
-            .name = entry.at(0).get<std::string>(),
-            .callerAddress = entry.at(1).get<std::string>(),
-            .peerAddress = entry.at(2).get<std::string>(),
-            .failureDomain = entry.at(3).get<std::string>(),
-            .strength = entry.at(4).get<std::uint32_t>(),
-            .incarnation = entry.at(5).get<std::uint64_t>(),
-        },
-        .isLeaving = document.at("leaving").get<bool>(),
-    };
+    return { .entry = detail::entryFromJson(document.at("alive")), .isLeaving = document.at("leaving").get<bool>() };
 }
 
 auto fromJson(const json &document) -> PeerMessage
