What replaced reports of load prevents is shown by tests; a report that is replaced is taken off as it was counted

Tests: a sum of few entries, a few reports beside a sum, an entry that stands in the sum of its failure domain, parts of another domain, an entry that has just started. The third failed on the code as it was: an entry's report that was not counted (its domain's sum was known) was taken off all the same when a counted one of that name replaced it. Each is now taken off as it was counted.

--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -312,12 +312,12 @@
 auto takeEntryReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
     auto &held = table.peers[report.entry];
-    const auto isInOthers = !table.believesTotals && isCounted(table, report);
-    if (isInOthers) {
+    const auto isInOthers = [&table](const PeerReported &each) { return !table.believesTotals && isCounted(table, each); };
+    if (isInOthers(held.report)) {
         subtractUses(table, held.report);
     }
     held = { .report = report, .at = now };
-    if (isInOthers) {
+    if (isInOthers(held.report)) {
         addUses(table, held.report);
     }
     if (table.believesTotals != prefersTotals(table)) {
--- a/src/core/passthrough/tests/overload_tests.cpp
+++ b/src/core/passthrough/tests/overload_tests.cpp
@@ -150,3 +150,76 @@
     expirePeerReports(table, now + std::chrono::seconds(2));
     EXPECT_EQ(totalWork(server).inFlight, 1U) << "an old sum says nothing";
 }
+
+namespace
+{
+
+auto makeSum(ReportScope scope, const std::string &domain, std::uint32_t entries, std::uint32_t inFlight) -> PeerReported
+{
+    return { .entry = "hub", .failureDomain = domain, .scope = scope, .entries = entries, .uses = { { .server = "e1", .inFlight = inFlight } } };
+}
+
+struct Told {
+    Told()
+    {
+        table.failureDomain = "a";
+        adoptServers(table, { .servers = makeServers() }, now);
+    }
+
+    [[nodiscard]] auto believed() const -> std::uint32_t
+    {
+        return totalWork(*findServer(table, "e1")).inFlight;
+    }
+
+    const TimePoint now{ std::chrono::hours(1) };
+    ServerTable table;
+};
+
+} // namespace
+
+/// What callers see: quotes on engines that are full. One of those that sum up was cut from most entries, and its sum comes last. It is
+/// believed once nobody has told of more for a while, as the others may be gone.
+TEST(ReportTests, aSumOfFewEntriesDoesNotReplaceOneOfMany)
+{
+    Told told;
+    notePeerReport(told.table, makeSum(ReportScope::Fleet, "a", 60, 12), told.now);
+    notePeerReport(told.table, makeSum(ReportScope::Fleet, "a", 20, 4), told.now + std::chrono::milliseconds(50));
+    EXPECT_EQ(told.believed(), 12U);
+    notePeerReport(told.table, makeSum(ReportScope::Fleet, "a", 20, 4), told.now + std::chrono::milliseconds(500));
+    EXPECT_EQ(told.believed(), 4U);
+}
+
+/// What callers see: the same. Some entries take this one for a hub and tell it what they have; the sum of all holds that and far more.
+TEST(ReportTests, aFewReportsDoNotReplaceTheSumOfAll)
+{
+    Told told;
+    notePeerReport(told.table, makeSum(ReportScope::Fleet, "a", 60, 12), told.now);
+    notePeerReport(told.table, makeSum(ReportScope::Entry, "a", 1, 2), told.now);
+    EXPECT_EQ(told.believed(), 12U);
+}
+
+/// An entry of another failure domain that tells this one directly stands in the sum of its domain too.
+TEST(ReportTests, whoStandsInTheSumOfItsFailureDomainCountsOnce)
+{
+    Told told;
+    notePeerReport(told.table, makeSum(ReportScope::Entry, "b", 1, 2), told.now);
+    EXPECT_EQ(told.believed(), 2U);
+    notePeerReport(told.table, makeSum(ReportScope::FailureDomain, "b", 13, 7), told.now);
+    EXPECT_EQ(told.believed(), 7U);
+    notePeerReport(told.table, makeSum(ReportScope::Entry, "a", 1, 3), told.now);
+    EXPECT_EQ(told.believed(), 10U);
+    EXPECT_EQ(takeSum(told.table, "self", ReportScope::FailureDomain, told.now).uses.at(0).inFlight, 3U);
+    EXPECT_EQ(takeSum(told.table, "self", ReportScope::Fleet, told.now).entries, 15U);
+}
+
+/// What operators see: datagrams that grow until links are full. A part that one failure domain told came back to it as another's, was
+/// told again, and went round for ever.
+TEST(ReportTests, partsOfAnotherFailureDomainAreNotToldAsOwnOnes)
+{
+    Told told;
+    auto sum = makeSum(ReportScope::FailureDomain, "b", 13, 7);
+    sum.uses[0].sent = { { .id = 77, .tokens = 5000 } };
+    notePeerReport(told.table, sum, told.now);
+    EXPECT_TRUE(takeSum(told.table, "self", ReportScope::FailureDomain, told.now).uses.empty());
+    EXPECT_EQ(takeSum(told.table, "self", ReportScope::Fleet, told.now).uses.at(0).sent.size(), 1U);
+}
--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -174,6 +174,35 @@
     EXPECT_EQ(confirmed, std::vector<std::uint64_t>{ 7 });
 }
 
+/// What callers see: entries that are ready a third of a second after all have restarted. Those that are to read the store for others had
+/// not read it yet when they were asked, were taken for lost, and were not asked again for seconds.
+TEST(DirectoryFollowerTests, anEntryThatHasJustStartedIsNotTakenForLost)
+{
+    task::EventLoop loop;
+    DirectoryState reader;
+    DirectoryPage page(loop, reader);
+    const DirectoryTags known;
+    std::vector<bool> fitness;
+    DirectoryFollower follower(loop,
+                               known,
+                               0,
+                               {
+                                   .onServersConfirmed = [](auto &&...) {},
+                                   .onAsked = [&](const std::string &, bool isFit) { fitness.push_back(isFit); },
+                                   .onReachable = [](auto &&...) {},
+                               });
+    const auto address = page.listen("127.0.0.1:0");
+    follower.follow({ address });
+    runUntil(
+        loop, [&]() { return follower.answeredAt() != TimePoint(); }, Bound);
+    EXPECT_TRUE(fitness.empty());
+    reader.confirmedAt = task::monotonicNow();
+    reader.serversAt = task::monotonicNow();
+    runUntil(
+        loop, [&]() { return !fitness.empty(); }, Bound);
+    EXPECT_EQ(fitness, std::vector<bool>{ true });
+}
+
 TEST(DocumentTransferTests, otherBytesThanTheOfferedOnesBeginAnew)
 {
     const auto offered = makeOffered({ .document = "document", .revision = 1 });
