Calls that failed before others told of the servers show no outage of the store

Ruled out: a late list (all entries dropped the server within 1 s), a stale answer of another reader.

Change: an outage is a gap with a call that failed after the last word of anybody; the pause before the next try counts from the last failure. Test first: outage_tests failed on the code as it was; a second one shows that a real outage is still seen.

Also: the stand-in of overdue_configuration_tests told of a list that it had never packed (its answers were refused as invalid, 100 lines a second, and the tests passed by the way of an unfit reader); it tells an empty one now, assertions as they were.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -69,7 +69,7 @@
     }
     round_ += 1;
     for (auto *topic : { &configuration_, &serversTopic_, &entries_ }) {
-        *topic = { .failures = topic->failures };
+        *topic = { .failures = topic->failures, .failedAt = topic->failedAt };
     }
 }
 
@@ -77,7 +77,7 @@
 auto Directory::beginReading() -> void
 {
     if (reachable_ == false) {
-        goOnAfterFailure(configuration_, &Directory::readOnce);
+        goOn(configuration_, std::max(configuration_.failedAt + pauseOf(configuration_) - now(), Duration::zero()), &Directory::readOnce);
     } else {
         readOnce();
     }
@@ -219,15 +219,20 @@
     }
 }
 
+auto Directory::pauseOf(const Topic &topic) -> Duration
+{
+    return FailurePause * (1 << std::clamp(topic.failures - 1, 0, MostDoublings));
+}
+
 auto Directory::goOnAfterFailure(Topic &topic, Step step) -> void
 {
     if (&topic != &configuration_ && configuration_.failures > 0) {
         readsRest_ = true;
         return;
     }
-    const auto doublings = std::min(topic.failures, MostDoublings);
     topic.failures += 1;
-    goOn(topic, FailurePause * (1 << doublings), step);
+    topic.failedAt = now();
+    goOn(topic, pauseOf(topic), step);
 }
 
 auto Directory::calls() const -> std::uint64_t
@@ -369,7 +374,7 @@
         adapter::makeRange(options_.store, adapter::serversPrefix(), after),
         [this](const adapter::StoreItems &items) { takeServersPage(items); },
         [this](StoreOutcome /*outcome*/) {
-            serversFailed_ = true;
+            serversFailedAt_ = now();
             goOnAfterFailure(serversTopic_, &Directory::readServers);
         });
 }
@@ -406,7 +411,7 @@
             takeServerChanges(items);
         },
         [this](StoreOutcome outcome) {
-            serversFailed_ = true;
+            serversFailedAt_ = now();
             if (outcome == StoreOutcome::HistoryGone) {
                 readServers();
                 return;
@@ -455,15 +460,25 @@
     }
 }
 
-/// After a while without the store, servers may have lost their registration while they live. An entry that takes the reading over may
-/// not have tried meanwhile, so a long gap counts as such a while too; it is longer than what the loss of a reader takes.
+/// When a while without the store ended, if the list that was just read ends one: servers may have lost their registration meanwhile.
+///
+/// Failure: an entry's own calls fail, others tell it of the servers, and some time after their last word it reads the list itself.
+/// Symptom: a server that has just left counts as one that is about to return, and gets requests for two seconds more. Only calls that
+/// failed after the last word of anybody show that the store was away. An entry that takes the reading over may not have tried
+/// meanwhile, so a long gap shows it too; it is longer than what the loss of a reader takes.
+auto Directory::findOutage() const -> std::optional<TimePoint>
+{
+    const auto knownAt = serversKnownAt_.value_or(servers_.asOf);
+    const auto hasFailedSince = serversFailedAt_ && *serversFailedAt_ > knownAt;
+    const auto isOutage = servers_.asOf - knownAt > (hasFailedSince ? OutageLength : UnnoticedOutageLength);
+    return isOutage ? std::optional(servers_.asOf) : std::nullopt;
+}
+
 auto Directory::takeServers() -> void
 {
-    const auto gap = serversKnownAt_ ? servers_.asOf - *serversKnownAt_ : Duration::zero();
-    if (gap > (serversFailed_ ? OutageLength : UnnoticedOutageLength)) {
-        outageEndedAt_ = servers_.asOf;
+    if (const auto endedAt = findOutage()) {
+        outageEndedAt_ = endedAt;
     }
-    serversFailed_ = false;
     noteServersConfirmed(servers_.asOf);
     ServersRead read{ .revision = servers_.revision, .asOf = servers_.asOf, .outageEndedAt = outageEndedAt_ };
     for (const auto &[id, server] : servers_.byId) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -77,7 +77,8 @@
     struct Topic {
         task::Watch timer; ///< of the next call
         bool isUnderWay = false;
-        int failures = 0; ///< since the last answer
+        int failures = 0;   ///< since the last answer
+        TimePoint failedAt; ///< last
     };
 
     /// The backend servers as of a revision of the store.
@@ -99,6 +100,8 @@
     /// The same after a call that failed; later each time, as the others that try do so too.
     auto goOnAfterFailure(Topic &topic, Step step) -> void;
 
+    /// Until a topic may be asked for again.
+    [[nodiscard]] static auto pauseOf(const Topic &topic) -> Duration;
     auto beginReading() -> void;
     auto readRest() -> void;
 
@@ -116,6 +119,7 @@
     auto askForServerChanges(Duration wait) -> void;
     auto takeServerChanges(const adapter::StoreItems &items) -> void;
     auto takeServer(ServerList &list, const adapter::StoreItem &item) -> void;
+    [[nodiscard]] auto findOutage() const -> std::optional<TimePoint>;
     auto takeServers() -> void;
     auto tellInvalidServer(const adapter::StoreItem &item, std::string_view detail) -> void;
 
@@ -153,7 +157,7 @@
     std::map<std::string, std::uint64_t> invalidServers_;      ///< revision of the last registration told as invalid, by key
     std::optional<TimePoint> serversKnownAt_;                  ///< the newest time as of which the list was known, here or by another entry
     std::optional<TimePoint> outageEndedAt_;
-    bool serversFailed_ = false; ///< since the last list that was read
+    std::optional<TimePoint> serversFailedAt_; ///< the last call for the list that failed
 
     bool isRegistered_ = false; ///< or about to be
     std::uint64_t lease_ = 0;
--- /dev/null
+++ b/src/gateway/tests/outage_tests.cpp
@@ -0,0 +1,96 @@
+// An entry was cut from the store for some seconds and heard of the backend servers from others meanwhile. When it reached the store
+// again and read for others, a server that had just left was missing from the list. The entry took that for a registration that had
+// lapsed while the store was away, and sent requests there for two seconds more:
+//
+//     25.047 s  the server leaves, as the store says
+//     26.014 s  the entry reads the list without it
+//     27.649 s  a request reaches the server from this entry
+//
+// Its own calls had failed three seconds before, and the last word of another entry was 1.9 s old: two facts that did not belong together.
+
+#include "gateway/clock.h"
+#include "gateway/directory.h"
+#include "platform/standins/storestandin.h"
+#include "platform/standins/wiretext.h"
+#include "wire/http/tests/exchange.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+using namespace auburnspread;
+using namespace auburnspread::gateway;
+using adapter::standins::StoreStandin;
+using http::tests::runUntil;
+
+namespace
+{
+
+/// Longer than the gap after which an entry whose calls fail takes servers for lapsed.
+constexpr Duration Gap = std::chrono::milliseconds(1700);
+
+struct ReaderOfStore {
+    ReaderOfStore()
+    {
+        store.put(std::string(adapter::standins::ConfigurationKey), "{}");
+        const passthrough::Server server{ .service = "portal", .address = "127.0.0.1:9", .failureDomain = "a", .slots = 6 };
+        store.put(adapter::standins::serverKey("i-1"), adapter::standins::serverText(server));
+    }
+
+    auto readUntilListed() -> void
+    {
+        list.reset();
+        directory.setReading(true);
+        runUntil(loop, [this]() { return list.has_value(); });
+    }
+
+    auto failFor(Duration time) -> void
+    {
+        store.setBusy(true);
+        runUntil(
+            loop, []() { return false; }, time);
+        store.setBusy(false);
+    }
+
+    task::EventLoop loop;
+    StoreStandin store{ loop };
+    std::optional<ServersRead> list;
+    Directory directory{ loop,
+                         { .store = store.address(), .self = { .name = "entry-1" } },
+                         {
+                             .onConfiguration = [](auto &&...) {},
+                             .onConfirmed = [](auto &&...) {},
+                             .onServers = [this](const ServersRead &read) { list = read; },
+                             .onRegistrations = [](auto &&...) {},
+                             .onRegistrationsFailed = []() {},
+                             .onRemembered = [](auto &&...) {},
+                             .onReachable = [](auto &&...) {},
+                         } };
+};
+
+} // namespace
+
+TEST(OutageTests, callsThatFailedBeforeOthersToldOfTheServersShowNoOutage)
+{
+    ReaderOfStore reader;
+    reader.readUntilListed();
+    reader.failFor(std::chrono::seconds(1));
+    reader.directory.setReading(false);
+    reader.directory.noteServersConfirmed(now());
+    runUntil(
+        reader.loop, []() { return false; }, Gap);
+    reader.readUntilListed();
+    ASSERT_TRUE(reader.list);
+    EXPECT_FALSE(reader.list->outageEndedAt);
+}
+
+TEST(OutageTests, callsThatFailedSinceShowOne)
+{
+    ReaderOfStore reader;
+    reader.readUntilListed();
+    reader.failFor(Gap + std::chrono::seconds(1));
+    reader.readUntilListed();
+    runUntil(reader.loop, [&]() { return reader.list && reader.list->outageEndedAt; });
+    ASSERT_TRUE(reader.list);
+    EXPECT_TRUE(reader.list->outageEndedAt);
+}
--- a/src/gateway/tests/overdueconfiguration_tests.cpp
+++ b/src/gateway/tests/overdueconfiguration_tests.cpp
@@ -57,7 +57,7 @@
     {
         server.route(std::string(DirectoryPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
             state.confirmedAt = now();
-            state.serversAt = now();
+            takeServers(state, { .asOf = now() });
             replier.reply(200, "application/cbor", encodeAnswer(makeAnswer(state, readQuestion(request.query), now())));
         });
         server.route(std::string(DocumentPath), [this](const http::IncomingRequest &request, const http::Replier &replier) {
