What an entry does for each server: lists travel as changes, a decision looks at a part of many servers, sums fit into a datagram

Each change of one server sent the packed list of all to every entry, which unpacked, copied and compared it several times; each placement, and each look at what waits, computed an option for every server; sums of thousands of servers were built, encoded and then dropped because they were longer than a datagram; the cache reader's arguments were copied with each change of role.

Change: a list has a tag that is a sum over its servers, and a log of its latest changes; whoever asks with a tag that is known gets the changes. Servers of a service are dealt by hash into parts of 256 at most; a session belongs to one, and a second one is tried where that is full. A sum names the 200 busiest servers; parts of prompts are split by bytes. Where there is one part nothing changes.

Tests: lists by changes as properties, and a change of one among 3,000 servers in under 300 bytes. The test of a directory answer asked for the whole list after a change; it now asks that the change makes the reader's list of the asker's, and that the whole list is not sent.

--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -1,8 +1,10 @@
 #include "core/passthrough/internal/dispatching.h"
 
 #include "core/passthrough/internal/arriving.h"
+#include "core/passthrough/internal/candidate.h"
 #include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/ending.h"
+#include "core/passthrough/internal/enginechoice.h"
 #include "core/passthrough/peerreports.h"
 #include "core/passthrough/placement.h"
 
@@ -209,15 +211,12 @@
     return std::max(Least, static_cast<double>(engines) / std::max(unseen, 0.1));
 }
 
-auto place(const RouterState &state, const Request &request) -> Placement
+/// \p servers: all of the service or a part of them, which gets \p share of what the service gets
+auto placeAmong(const RouterState &state, const Request &request, const std::vector<ServerPointer> &servers, double share) -> Placement
 {
-    const auto found = state.servers.byService.find(request.service);
-    if (found == state.servers.byService.end()) {
-        return {};
-    }
     const auto *service = request.table->findService(request.service);
     const auto &pool = state.pools.at(request.service);
-    const auto unseen = unseenRequests(state, request.service);
+    const auto unseen = share * unseenRequests(state, request.service);
     const PlacementQuery query{
         .prompt = request.route->hasPrompt ? &request.call.prompt : nullptr,
         .failureDomain = state.options.failureDomain,
@@ -226,8 +225,8 @@
         .peersKnown = knowsPeers(state),
         .cacheTokens = service == nullptr ? 0 : service->cacheTokens,
         .fetchTokensPerMs = service == nullptr ? 0 : service->fetchTokensPerMs,
-        .shortPromptEngines = pool.split.shortPromptEngines,
-        .lookedAt = request.route->hasPrompt ? std::optional(lookedAtOf(unseen, found->second.size())) : std::nullopt,
+        .shortPromptEngines = static_cast<std::size_t>(std::ceil(share * static_cast<double>(pool.split.shortPromptEngines))),
+        .lookedAt = request.route->hasPrompt ? std::optional(lookedAtOf(unseen, servers.size())) : std::nullopt,
         .isUrgent = request.lessUrgentTiers > 0,
         // short prompts that pile up make answers pause, so for them all counts that was told
         .reportAge = isShort(request.call.prompt) ? Duration::zero() : reportAgeOf(state),
@@ -237,7 +236,33 @@
         .tieBreak = request.tieBreak,
         .reports = state.servers.reports,
     };
-    return choosePlacement(found->second, query, pool.speed, state.now);
+    return choosePlacement(servers, query, pool.speed, state.now);
+}
+
+auto isFound(const Placement &placement) -> bool
+{
+    return placement.server && !placement.mustWait;
+}
+
+auto place(const RouterState &state, const Request &request) -> Placement
+{
+    const auto found = state.servers.byService.find(request.service);
+    if (found == state.servers.byService.end()) {
+        return {};
+    }
+    const auto &group = found->second;
+    if (!request.route->hasPrompt || group.parts.size() == 1) {
+        return placeAmong(state, request, group.all, 1);
+    }
+    const auto session = sessionOf(request.call.prompt);
+    const auto key = mix(session == 0 ? request.tieBreak : session, 0);
+    const auto share = 1 / static_cast<double>(group.parts.size());
+    auto placement = placeAmong(state, request, group.parts[partOf(group, key)], share);
+    if (isFound(placement)) {
+        return placement;
+    }
+    auto second = placeAmong(state, request, group.parts[secondPartOf(group, key)], share);
+    return isFound(second) || !placement.server ? second : placement;
 }
 
 /// \return false if no server has room for it
@@ -302,10 +327,15 @@
 
 auto updateSplits(RouterState &state) -> void
 {
+    constexpr Duration IntervalOfMany = std::chrono::milliseconds(100); // of thousands of servers, all of which are looked at
     for (auto &[service, pool] : state.pools) {
         const auto found = state.servers.byService.find(service);
-        if (found != state.servers.byService.end()) {
-            updateSplit(pool.split, found->second, state.now);
+        if (found == state.servers.byService.end()) {
+            continue;
+        }
+        const auto interval = found->second.parts.size() == 1 ? Duration::zero() : IntervalOfMany;
+        if (state.now - pool.split.updatedAt >= interval) {
+            updateSplit(pool.split, found->second.all, state.now);
         }
     }
 }
--- a/src/core/passthrough/internal/enginechoice.cpp
+++ b/src/core/passthrough/internal/enginechoice.cpp
@@ -19,13 +19,6 @@
 /// Part of an engine's memory that requests may fill: reports of others are a tenth of a second old.
 constexpr double MemoryPart = 0.85;
 
-/// The part that requests of one session share; 0: the prompt has none.
-auto sessionOf(const Prompt &prompt) -> std::uint64_t
-{
-    constexpr std::size_t SessionFromEnd = 2;
-    return prompt.parts.size() < SessionFromEnd ? 0 : prompt.parts[prompt.parts.size() - SessionFromEnd].id;
-}
-
 /// The engines to which all entries send a session: the first while nothing speaks against it, the next when that is busy.
 /// A session that overflows goes to few engines and finds its part there, instead of being read anew at whichever is idle.
 using PreferredEngines = std::array<const ServerState *, 3>;
@@ -212,6 +205,12 @@
 
 } // namespace
 
+auto sessionOf(const Prompt &prompt) -> std::uint64_t
+{
+    constexpr std::size_t SessionFromEnd = 2;
+    return prompt.parts.size() < SessionFromEnd ? 0 : prompt.parts[prompt.parts.size() - SessionFromEnd].id;
+}
+
 auto chooseEngine(const std::vector<ServerPointer> &servers, const Source &source, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now)
     -> Placement
 {
--- a/src/core/passthrough/internal/enginechoice.h
+++ b/src/core/passthrough/internal/enginechoice.h
@@ -14,6 +14,9 @@
 namespace auburnspread::passthrough::detail
 {
 
+/// The part that requests of one session share; 0: the prompt has none.
+auto sessionOf(const Prompt &prompt) -> std::uint64_t;
+
 /// Nothing: none of \p servers has a place and memory.
 auto chooseEngine(const std::vector<ServerPointer> &servers, const Source &source, const PlacementQuery &query, const EngineSpeed &speed, TimePoint now)
     -> Placement;
--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -129,6 +129,21 @@
     return use.inFlight > 0 || use.waitingTokens > 0 || !use.sent.empty();
 }
 
+/// Servers that a sum names: as many as go into one datagram.
+constexpr std::size_t MostSummedServers = 200;
+
+/// Failure: a sum of thousands of servers is longer than a datagram and gets lost as a whole. Symptom: entries know only what they send
+/// themselves. The servers with least work are left out; they are believed idle, which is nearly true.
+auto keepBusiest(std::vector<PeerReported::Use> &uses) -> void
+{
+    if (uses.size() <= MostSummedServers) {
+        return;
+    }
+    const auto isBusier = [](const PeerReported::Use &a, const PeerReported::Use &b) { return a.heldTokens + a.unreadTokens > b.heldTokens + b.unreadTokens; };
+    std::nth_element(uses.begin(), uses.begin() + MostSummedServers, uses.end(), isBusier);
+    uses.resize(MostSummedServers);
+}
+
 /// Parts smaller than this are read again in less time than a report of them is worth.
 constexpr std::uint32_t LeastToldTokens = 512;
 
@@ -224,6 +239,9 @@
     }
     for (auto &[id, server] : table.byId) {
         server->reported = server->own;
+        if (server->own.inFlight == 0 && server->own.waitingTokens == 0 && server->sentHere.sent.empty()) {
+            continue;
+        }
         auto use = makeUse(id, server->own, partsToTell(*server, ReportScope::Entry, now));
         if (isNews(use)) {
             report.uses.push_back(std::move(use));
@@ -235,21 +253,23 @@
 namespace
 {
 
-/// Own work with that of the entries that told this one; by server.
+/// Own work with that of the entries that told this one; by server, those that anybody uses.
 auto sumWork(const ServerTable &table, ReportScope scope) -> std::map<std::string_view, Work>
 {
     std::map<std::string_view, Work> sum;
     for (const auto &[id, server] : table.byId) {
-        sum[id] = server->own;
+        const auto isUsed = server->own.inFlight > 0 || server->own.waitingTokens > 0;
+        const auto isTold = !server->sentHere.sent.empty() || !server->sentByPeers.sent.empty() || !server->sentByDomains.sent.empty();
+        if (isUsed || isTold) {
+            sum[id] = server->own;
+        }
     }
     forEachReport(table, scope, [&sum](const PeerReported &report) {
         for (const auto &use : report.uses) {
-            const auto found = sum.find(use.server);
-            if (found != sum.end()) {
-                addUse(found->second, use);
-            }
+            addUse(sum[use.server], use);
         }
     });
+    std::erase_if(sum, [&table](const auto &item) { return !table.byId.contains(item.first); });
     return sum;
 }
 
@@ -270,6 +290,7 @@
             report.uses.push_back(std::move(use));
         }
     }
+    keepBusiest(report.uses);
     return report;
 }
 
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -40,11 +40,37 @@
     return XXH64(id.data(), id.size(), 0);
 }
 
+/// Servers of a part, at most.
+constexpr std::size_t MostServersOfPart = 256;
+
+/// A power of two, so that the parts seldom change as servers come and go.
+auto countParts(std::size_t servers) -> std::size_t
+{
+    std::size_t parts = 1;
+    while (servers > parts * MostServersOfPart) {
+        parts *= 2;
+    }
+    return parts;
+}
+
+auto dealParts(ServerGroup &group) -> void
+{
+    group.parts.resize(countParts(group.all.size()));
+    for (const auto &server : group.all) {
+        group.parts[server->hash % group.parts.size()].push_back(server);
+    }
+}
+
 auto indexByService(ServerTable &table) -> void
 {
     table.byService.clear();
+    table.awaitsReturns = false;
     for (const auto &[id, server] : table.byId) {
-        table.byService[server->record.service].push_back(server);
+        table.byService[server->record.service].all.push_back(server);
+        table.awaitsReturns = table.awaitsReturns || server->returnBy;
+    }
+    for (auto &[service, group] : table.byService) {
+        dealParts(group);
     }
 }
 
@@ -91,6 +117,9 @@
 
 auto dropMissing(ServerTable &table, TimePoint now) -> void
 {
+    if (!table.awaitsReturns) {
+        return;
+    }
     const auto dropped = std::erase_if(table.byId, [now](const auto &item) {
         const auto &returnBy = item.second->returnBy;
         return returnBy && now >= *returnBy;
@@ -100,6 +129,18 @@
     }
 }
 
+auto partOf(const ServerGroup &group, std::uint64_t key) -> std::size_t
+{
+    return key % group.parts.size();
+}
+
+auto secondPartOf(const ServerGroup &group, std::uint64_t key) -> std::size_t
+{
+    const auto others = group.parts.size() - 1;
+    const auto step = others == 0 ? 0 : 1 + key / group.parts.size() % others;
+    return (partOf(group, key) + step) % group.parts.size();
+}
+
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer
 {
     const auto found = table.byId.find(id);
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -9,6 +9,7 @@
 #include "core/base/time.h"
 #include "core/passthrough/configuration.h"
 #include "core/passthrough/enginecache.h"
+#include "core/passthrough/errorevidence.h"
 #include "core/passthrough/events.h"
 
 #include <cstdint>
@@ -66,15 +67,27 @@
 
 using ServerPointer = std::shared_ptr<ServerState>;
 
+/// The servers of one service.
+struct ServerGroup {
+    std::vector<ServerPointer> all;
+    /// \c all, dealt by hash into parts of equal size, more or less; one part where they are few.
+    ///
+    /// Failure: each placement looks at thousands of servers. Symptom: an entry's core is busy with choosing. A session belongs to one
+    /// part, so its engines stay the same, and a placement costs the same however many servers there are.
+    std::vector<std::vector<ServerPointer>> parts;
+};
+
 /// A server that left the list is in none of these; its attempts keep its state until they end.
 struct ServerTable {
     std::map<std::string, ServerPointer, std::less<>> byId;
-    std::unordered_map<std::string, std::vector<ServerPointer>> byService;
+    std::unordered_map<std::string, ServerGroup> byService;
+    bool awaitsReturns = false; ///< servers are kept that are absent from the list; see ServerState::returnBy
     struct PeerUse {
         PeerReported report;
         TimePoint at;
     };
     std::string failureDomain;                                  ///< of this entry
+    std::uint64_t seed = 0;                                     ///< differs between entries
     std::map<std::string, PeerUse> peers;                       ///< reports of entries, by name
     std::map<std::string, PeerUse> domains;                     ///< sums of the other failure domains, by name
     std::optional<PeerUse> totals;                              ///< of all entries, as one of them summed them up
@@ -89,6 +102,12 @@
 /// Drops servers that stayed absent after an outage of the registry.
 auto dropMissing(ServerTable &table, TimePoint now) -> void;
 
+/// The part of a service's servers to which this key belongs, and the one that is tried where that one is full.
+/// @{
+auto partOf(const ServerGroup &group, std::uint64_t key) -> std::size_t;
+auto secondPartOf(const ServerGroup &group, std::uint64_t key) -> std::size_t;
+/// @}
+
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
 
 /// \name What own attempts show
--- a/src/core/passthrough/tests/placement_tests.cpp
+++ b/src/core/passthrough/tests/placement_tests.cpp
@@ -22,7 +22,7 @@
         records.push_back({ .id = "engine-" + std::to_string(i), .service = "engines", .slots = 32 });
     }
     adoptServers(table, { .servers = records }, Now);
-    return table.byService["engines"];
+    return table.byService["engines"].all;
 }
 
 auto makeQuote(std::uint64_t session) -> Prompt
--- a/src/gateway/cachereader.cpp
+++ b/src/gateway/cachereader.cpp
@@ -28,6 +28,11 @@
     }
 }
 
+auto CacheReader::hasRead() const -> bool
+{
+    return hasRead_;
+}
+
 auto CacheReader::ask(const passthrough::Server &server) -> void
 {
     client_.fetch(adapter::makeCacheList(server.address), [this, id = server.id](const http::Result &result) {
--- a/src/gateway/cachereader.h
+++ b/src/gateway/cachereader.h
@@ -32,6 +32,8 @@
     /// Asks the engines among \p servers that fall to \p self among \p entries. The first call counts.
     auto readOnce(const std::vector<passthrough::Server> &servers, const std::vector<std::string> &entries, const std::string &self) -> void;
 
+    [[nodiscard]] auto hasRead() const -> bool;
+
 private:
     auto ask(const passthrough::Server &server) -> void;
 
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -119,13 +119,13 @@
     }
 }
 
-auto Directory::noteServers(const ServersRead &read) -> void
+auto Directory::noteServers(const DirectoryState &known) -> void
 {
-    if (read.revision <= servers_.revision) {
+    if (known.serversRevision <= servers_.revision) {
         return;
     }
-    servers_ = { .revision = read.revision, .asOf = read.asOf };
-    for (const auto &server : read.servers) {
+    servers_ = { .revision = known.serversRevision, .asOf = known.serversAt.value_or(TimePoint()) };
+    for (const auto &server : known.servers) {
         servers_.byId[server.id] = server;
     }
 }
@@ -206,7 +206,6 @@
             return;
         }
         read->asOf = now() - OldestOutdated;
-        noteServers(*read);
         callbacks_.onServers(*read);
     });
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -57,7 +57,8 @@
     /// \name What came by another way
     /// @{
     auto noteConfiguration(std::uint64_t revision) -> void;
-    auto noteServers(const ServersRead &read) -> void;
+    /// The list that is known, before this entry begins to read for others.
+    auto noteServers(const DirectoryState &known) -> void;
     auto noteServersConfirmed(TimePoint asOf) -> void;
     /// @}
 
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -170,16 +170,7 @@
         confirmedAt_ = std::max(confirmedAt_, askedAt - *answer.confirmedAge);
         callbacks_.onConfirmed(askedAt - *answer.confirmedAge);
     }
-    if (answer.servers && answer.serversAge) {
-        callbacks_.onServers({
-            .servers = unpackServers(*answer.servers),
-            .revision = answer.serversRevision,
-            .asOf = askedAt - *answer.serversAge,
-            .outageEndedAt = answer.outageAge ? std::optional(askedAt - *answer.outageAge) : std::nullopt,
-        });
-    } else if (answer.serversAge) {
-        callbacks_.onServersConfirmed(answer.serversRevision, askedAt - *answer.serversAge);
-    }
+    applyServers(answer, askedAt);
     applyEntries(answer, askedAt);
     if (!answer.confirmedAge || !answer.serversAge) {
         return Fitness::Starting;
@@ -187,6 +178,33 @@
     return std::max(*answer.confirmedAge, *answer.serversAge) < OldConfirmation ? Fitness::Fit : Fitness::Unfit;
 }
 
+auto DirectoryFollower::applyServers(const DirectoryAnswer &answer, TimePoint askedAt) -> void
+{
+    if (!answer.serversAge) {
+        return;
+    }
+    const auto asOf = askedAt - *answer.serversAge;
+    const auto outageEndedAt = answer.outageAge ? std::optional(askedAt - *answer.outageAge) : std::nullopt;
+    if (answer.servers) {
+        callbacks_.onServers({
+            .servers = unpackServers(*answer.servers),
+            .revision = answer.serversRevision,
+            .asOf = asOf,
+            .outageEndedAt = outageEndedAt,
+        });
+    } else if (answer.serverChanges) {
+        callbacks_.onServersChanged({
+            .changes = *answer.serverChanges,
+            .tag = answer.serversTag,
+            .revision = answer.serversRevision,
+            .asOf = asOf,
+            .outageEndedAt = outageEndedAt,
+        });
+    } else {
+        callbacks_.onServersConfirmed(answer.serversRevision, asOf);
+    }
+}
+
 /// Failure: the asked entry was cut off from the others and hears only some of them. Symptom: whoever asks it takes the rest for dead.
 /// Its list is from before by then, and is not taken over.
 auto DirectoryFollower::applyEntries(const DirectoryAnswer &answer, TimePoint askedAt) -> void
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -43,6 +43,7 @@
     };
     auto take(const std::string &reader, TimePoint askedAt, const http::Result &result) -> Fitness;
     auto apply(const DirectoryAnswer &answer, TimePoint askedAt) -> Fitness;
+    auto applyServers(const DirectoryAnswer &answer, TimePoint askedAt) -> void;
     auto applyEntries(const DirectoryAnswer &answer, TimePoint askedAt) -> void;
     auto noteReachable(const std::string &reader, bool reachable, const std::string &detail) -> void;
 
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -135,21 +135,49 @@
     return state.offeredAt.empty() ? std::nullopt : std::optional(state.offeredAt.begin()->second);
 }
 
-auto takeServers(DirectoryState &state, const ServersRead &read) -> bool
+namespace
+{
+
+auto noteServersRead(DirectoryState &state, std::uint64_t revision, TimePoint asOf, std::optional<TimePoint> outageEndedAt) -> void
+{
+    state.serversRevision = revision;
+    state.serversAt = std::max(state.serversAt.value_or(asOf), asOf);
+    if (outageEndedAt) {
+        state.outageEndedAt = std::max(state.outageEndedAt.value_or(*outageEndedAt), *outageEndedAt);
+    }
+}
+
+} // namespace
+
+auto takeServers(DirectoryState &state, const ServersRead &read) -> std::optional<ServerChanges>
 {
     if (read.revision < state.serversRevision) {
-        return false;
+        return std::nullopt;
     }
-    if (!state.serversAt || read.servers != state.servers) {
-        state.servers = read.servers;
-        state.packedServers = packList(state.servers);
-        state.tags.servers = detail::contentTag(state.packedServers.bytes);
+    auto servers = read.servers;
+    sortServers(servers);
+    auto changes = findChanges(state.servers, servers);
+    if (!state.serversAt || !isEmpty(changes)) {
+        if (state.serversAt) {
+            noteChanges(state.serverLog, state.tags.servers, changes);
+        }
+        state.servers = std::move(servers);
+        state.tags.servers = tagOf(state.servers);
     }
-    state.serversRevision = read.revision;
-    state.serversAt = std::max(state.serversAt.value_or(read.asOf), read.asOf);
-    if (read.outageEndedAt) {
-        state.outageEndedAt = std::max(state.outageEndedAt.value_or(*read.outageEndedAt), *read.outageEndedAt);
+    noteServersRead(state, read.revision, read.asOf, read.outageEndedAt);
+    return changes;
+}
+
+auto takeServersChanged(DirectoryState &state, const ServersChanged &change) -> bool
+{
+    auto servers = applyChanges(state.servers, change.changes);
+    if (tagOf(servers) != change.tag) {
+        return false;
     }
+    noteChanges(state.serverLog, state.tags.servers, change.changes);
+    state.servers = std::move(servers);
+    state.tags.servers = change.tag;
+    noteServersRead(state, change.revision, change.asOf, change.outageEndedAt);
     return true;
 }
 
@@ -170,6 +198,20 @@
     return true;
 }
 
+namespace
+{
+
+auto packedServers(const DirectoryState &state) -> const PackedList &
+{
+    if (state.packedServersTag != state.tags.servers) {
+        state.packedServers = packList(state.servers);
+        state.packedServersTag = state.tags.servers;
+    }
+    return state.packedServers;
+}
+
+} // namespace
+
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer
 {
     DirectoryAnswer answer{ .serversRevision = state.serversRevision };
@@ -183,7 +225,11 @@
         answer.configuration = state.configurations.front().offer;
     }
     if (state.tags.servers != known.servers && state.serversAt) {
-        answer.servers = state.packedServers;
+        answer.serversTag = state.tags.servers;
+        answer.serverChanges = changesSince(state.serverLog, known.servers);
+        if (!answer.serverChanges) {
+            answer.servers = packedServers(state);
+        }
         const auto isRecent = state.outageEndedAt && now - *state.outageEndedAt < passthrough::ReturnTime;
         answer.outageAge = isRecent ? std::optional(now - *state.outageEndedAt) : std::nullopt;
     }
@@ -211,9 +257,12 @@
     }
     if (answer.servers) {
         document["servers"] = toJson(*answer.servers);
-        if (answer.outageAge) {
-            document["outage_age"] = answer.outageAge->count();
-        }
+    }
+    if (answer.serverChanges) {
+        document["server_changes"] = { answer.serversTag, listToJson(answer.serverChanges->changed), answer.serverChanges->removed };
+    }
+    if (answer.outageAge) {
+        document["outage_age"] = answer.outageAge->count();
     }
     if (answer.entriesAge) {
         document["entries_age"] = answer.entriesAge->count();
@@ -245,6 +294,11 @@
         if (document.contains("servers")) {
             answer.servers = toPackedList(document.at("servers"));
         }
+        if (document.contains("server_changes")) {
+            const auto &changes = document.at("server_changes");
+            answer.serversTag = changes.at(0);
+            answer.serverChanges = ServerChanges{ .changed = listFromJson<passthrough::Server>(changes.at(1), toServer), .removed = changes.at(2) };
+        }
         if (document.contains("outage_age")) {
             answer.outageAge = Duration(document.at("outage_age").get<Duration::rep>());
         }
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -7,6 +7,7 @@
 #include "core/fleet/entryrecord.h"
 #include "core/passthrough/configuration.h"
 #include "gateway/documenttransfer.h"
+#include "gateway/serverchanges.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -28,12 +29,22 @@
     std::optional<TimePoint> outageEndedAt; ///< servers not listed since then may be about to register again
 };
 
+/// What changed in the list that was known.
+struct ServersChanged {
+    ServerChanges changes;
+    std::uint64_t tag = 0; ///< of the list with these changes
+    std::uint64_t revision = 0;
+    TimePoint asOf;
+    std::optional<TimePoint> outageEndedAt; ///< see ServersRead
+};
+
 /// What a source of the directory tells the entry: its own reads of the store, or another entry.
 struct DirectoryCallbacks {
     std::function<void(const ConfigurationRead &read)> onConfiguration;
     std::function<void(TimePoint asOf)> onConfirmed;       ///< the last configuration told was the newest then
     std::function<void(std::uint64_t revision)> onOffered; ///< of a newer configuration, which another entry has
     std::function<void(const ServersRead &read)> onServers;
+    std::function<void(const ServersChanged &change)> onServersChanged;
     std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed;              ///< the last list told was read again
     std::function<void(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf)> onEntries; ///< as another entry hears them
     std::function<void(TimePoint asOf)> onEntriesConfirmed;                                      ///< the last ones told were heard again
@@ -66,13 +77,15 @@
     std::vector<OfferedDocument> configurations; ///< the newest, which is in force, and some before it
     std::optional<TimePoint> confirmedAt;
     std::map<std::uint64_t, TimePoint> offeredAt; ///< newer configurations of other entries, by revision: when each was heard of
-    std::vector<passthrough::Server> servers;
+    ServerRecords servers; ///< sorted by id
+    ChangeLog serverLog;   ///< of \c servers
     std::uint64_t serversRevision = 0;
     std::optional<TimePoint> serversAt;
     std::optional<TimePoint> outageEndedAt;  ///< the list was read again after a while without; see ServersRead
     std::vector<fleet::EntryRecord> entries; ///< alive
     std::optional<TimePoint> entriesAt;
-    PackedList packedServers;
+    mutable PackedList packedServers;           ///< made when it is first asked for
+    mutable std::uint64_t packedServersTag = 0; ///< of the list that it holds
     PackedList packedEntries;
     DirectoryTags tags;
 };
@@ -90,8 +103,10 @@
 auto takeConfirmed(DirectoryState &state, TimePoint asOf) -> void;
 /// \return whether it is news
 auto takeOffer(DirectoryState &state, std::uint64_t revision, TimePoint now) -> bool;
-/// \return whether it is news
-auto takeServers(DirectoryState &state, const ServersRead &read) -> bool;
+/// \return what changed; nothing: the list is older than the known one
+auto takeServers(DirectoryState &state, const ServersRead &read) -> std::optional<ServerChanges>;
+/// \return false if this is no change of the known list: the whole one is to be asked for
+auto takeServersChanged(DirectoryState &state, const ServersChanged &change) -> bool;
 /// \return whether it is news
 auto takeEntries(DirectoryState &state, const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> bool;
 auto takeEntriesConfirmed(DirectoryState &state, TimePoint asOf) -> void;
@@ -106,7 +121,9 @@
     std::optional<DocumentOffer> configuration; ///< the newest one, to be fetched in parts; not set: none
     std::optional<Duration> serversAge;         ///< not set: never read
     std::uint64_t serversRevision = 0;
-    std::optional<PackedList> servers;
+    std::optional<PackedList> servers;          ///< the whole list, where the asker's one is not known any more
+    std::optional<ServerChanges> serverChanges; ///< of the asker's list
+    std::uint64_t serversTag = 0;               ///< of the list with these changes
     std::optional<Duration> outageAge;  ///< since the list was read again after a while without; not set: long ago
     std::optional<Duration> entriesAge; ///< not set: nobody was heard yet
     std::optional<PackedList> entries;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -173,6 +173,7 @@
         .onConfirmed = [this](TimePoint asOf) { takeConfirmed(asOf); },
         .onOffered = [this](std::uint64_t revision) { takeOffer(revision); },
         .onServers = [this](const ServersRead &read) { takeServers(read); },
+        .onServersChanged = [this](const ServersChanged &change) { takeServersChanged(change); },
         .onServersConfirmed = [this](std::uint64_t revision, TimePoint asOf) { takeServersConfirmed(revision, asOf); },
         .onEntries = [this](const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) { takeEntries(alive, asOf); },
         .onEntriesConfirmed = [this](TimePoint asOf) { gateway::takeEntriesConfirmed(known_, asOf); },
@@ -247,15 +248,31 @@
 
 auto Fleet::takeServers(const ServersRead &read) -> void
 {
-    if (!gateway::takeServers(known_, read)) {
+    const auto changes = gateway::takeServers(known_, read);
+    if (!changes) {
         return;
     }
-    directory_.noteServers(read);
-    logServerChanges(read);
+    logServerChanges(*changes);
     callbacks_.onEvent(passthrough::ServersListed{ .servers = read.servers, .asOf = read.asOf, .outageEndedAt = read.outageEndedAt });
     callbacks_.onChanged();
 }
 
+/// A change of another list than the known one is dropped, and the whole list is asked for.
+auto Fleet::takeServersChanged(const ServersChanged &change) -> void
+{
+    if (change.revision < known_.serversRevision) {
+        return;
+    }
+    if (!gateway::takeServersChanged(known_, change)) {
+        known_.tags.servers = 0;
+        return;
+    }
+    directory_.noteServersConfirmed(change.asOf);
+    logServerChanges(change.changes);
+    callbacks_.onEvent(passthrough::ServersListed{ .servers = known_.servers, .asOf = change.asOf, .outageEndedAt = change.outageEndedAt });
+    callbacks_.onChanged();
+}
+
 /// What was listed and has not changed was read again.
 auto Fleet::takeServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void
 {
@@ -266,28 +283,27 @@
     }
 }
 
-auto Fleet::logServerChanges(const ServersRead &read) -> void
+auto Fleet::logServerChanges(const ServerChanges &changes) -> void
 {
-    std::map<std::string, passthrough::Server> next;
-    for (const auto &server : read.servers) {
-        next[server.id] = server;
-        const auto before = servers_.find(server.id);
-        if (before == servers_.end()) {
+    for (const auto &server : changes.changed) {
+        const auto [found, isNew] = servers_.try_emplace(server.id);
+        const auto before = std::exchange(found->second, { .service = server.service, .isLeaving = server.isLeaving, .startedAt = server.startedAt });
+        if (isNew) {
             accounting_.serversChanged("joined", server.id, server.service);
-        } else if (before->second.startedAt != server.startedAt) {
+        } else if (before.startedAt != server.startedAt) {
             accounting_.serversChanged("restarted", server.id, server.service);
             callbacks_.onServerGone(server.id);
-        } else if (before->second.isLeaving != server.isLeaving) {
+        } else if (before.isLeaving != server.isLeaving) {
             accounting_.serversChanged(server.isLeaving ? "leaving" : "available", server.id, server.service);
         }
     }
-    for (const auto &[id, server] : servers_) {
-        if (!next.contains(id)) {
-            accounting_.serversChanged("unlisted", id, server.service);
+    for (const auto &id : changes.removed) {
+        const auto gone = servers_.extract(id);
+        if (gone) {
+            accounting_.serversChanged("unlisted", id, gone.mapped().service);
             callbacks_.onServerGone(id);
         }
     }
-    servers_ = std::move(next);
 }
 
 auto Fleet::takeEntries(std::vector<fleet::EntryRecord> alive, TimePoint asOf) -> void
@@ -385,6 +401,7 @@
     }
     if (now - readOnceAt_ >= readOncePause_) {
         readOnceAt_ = now;
+        directory_.noteServers(known_);
         readOncePause_ = std::min(2 * readOncePause_, MostReadOncePause);
         directory_.readOnce();
     }
@@ -438,7 +455,7 @@
 /// Once, as soon as engines and other entries are known.
 auto Fleet::readCaches() -> void
 {
-    if (engineServices_.empty() || !known_.serversAt || known_.entries.empty()) {
+    if (caches_.hasRead() || engineServices_.empty() || !known_.serversAt || known_.entries.empty()) {
         return;
     }
     std::vector<passthrough::Server> engines;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -70,7 +70,8 @@
     auto tellOutdated() -> void;
     auto takeServers(const ServersRead &read) -> void;
     auto takeServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void;
-    auto logServerChanges(const ServersRead &read) -> void;
+    auto takeServersChanged(const ServersChanged &change) -> void;
+    auto logServerChanges(const ServerChanges &changes) -> void;
     auto takeEntries(std::vector<fleet::EntryRecord> alive, TimePoint asOf) -> void;
     auto takeRegistrations(const std::vector<fleet::EntryRecord> &registered) -> void;
     auto takeRemembered(const std::string &list) -> void;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -27,6 +27,34 @@
 constexpr std::size_t MostDatagramBytes = 8192;
 /// Parts of prompts in one report; those beyond go into further ones.
 constexpr std::size_t MostParts = 300;
+/// \name Longest forms, in bytes
+/// @{
+constexpr std::size_t HeadBytes = 400;
+constexpr std::size_t UseBytes = 36;
+constexpr std::size_t PartBytes = 15;
+/// @}
+
+/// What still goes into one report.
+struct Room {
+    std::size_t bytes = MostDatagramBytes - HeadBytes;
+    std::size_t parts = MostParts;
+};
+
+auto takeUse(Room &room) -> void
+{
+    room.bytes -= std::min(room.bytes, UseBytes);
+}
+
+auto takePart(Room &room) -> bool
+{
+    if (room.parts == 0 || room.bytes < PartBytes + UseBytes) {
+        return false;
+    }
+    room.parts -= 1;
+    room.bytes -= PartBytes;
+    return true;
+}
+
 /// Datagrams read before the loop goes on, so that a flood of them can't hold up callers.
 constexpr int MostReadsAtOnce = 64;
 
@@ -121,6 +149,19 @@
     return report;
 }
 
+/// A report of further parts of prompts, none yet.
+auto restOf(const passthrough::PeerReported &report) -> passthrough::PeerReported
+{
+    return {
+        .entry = report.entry,
+        .failureDomain = report.failureDomain,
+        .scope = report.scope,
+        .entries = report.entries,
+        .isRelayed = report.isRelayed,
+        .isRest = true,
+    };
+}
+
 } // namespace
 
 auto splitParts(const PeerMessage &message) -> std::vector<PeerMessage>
@@ -131,24 +172,23 @@
     }
     auto first = *report;
     std::vector<passthrough::PeerReported> rests;
-    std::size_t parts = 0;
+    Room room;
+    std::for_each(first.uses.begin(), first.uses.end(), [&room](const auto & /*use*/) { takeUse(room); });
     for (auto &use : first.uses) {
         std::vector<passthrough::PromptPart> kept;
         for (const auto &part : use.sent) {
-            if (parts++ < MostParts) {
+            if (!takePart(room)) {
+                room = {};
+                takePart(room);
+                rests.push_back(restOf(first));
+            }
+            if (rests.empty()) {
                 kept.push_back(part);
                 continue;
             }
-            if (parts % MostParts == 1) {
-                rests.push_back({ .entry = first.entry,
-                                  .failureDomain = first.failureDomain,
-                                  .scope = first.scope,
-                                  .entries = first.entries,
-                                  .isRelayed = first.isRelayed,
-                                  .isRest = true });
-            }
             auto &uses = rests.back().uses;
             if (uses.empty() || uses.back().server != use.server) {
+                takeUse(room);
                 uses.push_back({ .server = use.server });
             }
             uses.back().sent.push_back(part);
--- /dev/null
+++ b/src/gateway/serverchanges.cpp
@@ -0,0 +1,159 @@
+#include "gateway/serverchanges.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace auburnspread::gateway
+{
+
+namespace
+{
+
+using passthrough::Server;
+
+/// Servers and ids in a log; a list that is further behind is sent whole.
+constexpr std::size_t MostLoggedRecords = 512;
+
+auto sizeOf(const ServerChanges &changes) -> std::size_t
+{
+    return changes.changed.size() + changes.removed.size();
+}
+
+auto isSame(const Server &one, const Server &other) -> bool
+{
+    return one.id == other.id && one.service == other.service && one.address == other.address && one.failureDomain == other.failureDomain
+        && one.slots == other.slots && one.isLeaving == other.isLeaving && one.startedAt == other.startedAt;
+}
+
+auto hashText(std::uint64_t hash, std::string_view text) -> std::uint64_t
+{
+    return XXH64(text.data(), text.size(), hash);
+}
+
+auto hashNumber(std::uint64_t hash, std::int64_t number) -> std::uint64_t
+{
+    return XXH64(&number, sizeof number, hash);
+}
+
+auto hashOf(const Server &server) -> std::uint64_t
+{
+    std::uint64_t hash = 0;
+    for (const auto *text : { &server.id, &server.service, &server.address, &server.failureDomain }) {
+        hash = hashText(hash, *text);
+    }
+    for (const auto number : { std::int64_t{ server.slots }, std::int64_t{ server.isLeaving ? 1 : 0 }, server.startedAt }) {
+        hash = hashNumber(hash, number);
+    }
+    return hash;
+}
+
+} // namespace
+
+auto sortServers(ServerRecords &servers) -> void
+{
+    const auto isBefore = [](const Server &a, const Server &b) { return a.id < b.id; };
+    if (!std::is_sorted(servers.begin(), servers.end(), isBefore)) {
+        std::sort(servers.begin(), servers.end(), isBefore);
+    }
+}
+
+auto findChanges(const ServerRecords &before, const ServerRecords &after) -> ServerChanges
+{
+    ServerChanges changes;
+    auto old = before.begin();
+    for (const auto &server : after) {
+        for (; old != before.end() && old->id < server.id; ++old) {
+            changes.removed.push_back(old->id);
+        }
+        const auto isKnown = old != before.end() && old->id == server.id;
+        if (!isKnown || !isSame(*old, server)) {
+            changes.changed.push_back(server);
+        }
+        if (isKnown) {
+            ++old;
+        }
+    }
+    for (; old != before.end(); ++old) {
+        changes.removed.push_back(old->id);
+    }
+    return changes;
+}
+
+auto applyChanges(const ServerRecords &before, const ServerChanges &changes) -> ServerRecords
+{
+    std::map<std::string_view, const Server *> next;
+    for (const auto &server : before) {
+        next[server.id] = &server;
+    }
+    for (const auto &id : changes.removed) {
+        next.erase(id);
+    }
+    for (const auto &server : changes.changed) {
+        next[server.id] = &server;
+    }
+    ServerRecords after;
+    after.reserve(next.size());
+    for (const auto &[id, server] : next) {
+        after.push_back(*server);
+    }
+    return after;
+}
+
+auto isEmpty(const ServerChanges &changes) -> bool
+{
+    return changes.changed.empty() && changes.removed.empty();
+}
+
+auto tagOf(const ServerRecords &servers) -> std::uint64_t
+{
+    std::uint64_t tag = 1;
+    for (const auto &server : servers) {
+        tag += hashOf(server);
+    }
+    return std::max<std::uint64_t>(tag, 1);
+}
+
+auto noteChanges(ChangeLog &log, std::uint64_t before, const ServerChanges &changes) -> void
+{
+    log.steps.push_back({ .before = before, .changes = changes });
+    log.records += sizeOf(changes);
+    while (!log.steps.empty() && log.records > MostLoggedRecords) {
+        log.records -= sizeOf(log.steps.front().changes);
+        log.steps.pop_front();
+    }
+}
+
+auto changesSince(const ChangeLog &log, std::uint64_t tag) -> std::optional<ServerChanges>
+{
+    if (tag == 0) {
+        return std::nullopt; // the asker knows none
+    }
+    // a list may have come back to what it was: its last time counts
+    const auto last = std::find_if(log.steps.rbegin(), log.steps.rend(), [tag](const ChangeLog::Step &step) { return step.before == tag; });
+    if (last == log.steps.rend()) {
+        return std::nullopt;
+    }
+    std::map<std::string, std::optional<Server>> merged;
+    for (auto step = std::prev(last.base()); step != log.steps.end(); ++step) {
+        for (const auto &id : step->changes.removed) {
+            merged[id] = std::nullopt;
+        }
+        for (const auto &server : step->changes.changed) {
+            merged[server.id] = server;
+        }
+    }
+    ServerChanges changes;
+    for (auto &[id, server] : merged) {
+        if (server) {
+            changes.changed.push_back(std::move(*server));
+        } else {
+            changes.removed.push_back(id);
+        }
+    }
+    return changes;
+}
+
+} // namespace auburnspread::gateway
--- a/src/gateway/tests/directorystate_tests.cpp
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -47,8 +47,11 @@
     const auto change = decodeAnswer(encodeAnswer(makeAnswer(state, known, Now)));
     EXPECT_EQ(change.configuration, whole.configuration);
     EXPECT_FALSE(change.entries);
-    ASSERT_TRUE(change.servers);
-    EXPECT_FALSE(unpackServers(*change.servers).front().isLeaving);
+    EXPECT_FALSE(change.servers) << "what changed is enough";
+    ASSERT_TRUE(change.serverChanges);
+    EXPECT_FALSE(change.serverChanges->changed.front().isLeaving);
+    EXPECT_EQ(applyChanges({ makeServer(true) }, *change.serverChanges), state.servers);
+    EXPECT_EQ(change.serversTag, state.tags.servers);
 }
 
 /// What callers see: every request refused after an outage of the store, although the servers live. Whoever asks shortly
--- /dev/null
+++ b/src/gateway/tests/serverchanges_tests.cpp
@@ -0,0 +1,103 @@
+#include "gateway/directorystate.h"
+#include "gateway/serverchanges.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+using namespace auburnspread;
+using namespace auburnspread::gateway;
+
+namespace
+{
+
+constexpr TimePoint Now(std::chrono::hours(1));
+
+/// Servers by number, each with a state.
+auto makeList(const std::map<std::uint8_t, bool> &servers) -> ServerRecords
+{
+    ServerRecords list;
+    for (const auto &[number, isLeaving] : servers) {
+        list.push_back({ .id = "i-" + std::to_string(number), .service = "engines", .address = "10.0.0.1:80", .isLeaving = isLeaving });
+    }
+    sortServers(list);
+    return list;
+}
+
+auto makeFleet(int servers) -> ServerRecords
+{
+    ServerRecords list;
+    for (auto i = 0; i < servers; ++i) {
+        list.push_back({ .id = "i-" + std::to_string(i), .service = "engines", .address = "10.0.0.1:80" });
+    }
+    sortServers(list);
+    return list;
+}
+
+/// What an entry that knows \p known makes of a reader's answer.
+auto ask(DirectoryState &known, const DirectoryState &reader) -> DirectoryAnswer
+{
+    auto answer = decodeAnswer(encodeAnswer(makeAnswer(reader, known.tags, Now)));
+    if (answer.serverChanges) {
+        EXPECT_TRUE(takeServersChanged(known, { .changes = *answer.serverChanges, .tag = answer.serversTag, .revision = answer.serversRevision, .asOf = Now }));
+    } else if (answer.servers) {
+        takeServers(known, { .servers = unpackServers(*answer.servers), .revision = answer.serversRevision, .asOf = Now });
+    }
+    return answer;
+}
+
+} // namespace
+
+using Servers = std::map<std::uint8_t, bool>;
+
+RC_GTEST_PROP(ServerChangesTests, changesMakeOneListOfAnother, (const Servers &one, const Servers &other))
+{
+    const auto before = makeList(one);
+    const auto after = makeList(other);
+    RC_ASSERT(applyChanges(before, findChanges(before, after)) == after);
+    RC_ASSERT((tagOf(before) == tagOf(after)) == (before == after));
+}
+
+RC_GTEST_PROP(ServerChangesTests, anEntryThatAsksNowAndThenKnowsTheReadersList, (const std::vector<std::pair<Servers, bool>> &lists))
+{
+    DirectoryState reader;
+    DirectoryState asker;
+    std::uint64_t revision = 0;
+    for (const auto &[servers, asks] : lists) {
+        takeServers(reader, { .servers = makeList(servers), .revision = ++revision, .asOf = Now });
+        if (asks) {
+            ask(asker, reader);
+            RC_ASSERT(asker.servers == reader.servers);
+            RC_ASSERT(asker.tags.servers == reader.tags.servers);
+        }
+    }
+}
+
+/// Guards against a change of one server that sends the whole list to every entry.
+TEST(ServerChangesTests, aChangeOfOneServerIsSmallHoweverManyThereAre)
+{
+    constexpr std::size_t MostBytes = 300;
+    DirectoryState reader;
+    DirectoryState asker;
+    auto servers = makeFleet(3000);
+    takeServers(reader, { .servers = servers, .revision = 1, .asOf = Now });
+    EXPECT_TRUE(ask(asker, reader).servers) << "whoever knows none gets all";
+    servers[7].isLeaving = true;
+    takeServers(reader, { .servers = servers, .revision = 2, .asOf = Now });
+    EXPECT_LT(encodeAnswer(makeAnswer(reader, asker.tags, Now)).size(), MostBytes);
+    ask(asker, reader);
+    EXPECT_EQ(asker.servers, reader.servers);
+}
+
+/// Guards against a list that is known by nobody else: a change is taken for one of another list.
+TEST(ServerChangesTests, aChangeOfAnotherListIsNotTakenOver)
+{
+    DirectoryState state;
+    takeServers(state, { .servers = makeFleet(3), .revision = 1, .asOf = Now });
+    auto other = makeFleet(4);
+    const auto before = other;
+    other[0].isLeaving = true;
+    EXPECT_FALSE(takeServersChanged(state, { .changes = findChanges(before, other), .tag = tagOf(other), .revision = 2, .asOf = Now }));
+    EXPECT_EQ(state.servers.size(), 3U);
+}
