A server that fails requests is ejected after a few errors, at all entries, and tried again with one request at a time

Cause: a status of 500 only moved a moving average that cost two seconds at most among servers that have room. An engine that answers with errors at once is the only one with room in a burst, so what waits anywhere goes to it, and each entry learns for itself.

Ways weighed: errors in a row (cheap, but a route of which a seventh fails everywhere ejects healthy servers, and a server that fails each second request is never found), an average against a bound (the same two faults, later), and a sequential test of the odds that the server is bad against the odds that its errors belong to the route's requests.

Change: who is convinced takes the server out for a second and tells the others in the reports, where answers showed it (broken connections may lie at the entry's own link). Entries come back in an order of their own within a further second, with one request at a time; the first error prolongs the pause for all. At most half of a service is out for its errors.

The tests failed on the code before.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -130,6 +130,7 @@
         std::uint32_t heldTokens = 0;    ///< of memory, by all requests
         std::uint32_t waitingTokens = 0; ///< of prompts that wait at the entry for this server
         std::uint32_t shortPrompts = 0;  ///< of the requests, those with a short prompt
+        Duration ejectedFor{};           ///< that it is out of use because it fails requests; 0: it is not
         std::vector<PromptPart> sent;    ///< shared parts of prompts that were sent there lately
     };
     struct Arrivals {
--- a/src/core/passthrough/internal/candidate.cpp
+++ b/src/core/passthrough/internal/candidate.cpp
@@ -29,6 +29,12 @@
     return std::max(static_cast<std::uint32_t>(std::ceil(server.record.slots * part)), LeastPlaces);
 }
 
+/// A suspected server gets one request at a time: a server that fails at once has room at any time.
+auto isOnTrial(const ServerState &server) -> bool
+{
+    return isSuspected(server.errors) && server.own.inFlight > 0;
+}
+
 /// Without word from the other entries, this one keeps to its even part, with some more for the unevenness of arrivals.
 auto hasPlace(const ServerState &server, const PlacementQuery &query) -> bool
 {
@@ -50,7 +56,7 @@
 auto mayUse(const ServerState &server, const PlacementQuery &query, TimePoint now) -> bool
 {
     const auto isAvoided = std::find(query.avoid.begin(), query.avoid.end(), server.record.id) != query.avoid.end();
-    return !isAvoided && isUsable(server, now) && hasPlace(server, query);
+    return !isAvoided && isUsable(server, now) && !isOnTrial(server) && hasPlace(server, query);
 }
 
 auto serverPenalty(const ServerState &server, const PlacementQuery &query, TimePoint now) -> Duration
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -1,5 +1,6 @@
 #include "core/passthrough/internal/ending.h"
 
+#include "core/passthrough/ejection.h"
 #include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/milliseconds.h"
@@ -70,6 +71,20 @@
     learnReadingSpeed(state.pools[request.service].speed, attempt, state.now - attempt.sentAt);
 }
 
+/// Whether the server, or the way to it, failed the request while it may have run. Timeouts are judged by the silence of a server.
+auto isServersFault(Failure failure) -> bool
+{
+    return !provesNotStarted(failure) && failure != Failure::FirstTokenTimeout && failure != Failure::ProgressTimeout;
+}
+
+auto judgeAnswer(RouterState &state, const Request &request, ServerState &server, std::optional<Failure> failure) -> void
+{
+    noteAnswer(server.errors, state.usualErrors[request.route->name], failure.has_value());
+    if (failure && isConvincing(server.errors)) {
+        eject(state.servers, server, !looksLikeCrash(*failure), state.now);
+    }
+}
+
 auto makePace(const Request &request, TimePoint now) -> AnswerPace
 {
     const auto *service = request.table->findService(request.service);
@@ -248,8 +263,10 @@
     request.mayHaveRun = true;
     if (event.status < FirstErrorStatus) {
         noteSucceeded(*server, state.now);
+        judgeAnswer(state, request, *server, std::nullopt);
     } else {
         noteHeard(*server);
+        judgeAnswer(state, request, *server, Failure::ServerError);
         noteFailed(*server, Failure::ServerError, state.now);
         if (!whyNoRepeat(state, request, Failure::ServerError)) {
             const auto service = request.service;
@@ -276,6 +293,7 @@
     }
     const auto server = closeAttempt(state, event.attempt);
     noteSucceeded(*server, state.now);
+    judgeAnswer(state, request, *server, std::nullopt);
     clearCrashes(state, request.call.fingerprint);
     actions.emplace_back(Complete{ .request = request.call.request });
     release(state, request, actions);
@@ -290,6 +308,9 @@
     auto &request = state.requests.at(attempt->request);
     const auto server = closeAttempt(state, event.attempt);
     noteFailed(*server, event.failure, state.now);
+    if (isServersFault(event.failure)) {
+        judgeAnswer(state, request, *server, event.failure);
+    }
     if (event.failure == Failure::BrokenBeforeFirstByte) {
         noteCrash(state, request.call.fingerprint, actions);
     }
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -117,6 +117,7 @@
     std::set<Due> due;                 ///< when a request must be looked at
     std::unordered_map<Fingerprint, CrashRecord> crashes;
     std::unordered_map<std::string, Duration> longestDeadlines; ///< that callers gave, by route
+    std::unordered_map<std::string, UsualErrors> usualErrors;   ///< by route
     std::uint64_t seed = 0;                                     ///< of this entry's tie-breaks
     std::uint64_t lastOrder = 0;
     std::uint64_t lastAttempt = 0;
--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -1,5 +1,7 @@
 #include "core/passthrough/peerreports.h"
 
+#include "core/passthrough/ejection.h"
+
 #include <algorithm>
 #include <map>
 #include <string_view>
@@ -111,7 +113,7 @@
     }
 }
 
-auto makeUse(const std::string &server, const Work &work, std::vector<PromptPart> sent) -> PeerReported::Use
+auto makeUse(const std::string &server, const Work &work, Duration ejectedFor, std::vector<PromptPart> sent) -> PeerReported::Use
 {
     return {
         .server = server,
@@ -120,13 +122,14 @@
         .heldTokens = work.heldTokens,
         .waitingTokens = work.waitingTokens,
         .shortPrompts = work.shortPrompts,
+        .ejectedFor = ejectedFor,
         .sent = std::move(sent),
     };
 }
 
 auto isNews(const PeerReported::Use &use) -> bool
 {
-    return use.inFlight > 0 || use.waitingTokens > 0 || !use.sent.empty();
+    return use.inFlight > 0 || use.waitingTokens > 0 || use.ejectedFor > Duration::zero() || !use.sent.empty();
 }
 
 /// Servers that a sum names: as many as go into one datagram.
@@ -139,7 +142,8 @@
     if (uses.size() <= MostSummedServers) {
         return;
     }
-    const auto isBusier = [](const PeerReported::Use &a, const PeerReported::Use &b) { return a.heldTokens + a.unreadTokens > b.heldTokens + b.unreadTokens; };
+    const auto rankOf = [](const PeerReported::Use &use) { return std::pair(use.ejectedFor, use.heldTokens + use.unreadTokens); };
+    const auto isBusier = [rankOf](const PeerReported::Use &a, const PeerReported::Use &b) { return rankOf(a) > rankOf(b); };
     std::nth_element(uses.begin(), uses.begin() + MostSummedServers, uses.end(), isBusier);
     uses.resize(MostSummedServers);
 }
@@ -239,10 +243,12 @@
     }
     for (auto &[id, server] : table.byId) {
         server->reported = server->own;
-        if (server->own.inFlight == 0 && server->own.waitingTokens == 0 && server->sentHere.sent.empty()) {
+        const auto ejectedFor = ownEjectionLeft(*server, now);
+        const auto isIdle = server->own.inFlight == 0 && server->own.waitingTokens == 0 && server->sentHere.sent.empty();
+        if (isIdle && ejectedFor == Duration::zero()) {
             continue;
         }
-        auto use = makeUse(id, server->own, partsToTell(*server, ReportScope::Entry, now));
+        auto use = makeUse(id, server->own, ejectedFor, partsToTell(*server, ReportScope::Entry, now));
         if (isNews(use)) {
             report.uses.push_back(std::move(use));
         }
@@ -254,13 +260,13 @@
 {
 
 /// Own work with that of the entries that told this one; by server, those that anybody uses.
-auto sumWork(const ServerTable &table, ReportScope scope) -> std::map<std::string_view, Work>
+auto sumWork(const ServerTable &table, ReportScope scope, TimePoint now) -> std::map<std::string_view, Work>
 {
     std::map<std::string_view, Work> sum;
     for (const auto &[id, server] : table.byId) {
         const auto isUsed = server->own.inFlight > 0 || server->own.waitingTokens > 0;
         const auto isTold = !server->sentHere.sent.empty() || !server->sentByPeers.sent.empty() || !server->sentByDomains.sent.empty();
-        if (isUsed || isTold) {
+        if (isUsed || isTold || ejectionLeft(*server, now) > Duration::zero()) {
             sum[id] = server->own;
         }
     }
@@ -282,10 +288,10 @@
         report.arrivals.push_back({ .service = service, .perSecond = perSecond + sumArrivals(table, service, scope) });
     }
     report.entries += countEntries(table, scope);
-    for (const auto &[id, work] : sumWork(table, scope)) {
+    for (const auto &[id, work] : sumWork(table, scope, now)) {
         const auto server = findServer(table, id);
         auto parts = partsToTell(*server, scope, now);
-        auto use = makeUse(std::string(id), work, std::move(parts));
+        auto use = makeUse(std::string(id), work, ejectionLeft(*server, now), std::move(parts));
         if (isNews(use)) {
             report.uses.push_back(std::move(use));
         }
@@ -297,13 +303,16 @@
 namespace
 {
 
-auto noteSentParts(ServerTable &table, const PeerReported &report, TimePoint now) -> void
+auto noteNews(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
     for (const auto &use : report.uses) {
         const auto server = findServer(table, use.server);
         if (!server) {
             continue;
         }
+        if (use.ejectedFor > Duration::zero()) {
+            hearEjection(table, *server, now + use.ejectedFor, now);
+        }
         for (const auto &part : use.sent) {
             noteUse(server->cache, part, capacityOf(table, *server), now);
             if (report.scope != ReportScope::Fleet) {
@@ -362,7 +371,7 @@
 
 auto notePeerReport(ServerTable &table, const PeerReported &report, TimePoint now) -> void
 {
-    noteSentParts(table, report, now);
+    noteNews(table, report, now);
     if (report.isRest) {
         return;
     }
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -29,6 +29,7 @@
     if (!isOlder) {
         state.table = std::make_shared<const RouteTable>(configuration);
         state.longestDeadlines.clear(); // routes come and go with configurations
+        state.usualErrors.clear();
         state.servers.cacheTokens.clear();
         for (const auto &service : configuration.services) {
             state.servers.cacheTokens[service.name] = service.cacheTokens;
@@ -137,6 +138,7 @@
     state->options = std::move(options);
     state->servers.failureDomain = state->options.failureDomain;
     state->seed = XXH64(state->options.entry.data(), state->options.entry.size(), 0);
+    state->servers.seed = state->seed;
     return state;
 }
 
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -246,7 +246,7 @@
 
 auto isUsable(const ServerState &server, TimePoint now) -> bool
 {
-    return !server.record.isLeaving && now >= server.suspendedUntil && !isSilent(server, now);
+    return !server.record.isLeaving && now >= server.suspendedUntil && now >= server.ejectedUntil && !isSilent(server, now);
 }
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -57,7 +57,11 @@
     std::uint32_t failuresInRow = 0;     ///< of the kind that says the server is unreachable or dead
     double failureRate = 0;              ///< moving average of own failures, 0 to 1, as of failureRateAt
     TimePoint failureRateAt;
-    double slowness = 1; ///< moving average of observed to expected time to the first byte
+    ErrorEvidence errors;
+    TimePoint ejectedUntil;      ///< no work before, because of its errors; see ejection.h
+    TimePoint ownEjectionUntil;  ///< as this entry tells others
+    TimePoint toldEjectionUntil; ///< as others told
+    double slowness = 1;         ///< moving average of observed to expected time to the first byte
 
     EngineCache cache;
     RecentParts sentHere;      ///< by this entry
--- a/src/core/passthrough/tests/replay.cpp
+++ b/src/core/passthrough/tests/replay.cpp
@@ -261,10 +261,13 @@
             if (const auto *send = std::get_if<Send>(&action)) {
                 const auto engine = numbers_.at(send->server);
                 noteBelief(*send, engine, entry);
+                countAttempt(engine);
                 tellSoon(entry);
                 const Work work{ .entry = entry, .attempt = send->attempt, .ask = asked_.at(send->request) };
                 const auto fetched = send->fetchFrom.empty() ? Duration::zero() : fetch(asks_.at(work.ask).prompt, addresses_.at(send->fetchFrom), engine);
                 after(OneWay + fetched, [this, engine, work]() { enter(engine, work); });
+            } else if (std::holds_alternative<Deliver>(action)) {
+                result_.attempts.requestsLost += 1; // only errors are answered whole here
             } else if (const auto *refuse = std::get_if<Refuse>(&action)) {
                 takeRefusal(asked_.at(refuse->request), *refuse);
             }
@@ -284,6 +287,28 @@
         inFlight_[engine][{ entry, send.attempt }] = entry;
     }
 
+    [[nodiscard]] auto isFailing(std::size_t engine) const -> bool
+    {
+        return isBurst() && engine < options_.engines.failing;
+    }
+
+    auto countAttempt(std::size_t engine) -> void
+    {
+        constexpr Duration Learning = std::chrono::seconds(1);
+        if (now_ >= Start + options_.load.length / 2 + Learning) {
+            result_.attempts.all += 1;
+            result_.attempts.onFailing += isFailing(engine) ? 1 : 0;
+        }
+    }
+
+    auto fail(std::size_t number, const Work &work) -> void
+    {
+        constexpr Duration ErrorTime = std::chrono::milliseconds(4);
+        inFlight_[number].erase({ work.entry, work.attempt });
+        result_.attempts.failed += 1;
+        after(ErrorTime, [this, work]() { apply(work.entry, AttemptAnswered{ .attempt = work.attempt, .status = 500 }); });
+    }
+
     auto takeRefusal(std::size_t number, const Refuse &refusal) -> void
     {
         auto &ask = asks_.at(number);
@@ -313,6 +338,10 @@
 
     auto enter(std::size_t number, Work work) -> void
     {
+        if (isFailing(number)) {
+            fail(number, work);
+            return;
+        }
         auto &engine = engines_.at(number);
         const auto &prompt = asks_.at(work.ask).prompt;
         work.unread = prompt.tokens;
--- a/src/core/passthrough/tests/replay.h
+++ b/src/core/passthrough/tests/replay.h
@@ -56,7 +56,27 @@
     }
 };
 
+/// Engines that answer each request with an error at once, in the second half of the load.
+struct EngineTroubles {
+    std::size_t failing = 0; ///< the first ones
+};
+
+/// Attempts on engines in the second half.
+struct Attempts {
+    std::uint64_t all = 0;           ///< after its first second
+    std::uint64_t onFailing = 0;     ///< after its first second
+    std::uint64_t failed = 0;        ///< answered with an error
+    std::uint64_t requestsLost = 0;  ///< whose caller got the error
+
+    /// Attempts on a failing engine for each one on an engine of the mean.
+    [[nodiscard]] auto failingShare(std::size_t engines, std::size_t failing) const -> double
+    {
+        return static_cast<double>(onFailing) / static_cast<double>(failing) / (static_cast<double>(all) / static_cast<double>(engines));
+    }
+};
+
 struct ReplayResult {
+    Attempts attempts;
     std::vector<Belief> beliefs; ///< of long prompts, for each half second from the start
     Served longPrompts;
     Served shortPrompts;
@@ -76,6 +96,7 @@
 struct ReplayOptions {
     LoadPattern load;
     ReportTroubles reports;
+    EngineTroubles engines;
     Duration reportInterval = ReportInterval;
     Duration rest = std::chrono::seconds(6); ///< after the load, until the last answers have ended
 };
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -78,11 +78,16 @@
     return parts;
 }
 
+auto toMilliseconds(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 auto toJson(const passthrough::PeerReported &report) -> json
 {
     auto uses = json::array();
     for (const auto &use : report.uses) {
-        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.waitingTokens, use.shortPrompts, partsToJson(use.sent) });
+        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.waitingTokens, use.shortPrompts, toMilliseconds(use.ejectedFor), partsToJson(use.sent) });
     }
     auto arrivals = json::array();
     for (const auto &each : report.arrivals) {
@@ -143,7 +148,8 @@
             .heldTokens = use.at(3).get<std::uint32_t>(),
             .waitingTokens = use.at(4).get<std::uint32_t>(),
             .shortPrompts = use.at(5).get<std::uint32_t>(),
-            .sent = partsFromJson(use.at(6)),
+            .ejectedFor = std::chrono::milliseconds(use.at(6).get<std::uint32_t>()),
+            .sent = partsFromJson(use.at(7)),
         });
     }
     return report;
