One entry leads: it reports the usage of workspaces and orders backend servers

Cause: the product had no duty that one entry does for all.

Change: core/leadership, core/usage and core/ordering decide, pure; gateway/election, usagereports, serverorders and duties carry out; platform/duties knows the calls. The leader holds a key of the store under a lease; the store's revision of that write is the fencing token. Candidates are the two entries that read the store. Entries count what begins to run by workspace and window of true time and tell it with their heartbeats, cumulative; a window's counts are fixed by a conditional write that also names the leader's key before they are sent first. Orders keep preemptible servers at the bound of each failure domain where they are cheap, let the others go when as many preemptible ones run, and fill a gap by servers on demand.

Weighed: one leadership for all duties against one each: one costs a lease and a watch, and its loss delays both by 3 s; chosen for its calls. A key for each window against one record of the latest: one record orders the windows, so none can be counted anew after it was left out.

--- /dev/null
+++ b/src/core/leadership/tests/leadership_tests.cpp
@@ -0,0 +1,152 @@
+#include "core/leadership/leadership.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+using namespace auburnspread;
+using namespace auburnspread::leadership;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+template <typename Wanted>
+auto find(const Actions &actions) -> std::optional<Wanted>
+{
+    for (const auto &action : actions) {
+        if (const auto *wanted = std::get_if<Wanted>(&action)) {
+            return *wanted;
+        }
+    }
+    return std::nullopt;
+}
+
+/// One entry, with a store that answers as the test says.
+class Entry
+{
+public:
+    auto apply(const Event &event) -> Actions
+    {
+        return step(state_, event, now_);
+    }
+    auto pass(Duration duration) -> Actions
+    {
+        now_ += duration;
+        return apply(Tick{});
+    }
+    /// Leads from now on, with this token.
+    auto lead(std::uint64_t token) -> void
+    {
+        auto actions = apply(EligibilityChanged{ .isEligible = true });
+        actions = apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call });
+        actions = apply(LeaseTaken{ .call = find<TakeLease>(actions).value().call, .lease = 5, .lifetime = 3s });
+        actions = apply(ClaimWritten{ .call = find<WriteClaim>(actions).value().call, .revision = token });
+        apply(LeaseRenewed{ .call = find<RenewLease>(actions).value().call });
+    }
+    [[nodiscard]] auto token() const -> std::optional<std::uint64_t>
+    {
+        return currentToken(state_, now_);
+    }
+
+private:
+    State state_ = makeState({ .entry = "e1", .incarnation = 1 });
+    TimePoint now_ = TimePoint(1h);
+};
+
+} // namespace
+
+TEST(LeadershipTests, theRevisionOfTheClaimIsTheToken)
+{
+    Entry entry;
+    EXPECT_FALSE(entry.token());
+    entry.lead(17);
+    EXPECT_EQ(entry.token(), 17U);
+}
+
+/// Guards against a leader that is suspended for longer than its lease and goes on when it wakes.
+TEST(LeadershipTests, aLeaderThatWasSuspendedDoesNotActAnyMore)
+{
+    Entry entry;
+    entry.lead(17);
+    entry.pass(100ms);
+    EXPECT_TRUE(entry.token());
+    const auto actions = entry.pass(4s);
+    EXPECT_FALSE(entry.token());
+    EXPECT_EQ(find<TermEnded>(actions).value().reason, TermEnd::LeaseEnded);
+}
+
+/// Guards against acting between waking up and the first tick.
+TEST(LeadershipTests, thereIsNoTokenOnceTheLeaseMayHaveEnded)
+{
+    Entry entry;
+    entry.lead(17);
+    entry.pass(1s);
+    EXPECT_TRUE(entry.token());
+    entry.pass(1500ms);
+    EXPECT_FALSE(entry.token()) << "nothing was renewed for 2.5 of 3 seconds";
+}
+
+/// Guards against A, B, A: an entry that led rests for longer than anybody needs to notice its successor.
+TEST(LeadershipTests, anEntryThatLedRestsBeforeItLeadsAgain)
+{
+    Entry entry;
+    entry.lead(17);
+    EXPECT_TRUE(find<TermEnded>(entry.apply(TokenRefused{ .token = 17 })));
+    EXPECT_TRUE(entry.pass(5900ms).empty());
+    EXPECT_TRUE(find<ReadClaim>(entry.pass(200ms)));
+}
+
+TEST(LeadershipTests, anEntryThatLeavesHandsOverAtOnce)
+{
+    Entry entry;
+    entry.lead(17);
+    const auto actions = entry.apply(EligibilityChanged{ .isEligible = false });
+    EXPECT_EQ(find<TermEnded>(actions).value().reason, TermEnd::Leaving);
+    EXPECT_EQ(find<EndLease>(actions).value().lease, 5U);
+}
+
+/// Guards against a second token for one claim: the answer to the write was lost, and the write was done.
+TEST(LeadershipTests, aClaimWhoseAnswerWasLostIsFoundByReading)
+{
+    Entry entry;
+    auto actions = entry.apply(EligibilityChanged{ .isEligible = true });
+    actions = entry.apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call });
+    actions = entry.apply(LeaseTaken{ .call = find<TakeLease>(actions).value().call, .lease = 5, .lifetime = 3s });
+    const auto write = find<WriteClaim>(actions).value();
+    actions = entry.apply(CallFailed{ .call = write.call, .failure = CallFailure::Unknown });
+    entry.apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call, .claim = write.claim, .claimRevision = 21, .storeRevision = 30 });
+    EXPECT_EQ(entry.token(), 21U);
+}
+
+/// Guards against an entry that takes the claim of its own earlier start for its own.
+TEST(LeadershipTests, aClaimOfAnEarlierStartIsSomebodyElses)
+{
+    Entry entry;
+    auto actions = entry.apply(EligibilityChanged{ .isEligible = true });
+    const Claim earlier{ .entry = "e1", .incarnation = 0, .attempt = 1 };
+    actions = entry.apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call, .claim = earlier, .claimRevision = 21, .storeRevision = 30 });
+    EXPECT_FALSE(entry.token());
+    EXPECT_EQ(find<WatchClaim>(actions).value().revision, 30U);
+}
+
+TEST(LeadershipTests, aStoreThatIsAwayEndsATermAndIsAskedSeldom)
+{
+    Entry entry;
+    entry.lead(17);
+    auto calls = 0;
+    for (auto i = 0; i < 100; ++i) {
+        for (const auto &action : entry.pass(100ms)) {
+            if (const auto *renew = std::get_if<RenewLease>(&action)) {
+                calls += 1;
+                entry.apply(CallFailed{ .call = renew->call, .failure = CallFailure::Unknown });
+            } else if (const auto *read = std::get_if<ReadClaim>(&action)) {
+                calls += 1;
+                entry.apply(CallFailed{ .call = read->call, .failure = CallFailure::Refused });
+            }
+        }
+    }
+    EXPECT_FALSE(entry.token());
+    EXPECT_LE(calls, 20);
+}
--- /dev/null
+++ b/src/core/ordering/tests/ordering_tests.cpp
@@ -0,0 +1,118 @@
+#include "core/ordering/ordering.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace auburnspread;
+using namespace auburnspread::ordering;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Now(1h);
+
+auto makeSituation() -> Situation
+{
+    return {
+        .service = "engines",
+        .scaling = { .least = 1, .most = 6, .startTime = 4s, .preemptiblePrice = 0.2, .prices = { { "a", 1.0 }, { "b", 0.8 } } },
+    };
+}
+
+auto addServers(Situation &situation, const std::string &domain, Kind kind, int count, bool isLeaving = false) -> void
+{
+    for (auto i = 0; i < count; ++i) {
+        situation.servers.push_back({
+            .id = "s" + std::to_string(situation.servers.size()),
+            .service = "engines",
+            .failureDomain = domain,
+            .isLeaving = isLeaving,
+            .isPreemptible = kind == Kind::Preemptible,
+        });
+    }
+}
+
+auto countOf(const std::vector<Order> &orders, const std::string &domain, Kind kind) -> std::optional<std::uint32_t>
+{
+    const auto found
+        = std::find_if(orders.begin(), orders.end(), [&](const Order &order) { return order.failureDomain == domain && order.kind == kind; });
+    return found == orders.end() ? std::nullopt : std::optional(found->count);
+}
+
+} // namespace
+
+/// Guards against a fleet that sends its servers away before those that replace them are there.
+TEST(OrderingTests, preemptibleServersComeBeforeTheOthersGo)
+{
+    State state;
+    auto situation = makeSituation();
+    addServers(situation, "a", Kind::OnDemand, 3);
+    addServers(situation, "b", Kind::OnDemand, 3);
+    auto orders = plan(state, situation, Now);
+    EXPECT_EQ(countOf(orders, "a", Kind::Preemptible), 3U) << "the bound holds for both kinds together";
+    EXPECT_EQ(countOf(orders, "a", Kind::OnDemand), std::nullopt);
+    addServers(situation, "a", Kind::Preemptible, 3);
+    orders = plan(state, situation, Now + 5s);
+    EXPECT_EQ(countOf(orders, "a", Kind::OnDemand), 0U);
+    EXPECT_EQ(countOf(orders, "b", Kind::OnDemand), std::nullopt);
+}
+
+TEST(OrderingTests, whatIsOrderedIsOrderedOnce)
+{
+    State state;
+    auto situation = makeSituation();
+    addServers(situation, "a", Kind::OnDemand, 3);
+    EXPECT_FALSE(plan(state, situation, Now).empty());
+    EXPECT_TRUE(plan(state, situation, Now + 1s).empty());
+}
+
+/// Guards against an order that an earlier, late one replaced.
+TEST(OrderingTests, whatIsNotSeenInTimeIsOrderedAnew)
+{
+    State state;
+    auto situation = makeSituation();
+    addServers(situation, "a", Kind::OnDemand, 3);
+    addServers(situation, "b", Kind::Preemptible, 6);
+    EXPECT_EQ(countOf(plan(state, situation, Now), "a", Kind::Preemptible), 3U);
+    EXPECT_EQ(countOf(plan(state, situation, Now + 10s), "a", Kind::Preemptible), 3U);
+}
+
+/// Guards against orders again and again in a failure domain that has none to give.
+TEST(OrderingTests, aFailureDomainThatHasNoneIsLeftInPeaceForAWhile)
+{
+    State state;
+    auto situation = makeSituation();
+    addServers(situation, "b", Kind::Preemptible, 6);
+    const auto order = plan(state, situation, Now).front();
+    EXPECT_EQ(order.failureDomain, "a");
+    noteOutcome(state, order, Outcome::Unavailable, Now);
+    EXPECT_EQ(countOf(plan(state, situation, Now + 1s), "a", Kind::Preemptible), std::nullopt);
+    EXPECT_EQ(countOf(plan(state, situation, Now + 3s), "a", Kind::Preemptible), 6U);
+}
+
+/// Guards against a burst that meets a failure domain whose servers have just been taken away.
+TEST(OrderingTests, serversOnDemandFillAGapAndStayForAWhile)
+{
+    State state;
+    auto situation = makeSituation();
+    addServers(situation, "a", Kind::Preemptible, 6, true);
+    addServers(situation, "b", Kind::Preemptible, 4);
+    situation.neededServers = 6;
+    EXPECT_EQ(countOf(plan(state, situation, Now), "b", Kind::OnDemand), 2U);
+    addServers(situation, "b", Kind::OnDemand, 2);
+    situation.neededServers = 1;
+    EXPECT_EQ(countOf(plan(state, situation, Now + 1s), "b", Kind::OnDemand), std::nullopt);
+    EXPECT_EQ(countOf(plan(state, situation, Now + 8s), "b", Kind::OnDemand), 0U);
+}
+
+TEST(OrderingTests, serversThatAreNotCheapEnoughAreNotPreempted)
+{
+    State state;
+    auto situation = makeSituation();
+    situation.scaling.preemptiblePrice = 0.9;
+    addServers(situation, "a", Kind::OnDemand, 3);
+    EXPECT_TRUE(plan(state, situation, Now).empty());
+}
--- a/src/core/passthrough/configuration.h
+++ b/src/core/passthrough/configuration.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,6 +45,15 @@
     std::vector<Share> shares;
 };
 
+/// Bounds and prices of the backend servers of a service that may be ordered; the bounds hold in each failure domain.
+struct Scaling {
+    std::uint32_t least = 0;
+    std::uint32_t most = 0;
+    Duration startTime{};                 ///< of a server, from its order until it serves
+    double preemptiblePrice = 1;          ///< part of the price of other servers
+    std::map<std::string, double> prices; ///< of a second of a server, by failure domain
+};
+
 /// The group of backend servers behind routes.
 struct Service {
     std::string name;
@@ -52,6 +62,7 @@
     std::uint64_t cacheTokens = 0;           ///< of an engine: memory
     std::uint32_t tokensPerEvent = 1;        ///< of an engine: that one event of a stream holds
     double fetchTokensPerMs = 0;             ///< of an engine: KV cache that it can copy from another one; 0: it can't
+    std::optional<Scaling> scaling;          ///< not set: its servers can't be ordered
 };
 
 struct Workspace {
@@ -85,6 +96,7 @@
     std::string failureDomain;
     std::uint32_t slots = 1; ///< requests that it works on at once
     bool isLeaving = false;
+    bool isPreemptible = false; ///< may be taken away at short notice
     Duration coldFor{};         ///< how much longer it stays slow after its start
     std::int64_t startedAt = 0; ///< Unix time of its start in ms, told by itself; 0: not told
 
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -169,6 +169,27 @@
     return takeSum(state.servers, state.options.entry, scope, state.now);
 }
 
+auto loadOfService(const RouterState &state, const std::string &service, TimePoint now) -> ServiceLoad
+{
+    ServiceLoad load;
+    const auto group = state.servers.byService.find(service);
+    if (group == state.servers.byService.end()) {
+        return load;
+    }
+    const auto pool = state.pools.find(service);
+    load.tokensPerMs = pool == state.pools.end() ? EngineSpeed().tokensPerMs : pool->second.speed.tokensPerMs;
+    for (const auto &server : group->second.all) {
+        const auto work = totalWork(*server);
+        load.requests += work.inFlight;
+        load.unreadTokens += std::uint64_t{ work.unreadTokens } + work.waitingTokens;
+        if (isUsable(*server, now)) {
+            load.servers += 1;
+            load.slots += server->record.slots;
+        }
+    }
+    return load;
+}
+
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
 {
     std::uint32_t waiting = 0;
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -45,6 +45,16 @@
 /// What the entries of this one's failure domain, or all, have in flight, as far as they reported to this one.
 auto takeSum(const RouterState &state, ReportScope scope) -> PeerReported;
 
+/// What the servers of a service have to do, of all entries.
+struct ServiceLoad {
+    std::uint32_t servers = 0; ///< that get new work
+    std::uint32_t slots = 0;   ///< of these
+    std::uint32_t requests = 0;
+    std::uint64_t unreadTokens = 0; ///< of prompts, those that wait at the entries included
+    double tokensPerMs = 1;         ///< that one server reads
+};
+auto loadOfService(const RouterState &state, const std::string &service, TimePoint now) -> ServiceLoad;
+
 /// What an operator sees.
 struct RouterStatus {
     std::uint64_t configurationVersion = 0; ///< 0: none yet
--- /dev/null
+++ b/src/core/usage/tests/reporter_tests.cpp
@@ -0,0 +1,136 @@
+#include "core/usage/reporter.h"
+
+#include <gtest/gtest.h>
+
+using namespace auburnspread;
+using namespace auburnspread::usage;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Window First = 1000;
+constexpr Duration Length = 5s;
+
+template <typename Wanted>
+auto find(const Actions &actions) -> std::optional<Wanted>
+{
+    for (const auto &action : actions) {
+        if (const auto *wanted = std::get_if<Wanted>(&action)) {
+            return *wanted;
+        }
+    }
+    return std::nullopt;
+}
+
+class Leader
+{
+public:
+    Leader()
+    {
+        Tally tally;
+        noteBegun(tally, "a", First);
+        noteReport(state_.ledger, makeReport(tally, "e1", 1, First + 1, 0));
+        apply(TermBegun{ .token = 17 });
+    }
+    auto apply(const Event &event) -> Actions
+    {
+        return step(state_, event, now_);
+    }
+    auto tick(TrueTime time) -> Actions
+    {
+        now_ += 10s;
+        return apply(Tick{ .time = time, .entries = { "e1" } });
+    }
+    auto hear(const std::string &entry, int requests) -> void
+    {
+        Tally tally;
+        for (auto i = 0; i < requests; ++i) {
+            noteBegun(tally, "a", First);
+        }
+        noteReport(state_.ledger, makeReport(tally, entry, 1, First + 1, 0));
+    }
+    /// Has read that nothing is fixed.
+    auto read(TrueTime time) -> void
+    {
+        apply(RecordRead{ .call = find<ReadRecord>(tick(time)).value().call });
+    }
+
+private:
+    State state_ = makeState({ .windowLength = Length });
+    TimePoint now_ = TimePoint(1h);
+};
+
+const auto AfterFirst = endOf(First, Length) + 2s;
+
+} // namespace
+
+TEST(ReporterTests, aWindowIsFixedBeforeItIsSent)
+{
+    Leader leader;
+    leader.read(AfterFirst);
+    const auto actions = leader.tick(AfterFirst);
+    const auto write = find<WriteRecord>(actions).value();
+    EXPECT_EQ(write.record, (Record{ { First, { { "a", 1 } } } }));
+    EXPECT_EQ(write.expectedRevision, 0U);
+    EXPECT_EQ(write.token, 17U);
+    EXPECT_FALSE(find<Send>(actions));
+    leader.apply(RecordWritten{ .call = write.call, .revision = 30 });
+    const auto sent = find<Send>(leader.tick(AfterFirst)).value();
+    EXPECT_EQ(sent.window, First);
+    EXPECT_EQ(sent.counts, (Counts{ { "a", 1 } }));
+    leader.apply(Sent{ .window = First });
+    EXPECT_FALSE(find<Send>(leader.tick(AfterFirst)));
+}
+
+/// Guards against two counts for one window: the write that fixes it was done, its answer was lost, and more was heard since.
+TEST(ReporterTests, whatTheStoreShowsIsSentAfterALostAnswer)
+{
+    Leader leader;
+    leader.read(AfterFirst);
+    const auto write = find<WriteRecord>(leader.tick(AfterFirst)).value();
+    leader.apply(RecordCallFailed{ .call = write.call });
+    leader.hear("e2", 5);
+    const auto read = find<ReadRecord>(leader.tick(AfterFirst)).value();
+    leader.apply(RecordRead{ .call = read.call, .record = write.record, .revision = 30 });
+    EXPECT_EQ(find<Send>(leader.tick(AfterFirst)).value().counts, write.record.at(First));
+}
+
+/// Guards against a successor that counts a window anew which its predecessor has fixed.
+TEST(ReporterTests, aSuccessorSendsWhatWasFixedBefore)
+{
+    Leader leader;
+    const Record fixed{ { First, { { "a", 3 } } } };
+    leader.apply(RecordRead{ .call = find<ReadRecord>(leader.tick(AfterFirst)).value().call, .record = fixed, .revision = 30 });
+    const auto actions = leader.tick(AfterFirst);
+    EXPECT_EQ(find<Send>(actions).value().counts, fixed.at(First));
+    EXPECT_FALSE(find<WriteRecord>(actions));
+}
+
+TEST(ReporterTests, anEntryThatHasNotToldIsWaitedForUntilTheReportWouldBeLate)
+{
+    Leader leader;
+    leader.read(AfterFirst);
+    const Tick tick{ .time = AfterFirst, .entries = { "e1", "e2" } };
+    EXPECT_TRUE(leader.apply(tick).empty());
+    EXPECT_TRUE(find<WriteRecord>(leader.apply(Tick{ .time = endOf(First, Length) + 7s, .entries = { "e1", "e2" } })));
+}
+
+TEST(ReporterTests, aWindowThatNoReportCanReachAnyMoreIsLeftOut)
+{
+    Leader leader;
+    const Record fixed{ { First - 3, { { "a", 3 } } } };
+    leader.apply(RecordRead{ .call = find<ReadRecord>(leader.tick(AfterFirst)).value().call, .record = fixed, .revision = 30 });
+    const auto actions = leader.tick(AfterFirst);
+    EXPECT_EQ(find<WriteRecord>(actions).value().record.rbegin()->first, First);
+    EXPECT_EQ(find<LeftOut>(actions).value().first, First - 2);
+}
+
+TEST(ReporterTests, afterATermNothingIsSent)
+{
+    Leader leader;
+    leader.read(AfterFirst);
+    leader.apply(TermEnded{});
+    EXPECT_TRUE(leader.tick(AfterFirst).empty());
+}
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -48,6 +48,9 @@
     , documentPartFailures_(registry_.counter(
           { .name = "auburnspread_configuration_part_failures_total", .help = "Parts of a configuration that did not come from another entry." }))
     , storeCalls_(registry_.gauge({ .name = "auburnspread_store_calls", .help = "Calls to the platform's store since the start." }))
+    , token_(registry_.gauge({ .name = "auburnspread_leader_token", .help = "Fencing token of this entry's term as leader; 0: it does not lead." }))
+    , usageReports_(registry_.counter({ .name = "auburnspread_usage_reports_total", .help = "Windows whose usage this entry sent, repeats included." }))
+    , serverOrders_(registry_.counter({ .name = "auburnspread_server_orders_total", .help = "Orders of backend servers that this entry gave." }))
 {
 }
 
@@ -210,6 +213,31 @@
     event(Level::Info, "readiness-changed", { { "ready", ready }, { "reason", reason } });
 }
 
+auto Accounting::leadershipChanged(bool leads, std::uint64_t token, std::string_view reason) -> void
+{
+    token_.set(leads ? static_cast<double>(token) : 0);
+    event(Level::Info, "leadership-changed", { { "leads", leads }, { "token", token }, { "reason", reason } });
+}
+
+auto Accounting::usageReported(std::int64_t window, std::string_view outcome, std::uint64_t requests) -> void
+{
+    usageReports_.add();
+    event(Level::Info, "usage-reported", { { "window", window }, { "outcome", outcome }, { "requests", requests } });
+}
+
+auto Accounting::serversOrdered(const ordering::Order &order, std::string_view outcome, double neededServers) -> void
+{
+    serverOrders_.add();
+    event(Level::Info,
+          "servers-ordered",
+          { { "service", order.service },
+            { "failure_domain", order.failureDomain },
+            { "kind", ordering::kindName(order.kind) },
+            { "count", order.count },
+            { "outcome", outcome },
+            { "needed_servers", neededServers } });
+}
+
 auto Accounting::metricsPage(const passthrough::RouterStatus &status, std::uint64_t storeCalls) -> std::string
 {
     waiting_.set(status.waiting);
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/base/time.h"
+#include "core/ordering/ordering.h"
 #include "core/passthrough/actions.h"
 #include "core/passthrough/router.h"
 #include "gateway/upstream.h"
@@ -60,6 +61,14 @@
     auto readinessChanged(bool ready, std::string_view reason) -> void;
     /// @}
 
+    /// \name What one entry does for all
+    /// @{
+    /// \p reason: why a term ended
+    auto leadershipChanged(bool leads, std::uint64_t token, std::string_view reason) -> void;
+    auto usageReported(std::int64_t window, std::string_view outcome, std::uint64_t requests) -> void;
+    auto serversOrdered(const ordering::Order &order, std::string_view outcome, double neededServers) -> void;
+    /// @}
+
     /// The metrics page, with the router's state and the number of calls to the store.
     auto metricsPage(const passthrough::RouterStatus &status, std::uint64_t storeCalls) -> std::string;
 
@@ -83,6 +92,9 @@
     metrics::Counter &invalidInputs_;
     metrics::Counter &documentPartFailures_;
     metrics::Gauge &storeCalls_;
+    metrics::Gauge &token_;
+    metrics::Counter &usageReports_;
+    metrics::Counter &serverOrders_;
 };
 
 } // namespace auburnspread::gateway
--- a/src/gateway/clock.h
+++ b/src/gateway/clock.h
@@ -1,10 +1,12 @@
 /// \file
-/// The gateway's clock.
+/// The gateway's clocks.
 
 #pragma once
 
 #include "core/base/time.h"
 
+#include <chrono>
+
 namespace auburnspread::gateway
 {
 
@@ -15,4 +17,18 @@
 /// change of the time of day moves it.
 auto now() -> TimePoint;
 
+/// Time since the start of 1970, for what is counted by true time.
+///
+/// Failure: the time of day jumps by seconds, and perhaps back again. Symptom: requests are counted in windows in which they did not
+/// run. The time of day is read once, and goes on with now(), which does not jump.
+class TrueClock
+{
+public:
+    TrueClock();
+    [[nodiscard]] auto at(TimePoint time) const -> std::chrono::milliseconds;
+
+private:
+    Duration offset_; ///< of the time of day to now()
+};
+
 } // namespace auburnspread::gateway
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -20,7 +20,7 @@
 
 auto toJson(const passthrough::Server &server) -> json
 {
-    return { server.id, server.service, server.address, server.failureDomain, server.slots, server.isLeaving, server.startedAt };
+    return { server.id, server.service, server.address, server.failureDomain, server.slots, server.isLeaving, server.isPreemptible, server.startedAt };
 }
 
 auto toServer(const json &item) -> passthrough::Server
@@ -32,7 +32,8 @@
         .failureDomain = item.at(3).get<std::string>(),
         .slots = item.at(4).get<std::uint32_t>(),
         .isLeaving = item.at(5).get<bool>(),
-        .startedAt = item.at(6).get<std::int64_t>(),
+        .isPreemptible = item.at(6).get<bool>(),
+        .startedAt = item.at(7).get<std::int64_t>(),
     };
 }
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -82,6 +82,7 @@
               })
     , directoryPage_(loop, known_)
     , reports_(loop, router, peers_, known_, self_)
+    , duties_(loop, settings, self_.incarnation, router, known_, accounting)
     , role_(fleet::makeRole({ .self = self_, .seeds = settings.seeds }, now()))
 {
     directoryPage_.listen(settings.peerAddress);
@@ -101,6 +102,7 @@
     roleTimer_ = loop_.every(RoleInterval, [this]() { updateRole(); });
     heartbeats_ = loop_.every(fleet::HeartbeatInterval, [this]() { sendHeartbeat(); });
     reports_.start();
+    duties_.start();
 }
 
 auto Fleet::announce() -> void
@@ -132,6 +134,11 @@
     peers_.send(crashes);
 }
 
+auto Fleet::noteBegun(const std::string &workspace, TimePoint at) -> void
+{
+    duties_.noteBegun(workspace, at);
+}
+
 auto Fleet::knowsServers() const -> bool
 {
     return known_.serversAt.has_value();
@@ -163,7 +170,7 @@
 
 auto Fleet::storeCalls() const -> std::uint64_t
 {
-    return directory_.calls();
+    return directory_.calls() + duties_.calls();
 }
 
 auto Fleet::directoryCallbacks() -> DirectoryCallbacks
@@ -207,6 +214,7 @@
         if (configuration.version <= before) {
             return;
         }
+        duties_.takeConfiguration(configuration);
         engineServices_.clear();
         for (const auto &service : configuration.services) {
             if (service.batchSlots) {
@@ -362,10 +370,14 @@
         readingSince_ = at;
         fleet::beginCollecting(membership_, role_.entriesAreOld ? std::vector<fleet::EntryRecord>() : others(), at);
     }
+    if (assignment_.reads && !reads) {
+        directory_.noteServers(known_);
+    }
     directory_.setReading(assignment_.reads);
     if (assignment_.reads && serves_) {
         directory_.registerSelf();
     }
+    duties_.setEligible(assignment_.reads && serves_ && !role_.isLeaving);
     follower_.follow(assignment_.reads ? std::vector<std::string>() : assignment_.ask);
     listEntries(at);
     checkAlone(at);
@@ -442,6 +454,9 @@
     if (serves_) {
         peers_.sendTo(assignment_.heartbeatsTo, fleet::Heartbeat{ .entry = self_, .isLeaving = role_.isLeaving });
     }
+    if (const auto usage = duties_.makeReport()) {
+        peers_.sendTo(assignment_.heartbeatsTo, *usage);
+    }
 }
 
 auto Fleet::takeHeartbeat(const fleet::Heartbeat &heartbeat) -> void
@@ -480,6 +495,8 @@
         callbacks_.onEvent(*report);
     } else if (const auto *heartbeat = std::get_if<fleet::Heartbeat>(&message)) {
         takeHeartbeat(*heartbeat);
+    } else if (const auto *usage = std::get_if<usage::Report>(&message)) {
+        duties_.hear(*usage);
     } else {
         callbacks_.onEvent(std::get<passthrough::CrashesHeard>(message));
     }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -16,6 +16,7 @@
 #include "gateway/directoryfollower.h"
 #include "gateway/directorypage.h"
 #include "gateway/directorystate.h"
+#include "gateway/duties.h"
 #include "gateway/loadreports.h"
 #include "gateway/peerexchange.h"
 #include "gateway/settings/gatewaysettings.h"
@@ -54,6 +55,8 @@
     /// A request was sent to a backend server: the others are told soon.
     auto noteSent() -> void;
     auto tellCrashes(const passthrough::CrashesHeard &crashes) -> void;
+    /// A request of the workspace began to run on a backend server.
+    auto noteBegun(const std::string &workspace, TimePoint at) -> void;
 
     [[nodiscard]] auto knowsServers() const -> bool;
     /// Age of the list of backend servers.
@@ -102,9 +105,15 @@
     std::set<std::string> engineServices_;
     DirectoryPage directoryPage_; ///< for other entries
 
-    std::map<std::string, passthrough::Server> servers_; ///< as last logged, by id
-    bool configurationUnderstood_ = false;               ///< the newest document told could be read
+    struct LoggedServer {
+        std::string service;
+        bool isLeaving = false;
+        std::int64_t startedAt = 0;
+    };
+    std::map<std::string, LoggedServer> servers_; ///< as last logged, by id
+    bool configurationUnderstood_ = false;        ///< the newest document told could be read
     LoadReports reports_;
+    Duties duties_;
     fleet::Role role_;
     fleet::Membership membership_; ///< as this entry hears the others, while it reads the store for them
     fleet::Assignment assignment_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,7 +53,10 @@
 struct OpenAttempt {
     RequestId request{};
     std::string server;
+    std::string workspace; ///< empty: none
+    bool isStream = false;
     TimePoint sentAt;
+    bool isCounted = false; ///< as one that began to run
 };
 
 /// Equal for requests that a caller sends again. The key is part of it: calls without a body of different callers are not the
@@ -107,6 +110,7 @@
     auto takeFailure(AttemptId attempt, const AttemptFailure &failure) -> void;
 
     auto takeStarted(AttemptId attempt, bool goesToCaller) -> void;
+    auto countBegun(OpenAttempt &attempt) -> void;
     auto sweep() -> void;
     auto checkReadiness() -> void;
     [[nodiscard]] auto whyNotReady() const -> std::string_view;
@@ -217,7 +221,13 @@
     }
     auto &request = found->second;
     request.server = order.server;
-    attempts[order.attempt] = { .request = order.request, .server = order.server, .sentAt = now() };
+    attempts[order.attempt] = {
+        .request = order.request,
+        .server = order.server,
+        .workspace = order.workspace,
+        .isStream = order.isStream,
+        .sentAt = now(),
+    };
     accounting.sent(labelsOf(request), order);
     upstream.send(order, request.payload, request.callerId);
     fleet.noteSent();
@@ -301,6 +311,9 @@
 auto Gateway::Impl::takeStarted(AttemptId attempt, bool goesToCaller) -> void
 {
     const auto found = attempts.find(attempt);
+    if (found != attempts.end()) {
+        countBegun(found->second);
+    }
     const auto request = found == attempts.end() ? requests.end() : requests.find(found->second.request);
     if (request != requests.end() && !request->second.firstByteAt) {
         request->second.firstByteAt = now();
@@ -308,6 +321,14 @@
     apply(passthrough::AttemptStarted{ .attempt = attempt, .goesToCaller = goesToCaller });
 }
 
+/// A stream begins to run with its first event, a call about when it is sent.
+auto Gateway::Impl::countBegun(OpenAttempt &attempt) -> void
+{
+    if (!std::exchange(attempt.isCounted, true)) {
+        fleet.noteBegun(attempt.workspace, attempt.isStream ? now() : attempt.sentAt);
+    }
+}
+
 auto Gateway::Impl::beginStream(AttemptId attempt, int status, const http::Headers &headers) -> void
 {
     const auto id = attempts.at(attempt).request;
@@ -336,6 +357,9 @@
 auto Gateway::Impl::takeAnswer(AttemptId attempt, WholeAnswer answer) -> void
 {
     const auto node = attempts.extract(attempt);
+    if (node) {
+        countBegun(node.mapped());
+    }
     const auto found = node ? requests.find(node.mapped().request) : requests.end();
     const auto status = answer.status;
     if (found != requests.end() && found->second.begun) {
@@ -358,6 +382,10 @@
     const auto node = attempts.extract(attempt);
     auto begun = false;
     if (node) {
+        // a call whose answer was lost has most likely run
+        if (!node.mapped().isStream && !provesNotStarted(failure.failure)) {
+            countBegun(node.mapped());
+        }
         const auto found = requests.find(node.mapped().request);
         if (found != requests.end()) {
             begun = found->second.begun;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -120,8 +120,33 @@
     return { .entry = detail::entryFromJson(document.at("alive")), .isLeaving = document.at("leaving").get<bool>() };
 }
 
+auto toJson(const usage::Report &report) -> json
+{
+    auto windows = json::array();
+    for (const auto &[window, counts] : report.windows) {
+        windows.push_back({ window, json(counts) });
+    }
+    return { { "used", std::move(windows) }, { "entry", report.entry }, { "incarnation", report.incarnation }, { "current", report.current } };
+}
+
+auto toUsage(const json &document) -> usage::Report
+{
+    usage::Report report{
+        .entry = document.at("entry").get<std::string>(),
+        .incarnation = document.at("incarnation").get<std::uint64_t>(),
+        .current = document.at("current").get<usage::Window>(),
+    };
+    for (const auto &window : document.at("used")) {
+        report.windows[window.at(0).get<usage::Window>()] = window.at(1).get<usage::Counts>();
+    }
+    return report;
+}
+
 auto fromJson(const json &document) -> PeerMessage
 {
+    if (document.contains("used")) {
+        return toUsage(document);
+    }
     if (document.contains("alive")) {
         return toHeartbeat(document);
     }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -6,6 +6,7 @@
 
 #include "core/fleet/membership.h"
 #include "core/passthrough/events.h"
+#include "core/usage/tally.h"
 #include "runtime/task/eventloop.h"
 
 #include <cstdint>
@@ -18,7 +19,7 @@
 namespace auburnspread::gateway
 {
 
-using PeerMessage = std::variant<passthrough::PeerReported, passthrough::CrashesHeard, fleet::Heartbeat>;
+using PeerMessage = std::variant<passthrough::PeerReported, passthrough::CrashesHeard, fleet::Heartbeat, usage::Report>;
 
 /// The message with as many parts of prompts as one datagram takes, and the rest in further ones.
 auto splitParts(const PeerMessage &message) -> std::vector<PeerMessage>;
--- a/src/gateway/serverchanges.cpp
+++ b/src/gateway/serverchanges.cpp
@@ -25,7 +25,7 @@
 auto isSame(const Server &one, const Server &other) -> bool
 {
     return one.id == other.id && one.service == other.service && one.address == other.address && one.failureDomain == other.failureDomain
-        && one.slots == other.slots && one.isLeaving == other.isLeaving && one.startedAt == other.startedAt;
+        && one.slots == other.slots && one.isLeaving == other.isLeaving && one.isPreemptible == other.isPreemptible && one.startedAt == other.startedAt;
 }
 
 auto hashText(std::uint64_t hash, std::string_view text) -> std::uint64_t
@@ -44,7 +44,7 @@
     for (const auto *text : { &server.id, &server.service, &server.address, &server.failureDomain }) {
         hash = hashText(hash, *text);
     }
-    for (const auto number : { std::int64_t{ server.slots }, std::int64_t{ server.isLeaving ? 1 : 0 }, server.startedAt }) {
+    for (const auto number : { std::int64_t{ server.slots }, std::int64_t{ server.isLeaving ? 1 : 0 }, std::int64_t{ server.isPreemptible ? 1 : 0 }, server.startedAt }) {
         hash = hashNumber(hash, number);
     }
     return hash;
--- a/src/gateway/settings/gatewaysettings.cpp
+++ b/src/gateway/settings/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 using settings::Kind;
 
 constexpr std::int64_t LongestName = 64;
+constexpr std::int64_t LongestNames = 1000;
 constexpr std::int64_t LargestNumber = 1'000'000;
 constexpr std::int64_t Minute = 60'000;
 
@@ -41,6 +42,35 @@
       .defaultValue = "10000",
       .range = { 1000, Minute },
       .explanation = "Time to live of this entry's registration, which it makes once it reads the store for others." },
+    { .section = "duties",
+      .name = "api",
+      .kind = Kind::Addresses,
+      .defaultValue = "",
+      .range = { 0, 1 },
+      .explanation = "Address of the platform's interface for what one entry does for all." },
+    { .section = "duties",
+      .name = "assigned",
+      .defaultValue = "",
+      .range = { 0, LongestNames },
+      .explanation = "What one entry does for all in this deployment, as the platform names it, with commas." },
+    { .section = "duties",
+      .name = "leader_lease_ms",
+      .kind = Kind::Duration,
+      .defaultValue = "3000",
+      .range = { 1000, Minute },
+      .explanation = "How long nobody leads after the entry that led was lost." },
+    { .section = "duties",
+      .name = "usage_window_s",
+      .kind = Kind::Number,
+      .defaultValue = "5",
+      .range = { 1, LargestNumber },
+      .explanation = "Seconds of usage that are reported together." },
+    { .section = "duties",
+      .name = "usage_due_s",
+      .kind = Kind::Number,
+      .defaultValue = "10",
+      .range = { 1, LargestNumber },
+      .explanation = "Seconds after the end of a window by which its usage is to be reported." },
     { .section = "vm",
       .name = "core_part",
       .kind = Kind::Number,
@@ -125,6 +155,12 @@
     return seeds;
 }
 
+auto dutyApiOf(const settings::Settings &settings) -> std::string
+{
+    const auto addresses = settings.addresses("duties.api");
+    return addresses.empty() ? std::string() : addresses.front();
+}
+
 auto strengthOf(const settings::Settings &settings) -> std::uint32_t
 {
     constexpr double Scale = 10; // whole numbers tell apart parts of a core
@@ -166,6 +202,11 @@
         .storeAddress = settings.address("platform.store"),
         .strength = strengthOf(settings),
         .leaseTime = settings.duration("platform.lease_ms"),
+        .dutyApi = dutyApiOf(settings),
+        .duties = settings.text("duties.assigned"),
+        .leaderLease = settings.duration("duties.leader_lease_ms"),
+        .usageWindow = seconds(settings, "duties.usage_window_s"),
+        .usageDue = seconds(settings, "duties.usage_due_s"),
         .keyWithdrawal = settings.duration("bounds.key_withdrawal_ms"),
         .configurationApply = settings.duration("bounds.configuration_apply_ms"),
         .leavingTime = seconds(settings, "bounds.leaving_s"),
