Orders without waves: the bound of preemptible servers once, others go as these come; a leader stays while readers change

What filled a gap closed it in the next look, and was ordered away.

Change: preemptible servers are ordered to the bound, and again when others have made room; what was found in a domain goes as preemptible ones come; what fills a gap is no part of the sum that shows the gap, and is kept for 4 s. A leader that does not read any more leads on for 6 s.

--- a/src/core/ordering/ordering.cpp
+++ b/src/core/ordering/ordering.cpp
@@ -20,10 +20,12 @@
 constexpr double MostPreemptiblePrice = 0.6;
 /// After none were to be had.
 constexpr Duration UnavailablePause = std::chrono::seconds(2);
+/// Between two orders of one kind in one failure domain.
+constexpr Duration OrderPause = std::chrono::milliseconds(1500);
 /// Besides the start of a server until what was ordered must be seen: its registration, and the drain of one that leaves.
 constexpr Duration SettleTime = std::chrono::seconds(5);
-/// Servers that filled a gap are kept for this long after it was seen last: the gap may come back.
-constexpr Duration GapMemory = std::chrono::seconds(6);
+/// Servers that fill a gap are kept for this long after it was seen last: the gap may come back.
+constexpr Duration GapMemory = std::chrono::seconds(4);
 
 constexpr auto Kinds = std::to_array<NamedValue<Kind>>({
     { Kind::OnDemand, "on-demand" },
@@ -46,11 +48,6 @@
     return counted;
 }
 
-auto countLive(const std::vector<Server> &servers) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(std::count_if(servers.begin(), servers.end(), [](const Server &server) { return !server.isLeaving; }));
-}
-
 /// Cheapest first.
 auto domainsByPrice(const Scaling &scaling) -> std::vector<std::string>
 {
@@ -66,6 +63,7 @@
     return domains;
 }
 
+/// The orders of one service.
 class Planner
 {
 public:
@@ -73,82 +71,126 @@
         : state_(state)
         , situation_(situation)
         , now_(now)
-        , gap_(findGap())
     {
     }
 
     auto plan() -> std::vector<Order>
     {
-        for (const auto &domain : domainsByPrice(situation_.scaling)) {
-            planDomain(domain);
+        const auto domains = domainsByPrice(situation_.scaling);
+        for (const auto &domain : domains) {
+            noteFound(domain);
+        }
+        auto extra = extraServers(domains);
+        for (const auto &domain : domains) {
+            planDomain(domain, extra);
         }
         return std::move(orders_);
     }
 
 private:
-    /// Servers that are missing now, or were until lately.
-    auto findGap() -> std::uint32_t
+    [[nodiscard]] auto count(const std::string &domain, Kind kind) const -> Counted
     {
-        const auto needed = static_cast<std::uint32_t>(std::ceil(situation_.neededServers));
-        const auto live = countLive(situation_.servers);
-        if (live < needed) {
-            state_.gapSeenAt[situation_.service] = now_;
-            return needed - live;
+        return countServers(situation_.servers, domain, kind);
+    }
+
+    [[nodiscard]] auto lastOrder(const std::string &domain, Kind kind) const -> const State::Ordered *
+    {
+        const auto found = state_.ordered.find({ situation_.service, domain, kind });
+        return found == state_.ordered.end() ? nullptr : &found->second;
+    }
+
+    [[nodiscard]] auto usesPreemptible() const -> bool
+    {
+        return situation_.scaling.preemptiblePrice <= MostPreemptiblePrice;
+    }
+
+    /// What stands there before the first order counts as asked for by operators; servers register one after the other.
+    auto noteFound(const std::string &domain) -> void
+    {
+        if (lastOrder(domain, Kind::OnDemand) == nullptr) {
+            auto &found = state_.found[{ situation_.service, domain }];
+            found = std::max(found, count(domain, Kind::OnDemand).live);
         }
-        return 0;
     }
 
-    [[nodiscard]] auto hadGapLately() const -> bool
+    /// Servers on demand that stay until preemptible ones take their place.
+    [[nodiscard]] auto baseOf(const std::string &domain) const -> std::uint32_t
     {
-        const auto found = state_.gapSeenAt.find(situation_.service);
-        return found != state_.gapSeenAt.end() && now_ - found->second < GapMemory;
+        const auto found = state_.found.at({ situation_.service, domain });
+        return usesPreemptible() ? found - std::min(found, count(domain, Kind::Preemptible).live) : found;
     }
 
-    [[nodiscard]] auto isAvailable(const std::string &domain) const -> bool
+    /// Servers that the load needs beside the preemptible ones and those that stay. What fills the gap is no part of this sum, so that it
+    /// does not close the gap in which it is needed.
+    auto extraServers(const std::vector<std::string> &domains) -> std::uint32_t
     {
-        const auto found = state_.unavailableUntil.find({ situation_.service, domain, Kind::Preemptible });
-        return found == state_.unavailableUntil.end() || now_ >= found->second;
+        std::uint32_t standing = 0;
+        for (const auto &domain : domains) {
+            standing += count(domain, Kind::Preemptible).live + baseOf(domain);
+        }
+        const auto needed = static_cast<std::uint32_t>(std::ceil(situation_.neededServers));
+        auto &extra = state_.extra[situation_.service];
+        if (needed > standing) {
+            extra.servers = std::max(extra.servers, needed - standing);
+            extra.neededAt = now_;
+        } else if (now_ - extra.neededAt >= GapMemory) {
+            extra.servers = 0;
+        }
+        return extra.servers;
     }
 
-    auto planDomain(const std::string &domain) -> void
+    auto planDomain(const std::string &domain, std::uint32_t &extra) -> void
     {
-        const auto onDemand = countServers(situation_.servers, domain, Kind::OnDemand);
-        const auto preemptible = countServers(situation_.servers, domain, Kind::Preemptible);
-        const auto wantedOnDemand = std::min(onDemandFor(onDemand, preemptible), situation_.scaling.most);
-        const auto room = situation_.scaling.most - std::min(situation_.scaling.most, std::max(onDemand.present, wantedOnDemand));
-        if (situation_.scaling.preemptiblePrice <= MostPreemptiblePrice && isAvailable(domain)) {
-            order({ .service = situation_.service, .failureDomain = domain, .kind = Kind::Preemptible, .count = room }, preemptible.live);
+        const auto most = situation_.scaling.most;
+        const auto onDemand = count(domain, Kind::OnDemand);
+        const auto preemptible = count(domain, Kind::Preemptible);
+        const auto base = std::min(baseOf(domain), most);
+        const auto roomForExtra = most - std::min(most, base + preemptible.present);
+        const auto added = std::min(extra, roomForExtra);
+        extra -= added;
+        orderOnDemand(domain, base + added, onDemand.live);
+        if (usesPreemptible()) {
+            orderPreemptible(domain, preemptible.live, most - std::min(most, onDemand.present));
         }
-        order({ .service = situation_.service, .failureDomain = domain, .kind = Kind::OnDemand, .count = wantedOnDemand }, onDemand.live);
     }
 
-    /// Servers on demand go when as many preemptible ones run beside them.
-    auto onDemandFor(const Counted &onDemand, const Counted &preemptible) -> std::uint32_t
+    auto orderOnDemand(const std::string &domain, std::uint32_t wanted, std::uint32_t live) -> void
     {
-        const auto room = situation_.scaling.most - std::min(situation_.scaling.most, onDemand.present + preemptible.present);
-        const auto added = std::min(gap_, room);
-        gap_ -= added;
-        const auto isReplaced = preemptible.live >= std::max(onDemand.live, std::max(situation_.scaling.least, 1U));
-        return isReplaced && !hadGapLately() ? 0 : onDemand.live + added;
+        const auto *last = lastOrder(domain, Kind::OnDemand);
+        const auto known = last == nullptr ? live : last->count;
+        const auto isMissing = last != nullptr && live != wanted && now_ - last->at >= situation_.scaling.startTime + SettleTime;
+        const auto isPaused = last != nullptr && now_ - last->at < OrderPause;
+        if ((wanted != known && !isPaused) || isMissing) {
+            order({ .service = situation_.service, .failureDomain = domain, .kind = Kind::OnDemand, .count = wanted }, wanted);
+        }
     }
 
-    auto order(const Order &order, std::uint32_t live) -> void
+    /// The bound is ordered at once, and again when servers of the other kind have made room.
+    auto orderPreemptible(const std::string &domain, std::uint32_t live, std::uint32_t room) -> void
     {
-        const auto key = State::Key(order.service, order.failureDomain, order.kind);
-        const auto found = state_.ordered.find(key);
-        const auto isNew = found == state_.ordered.end() ? order.count != live : found->second.count != order.count;
-        // an order whose answer was lost may be carried out after a later one, and servers get lost: what is not seen is ordered anew
-        const auto isMissing = found != state_.ordered.end() && order.count != live && now_ - found->second.at > situation_.scaling.startTime + SettleTime;
-        if (isNew || isMissing) {
-            state_.ordered[key] = { .count = order.count, .at = now_ };
-            orders_.push_back(order);
+        const auto unavailable = state_.unavailableUntil.find({ situation_.service, domain, Kind::Preemptible });
+        const auto isAvailable = unavailable == state_.unavailableUntil.end() || now_ >= unavailable->second;
+        const auto most = situation_.scaling.most;
+        if (live >= most || room == 0 || !isAvailable) {
+            return;
+        }
+        const auto *last = lastOrder(domain, Kind::Preemptible);
+        const auto hasMoreRoom = last != nullptr && room > last->room && now_ - last->at >= OrderPause;
+        const auto isMissing = last != nullptr && live < room && now_ - last->at >= situation_.scaling.startTime + SettleTime;
+        if (last == nullptr || hasMoreRoom || isMissing) {
+            order({ .service = situation_.service, .failureDomain = domain, .kind = Kind::Preemptible, .count = room }, room);
         }
     }
 
+    auto order(const Order &order, std::uint32_t room) -> void
+    {
+        state_.ordered[{ order.service, order.failureDomain, order.kind }] = { .count = order.count, .room = room, .at = now_ };
+        orders_.push_back(order);
+    }
+
     State &state_;
     const Situation &situation_;
     TimePoint now_;
-    std::uint32_t gap_ = 0;
     std::vector<Order> orders_;
 };
 
--- a/src/core/ordering/ordering.h
+++ b/src/core/ordering/ordering.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace auburnspread::ordering
@@ -53,11 +54,18 @@
     using Key = std::tuple<std::string, std::string, Kind>; ///< service, failure domain
     struct Ordered {
         std::uint32_t count = 0;
+        std::uint32_t room = 0; ///< what the bound left for this kind then
         TimePoint at;
     };
     std::map<Key, Ordered> ordered;
     std::map<Key, TimePoint> unavailableUntil;
-    std::map<std::string, TimePoint> gapSeenAt; ///< too few servers, by service
+    /// Servers on demand that were found in a failure domain, by service and domain: they go as preemptible ones replace them.
+    std::map<std::pair<std::string, std::string>, std::uint32_t> found;
+    struct Extra {
+        std::uint32_t servers = 0; ///< on demand, that fill a gap
+        TimePoint neededAt;        ///< last
+    };
+    std::map<std::string, Extra> extra; ///< by service
 };
 
 /// Orders that are due. Each is to be answered by noteOutcome().
--- a/src/core/ordering/tests/ordering_tests.cpp
+++ b/src/core/ordering/tests/ordering_tests.cpp
@@ -103,8 +103,9 @@
     situation.neededServers = 6;
     EXPECT_EQ(countOf(plan(state, situation, Now), "b", Kind::OnDemand), 2U);
     addServers(situation, "b", Kind::OnDemand, 2);
+    EXPECT_EQ(countOf(plan(state, situation, Now + 3s), "b", Kind::OnDemand), std::nullopt) << "they don't close the gap that they fill";
     situation.neededServers = 1;
-    EXPECT_EQ(countOf(plan(state, situation, Now + 1s), "b", Kind::OnDemand), std::nullopt);
+    EXPECT_EQ(countOf(plan(state, situation, Now + 5s), "b", Kind::OnDemand), std::nullopt);
     EXPECT_EQ(countOf(plan(state, situation, Now + 8s), "b", Kind::OnDemand), 0U);
 }
 
--- a/src/gateway/duties.cpp
+++ b/src/gateway/duties.cpp
@@ -93,6 +93,11 @@
     }
 }
 
+auto Duties::leads() const -> bool
+{
+    return election_.token().has_value();
+}
+
 auto Duties::takeConfiguration(const passthrough::Configuration &configuration) -> void
 {
     orderable_.clear();
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -36,6 +36,7 @@
     auto start() -> void;
     /// Whether this entry may lead: it reads the store, serves and is not leaving.
     auto setEligible(bool isEligible) -> void;
+    [[nodiscard]] auto leads() const -> bool;
     auto takeConfiguration(const passthrough::Configuration &configuration) -> void;
 
     /// A request of the workspace began to run on a backend server.
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -38,6 +38,8 @@
 /// to two watches old.
 constexpr Duration ReadPatience = std::chrono::milliseconds(1500);
 static_assert(2 * ConfigurationWait < ReadPatience, "a reader that is well would give up each second");
+/// A leader that does not read the store any more leads on for this long.
+constexpr Duration LeaderPatience = std::chrono::seconds(6);
 /// Between two lists of the entries that are alive: where many start at once, one list tells of several.
 constexpr Duration ListInterval = std::chrono::milliseconds(500);
 /// A leaving entry says so more than once, as datagrams get lost.
@@ -377,13 +379,24 @@
     if (assignment_.reads && serves_) {
         directory_.registerSelf();
     }
-    duties_.setEligible(assignment_.reads && serves_ && !role_.isLeaving);
+    if (assignment_.reads) {
+        readAt_ = at;
+    }
+    duties_.setEligible(mayLead(at));
     follower_.follow(assignment_.reads ? std::vector<std::string>() : assignment_.ask);
     listEntries(at);
     checkAlone(at);
     readCaches();
 }
 
+/// Failure: the readers change back and forth while the store is weak. Symptom: nobody leads for seconds after each change. A leader
+/// stays one for a while although another entry reads.
+auto Fleet::mayLead(TimePoint now) const -> bool
+{
+    const auto isReader = assignment_.reads || (duties_.leads() && now - readAt_ < LeaderPatience);
+    return isReader && serves_ && !role_.isLeaving;
+}
+
 /// Failure: an entry that reads the store for others is cut off from it. Symptom: it is the first in rank and never asks those that can.
 auto Fleet::checkOwnReading(TimePoint now) -> void
 {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -84,6 +84,7 @@
 
     [[nodiscard]] auto others() const -> std::vector<fleet::EntryRecord>;
     auto updateRole() -> void;
+    [[nodiscard]] auto mayLead(TimePoint now) const -> bool;
     auto checkOwnReading(TimePoint now) -> void;
     auto checkAlone(TimePoint now) -> void;
     auto rememberEntries(TimePoint now) -> void;
@@ -120,6 +121,7 @@
     bool serves_ = false;
     TimePoint listedAt_;     ///< the entries, by this entry
     TimePoint readingSince_; ///< the store, for others
+    TimePoint readAt_;       ///< the same, until when
     TimePoint readOnceAt_;
     TimePoint rememberedAt_;
     std::uint64_t rememberedTag_ = 0;
