A change of the list costs what changed: no copy, no walk over all servers, no report of idle ones

Whole lists were not what costs; what was done for each server in every entry was.

Change: the core takes changes of the list; the tag of a list is carried on by what changed; reports look at the servers that this entry uses, sums at those that others use; where there are more than 256 servers a hub sends its sum less often, as it names the 200 busiest only.

--- a/src/core/passthrough/ejection.cpp
+++ b/src/core/passthrough/ejection.cpp
@@ -58,6 +58,7 @@
 {
     takeOut(table, server, now + EjectionTime, now);
     if (isTold) {
+        noteUsed(table, server);
         server.ownEjectionUntil = now + EjectionTime;
     }
 }
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -102,6 +102,14 @@
     std::optional<TimePoint> outageEndedAt; ///< the list could not be read for a while before
 };
 
+/// What changed in the list that was told last.
+struct ServersChanged {
+    std::vector<Server> changed;      ///< as they are now; new ones too
+    std::vector<std::string> removed; ///< ids
+    TimePoint asOf;
+    std::optional<TimePoint> outageEndedAt; ///< see ServersListed
+};
+
 /// Entries that are alive, this one included.
 struct EntriesCounted {
     std::uint32_t entries = 1;
@@ -178,6 +186,7 @@
                            ConfigurationConfirmed,
                            ConfigurationOutdated,
                            ServersListed,
+                           ServersChanged,
                            EntriesCounted,
                            PeerReported,
                            CacheListed,
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -101,7 +101,7 @@
         .estimatedStart = placement.estimatedStart,
         .readTokens = static_cast<double>(placement.before.unreadTokens) + placement.load.unreadTokens,
     };
-    noteSent(server, placement.load, expectedStart(state, request, placement), state.now);
+    noteSent(state.servers, server, placement.load, expectedStart(state, request, placement), state.now);
     if (isEngine) {
         noteUnread(state.pools[request.service], placement.load.unreadTokens);
         notePrompt(state.servers, server, request.call.prompt, state.now);
@@ -342,11 +342,12 @@
 
 auto countWaiting(RouterState &state) -> void
 {
-    for (auto &[id, server] : state.servers.byId) {
+    for (auto &[id, server] : state.servers.used) {
         server->own.waitingTokens = 0;
     }
     for (const auto &[id, request] : state.requests) {
         if (request.stage == Stage::Waiting && request.waitsFor) {
+            noteUsed(state.servers, *request.waitsFor);
             request.waitsFor->own.waitingTokens += request.waitingTokens;
         }
     }
--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -95,12 +95,17 @@
     return table.totals && table.totals->report.entries > entriesHeard(table) + 1;
 }
 
-auto addUses(const ServerTable &table, const PeerReported &report) -> void
+auto addUses(ServerTable &table, const PeerReported &report) -> void
 {
     for (const auto &use : report.uses) {
-        if (const auto server = findServer(table, use.server)) {
-            addUse(server->others, use);
+        const auto server = findServer(table, use.server);
+        if (!server) {
+            continue;
         }
+        if (!std::exchange(server->isUsedByOthers, true)) {
+            table.usedByOthers.push_back(server);
+        }
+        addUse(server->others, use);
     }
 }
 
@@ -176,10 +181,11 @@
 }
 
 /// A shared part was sent there, or is there: believed from now on, and told to the other entries.
-auto noteOwnUse(const ServerTable &table, ServerState &server, const PromptPart &part, TimePoint now) -> void
+auto noteOwnUse(ServerTable &table, ServerState &server, const PromptPart &part, TimePoint now) -> void
 {
     noteUse(server.cache, part, capacityOf(table, server), now);
     if (part.tokens >= LeastToldTokens) {
+        noteUsed(table, server);
         noteSent(server.sentHere, part, now);
     }
 }
@@ -194,12 +200,13 @@
 auto recountPeers(ServerTable &table) -> void
 {
     table.believesTotals = prefersTotals(table);
-    for (auto &[id, server] : table.byId) {
+    for (const auto &server : std::exchange(table.usedByOthers, {})) {
         server->others = {};
+        server->isUsedByOthers = false;
     }
     if (table.believesTotals) {
         addUses(table, table.totals->report);
-        for (auto &[id, server] : table.byId) {
+        for (const auto &server : table.usedByOthers) {
             server->others = without(server->others, server->reported); // not what it has now: that was not told yet
         }
         return;
@@ -241,17 +248,17 @@
     for (const auto &[service, perSecond] : table.ownArrivals) {
         report.arrivals.push_back({ .service = service, .perSecond = perSecond });
     }
-    for (auto &[id, server] : table.byId) {
-        server->reported = server->own;
-        const auto ejectedFor = ownEjectionLeft(*server, now);
-        const auto isIdle = server->own.inFlight == 0 && server->own.waitingTokens == 0 && server->sentHere.sent.empty();
-        if (isIdle && ejectedFor == Duration::zero()) {
+    for (auto each = table.used.begin(); each != table.used.end();) {
+        auto &server = *each->second;
+        server.reported = server.own;
+        auto use = makeUse(each->first, server.own, ownEjectionLeft(server, now), partsToTell(server, ReportScope::Entry, now));
+        const auto isListed = findServer(table, each->first) == each->second;
+        if (!isListed || !isNews(use)) {
+            each = table.used.erase(each);
             continue;
         }
-        auto use = makeUse(id, server->own, ejectedFor, partsToTell(*server, ReportScope::Entry, now));
-        if (isNews(use)) {
-            report.uses.push_back(std::move(use));
-        }
+        report.uses.push_back(std::move(use));
+        ++each;
     }
     return report;
 }
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -98,6 +98,12 @@
         recountPeers(state.servers);
         detail::dispatchAll(state, actions);
     }
+    auto operator()(const ServersChanged &event) const -> void
+    {
+        adoptChanges(state.servers, event, state.now);
+        recountPeers(state.servers);
+        detail::dispatchAll(state, actions);
+    }
     auto operator()(const EntriesCounted &event) const -> void
     {
         state.entries = std::max<std::uint32_t>(event.entries, 1);
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -77,27 +77,33 @@
 /// Failure: a server crashes and starts again under its id. Symptom: sessions go to a cache that is empty, requests wait for
 /// work that died with it, and it is passed over for failures of its earlier run. So a later start is another server: attempts of
 /// the earlier run keep its state to their end.
-auto takeRecord(ServerTable &table, const Server &record, TimePoint asOf) -> void
+/// \return whether the servers of a service are others now
+auto takeRecord(ServerTable &table, const Server &record) -> bool
 {
     auto &server = table.byId[record.id];
-    const auto isRestarted = server && server->record.startedAt != record.startedAt;
-    if (!server || isRestarted) {
+    const auto isOther = !server || server->record.startedAt != record.startedAt || server->record.service != record.service;
+    if (isOther) {
         server = std::make_shared<ServerState>();
         server->hash = hashOf(record.id);
     }
     server->record = record;
-    server->listedAt = std::max(server->listedAt, asOf);
     server->returnBy.reset();
+    return isOther;
 }
 
-/// Whether its registration may have lapsed while the registry was out of reach: dropping such servers at once would empty the
-/// list although every one lives. One that stood in a list since then has
-/// left: it must get nothing more.
-auto mayReturn(ServerState &server, const ServersListed &list, TimePoint now) -> bool
+/// Until when a server that is absent may be back. Its registration may have lapsed while the registry was out of reach: dropping such
+/// servers at once would empty the list although every one lives. One that stood in a list since then has left: it must get nothing more.
+auto returnOf(const ServerTable &table, std::optional<TimePoint> outageEndedAt) -> std::optional<TimePoint>
 {
-    const auto lapsed = list.outageEndedAt && server.listedAt < *list.outageEndedAt;
-    if (lapsed) {
-        server.returnBy = *list.outageEndedAt + ReturnTime;
+    const auto lapsed = outageEndedAt && table.listedAt < *outageEndedAt;
+    return lapsed ? std::optional(*outageEndedAt + ReturnTime) : std::nullopt;
+}
+
+/// \return whether it stays for now
+auto mayReturn(ServerState &server, std::optional<TimePoint> returnBy, TimePoint now) -> bool
+{
+    if (!server.returnBy) {
+        server.returnBy = returnBy;
     }
     return server.returnBy && now < *server.returnBy;
 }
@@ -106,15 +112,37 @@
 
 auto adoptServers(ServerTable &table, const ServersListed &list, TimePoint now) -> void
 {
+    const auto returnBy = returnOf(table, list.outageEndedAt);
     std::set<std::string_view> present;
     for (const auto &record : list.servers) {
         present.insert(record.id);
-        takeRecord(table, record, list.asOf);
+        takeRecord(table, record);
     }
-    std::erase_if(table.byId, [&](const auto &item) { return !present.contains(item.first) && !mayReturn(*item.second, list, now); });
+    std::erase_if(table.byId, [&](const auto &item) { return !present.contains(item.first) && !mayReturn(*item.second, returnBy, now); });
+    table.listedAt = std::max(table.listedAt, list.asOf);
     indexByService(table);
 }
 
+auto adoptChanges(ServerTable &table, const ServersChanged &change, TimePoint now) -> void
+{
+    const auto returnBy = returnOf(table, change.outageEndedAt);
+    auto isOther = false;
+    for (const auto &record : change.changed) {
+        isOther = takeRecord(table, record) || isOther;
+    }
+    for (const auto &id : change.removed) {
+        const auto found = table.byId.find(id);
+        if (found != table.byId.end() && !mayReturn(*found->second, returnBy, now)) {
+            table.byId.erase(found);
+        }
+        isOther = true;
+    }
+    table.listedAt = std::max(table.listedAt, change.asOf);
+    if (isOther) {
+        indexByService(table);
+    }
+}
+
 auto dropMissing(ServerTable &table, TimePoint now) -> void
 {
     if (!table.awaitsReturns) {
@@ -147,8 +175,16 @@
     return found == table.byId.end() ? nullptr : found->second;
 }
 
-auto noteSent(ServerState &server, const Load &load, Duration expected, TimePoint now) -> void
+auto noteUsed(ServerTable &table, const ServerState &server) -> void
+{
+    if (auto known = findServer(table, server.record.id)) {
+        table.used[server.record.id] = std::move(known);
+    }
+}
+
+auto noteSent(ServerTable &table, ServerState &server, const Load &load, Duration expected, TimePoint now) -> void
 {
+    noteUsed(table, server);
     server.own.inFlight += 1;
     server.own.unreadTokens += load.unreadTokens;
     server.own.heldTokens += load.heldTokens;
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -44,12 +44,12 @@
 struct ServerState {
     Server record;
     std::uint64_t hash = 0;            ///< of the id, for rendezvous hashing
-    TimePoint listedAt;                ///< when it last stood in the list
     std::optional<TimePoint> returnBy; ///< absent from a list that may not be complete yet: is back by then, or gone
 
     Work own;      ///< attempts of this entry
     Work others;   ///< as the other entries reported
     Work reported; ///< own work as of the last report
+    bool isUsedByOthers = false; ///< stands in ServerTable::usedByOthers
 
     TimePoint sentAt;
     std::optional<TimePoint> silentFrom; ///< if nothing is heard by then, the server counts as silent; not set: nothing is due
@@ -85,11 +85,14 @@
 struct ServerTable {
     std::map<std::string, ServerPointer, std::less<>> byId;
     std::unordered_map<std::string, ServerGroup> byService;
+    TimePoint listedAt;         ///< as of when the list was told
     bool awaitsReturns = false; ///< servers are kept that are absent from the list; see ServerState::returnBy
     struct PeerUse {
         PeerReported report;
         TimePoint at;
     };
+    std::map<std::string, ServerPointer> used;                  ///< by this entry: there is something to tell of them
+    std::vector<ServerPointer> usedByOthers;                    ///< as they told
     std::string failureDomain;                                  ///< of this entry
     std::uint64_t seed = 0;                                     ///< differs between entries
     std::map<std::string, PeerUse> peers;                       ///< reports of entries, by name
@@ -101,8 +104,11 @@
     std::unordered_map<std::string, std::uint64_t> cacheTokens; ///< memory of an engine, by service
 };
 
-/// Takes a new list over. What is known of servers that stay is kept.
+/// Takes a new list over, or what changed in it. What is known of servers that stay is kept.
+/// @{
 auto adoptServers(ServerTable &table, const ServersListed &list, TimePoint now) -> void;
+auto adoptChanges(ServerTable &table, const ServersChanged &change, TimePoint now) -> void;
+/// @}
 /// Drops servers that stayed absent after an outage of the registry.
 auto dropMissing(ServerTable &table, TimePoint now) -> void;
 
@@ -114,10 +120,13 @@
 
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
 
+/// There is something to tell of the server.
+auto noteUsed(ServerTable &table, const ServerState &server) -> void;
+
 /// \name What own attempts show
 /// @{
 /// \p expected: time to the first byte
-auto noteSent(ServerState &server, const Load &load, Duration expected, TimePoint now) -> void;
+auto noteSent(ServerTable &table, ServerState &server, const Load &load, Duration expected, TimePoint now) -> void;
 auto noteHeard(ServerState &server) -> void;
 /// The prompt was read: its first byte of answer is here, or the attempt ended.
 auto noteRead(ServerState &server, const Load &load) -> void;
--- /dev/null
+++ b/src/core/passthrough/tests/manyservers_tests.cpp
@@ -0,0 +1,140 @@
+#include "core/passthrough/internal/state.h"
+#include "core/passthrough/peerreports.h"
+#include "core/passthrough/tests/world.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+using namespace auburnspread::passthrough::tests;
+
+namespace
+{
+
+constexpr TimePoint Now(std::chrono::hours(1));
+
+auto makeEngines(int count) -> std::vector<Server>
+{
+    std::vector<Server> servers;
+    for (auto i = 0; i < count; ++i) {
+        servers.push_back(makeServer("e" + std::to_string(i), "engines", 16));
+    }
+    return servers;
+}
+
+auto makeTable(int engines) -> ServerTable
+{
+    ServerTable table{ .failureDomain = "a" };
+    adoptServers(table, { .servers = makeEngines(engines), .asOf = Now }, Now);
+    return table;
+}
+
+} // namespace
+
+TEST(ManyServersTests, partsAreOfBoundedSizeAndHoldEachServerOnce)
+{
+    constexpr std::size_t Most = 300; // 256 and the spread of hashes
+    for (const auto engines : { 10, 160, 256, 257, 600, 3000 }) {
+        const auto table = makeTable(engines);
+        const auto &group = table.byService.at("engines");
+        std::set<std::string> seen;
+        for (const auto &part : group.parts) {
+            EXPECT_LE(part.size(), Most);
+            for (const auto &server : part) {
+                seen.insert(server->record.id);
+            }
+        }
+        EXPECT_EQ(seen.size(), static_cast<std::size_t>(engines));
+        EXPECT_EQ(group.parts.size() == 1, engines <= 256);
+    }
+}
+
+TEST(ManyServersTests, theSecondPartIsAnotherOne)
+{
+    const auto table = makeTable(3000);
+    const auto &group = table.byService.at("engines");
+    for (std::uint64_t key = 0; key < 1000; ++key) {
+        EXPECT_NE(partOf(group, key), secondPartOf(group, key));
+    }
+}
+
+/// Guards against a session whose part is full while engines of other parts are idle.
+TEST(ManyServersTests, aSessionGoesToAnotherPartWhenItsOwnIsFull)
+{
+    World world;
+    world.apply(ServersListed{ .servers = makeEngines(600), .asOf = world.now() });
+    const auto quote = [&world]() {
+        auto request = world.request(QuotePath);
+        request.prompt = { .tokens = 9000, .answerTokens = 50, .parts = { { .id = 7, .tokens = 6000 }, { .id = 0, .tokens = 3000 } } };
+        return request;
+    };
+    const auto first = find<Send>(world.apply(quote()));
+    ASSERT_TRUE(first);
+    const auto &group = world.router().servers.byService.at("engines");
+    PeerReported full{ .entry = "entry-2" };
+    for (const auto &part : group.parts) {
+        const auto holdsFirst = std::any_of(part.begin(), part.end(), [&first](const ServerPointer &server) { return server->record.id == first->server; });
+        for (const auto &server : part) {
+            if (holdsFirst) {
+                full.uses.push_back({ .server = server->record.id, .inFlight = 18 });
+            }
+        }
+    }
+    world.apply(full);
+    EXPECT_TRUE(find<Send>(world.apply(quote())));
+}
+
+/// Guards against a sum that is longer than a datagram, which is lost as a whole.
+TEST(ManyServersTests, aSumNamesTheBusiestServersAndAnEjectedOne)
+{
+    constexpr std::size_t Most = 200;
+    auto table = makeTable(1000);
+    PeerReported report{ .entry = "entry-2", .failureDomain = "a" };
+    for (auto i = 0; i < 1000; ++i) {
+        report.uses.push_back({ .server = "e" + std::to_string(i), .inFlight = 1, .heldTokens = static_cast<std::uint32_t>(i) });
+    }
+    report.uses[3].ejectedFor = std::chrono::seconds(1);
+    notePeerReport(table, report, Now);
+    const auto sum = takeSum(table, "entry-1", ReportScope::Fleet, Now);
+    EXPECT_EQ(sum.uses.size(), Most);
+    const auto names = [&sum](const std::string &id) {
+        return std::any_of(sum.uses.begin(), sum.uses.end(), [&id](const PeerReported::Use &use) { return use.server == id; });
+    };
+    EXPECT_TRUE(names("e999"));
+    EXPECT_TRUE(names("e3"));
+    EXPECT_FALSE(names("e4"));
+}
+
+/// A change of the list means the same as the list with that change.
+TEST(ManyServersTests, aChangeOfTheListActsLikeTheListWithIt)
+{
+    auto byList = makeTable(20);
+    auto byChange = makeTable(20);
+    auto servers = makeEngines(21);
+    servers[4].isLeaving = true;
+    const auto later = Now + std::chrono::seconds(1);
+    const ServersChanged change{ .changed = { servers[4], servers[20] }, .removed = { "e7" }, .asOf = later };
+    servers.erase(servers.begin() + 7);
+    adoptServers(byList, { .servers = servers, .asOf = later }, later);
+    adoptChanges(byChange, change, later);
+    ASSERT_EQ(byList.byId.size(), byChange.byId.size());
+    for (const auto &[id, server] : byList.byId) {
+        EXPECT_EQ(server->record, byChange.byId.at(id)->record);
+    }
+    EXPECT_EQ(byList.byService.at("engines").all.size(), byChange.byService.at("engines").all.size());
+}
+
+/// Guards against servers that are dropped at once after an outage of the registry, although they live.
+TEST(ManyServersTests, aServerThatLapsedInAnOutageMayReturn)
+{
+    auto table = makeTable(3);
+    const auto back = Now + std::chrono::seconds(5);
+    adoptChanges(table, { .removed = { "e1" }, .asOf = back, .outageEndedAt = back }, back);
+    EXPECT_TRUE(findServer(table, "e1"));
+    dropMissing(table, back + ReturnTime);
+    EXPECT_FALSE(findServer(table, "e1"));
+    adoptChanges(table, { .removed = { "e2" }, .asOf = back + ReturnTime, .outageEndedAt = back }, back + ReturnTime);
+    EXPECT_FALSE(findServer(table, "e2")) << "it stood in a list since";
+}
--- a/src/core/passthrough/tests/overload_tests.cpp
+++ b/src/core/passthrough/tests/overload_tests.cpp
@@ -136,8 +136,8 @@
     adoptServers(table, { .servers = makeServers() }, now);
     auto &server = *findServer(table, "e1");
     const Load load{ .unreadTokens = 3000, .heldTokens = 9000 };
-    noteSent(server, load, Duration::zero(), now);
-    noteSent(server, load, Duration::zero(), now);
+    noteSent(table, server, load, Duration::zero(), now);
+    noteSent(table, server, load, Duration::zero(), now);
     takeReport(table, "entry-1", {});
     notePeerReport(
         table, { .entry = "reader", .scope = ReportScope::Fleet, .entries = 5, .uses = { { .server = "e1", .inFlight = 10, .unreadTokens = 30'000 } } }, now);
--- a/src/core/passthrough/tests/servers_tests.cpp
+++ b/src/core/passthrough/tests/servers_tests.cpp
@@ -69,12 +69,12 @@
     Server record = makeServer("e1", "engines", 32);
     adoptServers(table, { .servers = { record } }, {});
     const auto before = findServer(table, "e1");
-    noteSent(*before, { .unreadTokens = 9000, .heldTokens = 9000 }, {}, {});
+    noteSent(table, *before, { .unreadTokens = 9000, .heldTokens = 9000 }, {}, {});
     record.startedAt = 1;
     adoptServers(table, { .servers = { record } }, {});
     const auto after = findServer(table, "e1");
     EXPECT_EQ(after->own.inFlight, 0U);
-    noteSent(*after, { .unreadTokens = 100, .heldTokens = 100 }, {}, {});
+    noteSent(table, *after, { .unreadTokens = 100, .heldTokens = 100 }, {}, {});
     noteEnded(*before, { .unreadTokens = 9000, .heldTokens = 9000 });
     EXPECT_EQ(after->own.inFlight, 1U);
     EXPECT_EQ(after->own.unreadTokens, 100U);
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -159,7 +159,7 @@
     sortServers(servers);
     auto changes = findChanges(state.servers, servers);
     if (!state.serversAt || !isEmpty(changes)) {
-        if (state.serversAt) {
+        if (state.tags.servers != 0) {
             noteChanges(state.serverLog, state.tags.servers, changes);
         }
         state.servers = std::move(servers);
@@ -171,12 +171,11 @@
 
 auto takeServersChanged(DirectoryState &state, const ServersChanged &change) -> bool
 {
-    auto servers = applyChanges(state.servers, change.changes);
-    if (tagOf(servers) != change.tag) {
+    if (tagAfter(state.servers, state.tags.servers, change.changes) != change.tag) {
         return false;
     }
     noteChanges(state.serverLog, state.tags.servers, change.changes);
-    state.servers = std::move(servers);
+    applyChanges(state.servers, change.changes);
     state.tags.servers = change.tag;
     noteServersRead(state, change.revision, change.asOf, change.outageEndedAt);
     return true;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -279,7 +279,12 @@
     }
     directory_.noteServersConfirmed(change.asOf);
     logServerChanges(change.changes);
-    callbacks_.onEvent(passthrough::ServersListed{ .servers = known_.servers, .asOf = change.asOf, .outageEndedAt = change.outageEndedAt });
+    callbacks_.onEvent(passthrough::ServersChanged{
+        .changed = change.changes.changed,
+        .removed = change.changes.removed,
+        .asOf = change.asOf,
+        .outageEndedAt = change.outageEndedAt,
+    });
     callbacks_.onChanged();
 }
 
--- a/src/gateway/loadreports.cpp
+++ b/src/gateway/loadreports.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t MostDirectPeers = 12;
 /// A hub sends its sum to each entry once in this many reports, so that with two hubs each entry hears one with every report.
 constexpr int ReportsPerSum = 2;
+/// Where there are more servers a sum names as many as fit and is sent less often: it tells of the busiest ones, and each server gets fewer
+/// requests. Failure: a hub of a hundred entries sends megabytes a second, more than the links have.
+constexpr std::size_t ServersOfFrequentSum = 256;
+constexpr std::size_t MostSlowdown = 8;
 /// What is sent in the same moment is told in one report.
 constexpr Duration Gathering = std::chrono::milliseconds(2);
 
@@ -110,14 +114,20 @@
     if (!isHub_) {
         return;
     }
-    turn_ = (turn_ + 1) % ReportsPerSum;
+    turn_ = (turn_ + 1) % reportsPerSum();
     if (isFirstHub_) {
-        const auto others = fleet::hubsOfOtherDomains(known_.entries, self_, static_cast<std::size_t>(turn_));
+        const auto others = fleet::hubsOfOtherDomains(known_.entries, self_, static_cast<std::size_t>(turn_ % ReportsPerSum));
         peers_.sendTo(peerAddresses(others, self_), passthrough::takeSum(router_, passthrough::ReportScope::FailureDomain));
     }
     peers_.sendTo(membersInTurn(), passthrough::takeSum(router_, passthrough::ReportScope::Fleet));
 }
 
+auto LoadReports::reportsPerSum() const -> int
+{
+    const auto slowdown = (known_.servers.size() + ServersOfFrequentSum - 1) / ServersOfFrequentSum;
+    return ReportsPerSum * static_cast<int>(std::clamp<std::size_t>(slowdown, 1, MostSlowdown));
+}
+
 /// Of the failure domain.
 auto LoadReports::membersInTurn() const -> std::vector<std::string>
 {
@@ -125,7 +135,7 @@
     auto number = 0;
     for (const auto &entry : known_.entries) {
         const auto isMember = entry.failureDomain == self_.failureDomain && entry.name != self_.name;
-        if (isMember && number++ % ReportsPerSum == turn_) {
+        if (isMember && number++ % reportsPerSum() == turn_) {
             addresses.push_back(entry.peerAddress);
         }
     }
--- a/src/gateway/serverchanges.cpp
+++ b/src/gateway/serverchanges.cpp
@@ -82,24 +82,49 @@
     return changes;
 }
 
-auto applyChanges(const ServerRecords &before, const ServerChanges &changes) -> ServerRecords
+namespace
+{
+
+auto placeOf(const ServerRecords &servers, std::string_view id)
+{
+    return std::lower_bound(servers.begin(), servers.end(), id, [](const Server &server, std::string_view wanted) { return server.id < wanted; });
+}
+
+auto hashOfKnown(const ServerRecords &servers, std::string_view id) -> std::uint64_t
+{
+    const auto place = placeOf(servers, id);
+    return place != servers.end() && place->id == id ? hashOf(*place) : 0;
+}
+
+} // namespace
+
+auto applyChanges(ServerRecords &servers, const ServerChanges &changes) -> void
 {
-    std::map<std::string_view, const Server *> next;
-    for (const auto &server : before) {
-        next[server.id] = &server;
-    }
     for (const auto &id : changes.removed) {
-        next.erase(id);
+        const auto place = placeOf(servers, id);
+        if (place != servers.end() && place->id == id) {
+            servers.erase(place);
+        }
     }
     for (const auto &server : changes.changed) {
-        next[server.id] = &server;
+        const auto place = placeOf(servers, server.id);
+        if (place != servers.end() && place->id == server.id) {
+            servers[static_cast<std::size_t>(place - servers.begin())] = server;
+        } else {
+            servers.insert(place, server);
+        }
+    }
+}
+
+auto tagAfter(const ServerRecords &servers, std::uint64_t tag, const ServerChanges &changes) -> std::uint64_t
+{
+    for (const auto &id : changes.removed) {
+        tag -= hashOfKnown(servers, id);
     }
-    ServerRecords after;
-    after.reserve(next.size());
-    for (const auto &[id, server] : next) {
-        after.push_back(*server);
+    for (const auto &server : changes.changed) {
+        tag += hashOf(server) - hashOfKnown(servers, server.id);
     }
-    return after;
+    return tag;
 }
 
 auto isEmpty(const ServerChanges &changes) -> bool
@@ -113,7 +138,7 @@
     for (const auto &server : servers) {
         tag += hashOf(server);
     }
-    return std::max<std::uint64_t>(tag, 1);
+    return tag;
 }
 
 auto noteChanges(ChangeLog &log, std::uint64_t before, const ServerChanges &changes) -> void
--- a/src/gateway/serverchanges.h
+++ b/src/gateway/serverchanges.h
@@ -30,10 +30,12 @@
 auto sortServers(ServerRecords &servers) -> void;
 
 auto findChanges(const ServerRecords &before, const ServerRecords &after) -> ServerChanges;
-auto applyChanges(const ServerRecords &before, const ServerChanges &changes) -> ServerRecords;
+auto applyChanges(ServerRecords &servers, const ServerChanges &changes) -> void;
+/// What the tag of \p servers becomes by these changes.
+auto tagAfter(const ServerRecords &servers, std::uint64_t tag, const ServerChanges &changes) -> std::uint64_t;
 auto isEmpty(const ServerChanges &changes) -> bool;
 
-/// The same for equal lists at every entry, never 0.
+/// The same for equal lists at every entry; 0 stands for none.
 auto tagOf(const ServerRecords &servers) -> std::uint64_t;
 
 /// The latest changes of one list, each with the tag of the list that it was made to.
--- a/src/gateway/tests/directorystate_tests.cpp
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -50,7 +50,9 @@
     EXPECT_FALSE(change.servers) << "what changed is enough";
     ASSERT_TRUE(change.serverChanges);
     EXPECT_FALSE(change.serverChanges->changed.front().isLeaving);
-    EXPECT_EQ(applyChanges({ makeServer(true) }, *change.serverChanges), state.servers);
+    ServerRecords list{ makeServer(true) };
+    applyChanges(list, *change.serverChanges);
+    EXPECT_EQ(list, state.servers);
     EXPECT_EQ(change.serversTag, state.tags.servers);
 }
 
--- a/src/gateway/tests/serverchanges_tests.cpp
+++ b/src/gateway/tests/serverchanges_tests.cpp
@@ -55,7 +55,11 @@
 {
     const auto before = makeList(one);
     const auto after = makeList(other);
-    RC_ASSERT(applyChanges(before, findChanges(before, after)) == after);
+    const auto changes = findChanges(before, after);
+    RC_ASSERT(tagAfter(before, tagOf(before), changes) == tagOf(after));
+    auto list = before;
+    applyChanges(list, changes);
+    RC_ASSERT(list == after);
     RC_ASSERT((tagOf(before) == tagOf(after)) == (before == after));
 }
 
