--- a/src/core/leadership/tests/dutyworld.cpp
+++ b/src/core/leadership/tests/dutyworld.cpp
@@ -271,7 +271,7 @@
     }
 
     /// The call reaches the other side, or not, or late; the answer comes back, or not. A caller that has no answer in time gives it up.
-    auto call(std::size_t number, std::function<std::function<void()>()> execute, std::function<void()> onUnknown) -> void
+    auto call(std::size_t number, std::function<std::function<void()>()> execute, const std::function<void()> &onUnknown) -> void
     {
         const auto incarnation = entries_.at(number).incarnation;
         const auto answered = std::make_shared<bool>(false);
@@ -423,9 +423,7 @@
             apply(number, usage::SendFailed{ .window = action.window });
         }
     }
-    auto carryOut(std::size_t /*number*/, const usage::LeftOut & /*action*/) -> void
-    {
-    }
+    auto carryOut(std::size_t /*number*/, const usage::LeftOut & /*action*/) -> void {}
 
     auto send(std::size_t number, const usage::Send &action) -> void
     {
--- a/src/core/ordering/ordering.cpp
+++ b/src/core/ordering/ordering.cpp
@@ -57,6 +57,7 @@
     }
     std::sort(priced.begin(), priced.end());
     std::vector<std::string> domains;
+    domains.reserve(priced.size());
     for (auto &[price, domain] : priced) {
         domains.push_back(std::move(domain));
     }
--- a/src/core/ordering/tests/ordering_tests.cpp
+++ b/src/core/ordering/tests/ordering_tests.cpp
@@ -37,8 +37,7 @@
 
 auto countOf(const std::vector<Order> &orders, const std::string &domain, Kind kind) -> std::optional<std::uint32_t>
 {
-    const auto found
-        = std::find_if(orders.begin(), orders.end(), [&](const Order &order) { return order.failureDomain == domain && order.kind == kind; });
+    const auto found = std::find_if(orders.begin(), orders.end(), [&](const Order &order) { return order.failureDomain == domain && order.kind == kind; });
     return found == orders.end() ? std::nullopt : std::optional(found->count);
 }
 
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -46,9 +46,9 @@
     std::uint64_t hash = 0;            ///< of the id, for rendezvous hashing
     std::optional<TimePoint> returnBy; ///< absent from a list that may not be complete yet: is back by then, or gone
 
-    Work own;      ///< attempts of this entry
-    Work others;   ///< as the other entries reported
-    Work reported; ///< own work as of the last report
+    Work own;                    ///< attempts of this entry
+    Work others;                 ///< as the other entries reported
+    Work reported;               ///< own work as of the last report
     bool isUsedByOthers = false; ///< stands in ServerTable::usedByOthers
 
     TimePoint sentAt;
--- a/src/core/passthrough/tests/ejection_tests.cpp
+++ b/src/core/passthrough/tests/ejection_tests.cpp
@@ -20,6 +20,7 @@
 {
     ServerTable table{ .failureDomain = "a" };
     std::vector<Server> records;
+    records.reserve(static_cast<std::size_t>(engines));
     for (auto i = 0; i < engines; ++i) {
         records.push_back({ .id = "e" + std::to_string(i), .service = "engines", .slots = 16 });
     }
--- a/src/core/passthrough/tests/manyservers_tests.cpp
+++ b/src/core/passthrough/tests/manyservers_tests.cpp
@@ -18,6 +18,7 @@
 auto makeEngines(int count) -> std::vector<Server>
 {
     std::vector<Server> servers;
+    servers.reserve(static_cast<std::size_t>(count));
     for (auto i = 0; i < count; ++i) {
         servers.push_back(makeServer("e" + std::to_string(i), "engines", 16));
     }
--- a/src/core/passthrough/tests/replay.h
+++ b/src/core/passthrough/tests/replay.h
@@ -63,10 +63,10 @@
 
 /// Attempts on engines in the second half.
 struct Attempts {
-    std::uint64_t all = 0;           ///< after its first second
-    std::uint64_t onFailing = 0;     ///< after its first second
-    std::uint64_t failed = 0;        ///< answered with an error
-    std::uint64_t requestsLost = 0;  ///< whose caller got the error
+    std::uint64_t all = 0;          ///< after its first second
+    std::uint64_t onFailing = 0;    ///< after its first second
+    std::uint64_t failed = 0;       ///< answered with an error
+    std::uint64_t requestsLost = 0; ///< whose caller got the error
 
     /// Attempts on a failing engine for each one on an engine of the mean.
     [[nodiscard]] auto failingShare(std::size_t engines, std::size_t failing) const -> double
--- a/src/core/usage/reporter.cpp
+++ b/src/core/usage/reporter.cpp
@@ -162,8 +162,7 @@
         }
         state_.proposed = std::move(proposed);
         state_.awaited = ++state_.lastCall;
-        actions_.emplace_back(
-            WriteRecord{ .call = state_.awaited, .record = state_.proposed, .expectedRevision = state_.revision, .token = *state_.token });
+        actions_.emplace_back(WriteRecord{ .call = state_.awaited, .record = state_.proposed, .expectedRevision = state_.revision, .token = *state_.token });
     }
 
     auto noteLeftOut(const Record &proposed) -> void
--- a/src/core/usage/tests/reporter_tests.cpp
+++ b/src/core/usage/tests/reporter_tests.cpp
@@ -62,7 +62,7 @@
     TimePoint now_ = TimePoint(1h);
 };
 
-const auto AfterFirst = endOf(First, Length) + 2s;
+constexpr TrueTime AfterFirst = (First + 1) * 5000ms + 2s;
 
 } // namespace
 
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -77,8 +77,8 @@
     std::vector<OfferedDocument> configurations; ///< the newest, which is in force, and some before it
     std::optional<TimePoint> confirmedAt;
     std::map<std::uint64_t, TimePoint> offeredAt; ///< newer configurations of other entries, by revision: when each was heard of
-    ServerRecords servers; ///< sorted by id
-    ChangeLog serverLog;   ///< of \c servers
+    ServerRecords servers;                        ///< sorted by id
+    ChangeLog serverLog;                          ///< of \c servers
     std::uint64_t serversRevision = 0;
     std::optional<TimePoint> serversAt;
     std::optional<TimePoint> outageEndedAt;  ///< the list was read again after a while without; see ServersRead
@@ -124,8 +124,8 @@
     std::optional<PackedList> servers;          ///< the whole list, where the asker's one is not known any more
     std::optional<ServerChanges> serverChanges; ///< of the asker's list
     std::uint64_t serversTag = 0;               ///< of the list with these changes
-    std::optional<Duration> outageAge;  ///< since the list was read again after a while without; not set: long ago
-    std::optional<Duration> entriesAge; ///< not set: nobody was heard yet
+    std::optional<Duration> outageAge;          ///< since the list was read again after a while without; not set: long ago
+    std::optional<Duration> entriesAge;         ///< not set: nobody was heard yet
     std::optional<PackedList> entries;
 };
 
--- a/src/gateway/duties.cpp
+++ b/src/gateway/duties.cpp
@@ -65,15 +65,17 @@
                .windows = { .windowLength = settings.usageWindow, .due = settings.usageDue } },
              {
                  .onTokenRefused = [this](std::uint64_t token) { election_.noteTokenRefused(token); },
-                 .onWindow = [this](usage::Window window, std::string_view outcome, std::uint64_t requests) { accounting_.usageReported(window, outcome, requests); },
+                 .onWindow
+                 = [this](usage::Window window, std::string_view outcome, std::uint64_t requests) { accounting_.usageReported(window, outcome, requests); },
                  .onInvalid = [this](std::string_view what, const std::string &detail) { accounting_.inputInvalid(what, detail); },
              })
-    , orders_(loop,
-              { .api = settings.dutyApi, .entry = settings.name },
-              {
-                  .onTokenRefused = [this](std::uint64_t token) { election_.noteTokenRefused(token); },
-                  .onOrder = [this](const ordering::Order &order, std::string_view outcome, double needed) { accounting_.serversOrdered(order, outcome, needed); },
-              })
+    , orders_(
+          loop,
+          { .api = settings.dutyApi, .entry = settings.name },
+          {
+              .onTokenRefused = [this](std::uint64_t token) { election_.noteTokenRefused(token); },
+              .onOrder = [this](const ordering::Order &order, std::string_view outcome, double needed) { accounting_.serversOrdered(order, outcome, needed); },
+          })
 {
 }
 
--- a/src/gateway/loadreports.h
+++ b/src/gateway/loadreports.h
@@ -50,7 +50,7 @@
     bool isFirstHub_ = false;  ///< in rank
     bool reportedUse_ = false; ///< the last report was not empty
     [[nodiscard]] auto reportsPerSum() const -> int;
-    int turn_ = 0;             ///< which part of the entries gets the sum next
+    int turn_ = 0; ///< which part of the entries gets the sum next
     TimePoint reportedAt_;
     bool reportsSoon_ = false;
     task::Watch reporter_;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -87,7 +87,14 @@
 {
     auto uses = json::array();
     for (const auto &use : report.uses) {
-        uses.push_back({ use.server, use.inFlight, use.unreadTokens, use.heldTokens, use.waitingTokens, use.shortPrompts, toMilliseconds(use.ejectedFor), partsToJson(use.sent) });
+        uses.push_back({ use.server,
+                         use.inFlight,
+                         use.unreadTokens,
+                         use.heldTokens,
+                         use.waitingTokens,
+                         use.shortPrompts,
+                         toMilliseconds(use.ejectedFor),
+                         partsToJson(use.sent) });
     }
     auto arrivals = json::array();
     for (const auto &each : report.arrivals) {
--- a/src/gateway/serverchanges.cpp
+++ b/src/gateway/serverchanges.cpp
@@ -44,7 +44,8 @@
     for (const auto *text : { &server.id, &server.service, &server.address, &server.failureDomain }) {
         hash = hashText(hash, *text);
     }
-    for (const auto number : { std::int64_t{ server.slots }, std::int64_t{ server.isLeaving ? 1 : 0 }, std::int64_t{ server.isPreemptible ? 1 : 0 }, server.startedAt }) {
+    for (const auto number :
+         { std::int64_t{ server.slots }, std::int64_t{ server.isLeaving ? 1 : 0 }, std::int64_t{ server.isPreemptible ? 1 : 0 }, server.startedAt }) {
         hash = hashNumber(hash, number);
     }
     return hash;
--- a/src/gateway/serverchanges.h
+++ b/src/gateway/serverchanges.h
@@ -21,7 +21,7 @@
 
 /// What makes one list of another.
 struct ServerChanges {
-    ServerRecords changed;               ///< as they are in the later list, those that are new among them
+    ServerRecords changed;            ///< as they are in the later list, those that are new among them
     std::vector<std::string> removed; ///< ids
 
     auto operator==(const ServerChanges &) const -> bool = default;
@@ -44,7 +44,7 @@
         std::uint64_t before = 0; ///< tag
         ServerChanges changes;
     };
-    std::deque<Step> steps; ///< oldest first
+    std::deque<Step> steps;  ///< oldest first
     std::size_t records = 0; ///< in all steps
 };
 
--- a/src/gateway/settings/gatewaysettings.h
+++ b/src/gateway/settings/gatewaysettings.h
@@ -27,11 +27,11 @@
     std::string storeAddress;
     std::uint32_t strength = 0; ///< of the VM, for the choice of the entries that read the store
     Duration leaseTime{};
-    std::string dutyApi;     ///< address of the platform's interface for what one entry does for all; empty: there is none
-    std::string duties;      ///< of these, those that the deployment has, as the platform names them
-    Duration leaderLease{};  ///< how long nobody leads after a leader was lost
-    Duration usageWindow{};  ///< whose usage is reported together
-    Duration usageDue{};     ///< after the end of a window
+    std::string dutyApi;           ///< address of the platform's interface for what one entry does for all; empty: there is none
+    std::string duties;            ///< of these, those that the deployment has, as the platform names them
+    Duration leaderLease{};        ///< how long nobody leads after a leader was lost
+    Duration usageWindow{};        ///< whose usage is reported together
+    Duration usageDue{};           ///< after the end of a window
     Duration keyWithdrawal{};      ///< a key that was taken away may live this long
     Duration configurationApply{}; ///< a configuration that was accepted is in force everywhere after this
     Duration leavingTime{};        ///< from the signal to leave to the end of the process
