--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -121,7 +121,7 @@
         return;
     }
     state.listAt = now + jitter(state, state.options.listInterval);
-    actions.push_back(ReadListWanted{});
+    actions.emplace_back(ReadListWanted{});
 }
 
 auto Step::operator()(const ReadinessChanged &event) const -> void
@@ -292,7 +292,7 @@
         ++state.version;
         updateCells(state, actions);
         updateLinks(state, actions);
-        actions.push_back(AnswersChanged{ state.version });
+        actions.emplace_back(AnswersChanged{ state.version });
     }
     sendNews(state, actions);
     return actions;
