--- a/src/core/ordering/ordering.cpp
+++ b/src/core/ordering/ordering.cpp
@@ -20,9 +20,6 @@
 constexpr double MostPreemptiblePrice = 0.6;
 /// After none were to be had.
 constexpr Duration UnavailablePause = std::chrono::seconds(2);
-/// Time in which the remembered peak of the demand falls to a third. Bursts come in series: what one needed has to stand ready for the
-/// next when a failure domain's preemptible servers are taken away between them.
-constexpr Duration DemandMemory = std::chrono::seconds(8);
 /// Between two orders of one kind in one failure domain.
 constexpr Duration OrderPause = std::chrono::milliseconds(1500);
 /// Besides the start of a server until what was ordered must be seen: its registration, and the drain of one that leaves.
@@ -124,14 +121,6 @@
         return usesPreemptible() ? found - std::min(found, count(domain, Kind::Preemptible).live) : found;
     }
 
-    auto peakDemand() -> double
-    {
-        auto &demand = state_.demand[situation_.service];
-        const auto faded = demand.servers * std::exp(-std::chrono::duration<double>(now_ - demand.at) / std::chrono::duration<double>(DemandMemory));
-        demand = { .servers = std::max(situation_.neededServers, faded), .at = now_ };
-        return demand.servers;
-    }
-
     /// Servers that the load needs beside the preemptible ones and those that stay. What fills the gap is no part of this sum, so that it
     /// does not close the gap in which it is needed.
     auto extraServers(const std::vector<std::string> &domains) -> std::uint32_t
@@ -140,7 +129,7 @@
         for (const auto &domain : domains) {
             standing += count(domain, Kind::Preemptible).live + baseOf(domain);
         }
-        const auto needed = static_cast<std::uint32_t>(std::ceil(peakDemand()));
+        const auto needed = static_cast<std::uint32_t>(std::ceil(situation_.neededServers));
         auto &extra = state_.extra[situation_.service];
         if (needed > standing) {
             extra.servers = std::max(extra.servers, needed - standing);
--- a/src/core/ordering/ordering.h
+++ b/src/core/ordering/ordering.h
@@ -66,11 +66,6 @@
         TimePoint neededAt;        ///< last
     };
     std::map<std::string, Extra> extra; ///< by service
-    struct Demand {
-        double servers = 0;
-        TimePoint at;
-    };
-    std::map<std::string, Demand> demand; ///< peak that fades, by service
 };
 
 /// Orders that are due. Each is to be answered by noteOutcome().
