--- a/src/core/leadership/tests/leadership_tests.cpp
+++ b/src/core/leadership/tests/leadership_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/base/tests/findaction.h"
 #include "core/leadership/leadership.h"
 
 #include <gtest/gtest.h>
@@ -6,23 +7,13 @@
 
 using namespace auburnspread;
 using namespace auburnspread::leadership;
+using auburnspread::tests::findAction;
 
 namespace
 {
 
 using namespace std::chrono_literals;
 
-template <typename Wanted>
-auto find(const Actions &actions) -> std::optional<Wanted>
-{
-    for (const auto &action : actions) {
-        if (const auto *wanted = std::get_if<Wanted>(&action)) {
-            return *wanted;
-        }
-    }
-    return std::nullopt;
-}
-
 /// One entry, with a store that answers as the test says.
 class Entry
 {
@@ -40,10 +31,10 @@
     auto lead(std::uint64_t token) -> void
     {
         auto actions = apply(EligibilityChanged{ .isEligible = true });
-        actions = apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call });
-        actions = apply(LeaseTaken{ .call = find<TakeLease>(actions).value().call, .lease = 5, .lifetime = 3s });
-        actions = apply(ClaimWritten{ .call = find<WriteClaim>(actions).value().call, .revision = token });
-        apply(LeaseRenewed{ .call = find<RenewLease>(actions).value().call });
+        actions = apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call });
+        actions = apply(LeaseTaken{ .call = findAction<TakeLease>(actions).value().call, .lease = 5, .lifetime = 3s });
+        actions = apply(ClaimWritten{ .call = findAction<WriteClaim>(actions).value().call, .revision = token });
+        apply(LeaseRenewed{ .call = findAction<RenewLease>(actions).value().call });
     }
     [[nodiscard]] auto token() const -> std::optional<std::uint64_t>
     {
@@ -74,7 +65,7 @@
     EXPECT_TRUE(entry.token());
     const auto actions = entry.pass(4s);
     EXPECT_FALSE(entry.token());
-    EXPECT_EQ(find<TermEnded>(actions).value().reason, TermEnd::LeaseEnded);
+    EXPECT_EQ(findAction<TermEnded>(actions).value().reason, TermEnd::LeaseEnded);
 }
 
 /// Guards against acting between waking up and the first tick.
@@ -93,9 +84,9 @@
 {
     Entry entry;
     entry.lead(17);
-    EXPECT_TRUE(find<TermEnded>(entry.apply(TokenRefused{ .token = 17 })));
+    EXPECT_TRUE(findAction<TermEnded>(entry.apply(TokenRefused{ .token = 17 })));
     EXPECT_TRUE(entry.pass(5900ms).empty());
-    EXPECT_TRUE(find<ReadClaim>(entry.pass(200ms)));
+    EXPECT_TRUE(findAction<ReadClaim>(entry.pass(200ms)));
 }
 
 TEST(LeadershipTests, anEntryThatLeavesHandsOverAtOnce)
@@ -103,8 +94,8 @@
     Entry entry;
     entry.lead(17);
     const auto actions = entry.apply(EligibilityChanged{ .isEligible = false });
-    EXPECT_EQ(find<TermEnded>(actions).value().reason, TermEnd::Leaving);
-    EXPECT_EQ(find<EndLease>(actions).value().lease, 5U);
+    EXPECT_EQ(findAction<TermEnded>(actions).value().reason, TermEnd::Leaving);
+    EXPECT_EQ(findAction<EndLease>(actions).value().lease, 5U);
 }
 
 /// Guards against a second token for one claim: the answer to the write was lost, and the write was done.
@@ -112,11 +103,11 @@
 {
     Entry entry;
     auto actions = entry.apply(EligibilityChanged{ .isEligible = true });
-    actions = entry.apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call });
-    actions = entry.apply(LeaseTaken{ .call = find<TakeLease>(actions).value().call, .lease = 5, .lifetime = 3s });
-    const auto write = find<WriteClaim>(actions).value();
+    actions = entry.apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call });
+    actions = entry.apply(LeaseTaken{ .call = findAction<TakeLease>(actions).value().call, .lease = 5, .lifetime = 3s });
+    const auto write = findAction<WriteClaim>(actions).value();
     actions = entry.apply(CallFailed{ .call = write.call, .failure = CallFailure::Unknown });
-    entry.apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call, .claim = write.claim, .claimRevision = 21, .storeRevision = 30 });
+    entry.apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call, .claim = write.claim, .claimRevision = 21, .storeRevision = 30 });
     EXPECT_EQ(entry.token(), 21U);
 }
 
@@ -126,9 +117,9 @@
     Entry entry;
     auto actions = entry.apply(EligibilityChanged{ .isEligible = true });
     const Claim earlier{ .entry = "e1", .incarnation = 0, .attempt = 1 };
-    actions = entry.apply(ClaimRead{ .call = find<ReadClaim>(actions).value().call, .claim = earlier, .claimRevision = 21, .storeRevision = 30 });
+    actions = entry.apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call, .claim = earlier, .claimRevision = 21, .storeRevision = 30 });
     EXPECT_FALSE(entry.token());
-    EXPECT_EQ(find<WatchClaim>(actions).value().revision, 30U);
+    EXPECT_EQ(findAction<WatchClaim>(actions).value().revision, 30U);
 }
 
 TEST(LeadershipTests, aStoreThatIsAwayEndsATermAndIsAskedSeldom)
--- a/src/core/usage/tests/reporter_tests.cpp
+++ b/src/core/usage/tests/reporter_tests.cpp
@@ -1,9 +1,11 @@
+#include "core/base/tests/findaction.h"
 #include "core/usage/reporter.h"
 
 #include <gtest/gtest.h>
 
 using namespace auburnspread;
 using namespace auburnspread::usage;
+using auburnspread::tests::findAction;
 
 namespace
 {
@@ -13,17 +15,6 @@
 constexpr Window First = 1000;
 constexpr Duration Length = 5s;
 
-template <typename Wanted>
-auto find(const Actions &actions) -> std::optional<Wanted>
-{
-    for (const auto &action : actions) {
-        if (const auto *wanted = std::get_if<Wanted>(&action)) {
-            return *wanted;
-        }
-    }
-    return std::nullopt;
-}
-
 class Leader
 {
 public:
@@ -54,7 +45,7 @@
     /// Has read that nothing is fixed.
     auto read(TrueTime time) -> void
     {
-        apply(RecordRead{ .call = find<ReadRecord>(tick(time)).value().call });
+        apply(RecordRead{ .call = findAction<ReadRecord>(tick(time)).value().call });
     }
 
 private:
@@ -71,17 +62,17 @@
     Leader leader;
     leader.read(AfterFirst);
     const auto actions = leader.tick(AfterFirst);
-    const auto write = find<WriteRecord>(actions).value();
+    const auto write = findAction<WriteRecord>(actions).value();
     EXPECT_EQ(write.record, (Record{ { First, { { "a", 1 } } } }));
     EXPECT_EQ(write.expectedRevision, 0U);
     EXPECT_EQ(write.token, 17U);
-    EXPECT_FALSE(find<Send>(actions));
+    EXPECT_FALSE(findAction<Send>(actions));
     leader.apply(RecordWritten{ .call = write.call, .revision = 30 });
-    const auto sent = find<Send>(leader.tick(AfterFirst)).value();
+    const auto sent = findAction<Send>(leader.tick(AfterFirst)).value();
     EXPECT_EQ(sent.window, First);
     EXPECT_EQ(sent.counts, (Counts{ { "a", 1 } }));
     leader.apply(Sent{ .window = First });
-    EXPECT_FALSE(find<Send>(leader.tick(AfterFirst)));
+    EXPECT_FALSE(findAction<Send>(leader.tick(AfterFirst)));
 }
 
 /// Guards against two counts for one window: the write that fixes it was done, its answer was lost, and more was heard since.
@@ -89,12 +80,12 @@
 {
     Leader leader;
     leader.read(AfterFirst);
-    const auto write = find<WriteRecord>(leader.tick(AfterFirst)).value();
+    const auto write = findAction<WriteRecord>(leader.tick(AfterFirst)).value();
     leader.apply(RecordCallFailed{ .call = write.call });
     leader.hear("e2", 5);
-    const auto read = find<ReadRecord>(leader.tick(AfterFirst)).value();
+    const auto read = findAction<ReadRecord>(leader.tick(AfterFirst)).value();
     leader.apply(RecordRead{ .call = read.call, .record = write.record, .revision = 30 });
-    EXPECT_EQ(find<Send>(leader.tick(AfterFirst)).value().counts, write.record.at(First));
+    EXPECT_EQ(findAction<Send>(leader.tick(AfterFirst)).value().counts, write.record.at(First));
 }
 
 /// Guards against a successor that counts a window anew which its predecessor has fixed.
@@ -102,10 +93,10 @@
 {
     Leader leader;
     const Record fixed{ { First, { { "a", 3 } } } };
-    leader.apply(RecordRead{ .call = find<ReadRecord>(leader.tick(AfterFirst)).value().call, .record = fixed, .revision = 30 });
+    leader.apply(RecordRead{ .call = findAction<ReadRecord>(leader.tick(AfterFirst)).value().call, .record = fixed, .revision = 30 });
     const auto actions = leader.tick(AfterFirst);
-    EXPECT_EQ(find<Send>(actions).value().counts, fixed.at(First));
-    EXPECT_FALSE(find<WriteRecord>(actions));
+    EXPECT_EQ(findAction<Send>(actions).value().counts, fixed.at(First));
+    EXPECT_FALSE(findAction<WriteRecord>(actions));
 }
 
 TEST(ReporterTests, anEntryThatHasNotToldIsWaitedForUntilTheReportWouldBeLate)
@@ -114,17 +105,17 @@
     leader.read(AfterFirst);
     const Tick tick{ .time = AfterFirst, .entries = { "e1", "e2" } };
     EXPECT_TRUE(leader.apply(tick).empty());
-    EXPECT_TRUE(find<WriteRecord>(leader.apply(Tick{ .time = endOf(First, Length) + 7s, .entries = { "e1", "e2" } })));
+    EXPECT_TRUE(findAction<WriteRecord>(leader.apply(Tick{ .time = endOf(First, Length) + 7s, .entries = { "e1", "e2" } })));
 }
 
 TEST(ReporterTests, aWindowThatNoReportCanReachAnyMoreIsLeftOut)
 {
     Leader leader;
     const Record fixed{ { First - 3, { { "a", 3 } } } };
-    leader.apply(RecordRead{ .call = find<ReadRecord>(leader.tick(AfterFirst)).value().call, .record = fixed, .revision = 30 });
+    leader.apply(RecordRead{ .call = findAction<ReadRecord>(leader.tick(AfterFirst)).value().call, .record = fixed, .revision = 30 });
     const auto actions = leader.tick(AfterFirst);
-    EXPECT_EQ(find<WriteRecord>(actions).value().record.rbegin()->first, First);
-    EXPECT_EQ(find<LeftOut>(actions).value().first, First - 2);
+    EXPECT_EQ(findAction<WriteRecord>(actions).value().record.rbegin()->first, First);
+    EXPECT_EQ(findAction<LeftOut>(actions).value().first, First - 2);
 }
 
 TEST(ReporterTests, afterATermNothingIsSent)
