--- a/src/core/leadership/leadership.cpp
+++ b/src/core/leadership/leadership.cpp
@@ -52,7 +52,7 @@
 
     auto operator()(const ClaimRead &event) -> void
     {
-        if (!isAwaited(event.call)) {
+        if (!takeAnswer(state_.pending, event.call)) {
             return;
         }
         state_.watchedFrom = std::max(state_.watchedFrom, event.storeRevision);
@@ -69,7 +69,7 @@
 
     auto operator()(const LeaseTaken &event) -> void
     {
-        if (!isAwaited(event.call)) {
+        if (!takeAnswer(state_.pending, event.call)) {
             return;
         }
         state_.lease = event.lease;
@@ -81,14 +81,14 @@
 
     auto operator()(const ClaimWritten &event) -> void
     {
-        if (isAwaited(event.call)) {
+        if (takeAnswer(state_.pending, event.call)) {
             lead(event.revision);
         }
     }
 
     auto operator()(const LeaseRenewed &event) -> void
     {
-        if (!isAwaited(event.call)) {
+        if (!takeAnswer(state_.pending, event.call)) {
             return;
         }
         state_.leaseUntil = state_.askedAt + state_.leaseLifetime;
@@ -97,7 +97,7 @@
 
     auto operator()(const CallFailed &event) -> void
     {
-        if (!isAwaited(event.call)) {
+        if (!takeAnswer(state_.pending, event.call)) {
             return;
         }
         switch (state_.phase) {
@@ -124,8 +124,8 @@
     {
         if (state_.phase == Phase::Leading) {
             tickLeading();
-        } else if (state_.awaited != 0 && now_ - state_.askedAt > CallPatience) {
-            state_.awaited = 0;
+        } else if (isUnderWay(state_.pending) && now_ - state_.askedAt > CallPatience) {
+            dropCall(state_.pending);
             idle(now_);
         }
         if (state_.phase == Phase::Idle && state_.isEligible && now_ >= state_.idleUntil) {
@@ -134,20 +134,10 @@
     }
 
 private:
-    auto isAwaited(std::uint64_t call) -> bool
-    {
-        if (call != state_.awaited || call == 0) {
-            return false;
-        }
-        state_.awaited = 0;
-        return true;
-    }
-
     auto await() -> std::uint64_t
     {
-        state_.awaited = ++state_.lastCall;
         state_.askedAt = now_;
-        return state_.awaited;
+        return beginCall(state_.pending);
     }
 
     [[nodiscard]] auto ownClaim() const -> Claim
@@ -212,7 +202,7 @@
     {
         if (now_ >= leaseSafeUntil()) {
             stop(TermEnd::LeaseEnded);
-        } else if (state_.awaited == 0 && now_ >= state_.renewAt) {
+        } else if (!isUnderWay(state_.pending) && now_ >= state_.renewAt) {
             actions_.emplace_back(RenewLease{ .call = await(), .lease = state_.lease });
         }
     }
@@ -231,7 +221,7 @@
 
     auto stop(TermEnd reason) -> void
     {
-        state_.awaited = 0;
+        dropCall(state_.pending);
         if (state_.phase == Phase::Leading) {
             actions_.emplace_back(TermEnded{ .token = std::exchange(state_.token, 0), .reason = reason });
             idle(now_ + state_.options.rest);
--- a/src/core/leadership/leadership.h
+++ b/src/core/leadership/leadership.h
@@ -11,6 +11,7 @@
 
 #pragma once
 
+#include "core/base/pendingcall.h"
 #include "core/base/time.h"
 
 #include <cstdint>
@@ -146,9 +147,8 @@
     Phase phase = Phase::Idle;
     TimePoint idleUntil; ///< while Idle
 
-    std::uint64_t lastCall = 0;
-    std::uint64_t awaited = 0; ///< call whose answer moves the state; 0: none
-    TimePoint askedAt;         ///< of that call
+    PendingCall pending;
+    TimePoint askedAt; ///< of the call under way
     std::uint64_t attempts = 0;
     std::uint64_t watchedFrom = 0; ///< revision of the store
 
--- a/src/core/ordering/ordering.cpp
+++ b/src/core/ordering/ordering.cpp
@@ -16,6 +16,10 @@
 using passthrough::Scaling;
 using passthrough::Server;
 
+/// Part of a server's places that are taken where the service has enough of them.
+constexpr double TargetUse = 0.6;
+/// Prompts that wait are read within this time where the service has enough servers.
+constexpr double TargetReadingMs = 150;
 /// Preemptible servers that cost more than this part of the others are not worth the streams that they cut.
 constexpr double MostPreemptiblePrice = 0.6;
 /// After none were to be had.
@@ -202,14 +206,25 @@
     return findName(Kinds, kind);
 }
 
+auto neededServers(const passthrough::ServiceLoad &load) -> double
+{
+    if (load.servers == 0 || load.slots == 0) {
+        return 0;
+    }
+    const auto slotsEach = static_cast<double>(load.slots) / load.servers;
+    const auto byPlaces = load.requests / (slotsEach * TargetUse);
+    const auto byReading = static_cast<double>(load.unreadTokens) / (load.tokensPerMs * TargetReadingMs);
+    return std::max(byPlaces, byReading);
+}
+
 auto plan(State &state, const Situation &situation, TimePoint now) -> std::vector<Order>
 {
     return Planner(state, situation, now).plan();
 }
 
-auto noteOutcome(State &state, const Order &order, Outcome outcome, TimePoint now) -> void
+auto noteOutcome(State &state, const Order &order, OrderOutcome outcome, TimePoint now) -> void
 {
-    if (outcome == Outcome::Unavailable) {
+    if (outcome == OrderOutcome::Unavailable) {
         const auto key = State::Key(order.service, order.failureDomain, order.kind);
         state.ordered.erase(key);
         state.unavailableUntil[key] = now + UnavailablePause;
--- a/src/core/ordering/ordering.h
+++ b/src/core/ordering/ordering.h
@@ -9,6 +9,7 @@
 
 #include "core/base/time.h"
 #include "core/passthrough/configuration.h"
+#include "core/passthrough/router.h"
 
 #include <cstdint>
 #include <map>
@@ -44,7 +45,7 @@
     double neededServers = 0; ///< by what runs and waits at this moment
 };
 
-enum class Outcome {
+enum class OrderOutcome {
     Accepted,
     Unavailable, ///< none of this kind are to be had there for now
     Unknown,     ///< it may be carried out, now or later
@@ -68,8 +69,11 @@
     std::map<std::string, Extra> extra; ///< by service
 };
 
+/// Servers that what runs and waits would keep as busy as they should be.
+auto neededServers(const passthrough::ServiceLoad &load) -> double;
+
 /// Orders that are due. Each is to be answered by noteOutcome().
 auto plan(State &state, const Situation &situation, TimePoint now) -> std::vector<Order>;
-auto noteOutcome(State &state, const Order &order, Outcome outcome, TimePoint now) -> void;
+auto noteOutcome(State &state, const Order &order, OrderOutcome outcome, TimePoint now) -> void;
 
 } // namespace auburnspread::ordering
--- a/src/core/ordering/tests/ordering_tests.cpp
+++ b/src/core/ordering/tests/ordering_tests.cpp
@@ -87,7 +87,7 @@
     addServers(situation, "b", Kind::Preemptible, 6);
     const auto order = plan(state, situation, Now).front();
     EXPECT_EQ(order.failureDomain, "a");
-    noteOutcome(state, order, Outcome::Unavailable, Now);
+    noteOutcome(state, order, OrderOutcome::Unavailable, Now);
     EXPECT_EQ(countOf(plan(state, situation, Now + 1s), "a", Kind::Preemptible), std::nullopt);
     EXPECT_EQ(countOf(plan(state, situation, Now + 3s), "a", Kind::Preemptible), 6U);
 }
@@ -116,3 +116,12 @@
     addServers(situation, "a", Kind::OnDemand, 3);
     EXPECT_TRUE(plan(state, situation, Now).empty());
 }
+
+TEST(OrderingTests, placesAndReadingAskForServers)
+{
+    passthrough::ServiceLoad load{ .servers = 10, .slots = 160, .requests = 96, .tokensPerMs = 50 };
+    EXPECT_DOUBLE_EQ(neededServers(load), 10);
+    load.unreadTokens = 150'000;
+    EXPECT_DOUBLE_EQ(neededServers(load), 20);
+    EXPECT_EQ(neededServers({}), 0);
+}
--- a/src/core/passthrough/ejection.cpp
+++ b/src/core/passthrough/ejection.cpp
@@ -1,7 +1,6 @@
 #include "core/passthrough/ejection.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace auburnspread::passthrough
 {
--- a/src/core/usage/reporter.cpp
+++ b/src/core/usage/reporter.cpp
@@ -43,7 +43,7 @@
 
     auto operator()(const RecordRead &event) -> void
     {
-        if (isAwaited(event.call)) {
+        if (takeAnswer(state_.pending, event.call)) {
             state_.record = event.record;
             state_.revision = event.revision;
         }
@@ -51,7 +51,7 @@
 
     auto operator()(const RecordWritten &event) -> void
     {
-        if (isAwaited(event.call)) {
+        if (takeAnswer(state_.pending, event.call)) {
             state_.record = std::move(state_.proposed);
             state_.revision = event.revision;
         }
@@ -60,7 +60,7 @@
     /// A write that failed may have been executed, or be executed later: what is fixed is what the store shows.
     auto operator()(const RecordCallFailed &event) -> void
     {
-        if (isAwaited(event.call)) {
+        if (takeAnswer(state_.pending, event.call)) {
             state_.record.reset();
             state_.askAt = now_ + FailurePause;
         }
@@ -81,7 +81,7 @@
 
     auto operator()(const Tick &event) -> void
     {
-        if (!state_.token || state_.awaited != 0) {
+        if (!state_.token || isUnderWay(state_.pending)) {
             return;
         }
         if (!state_.record) {
@@ -97,27 +97,17 @@
     {
         state_.token.reset();
         state_.record.reset();
-        state_.awaited = 0;
+        dropCall(state_.pending);
         state_.sent.clear();
         state_.sending.clear();
         state_.sendAt.clear();
         state_.askAt = now_;
     }
 
-    auto isAwaited(std::uint64_t call) -> bool
-    {
-        if (call != state_.awaited || call == 0) {
-            return false;
-        }
-        state_.awaited = 0;
-        return true;
-    }
-
     auto read() -> void
     {
         if (now_ >= state_.askAt) {
-            state_.awaited = ++state_.lastCall;
-            actions_.emplace_back(ReadRecord{ .call = state_.awaited });
+            actions_.emplace_back(ReadRecord{ .call = beginCall(state_.pending) });
         }
     }
 
@@ -140,9 +130,8 @@
         for (const auto &[key, teller] : state_.ledger.tellers) {
             first = teller.windows.empty() ? first : std::min(first, teller.windows.begin()->first);
         }
-        while (!counts(first, time)) {
-            first += 1;
-        }
+        // a clock that is years behind must not make this a walk over all windows since
+        first = std::max(first, windowAt(time - std::chrono::duration_cast<TrueTime>(state_.options.due), state_.options.windowLength));
         return state_.record->empty() ? first : std::max(first, state_.record->rbegin()->first + 1);
     }
 
@@ -161,8 +150,12 @@
             proposed.erase(proposed.begin());
         }
         state_.proposed = std::move(proposed);
-        state_.awaited = ++state_.lastCall;
-        actions_.emplace_back(WriteRecord{ .call = state_.awaited, .record = state_.proposed, .expectedRevision = state_.revision, .token = *state_.token });
+        actions_.emplace_back(WriteRecord{
+            .call = beginCall(state_.pending),
+            .record = state_.proposed,
+            .expectedRevision = state_.revision,
+            .token = *state_.token,
+        });
     }
 
     auto noteLeftOut(const Record &proposed) -> void
@@ -177,8 +170,17 @@
         }
     }
 
+    /// A term may last for months.
+    auto forgetDropped() -> void
+    {
+        const auto isDropped = [this](Window window) { return !state_.record->contains(window); };
+        std::erase_if(state_.sent, isDropped);
+        std::erase_if(state_.sendAt, [&isDropped](const auto &item) { return isDropped(item.first); });
+    }
+
     auto send(const Tick &tick) -> void
     {
+        forgetDropped();
         for (const auto &[window, counted] : *state_.record) {
             const auto isDone = state_.sent.contains(window) || state_.sending.contains(window);
             if (isDone || !counts(window, tick.time) || now_ < state_.sendAt[window]) {
--- a/src/core/usage/reporter.h
+++ b/src/core/usage/reporter.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/base/pendingcall.h"
 #include "core/base/time.h"
 #include "core/usage/tally.h"
 
@@ -95,11 +96,10 @@
 
     std::optional<Record> record; ///< not set: to be read
     std::uint64_t revision = 0;
-    Record proposed; ///< by the write that is under way
-    std::uint64_t lastCall = 0;
-    std::uint64_t awaited = 0; ///< call for the record; 0: none
-    TimePoint askAt;           ///< not before
-    std::set<Window> sent;     ///< in this term
+    Record proposed;       ///< by the write that is under way
+    PendingCall pending;   ///< for the record
+    TimePoint askAt;       ///< not before
+    std::set<Window> sent; ///< in this term, of those that stand in the record
     std::set<Window> sending;
     std::map<Window, TimePoint> sendAt; ///< not before
 };
--- a/src/core/usage/tally.cpp
+++ b/src/core/usage/tally.cpp
@@ -60,7 +60,11 @@
         }
     }
     forgetBefore(teller.windows, teller.current - 2 * KeptWindows);
-    std::erase_if(ledger.tellers, [&report](const auto &item) { return item.second.current < report.current - 2 * KeptWindows; });
+}
+
+auto forgetSilent(Ledger &ledger, Window current) -> void
+{
+    std::erase_if(ledger.tellers, [current](const auto &item) { return item.second.current < current - 2 * KeptWindows; });
 }
 
 auto countsOf(const Ledger &ledger, Window window) -> Counts
--- a/src/core/usage/tally.h
+++ b/src/core/usage/tally.h
@@ -56,6 +56,8 @@
 };
 
 auto noteReport(Ledger &ledger, const Report &report) -> void;
+/// Forgets entries that told nothing for so long before \p current, the window of this entry's own clock, that no report needs them.
+auto forgetSilent(Ledger &ledger, Window current) -> void;
 auto countsOf(const Ledger &ledger, Window window) -> Counts;
 /// Whether each of these entries has told after the end of the window.
 auto haveTold(const Ledger &ledger, const std::set<std::string> &entries, Window window) -> bool;
--- a/src/core/usage/tests/reporter_tests.cpp
+++ b/src/core/usage/tests/reporter_tests.cpp
@@ -34,6 +34,13 @@
         now_ += 10s;
         return apply(Tick{ .time = time, .entries = { "e1" } });
     }
+    /// An entry whose clock stands in another window.
+    auto hearFrom(const std::string &entry, Window window) -> void
+    {
+        Tally tally;
+        noteBegun(tally, "a", window);
+        noteReport(state_.ledger, makeReport(tally, entry, 1, window, 0));
+    }
     auto hear(const std::string &entry, int requests) -> void
     {
         Tally tally;
@@ -125,3 +132,12 @@
     leader.apply(TermEnded{});
     EXPECT_TRUE(leader.tick(AfterFirst).empty());
 }
+
+/// Guards against a leader that is busy for seconds because a VM has started with its clock at the beginning of time.
+TEST(ReporterTests, aClockThatIsYearsBehindOpensNoOldWindows)
+{
+    Leader leader;
+    leader.hearFrom("e2", 0);
+    leader.read(AfterFirst);
+    EXPECT_EQ(findAction<WriteRecord>(leader.tick(AfterFirst)).value().record.begin()->first, First - 1);
+}
--- a/src/core/usage/tests/tally_tests.cpp
+++ b/src/core/usage/tests/tally_tests.cpp
@@ -73,3 +73,18 @@
     noteReport(ledger, makeReport(tally, "e2", 1, First + 1, 1));
     EXPECT_TRUE(haveTold(ledger, { "e1", "e2" }, First));
 }
+
+/// Guards against an entry whose clock is minutes ahead, and whose word makes the leader forget what all others counted.
+TEST(TallyTests, aClockThatIsAheadLosesNothingOfTheOthers)
+{
+    Ledger ledger;
+    Tally tally;
+    Tally ahead;
+    noteBegun(tally, "a", First);
+    noteReport(ledger, makeReport(tally, "e1", 1, First, 0));
+    noteReport(ledger, makeReport(ahead, "e2", 1, First + 100, 0));
+    forgetSilent(ledger, First);
+    EXPECT_EQ(countsOf(ledger, First)["a"], 1U);
+    forgetSilent(ledger, First + 100);
+    EXPECT_EQ(countsOf(ledger, First)["a"], 0U);
+}
--- a/src/gateway/duties.cpp
+++ b/src/gateway/duties.cpp
@@ -19,23 +19,6 @@
 /// An order rests on a list of servers that is no older.
 constexpr Duration OldestServers = std::chrono::seconds(3);
 
-/// Part of a server's places that are taken where the service has enough of them.
-constexpr double TargetUse = 0.6;
-/// Prompts that wait are read within this time where the service has enough servers.
-constexpr double TargetReadingMs = 150;
-
-/// Servers that what runs and waits would keep as busy as they should be.
-auto neededServers(const passthrough::ServiceLoad &load) -> double
-{
-    if (load.servers == 0 || load.slots == 0) {
-        return 0;
-    }
-    const auto slotsEach = static_cast<double>(load.slots) / load.servers;
-    const auto byPlaces = load.requests / (slotsEach * TargetUse);
-    const auto byReading = static_cast<double>(load.unreadTokens) / (load.tokensPerMs * TargetReadingMs);
-    return std::max(byPlaces, byReading);
-}
-
 } // namespace
 
 Duties::Duties(task::EventLoop &loop,
@@ -183,7 +166,7 @@
     std::copy_if(known_.servers.begin(), known_.servers.end(), std::back_inserter(situation.servers), [&service](const passthrough::Server &server) {
         return server.service == service.name;
     });
-    situation.neededServers = neededServers(passthrough::loadOfService(router_, service.name, now()));
+    situation.neededServers = ordering::neededServers(passthrough::loadOfService(router_, service.name, now()));
     return situation;
 }
 
--- a/src/gateway/serverorders.cpp
+++ b/src/gateway/serverorders.cpp
@@ -52,19 +52,19 @@
 {
     switch (outcome) {
     case DutyOutcome::Done:
-        ordering::noteOutcome(state_, order, ordering::Outcome::Accepted, now());
+        ordering::noteOutcome(state_, order, ordering::OrderOutcome::Accepted, now());
         break;
     case DutyOutcome::Declined:
-        ordering::noteOutcome(state_, order, ordering::Outcome::Unavailable, now());
+        ordering::noteOutcome(state_, order, ordering::OrderOutcome::Unavailable, now());
         if (order.kind == ordering::Kind::OnDemand) {
             callbacks_.onTokenRefused(token);
         }
         break;
     case DutyOutcome::Refused:
-        ordering::noteOutcome(state_, order, ordering::Outcome::Unavailable, now());
+        ordering::noteOutcome(state_, order, ordering::OrderOutcome::Unavailable, now());
         break;
     case DutyOutcome::Unknown:
-        ordering::noteOutcome(state_, order, ordering::Outcome::Unknown, now());
+        ordering::noteOutcome(state_, order, ordering::OrderOutcome::Unknown, now());
         break;
     }
 }
--- a/src/gateway/usagereports.cpp
+++ b/src/gateway/usagereports.cpp
@@ -70,6 +70,7 @@
     const auto current = usage::windowAt(clock_.at(now()), options_.windows.windowLength);
     auto report = usage::makeReport(tally_, options_.entry, options_.incarnation, current, ++turn_);
     hear(report);
+    usage::forgetSilent(state_.ledger, current);
     return report;
 }
 
