LIMIT: timeline and hypotheses; a server in need gets all that arrives: a test that fails

Monitoring shows that arrivals do not change at any entry: nothing reads the limit.

The stand-in for backend servers names a limit.

--- /dev/null
+++ b/src/gateway/tests/serverlimit_tests.cpp
@@ -0,0 +1,86 @@
+#include "gateway/tests/site.h"
+#include "platform/standins/serverstandin.h"
+#include "platform/standins/wiretext.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <deque>
+#include <future>
+
+using namespace auburnspread;
+using namespace auburnspread::gateway::tests;
+namespace standins = auburnspread::adapter::standins;
+
+namespace
+{
+
+/// A backend server on a loop in a thread of its own, which names a limit from its first answer on.
+class LimitedServer
+{
+public:
+    explicit LimitedServer(double perSecond)
+        : standin_(loop_, { .id = "i-1", .streamPrefix = "/quote/", .onExecuted = [this](const standins::Execution &) { executions_ += 1; } })
+    {
+        standin_.setLimit(perSecond);
+        thread_ = std::thread([this]() { loop_.run(); });
+    }
+    ~LimitedServer()
+    {
+        loop_.stop();
+        thread_.join();
+    }
+    LimitedServer(const LimitedServer &) = delete;
+    auto operator=(const LimitedServer &) -> LimitedServer & = delete;
+
+    [[nodiscard]] auto address() const -> const std::string &
+    {
+        return standin_.address();
+    }
+    [[nodiscard]] auto executions() const -> int
+    {
+        return executions_;
+    }
+
+private:
+    task::EventLoop loop_;
+    std::atomic<int> executions_ = 0;
+    standins::ServerStandin standin_;
+    std::thread thread_;
+};
+
+/// Answers to requests that are all sent before the first answer is read.
+auto sendTogether(const Site &site, const std::string &path, int requests) -> std::vector<std::string>
+{
+    std::deque<Caller> callers;
+    for (auto i = 0; i < requests; ++i) {
+        callers.emplace_back(site.callerAddress());
+        callers.back().send(makeRequest(path, "id-" + std::to_string(i), "", standins::deadlineLine(400) + "\r\n"));
+    }
+    std::vector<std::string> answers;
+    for (auto &caller : callers) {
+        answers.push_back(caller.readUntil(EndOfHead));
+    }
+    return answers;
+}
+
+} // namespace
+
+/// Guards against a server in need that gets all that arrives, although its answers say how little it takes.
+TEST(ServerLimitTests, aServerGetsNoMoreThanItsAnswersAllow)
+{
+    constexpr double PerSecond = 0.1;
+    constexpr int Requests = 20;
+    constexpr int MostExecutions = 5; // 1.5 times the rate over 4 s, and 5 more
+    Site site;
+    const LimitedServer server(PerSecond);
+    site.addServer("i-1", "portal", server.address());
+    Caller first(site.callerAddress());
+    first.send(makeRequest("/fetch/first", "id-first"));
+    EXPECT_TRUE(first.readUntil(EndOfHead).starts_with("HTTP/1.1 200 "));
+
+    const auto answers = sendTogether(site, "/fetch/more", Requests);
+    EXPECT_LE(server.executions(), 1 + MostExecutions);
+    const auto isRefused = [](const std::string &answer) { return answer.starts_with("HTTP/1.1 503 ") && contains(answer, "Retry-After"); };
+    EXPECT_GE(std::count_if(answers.begin(), answers.end(), isRefused), Requests - MostExecutions) << answers.front();
+}
