--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -88,7 +88,16 @@
     std::uint32_t crashes = 0;
 };
 
-using Action = std::variant<Send, Cancel, Deliver, Refuse, Break, Complete, TellCrashes>;
+/// This entry believes from now on that a backend server takes requests at this rate; for logs.
+struct LimitChanged {
+    std::string server;
+    std::optional<double> perSecond; ///< from all entries together; not set: any
+    Duration age{};                  ///< of the answer that said so
+    std::uint32_t sharers = 0;       ///< entries that send there
+    bool isSharer = false;           ///< this entry is one of them
+};
+
+using Action = std::variant<Send, Cancel, Deliver, Refuse, Break, Complete, TellCrashes, LimitChanged>;
 using Actions = std::vector<Action>;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -60,6 +60,12 @@
     std::uint32_t events = 1; ///< that came since the last word
 };
 
+/// The head of an answer arrived and said at which rate its server takes requests.
+struct LimitStated {
+    AttemptId attempt{};
+    std::optional<double> perSecond; ///< from all entries together; not set: any
+};
+
 /// A whole answer was received; nothing of it has gone to the caller.
 struct AttemptAnswered {
     AttemptId attempt{};
@@ -113,7 +119,8 @@
 /// Entries that are alive, this one included.
 struct EntriesCounted {
     std::uint32_t entries = 1;
-    bool isGuess = false; ///< nobody has told yet
+    std::vector<std::string> names; ///< of these
+    bool isGuess = false;           ///< nobody has told yet
 };
 
 /// Between two reports of an entry to the others: a burst fills an engine within some hundred milliseconds. With 100 ms, 3 in 100
@@ -131,6 +138,11 @@
 
 /// What another entry has in flight, or many entries together.
 struct PeerReported {
+    /// At which rate a server takes requests, as an answer said.
+    struct Limit {
+        std::optional<double> perSecond; ///< from all entries together; not set: any again
+        Duration age{};                  ///< of the answer
+    };
     struct Use {
         std::string server;              ///< id
         std::uint32_t inFlight = 0;      ///< requests
@@ -139,6 +151,8 @@
         std::uint32_t waitingTokens = 0; ///< of prompts that wait at the entry for this server
         std::uint32_t shortPrompts = 0;  ///< of the requests, those with a short prompt
         Duration ejectedFor{};           ///< that it is out of use because it fails requests; 0: it is not
+        std::optional<Limit> limit;      ///< not set: nothing was said lately
+        std::uint32_t sentLately = 0;    ///< requests; see serverlimit.h
         std::vector<PromptPart> sent;    ///< shared parts of prompts that were sent there lately
     };
     struct Arrivals {
@@ -179,6 +193,7 @@
                            CallerGone,
                            AttemptStarted,
                            AttemptProgress,
+                           LimitStated,
                            AttemptAnswered,
                            AttemptFinished,
                            AttemptFailed,
--- a/src/core/passthrough/internal/candidate.cpp
+++ b/src/core/passthrough/internal/candidate.cpp
@@ -46,6 +46,22 @@
     return server.own.inFlight < std::max(part, LeastPlaces);
 }
 
+/// What all entries sent there lately, as far as known here.
+auto mayTakeOfLimit(const ServerState &server, const PlacementQuery &query, TimePoint now) -> bool
+{
+    if (!isLimited(server.limit)) {
+        return true;
+    }
+    const auto own = sentWithinWindow(server.limit, now);
+    const LimitShare share{
+        .entries = query.entriesListed ? query.entries : 0,
+        .peersKnown = query.peersKnown,
+        .sent = own + (query.peersKnown ? server.others.sentLately : 0),
+        .leavesReserve = query.leavesReserve,
+    };
+    return mayTake(server.limit, share, now);
+}
+
 } // namespace
 
 auto isBetter(const Candidate &one, const Candidate &other) -> bool
@@ -56,7 +72,7 @@
 auto mayUse(const ServerState &server, const PlacementQuery &query, TimePoint now) -> bool
 {
     const auto isAvoided = std::find(query.avoid.begin(), query.avoid.end(), server.record.id) != query.avoid.end();
-    return !isAvoided && isUsable(server, now) && !isOnTrial(server) && hasPlace(server, query);
+    return !isAvoided && isUsable(server, now) && !isOnTrial(server) && hasPlace(server, query) && mayTakeOfLimit(server, query, now);
 }
 
 auto serverPenalty(const ServerState &server, const PlacementQuery &query, TimePoint now) -> Duration
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -176,6 +176,23 @@
     endWithoutAnswer(state, request, Reason::DeadlinePassed, actions);
 }
 
+/// Why no server was found for a request that waited.
+auto whyStillWaiting(const RouterState &state, const Request &request) -> Reason
+{
+    const auto found = state.servers.byService.find(request.service);
+    if (found == state.servers.byService.end()) {
+        return Reason::NoBackendServer;
+    }
+    auto hasLimited = false;
+    for (const auto &server : found->second.all) {
+        if (isUsable(*server, state.now) && !isLimited(server->limit)) {
+            return Reason::NoBackendServer;
+        }
+        hasLimited = hasLimited || isLimited(server->limit);
+    }
+    return hasLimited ? Reason::BackendLimited : Reason::NoBackendServer;
+}
+
 } // namespace
 
 auto statusOfRefusal(Reason reason) -> int
@@ -192,7 +209,7 @@
     // callers that were refused together must not come back together; a fault of one server is over sooner than a burst
     constexpr Duration Step = std::chrono::milliseconds(50);
     constexpr std::uint64_t Steps = 20;
-    const auto least = std::chrono::milliseconds(reason == Reason::NoBackendServer ? 400 : 150);
+    const auto least = std::chrono::milliseconds(reason == Reason::NoBackendServer || reason == Reason::BackendLimited ? 400 : 150);
     return least + Step * static_cast<Duration::rep>(state.lastOrder++ % Steps);
 }
 
@@ -234,6 +251,13 @@
     found->second.mayHaveRun = found->second.mayHaveRun || event.goesToCaller;
 }
 
+auto takeLimit(RouterState &state, const LimitStated &event) -> void
+{
+    if (auto *attempt = findAttempt(state, event.attempt)) {
+        noteLimitStated(state.servers, *attempt->server, event.perSecond, attempt->sentAt, state.now);
+    }
+}
+
 auto takeProgress(RouterState &state, const AttemptProgress &event) -> void
 {
     auto *attempt = findAttempt(state, event.attempt);
@@ -365,7 +389,7 @@
         if (request.stage == Stage::Waiting) {
             const auto isOver = state.now >= request.deadline || !request.mayHaveRun;
             if (isOver) {
-                endWithoutAnswer(state, request, request.mayHaveRun ? Reason::DeadlinePassed : Reason::NoBackendServer, actions);
+                endWithoutAnswer(state, request, request.mayHaveRun ? Reason::DeadlinePassed : whyStillWaiting(state, request), actions);
             }
         } else if (state.now >= request.deadline) {
             endRunning(state, request, actions);
--- a/src/core/passthrough/internal/ending.h
+++ b/src/core/passthrough/internal/ending.h
@@ -11,6 +11,7 @@
 {
 
 auto takeStarted(RouterState &state, const AttemptStarted &event) -> void;
+auto takeLimit(RouterState &state, const LimitStated &event) -> void;
 auto takeProgress(RouterState &state, const AttemptProgress &event) -> void;
 auto takeAnswered(RouterState &state, const AttemptAnswered &event, Actions &actions) -> void;
 auto takeFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void;
--- a/src/core/passthrough/peerreports.cpp
+++ b/src/core/passthrough/peerreports.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace auburnspread::passthrough
@@ -23,6 +24,7 @@
     work.heldTokens += use.heldTokens;
     work.waitingTokens += use.waitingTokens;
     work.shortPrompts += use.shortPrompts;
+    work.sentLately += use.sentLately;
 }
 
 auto workOf(const PeerReported::Use &use) -> Work
@@ -45,6 +47,7 @@
         .heldTokens = subtract(all.heldTokens, part.heldTokens),
         .waitingTokens = subtract(all.waitingTokens, part.waitingTokens),
         .shortPrompts = subtract(all.shortPrompts, part.shortPrompts),
+        .sentLately = subtract(all.sentLately, part.sentLately),
     };
 }
 
@@ -118,60 +121,65 @@
     }
 }
 
-auto makeUse(const std::string &server, const Work &work, Duration ejectedFor, std::vector<PromptPart> sent) -> PeerReported::Use
+/// Parts smaller than this are read again in less time than a report of them is worth.
+constexpr std::uint32_t LeastToldTokens = 512;
+
+/// Datagrams get lost now and then, so each use of a cache is told in two reports, and in two sums or by two hubs.
+constexpr Duration SentWindow = 2 * ReportInterval;
+
+/// Failure: what one failure domain told goes back to it as another one's. Symptom: parts are told for ever, and datagrams grow with
+/// all that was ever sent. So a sum tells the parts of those whose requests it counts.
+auto partsToTell(const ServerState &server, ReportScope scope, TimePoint now) -> std::vector<PromptPart>
+{
+    std::vector<PromptPart> parts;
+    addSentWithin(server.sentHere, SentWindow, now, parts);
+    if (scope != ReportScope::Entry) {
+        addSentWithin(server.sentByPeers, SentWindow, now, parts);
+    }
+    if (scope == ReportScope::Fleet) {
+        addSentWithin(server.sentByDomains, SentWindow, now, parts);
+    }
+    return parts;
+}
+
+/// \p work: of the entries that a report of this scope counts
+auto makeUse(const ServerState &server, const Work &work, ReportScope scope, TimePoint now) -> PeerReported::Use
 {
     return {
-        .server = server,
+        .server = server.record.id,
         .inFlight = work.inFlight,
         .unreadTokens = work.unreadTokens,
         .heldTokens = work.heldTokens,
         .waitingTokens = work.waitingTokens,
         .shortPrompts = work.shortPrompts,
-        .ejectedFor = ejectedFor,
-        .sent = std::move(sent),
+        .ejectedFor = scope == ReportScope::Entry ? ownEjectionLeft(server, now) : ejectionLeft(server, now),
+        .limit = limitToTell(server, scope, now),
+        .sentLately = work.sentLately,
+        .sent = partsToTell(server, scope, now),
     };
 }
 
 auto isNews(const PeerReported::Use &use) -> bool
 {
-    return use.inFlight > 0 || use.waitingTokens > 0 || use.ejectedFor > Duration::zero() || !use.sent.empty();
+    return use.inFlight > 0 || use.waitingTokens > 0 || use.ejectedFor > Duration::zero() || use.limit || use.sentLately > 0 || !use.sent.empty();
 }
 
-/// Servers that a sum names: as many as go into one datagram.
+/// Servers that a sum names: as many as go into one datagram. One with a limit takes half as much again.
 constexpr std::size_t MostSummedServers = 200;
 
 /// Failure: a sum of thousands of servers is longer than a datagram and gets lost as a whole. Symptom: entries know only what they send
 /// themselves. The servers with least work are left out; they are believed idle, which is nearly true.
 auto keepBusiest(std::vector<PeerReported::Use> &uses) -> void
 {
-    if (uses.size() <= MostSummedServers) {
+    const auto limited = static_cast<std::size_t>(std::count_if(uses.begin(), uses.end(), [](const PeerReported::Use &use) { return use.limit.has_value(); }));
+    const auto named = std::max(MostSummedServers - std::min(limited / 2, MostSummedServers), MostSummedServers * 2 / 3);
+    if (uses.size() <= named) {
         return;
     }
-    const auto rankOf = [](const PeerReported::Use &use) { return std::pair(use.ejectedFor, use.heldTokens + use.unreadTokens); };
+    const auto rankOf = [](const PeerReported::Use &use) { return std::tuple(use.limit.has_value(), use.ejectedFor, use.heldTokens + use.unreadTokens); };
     const auto isBusier = [rankOf](const PeerReported::Use &a, const PeerReported::Use &b) { return rankOf(a) > rankOf(b); };
-    std::nth_element(uses.begin(), uses.begin() + MostSummedServers, uses.end(), isBusier);
-    uses.resize(MostSummedServers);
-}
-
-/// Parts smaller than this are read again in less time than a report of them is worth.
-constexpr std::uint32_t LeastToldTokens = 512;
-
-/// Datagrams get lost now and then, so each use of a cache is told in two reports, and in two sums or by two hubs.
-constexpr Duration SentWindow = 2 * ReportInterval;
-
-/// Failure: what one failure domain told goes back to it as another one's. Symptom: parts are told for ever, and datagrams grow with
-/// all that was ever sent. So a sum tells the parts of those whose requests it counts.
-auto partsToTell(const ServerState &server, ReportScope scope, TimePoint now) -> std::vector<PromptPart>
-{
-    std::vector<PromptPart> parts;
-    addSentWithin(server.sentHere, SentWindow, now, parts);
-    if (scope != ReportScope::Entry) {
-        addSentWithin(server.sentByPeers, SentWindow, now, parts);
-    }
-    if (scope == ReportScope::Fleet) {
-        addSentWithin(server.sentByDomains, SentWindow, now, parts);
-    }
-    return parts;
+    std::nth_element(uses.begin(), uses.begin() + static_cast<std::ptrdiff_t>(named), uses.end(), isBusier);
+    uses.resize(named);
 }
 
 auto capacityOf(const ServerTable &table, const ServerState &server) -> std::uint64_t
@@ -250,8 +258,9 @@
     }
     for (auto each = table.used.begin(); each != table.used.end();) {
         auto &server = *each->second;
+        server.own.sentLately = sentWithinWindow(server.limit, now);
         server.reported = server.own;
-        auto use = makeUse(each->first, server.own, ownEjectionLeft(server, now), partsToTell(server, ReportScope::Entry, now));
+        auto use = makeUse(server, server.own, ReportScope::Entry, now);
         const auto isListed = findServer(table, each->first) == each->second;
         if (!isListed || !isNews(use)) {
             each = table.used.erase(each);
@@ -273,8 +282,9 @@
     for (const auto &[id, server] : table.byId) {
         const auto isUsed = server->own.inFlight > 0 || server->own.waitingTokens > 0;
         const auto isTold = !server->sentHere.sent.empty() || !server->sentByPeers.sent.empty() || !server->sentByDomains.sent.empty();
-        if (isUsed || isTold || ejectionLeft(*server, now) > Duration::zero()) {
-            sum[id] = server->own;
+        if (isUsed || isTold || ejectionLeft(*server, now) > Duration::zero() || limitToTell(*server, scope, now)) {
+            auto &work = sum[id] = server->own;
+            work.sentLately = sentWithinWindow(server->limit, now);
         }
     }
     forEachReport(table, scope, [&sum](const PeerReported &report) {
@@ -297,8 +307,7 @@
     report.entries += countEntries(table, scope);
     for (const auto &[id, work] : sumWork(table, scope, now)) {
         const auto server = findServer(table, id);
-        auto parts = partsToTell(*server, scope, now);
-        auto use = makeUse(std::string(id), work, ejectionLeft(*server, now), std::move(parts));
+        auto use = makeUse(*server, work, scope, now);
         if (isNews(use)) {
             report.uses.push_back(std::move(use));
         }
@@ -320,6 +329,9 @@
         if (use.ejectedFor > Duration::zero()) {
             hearEjection(table, *server, now + use.ejectedFor, now);
         }
+        if (use.limit) {
+            hearLimit(table, *server, { .perSecond = use.limit->perSecond, .at = now - use.limit->age }, report.scope);
+        }
         for (const auto &part : use.sent) {
             noteUse(server->cache, part, capacityOf(table, *server), now);
             if (report.scope != ReportScope::Fleet) {
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -35,12 +35,14 @@
     std::string_view failureDomain;     ///< of this entry
     std::span<const std::string> avoid; ///< ids of servers that failed this request
     std::uint32_t entries = 1;          ///< alive, this one included
+    bool entriesListed = false;         ///< these are known by name
     bool peersKnown = false;            ///< most other entries told what they have in flight
     std::uint64_t cacheTokens = 0;      ///< memory of an engine; 0: not known
     double fetchTokensPerMs = 0;        ///< see Service
     std::size_t shortPromptEngines = 0; ///< engines that are kept for short prompts
     std::optional<double> lookedAt;     ///< engines that are looked at besides those that hold most of the prompt; not set: all
     bool isUrgent = false;              ///< there are less urgent tiers, which leave room for it
+    bool leavesReserve = false;         ///< there are more urgent tiers, for which it leaves a part of what a server with a limit takes
     Duration reportAge{};               ///< of what is known of the other entries' requests
     double releases = 1;                ///< times the room of the engines that what waits is released by
     double unseenTokens = 0;            ///< of prompts that other entries may have sent since they last told
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -68,6 +68,10 @@
     {
         detail::takeProgress(state, event);
     }
+    auto operator()(const LimitStated &event) const -> void
+    {
+        detail::takeLimit(state, event);
+    }
     auto operator()(const AttemptAnswered &event) const -> void
     {
         detail::takeAnswered(state, event, actions);
@@ -108,6 +112,7 @@
     {
         state.entries = std::max<std::uint32_t>(event.entries, 1);
         state.repeatShares = event.isGuess ? AssumedEntries : state.entries;
+        noteEntries(state.servers, event.names);
     }
     auto operator()(const PeerReported &event) const -> void
     {
@@ -131,6 +136,21 @@
     }
 };
 
+auto tellChangedLimits(RouterState &state, Actions &actions) -> void
+{
+    for (const auto &server : std::exchange(state.servers.changedLimits, {})) {
+        const auto &statement = statementOf(server->limit);
+        const auto sharers = limitSharers(statement.perSecond.value_or(0), state.entries);
+        actions.emplace_back(LimitChanged{
+            .server = server->record.id,
+            .perSecond = statement.perSecond,
+            .age = state.now - statement.at,
+            .sharers = statement.perSecond ? sharers : state.entries,
+            .isSharer = !statement.perSecond || server->limit.rank < sharers,
+        });
+    }
+}
+
 } // namespace
 
 auto RouterStateDeleter::operator()(RouterState *state) const -> void
@@ -145,6 +165,7 @@
     state->servers.failureDomain = state->options.failureDomain;
     state->seed = XXH64(state->options.entry.data(), state->options.entry.size(), 0);
     state->servers.seed = state->seed;
+    state->servers.ownHash = state->seed;
     return state;
 }
 
@@ -153,6 +174,7 @@
     Actions actions;
     state.now = std::max(state.now, now);
     std::visit(Taker{ state, actions }, event);
+    tellChangedLimits(state, actions);
     return actions;
 }
 
@@ -207,6 +229,7 @@
         .waiting = waiting,
         .inFlight = static_cast<std::uint32_t>(state.attempts.size()),
         .servers = static_cast<std::uint32_t>(state.servers.byId.size()),
+        .limitedServers = state.servers.limitedServers,
         .entries = state.entries,
         .configurationAge = now - state.confirmedAt,
     };
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -61,6 +61,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t inFlight = 0;
     std::uint32_t servers = 0;
+    std::uint32_t limitedServers = 0; ///< of these, with a limit on their requests
     std::uint32_t entries = 1;
     Duration configurationAge{}; ///< since it was last confirmed
 };
--- a/src/core/passthrough/routetable.cpp
+++ b/src/core/passthrough/routetable.cpp
@@ -76,6 +76,16 @@
     return static_cast<int>(tiers.size());
 }
 
+auto RouteTable::moreUrgentTiers(const Route &route) const -> int
+{
+    std::set<int> tiers;
+    for (const auto &share : route.shares) {
+        const auto &ofService = tiers_.at(share.service);
+        tiers.insert(ofService.begin(), ofService.lower_bound(route.tier));
+    }
+    return static_cast<int>(tiers.size());
+}
+
 auto RouteTable::configuration() const -> const Configuration &
 {
     return configuration_;
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 
 namespace auburnspread::passthrough
@@ -61,8 +62,15 @@
     }
 }
 
+auto countLimited(ServerTable &table) -> void
+{
+    const auto isOne = [](const auto &item) { return isLimited(item.second->limit); };
+    table.limitedServers = static_cast<std::uint32_t>(std::count_if(table.byId.begin(), table.byId.end(), isOne));
+}
+
 auto indexByService(ServerTable &table) -> void
 {
+    countLimited(table);
     table.byService.clear();
     table.awaitsReturns = false;
     for (const auto &[id, server] : table.byId) {
@@ -157,6 +165,92 @@
     }
 }
 
+namespace
+{
+
+/// A statement that there is no limit any more is told for this long; entries that miss it learn it from their next answer.
+constexpr Duration EndIsToldFor = std::chrono::seconds(3);
+
+auto rankAmong(const ServerTable &table, const ServerState &server) -> std::uint32_t
+{
+    const auto drawOf = [&server](std::uint64_t entry) { return XXH64(&entry, sizeof entry, server.hash); };
+    const auto own = drawOf(table.ownHash);
+    const auto isBefore = [&](std::uint64_t entry) { return drawOf(entry) > own; };
+    return static_cast<std::uint32_t>(std::count_if(table.entryHashes.begin(), table.entryHashes.end(), isBefore));
+}
+
+auto noteLimitChanged(ServerTable &table, ServerState &server) -> void
+{
+    server.limit.rank = rankAmong(table, server);
+    countLimited(table);
+    if (auto known = findServer(table, server.record.id)) {
+        table.changedLimits.push_back(std::move(known));
+    }
+}
+
+auto statementOfScope(ServerLimit &limit, ReportScope scope) -> LimitStatement &
+{
+    switch (scope) {
+    case ReportScope::Entry:
+        return limit.ofEntries;
+    case ReportScope::FailureDomain:
+        return limit.ofDomains;
+    case ReportScope::Fleet:
+        break;
+    }
+    return limit.ofAll;
+}
+
+} // namespace
+
+auto noteEntries(ServerTable &table, const std::vector<std::string> &names) -> void
+{
+    table.entryHashes.clear();
+    std::transform(names.begin(), names.end(), std::back_inserter(table.entryHashes), hashOf);
+    for (const auto &[id, server] : table.byId) {
+        if (isLimited(server->limit)) {
+            noteLimitChanged(table, *server);
+        }
+    }
+}
+
+auto noteLimitStated(ServerTable &table, ServerState &server, std::optional<double> perSecond, TimePoint sentAt, TimePoint now) -> void
+{
+    const auto isChanged = noteStated(server.limit, perSecond, sentAt, now);
+    if (limitToTell(server, ReportScope::Entry, now)) {
+        noteUsed(table, server);
+    }
+    if (isChanged) {
+        noteLimitChanged(table, server);
+    }
+}
+
+auto hearLimit(ServerTable &table, ServerState &server, const LimitStatement &statement, ReportScope scope) -> void
+{
+    auto &known = statementOfScope(server.limit, scope);
+    const auto before = statementOf(server.limit).perSecond;
+    if (statement.at > known.at) {
+        known = statement;
+    }
+    if (statementOf(server.limit).perSecond != before) {
+        noteLimitChanged(table, server);
+    }
+}
+
+auto limitToTell(const ServerState &server, ReportScope scope, TimePoint now) -> std::optional<PeerReported::Limit>
+{
+    auto newest = server.limit.own;
+    const auto take = [&newest](const LimitStatement &statement) { newest = statement.at > newest.at ? statement : newest; };
+    if (scope != ReportScope::Entry) {
+        take(server.limit.ofEntries);
+    }
+    if (scope == ReportScope::Fleet) {
+        take(server.limit.ofDomains);
+    }
+    const auto isNews = newest.perSecond ? isLimited(server.limit) : now - newest.at < EndIsToldFor && newest.at != TimePoint();
+    return isNews ? std::optional(PeerReported::Limit{ .perSecond = newest.perSecond, .age = now - newest.at }) : std::nullopt;
+}
+
 auto partOf(const ServerGroup &group, std::uint64_t key) -> std::size_t
 {
     return key % group.parts.size();
@@ -189,6 +283,9 @@
     server.own.unreadTokens += load.unreadTokens;
     server.own.heldTokens += load.heldTokens;
     server.own.shortPrompts += load.isShort ? 1 : 0;
+    if (isLimited(server.limit)) {
+        addOne(server.limit.sent, now);
+    }
     server.sentAt = now;
     if (!server.silentFrom) {
         server.silentFrom = now + std::max(LeastSilence, expected * SilenceFactor);
@@ -272,6 +369,7 @@
         .heldTokens = server.own.heldTokens + server.others.heldTokens,
         .waitingTokens = server.own.waitingTokens + server.others.waitingTokens,
         .shortPrompts = server.own.shortPrompts + server.others.shortPrompts,
+        .sentLately = server.own.sentLately + server.others.sentLately,
     };
 }
 
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -11,6 +11,7 @@
 #include "core/passthrough/enginecache.h"
 #include "core/passthrough/errorevidence.h"
 #include "core/passthrough/events.h"
+#include "core/passthrough/serverlimit.h"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,7 @@
     std::uint32_t heldTokens = 0;    ///< of memory, prompts and answers
     std::uint32_t waitingTokens = 0; ///< of prompts that wait at the entries for this server
     std::uint32_t shortPrompts = 0;  ///< of the requests, those with a short prompt
+    std::uint32_t sentLately = 0;    ///< requests, also those that have ended, to a server with a limit
 };
 
 /// What one request puts on a server.
@@ -63,6 +65,8 @@
     TimePoint toldEjectionUntil; ///< as others told
     double slowness = 1;         ///< moving average of observed to expected time to the first byte
 
+    ServerLimit limit;
+
     EngineCache cache;
     RecentParts sentHere;      ///< by this entry
     RecentParts sentByPeers;   ///< by entries that told this one themselves
@@ -102,6 +106,10 @@
     bool believesTotals = false;                                ///< it holds more entries than told this one themselves
     std::uint64_t reports = 0;                                  ///< that were taken in; tells apart what was known before and after one
     std::unordered_map<std::string, std::uint64_t> cacheTokens; ///< memory of an engine, by service
+    std::uint64_t ownHash = 0;                                  ///< of this entry's name
+    std::vector<std::uint64_t> entryHashes;                     ///< of the names of all entries; empty: not known
+    std::vector<ServerPointer> changedLimits;                   ///< of which nobody was told yet
+    std::uint32_t limitedServers = 0;
 };
 
 /// Takes a new list over, or what changed in it. What is known of servers that stay is kept.
@@ -120,6 +128,19 @@
 
 auto findServer(const ServerTable &table, std::string_view id) -> ServerPointer;
 
+/// The entries that are alive; none: not known.
+auto noteEntries(ServerTable &table, const std::vector<std::string> &names) -> void;
+
+/// \name Rates at which servers take requests
+/// @{
+/// An answer of the server said so. \p sentAt: of its request
+auto noteLimitStated(ServerTable &table, ServerState &server, std::optional<double> perSecond, TimePoint sentAt, TimePoint now) -> void;
+/// Other entries told so, in a report of this scope.
+auto hearLimit(ServerTable &table, ServerState &server, const LimitStatement &statement, ReportScope scope) -> void;
+/// What to tell of the server in a report of this scope; nothing if nothing was said lately.
+auto limitToTell(const ServerState &server, ReportScope scope, TimePoint now) -> std::optional<PeerReported::Limit>;
+/// @}
+
 /// There is something to tell of the server.
 auto noteUsed(ServerTable &table, const ServerState &server) -> void;
 
--- /dev/null
+++ b/src/core/passthrough/tests/limitedfleet.cpp
@@ -0,0 +1,351 @@
+#include "core/passthrough/tests/limitedfleet.h"
+
+#include "core/passthrough/tests/world.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <tuple>
+
+namespace auburnspread::passthrough::tests
+{
+
+namespace
+{
+
+constexpr Duration TickInterval = std::chrono::milliseconds(20);
+constexpr Duration WorkTime = std::chrono::milliseconds(30);
+constexpr Duration SumInterval = std::chrono::milliseconds(100);
+/// A dead entry is in the list of the others for this long.
+constexpr Duration MemberAge = std::chrono::milliseconds(1800);
+constexpr Duration RestartTime = std::chrono::milliseconds(300);
+constexpr Duration LongestCut = std::chrono::seconds(4);
+/// With more entries than this one of them sums their reports up.
+constexpr std::size_t MostDirectPeers = 12;
+/// \name As the bound is judged
+/// @{
+constexpr Duration Window = std::chrono::seconds(4);
+constexpr Duration ToldFor = std::chrono::milliseconds(500);
+constexpr Duration Excused = std::chrono::seconds(3);
+/// @}
+
+struct Arrival {
+    TimePoint at;
+    bool counts = false;
+};
+
+class LimitedFleet
+{
+public:
+    explicit LimitedFleet(const LimitedFleetOptions &options)
+        : options_(options)
+        , random_(options.seed)
+    {
+        for (std::size_t i = 0; i < options_.servers; ++i) {
+            servers_.push_back(makeServer("p" + std::to_string(i), "portal", 6));
+        }
+        entries_.resize(options_.entries);
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            start(i);
+        }
+        tellEntries();
+    }
+
+    auto play() -> LimitedFleetResult
+    {
+        drawFaults();
+        scheduleArrival();
+        every(TickInterval, [this]() { tick(); });
+        every(ReportInterval, [this]() { report(); });
+        every(SumInterval, [this]() { sendSum(); });
+        while (!queue_.empty() && queue_.top().at <= Start + options_.length) {
+            auto next = queue_.top();
+            queue_.pop();
+            now_ = next.at;
+            next.action();
+        }
+        result_.mostWithinWindow = mostWithinWindow();
+        return result_;
+    }
+
+private:
+    static constexpr TimePoint Start{ std::chrono::hours(1) };
+
+    struct Entry {
+        RouterStatePointer router;
+        std::uint64_t incarnation = 0;
+        bool isDown = false;
+        bool isCut = false;
+        TimePoint harmedUntil;                 ///< by a kill or a cut
+        std::map<std::string, TimePoint> told; ///< when it passed on the first answer with a limit, by server
+    };
+    struct Event {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        auto operator<(const Event &other) const -> bool
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    static auto nameOf(std::size_t entry) -> std::string
+    {
+        return "entry-" + std::to_string(entry);
+    }
+
+    auto after(Duration delay, std::function<void()> action) -> void
+    {
+        queue_.push({ now_ + delay, ++lastOrder_, std::move(action) });
+    }
+    auto every(Duration interval, const std::function<void()> &action) -> void
+    {
+        after(interval, [this, interval, action]() {
+            action();
+            every(interval, action);
+        });
+    }
+    auto draw(double most) -> double
+    {
+        return std::uniform_real_distribution<double>(0, most)(random_);
+    }
+    auto drawEntry() -> std::size_t
+    {
+        return std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_);
+    }
+
+    auto start(std::size_t number) -> void
+    {
+        auto &entry = entries_.at(number);
+        entry.incarnation += 1;
+        entry.isDown = false;
+        entry.told.clear();
+        entry.router = makeRouter({ .entry = nameOf(number), .failureDomain = "a" });
+        step(*entry.router, ConfigurationAdopted{ makeConfiguration() }, now_);
+        step(*entry.router, ConfigurationConfirmed{ .asOf = now_ + std::chrono::hours(1) }, now_);
+        step(*entry.router, ServersListed{ .servers = servers_, .asOf = now_ }, now_);
+        step(*entry.router, EntriesCounted{ .isGuess = true }, now_);
+    }
+
+    auto tellEntries() -> void
+    {
+        EntriesCounted counted;
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (!entries_[i].isDown) {
+                counted.names.push_back(nameOf(i));
+            }
+        }
+        counted.entries = static_cast<std::uint32_t>(counted.names.size());
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (!entries_[i].isDown && !entries_[i].isCut) {
+                apply(i, counted);
+            }
+        }
+    }
+
+    auto drawFaults() -> void
+    {
+        const auto seconds = std::chrono::duration<double>(options_.length).count();
+        const auto drawTime = [&]() { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(draw(seconds))); };
+        for (std::size_t i = 0; i < options_.kills; ++i) {
+            after(drawTime(), [this, entry = drawEntry()]() { kill(entry); });
+        }
+        for (std::size_t i = 0; i < options_.cuts; ++i) {
+            after(drawTime(), [this, entry = drawEntry(), length = scaled(LongestCut, draw(1))]() { cut(entry, length); });
+        }
+    }
+
+    auto kill(std::size_t number) -> void
+    {
+        auto &entry = entries_.at(number);
+        if (entry.isDown) {
+            return;
+        }
+        entry.isDown = true;
+        entry.harmedUntil = std::max(entry.harmedUntil, now_ + RestartTime);
+        after(RestartTime, [this, number]() {
+            start(number);
+            after(RestartTime, [this]() { tellEntries(); });
+        });
+        after(MemberAge, [this]() { tellEntries(); });
+    }
+
+    auto cut(std::size_t number, Duration length) -> void
+    {
+        auto &entry = entries_.at(number);
+        entry.isCut = true;
+        entry.harmedUntil = std::max(entry.harmedUntil, now_ + length);
+        after(length, [this, number]() {
+            entries_.at(number).isCut = false;
+            tellEntries();
+        });
+    }
+
+    auto scheduleArrival() -> void
+    {
+        const auto pause = std::exponential_distribution<double>(options_.requestsPerSecond)(random_);
+        after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause)), [this]() {
+            const auto number = drawEntry();
+            if (!entries_.at(number).isDown) {
+                RequestArrived arrived{ .request = RequestId{ ++lastRequest_ }, .host = "quotes.example", .path = FetchPath, .key = "key-1" };
+                arrived.fingerprint = Fingerprint{ lastRequest_ };
+                apply(number, arrived);
+            }
+            scheduleArrival();
+        });
+    }
+
+    auto apply(std::size_t number, const passthrough::Event &event) -> void
+    {
+        for (const auto &action : step(*entries_.at(number).router, event, now_)) {
+            if (const auto *send = std::get_if<Send>(&action)) {
+                takeSend(number, *send);
+            } else if (const auto *refusal = std::get_if<Refuse>(&action)) {
+                result_.refused += 1;
+                result_.refusedAsLimited += refusal->reason == Reason::BackendLimited ? 1 : 0;
+            }
+        }
+    }
+
+    [[nodiscard]] auto limitOf(const std::string &server) const -> std::optional<double>
+    {
+        const auto isLimited = std::stoul(server.substr(1)) < options_.limitedServers;
+        const auto inNeed = now_ >= Start + options_.limitFrom && now_ < Start + options_.limitUntil;
+        return isLimited && inNeed ? std::optional(options_.limit) : std::nullopt;
+    }
+
+    auto takeSend(std::size_t number, const Send &send) -> void
+    {
+        result_.sent += 1;
+        const auto &entry = entries_.at(number);
+        const auto told = entry.told.find(send.server);
+        const auto isExcused = entry.isCut || now_ < entry.harmedUntil + Excused;
+        arrivals_[send.server].push_back({ .at = now_, .counts = told != entry.told.end() && now_ >= told->second + ToldFor && !isExcused });
+        if (send.server == "p0") {
+            result_.sentToFirst += limitOf(send.server) ? 1 : 0;
+            result_.sentToFirstAfter += now_ >= Start + options_.limitUntil + std::chrono::seconds(1) ? 1 : 0;
+        }
+        after(WorkTime, [this, number, attempt = send.attempt, server = send.server, incarnation = entry.incarnation]() {
+            if (!entries_.at(number).isDown && entries_.at(number).incarnation == incarnation) {
+                answer(number, attempt, server);
+            }
+        });
+    }
+
+    auto answer(std::size_t number, AttemptId attempt, const std::string &server) -> void
+    {
+        const auto limit = limitOf(server);
+        if (limit) {
+            entries_.at(number).told.try_emplace(server, now_);
+        } else {
+            entries_.at(number).told.erase(server);
+        }
+        apply(number, LimitStated{ .attempt = attempt, .perSecond = limit });
+        apply(number, AttemptAnswered{ .attempt = attempt, .status = 200 });
+    }
+
+    auto tick() -> void
+    {
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (!entries_[i].isDown) {
+                apply(i, Tick{});
+            }
+        }
+    }
+
+    [[nodiscard]] auto isReached(std::size_t number) const -> bool
+    {
+        return !entries_.at(number).isDown && !entries_.at(number).isCut;
+    }
+
+    auto deliver(std::size_t from, std::size_t to, const PeerReported &report) -> void
+    {
+        if (from == to || !isReached(from) || draw(1) < options_.lostReports) {
+            return;
+        }
+        after(scaled(options_.longestDelay, draw(1)), [this, to, report]() {
+            if (isReached(to)) {
+                apply(to, report);
+            }
+        });
+    }
+
+    /// Of a large fleet, the first entry that can be reached.
+    [[nodiscard]] auto hub() const -> std::size_t
+    {
+        std::size_t number = 0;
+        while (number + 1 < entries_.size() && !isReached(number)) {
+            ++number;
+        }
+        return number;
+    }
+
+    auto report() -> void
+    {
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (entries_[i].isDown) {
+                continue;
+            }
+            const auto own = takeReport(*entries_[i].router);
+            if (entries_.size() > MostDirectPeers) {
+                deliver(i, hub(), own);
+                continue;
+            }
+            for (std::size_t to = 0; to < entries_.size(); ++to) {
+                deliver(i, to, own);
+            }
+        }
+    }
+
+    auto sendSum() -> void
+    {
+        const auto from = hub();
+        if (entries_.size() <= MostDirectPeers || entries_[from].isDown) {
+            return;
+        }
+        const auto sum = takeSum(*entries_[from].router, ReportScope::Fleet);
+        for (std::size_t to = 0; to < entries_.size(); ++to) {
+            deliver(from, to, sum);
+        }
+    }
+
+    [[nodiscard]] auto mostWithinWindow() const -> std::size_t
+    {
+        std::size_t most = 0;
+        for (const auto &[server, arrivals] : arrivals_) {
+            std::vector<TimePoint> counted;
+            for (const auto &each : arrivals) {
+                if (each.counts) {
+                    counted.push_back(each.at);
+                }
+            }
+            for (auto last = counted.begin(); last != counted.end(); ++last) {
+                const auto first = std::upper_bound(counted.begin(), last, *last - Window);
+                most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+            }
+        }
+        return most;
+    }
+
+    LimitedFleetOptions options_;
+    std::mt19937_64 random_;
+    std::vector<Server> servers_;
+    std::vector<Entry> entries_;
+    std::priority_queue<Event> queue_;
+    std::uint64_t lastOrder_ = 0;
+    std::uint64_t lastRequest_ = 0;
+    std::map<std::string, std::vector<Arrival>> arrivals_; ///< by server
+    LimitedFleetResult result_;
+    TimePoint now_ = Start;
+};
+
+} // namespace
+
+auto playLimitedFleet(const LimitedFleetOptions &options) -> LimitedFleetResult
+{
+    return LimitedFleet(options).play();
+}
+
+} // namespace auburnspread::passthrough::tests
--- /dev/null
+++ b/src/core/passthrough/tests/serverlimit_tests.cpp
@@ -0,0 +1,141 @@
+#include "core/passthrough/serverlimit.h"
+#include "core/passthrough/tests/limitedfleet.h"
+#include "core/passthrough/tests/world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+using namespace auburnspread::passthrough::tests;
+
+namespace
+{
+
+/// Requests within 4 s that a server with this limit may get.
+auto allowedWithinWindow(double perSecond) -> double
+{
+    constexpr double Seconds = 4;
+    constexpr double Factor = 1.5;
+    constexpr double More = 5;
+    return Factor * perSecond * Seconds + More;
+}
+
+/// Sends a request to the only server of the plain service, which answers with this limit.
+auto answerWithLimit(World &world, std::optional<double> perSecond) -> bool
+{
+    const auto sent = find<Send>(world.arrive(FetchPath));
+    if (!sent) {
+        return false;
+    }
+    world.apply(LimitStated{ .attempt = sent->attempt, .perSecond = perSecond });
+    world.apply(AttemptAnswered{ .attempt = sent->attempt, .status = 200 });
+    return true;
+}
+
+auto makeSingleServerWorld() -> World
+{
+    World world;
+    world.apply(ServersListed{ .servers = { makeServer("p1", "portal", 6) }, .asOf = world.now() + std::chrono::milliseconds(1) });
+    world.apply(EntriesCounted{ .entries = 1, .names = { "entry-1" } });
+    return world;
+}
+
+} // namespace
+
+/// Guards against entries that together send a server in need more than it takes, whatever their number and whatever befalls them.
+RC_GTEST_PROP(ServerLimitTests, allEntriesTogetherKeepToTheLimit, ())
+{
+    const auto isLarge = *rc::gen::weightedElement<bool>({ { 3, false }, { 1, true } });
+    LimitedFleetOptions options;
+    options.entries = isLarge ? *rc::gen::inRange<std::size_t>(13, 60) : *rc::gen::inRange<std::size_t>(1, 13);
+    options.servers = *rc::gen::inRange<std::size_t>(1, 5);
+    options.limitedServers = *rc::gen::inRange<std::size_t>(1, options.servers + 1);
+    options.limit = *rc::gen::element(0.0, 0.3, 1.0, 1.4, 1.9, 4.0, 12.5, 40.0);
+    options.requestsPerSecond = 60 + 6 * options.limit * static_cast<double>(options.limitedServers);
+    options.longestDelay = std::chrono::milliseconds(*rc::gen::inRange(5, 300));
+    options.lostReports = *rc::gen::element(0.0, 0.02, 0.1);
+    options.kills = *rc::gen::inRange<std::size_t>(0, 6);
+    options.cuts = *rc::gen::inRange<std::size_t>(0, 3);
+    options.seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto result = playLimitedFleet(options);
+    RC_LOG() << "entries " << options.entries << ", limit " << options.limit << ": " << result.mostWithinWindow << " within the window";
+    RC_ASSERT(static_cast<double>(result.mostWithinWindow) <= allowedWithinWindow(options.limit));
+}
+
+/// Guards against a server that is shunned as long as it is in need: what it takes is used.
+TEST(ServerLimitTests, aLimitIsUsedWhereRequestsWait)
+{
+    for (const auto entries : { 1U, 7U, 40U }) {
+        for (const auto limit : { 1.0, 5.0, 40.0 }) {
+            const LimitedFleetOptions options{ .entries = entries, .servers = 1, .limit = limit, .requestsPerSecond = 20 + 4 * limit };
+            const auto result = playLimitedFleet(options);
+            constexpr double Seconds = 11;
+            EXPECT_GE(static_cast<double>(result.sentToFirst), 0.5 * limit * Seconds) << entries << " entries, " << limit << " a second";
+            EXPECT_GT(result.refusedAsLimited, 0U);
+        }
+    }
+}
+
+/// Guards against requests that are refused although another server takes them.
+TEST(ServerLimitTests, whatALimitTurnsAwayGoesElsewhere)
+{
+    const auto result = playLimitedFleet({ .entries = 7, .servers = 3, .limitedServers = 1, .limit = 1 });
+    EXPECT_EQ(result.refused, 0U);
+}
+
+/// Guards against a limit that outlives the need.
+TEST(ServerLimitTests, aServerThatNamesNoLimitAnyMoreIsUsedAsBefore)
+{
+    for (const auto entries : { 7U, 40U }) {
+        const LimitedFleetOptions options{ .entries = entries, .servers = 2, .limit = 1, .limitUntil = std::chrono::seconds(6) };
+        const auto result = playLimitedFleet(options);
+        constexpr double Seconds = 5;
+        EXPECT_GE(static_cast<double>(result.sentToFirstAfter), 0.3 * options.requestsPerSecond * Seconds) << entries << " entries";
+    }
+}
+
+/// Guards against less urgent requests that use a limit up, so that an urgent one waits.
+TEST(ServerLimitTests, lessUrgentRequestsLeaveSomeOfALimit)
+{
+    const TimePoint now(std::chrono::hours(1));
+    ServerLimit limit;
+    ASSERT_TRUE(noteStated(limit, 4, now, now));
+    LimitShare share{ .entries = 1, .peersKnown = true, .sent = 12 }; // of 16 within the window
+    EXPECT_TRUE(mayTake(limit, share, now));
+    share.leavesReserve = true;
+    EXPECT_FALSE(mayTake(limit, share, now));
+    share.sent = 11;
+    EXPECT_TRUE(mayTake(limit, share, now));
+}
+
+TEST(ServerLimitTests, anAnswerToAnEarlierRequestDoesNotEndALimit)
+{
+    auto world = makeSingleServerWorld();
+    const auto early = find<Send>(world.arrive(FetchPath));
+    const auto late = find<Send>(world.arrive(FetchPath));
+    world.pass(std::chrono::milliseconds(20));
+    world.apply(LimitStated{ .attempt = late->attempt, .perSecond = 0.1 });
+    world.apply(LimitStated{ .attempt = early->attempt });
+    EXPECT_EQ(statusOf(world.router(), world.now()).limitedServers, 1U);
+}
+
+/// Guards against requests that wait for an answer that says more, when a server names a rate of nothing.
+TEST(ServerLimitTests, aServerThatTakesNothingIsTriedNowAndThen)
+{
+    auto world = makeSingleServerWorld();
+    ASSERT_TRUE(answerWithLimit(world, 0));
+    world.pass(std::chrono::seconds(5));
+    EXPECT_TRUE(answerWithLimit(world, std::nullopt));
+    EXPECT_EQ(statusOf(world.router(), world.now()).limitedServers, 0U);
+}
+
+TEST(ServerLimitTests, aServerThatStartedAnewHasNoLimit)
+{
+    auto world = makeSingleServerWorld();
+    ASSERT_TRUE(answerWithLimit(world, 1));
+    auto restarted = makeServer("p1", "portal", 6);
+    restarted.startedAt = 7;
+    world.apply(ServersListed{ .servers = { restarted }, .asOf = world.now() + std::chrono::milliseconds(1) });
+    EXPECT_EQ(statusOf(world.router(), world.now()).limitedServers, 0U);
+}
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -41,6 +41,7 @@
     , waiting_(registry_.gauge({ .name = "auburnspread_waiting_requests", .help = "Requests that wait for a backend server." }))
     , inFlight_(registry_.gauge({ .name = "auburnspread_attempts_in_flight", .help = "Attempts under way." }))
     , servers_(registry_.gauge({ .name = "auburnspread_backend_servers", .help = "Backend servers in the list." }))
+    , limitedServers_(registry_.gauge({ .name = "auburnspread_limited_servers", .help = "Backend servers that named a limit on their requests." }))
     , entries_(registry_.gauge({ .name = "auburnspread_entries", .help = "Entries that are alive." }))
     , version_(registry_.gauge({ .name = "auburnspread_configuration_version", .help = "Version in force here." }))
     , age_(registry_.gauge({ .name = "auburnspread_configuration_age_seconds", .help = "Since the configuration was last confirmed." }))
@@ -208,6 +209,18 @@
     event(Level::Warning, "crash-counted", { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) }, { "crashes", crashes.crashes } });
 }
 
+auto Accounting::serverLimitChanged(const passthrough::LimitChanged &change) -> void
+{
+    event(Level::Info,
+          "server-limit-changed",
+          { { "peer", change.server },
+            { "limited", change.perSecond.has_value() },
+            { "requests_per_second", change.perSecond.value_or(0) },
+            { "stated_ms_ago", wholeMilliseconds(change.age) },
+            { "sharing_entries", change.sharers },
+            { "shares", change.isSharer } });
+}
+
 auto Accounting::readinessChanged(bool ready, std::string_view reason) -> void
 {
     event(Level::Info, "readiness-changed", { { "ready", ready }, { "reason", reason } });
@@ -243,6 +256,7 @@
     waiting_.set(status.waiting);
     inFlight_.set(status.inFlight);
     servers_.set(status.servers);
+    limitedServers_.set(status.limitedServers);
     entries_.set(status.entries);
     version_.set(static_cast<double>(status.configurationVersion));
     age_.set(std::chrono::duration<double>(status.configurationAge).count());
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -58,6 +58,8 @@
     auto cacheListed(const passthrough::CacheListed &listed) -> void;
     auto cacheNotListed(std::string_view server, std::string_view detail) -> void;
     auto crashCounted(const passthrough::TellCrashes &crashes) -> void;
+    /// A backend server takes requests at another rate.
+    auto serverLimitChanged(const passthrough::LimitChanged &change) -> void;
     auto readinessChanged(bool ready, std::string_view reason) -> void;
     /// @}
 
@@ -86,6 +88,7 @@
     metrics::Gauge &waiting_;
     metrics::Gauge &inFlight_;
     metrics::Gauge &servers_;
+    metrics::Gauge &limitedServers_;
     metrics::Gauge &entries_;
     metrics::Gauge &version_;
     metrics::Gauge &age_;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -321,6 +321,23 @@
     }
 }
 
+namespace
+{
+
+auto countEntries(const std::vector<fleet::EntryRecord> &entries, const fleet::EntryRecord &self) -> passthrough::EntriesCounted
+{
+    passthrough::EntriesCounted counted{ .names = { self.name } };
+    for (const auto &entry : entries) {
+        if (entry.name != self.name) {
+            counted.names.push_back(entry.name);
+        }
+    }
+    counted.entries = static_cast<std::uint32_t>(counted.names.size());
+    return counted;
+}
+
+} // namespace
+
 auto Fleet::takeEntries(std::vector<fleet::EntryRecord> alive, TimePoint asOf) -> void
 {
     fleet::dropLeaving(membership_, alive);
@@ -331,7 +348,7 @@
     accounting_.entriesChanged(known_.entries.size());
     role_.entries = known_.entries;
     auto addresses = peerAddresses(known_.entries, self_);
-    callbacks_.onEvent(passthrough::EntriesCounted{ .entries = static_cast<std::uint32_t>(addresses.size() + 1) });
+    callbacks_.onEvent(countEntries(known_.entries, self_));
     peers_.setPeers(std::move(addresses));
     updateRole();
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,6 +100,7 @@
     auto run(const passthrough::Break &order) -> void;
     auto run(const passthrough::Complete &order) -> void;
     auto run(const passthrough::TellCrashes &order) -> void;
+    auto run(const passthrough::LimitChanged &change) -> void;
 
     auto takeRequest(RequestId id, PayloadPointer payload) -> void;
     auto takeGone(RequestId id) -> void;
@@ -152,6 +153,8 @@
     , upstream(loop,
                {
                    .onStarted = [this](AttemptId attempt, bool goesToCaller) { takeStarted(attempt, goesToCaller); },
+                   .onLimit = [this](AttemptId attempt,
+                                     std::optional<double> perSecond) { apply(passthrough::LimitStated{ .attempt = attempt, .perSecond = perSecond }); },
                    .onStreamBegun = [this](AttemptId attempt, int status, const http::Headers &headers) { beginStream(attempt, status, headers); },
                    .onEvents = [this](AttemptId attempt, std::string_view events) { takeEvents(attempt, events); },
                    .onStreamEnded = [this](AttemptId attempt) { takeStreamEnd(attempt); },
@@ -289,6 +292,11 @@
     fleet.tellCrashes({ .fingerprint = order.fingerprint, .crashes = order.crashes });
 }
 
+auto Gateway::Impl::run(const passthrough::LimitChanged &change) -> void
+{
+    accounting.serverLimitChanged(change);
+}
+
 auto Gateway::Impl::takeRequest(RequestId id, PayloadPointer payload) -> void
 {
     passthrough::RequestArrived arrived{ .request = id, .path = payload->target };
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -31,6 +31,7 @@
 /// @{
 constexpr std::size_t HeadBytes = 400;
 constexpr std::size_t UseBytes = 36;
+constexpr std::size_t LimitBytes = 17; ///< of a use, where its server has a limit
 constexpr std::size_t PartBytes = 15;
 /// @}
 
@@ -40,9 +41,9 @@
     std::size_t parts = MostParts;
 };
 
-auto takeUse(Room &room) -> void
+auto takeUse(Room &room, const passthrough::PeerReported::Use &use) -> void
 {
-    room.bytes -= std::min(room.bytes, UseBytes);
+    room.bytes -= std::min(room.bytes, UseBytes + (use.limit ? LimitBytes : 0));
 }
 
 auto takePart(Room &room) -> bool
@@ -83,6 +84,34 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Follows the use of a server that has a limit, or had one until lately.
+auto addLimit(json &use, const passthrough::PeerReported::Use &from) -> void
+{
+    constexpr double AnyRate = -1;
+    if (!from.limit && from.sentLately == 0) {
+        return;
+    }
+    use.push_back(from.sentLately);
+    if (from.limit) {
+        use.push_back(from.limit->perSecond.value_or(AnyRate));
+        use.push_back(toMilliseconds(from.limit->age));
+    }
+}
+
+auto takeLimit(const json &from, passthrough::PeerReported::Use &use) -> void
+{
+    constexpr std::size_t SentLately = 8;
+    constexpr std::size_t Rate = 9;
+    constexpr std::size_t Age = 10;
+    if (from.size() > SentLately) {
+        use.sentLately = from.at(SentLately).get<std::uint32_t>();
+    }
+    if (from.size() > Age) {
+        const auto rate = from.at(Rate).get<double>();
+        use.limit = { .perSecond = rate < 0 ? std::nullopt : std::optional(rate), .age = std::chrono::milliseconds(from.at(Age).get<std::uint32_t>()) };
+    }
+}
+
 auto toJson(const passthrough::PeerReported &report) -> json
 {
     auto uses = json::array();
@@ -95,6 +124,7 @@
                          use.shortPrompts,
                          toMilliseconds(use.ejectedFor),
                          partsToJson(use.sent) });
+        addLimit(uses.back(), use);
     }
     auto arrivals = json::array();
     for (const auto &each : report.arrivals) {
@@ -183,6 +213,7 @@
             .ejectedFor = std::chrono::milliseconds(use.at(6).get<std::uint32_t>()),
             .sent = partsFromJson(use.at(7)),
         });
+        takeLimit(use, report.uses.back());
     }
     return report;
 }
@@ -211,7 +242,7 @@
     auto first = *report;
     std::vector<passthrough::PeerReported> rests;
     Room room;
-    std::for_each(first.uses.begin(), first.uses.end(), [&room](const auto & /*use*/) { takeUse(room); });
+    std::for_each(first.uses.begin(), first.uses.end(), [&room](const auto &use) { takeUse(room, use); });
     for (auto &use : first.uses) {
         std::vector<passthrough::PromptPart> kept;
         for (const auto &part : use.sent) {
@@ -226,8 +257,8 @@
             }
             auto &uses = rests.back().uses;
             if (uses.empty() || uses.back().server != use.server) {
-                takeUse(room);
                 uses.push_back({ .server = use.server });
+                takeUse(room, uses.back());
             }
             uses.back().sent.push_back(part);
         }
--- a/src/gateway/tests/messages_tests.cpp
+++ b/src/gateway/tests/messages_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/passthrough/peerreports.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/peerexchange.h"
 
@@ -24,6 +25,45 @@
     EXPECT_EQ(std::get<passthrough::CrashesHeard>(decodePeerMessage(encodePeerMessage(crashes))).fingerprint, crashes.fingerprint);
 }
 
+TEST(PeerMessageTests, limitsReadBack)
+{
+    using Limit = passthrough::PeerReported::Limit;
+    const passthrough::PeerReported report{
+        .entry = "entry-1",
+        .uses = { { .server = "i-1", .limit = Limit{ .perSecond = 1.4, .age = std::chrono::milliseconds(70) }, .sentLately = 3 },
+                  { .server = "i-2", .limit = Limit{ .age = std::chrono::milliseconds(5) } },
+                  { .server = "i-3", .inFlight = 1 } },
+    };
+    const auto read = std::get<passthrough::PeerReported>(decodePeerMessage(encodePeerMessage(report)));
+    ASSERT_EQ(read.uses.size(), 3U);
+    ASSERT_TRUE(read.uses[0].limit && read.uses[1].limit);
+    EXPECT_EQ(read.uses[0].limit->perSecond, 1.4);
+    EXPECT_EQ(read.uses[0].limit->age, std::chrono::milliseconds(70));
+    EXPECT_EQ(read.uses[0].sentLately, 3U);
+    EXPECT_FALSE(read.uses[1].limit->perSecond);
+    EXPECT_FALSE(read.uses[2].limit);
+}
+
+/// Guards against a sum that is longer than a datagram and so is lost as a whole.
+TEST(PeerMessageTests, aSumOfServersThatAllHaveALimitFitsIntoADatagram)
+{
+    constexpr auto Servers = 1000;
+    passthrough::ServerTable table;
+    const TimePoint now(std::chrono::hours(1));
+    passthrough::ServersListed list;
+    for (auto i = 0; i < Servers; ++i) {
+        list.servers.push_back({ .id = "i-0123456" + std::to_string(100'000 + i), .service = "engines" });
+    }
+    passthrough::adoptServers(table, list, now);
+    for (const auto &[id, server] : table.byId) {
+        passthrough::noteSent(table, *server, { .unreadTokens = 70'000, .heldTokens = 70'000, .isShort = true }, Duration::zero(), now);
+        passthrough::noteLimitStated(table, *server, 1.4, now, now);
+    }
+    const auto sum = passthrough::takeSum(table, "entry-with-a-long-name", passthrough::ReportScope::Fleet, now + std::chrono::seconds(70));
+    EXPECT_LE(encodePeerMessage(sum).size(), 8192U);
+    EXPECT_GE(sum.uses.size(), 100U);
+}
+
 /// What callers see: sessions that are read again on another engine. After a restart an entry tells what several engines hold, more
 /// than a datagram takes; what does not fit must follow, and must not replace what the first message tells of load.
 TEST(PeerMessageTests, partsThatDoNotFitFollow)
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -100,6 +100,12 @@
     return std::nullopt;
 }
 
+/// Whether the head can be believed to be the server's own: it is a proper answer, or a refusal by the server itself.
+auto isFromServer(const Attempt &attempt) -> bool
+{
+    return !attempt.verdict || attempt.verdict == Failure::NotStarted;
+}
+
 auto takeBytes(evbuffer *buffer) -> std::string
 {
     std::string bytes(evbuffer_get_length(buffer), '\0');
@@ -244,6 +250,9 @@
     attempt.verdict = judgeHead(attempt);
     attempt.relays = attempt.isStream && isSuccess(attempt.whole.status) && !attempt.verdict;
     attempt.silentBy = boundAfter(attempt.silence);
+    if (isFromServer(attempt) && !attempt.head.isLimitUnreadable) {
+        callbacks.onLimit(attempt.id, attempt.head.perSecond);
+    }
     if (!attempt.relays && !attempt.verdict) {
         callbacks.onStarted(attempt.id, false);
     }
