Soak: backend servers name limits, and what they get from entries that passed them on is checked

Limits are drawn from numbers of their own, so that the faults of the seeds that once failed stay the same. The check counts, for each limited server, the requests within 4 s from processes that had passed an answer with the limit on half a second before; killed, stopped, paused or cut entries and harmed ways are excused for some seconds.

--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -69,6 +69,32 @@
     leavingServers_[server] = at;
 }
 
+auto Ledger::limitBegins(const std::string &server, double perSecond, TimePoint at) -> void
+{
+    limits_.push_back({ .server = server, .perSecond = perSecond, .interval = { .from = at, .to = TimePoint::max() } });
+}
+
+auto Ledger::limitEnds(const std::string &server, TimePoint at) -> void
+{
+    for (auto &limit : limits_) {
+        if (limit.server == server) {
+            limit.interval.to = std::min(limit.interval.to, at);
+        }
+    }
+}
+
+auto Ledger::harmed(const std::string &name, TimePoint from, TimePoint to) -> void
+{
+    harm_[name].push_back({ from, to + Aftermath });
+}
+
+auto Ledger::isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool
+{
+    const auto found = harm_.find(name);
+    return found != harm_.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](const Interval &each) { return each.from <= to && from <= each.to; });
+}
+
 auto Ledger::disturbed(TimePoint from, TimePoint to) -> void
 {
     disturbances_.push_back({ from, to + Aftermath });
@@ -164,6 +190,56 @@
     }
 }
 
+/// Only requests count that come from an entry which had passed an answer with the limit on half a second before.
+auto Ledger::checkLimit(const Limit &limit, Violations &violations) const -> void
+{
+    constexpr Duration Window = std::chrono::seconds(4);
+    constexpr Duration ToldFor = std::chrono::milliseconds(500);
+    constexpr double Factor = 1.5;
+    constexpr double More = 5;
+    using Process = std::pair<std::string, std::uint32_t>;
+    std::map<Process, TimePoint> told;
+    std::vector<std::pair<TimePoint, Process>> runs;
+    for (const auto &[id, record] : records_) {
+        const Process process(record.sent.entry, record.sent.incarnation);
+        for (const auto &run : record.runs) {
+            if (run.server != limit.server || run.at < limit.interval.from || run.at > limit.interval.to) {
+                continue;
+            }
+            runs.emplace_back(run.at, process);
+            const auto isPassedOn = record.ended && record.ended->signature == run.server + "." + run.id;
+            if (isPassedOn) {
+                const auto [known, isFirst] = told.try_emplace(process, record.ended->at);
+                known->second = std::min(known->second, record.ended->at);
+            }
+        }
+    }
+    std::erase_if(runs, [&](const auto &run) {
+        const auto known = told.find(run.second);
+        return known == told.end() || run.first < known->second + ToldFor || isHarmed(run.second.first, run.first - Window, run.first);
+    });
+    std::sort(runs.begin(), runs.end());
+    for (std::size_t first = 0, last = 0; last < runs.size(); ++last) {
+        while (runs[last].first - runs[first].first > Window) {
+            ++first;
+        }
+        const auto got = last - first + 1;
+        const auto isOver = static_cast<double>(got) > Factor * limit.perSecond * std::chrono::duration<double>(Window).count() + More;
+        if (isOver && !isHarmed(limit.server, runs[first].first, runs[last].first)) {
+            violations.push_back(
+                { Promise::LimitKept, limit.server, std::to_string(got) + " requests in 4 s at " + std::to_string(limit.perSecond) + " a second" });
+            return;
+        }
+    }
+}
+
+auto Ledger::checkLimits(Violations &violations) const -> void
+{
+    for (const auto &limit : limits_) {
+        checkLimit(limit, violations);
+    }
+}
+
 auto Ledger::check(const std::optional<TimeBounds> &bounds) const -> std::vector<Violation>
 {
     auto violations = unasked_;
@@ -175,6 +251,9 @@
             checkBounds(record, *bounds, violations);
         }
     }
+    if (bounds) {
+        checkLimits(violations);
+    }
     checkVersions(violations);
     return violations;
 }
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -29,6 +29,7 @@
     NothingLost,   ///< around planned work alone, a request that ran is answered
     Admitted,      ///< what every version of the last seconds allows is never answered as unknown or forbidden
     Answered,      ///< a request on a sound way is answered soon after its timeout at the latest
+    LimitKept,     ///< a server that names a limit gets at most some more from entries that passed its answers on
     Recovers,      ///< after the last fault everything is served again
 };
 
@@ -43,6 +44,7 @@
     { Promise::NothingLost, "nothing-lost" },
     { Promise::Admitted, "admitted" },
     { Promise::Answered, "answered" },
+    { Promise::LimitKept, "limit-kept" },
     { Promise::Recovers, "recovers" },
 });
 
@@ -94,6 +96,13 @@
     auto ran(const adapter::standins::Execution &run) -> void;
     auto keyWithdrawn(const std::string &key, TimePoint at) -> void;
     auto serverLeaves(const std::string &server, TimePoint at) -> void;
+    /// A server names a limit on its requests from now on, and none any more.
+    /// @{
+    auto limitBegins(const std::string &server, double perSecond, TimePoint at) -> void;
+    auto limitEnds(const std::string &server, TimePoint at) -> void;
+    /// @}
+    /// An entry was killed, paused or cut off, or the way to a server was harmed: neither is bound by limits until some seconds later.
+    auto harmed(const std::string &name, TimePoint from, TimePoint to) -> void;
     /// Something other than planned work harmed the deployment between the two.
     auto disturbed(TimePoint from, TimePoint to) -> void;
 
@@ -121,6 +130,7 @@
     auto checkAnswer(const Record &record, Violations &violations) const -> void;
     auto checkPlannedWork(const Record &record, Violations &violations) const -> void;
     auto checkBounds(const Record &record, const TimeBounds &bounds, Violations &violations) const -> void;
+    auto checkLimits(Violations &violations) const -> void;
     auto checkVersions(Violations &violations) const -> void;
     [[nodiscard]] auto isCalm(TimePoint from, TimePoint to) const -> bool;
 
@@ -133,6 +143,15 @@
         TimePoint to;
     };
     std::vector<Interval> disturbances_;
+    struct Limit {
+        std::string server;
+        double perSecond = 0;
+        Interval interval;
+    };
+    auto checkLimit(const Limit &limit, Violations &violations) const -> void;
+    [[nodiscard]] auto isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool;
+    std::vector<Limit> limits_;
+    std::map<std::string, std::vector<Interval>> harm_; ///< by entry or server
 };
 
 } // namespace auburnspread::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -44,21 +44,24 @@
     std::size_t servers = 4;
     double rate = 100;
     double faults = 1;
+    double limits = 0;
     bool onlyPlanned = false;
     bool bounds = false;
 };
 
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
-                       "                  [--faults A_SECOND] [--planned] [--bounds]\n"
+                       "                  [--faults A_SECOND] [--limits A_SECOND] [--planned] [--bounds]\n"
                        "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n";
 
 auto readOptions(int argc, char **argv) -> std::optional<Options>
 {
     Options options;
     const std::vector<option> names = {
-        { "seed", required_argument, nullptr, 's' },    { "seconds", required_argument, nullptr, 't' }, { "entries", required_argument, nullptr, 'e' },
-        { "servers", required_argument, nullptr, 'b' }, { "rate", required_argument, nullptr, 'r' },    { "faults", required_argument, nullptr, 'f' },
-        { "planned", no_argument, nullptr, 'p' },       { "bounds", no_argument, nullptr, 'l' },        { nullptr, 0, nullptr, 0 },
+        { "seed", required_argument, nullptr, 's' },    { "seconds", required_argument, nullptr, 't' },
+        { "entries", required_argument, nullptr, 'e' }, { "servers", required_argument, nullptr, 'b' },
+        { "rate", required_argument, nullptr, 'r' },    { "faults", required_argument, nullptr, 'f' },
+        { "limits", required_argument, nullptr, 'm' },  { "planned", no_argument, nullptr, 'p' },
+        { "bounds", no_argument, nullptr, 'l' },        { nullptr, 0, nullptr, 0 },
     };
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", names.data(), nullptr)) != -1;) {
         switch (letter) {
@@ -80,6 +83,9 @@
         case 'f':
             options.faults = std::stod(optarg);
             break;
+        case 'm':
+            options.limits = std::stod(optarg);
+            break;
         case 'p':
             options.onlyPlanned = true;
             break;
@@ -111,6 +117,7 @@
                            .entries = options.entries,
                            .servers = options.servers,
                            .faultsPerSecond = options.faults,
+                           .limitsPerSecond = options.limits,
                            .onlyPlannedWork = options.onlyPlanned }))
     {
     }
@@ -148,7 +155,7 @@
         std::cout << nlohmann::json{ { "event", "fault" },       { "at_ms", milliseconds(now - startedAt_) },  { "kind", findName(FaultKinds, fault.kind) },
                                      { "target", fault.target }, { "path", findName(PathFaults, fault.path) }, { "length_ms", milliseconds(fault.length) } }
                   << "\n";
-        if (!isPlannedWork(fault.kind)) {
+        if (!isPlannedWork(fault.kind) && fault.kind != FaultKind::ServerLimit) {
             ledger_.disturbed(now, now + fault.length);
         }
         site_.begin(fault);
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -11,6 +11,13 @@
 
 constexpr Duration ShortestFault = std::chrono::milliseconds(100);
 constexpr Duration LongestFault = std::chrono::seconds(4);
+/// \name Of a limit of a backend server: long enough to be seen over several windows
+/// @{
+constexpr Duration ShortestLimit = std::chrono::seconds(6);
+constexpr Duration LongestLimit = std::chrono::seconds(12);
+constexpr double LeastRate = 0.3;
+constexpr double MostRate = 6;
+/// @}
 
 using Random = std::mt19937_64;
 
@@ -28,7 +35,7 @@
 auto drawKind(Random &random, bool onlyPlannedWork) -> FaultKind
 {
     while (true) {
-        const auto kind = FaultKinds.at(drawBelow(random, FaultKinds.size())).value;
+        const auto kind = FaultKinds.at(drawBelow(random, FaultKinds.size() - 1)).value; // all but limits
         if (!onlyPlannedWork || isPlannedWork(kind)) {
             return kind;
         }
@@ -40,6 +47,23 @@
     return kind == FaultKind::ServerPath || kind == FaultKind::ServerCrashes || kind == FaultKind::ServerLeaves;
 }
 
+/// From numbers of their own, so that the other faults of a seed stay the same.
+auto addLimits(std::vector<Fault> &plan, const PlanOptions &options) -> void
+{
+    constexpr std::uint64_t OtherSeed = 0x6c696d6974ULL;
+    Random random(options.seed ^ OtherSeed);
+    const auto limits = static_cast<std::size_t>(std::chrono::duration<double>(options.length).count() * options.limitsPerSecond);
+    for (std::size_t i = 0; i < limits; ++i) {
+        plan.push_back({
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestLimit, LongestLimit),
+            .kind = FaultKind::ServerLimit,
+            .target = drawBelow(random, options.servers),
+            .perSecond = std::uniform_real_distribution<double>(LeastRate, MostRate)(random),
+        });
+    }
+}
+
 } // namespace
 
 auto makePlan(const PlanOptions &options) -> std::vector<Fault>
@@ -54,6 +78,7 @@
         fault.target = drawBelow(random, isOfServer(fault.kind) ? options.servers : options.entries);
         fault.path = PathFaults.at(1 + drawBelow(random, PathFaults.size() - 1)).value;
     }
+    addLimits(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -31,6 +31,7 @@
     StoreForgets,  ///< its history of changes
     LeasesEnd,     ///< of all entries at one moment
     Configuration, ///< a new version; a key is taken away and another one added
+    ServerLimit,   ///< a backend server names a limit on its requests
 };
 
 constexpr auto FaultKinds = std::to_array<NamedValue<FaultKind>>({
@@ -49,6 +50,7 @@
     { FaultKind::StoreForgets, "store-forgets" },
     { FaultKind::LeasesEnd, "leases-end" },
     { FaultKind::Configuration, "configuration" },
+    { FaultKind::ServerLimit, "server-limit" },
 });
 
 /// Planned work, around which no request may be lost.
@@ -63,6 +65,7 @@
     FaultKind kind{};
     std::size_t target = 0; ///< number of an entry or a backend server
     PathFault path = PathFault::None;
+    double perSecond = 0; ///< requests that a limited server takes
 };
 
 struct PlanOptions {
@@ -71,6 +74,7 @@
     std::size_t entries = 0;
     std::size_t servers = 0;
     double faultsPerSecond = 1;
+    double limitsPerSecond = 0; ///< of backend servers, beside the faults
     bool onlyPlannedWork = false;
 };
 
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -148,6 +148,7 @@
     server.proxy = std::make_unique<Proxy>(loop_, server.standin->address());
     server.replacement = {};
     server.isLeaving = false;
+    server.isLimited = false;
     putServer(server);
 }
 
@@ -207,9 +208,56 @@
     ledger_.keyWithdrawn(withdrawnKey_, task::monotonicNow());
 }
 
+auto Site::beginLimit(const Fault &fault) -> void
+{
+    auto &server = servers_.at(fault.target);
+    if (server.standin && !server.isLimited) {
+        server.isLimited = true;
+        server.standin->setLimit(fault.perSecond);
+        ledger_.limitBegins(server.id, fault.perSecond, task::monotonicNow());
+    }
+}
+
+auto Site::endLimit(const Fault &fault) -> void
+{
+    auto &server = servers_.at(fault.target);
+    if (server.standin && std::exchange(server.isLimited, false)) {
+        server.standin->setLimit(std::nullopt);
+        ledger_.limitEnds(server.id, task::monotonicNow());
+    }
+}
+
+auto Site::noteHarm(const Fault &fault) -> void
+{
+    const auto now = task::monotonicNow();
+    switch (fault.kind) {
+    case FaultKind::EntryKilled:
+    case FaultKind::EntryStopped:
+    case FaultKind::EntryPaused:
+    case FaultKind::CallerPath:
+    case FaultKind::StorePath:
+        ledger_.harmed(std::to_string(fault.target), now, now + fault.length);
+        break;
+    case FaultKind::AllKilled:
+        for (std::size_t number = 0; number < entries_.size(); ++number) {
+            ledger_.harmed(std::to_string(number), now, now + fault.length);
+        }
+        break;
+    case FaultKind::ServerPath:
+        ledger_.harmed(servers_.at(fault.target).id, now, now + fault.length);
+        break;
+    default:
+        break;
+    }
+}
+
 auto Site::begin(const Fault &fault) -> void
 {
+    noteHarm(fault);
     switch (fault.kind) {
+    case FaultKind::ServerLimit:
+        beginLimit(fault);
+        break;
     case FaultKind::EntryKilled:
     case FaultKind::EntryStopped: {
         auto &entry = entries_.at(fault.target);
@@ -286,6 +334,9 @@
             startServer(fault.target);
         }
         break;
+    case FaultKind::ServerLimit:
+        endLimit(fault);
+        break;
     case FaultKind::StoreBusy:
         store_.setBusy(false);
         break;
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -107,6 +107,7 @@
         std::unique_ptr<adapter::standins::ServerStandin> standin;
         std::unique_ptr<Proxy> proxy;
         bool isLeaving = false;  ///< and said so
+        bool isLimited = false;  ///< its answers name a limit
         task::Watch replacement; ///< of a server that leaves
     };
 
@@ -115,6 +116,10 @@
     auto startProcess(Entry &entry) -> void;
     auto signal(Entry &entry, int number) -> void;
     auto startServer(std::size_t number) -> void;
+    auto beginLimit(const Fault &fault) -> void;
+    auto endLimit(const Fault &fault) -> void;
+    /// Tells the ledger what the fault excuses from keeping to limits.
+    auto noteHarm(const Fault &fault) -> void;
     auto putServer(const Server &server) -> void;
     auto stopServer(std::size_t number) -> void;
     auto announceLeaving(std::size_t number) -> void;
--- a/src/soak/tests/ledger_tests.cpp
+++ b/src/soak/tests/ledger_tests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -147,6 +148,33 @@
     }
 }
 
+TEST(LedgerTests, whatALimitedServerGetsBeyondTheBoundIsSeenUnlessItsEntryWasHarmed)
+{
+    constexpr double PerSecond = 1; // 11 requests within 4 s are allowed
+    for (const auto &[requests, isHarmed, isSeen] : { std::tuple(11, false, false), std::tuple(12, false, true), std::tuple(12, true, false) }) {
+        Ledger ledger;
+        ledger.limitBegins("i-1", PerSecond, at(-2000));
+        const auto serve = [&ledger](const std::string &id, TimePoint runAt) {
+            const auto sent = makeSent(id);
+            ledger.sent(sent);
+            auto run = makeRun(sent);
+            run.at = runAt;
+            ledger.ran(run);
+            auto end = makeSuccess(sent);
+            end.at = runAt + std::chrono::milliseconds(30);
+            ledger.ended(end);
+        };
+        serve("first", at(-1500));
+        for (auto i = 0; i < requests; ++i) {
+            serve("more-" + std::to_string(i), at(100 * i));
+        }
+        if (isHarmed) {
+            ledger.harmed("0", at(-500), at(-400));
+        }
+        EXPECT_EQ(breaks(ledger, Promise::LimitKept), isSeen) << requests << (isHarmed ? " harmed" : "");
+    }
+}
+
 TEST(LedgerTests, aServerThatLeavesMayGetRequestsUntilTheBoundAndNotLater)
 {
     for (const auto left : { -1900, -2100 }) {
--- a/src/soak/tests/plan_tests.cpp
+++ b/src/soak/tests/plan_tests.cpp
@@ -32,16 +32,33 @@
 {
     std::set<FaultKind> kinds;
     std::set<PathFault> paths;
-    for (const auto &fault : makePlan(makeOptions(1))) {
+    auto options = makeOptions(1);
+    options.limitsPerSecond = 0.3;
+    for (const auto &fault : makePlan(options)) {
         kinds.insert(fault.kind);
-        paths.insert(fault.path);
         EXPECT_LT(fault.target, 4U);
+        if (fault.kind == FaultKind::ServerLimit) {
+            EXPECT_GT(fault.perSecond, 0);
+            continue;
+        }
+        paths.insert(fault.path);
         EXPECT_NE(fault.path, PathFault::None);
     }
     EXPECT_EQ(kinds.size(), FaultKinds.size());
     EXPECT_EQ(paths.size(), PathFaults.size() - 1);
 }
 
+TEST(PlanTests, limitsLeaveTheOtherFaultsAsTheyAre)
+{
+    auto options = makeOptions(7);
+    const auto without = makePlan(options);
+    options.limitsPerSecond = 0.3;
+    auto with = makePlan(options);
+    EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return fault.kind == FaultKind::ServerLimit; }), 0U);
+    ASSERT_EQ(with.size(), without.size());
+    EXPECT_TRUE(std::equal(with.begin(), with.end(), without.begin(), [](const Fault &a, const Fault &b) { return a.at == b.at && a.kind == b.kind; }));
+}
+
 TEST(PlanTests, plannedWorkAloneHoldsNoFailure)
 {
     auto options = makeOptions(1);
