--- a/src/core/passthrough/internal/candidate.cpp
+++ b/src/core/passthrough/internal/candidate.cpp
@@ -46,7 +46,7 @@
     return server.own.inFlight < std::max(part, LeastPlaces);
 }
 
-/// What all entries sent there lately, as far as known here.
+/// Whether the limit that the server named, if any, leaves room for one more request.
 auto mayTakeOfLimit(const ServerState &server, const PlacementQuery &query, TimePoint now) -> bool
 {
     if (!isLimited(server.limit)) {
--- a/src/core/passthrough/serverlimit.h
+++ b/src/core/passthrough/serverlimit.h
@@ -4,8 +4,8 @@
 /// The server states the rate in its answers, so an entry may learn it from its own answers or from other entries. Entries tell each
 /// other how many requests they sent there within the last seconds, and a request is sent only if the sum leaves room. What is told is
 /// late: until then each entry that sees the room takes it. Failure: hundreds of entries see room for one request and send one each.
-/// So only a few entries, chosen by hash and the greater the rate the more, send to such a server, and each of them no more within a
-/// second than its part of the rate, one request at least. However late the reports, the entries send at most one and a half times
+/// So only some entries, chosen by hash, send to such a server, more of them where the rate is greater, and each sends within a second
+/// no more than its part of the rate, one request at least. However late the reports, all together send at most one and a half times
 /// the rate and a few requests more.
 
 #pragma once
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -209,7 +209,7 @@
     std::transform(names.begin(), names.end(), std::back_inserter(table.entryHashes), hashOf);
     for (const auto &[id, server] : table.byId) {
         if (isLimited(server->limit)) {
-            noteLimitChanged(table, *server);
+            server->limit.rank = rankAmong(table, *server);
         }
     }
 }
--- a/src/core/passthrough/tests/limitedfleet.cpp
+++ b/src/core/passthrough/tests/limitedfleet.cpp
@@ -22,7 +22,7 @@
 constexpr Duration MemberAge = std::chrono::milliseconds(1800);
 constexpr Duration RestartTime = std::chrono::milliseconds(300);
 constexpr Duration LongestCut = std::chrono::seconds(4);
-/// With more entries than this one of them sums their reports up.
+/// With more entries than this one of each failure domain sums their reports up.
 constexpr std::size_t MostDirectPeers = 12;
 /// \name As the bound is judged
 /// @{
@@ -59,7 +59,7 @@
         scheduleArrival();
         every(TickInterval, [this]() { tick(); });
         every(ReportInterval, [this]() { report(); });
-        every(SumInterval, [this]() { sendSum(); });
+        every(SumInterval, [this]() { sendSums(); });
         while (!queue_.empty() && queue_.top().at <= Start + options_.length) {
             auto next = queue_.top();
             queue_.pop();
@@ -96,6 +96,11 @@
         return "entry-" + std::to_string(entry);
     }
 
+    [[nodiscard]] auto domainOf(std::size_t entry) const -> std::size_t
+    {
+        return entry % options_.failureDomains;
+    }
+
     auto after(Duration delay, std::function<void()> action) -> void
     {
         queue_.push({ now_ + delay, ++lastOrder_, std::move(action) });
@@ -122,7 +127,7 @@
         entry.incarnation += 1;
         entry.isDown = false;
         entry.told.clear();
-        entry.router = makeRouter({ .entry = nameOf(number), .failureDomain = "a" });
+        entry.router = makeRouter({ .entry = nameOf(number), .failureDomain = std::to_string(domainOf(number)) });
         step(*entry.router, ConfigurationAdopted{ makeConfiguration() }, now_);
         step(*entry.router, ConfigurationConfirmed{ .asOf = now_ + std::chrono::hours(1) }, now_);
         step(*entry.router, ServersListed{ .servers = servers_, .asOf = now_ }, now_);
@@ -272,12 +277,12 @@
         });
     }
 
-    /// Of a large fleet, the first entry that can be reached.
-    [[nodiscard]] auto hub() const -> std::size_t
+    /// Of a failure domain, the first entry that can be reached.
+    [[nodiscard]] auto hubOf(std::size_t domain) const -> std::size_t
     {
-        std::size_t number = 0;
-        while (number + 1 < entries_.size() && !isReached(number)) {
-            ++number;
+        auto number = domain;
+        while (number + options_.failureDomains < entries_.size() && !isReached(number)) {
+            number += options_.failureDomains;
         }
         return number;
     }
@@ -290,7 +295,7 @@
             }
             const auto own = takeReport(*entries_[i].router);
             if (entries_.size() > MostDirectPeers) {
-                deliver(i, hub(), own);
+                deliver(i, hubOf(domainOf(i)), own);
                 continue;
             }
             for (std::size_t to = 0; to < entries_.size(); ++to) {
@@ -299,15 +304,29 @@
         }
     }
 
-    auto sendSum() -> void
+    auto sendSums() -> void
+    {
+        if (entries_.size() <= MostDirectPeers) {
+            return;
+        }
+        for (std::size_t domain = 0; domain < options_.failureDomains; ++domain) {
+            sendSumsOf(domain);
+        }
+    }
+
+    auto sendSumsOf(std::size_t domain) -> void
     {
-        const auto from = hub();
-        if (entries_.size() <= MostDirectPeers || entries_[from].isDown) {
+        const auto from = hubOf(domain);
+        if (entries_[from].isDown) {
             return;
         }
-        const auto sum = takeSum(*entries_[from].router, ReportScope::Fleet);
-        for (std::size_t to = 0; to < entries_.size(); ++to) {
-            deliver(from, to, sum);
+        const auto ofDomain = takeSum(*entries_[from].router, ReportScope::FailureDomain);
+        for (std::size_t other = 0; other < options_.failureDomains; ++other) {
+            deliver(from, hubOf(other), ofDomain);
+        }
+        const auto ofAll = takeSum(*entries_[from].router, ReportScope::Fleet);
+        for (auto to = domain; to < entries_.size(); to += options_.failureDomains) {
+            deliver(from, to, ofAll);
         }
     }
 
--- a/src/core/passthrough/tests/limitedfleet.h
+++ b/src/core/passthrough/tests/limitedfleet.h
@@ -15,6 +15,7 @@
 
 struct LimitedFleetOptions {
     std::size_t entries = 7;
+    std::size_t failureDomains = 1; ///< of a large fleet, whose reports are summed up by failure domain
     std::size_t servers = 3;
     std::size_t limitedServers = 1;
     double limit = 1;              ///< requests a second that each of these names
--- a/src/core/passthrough/tests/serverlimit_tests.cpp
+++ b/src/core/passthrough/tests/serverlimit_tests.cpp
@@ -49,6 +49,7 @@
     const auto isLarge = *rc::gen::weightedElement<bool>({ { 3, false }, { 1, true } });
     LimitedFleetOptions options;
     options.entries = isLarge ? *rc::gen::inRange<std::size_t>(13, 60) : *rc::gen::inRange<std::size_t>(1, 13);
+    options.failureDomains = isLarge ? *rc::gen::inRange<std::size_t>(1, 5) : 1;
     options.servers = *rc::gen::inRange<std::size_t>(1, 5);
     options.limitedServers = *rc::gen::inRange<std::size_t>(1, options.servers + 1);
     options.limit = *rc::gen::element(0.0, 0.3, 1.0, 1.4, 1.9, 4.0, 12.5, 40.0);
@@ -63,6 +64,20 @@
     RC_ASSERT(static_cast<double>(result.mostWithinWindow) <= allowedWithinWindow(options.limit));
 }
 
+/// Guards against entries that can't hear each other and each use the whole limit.
+TEST(ServerLimitTests, anEntryThatHearsNobodyKeepsToItsPart)
+{
+    const TimePoint now(std::chrono::hours(1));
+    ServerLimit limit;
+    ASSERT_TRUE(noteStated(limit, 6, now, now));
+    LimitShare share{ .entries = 40, .peersKnown = true, .sent = 3 }; // of 24 within the window, 3 for each of 8 entries
+    EXPECT_TRUE(mayTake(limit, share, now));
+    share.peersKnown = false;
+    EXPECT_FALSE(mayTake(limit, share, now));
+    share.entries = 0;
+    EXPECT_FALSE(mayTake(limit, share, now));
+}
+
 /// Guards against a server that is shunned as long as it is in need: what it takes is used.
 TEST(ServerLimitTests, aLimitIsUsedWhereRequestsWait)
 {
--- a/src/gateway/tests/serverlimit_tests.cpp
+++ b/src/gateway/tests/serverlimit_tests.cpp
@@ -84,3 +84,27 @@
     const auto isRefused = [](const std::string &answer) { return answer.starts_with("HTTP/1.1 503 ") && contains(answer, "Retry-After"); };
     EXPECT_GE(std::count_if(answers.begin(), answers.end(), isRefused), Requests - MostExecutions) << answers.front();
 }
+
+/// Guards against a server in need that gets everything again after an error or a refusal that does not repeat its limit.
+TEST(ServerLimitTests, anErrorWithoutALimitDoesNotEndIt)
+{
+    ServedSite served;
+    const auto limited = [&served]() { return contains(served.site.metrics(), "\nauburnspread_limited_servers 1\n"); };
+    const std::string limitLine = standins::limitLine("1000") + "\r\n";
+    {
+        const auto connection = served.receive(makeRequest("/notice/1", "id-1", "x"));
+        connection.send(makeAnswerHead("id-1") + limitLine + "Content-Length: 0\r\n\r\n");
+        served.caller.readUntil(EndOfHead);
+    }
+    EXPECT_TRUE(limited());
+    {
+        const auto connection = served.receive(makeRequest("/notice/2", "id-2", "x"));
+        connection.send(makeAnswer("id-2", "", "500 Internal Server Error"));
+        served.caller.readUntil(EndOfHead);
+    }
+    EXPECT_TRUE(limited());
+    const auto connection = served.receive(makeRequest("/notice/3", "id-3", "x"));
+    connection.send(makeAnswer("id-3", "done"));
+    served.caller.readUntil("done");
+    EXPECT_FALSE(limited());
+}
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -100,10 +100,14 @@
     return std::nullopt;
 }
 
-/// Whether the head can be believed to be the server's own: it is a proper answer, or a refusal by the server itself.
-auto isFromServer(const Attempt &attempt) -> bool
+/// Whether the head says at which rate the server takes requests. Only a proper success says so by naming none: errors may come from
+/// something before the server.
+auto saysLimit(const Attempt &attempt) -> bool
 {
-    return !attempt.verdict || attempt.verdict == Failure::NotStarted;
+    if (attempt.head.perSecond) {
+        return !attempt.verdict || attempt.verdict == Failure::NotStarted;
+    }
+    return !attempt.verdict && isSuccess(attempt.whole.status) && !attempt.head.isLimitUnreadable;
 }
 
 auto takeBytes(evbuffer *buffer) -> std::string
@@ -250,7 +254,7 @@
     attempt.verdict = judgeHead(attempt);
     attempt.relays = attempt.isStream && isSuccess(attempt.whole.status) && !attempt.verdict;
     attempt.silentBy = boundAfter(attempt.silence);
-    if (isFromServer(attempt) && !attempt.head.isLimitUnreadable) {
+    if (saysLimit(attempt)) {
         callbacks.onLimit(attempt.id, attempt.head.perSecond);
     }
     if (!attempt.relays && !attempt.verdict) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -27,7 +27,7 @@
 
 struct UpstreamCallbacks {
     std::function<void(AttemptId attempt, bool goesToCaller)> onStarted; ///< head of an answer, or first event of a stream that is passed on
-    /// With the head of each answer of the server: requests a second that it takes from all entries; not set: any.
+    /// With the head of an answer that says so: requests a second that the server takes from all entries; not set: any.
     std::function<void(AttemptId attempt, std::optional<double> perSecond)> onLimit;
     std::function<void(AttemptId attempt, int status, const http::Headers &headers)> onStreamBegun; ///< right before its first events
     std::function<void(AttemptId attempt, std::string_view events)> onEvents;
