--- a/src/core/base/tests/recentcount_tests.cpp
+++ b/src/core/base/tests/recentcount_tests.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 /// Guards against a count that forgets: of a limit it would let more through.
-RC_GTEST_PROP(RecentCountTests, nothingWithinTheWindowIsForgottenAndNothingOlderThanAStepMoreCounts, (std::vector<std::uint16_t> pauses))
+RC_GTEST_PROP(RecentCountTests, nothingWithinTheWindowIsForgottenAndNothingOlderThanAStepMoreCounts, (const std::vector<std::uint16_t> &pauses))
 {
     RecentCount count;
     std::vector<TimePoint> times;
