--- a/src/gateway/tests/serverlimit_tests.cpp
+++ b/src/gateway/tests/serverlimit_tests.cpp
@@ -4,9 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
-#include <future>
+#include <string>
+#include <thread>
+#include <vector>
 
 using namespace auburnspread;
 using namespace auburnspread::gateway::tests;
@@ -57,10 +60,8 @@
         callers.emplace_back(site.callerAddress());
         callers.back().send(makeRequest(path, "id-" + std::to_string(i), "", standins::deadlineLine(400) + "\r\n"));
     }
-    std::vector<std::string> answers;
-    for (auto &caller : callers) {
-        answers.push_back(caller.readUntil(EndOfHead));
-    }
+    std::vector<std::string> answers(callers.size());
+    std::transform(callers.begin(), callers.end(), answers.begin(), [](Caller &caller) { return caller.readUntil(EndOfHead); });
     return answers;
 }
 
