An entry that begins to read while a question is under way reads the backend servers too

It had the configuration and had adopted it, read the store for others, and never listed a server.

Cause: at its start it asked for the configuration (under way), its other reads timed out, so the store counted as unreachable, and it became a reader. beginReading() then schedules one question after which the rest is read. A question was under way, so nothing was scheduled, and its answer did not know of the rest.

Change: the rest is due from the moment at which the entry begins to read; the answer to whichever question brings it.

Looked for elsewhere: readOnce() marks the rest whether or not its own question is sent; nothing else schedules a step only if none is under way.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -73,10 +73,12 @@
     }
 }
 
-/// Where the store did not answer the last time, the pause before the next try goes on: entries take turns in trying.
+/// Where the store did not answer the last time, the pause before the next try goes on: entries take turns in trying. A question for the
+/// configuration that is under way is that try, and its answer begins the rest.
 auto Directory::beginReading() -> void
 {
     if (reachable_ == false) {
+        readsRest_ = true;
         goOn(configuration_, std::max(configuration_.failedAt + pauseOf(configuration_) - now(), Duration::zero()), &Directory::readOnce);
     } else {
         readOnce();
--- a/src/gateway/tests/outage_tests.cpp
+++ b/src/gateway/tests/outage_tests.cpp
@@ -55,6 +55,7 @@
     task::EventLoop loop;
     StoreStandin store{ loop };
     std::optional<ServersRead> list;
+    std::optional<bool> isReachable;
     Directory directory{ loop,
                          { .store = store.address(), .self = { .name = "entry-1" } },
                          {
@@ -64,7 +65,7 @@
                              .onRegistrations = [](auto &&...) {},
                              .onRegistrationsFailed = []() {},
                              .onRemembered = [](auto &&...) {},
-                             .onReachable = [](auto &&...) {},
+                             .onReachable = [this](std::string_view, bool reachable, auto &&...) { isReachable = reachable; },
                          } };
 };
 
@@ -94,3 +95,19 @@
     ASSERT_TRUE(reader.list);
     EXPECT_TRUE(reader.list->outageEndedAt);
 }
+
+/// Guards against an entry that reads the store for others and never learns of the backend servers: a question for the configuration was
+/// under way when it began to read.
+TEST(OutageTests, whoBeginsToReadWhileAQuestionIsUnderWayReadsTheServersToo)
+{
+    ReaderOfStore reader;
+    reader.store.setBusy(true);
+    reader.directory.readOutdated();
+    runUntil(reader.loop, [&reader]() { return reader.isReachable == false; });
+    reader.directory.confirmOnce();
+    reader.directory.setReading(true);
+    reader.store.setBusy(false);
+    runUntil(reader.loop, [&reader]() { return reader.list.has_value(); });
+    ASSERT_TRUE(reader.list);
+    EXPECT_EQ(reader.list->servers.size(), 1U);
+}
