Reading the change again: whether a service has more urgent tiers is asked without building a set; one overlap of times in the ledger

Each request collected the more urgent tiers of its service into a set, of which only "any" was used. The soak's ledger compared intervals twice, once with the ends included: now both ask the stricter way, so a harm that ends at the very moment excuses nothing. Decisions are the same; limit_tests, core_passthrough_tests, server_limit_tests and soak_tests pass.

--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -134,7 +134,7 @@
     request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
     request.service = chooseService(route, request.order);
     request.lessUrgentTiers = state.table->lessUrgentTiers(route);
-    request.moreUrgentTiers = state.table->moreUrgentTiers(route);
+    request.hasMoreUrgentTiers = state.table->hasMoreUrgentTiers(route);
     request.arrived = state.now;
     request.deadline = state.now + std::min(route.timeout, call.deadline.value_or(route.timeout));
     request.latestWait = latestWaitOf(request);
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -229,7 +229,7 @@
         .shortPromptEngines = static_cast<std::size_t>(std::ceil(share * static_cast<double>(pool.split.shortPromptEngines))),
         .lookedAt = request.route->hasPrompt ? std::optional(lookedAtOf(unseen, servers.size())) : std::nullopt,
         .isUrgent = request.lessUrgentTiers > 0,
-        .leavesReserve = request.moreUrgentTiers > 0,
+        .leavesReserve = request.hasMoreUrgentTiers,
         // short prompts that pile up make answers pause, so for them all counts that was told
         .reportAge = isShort(request.call.prompt) ? Duration::zero() : reportAgeOf(state),
         .releases = releasesUnder(strainOf(pool, request)),
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -40,7 +40,7 @@
     std::string service;
     int rank = 0;            ///< of urgency, 0 first
     int lessUrgentTiers = 0; ///< of the routes to the same service
-    int moreUrgentTiers = 0; ///< the same
+    bool hasMoreUrgentTiers = false;
     Stage stage = Stage::Waiting;
     std::uint64_t order = 0;    ///< of arrival
     std::uint64_t tieBreak = 0; ///< differs between requests, also of different entries
--- a/src/core/passthrough/routetable.cpp
+++ b/src/core/passthrough/routetable.cpp
@@ -76,14 +76,10 @@
     return static_cast<int>(tiers.size());
 }
 
-auto RouteTable::moreUrgentTiers(const Route &route) const -> int
+auto RouteTable::hasMoreUrgentTiers(const Route &route) const -> bool
 {
-    std::set<int> tiers;
-    for (const auto &share : route.shares) {
-        const auto &ofService = tiers_.at(share.service);
-        tiers.insert(ofService.begin(), ofService.lower_bound(route.tier));
-    }
-    return static_cast<int>(tiers.size());
+    const auto isMoreUrgent = [&](const Share &share) { return *tiers_.at(share.service).begin() < route.tier; };
+    return std::any_of(route.shares.begin(), route.shares.end(), isMoreUrgent);
 }
 
 auto RouteTable::configuration() const -> const Configuration &
--- a/src/core/passthrough/routetable.h
+++ b/src/core/passthrough/routetable.h
@@ -27,8 +27,8 @@
     [[nodiscard]] auto findService(std::string_view name) const -> const Service *;
     /// How many tiers less urgent than that of \p route the routes to its services have.
     [[nodiscard]] auto lessUrgentTiers(const Route &route) const -> int;
-    /// The same for more urgent ones.
-    [[nodiscard]] auto moreUrgentTiers(const Route &route) const -> int;
+    /// Whether routes to its services have more urgent tiers.
+    [[nodiscard]] auto hasMoreUrgentTiers(const Route &route) const -> bool;
     [[nodiscard]] auto configuration() const -> const Configuration &;
 
 private:
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -88,11 +88,15 @@
     harm_[name].push_back({ from, to + Aftermath });
 }
 
+auto Ledger::overlapsAny(const std::vector<Interval> &intervals, TimePoint from, TimePoint to) -> bool
+{
+    return std::any_of(intervals.begin(), intervals.end(), [&](const Interval &each) { return each.from < to && from < each.to; });
+}
+
 auto Ledger::isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool
 {
     const auto found = harm_.find(name);
-    return found != harm_.end()
-        && std::any_of(found->second.begin(), found->second.end(), [&](const Interval &each) { return each.from <= to && from <= each.to; });
+    return found != harm_.end() && overlapsAny(found->second, from, to);
 }
 
 auto Ledger::disturbed(TimePoint from, TimePoint to) -> void
@@ -102,7 +106,7 @@
 
 auto Ledger::isCalm(TimePoint from, TimePoint to) const -> bool
 {
-    return std::none_of(disturbances_.begin(), disturbances_.end(), [&](const Interval &each) { return each.from < to && from < each.to; });
+    return !overlapsAny(disturbances_, from, to);
 }
 
 auto Ledger::checkRuns(const Record &record, Violations &violations) const -> void
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -142,6 +142,8 @@
         TimePoint from;
         TimePoint to;
     };
+    /// Whether one of \p intervals and the time between the two have a part in common.
+    static auto overlapsAny(const std::vector<Interval> &intervals, TimePoint from, TimePoint to) -> bool;
     std::vector<Interval> disturbances_;
     struct Limit {
         std::string server;
