--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -3,9 +3,11 @@
 #include "platform/standins/wiretext.h"
 #include "standins/testing/loopback.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <future>
 #include <sstream>
 #include <stdexcept>
@@ -195,6 +197,18 @@
     return connection;
 }
 
+auto sendConcurrently(const Site &site, const std::string &path, int requests, const std::string &headers) -> std::vector<std::string>
+{
+    std::deque<Caller> callers;
+    for (auto i = 0; i < requests; ++i) {
+        callers.emplace_back(site.callerAddress());
+        callers.back().send(makeRequest(path, "id-" + std::to_string(i), "", headers));
+    }
+    std::vector<std::string> answers(callers.size());
+    std::transform(callers.begin(), callers.end(), answers.begin(), [](Caller &caller) { return caller.readUntil(EndOfHead); });
+    return answers;
+}
+
 auto contains(const std::string &text, std::string_view part) -> bool
 {
     return text.find(part) != std::string::npos;
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 namespace auburnspread::gateway::tests
 {
@@ -72,6 +73,9 @@
     Caller caller;
 };
 
+/// Sends requests with \p headers, all of them before it reads the first response. \return the response heads
+auto sendConcurrently(const Site &site, const std::string &path, int requests, const std::string &headers = "") -> std::vector<std::string>;
+
 auto contains(const std::string &text, std::string_view part) -> bool;
 
 /// Polls \p isTrue until it returns true. \return false if it did not within 30 s
--- /dev/null
+++ b/src/gateway/tests/standinserver.cpp
@@ -0,0 +1,42 @@
+#include "gateway/tests/standinserver.h"
+
+namespace auburnspread::gateway::tests
+{
+
+namespace standins = adapter::standins;
+
+StandinServer::StandinServer(const std::string &id, const std::function<void(standins::ServerStandin &standin)> &configure)
+    : standin_(loop_,
+               {
+                   .id = id,
+                   .streamPrefix = "/quote/",
+                   .onExecuted = [this](const standins::Execution &) { executions_ += 1; },
+                   .onRejected = [this](const std::string &) { rejections_ += 1; },
+               })
+{
+    configure(standin_);
+    thread_ = std::thread([this]() { loop_.run(); });
+}
+
+StandinServer::~StandinServer()
+{
+    loop_.stop();
+    thread_.join();
+}
+
+auto StandinServer::address() const -> const std::string &
+{
+    return standin_.address();
+}
+
+auto StandinServer::executions() const -> int
+{
+    return executions_;
+}
+
+auto StandinServer::rejections() const -> int
+{
+    return rejections_;
+}
+
+} // namespace auburnspread::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/standinserver.h
@@ -0,0 +1,39 @@
+/// \file
+/// A stand-in for a backend server, on an event loop in a separate thread.
+
+#pragma once
+
+#include "platform/standins/serverstandin.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace auburnspread::gateway::tests
+{
+
+class StandinServer
+{
+public:
+    /// \p configure is called before the server accepts its first request.
+    StandinServer(const std::string &id, const std::function<void(adapter::standins::ServerStandin &standin)> &configure);
+    ~StandinServer();
+    StandinServer(const StandinServer &) = delete;
+    auto operator=(const StandinServer &) -> StandinServer & = delete;
+
+    [[nodiscard]] auto address() const -> const std::string &;
+    /// Number of requests that it has begun to execute.
+    [[nodiscard]] auto executions() const -> int;
+    /// Number of requests that it has rejected.
+    [[nodiscard]] auto rejections() const -> int;
+
+private:
+    task::EventLoop loop_;
+    std::atomic<int> executions_ = 0;
+    std::atomic<int> rejections_ = 0;
+    adapter::standins::ServerStandin standin_;
+    std::thread thread_;
+};
+
+} // namespace auburnspread::gateway::tests
