A server that states its leaving in its answers gets no new requests

Nothing read the statement: the adapter had no place for it, and entries learnt of a leaving from the store's list alone, which can't tell while the store is down. Ruled out: a statement that was read and overwritten by a list (there was no reader), and requests that were sent before (the request was sent 19.88 s, by a list 0.56 s old that still called the server available). Class: a fact that comes on a second way, of which only the first is read; as the rate limit before it.

Change: platform/ decodes the statement into ServerNotice; the core keeps it with this run of the server (core/passthrough/servernotice) and isUsable() asks for it, so first sends, retries, resumes, the choice of engines and the sources of copies all obey it, also where no other server is fit. The entry's own calls (lists of caches) obey it and read it too. It counts for the run alone: a restart under the same id, a reused address and a late answer of an earlier run start clean; the answer of another server at the address (421) does not count.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -7,6 +7,7 @@
 #include "core/base/ids.h"
 #include "core/base/reason.h"
 #include "core/base/time.h"
+#include "core/passthrough/servernotice.h"
 
 #include <cstdint>
 #include <optional>
@@ -97,7 +98,13 @@
     bool isSharer = false;           ///< whether this entry is one of them
 };
 
-using Action = std::variant<Send, Cancel, Deliver, Refuse, AbortAnswer, Complete, ReportCrashes, RateLimitChanged>;
+/// A backend server stated that it wants no requests; for logs.
+struct NoticeApplied {
+    std::string server;
+    ServerNotice notice;
+};
+
+using Action = std::variant<Send, Cancel, Deliver, Refuse, AbortAnswer, Complete, ReportCrashes, RateLimitChanged, NoticeApplied>;
 using Actions = std::vector<Action>;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -7,6 +7,7 @@
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/passthrough/configuration.h"
+#include "core/passthrough/servernotice.h"
 
 #include <cstdint>
 #include <optional>
@@ -67,6 +68,19 @@
     std::optional<double> perSecond; ///< requests from all entries together; not set: no limit
 };
 
+/// A response head arrived in which its server states that it wants no requests.
+struct AttemptNoticed {
+    AttemptId attempt{};
+    ServerNotice notice;
+};
+
+/// The same in the response to a call of this entry's own.
+struct CallNoticed {
+    std::string server;         ///< server id
+    std::int64_t startedAt = 0; ///< run of the server that was called, see Server::startedAt
+    ServerNotice notice;
+};
+
 /// A complete response was buffered; nothing of it has been sent to the caller.
 struct AttemptAnswered {
     AttemptId attempt{};
@@ -196,6 +210,8 @@
                            AttemptStarted,
                            AttemptProgress,
                            RateLimitReported,
+                           AttemptNoticed,
+                           CallNoticed,
                            AttemptAnswered,
                            AttemptFinished,
                            AttemptFailed,
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -179,6 +179,13 @@
     endWithoutAnswer(state, request, Reason::DeadlinePassed, actions);
 }
 
+auto takeNotice(ServerState &server, const ServerNotice &notice, Actions &actions) -> void
+{
+    if (recordNotice(server, notice)) {
+        actions.emplace_back(NoticeApplied{ .server = server.record.id, .notice = notice });
+    }
+}
+
 /// Reason why no server was found for a queued request.
 auto reasonForNoServer(const RouterState &state, const Request &request) -> Reason
 {
@@ -261,6 +268,22 @@
     }
 }
 
+auto handleAttemptNotice(RouterState &state, const AttemptNoticed &event, Actions &actions) -> void
+{
+    if (auto *attempt = findAttempt(state, event.attempt)) {
+        takeNotice(*attempt->server, event.notice, actions);
+    }
+}
+
+auto handleCallNotice(RouterState &state, const CallNoticed &event, Actions &actions) -> void
+{
+    const auto server = findServer(state.servers, event.server);
+    // the server may have restarted since the call was sent
+    if (server && server->record.startedAt == event.startedAt) {
+        takeNotice(*server, event.notice, actions);
+    }
+}
+
 auto handleProgress(RouterState &state, const AttemptProgress &event) -> void
 {
     auto *attempt = findAttempt(state, event.attempt);
--- a/src/core/passthrough/internal/ending.h
+++ b/src/core/passthrough/internal/ending.h
@@ -12,6 +12,8 @@
 
 auto handleStarted(RouterState &state, const AttemptStarted &event) -> void;
 auto handleRateLimit(RouterState &state, const RateLimitReported &event) -> void;
+auto handleAttemptNotice(RouterState &state, const AttemptNoticed &event, Actions &actions) -> void;
+auto handleCallNotice(RouterState &state, const CallNoticed &event, Actions &actions) -> void;
 auto handleProgress(RouterState &state, const AttemptProgress &event) -> void;
 auto handleAnswered(RouterState &state, const AttemptAnswered &event, Actions &actions) -> void;
 auto handleFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void;
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -72,6 +72,14 @@
     {
         detail::handleRateLimit(state, event);
     }
+    auto operator()(const AttemptNoticed &event) const -> void
+    {
+        detail::handleAttemptNotice(state, event, actions);
+    }
+    auto operator()(const CallNoticed &event) const -> void
+    {
+        detail::handleCallNotice(state, event, actions);
+    }
     auto operator()(const AttemptAnswered &event) const -> void
     {
         detail::handleAnswered(state, event, actions);
@@ -218,6 +226,12 @@
     return load;
 }
 
+auto acceptsCalls(const RouterState &state, std::string_view server) -> bool
+{
+    const auto found = findServer(state.servers, server);
+    return found && !found->record.isLeaving && acceptsRequests(found->stated);
+}
+
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
 {
     std::uint32_t waiting = 0;
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace auburnspread::passthrough
 {
@@ -55,6 +56,9 @@
 };
 auto loadOfService(const RouterState &state, const std::string &service, TimePoint now) -> ServiceLoad;
 
+/// Whether this entry may call the backend server for purposes of its own, such as reading an engine's cache.
+auto acceptsCalls(const RouterState &state, std::string_view server) -> bool;
+
 /// Status of the router for operators.
 struct RouterStatus {
     std::uint64_t configurationVersion = 0; ///< 0: none yet
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -81,6 +81,43 @@
     }
 }
 
+/// Rank of this entry in the server's rendezvous hash order of all entries.
+auto senderRankOf(const ServerTable &table, const ServerState &server) -> std::uint32_t
+{
+    const auto scoreOf = [&server](std::uint64_t entry) { return XXH64(&entry, sizeof entry, server.hash); };
+    const auto ownScore = scoreOf(table.ownNameHash);
+    const auto isBefore = [&](std::uint64_t entry) { return scoreOf(entry) > ownScore; };
+    return static_cast<std::uint32_t>(std::count_if(table.entryNameHashes.begin(), table.entryNameHashes.end(), isBefore));
+}
+
+/// Time for which a removed server is remembered. A server that is leaving may go on serving for many seconds.
+constexpr Duration RemovedServerRetention = std::chrono::seconds(60);
+
+auto isSameRun(const ServerState &server, const Server &record) -> bool
+{
+    return server.record.startedAt == record.startedAt && server.record.service == record.service;
+}
+
+/// \return the state of a server that left the list, if this is the same run of it; otherwise a new state
+auto restoreOrCreate(ServerTable &table, const Server &record) -> ServerPointer
+{
+    const auto node = table.removed.extract(record.id);
+    if (node && isSameRun(*node.mapped().server, record)) {
+        const auto &server = node.mapped().server;
+        server->limit.senderRank = senderRankOf(table, *server); // the entries may have changed in the meantime
+        return server;
+    }
+    auto server = std::make_shared<ServerState>();
+    server->hash = hashOf(record.id);
+    return server;
+}
+
+auto remove(ServerTable &table, const ServerPointer &server, TimePoint now) -> void
+{
+    table.removed[server->record.id] = { .server = server, .removedAt = now };
+    table.byId.erase(server->record.id);
+}
+
 /// Adds or updates a server. A server that restarted under its id gets a new state; attempts on its earlier run keep the old state
 /// until they end.
 ///
@@ -90,10 +127,9 @@
 auto applyRecord(ServerTable &table, const Server &record) -> bool
 {
     auto &server = table.byId[record.id];
-    const auto isNew = !server || server->record.startedAt != record.startedAt || server->record.service != record.service;
+    const auto isNew = !server || !isSameRun(*server, record);
     if (isNew) {
-        server = std::make_shared<ServerState>();
-        server->hash = hashOf(record.id);
+        server = restoreOrCreate(table, record);
     }
     server->record = record;
     server->returnDeadline.reset();
@@ -119,6 +155,22 @@
     return server.returnDeadline && now < *server.returnDeadline;
 }
 
+/// Removes the servers for which \p condition returns true. \return their number
+template <typename Condition>
+auto removeIf(ServerTable &table, TimePoint now, Condition condition) -> std::size_t
+{
+    std::vector<ServerPointer> matching;
+    for (const auto &[id, server] : table.byId) {
+        if (condition(*server)) {
+            matching.push_back(server);
+        }
+    }
+    for (const auto &server : matching) {
+        remove(table, server, now);
+    }
+    return matching.size();
+}
+
 } // namespace
 
 auto applyServerList(ServerTable &table, const ServersListed &list, TimePoint now) -> void
@@ -129,7 +181,7 @@
         present.insert(record.id);
         applyRecord(table, record);
     }
-    std::erase_if(table.byId, [&](const auto &item) { return !present.contains(item.first) && !keepUntilReturn(*item.second, returnDeadline, now); });
+    removeIf(table, now, [&](ServerState &server) { return !present.contains(server.record.id) && !keepUntilReturn(server, returnDeadline, now); });
     table.listAsOf = std::max(table.listAsOf, list.asOf);
     indexByService(table);
 }
@@ -142,9 +194,9 @@
         needsIndexing = applyRecord(table, record) || needsIndexing;
     }
     for (const auto &id : change.removed) {
-        const auto found = table.byId.find(id);
-        if (found != table.byId.end() && !keepUntilReturn(*found->second, returnDeadline, now)) {
-            table.byId.erase(found);
+        const auto server = findServer(table, id);
+        if (server && !keepUntilReturn(*server, returnDeadline, now)) {
+            remove(table, server, now);
         }
         needsIndexing = true;
     }
@@ -156,13 +208,11 @@
 
 auto removeLapsedServers(ServerTable &table, TimePoint now) -> void
 {
+    std::erase_if(table.removed, [now](const auto &item) { return now - item.second.removedAt >= RemovedServerRetention; });
     if (!table.hasLapsedServers) {
         return;
     }
-    const auto dropped = std::erase_if(table.byId, [now](const auto &item) {
-        const auto &returnDeadline = item.second->returnDeadline;
-        return returnDeadline && now >= *returnDeadline;
-    });
+    const auto dropped = removeIf(table, now, [now](const ServerState &server) { return server.returnDeadline && now >= *server.returnDeadline; });
     if (dropped > 0) {
         indexByService(table);
     }
@@ -175,15 +225,6 @@
 /// server.
 constexpr Duration LimitEndReportedFor = std::chrono::seconds(3);
 
-/// Rank of this entry in the server's rendezvous hash order of all entries.
-auto senderRankOf(const ServerTable &table, const ServerState &server) -> std::uint32_t
-{
-    const auto scoreOf = [&server](std::uint64_t entry) { return XXH64(&entry, sizeof entry, server.hash); };
-    const auto ownScore = scoreOf(table.ownNameHash);
-    const auto isBefore = [&](std::uint64_t entry) { return scoreOf(entry) > ownScore; };
-    return static_cast<std::uint32_t>(std::count_if(table.entryNameHashes.begin(), table.entryNameHashes.end(), isBefore));
-}
-
 auto handleLimitChange(ServerTable &table, ServerState &server) -> void
 {
     server.limit.senderRank = senderRankOf(table, server);
@@ -256,6 +297,11 @@
     return isReportable ? std::optional(PeerReported::Limit{ .perSecond = newest.perSecond, .age = now - newest.at }) : std::nullopt;
 }
 
+auto recordNotice(ServerState &server, const ServerNotice &notice) -> bool
+{
+    return applyNotice(server.stated, notice);
+}
+
 auto shardForKey(const ServerGroup &group, std::uint64_t key) -> std::size_t
 {
     return key % group.shards.size();
@@ -385,7 +431,8 @@
 
 auto isUsable(const ServerState &server, TimePoint now) -> bool
 {
-    return !server.record.isLeaving && now >= server.suspendedUntil && now >= server.ejectedUntil && !isUnresponsive(server, now);
+    return !server.record.isLeaving && acceptsRequests(server.stated) && now >= server.suspendedUntil && now >= server.ejectedUntil
+        && !isUnresponsive(server, now);
 }
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -12,6 +12,7 @@
 #include "core/passthrough/errorevidence.h"
 #include "core/passthrough/events.h"
 #include "core/passthrough/serverlimit.h"
+#include "core/passthrough/servernotice.h"
 
 #include <cstdint>
 #include <map>
@@ -68,6 +69,7 @@
     double slowness = 1;         ///< moving average of the ratio of observed to expected time to the first byte
 
     ServerLimit limit;
+    StatedAvailability stated; ///< what the server has stated in its answers to this entry
 
     EngineCache cache;
     RecentlySentParts ownSentParts;    ///< prompt parts sent by this entry
@@ -87,11 +89,20 @@
     std::vector<std::vector<ServerPointer>> shards;
 };
 
+/// A server that left the list.
+struct RemovedServer {
+    ServerPointer server;
+    TimePoint removedAt;
+};
+
 /// All known servers. A server that left the list is removed from all indexes; attempts in flight on it keep its state alive
 /// until they end.
 struct ServerTable {
     std::map<std::string, ServerPointer, std::less<>> byId;
     std::unordered_map<std::string, ServerGroup> byService;
+    /// Servers that left the list recently, by id. A registration that lapses or is unreadable for a moment comes back, and the server
+    /// then keeps its state; otherwise a server that has stated that it is leaving would get requests again.
+    std::map<std::string, RemovedServer, std::less<>> removed;
     TimePoint listAsOf;            ///< time as of which the server list is current
     bool hasLapsedServers = false; ///< whether any server is missing from the list but kept; see ServerState::returnDeadline
     /// The latest report of an entry, a failure domain or the fleet.
@@ -121,7 +132,7 @@
 auto applyServerList(ServerTable &table, const ServersListed &list, TimePoint now) -> void;
 auto applyServerChanges(ServerTable &table, const ServersChanged &change, TimePoint now) -> void;
 /// @}
-/// Removes servers that have not returned to the list in time after a registry outage.
+/// Removes servers that have not returned to the list in time after a registry outage, and forgets those that left it long ago.
 auto removeLapsedServers(ServerTable &table, TimePoint now) -> void;
 
 /// Index of the shard to which \p key maps, and of the one to try when that shard has no capacity.
@@ -146,6 +157,9 @@
 auto limitForReport(const ServerState &server, ReportScope scope, TimePoint now) -> std::optional<PeerReported::Limit>;
 /// @}
 
+/// Applies what the server states in an answer to this entry. \return whether this changed what is known of the server
+auto recordNotice(ServerState &server, const ServerNotice &notice) -> bool;
+
 /// Has the next report of this entry consider the server.
 auto markReportable(ServerTable &table, const ServerState &server) -> void;
 
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -221,6 +221,13 @@
             { "shares", change.isSharer } });
 }
 
+auto Accounting::serverNoticed(const passthrough::NoticeApplied &action, Duration serversAge) -> void
+{
+    event(Level::Info,
+          "server-notice",
+          { { "peer", action.server }, { "leaving", action.notice.isLeaving }, { "servers_age_ms", wholeMilliseconds(serversAge) } });
+}
+
 auto Accounting::readinessChanged(bool ready, std::string_view reason) -> void
 {
     event(Level::Info, "readiness-changed", { { "ready", ready }, { "reason", reason } });
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -60,6 +60,8 @@
     auto crashCounted(const passthrough::ReportCrashes &crashes) -> void;
     /// The rate limit of a backend server changed.
     auto serverLimitChanged(const passthrough::RateLimitChanged &change) -> void;
+    /// A backend server stated that it wants no requests. \p serversAge: age of the list of backend servers
+    auto serverNoticed(const passthrough::NoticeApplied &action, Duration serversAge) -> void;
     auto readinessChanged(bool ready, std::string_view reason) -> void;
     /// @}
 
--- a/src/gateway/cachereader.cpp
+++ b/src/gateway/cachereader.cpp
@@ -1,6 +1,7 @@
 #include "gateway/cachereader.h"
 
 #include "core/fleet/readers.h"
+#include "platform/callerrequest.h"
 #include "platform/enginecalls.h"
 
 #include <algorithm>
@@ -35,12 +36,15 @@
 
 auto CacheReader::ask(const passthrough::Server &server) -> void
 {
-    client_.fetch(adapter::makeCacheList(server.address), [this, id = server.id](const http::Result &result) {
+    client_.fetch(adapter::makeCacheList(server.address), [this, id = server.id, startedAt = server.startedAt](const http::Result &result) {
         if (const auto *error = std::get_if<http::Error>(&result)) {
             callbacks_.onFailed(id, error->text);
             return;
         }
         const auto &response = std::get<http::Response>(result);
+        if (const auto notice = adapter::decodeServerNotice(response.headers); notice.isLeaving) {
+            callbacks_.onNotice({ .server = id, .startedAt = startedAt, .notice = notice });
+        }
         auto parts = adapter::decodeCacheList(response);
         if (!parts) {
             callbacks_.onFailed(id, "status " + std::to_string(response.status));
--- a/src/gateway/cachereader.h
+++ b/src/gateway/cachereader.h
@@ -23,6 +23,7 @@
 struct CacheReaderCallbacks {
     std::function<void(const passthrough::CacheListed &listed)> onListed;
     std::function<void(std::string_view server, const std::string &detail)> onFailed;
+    std::function<void(const passthrough::CallNoticed &event)> onNotice; ///< the engine states that it wants no requests
 };
 
 class CacheReader
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -82,6 +82,7 @@
               {
                   .onListed = [this](const passthrough::CacheListed &listed) { handleCacheList(listed); },
                   .onFailed = [this](std::string_view server, const std::string &detail) { accounting_.cacheNotListed(server, detail); },
+                  .onNotice = [this](const passthrough::CallNoticed &event) { callbacks_.onEvent(event); },
               })
     , directoryPage_(loop, known_)
     , reports_(loop, router, peers_, known_, self_)
@@ -512,7 +513,7 @@
     }
     std::vector<passthrough::Server> engines;
     std::copy_if(known_.servers.begin(), known_.servers.end(), std::back_inserter(engines), [this](const passthrough::Server &server) {
-        return engineServices_.contains(server.service);
+        return engineServices_.contains(server.service) && passthrough::acceptsCalls(router_, server.id);
     });
     std::vector<std::string> entries;
     std::transform(known_.entries.begin(), known_.entries.end(), std::back_inserter(entries), [](const fleet::EntryRecord &entry) { return entry.name; });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,6 +101,7 @@
     auto execute(const passthrough::Complete &action) -> void;
     auto execute(const passthrough::ReportCrashes &action) -> void;
     auto execute(const passthrough::RateLimitChanged &change) -> void;
+    auto execute(const passthrough::NoticeApplied &action) -> void;
 
     auto handleRequest(RequestId id, BufferedRequestPointer message) -> void;
     auto handleCallerGone(RequestId id) -> void;
@@ -156,6 +157,8 @@
               .onStarted = [this](AttemptId attempt, bool isForwarded) { handleAttemptStarted(attempt, isForwarded); },
               .onRateLimit = [this](AttemptId attempt,
                                     std::optional<double> perSecond) { apply(passthrough::RateLimitReported{ .attempt = attempt, .perSecond = perSecond }); },
+              .onNotice = [this](AttemptId attempt,
+                                 const passthrough::ServerNotice &notice) { apply(passthrough::AttemptNoticed{ .attempt = attempt, .notice = notice }); },
               .onStreamStarted = [this](AttemptId attempt, int status, const http::Headers &headers) { beginStream(attempt, status, headers); },
               .onEvents = [this](AttemptId attempt, std::string_view events) { relayEvents(attempt, events); },
               .onStreamEnded = [this](AttemptId attempt) { handleStreamEnd(attempt); },
@@ -298,6 +301,11 @@
     accounting.serverLimitChanged(change);
 }
 
+auto Gateway::Impl::execute(const passthrough::NoticeApplied &action) -> void
+{
+    accounting.serverNoticed(action, fleet.serversAge(now()));
+}
+
 auto Gateway::Impl::handleRequest(RequestId id, BufferedRequestPointer message) -> void
 {
     passthrough::RequestArrived arrived{ .request = id, .path = message->target };
--- a/src/gateway/tests/serverleaving_tests.cpp
+++ b/src/gateway/tests/serverleaving_tests.cpp
@@ -1,5 +1,6 @@
 #include "gateway/tests/site.h"
 #include "gateway/tests/standinserver.h"
+#include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
 
@@ -7,6 +8,7 @@
 
 using namespace auburnspread::gateway::tests;
 using auburnspread::adapter::standins::ServerStandin;
+namespace standins = auburnspread::adapter::standins;
 
 namespace
 {
@@ -59,3 +61,17 @@
     EXPECT_TRUE(contains(answer, "Retry-After")) << answer;
     EXPECT_EQ(leaving.executions(), 1);
 }
+
+/// Guards against a server that is taken out of use for good by the statement of another one, which has its former address.
+TEST(ServerLeavingTests, aStatementOfAnotherServerAtTheAddressDoesNotCount)
+{
+    SiteWithServer served;
+    {
+        const auto connection = served.sendAndAccept(makeRequest("/notice/1", "id-1", "x"));
+        connection.send(makeAnswerHead("id-1", "421 Misdirected Request") + standins::leavingLine() + "\r\nContent-Length: 0\r\n\r\n");
+        served.caller.readUntil(EndOfHead);
+    }
+    const auto connection = served.sendAndAccept(makeRequest("/notice/2", "id-2", "x"));
+    connection.send(makeAnswer("id-2", "done"));
+    EXPECT_TRUE(contains(served.caller.readUntil("done"), "200"));
+}
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -112,6 +112,13 @@
     return !attempt.rejection && isSuccess(attempt.response.status) && !attempt.head.isLimitUnreadable;
 }
 
+/// Whether the head states something about the availability of the attempt's server. That is independent of the request, so it also
+/// counts in a response to an earlier request on the connection, but not if another server has the address.
+auto carriesNotice(const Attempt &attempt) -> bool
+{
+    return !attempt.head.wrongServer && attempt.head.notice.isLeaving;
+}
+
 auto drainBuffer(evbuffer *buffer) -> std::string
 {
     std::string bytes(evbuffer_get_length(buffer), '\0');
@@ -256,6 +263,9 @@
     attempt.rejection = checkResponseHead(attempt);
     attempt.isRelayed = attempt.isStream && isSuccess(attempt.response.status) && !attempt.rejection;
     attempt.progressDeadline = deadlineAfter(attempt.progressTimeout);
+    if (carriesNotice(attempt)) {
+        callbacks.onNotice(attempt.id, attempt.head.notice);
+    }
     if (carriesRateLimit(attempt)) {
         callbacks.onRateLimit(attempt.id, attempt.head.perSecond);
     }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -30,6 +30,8 @@
     std::function<void(AttemptId attempt, bool isForwarded)> onStarted;
     /// The response head states the rate limit of the server in requests per second, summed over all entries; not set: no limit.
     std::function<void(AttemptId attempt, std::optional<double> perSecond)> onRateLimit;
+    /// The response head states that its server wants no requests.
+    std::function<void(AttemptId attempt, const passthrough::ServerNotice &notice)> onNotice;
     std::function<void(AttemptId attempt, int status, const http::Headers &headers)> onStreamStarted; ///< called right before the first onEvents
     /// Bytes of a relayed stream: complete events, and at the end of the stream whatever follows the last one.
     std::function<void(AttemptId attempt, std::string_view events)> onEvents;
