A server that asks for a pause gets no requests until it ends, and callers learn when

Nothing read the Retry-After of a server's 503: the adapter had no place for it. Ruled out: a pause that is passed over where no other server is fit (arrivals did not change at all at 6.0 s, while engines stood idle), and requests that were sent before (the excess lasted 9 s). Class: as for the leaving: a statement in an answer that nothing reads. Looked for elsewhere: of the headers of answers that the users' pages name, the rest is read (Not-Executed, Keep-Alive, Connection, Server-Limit, signature) but Weight-Versions, which asks for nothing.

Change: platform/ decodes it into ServerNotice::backoff, the core keeps the latest end with the run of the server, and isUsable() asks for it, also where no other server is fit; the entry's own calls as well. A rejection with a backoff changes no failure rate. Where all servers that stay are in a backoff, a request waits if the first one ends in time; else it is refused at once as backend-backoff, and every refusal states the first end, plus the usual spread.

--- a/src/core/base/reason.h
+++ b/src/core/base/reason.h
@@ -39,6 +39,7 @@
     DeadlinePassed,
     NoBackendServer,
     BackendLimited,
+    BackendBackoff,
     BackendFailed,
     RetryBudget,
     StreamBroken,
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -110,7 +110,7 @@
         .reason = reason,
         .outcome = Outcome::NotRun,
         .status = statusOfRefusal(reason),
-        .retryAfter = retryAfterOf(state, reason),
+        .retryAfter = retryAfterOf(state, reason, Duration::zero()),
         .informationAge = state.now - state.confirmedAt,
     });
 }
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -274,6 +274,13 @@
     return canSendNow(second) || !placement.server ? second : placement;
 }
 
+/// Whether every server of the service has requested a backoff that lasts longer than the request can wait.
+auto doBackoffsOutlastWaiting(const RouterState &state, const Request &request) -> bool
+{
+    const auto backoffEnd = firstBackoffEnd(state.servers, request.service, state.now);
+    return backoffEnd && *backoffEnd > (request.mayHaveRun ? request.deadline : request.queueDeadline);
+}
+
 /// Sends the request, or ends it if it must not be sent.
 /// \return false if the request stays in the queue
 auto trySend(RouterState &state, Request &request, Actions &actions) -> bool
@@ -295,6 +302,10 @@
     const auto placement = place(state, request);
     request.awaitedServer = placement.mustWait ? placement.server : nullptr;
     request.waitingTokens = placement.load.unreadTokens;
+    if (!placement.server && doBackoffsOutlastWaiting(state, request)) {
+        endWithoutAnswer(state, request, Reason::BackendBackoff, actions);
+        return true;
+    }
     if (!placement.server || placement.mustWait) {
         return false;
     }
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -155,6 +155,13 @@
     dispatchService(state, service, actions);
 }
 
+/// Time until one of the service's servers accepts requests again; zero if not all of them have requested a backoff.
+auto timeUntilBackoffEnds(const RouterState &state, const std::string &service) -> Duration
+{
+    const auto end = firstBackoffEnd(state.servers, service, state.now);
+    return end ? *end - state.now : Duration::zero();
+}
+
 /// Status 503 states that the request did not run; 502 and 504 leave that open.
 auto statusOfEnd(const Request &request, Reason reason) -> int
 {
@@ -179,9 +186,9 @@
     endWithoutAnswer(state, request, Reason::DeadlinePassed, actions);
 }
 
-auto takeNotice(ServerState &server, const ServerNotice &notice, Actions &actions) -> void
+auto takeNotice(ServerState &server, const ServerNotice &notice, TimePoint now, Actions &actions) -> void
 {
-    if (recordNotice(server, notice)) {
+    if (recordNotice(server, notice, now)) {
         actions.emplace_back(NoticeApplied{ .server = server.record.id, .notice = notice });
     }
 }
@@ -189,6 +196,9 @@
 /// Reason why no server was found for a queued request.
 auto reasonForNoServer(const RouterState &state, const Request &request) -> Reason
 {
+    if (firstBackoffEnd(state.servers, request.service, state.now)) {
+        return Reason::BackendBackoff;
+    }
     const auto found = state.servers.byService.find(request.service);
     if (found == state.servers.byService.end()) {
         return Reason::NoBackendServer;
@@ -211,7 +221,7 @@
     return status >= FirstErrorStatus || reason == Reason::Quarantined ? UnavailableStatus : status;
 }
 
-auto retryAfterOf(RouterState &state, Reason reason) -> std::optional<Duration>
+auto retryAfterOf(RouterState &state, Reason reason, Duration earliest) -> std::optional<Duration>
 {
     if (!reasonInfo(reason).retryHelps) {
         return std::nullopt;
@@ -220,7 +230,7 @@
     constexpr Duration Step = std::chrono::milliseconds(50);
     constexpr std::uint64_t Steps = 20;
     const auto minDelay = std::chrono::milliseconds(reason == Reason::NoBackendServer || reason == Reason::BackendLimited ? 400 : 150);
-    return minDelay + Step * static_cast<Duration::rep>(state.lastOrder++ % Steps);
+    return std::max<Duration>(minDelay, earliest) + Step * static_cast<Duration::rep>(state.lastOrder++ % Steps);
 }
 
 auto endWithoutAnswer(RouterState &state, Request &request, Reason reason, Actions &actions) -> void
@@ -235,7 +245,7 @@
             .reason = reason,
             .outcome = request.mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun,
             .status = status,
-            .retryAfter = request.mayHaveRun ? std::nullopt : retryAfterOf(state, reason),
+            .retryAfter = request.mayHaveRun ? std::nullopt : retryAfterOf(state, reason, timeUntilBackoffEnds(state, request.service)),
             .peer = request.lastPeer,
             .informationAge = state.now - state.confirmedAt,
         });
@@ -271,7 +281,7 @@
 auto handleAttemptNotice(RouterState &state, const AttemptNoticed &event, Actions &actions) -> void
 {
     if (auto *attempt = findAttempt(state, event.attempt)) {
-        takeNotice(*attempt->server, event.notice, actions);
+        takeNotice(*attempt->server, event.notice, state.now, actions);
     }
 }
 
@@ -280,7 +290,7 @@
     const auto server = findServer(state.servers, event.server);
     // the server may have restarted since the call was sent
     if (server && server->record.startedAt == event.startedAt) {
-        takeNotice(*server, event.notice, actions);
+        takeNotice(*server, event.notice, state.now, actions);
     }
 }
 
@@ -357,7 +367,11 @@
     }
     auto &request = state.requests.at(attempt->request);
     const auto server = closeAttempt(state, event.attempt);
-    recordFailure(*server, event.failure, state.now);
+    if (event.failure == Failure::NotStarted && !acceptsRequests(server->stated, state.now)) {
+        recordActivity(*server); // a server that rejects requests on purpose is not failing
+    } else {
+        recordFailure(*server, event.failure, state.now);
+    }
     if (isServerFault(event.failure)) {
         recordOutcome(state, request, *server, event.failure);
     }
--- a/src/core/passthrough/internal/ending.h
+++ b/src/core/passthrough/internal/ending.h
@@ -28,7 +28,7 @@
 /// HTTP status of a refusal for a request that did not run. A quarantined request gets 503 because nothing shows that the request
 /// itself is invalid.
 auto statusOfRefusal(Reason reason) -> int;
-/// Delay after which a caller that was refused for \p reason should retry; not set if a retry does not help.
-auto retryAfterOf(RouterState &state, Reason reason) -> std::optional<Duration>;
+/// Delay after which a caller that was refused for \p reason should retry, at least \p earliest; not set if a retry does not help.
+auto retryAfterOf(RouterState &state, Reason reason, Duration earliest) -> std::optional<Duration>;
 
 } // namespace auburnspread::passthrough::detail
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -226,10 +226,16 @@
     return load;
 }
 
-auto acceptsCalls(const RouterState &state, std::string_view server) -> bool
+auto acceptsCalls(const RouterState &state, std::string_view server, TimePoint now) -> bool
 {
     const auto found = findServer(state.servers, server);
-    return found && !found->record.isLeaving && acceptsRequests(found->stated);
+    return found && !found->record.isLeaving && acceptsRequests(found->stated, now);
+}
+
+auto countServersInBackoff(const RouterState &state, TimePoint now) -> std::uint32_t
+{
+    const auto isCounted = [now](const auto &item) { return isInBackoff(item.second->stated, now); };
+    return static_cast<std::uint32_t>(std::count_if(state.servers.byId.begin(), state.servers.byId.end(), isCounted));
 }
 
 auto statusOf(const RouterState &state, TimePoint now) -> RouterStatus
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -57,7 +57,10 @@
 auto loadOfService(const RouterState &state, const std::string &service, TimePoint now) -> ServiceLoad;
 
 /// Whether this entry may call the backend server for purposes of its own, such as reading an engine's cache.
-auto acceptsCalls(const RouterState &state, std::string_view server) -> bool;
+auto acceptsCalls(const RouterState &state, std::string_view server, TimePoint now) -> bool;
+
+/// Number of backend servers that have requested a backoff from this entry.
+auto countServersInBackoff(const RouterState &state, TimePoint now) -> std::uint32_t;
 
 /// Status of the router for operators.
 struct RouterStatus {
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -297,9 +297,9 @@
     return isReportable ? std::optional(PeerReported::Limit{ .perSecond = newest.perSecond, .age = now - newest.at }) : std::nullopt;
 }
 
-auto recordNotice(ServerState &server, const ServerNotice &notice) -> bool
+auto recordNotice(ServerState &server, const ServerNotice &notice, TimePoint now) -> bool
 {
-    return applyNotice(server.stated, notice);
+    return applyNotice(server.stated, notice, now);
 }
 
 auto shardForKey(const ServerGroup &group, std::uint64_t key) -> std::size_t
@@ -429,9 +429,28 @@
     return server.responseDueAt && now > *server.responseDueAt && now - server.lastSentAt < SilenceProbe;
 }
 
+auto firstBackoffEnd(const ServerTable &table, const std::string &service, TimePoint now) -> std::optional<TimePoint>
+{
+    const auto group = table.byService.find(service);
+    if (group == table.byService.end()) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> first;
+    for (const auto &server : group->second.all) {
+        if (server->record.isLeaving || server->stated.isLeaving) {
+            continue;
+        }
+        if (!isInBackoff(server->stated, now)) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(server->stated.backoffUntil), server->stated.backoffUntil);
+    }
+    return first;
+}
+
 auto isUsable(const ServerState &server, TimePoint now) -> bool
 {
-    return !server.record.isLeaving && acceptsRequests(server.stated) && now >= server.suspendedUntil && now >= server.ejectedUntil
+    return !server.record.isLeaving && acceptsRequests(server.stated, now) && now >= server.suspendedUntil && now >= server.ejectedUntil
         && !isUnresponsive(server, now);
 }
 
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -158,7 +158,7 @@
 /// @}
 
 /// Applies what the server states in an answer to this entry. \return whether this changed what is known of the server
-auto recordNotice(ServerState &server, const ServerNotice &notice) -> bool;
+auto recordNotice(ServerState &server, const ServerNotice &notice, TimePoint now) -> bool;
 
 /// Has the next report of this entry consider the server.
 auto markReportable(ServerTable &table, const ServerState &server) -> void;
@@ -186,6 +186,8 @@
 
 /// Whether new requests may be sent to the server.
 auto isUsable(const ServerState &server, TimePoint now) -> bool;
+/// \return when the first backoff of the service's servers ends, if all of those that are not leaving have requested one
+auto firstBackoffEnd(const ServerTable &table, const std::string &service, TimePoint now) -> std::optional<TimePoint>;
 /// Whether a response is overdue and it is not yet time to probe the server with another request.
 auto isUnresponsive(const ServerState &server, TimePoint now) -> bool;
 
--- a/src/core/passthrough/tests/servernotice_tests.cpp
+++ b/src/core/passthrough/tests/servernotice_tests.cpp
@@ -19,6 +19,8 @@
     bool isListed = true;
     bool isLeaving = false;
     bool hasStatedLeaving = false; ///< in an answer to the entry
+    bool isOverloaded = false;     ///< rejects requests and asks for a backoff
+    TimePoint backoffUntil;        ///< latest end of the backoffs that it has asked the entry for
 };
 
 struct OpenAttempt {
@@ -60,9 +62,18 @@
             take(harness_.apply(AttemptFailed{ .attempt = attempt.send.attempt, .failure = Failure::BrokenBeforeFirstByte }));
             return;
         }
-        if (server.isLeaving) {
-            server.hasStatedLeaving = true;
-            take(harness_.apply(AttemptNoticed{ .attempt = attempt.send.attempt, .notice = { .isLeaving = true } }));
+        ServerNotice notice{ .isLeaving = server.isLeaving };
+        server.hasStatedLeaving = server.hasStatedLeaving || server.isLeaving;
+        if (server.isOverloaded) {
+            notice.backoff = std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
+            server.backoffUntil = std::max(server.backoffUntil, harness_.now() + *notice.backoff);
+        }
+        if (isNotice(notice)) {
+            take(harness_.apply(AttemptNoticed{ .attempt = attempt.send.attempt, .notice = notice }));
+        }
+        if (server.isOverloaded) {
+            take(harness_.apply(AttemptFailed{ .attempt = attempt.send.attempt, .failure = Failure::NotStarted }));
+            return;
         }
         if (*rc::gen::element(true, true, false)) {
             take(harness_.apply(AttemptAnswered{ .attempt = attempt.send.attempt, .status = 200 }));
@@ -75,6 +86,11 @@
     {
         anyServer().isLeaving = true;
     }
+    auto changeLoad() -> void
+    {
+        auto &server = anyServer();
+        server.isOverloaded = !server.isOverloaded;
+    }
     auto restart() -> void
     {
         auto &server = anyServer();
@@ -111,6 +127,7 @@
             if (const auto *send = std::get_if<Send>(&action)) {
                 const auto &server = servers_.at(send->server);
                 RC_ASSERT(!server.hasStatedLeaving);
+                RC_ASSERT(harness_.now() >= server.backoffUntil);
                 open_[send->attempt] = { .send = *send, .serverStartedAt = server.record.startedAt };
             } else if (const auto *cancel = std::get_if<Cancel>(&action)) {
                 open_.erase(cancel->attempt);
@@ -129,6 +146,13 @@
     return find<Send>(harness.arrive(FetchPath));
 }
 
+/// The server rejects the attempt and asks for a backoff.
+auto reject(RouterHarness &harness, const Send &sent, Duration backoff) -> Actions
+{
+    harness.apply(AttemptNoticed{ .attempt = sent.attempt, .notice = { .backoff = backoff } });
+    return harness.apply(AttemptFailed{ .attempt = sent.attempt, .failure = Failure::NotStarted });
+}
+
 auto listOnly(RouterHarness &harness, const std::vector<Server> &servers) -> Actions
 {
     return harness.apply(ServersListed{ .servers = servers, .asOf = harness.now() });
@@ -136,7 +160,8 @@
 
 } // namespace
 
-/// Guards against requests to a server that has stated that it is leaving, in any order of answers, failures, restarts and lists.
+/// Guards against requests to a server that has stated that it is leaving, or during a backoff that it has asked for, in any order of answers, failures,
+/// restarts and lists.
 RC_GTEST_PROP(ServerNoticeTests, aServerGetsNoRequestsAfterItsStatement, ())
 {
     NoticeSimulation simulation;
@@ -147,6 +172,7 @@
             { 8, &NoticeSimulation::answer },
             { 4, &NoticeSimulation::advance },
             { 1, &NoticeSimulation::leave },
+            { 3, &NoticeSimulation::changeLoad },
             { 1, &NoticeSimulation::restart },
             { 2, &NoticeSimulation::lapseOrReturn },
         });
@@ -183,6 +209,80 @@
     server.startedAt = 2;
     listOnly(harness, { server });
     harness.apply(CallNoticed{ .server = "p1", .startedAt = 1, .notice = { .isLeaving = true } });
-    EXPECT_TRUE(acceptsCalls(harness.router(), "p1"));
+    EXPECT_TRUE(acceptsCalls(harness.router(), "p1", harness.now()));
     EXPECT_TRUE(sendOne(harness));
 }
+
+/// Guards against a server that is avoided after its backoff has ended, as if it had failed: of two servers, the nearer one gets the next
+/// request again.
+TEST(ServerNoticeTests, aBackoffIsNoFailure)
+{
+    RouterHarness harness;
+    auto distant = makeServer("p2", "portal", 6);
+    distant.failureDomain = "b";
+    listOnly(harness, { makeServer("p1", "portal", 6), distant });
+    constexpr Duration Backoff = std::chrono::seconds(3);
+    const auto rejected = sendOne(harness);
+    ASSERT_TRUE(rejected && rejected->server == "p1");
+    const auto retried = find<Send>(reject(harness, *rejected, Backoff));
+    ASSERT_TRUE(retried && retried->server == "p2");
+    harness.apply(AttemptAnswered{ .attempt = retried->attempt, .status = 200 });
+    EXPECT_EQ(countServersInBackoff(harness.router(), harness.now()), 1U);
+
+    harness.advance(Backoff);
+    EXPECT_EQ(countServersInBackoff(harness.router(), harness.now()), 0U);
+    const auto next = sendOne(harness);
+    EXPECT_TRUE(next && next->server == "p1");
+}
+
+/// Guards against a shorter backoff that ends a longer one: both were asked for.
+TEST(ServerNoticeTests, theLongestBackoffHolds)
+{
+    RouterHarness harness;
+    listOnly(harness, { makeServer("p1", "portal", 6) });
+    const auto first = sendOne(harness);
+    const auto second = sendOne(harness);
+    ASSERT_TRUE(first && second);
+    reject(harness, *first, std::chrono::seconds(3));
+    reject(harness, *second, std::chrono::seconds(1));
+    harness.advance(std::chrono::milliseconds(2900));
+    EXPECT_FALSE(sendOne(harness));
+}
+
+/// Guards against callers that wait for nothing, or return before any server accepts requests: while all servers are in a backoff, the
+/// refusal comes at once and states when the first one ends.
+TEST(ServerNoticeTests, callersLearnWhenTheFirstBackoffEnds)
+{
+    RouterHarness harness;
+    listOnly(harness, { makeServer("p1", "portal", 6), makeServer("p2", "portal", 6) });
+    constexpr Duration First = std::chrono::seconds(20);
+    constexpr Duration Second = std::chrono::seconds(30);
+    const auto one = sendOne(harness);
+    ASSERT_TRUE(one);
+    harness.apply(AttemptNoticed{ .attempt = one->attempt, .notice = { .backoff = Second } });
+    const auto retried = find<Send>(harness.apply(AttemptFailed{ .attempt = one->attempt, .failure = Failure::NotStarted }));
+    ASSERT_TRUE(retried) << "the other server takes it";
+    const auto refused = find<Refuse>(reject(harness, *retried, First));
+    ASSERT_TRUE(refused);
+    constexpr Duration Spread = std::chrono::seconds(1);
+    EXPECT_GE(refused->retryAfter.value_or(Duration::zero()), First);
+    EXPECT_LE(refused->retryAfter.value_or(Duration::zero()), First + Spread);
+
+    const auto next = find<Refuse>(harness.arrive(FetchPath));
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->reason, Reason::BackendBackoff);
+    EXPECT_GE(next->retryAfter.value_or(Duration::zero()), First);
+}
+
+/// Guards against a refusal although a server accepts requests before the request's queue deadline.
+TEST(ServerNoticeTests, aRequestWaitsForAShortBackoff)
+{
+    RouterHarness harness;
+    listOnly(harness, { makeServer("p1", "portal", 6) });
+    const auto sent = sendOne(harness);
+    ASSERT_TRUE(sent);
+    reject(harness, *sent, std::chrono::milliseconds(500));
+    const auto actions = harness.arrive(FetchPath);
+    EXPECT_FALSE(find<Refuse>(actions));
+    EXPECT_TRUE(find<Send>(harness.advance(std::chrono::milliseconds(600))));
+}
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -42,6 +42,8 @@
     , inFlight_(registry_.gauge({ .name = "auburnspread_attempts_in_flight", .help = "Attempts under way." }))
     , backendServers_(registry_.gauge({ .name = "auburnspread_backend_servers", .help = "Backend servers in the list." }))
     , limitedServers_(registry_.gauge({ .name = "auburnspread_limited_servers", .help = "Backend servers that named a limit on their requests." }))
+    , serversInBackoff_(
+          registry_.gauge({ .name = "auburnspread_servers_in_backoff", .help = "Backend servers that asked this entry for a pause that has not ended." }))
     , aliveEntries_(registry_.gauge({ .name = "auburnspread_entries", .help = "Entries that are alive." }))
     , configurationVersion_(registry_.gauge({ .name = "auburnspread_configuration_version", .help = "Version in force here." }))
     , configurationAge_(registry_.gauge({ .name = "auburnspread_configuration_age_seconds", .help = "Since the configuration was last confirmed." }))
@@ -225,7 +227,10 @@
 {
     event(Level::Info,
           "server-notice",
-          { { "peer", action.server }, { "leaving", action.notice.isLeaving }, { "servers_age_ms", wholeMilliseconds(serversAge) } });
+          { { "peer", action.server },
+            { "leaving", action.notice.isLeaving },
+            { "backoff_ms", wholeMilliseconds(action.notice.backoff.value_or(Duration::zero())) },
+            { "servers_age_ms", wholeMilliseconds(serversAge) } });
 }
 
 auto Accounting::readinessChanged(bool ready, std::string_view reason) -> void
@@ -258,12 +263,13 @@
             { "needed_servers", neededServers } });
 }
 
-auto Accounting::metricsPage(const passthrough::RouterStatus &status, std::uint64_t storeCalls) -> std::string
+auto Accounting::metricsPage(const passthrough::RouterStatus &status, std::uint32_t serversInBackoff, std::uint64_t storeCalls) -> std::string
 {
     waiting_.set(status.waiting);
     inFlight_.set(status.inFlight);
     backendServers_.set(status.servers);
     limitedServers_.set(status.limitedServers);
+    serversInBackoff_.set(serversInBackoff);
     aliveEntries_.set(status.entries);
     configurationVersion_.set(static_cast<double>(status.configurationVersion));
     configurationAge_.set(std::chrono::duration<double>(status.configurationAge).count());
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -73,8 +73,8 @@
     auto serversOrdered(const ordering::Order &order, std::string_view outcome, double neededServers) -> void;
     /// @}
 
-    /// Updates the gauges from \p status and \p storeCalls and returns the metrics in Prometheus text format.
-    auto metricsPage(const passthrough::RouterStatus &status, std::uint64_t storeCalls) -> std::string;
+    /// Updates the gauges and returns the metrics in Prometheus text format.
+    auto metricsPage(const passthrough::RouterStatus &status, std::uint32_t serversInBackoff, std::uint64_t storeCalls) -> std::string;
 
 private:
     metrics::Registry registry_;
@@ -91,6 +91,7 @@
     metrics::Gauge &inFlight_;
     metrics::Gauge &backendServers_;
     metrics::Gauge &limitedServers_;
+    metrics::Gauge &serversInBackoff_;
     metrics::Gauge &aliveEntries_;
     metrics::Gauge &configurationVersion_;
     metrics::Gauge &configurationAge_;
--- a/src/gateway/cachereader.cpp
+++ b/src/gateway/cachereader.cpp
@@ -42,7 +42,7 @@
             return;
         }
         const auto &response = std::get<http::Response>(result);
-        if (const auto notice = adapter::decodeServerNotice(response.headers); notice.isLeaving) {
+        if (const auto notice = adapter::decodeServerNotice(response.status, response.headers); passthrough::isNotice(notice)) {
             callbacks_.onNotice({ .server = id, .startedAt = startedAt, .notice = notice });
         }
         auto parts = adapter::decodeCacheList(response);
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -513,7 +513,7 @@
     }
     std::vector<passthrough::Server> engines;
     std::copy_if(known_.servers.begin(), known_.servers.end(), std::back_inserter(engines), [this](const passthrough::Server &server) {
-        return engineServices_.contains(server.service) && passthrough::acceptsCalls(router_, server.id);
+        return engineServices_.contains(server.service) && passthrough::acceptsCalls(router_, server.id, now());
     });
     std::vector<std::string> entries;
     std::transform(known_.entries.begin(), known_.entries.end(), std::back_inserter(entries), [](const fleet::EntryRecord &entry) { return entry.name; });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -191,7 +191,11 @@
             },
         .addresses = [this]() { return addressesForCallers(); },
         .addressCacheTime = [this]() { return std::min(AddressCacheTime, settings.keepAddresses); },
-        .metrics = [this]() { return accounting.metricsPage(passthrough::statusOf(*router, now()), fleet.storeCalls()); },
+        .metrics =
+            [this]() {
+                const auto at = now();
+                return accounting.metricsPage(passthrough::statusOf(*router, at), passthrough::countServersInBackoff(*router, at), fleet.storeCalls());
+            },
     };
 }
 
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -116,7 +116,7 @@
 /// counts in a response to an earlier request on the connection, but not if another server has the address.
 auto carriesNotice(const Attempt &attempt) -> bool
 {
-    return !attempt.head.wrongServer && attempt.head.notice.isLeaving;
+    return !attempt.head.wrongServer && passthrough::isNotice(attempt.head.notice);
 }
 
 auto drainBuffer(evbuffer *buffer) -> std::string
