--- a/src/gateway/tests/standinserver.cpp
+++ b/src/gateway/tests/standinserver.cpp
@@ -11,7 +11,7 @@
                    .id = id,
                    .streamPrefix = "/quote/",
                    .onExecuted = [this](const standins::Execution &) { executions_ += 1; },
-                   .onRejected = [this](const std::string &) { rejections_ += 1; },
+                   .onRejected = [this](const standins::Rejection &) { rejections_ += 1; },
                })
 {
     configure(standin_);
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -69,6 +69,19 @@
     leavingServers_[server] = at;
 }
 
+auto Ledger::rejected(const adapter::standins::Rejection &rejection) -> void
+{
+    const auto found = records_.find(rejection.id);
+    if (found != records_.end()) {
+        found->second.rejections.push_back(rejection);
+    }
+}
+
+auto Ledger::serverStatesLeaving(const std::string &server, TimePoint at) -> void
+{
+    statedLeavings_[server] = at;
+}
+
 auto Ledger::limitBegins(const std::string &server, double perSecond, TimePoint at) -> void
 {
     limits_.push_back({ .server = server, .perSecond = perSecond, .interval = { .from = at, .to = TimePoint::max() } });
@@ -244,6 +257,62 @@
     }
 }
 
+auto Ledger::senderOf(const Record &record, const std::string &server) -> Sender
+{
+    return { record.sent.entry, record.sent.incarnation, server };
+}
+
+/// Requests that were on their way when the entry read the rejection are allowed for half a second.
+auto Ledger::checkBackoffs(Violations &violations) const -> void
+{
+    constexpr Duration OnTheirWay = std::chrono::milliseconds(500);
+    constexpr std::size_t Allowed = 2;
+    std::map<Sender, std::vector<TimePoint>> arrivals;
+    for (const auto &[id, record] : records_) {
+        for (const auto &run : record.runs) {
+            arrivals[senderOf(record, run.server)].push_back(run.at);
+        }
+        for (const auto &rejection : record.rejections) {
+            arrivals[senderOf(record, rejection.server)].push_back(rejection.at);
+        }
+    }
+    for (const auto &[id, record] : records_) {
+        for (const auto &rejection : record.rejections) {
+            const auto from = rejection.at + OnTheirWay;
+            const auto to = rejection.at + rejection.pause;
+            const auto &times = arrivals.at(senderOf(record, rejection.server));
+            const auto got = static_cast<std::size_t>(std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at > from && at < to; }));
+            if (got > Allowed && !isHarmed(record.sent.entry, rejection.at, to) && !isHarmed(rejection.server, rejection.at, to)) {
+                violations.push_back({ Promise::BackoffKept, id, std::to_string(got) + " requests to " + rejection.server + " during a backoff" });
+            }
+        }
+    }
+}
+
+auto Ledger::checkStatedLeavings(Violations &violations) const -> void
+{
+    constexpr Duration Bound = std::chrono::seconds(2);
+    std::map<Sender, TimePoint> told; // when the entry passed on the first answer with the statement
+    for (const auto &[id, record] : records_) {
+        for (const auto &run : record.runs) {
+            const auto stated = statedLeavings_.find(run.server);
+            const auto isPassedOn = record.ended && record.ended->signature == run.server + "." + run.id;
+            if (stated != statedLeavings_.end() && isPassedOn && run.at >= stated->second) {
+                const auto [known, isFirst] = told.try_emplace(senderOf(record, run.server), record.ended->at);
+                known->second = std::min(known->second, record.ended->at);
+            }
+        }
+    }
+    for (const auto &[id, record] : records_) {
+        for (const auto &run : record.runs) {
+            const auto known = told.find(senderOf(record, run.server));
+            if (known != told.end() && record.sent.at > known->second + Bound) {
+                violations.push_back({ Promise::LeavingKept, id, "sent to " + run.server + ", which had stated that it is leaving" });
+            }
+        }
+    }
+}
+
 auto Ledger::check(const std::optional<TimeBounds> &bounds) const -> std::vector<Violation>
 {
     auto violations = unasked_;
@@ -257,6 +326,8 @@
     }
     if (bounds) {
         checkLimits(violations);
+        checkBackoffs(violations);
+        checkStatedLeavings(violations);
     }
     checkVersions(violations);
     return violations;
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace auburnspread::soak
@@ -30,6 +31,8 @@
     Admitted,      ///< what every version of the last seconds allows is never answered as unknown or forbidden
     Answered,      ///< a request on a sound way is answered soon after its timeout at the latest
     LimitKept,     ///< a server that names a limit gets at most some more from entries that passed its answers on
+    BackoffKept,   ///< a server that has asked an entry for a backoff gets no more than two requests from it while the backoff lasts
+    LeavingKept,   ///< a server gets no requests from an entry that has passed on an answer in which it states that it is leaving
     Recovers,      ///< after the last fault everything is served again
 };
 
@@ -45,6 +48,8 @@
     { Promise::Admitted, "admitted" },
     { Promise::Answered, "answered" },
     { Promise::LimitKept, "limit-kept" },
+    { Promise::BackoffKept, "backoff-kept" },
+    { Promise::LeavingKept, "leaving-kept" },
     { Promise::Recovers, "recovers" },
 });
 
@@ -94,8 +99,11 @@
     auto sent(const Sent &request) -> void;
     auto ended(const Ended &end) -> void;
     auto ran(const adapter::standins::Execution &run) -> void;
+    auto rejected(const adapter::standins::Rejection &rejection) -> void;
     auto keyWithdrawn(const std::string &key, TimePoint at) -> void;
     auto serverLeaves(const std::string &server, TimePoint at) -> void;
+    /// Its answers state from now on that it is leaving.
+    auto serverStatesLeaving(const std::string &server, TimePoint at) -> void;
     /// A server names a limit on its requests from now on, and none any more.
     /// @{
     auto limitBegins(const std::string &server, double perSecond, TimePoint at) -> void;
@@ -123,7 +131,11 @@
         Sent sent;
         std::optional<Ended> ended;
         std::vector<adapter::standins::Execution> runs;
+        std::vector<adapter::standins::Rejection> rejections;
     };
+    /// A process of an entry and a server.
+    using Sender = std::tuple<std::string, std::uint32_t, std::string>;
+    static auto senderOf(const Record &record, const std::string &server) -> Sender;
     using Violations = std::vector<Violation>;
 
     auto checkRuns(const Record &record, Violations &violations) const -> void;
@@ -131,6 +143,8 @@
     auto checkPlannedWork(const Record &record, Violations &violations) const -> void;
     auto checkBounds(const Record &record, const TimeBounds &bounds, Violations &violations) const -> void;
     auto checkLimits(Violations &violations) const -> void;
+    auto checkBackoffs(Violations &violations) const -> void;
+    auto checkStatedLeavings(Violations &violations) const -> void;
     auto checkVersions(Violations &violations) const -> void;
     [[nodiscard]] auto isCalm(TimePoint from, TimePoint to) const -> bool;
 
@@ -138,6 +152,7 @@
     Violations unasked_;
     std::map<std::string, TimePoint> withdrawnKeys_;
     std::map<std::string, TimePoint> leavingServers_;
+    std::map<std::string, TimePoint> statedLeavings_;
     struct Interval {
         TimePoint from;
         TimePoint to;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -45,23 +45,30 @@
     double rate = 100;
     double faults = 1;
     double limits = 0;
+    double notices = 0;
     bool onlyPlanned = false;
     bool bounds = false;
 };
 
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
-                       "                  [--faults A_SECOND] [--limits A_SECOND] [--planned] [--bounds]\n"
+                       "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--planned] [--bounds]\n"
                        "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n";
 
 auto readOptions(int argc, char **argv) -> std::optional<Options>
 {
     Options options;
     const std::vector<option> names = {
-        { "seed", required_argument, nullptr, 's' },    { "seconds", required_argument, nullptr, 't' },
-        { "entries", required_argument, nullptr, 'e' }, { "servers", required_argument, nullptr, 'b' },
-        { "rate", required_argument, nullptr, 'r' },    { "faults", required_argument, nullptr, 'f' },
-        { "limits", required_argument, nullptr, 'm' },  { "planned", no_argument, nullptr, 'p' },
-        { "bounds", no_argument, nullptr, 'l' },        { nullptr, 0, nullptr, 0 },
+        { "seed", required_argument, nullptr, 's' },
+        { "seconds", required_argument, nullptr, 't' },
+        { "entries", required_argument, nullptr, 'e' },
+        { "servers", required_argument, nullptr, 'b' },
+        { "notices", required_argument, nullptr, 'n' },
+        { "rate", required_argument, nullptr, 'r' },
+        { "faults", required_argument, nullptr, 'f' },
+        { "limits", required_argument, nullptr, 'm' },
+        { "planned", no_argument, nullptr, 'p' },
+        { "bounds", no_argument, nullptr, 'l' },
+        { nullptr, 0, nullptr, 0 },
     };
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", names.data(), nullptr)) != -1;) {
         switch (letter) {
@@ -86,6 +93,9 @@
         case 'm':
             options.limits = std::stod(optarg);
             break;
+        case 'n':
+            options.notices = std::stod(optarg);
+            break;
         case 'p':
             options.onlyPlanned = true;
             break;
@@ -118,6 +128,7 @@
                            .servers = options.servers,
                            .faultsPerSecond = options.faults,
                            .limitsPerSecond = options.limits,
+                           .noticesPerSecond = options.notices,
                            .onlyPlannedWork = options.onlyPlanned }))
     {
     }
@@ -155,7 +166,7 @@
         std::cout << nlohmann::json{ { "event", "fault" },       { "at_ms", milliseconds(now - startedAt_) },  { "kind", findName(FaultKinds, fault.kind) },
                                      { "target", fault.target }, { "path", findName(PathFaults, fault.path) }, { "length_ms", milliseconds(fault.length) } }
                   << "\n";
-        if (!isPlannedWork(fault.kind) && fault.kind != FaultKind::ServerLimit) {
+        if (!isPlannedWork(fault.kind) && !isServerStatement(fault.kind)) {
             ledger_.disturbed(now, now + fault.length);
         }
         site_.begin(fault);
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -18,6 +18,13 @@
 constexpr double LeastRate = 0.3;
 constexpr double MostRate = 6;
 /// @}
+/// \name Overload of a backend server, during which it asks for a backoff with each rejection
+/// @{
+constexpr Duration ShortestOverload = std::chrono::seconds(2);
+constexpr Duration LongestOverload = std::chrono::seconds(8);
+constexpr Duration ShortestBackoff = std::chrono::seconds(1);
+constexpr Duration LongestBackoff = std::chrono::seconds(4);
+/// @}
 
 using Random = std::mt19937_64;
 
@@ -34,8 +41,10 @@
 
 auto drawKind(Random &random, bool onlyPlannedWork) -> FaultKind
 {
+    static const auto Drawn = static_cast<std::size_t>(
+        std::count_if(FaultKinds.begin(), FaultKinds.end(), [](const auto &each) { return !isServerStatement(each.value); })); // they come first
     while (true) {
-        const auto kind = FaultKinds.at(drawBelow(random, FaultKinds.size() - 1)).value; // all but limits
+        const auto kind = FaultKinds.at(drawBelow(random, Drawn)).value;
         if (!onlyPlannedWork || isPlannedWork(kind)) {
             return kind;
         }
@@ -64,6 +73,23 @@
     }
 }
 
+/// From numbers of their own, too.
+auto addNotices(std::vector<Fault> &plan, const PlanOptions &options) -> void
+{
+    constexpr std::uint64_t OtherSeed = 0x6e6f74696365ULL;
+    Random random(options.seed ^ OtherSeed);
+    const auto notices = static_cast<std::size_t>(std::chrono::duration<double>(options.length).count() * options.noticesPerSecond);
+    for (std::size_t i = 0; i < notices; ++i) {
+        plan.push_back({
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestOverload, LongestOverload),
+            .kind = drawBelow(random, 2) == 0 ? FaultKind::ServerBackoff : FaultKind::ServerSilentlyLeaves,
+            .target = drawBelow(random, options.servers),
+            .backoff = drawDuration(random, ShortestBackoff, LongestBackoff),
+        });
+    }
+}
+
 } // namespace
 
 auto makePlan(const PlanOptions &options) -> std::vector<Fault>
@@ -79,6 +105,7 @@
         fault.path = PathFaults.at(1 + drawBelow(random, PathFaults.size() - 1)).value;
     }
     addLimits(plan, options);
+    addNotices(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -16,22 +16,24 @@
 {
 
 enum class FaultKind {
-    EntryKilled,   ///< and started again
-    EntryStopped,  ///< asked to end by SIGTERM, started again when it has ended
-    EntryPaused,   ///< SIGSTOP, then SIGCONT
-    EntryReloads,  ///< SIGHUP
-    AllKilled,     ///< every entry at one moment
-    CallerPath,    ///< between callers and one entry
-    StorePath,     ///< between one entry and the store
-    ServerPath,    ///< between all entries and one backend server
-    ServerCrashes, ///< and registers anew, under another id, some time later
-    ServerLeaves,  ///< says so, serves on for a while, and is replaced
-    StoreBusy,     ///< answers 503 to everyone
-    StoreSilent,   ///< answers nobody
-    StoreForgets,  ///< its history of changes
-    LeasesEnd,     ///< of all entries at one moment
-    Configuration, ///< a new version; a key is taken away and another one added
-    ServerLimit,   ///< a backend server names a limit on its requests
+    EntryKilled,          ///< and started again
+    EntryStopped,         ///< asked to end by SIGTERM, started again when it has ended
+    EntryPaused,          ///< SIGSTOP, then SIGCONT
+    EntryReloads,         ///< SIGHUP
+    AllKilled,            ///< every entry at one moment
+    CallerPath,           ///< between callers and one entry
+    StorePath,            ///< between one entry and the store
+    ServerPath,           ///< between all entries and one backend server
+    ServerCrashes,        ///< and registers anew, under another id, some time later
+    ServerLeaves,         ///< says so, serves on for a while, and is replaced
+    StoreBusy,            ///< answers 503 to everyone
+    StoreSilent,          ///< answers nobody
+    StoreForgets,         ///< its history of changes
+    LeasesEnd,            ///< of all entries at one moment
+    Configuration,        ///< a new version; a key is taken away and another one added
+    ServerLimit,          ///< a backend server states a limit on its requests
+    ServerBackoff,        ///< a backend server rejects requests and asks for a backoff
+    ServerSilentlyLeaves, ///< a backend server states in its answers alone that it is leaving, and is replaced
 };
 
 constexpr auto FaultKinds = std::to_array<NamedValue<FaultKind>>({
@@ -51,6 +53,8 @@
     { FaultKind::LeasesEnd, "leases-end" },
     { FaultKind::Configuration, "configuration" },
     { FaultKind::ServerLimit, "server-limit" },
+    { FaultKind::ServerBackoff, "server-backoff" },
+    { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
 });
 
 /// Planned work, around which no request may be lost.
@@ -59,6 +63,12 @@
     return kind == FaultKind::EntryStopped || kind == FaultKind::EntryReloads || kind == FaultKind::ServerLeaves || kind == FaultKind::Configuration;
 }
 
+/// What a backend server states itself. It harms nothing, and has options and random numbers of its own.
+constexpr auto isServerStatement(FaultKind kind) -> bool
+{
+    return kind == FaultKind::ServerLimit || kind == FaultKind::ServerBackoff || kind == FaultKind::ServerSilentlyLeaves;
+}
+
 struct Fault {
     Duration at{};     ///< since the start of the load
     Duration length{}; ///< until it is undone
@@ -66,6 +76,7 @@
     std::size_t target = 0; ///< number of an entry or a backend server
     PathFault path = PathFault::None;
     double perSecond = 0; ///< requests that a limited server takes
+    Duration backoff{};   ///< that a server asks for when it rejects a request
 };
 
 struct PlanOptions {
@@ -74,7 +85,8 @@
     std::size_t entries = 0;
     std::size_t servers = 0;
     double faultsPerSecond = 1;
-    double limitsPerSecond = 0; ///< of backend servers, beside the faults
+    double limitsPerSecond = 0;  ///< rate limits of backend servers, beside the faults
+    double noticesPerSecond = 0; ///< backoffs and leavings that backend servers state in their answers, beside the faults
     bool onlyPlannedWork = false;
 };
 
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -144,11 +144,13 @@
                                                                    .streamPrefix = StreamPrefix,
                                                                    .events = StreamEvents,
                                                                    .onExecuted = [this](const standins::Execution &run) { ledger_.ran(run); },
+                                                                   .onRejected = [this](const standins::Rejection &rejection) { ledger_.rejected(rejection); },
                                                                });
     server.proxy = std::make_unique<Proxy>(loop_, server.standin->address());
     server.replacement = {};
     server.isLeaving = false;
     server.isLimited = false;
+    server.isOverloaded = false;
     putServer(server);
 }
 
@@ -172,15 +174,35 @@
 /// It serves on for some time, so that what is under way ends, and gives its place to a new one.
 auto Site::announceLeaving(std::size_t number) -> void
 {
-    constexpr Duration ServesOn = std::chrono::seconds(4);
     auto &server = servers_.at(number);
     if (!server.standin || server.isLeaving) {
         return;
     }
     server.isLeaving = true;
     putServer(server);
-    ledger_.serverLeaves(server.id, task::monotonicNow());
-    server.replacement = loop_.after(ServesOn, [this, number]() {
+    server.standin->stateLeaving();
+    const auto now = task::monotonicNow();
+    ledger_.serverLeaves(server.id, now);
+    ledger_.serverStatesLeaving(server.id, now);
+    replaceSoon(number);
+}
+
+auto Site::leaveSilently(std::size_t number) -> void
+{
+    auto &server = servers_.at(number);
+    if (!server.standin || server.isLeaving) {
+        return;
+    }
+    server.isLeaving = true;
+    server.standin->stateLeaving();
+    ledger_.serverStatesLeaving(server.id, task::monotonicNow());
+    replaceSoon(number);
+}
+
+auto Site::replaceSoon(std::size_t number) -> void
+{
+    constexpr Duration ServesOn = std::chrono::seconds(4);
+    servers_.at(number).replacement = loop_.after(ServesOn, [this, number]() {
         stopServer(number);
         startServer(number);
     });
@@ -227,6 +249,22 @@
     }
 }
 
+auto Site::beginOverload(const Fault &fault) -> void
+{
+    auto &server = servers_.at(fault.target);
+    if (server.standin && !std::exchange(server.isOverloaded, true)) {
+        server.standin->rejectRequests(fault.backoff);
+    }
+}
+
+auto Site::endOverload(const Fault &fault) -> void
+{
+    auto &server = servers_.at(fault.target);
+    if (server.standin && std::exchange(server.isOverloaded, false)) {
+        server.standin->rejectRequests(std::nullopt);
+    }
+}
+
 auto Site::noteHarm(const Fault &fault) -> void
 {
     const auto now = task::monotonicNow();
@@ -258,6 +296,12 @@
     case FaultKind::ServerLimit:
         beginLimit(fault);
         break;
+    case FaultKind::ServerBackoff:
+        beginOverload(fault);
+        break;
+    case FaultKind::ServerSilentlyLeaves:
+        leaveSilently(fault.target);
+        break;
     case FaultKind::EntryKilled:
     case FaultKind::EntryStopped: {
         auto &entry = entries_.at(fault.target);
@@ -337,6 +381,9 @@
     case FaultKind::ServerLimit:
         endLimit(fault);
         break;
+    case FaultKind::ServerBackoff:
+        endOverload(fault);
+        break;
     case FaultKind::StoreBusy:
         store_.setBusy(false);
         break;
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -106,9 +106,10 @@
         std::string id;
         std::unique_ptr<adapter::standins::ServerStandin> standin;
         std::unique_ptr<Proxy> proxy;
-        bool isLeaving = false;  ///< and said so
-        bool isLimited = false;  ///< its answers name a limit
-        task::Watch replacement; ///< of a server that leaves
+        bool isLeaving = false;    ///< and said so
+        bool isLimited = false;    ///< its answers name a limit
+        bool isOverloaded = false; ///< it rejects requests and asks for a backoff
+        task::Watch replacement;   ///< of a server that leaves
     };
 
     auto addEntry(std::size_t number) -> void;
@@ -118,6 +119,11 @@
     auto startServer(std::size_t number) -> void;
     auto beginLimit(const Fault &fault) -> void;
     auto endLimit(const Fault &fault) -> void;
+    auto beginOverload(const Fault &fault) -> void;
+    auto endOverload(const Fault &fault) -> void;
+    /// The server states in its answers that it is leaving, and nothing else tells so.
+    auto leaveSilently(std::size_t number) -> void;
+    auto replaceSoon(std::size_t number) -> void;
     /// Tells the ledger what the fault excuses from keeping to limits.
     auto noteHarm(const Fault &fault) -> void;
     auto putServer(const Server &server) -> void;
--- a/src/soak/tests/ledger_tests.cpp
+++ b/src/soak/tests/ledger_tests.cpp
@@ -175,6 +175,47 @@
     }
 }
 
+TEST(LedgerTests, moreThanTwoRequestsDuringABackoffAreSeenUnlessTheEntryWasHarmed)
+{
+    constexpr Duration Backoff = std::chrono::seconds(3);
+    for (const auto &[requests, isHarmed, isSeen] : { std::tuple(2, false, false), std::tuple(3, false, true), std::tuple(3, true, false) }) {
+        Ledger ledger;
+        const auto rejected = makeSent("rejected");
+        ledger.sent(rejected);
+        ledger.rejected({ .id = rejected.id, .server = "i-1", .pause = Backoff, .at = at(0) });
+        for (const auto milliseconds : { 100, 400, 3100 }) { // on their way, or after the end
+            const auto sent = makeSent("allowed-" + std::to_string(milliseconds));
+            ledger.sent(sent);
+            ledger.rejected({ .id = sent.id, .server = "i-1", .pause = {}, .at = at(milliseconds) });
+        }
+        for (auto i = 0; i < requests; ++i) {
+            const auto sent = makeSent("more-" + std::to_string(i));
+            ledger.sent(sent);
+            ledger.rejected({ .id = sent.id, .server = "i-1", .pause = {}, .at = at(600 + i) });
+        }
+        if (isHarmed) {
+            ledger.harmed("0", at(500), at(600));
+        }
+        EXPECT_EQ(breaks(ledger, Promise::BackoffKept), isSeen) << requests << (isHarmed ? " harmed" : "");
+    }
+}
+
+TEST(LedgerTests, aServerThatHasStatedItsLeavingMayGetRequestsUntilTheBoundAndNotLater)
+{
+    for (const auto &[sentAt, incarnation, isSeen] : { std::tuple(1900, 1U, false), std::tuple(2100, 1U, true), std::tuple(2100, 2U, false) }) {
+        Served served; // ended at 50 ms
+        served.ledger.serverStatesLeaving("i-1", at(0));
+        auto later = makeSent("later");
+        later.at = at(50 + sentAt);
+        later.incarnation = incarnation;
+        served.ledger.sent(later);
+        auto run = makeRun(later);
+        run.at = later.at;
+        served.ledger.ran(run);
+        EXPECT_EQ(breaks(served.ledger, Promise::LeavingKept), isSeen) << sentAt << ", incarnation " << incarnation;
+    }
+}
+
 TEST(LedgerTests, aServerThatLeavesMayGetRequestsUntilTheBoundAndNotLater)
 {
     for (const auto left : { -1900, -2100 }) {
--- a/src/soak/tests/plan_tests.cpp
+++ b/src/soak/tests/plan_tests.cpp
@@ -34,11 +34,13 @@
     std::set<PathFault> paths;
     auto options = makeOptions(1);
     options.limitsPerSecond = 0.3;
+    options.noticesPerSecond = 0.3;
     for (const auto &fault : makePlan(options)) {
         kinds.insert(fault.kind);
         EXPECT_LT(fault.target, 4U);
-        if (fault.kind == FaultKind::ServerLimit) {
-            EXPECT_GT(fault.perSecond, 0);
+        if (isServerStatement(fault.kind)) {
+            EXPECT_EQ(fault.perSecond > 0, fault.kind == FaultKind::ServerLimit);
+            EXPECT_EQ(fault.backoff > Duration::zero(), fault.kind != FaultKind::ServerLimit);
             continue;
         }
         paths.insert(fault.path);
@@ -48,13 +50,14 @@
     EXPECT_EQ(paths.size(), PathFaults.size() - 1);
 }
 
-TEST(PlanTests, limitsLeaveTheOtherFaultsAsTheyAre)
+TEST(PlanTests, statementsOfServersLeaveTheOtherFaultsAsTheyAre)
 {
     auto options = makeOptions(7);
     const auto without = makePlan(options);
     options.limitsPerSecond = 0.3;
+    options.noticesPerSecond = 0.3;
     auto with = makePlan(options);
-    EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return fault.kind == FaultKind::ServerLimit; }), 0U);
+    EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return isServerStatement(fault.kind); }), 0U);
     ASSERT_EQ(with.size(), without.size());
     EXPECT_TRUE(std::equal(with.begin(), with.end(), without.begin(), [](const Fault &a, const Fault &b) { return a.at == b.at && a.kind == b.kind; }));
 }
