Every event loop ignores SIGPIPE, so that a peer that closes during a write does not end the process

What was seen: requests_fuzz_tests ended by SIGPIPE (exit 141) in 5 of 40 runs. Cause: the frontend writes through libevent, which writes without MSG_NOSIGNAL, and left it to main() to ignore the signal; so did every other user of an event loop but the HTTP client and server. The gateway itself was not hit, as its main() does ignore it.

Change: the first EventLoop of a process ignores the signal; the HTTP client's and server's own calls go.

--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include <csignal>
 #include <mutex>
 #include <stdexcept>
 #include <utility>
@@ -55,6 +56,14 @@
     std::call_once(once, []() { evthread_use_pthreads(); });
 }
 
+/// libevent writes without MSG_NOSIGNAL, so a peer that closes its connection during a write would end the whole process by SIGPIPE. With
+/// the signal ignored, the write fails as any other error of that connection.
+auto ignoreBrokenPipes() -> void
+{
+    static std::once_flag once;
+    std::call_once(once, []() { std::signal(SIGPIPE, SIG_IGN); });
+}
+
 } // namespace
 
 auto monotonicNow() -> TimePoint
@@ -66,6 +75,7 @@
 EventLoop::EventLoop()
 {
     enableThreads();
+    ignoreBrokenPipes();
     base_.reset(makePreciseBase());
     if (!base_) {
         throw std::runtime_error("event loop: event_base_new failed");
--- a/src/runtime/task/eventloop.h
+++ b/src/runtime/task/eventloop.h
@@ -1,5 +1,6 @@
 /// \file
-/// One event loop: a libevent base with timers and mailboxes attached. Each task owns one and runs it in its thread.
+/// One event loop: a libevent base with timers and mailboxes attached. Each task owns one and runs it in its thread. The process ignores
+/// SIGPIPE from the construction of the first one.
 
 #pragma once
 
--- a/src/runtime/task/tests/eventloop_tests.cpp
+++ b/src/runtime/task/tests/eventloop_tests.cpp
@@ -2,9 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cerrno>
 #include <thread>
 #include <vector>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace auburnspread;
 
 TEST(EventLoopTests, messagesFromAnotherThreadArriveInOrder)
@@ -44,3 +49,16 @@
     loop.run();
     EXPECT_EQ(calls, 1);
 }
+
+/// Guards against a process that ends by SIGPIPE because a peer closed its connection at the moment of a write.
+TEST(EventLoopTests, aWriteToAClosedConnectionFailsWithoutASignal)
+{
+    const task::EventLoop loop;
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+    ::close(ends[1]);
+    const char byte = 'x';
+    EXPECT_EQ(::write(ends[0], &byte, 1), -1);
+    EXPECT_EQ(errno, EPIPE);
+    ::close(ends[0]);
+}
--- a/src/wire/http/client.cpp
+++ b/src/wire/http/client.cpp
@@ -2,7 +2,6 @@
 
 #include "core/base/nametable.h"
 #include "wire/http/connectionpool.h"
-#include "wire/http/internal/brokenpipe.h"
 #include "wire/http/internal/rawrequest.h"
 
 #include <event2/http.h>
@@ -102,7 +101,6 @@
         : loop_(loop)
         , pool_(loop, options)
     {
-        detail::ignoreBrokenPipes();
     }
 
     auto fetch(const Request &request, OnDone onDone) -> Handle;
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -1,7 +1,6 @@
 #include "wire/http/server.h"
 
 #include "runtime/net/endpoint.h"
-#include "wire/http/internal/brokenpipe.h"
 #include "wire/http/internal/pendingreply.h"
 #include "wire/http/internal/requestreader.h"
 #include "wire/http/wholefirstline.h"
@@ -113,7 +112,6 @@
     , options_(options)
     , raw_(evhtp_new(loop.base(), nullptr))
 {
-    detail::ignoreBrokenPipes();
     // an answer in several segments would wait for the acknowledgement of the first, which the other end delays by 40 ms
     evhtp_enable_flag(raw_.get(), EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_max_body_size(raw_.get(), options.bodyBytes);
