--- a/src/gateway/tests/serverbackoff_tests.cpp
+++ b/src/gateway/tests/serverbackoff_tests.cpp
@@ -1,10 +1,14 @@
+#include "gateway/cachereader.h"
 #include "gateway/tests/site.h"
 #include "gateway/tests/standinserver.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 using namespace auburnspread;
 using namespace auburnspread::gateway::tests;
@@ -69,3 +73,24 @@
     EXPECT_GE(retryAfterSeconds(answer), MinSeconds) << answer;
     EXPECT_EQ(paused.rejections(), 1);
 }
+
+/// Guards against a backoff that is missed because it was requested in the response to a call of the entry itself.
+TEST(ServerBackoffTests, aCallThatIsRejectedReportsTheBackoff)
+{
+    const StandinServer paused("i-1", [](ServerStandin &standin) { standin.rejectRequests(Pause); });
+    constexpr std::int64_t StartedAt = 7;
+    task::EventLoop loop;
+    std::optional<passthrough::CallNoticed> noticed;
+    gateway::CacheReader reader(loop,
+                                {
+                                    .onListed = [](const passthrough::CacheListed & /*listed*/) {},
+                                    .onFailed = [&loop](std::string_view /*server*/, const std::string & /*detail*/) { loop.stop(); },
+                                    .onNotice = [&noticed](const passthrough::CallNoticed &event) { noticed = event; },
+                                });
+    reader.readOnce({ { .id = "i-1", .address = paused.address(), .startedAt = StartedAt } }, { "entry-1" }, "entry-1");
+    loop.run();
+    ASSERT_TRUE(noticed);
+    EXPECT_EQ(noticed->server, "i-1");
+    EXPECT_EQ(noticed->startedAt, StartedAt);
+    EXPECT_EQ(noticed->notice.backoff, Pause);
+}
