--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -26,6 +26,10 @@
 constexpr Duration LongestBackoff = std::chrono::seconds(4);
 /// @}
 
+/// Number of kinds that are drawn as faults. They come first in the table.
+constexpr auto DrawnKinds = static_cast<std::size_t>(
+    std::count_if(FaultKinds.begin(), FaultKinds.end(), [](const NamedValue<FaultKind> &each) { return !isServerStatement(each.value); }));
+
 using Random = std::mt19937_64;
 
 auto drawDuration(Random &random, Duration least, Duration most) -> Duration
@@ -41,10 +45,8 @@
 
 auto drawKind(Random &random, bool onlyPlannedWork) -> FaultKind
 {
-    static const auto Drawn = static_cast<std::size_t>(
-        std::count_if(FaultKinds.begin(), FaultKinds.end(), [](const auto &each) { return !isServerStatement(each.value); })); // they come first
     while (true) {
-        const auto kind = FaultKinds.at(drawBelow(random, Drawn)).value;
+        const auto kind = FaultKinds.at(drawBelow(random, DrawnKinds)).value;
         if (!onlyPlannedWork || isPlannedWork(kind)) {
             return kind;
         }
