Only removed servers whose statements matter are remembered

Cause: every server that left the list was kept with its whole state for 60 s and walked at each tick; there a thousand come and go.

Change: a removed server is remembered only if it has stated something that matters or has a request in flight, whose answer may state it. The property of server_notice_tests holds.

--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -112,9 +112,18 @@
     return server;
 }
 
+/// Whether the server has stated something that would matter if it came back, or may still do so in a response that is due. Others are
+/// not remembered: in a large fleet whose servers come and go, their states would take memory and time.
+auto isWorthRemembering(const ServerState &server, TimePoint now) -> bool
+{
+    return !acceptsRequests(server.stated, now) || server.ownLoad.inFlight > 0;
+}
+
 auto remove(ServerTable &table, const ServerPointer &server, TimePoint now) -> void
 {
-    table.removed[server->record.id] = { .server = server, .removedAt = now };
+    if (isWorthRemembering(*server, now)) {
+        table.removed[server->record.id] = { .server = server, .removedAt = now };
+    }
     table.byId.erase(server->record.id);
 }
 
