--- a/src/core/passthrough/tests/servernotice_tests.cpp
+++ b/src/core/passthrough/tests/servernotice_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/passthrough/servertable.h"
 #include "core/passthrough/tests/world.h"
 
 #include <gtest/gtest.h>
@@ -201,6 +202,24 @@
     EXPECT_TRUE(find<Send>(listOnly(harness, { makeServer("p2", "portal", 6) })));
 }
 
+/// Guards against an entry of a large fleet whose memory and processor time go to servers that have left: only those whose statements matter
+/// are remembered.
+TEST(ServerNoticeTests, aRemovedServerThatStatedNothingIsNotRemembered)
+{
+    ServerTable table;
+    const TimePoint now(std::chrono::hours(1));
+    applyServerList(table, { .servers = { makeServer("idle", "engines", 32), makeServer("busy", "engines", 32), makeServer("leaving", "engines", 32) } }, now);
+    recordSend(table, *findServer(table, "busy"), {}, {}, now);
+    applyNotice(findServer(table, "leaving")->stated, { .isLeaving = true }, now);
+    applyServerList(table, {}, now);
+    EXPECT_TRUE(table.byId.empty());
+    EXPECT_FALSE(table.removed.contains("idle"));
+    EXPECT_TRUE(table.removed.contains("busy")) << "its answer may state something";
+    EXPECT_TRUE(table.removed.contains("leaving"));
+    removeLapsedServers(table, now + std::chrono::minutes(1));
+    EXPECT_TRUE(table.removed.empty());
+}
+
 /// Guards against a late response to a call of the server's earlier run, which would take the restarted server out of use for good.
 TEST(ServerNoticeTests, aResponseOfAnEarlierRunDoesNotCountForTheNewOne)
 {
