One place ignores SIGPIPE

Since every event loop ignores the signal, the calls in the main functions of the entry, the gateway, the placer, the soak and the stand-ins did nothing: each of them makes an event loop before its first connection. The two once-only preparations of a process are one. Behaviour is as before.

--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -75,7 +75,6 @@
 {
     const auto signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
 
     const auto incarnation = makeIncarnation();
     const auto prefix = settings.name + "-" + std::to_string(incarnation);
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -79,7 +79,6 @@
 
 auto run(const gateway::GatewaySettings &settings, int argc, char **argv) -> void
 {
-    std::signal(SIGPIPE, SIG_IGN);
     task::EventLoop loop;
     gateway::Gateway entry(loop, settings);
     std::function<void()> drain = [&]() {
--- a/src/apps/placer/main.cpp
+++ b/src/apps/placer/main.cpp
@@ -28,7 +28,6 @@
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
     return ::signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -50,18 +50,15 @@
     return base;
 }
 
-auto enableThreads() -> void
+/// Enables threads in the library, and ignores SIGPIPE: libevent writes without MSG_NOSIGNAL, so a peer that closes its connection during a
+/// write would end the whole process. With the signal ignored, the write fails as any other error of that connection.
+auto prepareProcess() -> void
 {
     static std::once_flag once;
-    std::call_once(once, []() { evthread_use_pthreads(); });
-}
-
-/// libevent writes without MSG_NOSIGNAL, so a peer that closes its connection during a write would end the whole process by SIGPIPE. With
-/// the signal ignored, the write fails as any other error of that connection.
-auto ignoreBrokenPipes() -> void
-{
-    static std::once_flag once;
-    std::call_once(once, []() { std::signal(SIGPIPE, SIG_IGN); });
+    std::call_once(once, []() {
+        evthread_use_pthreads();
+        std::signal(SIGPIPE, SIG_IGN);
+    });
 }
 
 } // namespace
@@ -74,8 +71,7 @@
 
 EventLoop::EventLoop()
 {
-    enableThreads();
-    ignoreBrokenPipes();
+    prepareProcess();
     base_.reset(makePreciseBase());
     if (!base_) {
         throw std::runtime_error("event loop: event_base_new failed");
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -11,7 +11,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <getopt.h>
@@ -252,7 +251,6 @@
 auto main(int argc, char **argv) -> int
 {
     try {
-        std::signal(SIGPIPE, SIG_IGN);
         const auto options = readOptions(argc, argv);
         if (!options) {
             std::cerr << Usage;
--- a/src/standins/standinprogram.h
+++ b/src/standins/standinprogram.h
@@ -6,7 +6,6 @@
 #include "standins/commandline.h"
 #include "standins/httpserver.h"
 
-#include <csignal>
 #include <cstdio>
 #include <exception>
 #include <vector>
@@ -18,8 +17,6 @@
 template <typename Server, typename Options>
 auto runStandin(int argc, char **argv, std::vector<CommandLineOption> (*optionTable)(Options &)) -> int
 {
-    //! NOTE a client that resets its connection while it is being written to must not end the process
-    std::signal(SIGPIPE, SIG_IGN);
     try {
         Options options;
         if (!applyCommandLine(argc, argv, optionTable(options))) {
