Ask once whether a server takes requests, and until when a request may wait

isUsable() and acceptsCalls() spelled the same condition of the list and the server's statement; the time until which a queued request may wait stood in the check of backoffs and, turned round, in the end of expired requests. recordNotice() only called applyNotice(). Behaviour is as before.

--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -278,7 +278,7 @@
 auto doBackoffsOutlastWaiting(const RouterState &state, const Request &request) -> bool
 {
     const auto backoffEnd = firstBackoffEnd(state.servers, request.service, state.now);
-    return backoffEnd && *backoffEnd > (request.mayHaveRun ? request.deadline : request.queueDeadline);
+    return backoffEnd && *backoffEnd > waitingDeadline(request);
 }
 
 /// Sends the request, or ends it if it must not be sent.
@@ -322,6 +322,11 @@
     state.pools[request.service].waiting.insert(queuePositionOf(request));
 }
 
+auto waitingDeadline(const Request &request) -> TimePoint
+{
+    return request.mayHaveRun ? request.deadline : request.queueDeadline;
+}
+
 auto leaveQueue(RouterState &state, Request &request) -> void
 {
     state.pools[request.service].waiting.erase(queuePositionOf(request));
--- a/src/core/passthrough/internal/dispatching.h
+++ b/src/core/passthrough/internal/dispatching.h
@@ -12,6 +12,9 @@
 
 auto enqueue(RouterState &state, Request &request) -> void;
 auto leaveQueue(RouterState &state, Request &request) -> void;
+/// Time until which the request may wait in the queue. One that may have run waits for a retry up to its deadline, since it can't be refused
+/// as not run.
+auto waitingDeadline(const Request &request) -> TimePoint;
 
 /// Sends the queued requests of the service while its servers have room.
 auto dispatchService(RouterState &state, const std::string &service, Actions &actions) -> void;
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -188,7 +188,7 @@
 
 auto takeNotice(ServerState &server, const ServerNotice &notice, TimePoint now, Actions &actions) -> void
 {
-    if (recordNotice(server, notice, now)) {
+    if (applyNotice(server.stated, notice, now)) {
         actions.emplace_back(NoticeApplied{ .server = server.record.id, .notice = notice });
     }
 }
@@ -427,8 +427,7 @@
         }
         auto &request = found->second;
         if (request.stage == Stage::Waiting) {
-            const auto isOver = state.now >= request.deadline || !request.mayHaveRun;
-            if (isOver) {
+            if (state.now >= waitingDeadline(request)) {
                 endWithoutAnswer(state, request, request.mayHaveRun ? Reason::DeadlinePassed : reasonForNoServer(state, request), actions);
             }
         } else if (state.now >= request.deadline) {
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -229,7 +229,7 @@
 auto acceptsCalls(const RouterState &state, std::string_view server, TimePoint now) -> bool
 {
     const auto found = findServer(state.servers, server);
-    return found && !found->record.isLeaving && acceptsRequests(found->stated, now);
+    return found && takesRequests(*found, now);
 }
 
 auto countServersInBackoff(const RouterState &state, TimePoint now) -> std::uint32_t
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -306,11 +306,6 @@
     return isReportable ? std::optional(PeerReported::Limit{ .perSecond = newest.perSecond, .age = now - newest.at }) : std::nullopt;
 }
 
-auto recordNotice(ServerState &server, const ServerNotice &notice, TimePoint now) -> bool
-{
-    return applyNotice(server.stated, notice, now);
-}
-
 auto shardForKey(const ServerGroup &group, std::uint64_t key) -> std::size_t
 {
     return key % group.shards.size();
@@ -438,6 +433,11 @@
     return server.responseDueAt && now > *server.responseDueAt && now - server.lastSentAt < SilenceProbe;
 }
 
+auto takesRequests(const ServerState &server, TimePoint now) -> bool
+{
+    return !server.record.isLeaving && acceptsRequests(server.stated, now);
+}
+
 auto firstBackoffEnd(const ServerTable &table, const std::string &service, TimePoint now) -> std::optional<TimePoint>
 {
     const auto group = table.byService.find(service);
@@ -459,8 +459,7 @@
 
 auto isUsable(const ServerState &server, TimePoint now) -> bool
 {
-    return !server.record.isLeaving && acceptsRequests(server.stated, now) && now >= server.suspendedUntil && now >= server.ejectedUntil
-        && !isUnresponsive(server, now);
+    return takesRequests(server, now) && now >= server.suspendedUntil && now >= server.ejectedUntil && !isUnresponsive(server, now);
 }
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -157,9 +157,6 @@
 auto limitForReport(const ServerState &server, ReportScope scope, TimePoint now) -> std::optional<PeerReported::Limit>;
 /// @}
 
-/// Applies what the server states in an answer to this entry. \return whether this changed what is known of the server
-auto recordNotice(ServerState &server, const ServerNotice &notice, TimePoint now) -> bool;
-
 /// Has the next report of this entry consider the server.
 auto markReportable(ServerTable &table, const ServerState &server) -> void;
 
@@ -184,6 +181,8 @@
 /// Moving average of this entry's failures. It decays with time, so that a server that failed is tried again.
 auto currentFailureRate(const ServerState &server, TimePoint now) -> double;
 
+/// Whether the server takes new requests, by the list and by what it has stated.
+auto takesRequests(const ServerState &server, TimePoint now) -> bool;
 /// Whether new requests may be sent to the server.
 auto isUsable(const ServerState &server, TimePoint now) -> bool;
 /// \return when the first backoff of the service's servers ends, if all of those that are not leaving have requested one
