Soak: one way to leave, one way to draw statements, one test of an answer that was passed on

Both ways of leaving, the two loops that draw statements of servers, and the two that look for the first answer passed on were copies with small differences. Plans of a seed are the same: the order of the draws is kept, and the tests of plan and ledger are unchanged.

--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -32,6 +32,13 @@
     return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) != NotRunStatuses.end();
 }
 
+template <typename Key>
+auto keepEarliest(std::map<Key, TimePoint> &times, const Key &key, TimePoint at) -> void
+{
+    const auto [known, isFirst] = times.try_emplace(key, at);
+    known->second = std::min(known->second, at);
+}
+
 auto describe(const Execution &run) -> std::string
 {
     return "at " + run.server + ": " + run.method + " " + run.target;
@@ -122,6 +129,11 @@
     return !overlapsAny(disturbances_, from, to);
 }
 
+auto Ledger::isPassedOn(const Record &record, const Execution &run) -> bool
+{
+    return record.ended && record.ended->signature == run.server + "." + run.id;
+}
+
 auto Ledger::checkRuns(const Record &record, Violations &violations) const -> void
 {
     const auto &sent = record.sent;
@@ -155,8 +167,7 @@
     if (!isSuccess(ended.status)) {
         return;
     }
-    const auto isSigned
-        = std::any_of(record.runs.begin(), record.runs.end(), [&](const Execution &run) { return ended.signature == run.server + "." + run.id; });
+    const auto isSigned = std::any_of(record.runs.begin(), record.runs.end(), [&](const Execution &run) { return isPassedOn(record, run); });
     if (!isSigned || ended.body != record.sent.expectedAnswer) {
         violations.push_back({ Promise::OwnAnswer, ended.id, "got '" + ended.body + "', signature '" + ended.signature + "'" });
     }
@@ -224,10 +235,8 @@
                 continue;
             }
             runs.emplace_back(run.at, process);
-            const auto isPassedOn = record.ended && record.ended->signature == run.server + "." + run.id;
-            if (isPassedOn) {
-                const auto [known, isFirst] = told.try_emplace(process, record.ended->at);
-                known->second = std::min(known->second, record.ended->at);
+            if (isPassedOn(record, run)) {
+                keepEarliest(told, process, record.ended->at);
             }
         }
     }
@@ -296,10 +305,8 @@
     for (const auto &[id, record] : records_) {
         for (const auto &run : record.runs) {
             const auto stated = statedLeavings_.find(run.server);
-            const auto isPassedOn = record.ended && record.ended->signature == run.server + "." + run.id;
-            if (stated != statedLeavings_.end() && isPassedOn && run.at >= stated->second) {
-                const auto [known, isFirst] = told.try_emplace(senderOf(record, run.server), record.ended->at);
-                known->second = std::min(known->second, record.ended->at);
+            if (stated != statedLeavings_.end() && isPassedOn(record, run) && run.at >= stated->second) {
+                keepEarliest(told, senderOf(record, run.server), record.ended->at);
             }
         }
     }
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -135,6 +135,8 @@
     };
     /// A process of an entry and a server.
     using Sender = std::tuple<std::string, std::uint32_t, std::string>;
+    /// Whether the caller got the server's answer of this run.
+    static auto isPassedOn(const Record &record, const adapter::standins::Execution &run) -> bool;
     static auto senderOf(const Record &record, const std::string &server) -> Sender;
     using Violations = std::vector<Violation>;
 
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -1,6 +1,7 @@
 #include "soak/plan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 
 namespace auburnspread::soak
@@ -58,38 +59,41 @@
     return kind == FaultKind::ServerPath || kind == FaultKind::ServerCrashes || kind == FaultKind::ServerLeaves;
 }
 
-/// From numbers of their own, so that the other faults of a seed stay the same.
+/// Adds what \p draw returns, \p perSecond times a second, drawn from numbers of their own, so that the other faults of a seed stay the same.
+template <typename Draw>
+auto addStatements(std::vector<Fault> &plan, const PlanOptions &options, std::uint64_t otherSeed, double perSecond, Draw draw) -> void
+{
+    Random random(options.seed ^ otherSeed);
+    const auto count = static_cast<std::size_t>(std::chrono::duration<double>(options.length).count() * perSecond);
+    std::generate_n(std::back_inserter(plan), count, [&]() { return draw(random); });
+}
+
 auto addLimits(std::vector<Fault> &plan, const PlanOptions &options) -> void
 {
     constexpr std::uint64_t OtherSeed = 0x6c696d6974ULL;
-    Random random(options.seed ^ OtherSeed);
-    const auto limits = static_cast<std::size_t>(std::chrono::duration<double>(options.length).count() * options.limitsPerSecond);
-    for (std::size_t i = 0; i < limits; ++i) {
-        plan.push_back({
+    addStatements(plan, options, OtherSeed, options.limitsPerSecond, [&options](Random &random) -> Fault {
+        return {
             .at = drawDuration(random, Duration::zero(), options.length),
             .length = drawDuration(random, ShortestLimit, LongestLimit),
             .kind = FaultKind::ServerLimit,
             .target = drawBelow(random, options.servers),
             .perSecond = std::uniform_real_distribution<double>(LeastRate, MostRate)(random),
-        });
-    }
+        };
+    });
 }
 
-/// From numbers of their own, too.
 auto addNotices(std::vector<Fault> &plan, const PlanOptions &options) -> void
 {
     constexpr std::uint64_t OtherSeed = 0x6e6f74696365ULL;
-    Random random(options.seed ^ OtherSeed);
-    const auto notices = static_cast<std::size_t>(std::chrono::duration<double>(options.length).count() * options.noticesPerSecond);
-    for (std::size_t i = 0; i < notices; ++i) {
-        plan.push_back({
+    addStatements(plan, options, OtherSeed, options.noticesPerSecond, [&options](Random &random) -> Fault {
+        return {
             .at = drawDuration(random, Duration::zero(), options.length),
             .length = drawDuration(random, ShortestOverload, LongestOverload),
             .kind = drawBelow(random, 2) == 0 ? FaultKind::ServerBackoff : FaultKind::ServerSilentlyLeaves,
             .target = drawBelow(random, options.servers),
             .backoff = drawDuration(random, ShortestBackoff, LongestBackoff),
-        });
-    }
+        };
+    });
 }
 
 } // namespace
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -172,37 +172,23 @@
 }
 
 /// It serves on for some time, so that what is under way ends, and gives its place to a new one.
-auto Site::announceLeaving(std::size_t number) -> void
+auto Site::beginLeaving(const Fault &fault) -> void
 {
+    constexpr Duration ServesOn = std::chrono::seconds(4);
+    const auto number = fault.target;
     auto &server = servers_.at(number);
     if (!server.standin || server.isLeaving) {
         return;
     }
-    server.isLeaving = true;
-    putServer(server);
-    server.standin->stateLeaving();
     const auto now = task::monotonicNow();
-    ledger_.serverLeaves(server.id, now);
-    ledger_.serverStatesLeaving(server.id, now);
-    replaceSoon(number);
-}
-
-auto Site::leaveSilently(std::size_t number) -> void
-{
-    auto &server = servers_.at(number);
-    if (!server.standin || server.isLeaving) {
-        return;
-    }
     server.isLeaving = true;
+    if (fault.kind == FaultKind::ServerLeaves) {
+        putServer(server);
+        ledger_.serverLeaves(server.id, now);
+    }
     server.standin->stateLeaving();
-    ledger_.serverStatesLeaving(server.id, task::monotonicNow());
-    replaceSoon(number);
-}
-
-auto Site::replaceSoon(std::size_t number) -> void
-{
-    constexpr Duration ServesOn = std::chrono::seconds(4);
-    servers_.at(number).replacement = loop_.after(ServesOn, [this, number]() {
+    ledger_.serverStatesLeaving(server.id, now);
+    server.replacement = loop_.after(ServesOn, [this, number]() {
         stopServer(number);
         startServer(number);
     });
@@ -299,9 +285,6 @@
     case FaultKind::ServerBackoff:
         beginOverload(fault);
         break;
-    case FaultKind::ServerSilentlyLeaves:
-        leaveSilently(fault.target);
-        break;
     case FaultKind::EntryKilled:
     case FaultKind::EntryStopped: {
         auto &entry = entries_.at(fault.target);
@@ -336,7 +319,8 @@
         stopServer(fault.target);
         break;
     case FaultKind::ServerLeaves:
-        announceLeaving(fault.target);
+    case FaultKind::ServerSilentlyLeaves:
+        beginLeaving(fault);
         break;
     case FaultKind::StoreBusy:
         store_.setBusy(true);
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -121,14 +121,12 @@
     auto endLimit(const Fault &fault) -> void;
     auto beginOverload(const Fault &fault) -> void;
     auto endOverload(const Fault &fault) -> void;
-    /// The server states in its answers that it is leaving, and nothing else tells so.
-    auto leaveSilently(std::size_t number) -> void;
-    auto replaceSoon(std::size_t number) -> void;
     /// Tells the ledger what the fault excuses from keeping to limits.
     auto noteHarm(const Fault &fault) -> void;
     auto putServer(const Server &server) -> void;
     auto stopServer(std::size_t number) -> void;
-    auto announceLeaving(std::size_t number) -> void;
+    /// The server states in its answers that it is leaving, and tells the store as well unless it leaves silently.
+    auto beginLeaving(const Fault &fault) -> void;
     auto putConfiguration() -> void;
     auto addKey() -> void;
     auto rotateKeys() -> void;
