A confirmation counts for the configuration that it refers to, also when that one arrives later

Cause: an entry took a reader's confirmation only if the reader's configuration was the one in force here. With a newer one in each answer none ever counted, and after 3.5 s the entry held its configuration for unconfirmed, though it had adopted every one within 5 ms of the offer.

Class: a state that is recognised only when it is at rest. The same in the transfer of documents: readers kept three, so a transfer of more than three changes' time lost its document half-way, for ever.

Change: a confirmation of a configuration that is still to be fetched is kept with its revision and applied when that revision, or a later one, comes into force. It states that nothing newer was written until then, which holds whenever it is applied; the oldest and the newest are kept beyond 100. An entry is outdated from the first offer that it has not caught up with, as before. Readers keep up to 128 documents or 2 MB, three at least.

Also read: lists of servers and entries go by tag and delta, claims by reading again after a change; both advance at any rate.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -89,6 +89,7 @@
 auto Directory::recordConfigurationRevision(std::uint64_t revision) -> void
 {
     configurationRevision_ = std::max(configurationRevision_, revision);
+    documentRevision_ = std::max(documentRevision_, revision);
 }
 
 auto Directory::readOnce() -> void
@@ -345,10 +346,11 @@
     configurationRevision_ = std::max(configurationRevision_, items.revision);
     for (const auto &item : items.items) {
         if (!item.isRemoved && item.key == adapter::configurationKey()) {
+            documentRevision_ = std::max(documentRevision_, item.revision);
             callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
         }
     }
-    callbacks_.onConfigurationConfirmed(requestedAt);
+    callbacks_.onConfigurationConfirmed(documentRevision_, requestedAt);
     if (serversAndEntriesPending_) {
         readServersAndEntries();
     }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -152,6 +152,7 @@
     Poll entriesPoll_;
 
     std::uint64_t configurationRevision_ = 0; ///< store revision from which the configuration is watched
+    std::uint64_t documentRevision_ = 0;      ///< of the newest configuration known, by this entry's reads or another entry
     std::uint64_t entriesRevision_ = 0;
     std::map<std::string, adapter::EntryRecord> registeredEntries_; ///< by store key
     ServerList servers_;                                            ///< newest complete list
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -50,7 +50,7 @@
     return { .servers = detail::readQueryNumber(query, "servers"), .entries = detail::readQueryNumber(query, "entries") };
 }
 
-DirectoryFollower::DirectoryFollower(task::EventLoop &loop, const DirectoryTags &known, std::size_t startOffset, DirectoryCallbacks callbacks)
+DirectoryFollower::DirectoryFollower(task::EventLoop &loop, const DirectoryState &known, std::size_t startOffset, DirectoryCallbacks callbacks)
     : loop_(loop)
     , callbacks_(std::move(callbacks))
     , known_(known)
@@ -101,7 +101,7 @@
 
 auto DirectoryFollower::hasNoConfirmation() const -> bool
 {
-    return confirmedAt_ == TimePoint();
+    return !isConfirmedByReader_ || !known_.confirmedAt;
 }
 
 auto DirectoryFollower::sendQuery() -> void
@@ -109,7 +109,7 @@
     isScheduled_ = false;
     isInFlight_ = true;
     queriedReader_ = readers_.at(current_);
-    auto request = makeDirectoryRequest(queriedReader_, known_);
+    auto request = makeDirectoryRequest(queriedReader_, known_.tags);
     if (hasNoConfirmation()) {
         request.silenceTimeout = StartupSilenceTimeout;
     }
@@ -159,17 +159,16 @@
 }
 
 /// Ages in the response are subtracted from the time of the request, so a reader that was suspended in between can only make the
-/// configuration look older than it is. The confirmation refers to the reader's configuration, so it is ignored while that
-/// configuration still has to be fetched.
+/// configuration look older than it is. The confirmation refers to the reader's configuration, which may still have to be fetched.
 auto DirectoryFollower::apply(const DirectoryAnswer &answer, TimePoint requestedAt) -> ReaderHealth
 {
-    if (answer.configuration && answer.configuration->revision > known_.configuration) {
+    if (answer.configuration && answer.configuration->revision > known_.tags.configuration) {
         callbacks_.onConfigurationOffered(answer.configuration->revision);
         documents_.fetch(*answer.configuration);
     }
-    if (answer.confirmedAge && answer.configuration && answer.configuration->revision == known_.configuration) {
-        confirmedAt_ = std::max(confirmedAt_, requestedAt - *answer.confirmedAge);
-        callbacks_.onConfigurationConfirmed(requestedAt - *answer.confirmedAge);
+    if (answer.confirmedAge && answer.configuration) {
+        isConfirmedByReader_ = true;
+        callbacks_.onConfigurationConfirmed(answer.configuration->revision, requestedAt - *answer.confirmedAge);
     }
     applyServers(answer, requestedAt);
     applyEntries(answer, requestedAt);
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -20,10 +20,10 @@
 class DirectoryFollower
 {
 public:
-    /// \p known: tags of the data that this entry already has; must outlive the follower. \p startOffset selects the reader that is
+    /// \p known: the data that this entry already has; must outlive the follower. \p startOffset selects the reader that is
     /// queried first, so that entries spread over the readers: when 63 entries fetched 290 KB from one of three readers at once,
     /// each had received 139 KB after 350 ms.
-    DirectoryFollower(task::EventLoop &loop, const DirectoryTags &known, std::size_t startOffset, DirectoryCallbacks callbacks);
+    DirectoryFollower(task::EventLoop &loop, const DirectoryState &known, std::size_t startOffset, DirectoryCallbacks callbacks);
 
     /// Queries one of these entries several times a second and moves to the next one when it is unhealthy. An empty list stops the
     /// queries.
@@ -51,7 +51,7 @@
 
     task::EventLoop &loop_;
     DirectoryCallbacks callbacks_;
-    const DirectoryTags &known_;
+    const DirectoryState &known_;
     std::size_t startOffset_;
     http::Client client_;
     DocumentFetcher documents_;
@@ -60,8 +60,8 @@
     std::string queriedReader_; ///< the reader to which a query is in flight
     http::Handle query_{};
     bool isInFlight_ = false;
-    bool isScheduled_ = false; ///< the timer for the next query is set
-    TimePoint confirmedAt_;
+    bool isScheduled_ = false;         ///< the timer for the next query is set
+    bool isConfirmedByReader_ = false; ///< a response confirmed a configuration
     TimePoint answeredAt_;
     bool reachable_ = true;
     task::Watch timer_;
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <stdexcept>
 
 namespace auburnspread::gateway
@@ -107,7 +108,7 @@
     }
     recordConfigurationRead(state, read.revision);
     state.configurations.insert(state.configurations.begin(), makeOfferedDocument(read));
-    state.configurations.resize(std::min(state.configurations.size(), MaxKeptDocuments));
+    dropOldDocuments(state.configurations);
 }
 
 auto recordConfigurationRead(DirectoryState &state, std::uint64_t revision) -> void
@@ -116,6 +117,36 @@
     state.offeredAt.erase(state.offeredAt.begin(), state.offeredAt.upper_bound(revision));
 }
 
+auto recordConfirmation(DirectoryState &state, std::uint64_t revision, TimePoint asOf) -> bool
+{
+    constexpr std::size_t MaxPending = 100;
+    if (revision <= state.tags.configuration) {
+        applyConfirmation(state, asOf);
+        return true;
+    }
+    auto &pending = state.pendingConfirmations;
+    auto &confirmedAt = pending.try_emplace(revision, asOf).first->second;
+    confirmedAt = std::max(confirmedAt, asOf);
+    if (pending.size() > MaxPending) {
+        pending.erase(std::prev(pending.end(), 2)); // the oldest belong to the document in transfer, the newest to the one after it
+    }
+    return false;
+}
+
+auto applyPendingConfirmations(DirectoryState &state) -> std::optional<TimePoint>
+{
+    std::optional<TimePoint> confirmedAt;
+    const auto end = state.pendingConfirmations.upper_bound(state.tags.configuration);
+    for (auto each = state.pendingConfirmations.begin(); each != end; ++each) {
+        confirmedAt = std::max(confirmedAt.value_or(each->second), each->second);
+    }
+    state.pendingConfirmations.erase(state.pendingConfirmations.begin(), end);
+    if (confirmedAt) {
+        applyConfirmation(state, *confirmedAt);
+    }
+    return confirmedAt;
+}
+
 auto applyConfirmation(DirectoryState &state, TimePoint asOf) -> void
 {
     state.confirmedAt = std::max(state.confirmedAt.value_or(asOf), asOf);
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -41,8 +41,8 @@
 /// Receives the directory from one of its sources: the entry's own reads of the store, or another entry.
 struct DirectoryCallbacks {
     std::function<void(const ConfigurationSnapshot &read)> onConfiguration;
-    std::function<void(TimePoint asOf)> onConfigurationConfirmed;       ///< the last delivered configuration was the newest at that time
-    std::function<void(std::uint64_t revision)> onConfigurationOffered; ///< another entry has a newer configuration of this revision
+    std::function<void(std::uint64_t revision, TimePoint asOf)> onConfigurationConfirmed; ///< the configuration of this revision was the newest at that time
+    std::function<void(std::uint64_t revision)> onConfigurationOffered;                   ///< another entry has a newer configuration of this revision
     std::function<void(const ServersSnapshot &read)> onServers;
     std::function<void(const ServersDelta &change)> onServersDelta;
     std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed;              ///< the last delivered list was read again without changes
@@ -76,9 +76,10 @@
 struct DirectoryState {
     std::vector<OfferedDocument> configurations; ///< newest first; the newest one is in force
     std::optional<TimePoint> confirmedAt;
-    std::map<std::uint64_t, TimePoint> offeredAt; ///< when another entry first offered each newer configuration, by revision
-    ServerRecords servers;                        ///< sorted by id
-    ChangeLog serverLog;                          ///< recent changes of \c servers
+    std::map<std::uint64_t, TimePoint> offeredAt;            ///< when another entry first offered each newer configuration, by revision
+    std::map<std::uint64_t, TimePoint> pendingConfirmations; ///< of configurations that have not been received yet; see recordConfirmation()
+    ServerRecords servers;                                   ///< sorted by id
+    ChangeLog serverLog;                                     ///< recent changes of \c servers
     std::uint64_t serversRevision = 0;
     std::optional<TimePoint> serversAt;
     std::optional<TimePoint> outageEndedAt;  ///< end of the last outage of the store; see ServersSnapshot
@@ -100,6 +101,13 @@
 /// Records that the configuration of this revision was read, whether or not its version is newer than the one in force. Offers up to
 /// this revision no longer count as outstanding.
 auto recordConfigurationRead(DirectoryState &state, std::uint64_t revision) -> void;
+/// Records that the configuration of this revision was the newest at \p asOf. While configurations follow each other, each
+/// confirmation refers to one that is still to be fetched, so it is kept until then; otherwise no configuration would ever be confirmed.
+/// \return whether the known configuration is at least as new, and so is confirmed as of that time
+auto recordConfirmation(DirectoryState &state, std::uint64_t revision, TimePoint asOf) -> bool;
+/// Applies the confirmations of configurations up to the known one, which was just received.
+/// \return the time as of which the known configuration is confirmed; nothing if there are no such confirmations
+auto applyPendingConfirmations(DirectoryState &state) -> std::optional<TimePoint>;
 /// Records that the known configuration was the newest at \p asOf. Offers of newer ones that arrived before then are wrong and are
 /// dropped.
 auto applyConfirmation(DirectoryState &state, TimePoint asOf) -> void;
--- a/src/gateway/documenttransfer.cpp
+++ b/src/gateway/documenttransfer.cpp
@@ -21,6 +21,20 @@
     return offered;
 }
 
+auto dropOldDocuments(std::vector<OfferedDocument> &documents) -> void
+{
+    std::size_t kept = 0;
+    std::size_t bytes = 0;
+    while (kept < std::min(documents.size(), MaxKeptDocuments)) {
+        bytes += documents[kept].bytes.size();
+        if (kept >= MinKeptDocuments && bytes > MaxKeptBytes) {
+            break;
+        }
+        kept += 1;
+    }
+    documents.resize(kept);
+}
+
 auto readPart(const std::vector<OfferedDocument> &documents, std::uint64_t tag, std::uint64_t from) -> std::optional<std::string_view>
 {
     const auto found = std::find_if(documents.begin(), documents.end(), [tag](const OfferedDocument &each) { return each.offer.tag == tag; });
--- a/src/gateway/documenttransfer.h
+++ b/src/gateway/documenttransfer.h
@@ -46,15 +46,21 @@
 constexpr std::size_t PartBytes = 32768;
 /// Longer documents, packed or unpacked, are not fetched. The store accepts no document of more than 1 MB.
 constexpr std::uint64_t MaxDocumentBytes = 4UL * 1024 * 1024;
-/// Number of documents kept, the newest one and those before it. Failure: changes follow each other faster than a document can be
-/// transferred. Symptom: each transfer is dropped half-way for the next document, and none completes. With three documents, a
-/// transfer that has started can complete while two more changes arrive, so it has three times as long.
-constexpr std::size_t MaxKeptDocuments = 3;
+/// Number of documents that are always kept, the newest one and those before it. Failure: changes follow each other faster than a
+/// document can be transferred. Symptom: each transfer is dropped half-way for the next document, and none completes.
+constexpr std::size_t MinKeptDocuments = 3;
+/// Older documents are kept up to this number and total size in bytes, so that a transfer over a narrow link can complete while many
+/// more changes arrive.
+constexpr std::size_t MaxKeptDocuments = 128;
+constexpr std::size_t MaxKeptBytes = std::size_t{ 2 } * 1024 * 1024;
 
 /// A document received in packed form is offered unchanged, so that entries that offer the same bytes can replace each other during a
 /// transfer.
 auto makeOfferedDocument(const ConfigurationSnapshot &read) -> OfferedDocument;
 
+/// Drops documents from the end of the list, the oldest ones, beyond what is kept.
+auto dropOldDocuments(std::vector<OfferedDocument> &documents) -> void;
+
 /// The next part of the document with this tag, from offset \p from; nothing if the document is not kept or is not that long.
 auto readPart(const std::vector<OfferedDocument> &documents, std::uint64_t tag, std::uint64_t from) -> std::optional<std::string_view>;
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -72,7 +72,7 @@
                      .leaseDuration = settings.leaseTime,
                  },
                  directoryCallbacks())
-    , follower_(loop, known_.tags, XXH64(self_.name.data(), self_.name.size(), 0), directoryCallbacks())
+    , follower_(loop, known_, XXH64(self_.name.data(), self_.name.size(), 0), directoryCallbacks())
     , peers_(
           loop,
           settings.peerAddress,
@@ -181,7 +181,7 @@
 {
     return {
         .onConfiguration = [this](const ConfigurationSnapshot &read) { handleConfiguration(read); },
-        .onConfigurationConfirmed = [this](TimePoint asOf) { handleConfirmation(asOf); },
+        .onConfigurationConfirmed = [this](std::uint64_t revision, TimePoint asOf) { handleConfirmation(revision, asOf); },
         .onConfigurationOffered = [this](std::uint64_t revision) { handleOffer(revision); },
         .onServers = [this](const ServersSnapshot &read) { handleServers(read); },
         .onServersDelta = [this](const ServersDelta &change) { handleServersDelta(change); },
@@ -214,6 +214,9 @@
             gateway::applyConfiguration(known_, read);
             directory_.recordConfigurationRevision(read.revision);
         }
+        if (const auto asOf = gateway::applyPendingConfirmations(known_)) {
+            publishConfirmation(*asOf);
+        }
         publishOutdatedSince();
         if (configuration.version <= before) {
             return;
@@ -234,14 +237,17 @@
 }
 
 /// A document that could not be decoded may withdraw keys, so it does not confirm the configuration in force.
-auto Fleet::handleConfirmation(TimePoint asOf) -> void
+auto Fleet::handleConfirmation(std::uint64_t revision, TimePoint asOf) -> void
 {
-    if (!isConfigurationValid_) {
-        return;
+    if (isConfigurationValid_ && gateway::recordConfirmation(known_, revision, asOf)) {
+        publishConfirmation(asOf);
+        publishOutdatedSince();
     }
-    gateway::applyConfirmation(known_, asOf);
+}
+
+auto Fleet::publishConfirmation(TimePoint asOf) -> void
+{
     callbacks_.onEvent(passthrough::ConfigurationConfirmed{ .asOf = asOf });
-    publishOutdatedSince();
 }
 
 auto Fleet::handleOffer(std::uint64_t revision) -> void
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -68,7 +68,8 @@
 private:
     auto directoryCallbacks() -> DirectoryCallbacks;
     auto handleConfiguration(const ConfigurationSnapshot &read) -> void;
-    auto handleConfirmation(TimePoint asOf) -> void;
+    auto handleConfirmation(std::uint64_t revision, TimePoint asOf) -> void;
+    auto publishConfirmation(TimePoint asOf) -> void;
     auto handleOffer(std::uint64_t revision) -> void;
     auto publishOutdatedSince() -> void;
     auto handleServers(const ServersSnapshot &read) -> void;
--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -155,14 +155,25 @@
     applyConfiguration(reader, { .document = makeDocument(4 * PartBytes, 1), .revision = 7 });
     DirectoryPage page(loop, reader);
 
-    DirectoryTags known{ .configuration = 3 };
+    DirectoryState known{ .tags = { .configuration = 3 } };
     std::vector<std::uint64_t> confirmed; ///< revision that the entry had at each confirmation
     DirectoryFollower follower(loop,
                                known,
                                0,
                                {
-                                   .onConfiguration = [&](const ConfigurationSnapshot &read) { known.configuration = read.revision; },
-                                   .onConfigurationConfirmed = [&](TimePoint) { confirmed.push_back(known.configuration); },
+                                   .onConfiguration =
+                                       [&](const ConfigurationSnapshot &read) {
+                                           applyConfiguration(known, read);
+                                           if (applyPendingConfirmations(known)) {
+                                               confirmed.push_back(known.tags.configuration);
+                                           }
+                                       },
+                                   .onConfigurationConfirmed =
+                                       [&](std::uint64_t revision, TimePoint asOf) {
+                                           if (recordConfirmation(known, revision, asOf)) {
+                                               confirmed.push_back(known.tags.configuration);
+                                           }
+                                       },
                                    .onConfigurationOffered = [](auto &&...) {},
                                    .onServersConfirmed = [](auto &&...) {},
                                    .onReaderChecked = [](auto &&...) {},
@@ -181,7 +192,7 @@
     task::EventLoop loop;
     DirectoryState reader;
     DirectoryPage page(loop, reader);
-    const DirectoryTags known;
+    const DirectoryState known;
     std::vector<bool> health;
     DirectoryFollower follower(loop,
                                known,
--- a/src/gateway/tests/largedocument_tests.cpp
+++ b/src/gateway/tests/largedocument_tests.cpp
@@ -63,9 +63,9 @@
     const NarrowLink link(loop, page.listen("127.0.0.1:0"), { .bytes = CarriedWithinTimeout });
 
     std::string received;
-    const DirectoryTags noTags;
+    const DirectoryState nothing;
     DirectoryFollower follower(loop,
-                               noTags,
+                               nothing,
                                0,
                                { .onConfiguration = [&](const ConfigurationSnapshot &read) { received = read.document; },
                                  .onConfigurationOffered = [](auto &&...) {},
@@ -93,7 +93,7 @@
                         { .store = link.address(), .self = { .name = "entry-1" } },
                         {
                             .onConfiguration = [&](const ConfigurationSnapshot &read) { received = read.document; },
-                            .onConfigurationConfirmed = [](TimePoint) {},
+                            .onConfigurationConfirmed = [](auto &&...) {},
                             .onServers = [](const ServersSnapshot &) {},
                             .onRegistrations = [](auto &&...) {},
                             .onRegistrationsFailed = []() {},
@@ -121,7 +121,7 @@
                         { .store = link.address(), .self = { .name = "entry-1" } },
                         {
                             .onConfiguration = [](const ConfigurationSnapshot &) {},
-                            .onConfigurationConfirmed = [&](TimePoint) { confirmations += 1; },
+                            .onConfigurationConfirmed = [&](auto &&...) { confirmations += 1; },
                             .onServers = [](const ServersSnapshot &) {},
                             .onRegistrations = [](auto &&...) {},
                             .onRegistrationsFailed = []() {},
--- a/src/gateway/tests/repeatedread_tests.cpp
+++ b/src/gateway/tests/repeatedread_tests.cpp
@@ -48,7 +48,7 @@
                          { .store = link.address(), .self = { .name = "entry-1" } },
                          {
                              .onConfiguration = [this](const ConfigurationSnapshot &read) { received = read.document; },
-                             .onConfigurationConfirmed = [](TimePoint) {},
+                             .onConfigurationConfirmed = [](auto &&...) {},
                              .onServers = [this](const ServersSnapshot &read) { lists.push_back(read); },
                              .onRegistrations = [](auto &&...) {},
                              .onRegistrationsFailed = []() {},
