Failed attempts are logged with the fingerprint of their request

Without it the log does not tell whether a request that crashed a server is the one that crashed another before (docs/incidents/2026-12-03-crashing-requests.md, hypothesis 4).

--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -97,6 +97,7 @@
             { "status", failure.status },
             { "answer_begun", failure.relayStarted },
             { "last_event", failure.lastEventId },
+            { "fingerprint", static_cast<std::uint64_t>(context.fingerprint) },
             { "after_ms", wholeMilliseconds(elapsed) },
             { "servers_age_ms", wholeMilliseconds(context.serversAge) } });
 }
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -22,6 +22,7 @@
 /// Fields that the log events of a request have in common.
 struct RequestLogContext {
     std::string_view request; ///< attempt id given by the caller
+    Fingerprint fingerprint{};
     std::uint64_t configurationVersion = 0;
     Duration configurationAge{};
     Duration serversAge{}; ///< age of the list of backend servers
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,7 @@
 struct OpenRequest {
     BufferedRequestPointer message;
     std::string callerId;
+    Fingerprint fingerprint{};
     TimePoint arrivedAt;
     std::optional<TimePoint> firstByteAt;
     bool responseStarted = false; ///< a part of the response was sent to the caller
@@ -218,6 +219,7 @@
     const auto status = passthrough::statusOf(*router, at);
     return {
         .request = request.callerId,
+        .fingerprint = request.fingerprint,
         .configurationVersion = status.configurationVersion,
         .configurationAge = status.configurationAge,
         .serversAge = fleet.serversAge(at),
@@ -315,7 +317,7 @@
     passthrough::RequestArrived arrived{ .request = id, .path = message->target };
     adapter::decodeCallerHeaders(message->headers, arrived);
     arrived.fingerprint = fingerprintOf(*message, arrived.host, arrived.key);
-    requests[id] = { .message = std::move(message), .callerId = arrived.callerId, .arrivedAt = now() };
+    requests[id] = { .message = std::move(message), .callerId = arrived.callerId, .fingerprint = arrived.fingerprint, .arrivedAt = now() };
     apply(arrived);
 }
 
