A request that crashes servers is withheld in whatever part of the response they crash

Cause: only a connection that ended before any answer counted as a crash. These engines ended after the response head, and nothing counted that; an error response of another server also cleared what had been counted, and at 10,000 records counting stopped.

Class: evidence that is taken from one symptom of a fault instead of from the fault. A crash shows in any part of a response, and so do other faults.

Ruled out: counts that do not reach the others, and fingerprints that differ (no crash-counted at all for the requests that the monitoring named).

Change: core/passthrough/crashledger keeps, for each fingerprint, the servers whose connection broke while they ran it, in any part of the response; the set is the same whoever reports it and however often. Not counted: servers that are leaving or no longer listed. A success clears the request, at all entries; a server that is listed 6 s later did not crash. Reports go out with the crash and with three heartbeats, and the directory carries the withheld requests to entries that heard none of them.

Evidence: crashing_requests_tests, three tests red before; the property (1 to 6 entries, reports lost up to 40%, sound streams beside, any part of the response) counts sends later than 3 s after the third crash: three at most; with only broken-before-first-byte counted it fails.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -7,6 +7,7 @@
 #include "core/base/ids.h"
 #include "core/base/reason.h"
 #include "core/base/time.h"
+#include "core/passthrough/crashledger.h"
 #include "core/passthrough/servernotice.h"
 
 #include <cstdint>
@@ -83,10 +84,11 @@
     RequestId request{};
 };
 
-/// Report to the other entries that \c crashes backend servers dropped the connection while they ran this request.
+/// Report to the other entries which backend servers dropped the connection while they ran this request.
 struct ReportCrashes {
     Fingerprint fingerprint{};
-    std::uint32_t crashes = 0;
+    std::vector<CrashIncident> incidents; ///< empty: the request completed after such incidents
+    bool isQuarantined = false;
 };
 
 /// The rate limit that this entry applies to a backend server changed; for logs.
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -7,6 +7,7 @@
 #include "core/base/ids.h"
 #include "core/base/time.h"
 #include "core/passthrough/configuration.h"
+#include "core/passthrough/crashledger.h"
 #include "core/passthrough/servernotice.h"
 
 #include <cstdint>
@@ -131,6 +132,11 @@
     std::optional<TimePoint> outageEndedAt; ///< see ServersListed
 };
 
+/// The last list of backend servers was read again and has not changed.
+struct ServersConfirmed {
+    TimePoint asOf;
+};
+
 /// The entries that are alive, this entry included.
 struct EntriesCounted {
     std::uint32_t entries = 1;
@@ -191,10 +197,15 @@
     std::vector<PromptPart> parts;
 };
 
-/// Another entry saw backend servers crash while they ran this request.
+/// Another entry saw connections of backend servers break while they ran this request, or saw the request complete after that.
 struct CrashesReported {
     Fingerprint fingerprint{};
-    std::uint32_t crashes = 0;
+    std::vector<CrashIncident> incidents; ///< empty: the request completed
+};
+
+/// The requests that are quarantined according to the entry from which this one gets the directory.
+struct QuarantineListed {
+    std::vector<QuarantinedRequest> requests;
 };
 
 /// The entry is about to stop and refuses every request that arrives from now on.
@@ -220,10 +231,12 @@
                            ConfigurationOutdated,
                            ServersListed,
                            ServersChanged,
+                           ServersConfirmed,
                            EntriesCounted,
                            PeerReported,
                            CacheListed,
                            CrashesReported,
+                           QuarantineListed,
                            ClosingStarted,
                            Tick>;
 
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -1,6 +1,5 @@
 #include "core/passthrough/internal/arriving.h"
 
-#include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/ending.h"
 
@@ -165,7 +164,7 @@
         refuseArrival(state, call, *reason, actions);
         return;
     }
-    if (isQuarantined(state, call.fingerprint)) {
+    if (isQuarantined(state.crashes, call.fingerprint, state.now)) {
         refuseArrival(state, call, Reason::Quarantined, actions);
         return;
     }
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -2,7 +2,6 @@
 
 #include "core/passthrough/internal/arriving.h"
 #include "core/passthrough/internal/candidate.h"
-#include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/ending.h"
 #include "core/passthrough/internal/enginechoice.h"
 #include "core/passthrough/peerreports.h"
@@ -289,7 +288,7 @@
         endWithoutAnswer(state, request, *reason, actions);
         return true;
     }
-    if (isQuarantined(state, request.call.fingerprint)) {
+    if (isQuarantined(state.crashes, request.call.fingerprint, state.now)) {
         endWithoutAnswer(state, request, Reason::Quarantined, actions);
         return true;
     }
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -1,7 +1,6 @@
 #include "core/passthrough/internal/ending.h"
 
 #include "core/passthrough/ejection.h"
-#include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/milliseconds.h"
 
@@ -193,6 +192,31 @@
     }
 }
 
+/// Whether the server is listed and has not announced its end, so that the end of a connection may be a crash.
+auto isExpectedToRun(const RouterState &state, const ServerState &server) -> bool
+{
+    return findServer(state.servers, server.record.id) && !server.record.isLeaving && !server.stated.isLeaving;
+}
+
+auto noteCrash(RouterState &state, const Request &request, const CrashIncident &incident, Actions &actions) -> void
+{
+    const auto fingerprint = request.call.fingerprint;
+    if (recordIncidents(state.crashes, fingerprint, { incident })) {
+        actions.emplace_back(ReportCrashes{
+            .fingerprint = fingerprint,
+            .incidents = incidentsOf(state.crashes, fingerprint),
+            .isQuarantined = isQuarantined(state.crashes, fingerprint, state.now),
+        });
+    }
+}
+
+auto noteCompletion(RouterState &state, const Request &request, Actions &actions) -> void
+{
+    if (recordCompletion(state.crashes, request.call.fingerprint)) {
+        actions.emplace_back(ReportCrashes{ .fingerprint = request.call.fingerprint });
+    }
+}
+
 /// Reason why no server was found for a queued request.
 auto reasonForNoServer(const RouterState &state, const Request &request) -> Reason
 {
@@ -319,9 +343,9 @@
         recordStartTime(state, request, *attempt);
     }
     const auto server = closeAttempt(state, event.attempt);
-    clearCrashes(state, request.call.fingerprint);
     request.mayHaveRun = true;
     if (event.status < FirstErrorStatus) {
+        noteCompletion(state, request, actions);
         recordSuccess(*server, state.now);
         recordOutcome(state, request, *server, std::nullopt);
     } else {
@@ -354,7 +378,7 @@
     const auto server = closeAttempt(state, event.attempt);
     recordSuccess(*server, state.now);
     recordOutcome(state, request, *server, std::nullopt);
-    clearCrashes(state, request.call.fingerprint);
+    noteCompletion(state, request, actions);
     actions.emplace_back(Complete{ .request = request.call.request });
     removeAndDispatch(state, request, actions);
 }
@@ -366,6 +390,7 @@
         return;
     }
     auto &request = state.requests.at(attempt->request);
+    const auto hadEvents = attempt->started && request.route->repeatability == Repeatability::Stream;
     const auto server = closeAttempt(state, event.attempt);
     if (event.failure == Failure::NotStarted && !acceptsRequests(server->stated, state.now)) {
         recordActivity(*server); // a server that rejects requests on purpose is not failing
@@ -375,8 +400,8 @@
     if (isServerFault(event.failure)) {
         recordOutcome(state, request, *server, event.failure);
     }
-    if (event.failure == Failure::BrokenBeforeFirstByte) {
-        recordCrash(state, request.call.fingerprint, actions);
+    if (looksLikeCrash(event.failure) && isExpectedToRun(state, *server)) {
+        noteCrash(state, request, { .server = server->record.id, .at = state.now, .hadEvents = hadEvents }, actions);
     }
     if (!countsAsAttempt(event.failure)) {
         request.sends -= 1;
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/passthrough/actions.h"
+#include "core/passthrough/crashledger.h"
 #include "core/passthrough/enginesplit.h"
 #include "core/passthrough/events.h"
 #include "core/passthrough/placement.h"
@@ -96,12 +97,6 @@
     }; ///< moving averages of the ratio of observed to estimated time to the first byte, for long [0] and short [1] prompts
 };
 
-/// Number of connections that broke while a request with a given fingerprint ran.
-struct CrashRecord {
-    std::uint32_t crashes = 0;
-    TimePoint at;
-};
-
 using DueCheck = std::pair<TimePoint, RequestId>;
 
 struct RouterState {
@@ -119,7 +114,8 @@
     std::unordered_map<AttemptId, Attempt> attempts;
     std::map<std::string, Pool> pools; ///< by service
     std::set<DueCheck> dueChecks;      ///< times at which the queue deadline or the deadline of a request passes
-    std::unordered_map<Fingerprint, CrashRecord> crashes;
+    CrashLedger crashes;
+    TimePoint serversConfirmedAt; ///< time as of which the list of servers was last known to be current
     std::unordered_map<std::string, Duration> longestDeadlines;     ///< longest deadlines that callers set, by route
     std::unordered_map<std::string, BaselineErrorRate> usualErrors; ///< by route
     std::uint64_t seed = 0;                                         ///< seed of this entry's tie-breaks
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -1,7 +1,6 @@
 #include "core/passthrough/router.h"
 
 #include "core/passthrough/internal/arriving.h"
-#include "core/passthrough/internal/crashes.h"
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/ending.h"
 #include "core/passthrough/internal/state.h"
@@ -41,7 +40,8 @@
 {
     removeLapsedServers(state.servers, state.now);
     expirePeerReports(state.servers, state.now);
-    detail::expireCrashes(state);
+    reviewIncidents(
+        state.crashes, [&state](std::string_view server) { return findServer(state.servers, server) != nullptr; }, state.serversConfirmedAt, state.now);
     detail::updateEngineSplits(state);
     detail::endExpiredRequests(state, actions);
     detail::dispatchAll(state, actions);
@@ -107,15 +107,21 @@
     auto operator()(const ServersListed &event) const -> void
     {
         applyServerList(state.servers, event, state.now);
+        state.serversConfirmedAt = std::max(state.serversConfirmedAt, event.asOf);
         rebuildPeerLoads(state.servers);
         detail::dispatchAll(state, actions);
     }
     auto operator()(const ServersChanged &event) const -> void
     {
         applyServerChanges(state.servers, event, state.now);
+        state.serversConfirmedAt = std::max(state.serversConfirmedAt, event.asOf);
         rebuildPeerLoads(state.servers);
         detail::dispatchAll(state, actions);
     }
+    auto operator()(const ServersConfirmed &event) const -> void
+    {
+        state.serversConfirmedAt = std::max(state.serversConfirmedAt, event.asOf);
+    }
     auto operator()(const EntriesCounted &event) const -> void
     {
         state.entries = std::max<std::uint32_t>(event.entries, 1);
@@ -132,7 +138,15 @@
     }
     auto operator()(const CrashesReported &event) const -> void
     {
-        detail::mergeReportedCrashes(state, event);
+        if (event.incidents.empty()) {
+            recordCompletion(state.crashes, event.fingerprint);
+        } else {
+            recordIncidents(state.crashes, event.fingerprint, event.incidents);
+        }
+    }
+    auto operator()(const QuarantineListed &event) const -> void
+    {
+        setListedRequests(state.crashes, event.requests);
     }
     auto operator()(const ClosingStarted & /*event*/) const -> void
     {
@@ -226,6 +240,16 @@
     return load;
 }
 
+auto quarantinedRequests(const RouterState &state, TimePoint now) -> std::vector<QuarantinedRequest>
+{
+    return quarantinedRequests(state.crashes, now);
+}
+
+auto quarantineRevision(const RouterState &state) -> std::uint64_t
+{
+    return state.crashes.revision;
+}
+
 auto acceptsCalls(const RouterState &state, std::string_view server, TimePoint now) -> bool
 {
     const auto found = findServer(state.servers, server);
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -56,6 +56,11 @@
 };
 auto loadOfService(const RouterState &state, const std::string &service, TimePoint now) -> ServiceLoad;
 
+/// Requests that no entry may send, because they crash the servers that run them. See crashledger.h.
+auto quarantinedRequests(const RouterState &state, TimePoint now) -> std::vector<QuarantinedRequest>;
+/// Changes whenever the quarantined requests may have changed.
+auto quarantineRevision(const RouterState &state) -> std::uint64_t;
+
 /// Whether this entry may call the backend server for purposes of its own, such as reading an engine's cache.
 auto acceptsCalls(const RouterState &state, std::string_view server, TimePoint now) -> bool;
 
--- a/src/core/passthrough/tests/crashingrequests_tests.cpp
+++ b/src/core/passthrough/tests/crashingrequests_tests.cpp
@@ -1,9 +1,15 @@
 #include "core/passthrough/tests/world.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace auburnspread;
 using namespace auburnspread::passthrough;
@@ -175,3 +181,182 @@
         breakAfter(harness, sent->attempt, Part::Events);
     }
 }
+
+namespace
+{
+
+/// Several entries before the same servers, in virtual time. One request crashes each server that runs it; reports between the entries
+/// get lost.
+class CrashingFleet
+{
+public:
+    CrashingFleet(std::size_t entries, Part part, int lossPercent)
+        : part_(part)
+        , lossPercent_(lossPercent)
+    {
+        for (std::size_t i = 0; i < entries; ++i) {
+            entries_.push_back(std::make_unique<RouterHarness>(RouterOptions{ .entry = "entry-" + std::to_string(i), .failureDomain = "a" }));
+        }
+        list();
+    }
+
+    /// A caller sends the crashing request, or a sound one that runs for long, to an entry.
+    auto send(std::size_t entry, const std::string &path, bool crashes, Duration runTime) -> void
+    {
+        auto request = entries_[entry]->request(path);
+        request.request = RequestId{ ++lastRequest_ };
+        request.fingerprint = crashes ? Crashing : Fingerprint{ lastRequest_ };
+        record(entry, entries_[entry]->apply(request), crashes, runTime);
+    }
+
+    auto advance(Duration time) -> void
+    {
+        constexpr Duration Step = std::chrono::milliseconds(20);
+        for (const auto end = now_ + time; now_ < end; now_ += Step) {
+            for (auto &entry : entries_) {
+                entry->advance(Step);
+            }
+            crashDueServers();
+            repeatReports();
+            list();
+        }
+    }
+
+    /// Sends of the crashing request later than 3 s after it crashed its third server.
+    [[nodiscard]] auto lateSends() const -> std::size_t
+    {
+        return lateSends_;
+    }
+    /// Whether the entry sends a sound request that it has not seen before.
+    auto acceptsSoundRequest(std::size_t entry) -> bool
+    {
+        return count<Send>(entries_[entry]->apply(entries_[entry]->request(QuotePath))) == 1;
+    }
+
+private:
+    static constexpr Fingerprint Crashing{ 1ULL << 40U };
+
+    struct Run {
+        std::size_t entry = 0;
+        AttemptId attempt{};
+        std::string server;
+        bool crashes = false;
+        TimePoint endsAt;
+    };
+    struct Report {
+        std::size_t sender = 0;
+        CrashesReported report;
+        int sendsLeft = 4;
+        TimePoint nextAt;
+    };
+
+    auto list() -> void
+    {
+        std::vector<Server> servers;
+        for (std::size_t i = 0; i < 8 + crashed_.size(); ++i) { // each crashed server is replaced
+            const auto id = "e" + std::to_string(i);
+            const auto found = crashed_.find(id);
+            if (found == crashed_.end() || now_ - found->second < std::chrono::seconds(4)) {
+                servers.push_back(makeServer(id, "engines", 32));
+            }
+        }
+        for (auto &entry : entries_) {
+            entry->apply(ServersListed{ .servers = servers, .asOf = now_ });
+        }
+    }
+
+    auto record(std::size_t entry, const Actions &actions, bool crashes, Duration runTime) -> void
+    {
+        for (const auto &action : actions) {
+            if (const auto *sent = std::get_if<Send>(&action)) {
+                lateSends_ += crashes && thirdCrashAt_ && now_ - *thirdCrashAt_ > std::chrono::seconds(3) ? 1 : 0;
+                if (crashed_.contains(sent->server)) {
+                    record(entry, entries_[entry]->apply(AttemptFailed{ .attempt = sent->attempt, .failure = Failure::ConnectFailed }), crashes, runTime);
+                } else {
+                    runs_.push_back({ .entry = entry, .attempt = sent->attempt, .server = sent->server, .crashes = crashes, .endsAt = now_ + runTime });
+                }
+            } else if (const auto *report = std::get_if<ReportCrashes>(&action)) {
+                reports_.push_back({ .sender = entry, .report = { .fingerprint = report->fingerprint, .incidents = report->incidents }, .nextAt = now_ });
+            }
+        }
+    }
+
+    auto crashDueServers() -> void
+    {
+        std::set<std::string> due;
+        for (const auto &run : runs_) {
+            if (run.crashes && now_ >= run.endsAt) {
+                due.insert(run.server);
+            }
+        }
+        for (const auto &server : due) {
+            crashed_[server] = now_;
+            crashes_ += 1;
+            if (crashes_ == 3) {
+                thirdCrashAt_ = now_;
+            }
+        }
+        std::vector<Run> ended;
+        std::erase_if(runs_, [&](const Run &run) {
+            const auto ends = due.contains(run.server);
+            if (ends) {
+                ended.push_back(run);
+            }
+            return ends;
+        });
+        for (const auto &run : ended) {
+            const auto actions = breakAfter(*entries_[run.entry], run.attempt, run.crashes ? part_ : Part::Events);
+            record(run.entry, actions, run.crashes, std::chrono::milliseconds(100));
+        }
+    }
+
+    auto repeatReports() -> void
+    {
+        for (auto &report : reports_) {
+            if (report.sendsLeft == 0 || now_ < report.nextAt) {
+                continue;
+            }
+            report.sendsLeft -= 1;
+            report.nextAt = now_ + std::chrono::milliseconds(300);
+            for (std::size_t i = 0; i < entries_.size(); ++i) {
+                if (i != report.sender && static_cast<int>(random_() % 100) >= lossPercent_) {
+                    entries_[i]->apply(report.report);
+                }
+            }
+        }
+    }
+
+    Part part_;
+    int lossPercent_;
+    std::vector<std::unique_ptr<RouterHarness>> entries_;
+    TimePoint now_ = TimePoint(std::chrono::hours(1));
+    std::vector<Run> runs_;
+    std::vector<Report> reports_;
+    std::map<std::string, TimePoint> crashed_;
+    std::size_t crashes_ = 0;
+    std::optional<TimePoint> thirdCrashAt_;
+    std::size_t lateSends_ = 0;
+    std::uint64_t lastRequest_ = 0;
+    std::mt19937_64 random_{ 7 };
+};
+
+} // namespace
+
+/// The caller of a crashing request repeats it at any entry, while long sound streams run on the same servers and reports between the
+/// entries get lost. Few of the repetitions are sent once three servers have crashed, and sound requests are served.
+RC_GTEST_PROP(CrashingRequestTests, allEntriesWithholdACrashingRequestInTime, ())
+{
+    constexpr int Repetitions = 40;
+    const auto entries = *rc::gen::inRange<std::size_t>(1, 7);
+    const auto *path = *rc::gen::element(CheckPath, QuotePath);
+    CrashingFleet fleet(entries, *rc::gen::element(Part::Nothing, Part::Head, Part::Events), *rc::gen::inRange(0, 40));
+    for (int i = 0; i < Repetitions; ++i) {
+        fleet.send(*rc::gen::inRange<std::size_t>(0, entries), CheckPath, false, std::chrono::hours(1));
+        fleet.send(*rc::gen::inRange<std::size_t>(0, entries), path, true, std::chrono::milliseconds(*rc::gen::inRange(10, 300)));
+        fleet.advance(std::chrono::milliseconds(*rc::gen::inRange(20, 600)));
+    }
+    RC_ASSERT(fleet.lateSends() <= 3U);
+    for (std::size_t i = 0; i < entries; ++i) {
+        RC_ASSERT(fleet.acceptsSoundRequest(i));
+    }
+}
--- a/src/core/passthrough/tests/repeats_tests.cpp
+++ b/src/core/passthrough/tests/repeats_tests.cpp
@@ -145,19 +145,19 @@
 {
     RouterHarness harness;
     auto crashingRequest = harness.request(NoticePath);
-    std::uint32_t reportedCrashes = 0;
+    std::vector<CrashIncident> reported;
     for (auto i = 0; i < 2; ++i) {
         crashingRequest.request = RequestId{ 100U + static_cast<unsigned>(i) };
         const auto sent = find<Send>(harness.apply(crashingRequest));
         ASSERT_TRUE(sent);
-        reportedCrashes = find<ReportCrashes>(fail(harness, sent->attempt, Failure::BrokenBeforeFirstByte))->crashes;
+        reported = find<ReportCrashes>(fail(harness, sent->attempt, Failure::BrokenBeforeFirstByte))->incidents;
     }
     crashingRequest.request = RequestId{ 200 };
     EXPECT_EQ(find<Refuse>(harness.apply(crashingRequest))->reason, Reason::Quarantined);
     EXPECT_EQ(find<Refuse>(harness.apply(crashingRequest))->status, 503);
 
     RouterHarness other;
-    other.apply(CrashesReported{ .fingerprint = crashingRequest.fingerprint, .crashes = reportedCrashes });
+    other.apply(CrashesReported{ .fingerprint = crashingRequest.fingerprint, .incidents = reported });
     EXPECT_EQ(find<Refuse>(other.apply(crashingRequest))->reason, Reason::Quarantined);
 }
 
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -209,7 +209,13 @@
 
 auto Accounting::crashCounted(const passthrough::ReportCrashes &crashes) -> void
 {
-    event(Level::Warning, "crash-counted", { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) }, { "crashes", crashes.crashes } });
+    const auto isCleared = crashes.incidents.empty();
+    event(Level::Warning,
+          isCleared ? "crashes-cleared" : "crash-counted",
+          { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) },
+            { "crashes", crashes.incidents.size() },
+            { "peer", isCleared ? std::string() : crashes.incidents.back().server },
+            { "quarantined", crashes.isQuarantined } });
 }
 
 auto Accounting::serverLimitChanged(const passthrough::RateLimitChanged &change) -> void
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -41,13 +41,16 @@
 
 auto makeDirectoryRequest(const std::string &reader, const DirectoryTags &known) -> http::Request
 {
-    const auto path = std::string(DirectoryPath) + "?servers=" + std::to_string(known.servers) + "&entries=" + std::to_string(known.entries);
+    const auto path = std::string(DirectoryPath) + "?servers=" + std::to_string(known.servers) + "&entries=" + std::to_string(known.entries)
+        + "&quarantined=" + std::to_string(known.quarantined);
     return { .address = reader, .path = path, .timeout = AnswerTimeout, .silenceTimeout = SilenceTimeout, .isIdempotent = true };
 }
 
 auto parseDirectoryQuery(const std::map<std::string, std::string> &query) -> DirectoryTags
 {
-    return { .servers = detail::readQueryNumber(query, "servers"), .entries = detail::readQueryNumber(query, "entries") };
+    return { .servers = detail::readQueryNumber(query, "servers"),
+             .entries = detail::readQueryNumber(query, "entries"),
+             .quarantined = detail::readQueryNumber(query, "quarantined") };
 }
 
 DirectoryFollower::DirectoryFollower(task::EventLoop &loop, const DirectoryState &known, std::size_t startOffset, DirectoryCallbacks callbacks)
@@ -109,7 +112,9 @@
     isScheduled_ = false;
     isInFlight_ = true;
     queriedReader_ = readers_.at(current_);
-    auto request = makeDirectoryRequest(queriedReader_, known_.tags);
+    auto known = known_.tags;
+    known.quarantined = receivedQuarantineTag_; // this entry's own list differs from the reader's if it knows more
+    auto request = makeDirectoryRequest(queriedReader_, known);
     if (hasNoConfirmation()) {
         request.silenceTimeout = StartupSilenceTimeout;
     }
@@ -172,6 +177,7 @@
     }
     applyServers(answer, requestedAt);
     applyEntries(answer, requestedAt);
+    applyQuarantined(answer, requestedAt);
     if (!answer.confirmedAge || !answer.serversAge) {
         return ReaderHealth::Starting;
     }
@@ -220,6 +226,19 @@
     }
 }
 
+auto DirectoryFollower::applyQuarantined(const DirectoryAnswer &answer, TimePoint requestedAt) -> void
+{
+    if (!answer.quarantined) {
+        return;
+    }
+    receivedQuarantineTag_ = answer.quarantinedTag;
+    std::vector<passthrough::QuarantinedRequest> requests;
+    for (const auto &each : *answer.quarantined) {
+        requests.push_back({ .fingerprint = each.fingerprint, .at = requestedAt - each.age });
+    }
+    callbacks_.onQuarantined(requests);
+}
+
 auto DirectoryFollower::reportReachability(const std::string &reader, bool reachable, const std::string &detail) -> void
 {
     if (std::exchange(reachable_, reachable) != reachable) {
--- a/src/gateway/directoryfollower.h
+++ b/src/gateway/directoryfollower.h
@@ -9,6 +9,7 @@
 #include "wire/http/client.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -47,6 +48,7 @@
     auto apply(const DirectoryAnswer &answer, TimePoint requestedAt) -> ReaderHealth;
     auto applyServers(const DirectoryAnswer &answer, TimePoint requestedAt) -> void;
     auto applyEntries(const DirectoryAnswer &answer, TimePoint requestedAt) -> void;
+    auto applyQuarantined(const DirectoryAnswer &answer, TimePoint requestedAt) -> void;
     auto reportReachability(const std::string &reader, bool reachable, const std::string &detail) -> void;
 
     task::EventLoop &loop_;
@@ -60,8 +62,9 @@
     std::string queriedReader_; ///< the reader to which a query is in flight
     http::Handle query_{};
     bool isInFlight_ = false;
-    bool isScheduled_ = false;         ///< the timer for the next query is set
-    bool isConfirmedByReader_ = false; ///< a response confirmed a configuration
+    bool isScheduled_ = false;                ///< the timer for the next query is set
+    std::uint64_t receivedQuarantineTag_ = 0; ///< of the list of quarantined requests received last
+    bool isConfirmedByReader_ = false;        ///< a response confirmed a configuration
     TimePoint answeredAt_;
     bool reachable_ = true;
     task::Watch timer_;
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -93,6 +93,24 @@
     return { list.size, json::binary(std::vector<std::uint8_t>(list.bytes.begin(), list.bytes.end())) };
 }
 
+auto quarantinedToJson(const std::vector<DirectoryAnswer::Quarantined> &requests) -> json
+{
+    auto list = json::array();
+    for (const auto &request : requests) {
+        list.push_back({ static_cast<std::uint64_t>(request.fingerprint), request.age.count() });
+    }
+    return list;
+}
+
+auto quarantinedFromJson(const json &list) -> std::vector<DirectoryAnswer::Quarantined>
+{
+    std::vector<DirectoryAnswer::Quarantined> requests;
+    for (const auto &item : list) {
+        requests.push_back({ .fingerprint = Fingerprint{ item.at(0).get<std::uint64_t>() }, .age = Duration(item.at(1).get<Duration::rep>()) });
+    }
+    return requests;
+}
+
 auto toPackedList(const json &item) -> PackedList
 {
     const auto &bytes = item.at(1).get_binary();
@@ -212,6 +230,16 @@
     return true;
 }
 
+auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedRequest> requests) -> void
+{
+    state.quarantined = std::move(requests);
+    std::string fingerprints;
+    for (const auto &request : state.quarantined) {
+        fingerprints += std::to_string(static_cast<std::uint64_t>(request.fingerprint)) + ' ';
+    }
+    state.tags.quarantined = fingerprints.empty() ? 0 : detail::contentTag(fingerprints);
+}
+
 auto confirmEntries(DirectoryState &state, TimePoint asOf) -> void
 {
     state.entriesAt = std::max(state.entriesAt.value_or(asOf), asOf);
@@ -270,6 +298,13 @@
     if (state.tags.entries != known.entries && state.entriesAt) {
         answer.entries = state.packedEntries;
     }
+    if (state.tags.quarantined != known.quarantined) {
+        answer.quarantinedTag = state.tags.quarantined;
+        answer.quarantined.emplace();
+        for (const auto &request : state.quarantined) {
+            answer.quarantined->push_back({ .fingerprint = request.fingerprint, .age = now - request.at });
+        }
+    }
     return answer;
 }
 
@@ -301,6 +336,9 @@
     if (answer.entries) {
         document["entries"] = toJson(*answer.entries);
     }
+    if (answer.quarantined) {
+        document["quarantined"] = { answer.quarantinedTag, quarantinedToJson(*answer.quarantined) };
+    }
     std::string bytes;
     json::to_cbor(document, bytes);
     return bytes;
@@ -339,6 +377,10 @@
         if (document.contains("entries")) {
             answer.entries = toPackedList(document.at("entries"));
         }
+        if (document.contains("quarantined")) {
+            answer.quarantinedTag = document.at("quarantined").at(0);
+            answer.quarantined = quarantinedFromJson(document.at("quarantined").at(1));
+        }
         return answer;
     } catch (const json::exception &error) {
         throw std::runtime_error(std::string("directory answer: ") + error.what());
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -6,6 +6,7 @@
 #include "core/base/time.h"
 #include "core/fleet/entryrecord.h"
 #include "core/passthrough/configuration.h"
+#include "core/passthrough/crashledger.h"
 #include "gateway/documenttransfer.h"
 #include "gateway/serverchanges.h"
 
@@ -50,7 +51,8 @@
     std::function<void(TimePoint asOf)> onEntriesConfirmed;                                      ///< the last delivered entries are still alive
     std::function<void(const std::vector<fleet::EntryRecord> &registered)> onRegistrations;      ///< entries registered in the store
     std::function<void()> onRegistrationsFailed;
-    std::function<void(const std::string &list)> onEntriesSnapshot;               ///< list of entries that was last saved in the store
+    std::function<void(const std::string &list)> onEntriesSnapshot;                                  ///< list of entries that was last saved in the store
+    std::function<void(const std::vector<passthrough::QuarantinedRequest> &requests)> onQuarantined; ///< quarantined requests that another entry knows
     std::function<void(const std::string &peer, bool isHealthy)> onReaderChecked; ///< whether the queried entry responded with fresh data of the store
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< a peer was lost or regained
     std::function<void(std::string_view peer, const std::string &detail)> onPartFailed; ///< a part of a configuration was not received from another entry
@@ -62,6 +64,7 @@
     std::uint64_t configuration = 0; ///< store revision of the newest document read, even if it held an older version; 0: none
     std::uint64_t servers = 0;       ///< hash of the content, as for the entries
     std::uint64_t entries = 0;
+    std::uint64_t quarantined = 0; ///< 0: no quarantined requests
 };
 
 /// A list in the compressed form that is sent to other entries; it is packed once for all of them.
@@ -85,8 +88,9 @@
     std::optional<TimePoint> outageEndedAt;  ///< end of the last outage of the store; see ServersSnapshot
     std::vector<fleet::EntryRecord> entries; ///< entries that are alive
     std::optional<TimePoint> entriesAt;
-    mutable PackedList packedServers;           ///< created on first request
-    mutable std::uint64_t packedServersTag = 0; ///< content tag of the list in \c packedServers
+    std::vector<passthrough::QuarantinedRequest> quarantined; ///< sorted by fingerprint
+    mutable PackedList packedServers;                         ///< created on first request
+    mutable std::uint64_t packedServersTag = 0;               ///< content tag of the list in \c packedServers
     PackedList packedEntries;
     DirectoryTags tags;
 };
@@ -120,6 +124,7 @@
 /// \return whether the list of entries changed
 auto applyEntries(DirectoryState &state, const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> bool;
 auto confirmEntries(DirectoryState &state, TimePoint asOf) -> void;
+auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedRequest> requests) -> void;
 /// @}
 
 /// Time at which this entry learned of a configuration newer than its own; nothing if it knows of none.
@@ -137,6 +142,12 @@
     std::optional<Duration> outageAge;          ///< time since the last outage of the store ended; not set: no recent outage
     std::optional<Duration> entriesAge;         ///< age of the list of entries; not set: no heartbeat was received yet
     std::optional<PackedList> entries;
+    struct Quarantined {
+        Fingerprint fingerprint{};
+        Duration age{}; ///< time since the last crash
+    };
+    std::uint64_t quarantinedTag = 0;
+    std::optional<std::vector<Quarantined>> quarantined; ///< all quarantined requests; not set: the querying entry has this list
 };
 
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -45,6 +45,10 @@
 constexpr Duration PublishInterval = std::chrono::milliseconds(500);
 /// A leaving entry sends its last heartbeat several times, as datagrams may get lost.
 constexpr int LeavingHeartbeats = 3;
+/// A crash report is repeated with each of the next heartbeats.
+constexpr int CrashReportRepetitions = 3;
+constexpr std::size_t MaxRepeatedCrashReports = 100;
+
 auto recordOf(const GatewaySettings &settings) -> fleet::EntryRecord
 {
     return {
@@ -136,6 +140,30 @@
 auto Fleet::sendCrashReport(const passthrough::CrashesReported &crashes) -> void
 {
     peers_.send(crashes);
+    crashReports_.push_back({ .report = crashes, .repetitionsLeft = CrashReportRepetitions });
+    if (crashReports_.size() > MaxRepeatedCrashReports) {
+        crashReports_.pop_front();
+    }
+    publishQuarantined();
+}
+
+/// Datagrams may get lost, and an entry may be cut off for a moment.
+auto Fleet::repeatCrashReports() -> void
+{
+    for (auto &each : crashReports_) {
+        peers_.send(each.report);
+        each.repetitionsLeft -= 1;
+    }
+    std::erase_if(crashReports_, [](const RepeatedCrashReport &each) { return each.repetitionsLeft <= 0; });
+}
+
+/// The directory carries the quarantined requests to entries that received none of the reports, such as those that start later.
+auto Fleet::publishQuarantined() -> void
+{
+    const auto revision = passthrough::quarantineRevision(router_);
+    if (std::exchange(publishedQuarantineRevision_, revision) != revision) {
+        gateway::applyQuarantined(known_, passthrough::quarantinedRequests(router_, now()));
+    }
 }
 
 auto Fleet::recordStart(const std::string &workspace, TimePoint at) -> void
@@ -191,6 +219,8 @@
         .onRegistrations = [this](const std::vector<fleet::EntryRecord> &registered) { handleRegistrations(registered); },
         .onRegistrationsFailed = [this]() { handleRegistrations(role_.registered); },
         .onEntriesSnapshot = [this](const std::string &list) { handleEntriesSnapshot(list); },
+        .onQuarantined
+        = [this](const std::vector<passthrough::QuarantinedRequest> &requests) { callbacks_.onEvent(passthrough::QuarantineListed{ .requests = requests }); },
         .onReaderChecked = [this](const std::string &peer, bool isHealthy) { handleReaderCheck(peer, isHealthy); },
         .onReachable =
             [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
@@ -303,6 +333,7 @@
         known_.serversRevision = revision;
         known_.serversAt = std::max(*known_.serversAt, asOf);
         directory_.recordServersConfirmed(asOf);
+        callbacks_.onEvent(passthrough::ServersConfirmed{ .asOf = *known_.serversAt });
     }
 }
 
@@ -501,6 +532,8 @@
     if (const auto usage = duties_.makeReport()) {
         peers_.sendTo(assignment_.heartbeatAddresses, *usage);
     }
+    repeatCrashReports();
+    publishQuarantined();
 }
 
 auto Fleet::handleHeartbeat(const fleet::Heartbeat &heartbeat) -> void
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -24,6 +24,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -54,6 +55,7 @@
 
     /// Records that a request was sent to a backend server, which the next load report includes soon.
     auto recordDispatch() -> void;
+    /// Sends the report to the other entries, and repeats it some times.
     auto sendCrashReport(const passthrough::CrashesReported &crashes) -> void;
     /// Records that a request of the workspace started to run on a backend server.
     auto recordStart(const std::string &workspace, TimePoint at) -> void;
@@ -91,6 +93,8 @@
     auto saveEntriesSnapshot(TimePoint now) -> void;
     auto publishEntries(TimePoint now) -> void;
     auto sendHeartbeat() -> void;
+    auto repeatCrashReports() -> void;
+    auto publishQuarantined() -> void;
     auto readCaches() -> void;
     auto handleCacheList(const passthrough::CacheListed &listed) -> void;
 
@@ -116,6 +120,12 @@
     bool isConfigurationValid_ = false;                 ///< the newest configuration received could be decoded
     LoadReports reports_;
     Duties duties_;
+    struct RepeatedCrashReport {
+        passthrough::CrashesReported report;
+        int repetitionsLeft = 0;
+    };
+    std::deque<RepeatedCrashReport> crashReports_;  ///< sent recently, oldest first
+    std::uint64_t publishedQuarantineRevision_ = 0; ///< of the quarantined requests in \c known_
     fleet::Role role_;
     fleet::Membership membership_; ///< entries from which this one receives heartbeats while it reads the store for them
     fleet::Assignment assignment_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -299,7 +299,7 @@
 auto Gateway::Impl::execute(const passthrough::ReportCrashes &action) -> void
 {
     accounting.crashCounted(action);
-    fleet.sendCrashReport({ .fingerprint = action.fingerprint, .crashes = action.crashes });
+    fleet.sendCrashReport({ .fingerprint = action.fingerprint, .incidents = action.incidents });
 }
 
 auto Gateway::Impl::execute(const passthrough::RateLimitChanged &change) -> void
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peerexchange.h"
 
+#include "gateway/clock.h"
 #include "gateway/entryform.h"
 #include "runtime/net/endpoint.h"
 
@@ -136,9 +137,27 @@
              { "rest", report.isContinuation },  { "uses", std::move(uses) } };
 }
 
-auto toJson(const passthrough::CrashesReported &heard) -> json
+/// Incidents are sent with their age, as the clocks of two VMs have nothing in common.
+auto toJson(const passthrough::CrashesReported &report) -> json
 {
-    return { { "fingerprint", static_cast<std::uint64_t>(heard.fingerprint) }, { "crashes", heard.crashes } };
+    auto incidents = json::array();
+    for (const auto &incident : report.incidents) {
+        incidents.push_back({ incident.server, toMilliseconds(now() - incident.at), incident.hadEvents });
+    }
+    return { { "fingerprint", static_cast<std::uint64_t>(report.fingerprint) }, { "incidents", std::move(incidents) } };
+}
+
+auto toCrashesReported(const json &document) -> passthrough::CrashesReported
+{
+    passthrough::CrashesReported report{ .fingerprint = Fingerprint{ document.at("fingerprint").get<std::uint64_t>() } };
+    for (const auto &incident : document.at("incidents")) {
+        report.incidents.push_back({
+            .server = incident.at(0).get<std::string>(),
+            .at = now() - std::chrono::milliseconds(incident.at(1).get<std::uint32_t>()),
+            .hadEvents = incident.at(2).get<bool>(),
+        });
+    }
+    return report;
 }
 
 auto toScope(const json &number) -> passthrough::ReportScope
@@ -188,10 +207,7 @@
         return toHeartbeat(document);
     }
     if (document.contains("fingerprint")) {
-        return passthrough::CrashesReported{
-            .fingerprint = Fingerprint{ document.at("fingerprint").get<std::uint64_t>() },
-            .crashes = document.at("crashes").get<std::uint32_t>(),
-        };
+        return toCrashesReported(document);
     }
     passthrough::PeerReported report{ .entry = document.at("entry").get<std::string>(),
                                       .failureDomain = document.at("domain").get<std::string>(),
--- a/src/gateway/tests/followingentry.cpp
+++ b/src/gateway/tests/followingentry.cpp
@@ -89,9 +89,9 @@
     applyConfiguration(reader.state, { .document = makeConfigurationText(version), .revision = Later + version });
 }
 
-auto FollowingEntry::requestWithoutKey() -> std::optional<passthrough::Refuse>
+auto FollowingEntry::requestWithoutKey(Fingerprint fingerprint) -> std::optional<passthrough::Refuse>
 {
-    const passthrough::RequestArrived request{ .request = RequestId{ ++lastRequest }, .host = Host, .path = "/fetch/1" };
+    const passthrough::RequestArrived request{ .request = RequestId{ ++lastRequest }, .host = Host, .path = "/fetch/1", .fingerprint = fingerprint };
     for (const auto &action : passthrough::step(*router, request, now())) {
         if (const auto *refusal = std::get_if<passthrough::Refuse>(&action)) {
             return *refusal;
--- a/src/gateway/tests/followingentry.h
+++ b/src/gateway/tests/followingentry.h
@@ -45,7 +45,7 @@
     /// The reader has this version from now on.
     auto offer(std::uint64_t version) -> void;
     /// Sends a request without a key. \return its refusal, if it is refused
-    auto requestWithoutKey() -> std::optional<passthrough::Refuse>;
+    auto requestWithoutKey(Fingerprint fingerprint = {}) -> std::optional<passthrough::Refuse>;
     auto isOutOfDate() -> bool;
     /// Latest time as of which the entry's configuration is confirmed.
     [[nodiscard]] auto confirmedAt() const -> TimePoint;
--- a/src/gateway/tests/messages_tests.cpp
+++ b/src/gateway/tests/messages_tests.cpp
@@ -1,4 +1,5 @@
 #include "core/passthrough/peerreports.h"
+#include "gateway/clock.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/peerexchange.h"
 
@@ -21,8 +22,12 @@
     EXPECT_EQ(read.uses[0].heldTokens, 20'000U);
     EXPECT_EQ(read.uses[0].shortPrompts, 2U);
 
-    const passthrough::CrashesReported crashes{ .fingerprint = Fingerprint{ 77 }, .crashes = 2 };
-    EXPECT_EQ(std::get<passthrough::CrashesReported>(decodePeerMessage(encodePeerMessage(crashes))).fingerprint, crashes.fingerprint);
+    const passthrough::CrashesReported crashes{ .fingerprint = Fingerprint{ 77 }, .incidents = { { .server = "i-1", .at = now(), .hadEvents = true } } };
+    const auto readCrashes = std::get<passthrough::CrashesReported>(decodePeerMessage(encodePeerMessage(crashes)));
+    EXPECT_EQ(readCrashes.fingerprint, crashes.fingerprint);
+    ASSERT_EQ(readCrashes.incidents.size(), 1U);
+    EXPECT_EQ(readCrashes.incidents[0].server, "i-1");
+    EXPECT_TRUE(readCrashes.incidents[0].hadEvents);
 }
 
 TEST(PeerMessageTests, limitsAreDecodedAsEncoded)
