--- a/src/core/leadership/leadership.cpp
+++ b/src/core/leadership/leadership.cpp
@@ -23,10 +23,14 @@
 /// A call without an answer for this long is cancelled.
 constexpr Duration CallTimeout = std::chrono::seconds(15);
 
+/// Bits of a fencing token that hold the store's revision; the era is above them.
+constexpr int RevisionBits = 40;
+
 constexpr auto TermEnds = std::to_array<NamedValue<TermEnd>>({
     { TermEnd::Leaving, "leaving" },
     { TermEnd::LeaseEnded, "lease-ended" },
     { TermEnd::TokenRefused, "token-refused" },
+    { TermEnd::StoreRestored, "store-restored" },
 });
 
 /// Applies one event to the state of the election.
@@ -83,9 +87,10 @@
 
     auto operator()(const ClaimWritten &event) -> void
     {
-        if (acceptAnswer(state_.pending, event.call)) {
-            beginTerm(event.revision);
+        if (!acceptAnswer(state_.pending, event.call)) {
+            return;
         }
+        event.revision.era < state_.era ? readClaim() : beginTerm(event.revision);
     }
 
     auto operator()(const LeaseRenewed &event) -> void
@@ -122,6 +127,22 @@
         }
     }
 
+    /// Failure: the store comes back without the claim of a leader that does not know it yet. Symptom: another entry claims, and both act. The
+    /// leader stops as soon as it sees the new era, or when its lease can't be renewed, and the others wait for as long as that lease may last.
+    auto operator()(const EraObserved &event) -> void
+    {
+        if (event.era <= state_.era) {
+            return;
+        }
+        const auto isRestored = std::exchange(state_.era, event.era) != 0;
+        if (!isRestored) {
+            return;
+        }
+        state_.claimNotBefore = now_ + state_.options.lifetime;
+        stop(TermEnd::StoreRestored);
+        state_.idleUntil = std::max(state_.idleUntil, state_.claimNotBefore);
+    }
+
     auto operator()(const Tick & /*event*/) -> void
     {
         if (state_.phase == Phase::Leading) {
@@ -191,12 +212,12 @@
         actions_.emplace_back(WriteClaim{ .call = startCall(), .claim = ownClaim(), .lease = state_.lease });
     }
 
-    auto beginTerm(std::uint64_t revision) -> void
+    auto beginTerm(StoreRevision revision) -> void
     {
         state_.phase = Phase::Leading;
-        state_.token = revision;
+        state_.token = fencingTokenOf(revision);
         state_.renewAt = now_;
-        actions_.emplace_back(TermBegun{ .token = revision });
+        actions_.emplace_back(TermBegun{ .token = state_.token });
         renewOrEndTerm();
     }
 
@@ -244,6 +265,21 @@
     return findName(TermEnds, reason);
 }
 
+auto fencingTokenOf(StoreRevision claimRevision) -> std::uint64_t
+{
+    return (claimRevision.era << RevisionBits) | claimRevision.number;
+}
+
+auto claimNumberOf(std::uint64_t token) -> std::uint64_t
+{
+    return token & ((std::uint64_t{ 1 } << RevisionBits) - 1);
+}
+
+auto eraOf(std::uint64_t token) -> std::uint64_t
+{
+    return token >> RevisionBits;
+}
+
 auto makeState(Options options) -> State
 {
     return { .options = std::move(options) };
--- a/src/core/leadership/leadership.h
+++ b/src/core/leadership/leadership.h
@@ -1,8 +1,8 @@
 /// \file
 /// Election of the leader, the one entry that performs the duties of the deployment: `(state, event, now) -> actions`. Has no side effects.
 ///
-/// The leader holds a key of the platform's store, its claim, under a lease. The store revision of that write is the leader's fencing
-/// token: revisions are unique and increase, so no two terms share a token. \p now must come from a clock that includes the time in which
+/// The leader holds a key of the platform's store, its claim, under a lease. The leader's fencing token is made of the era and the revision
+/// of that write: together they are unique and increase, so no two terms share a token. \p now must come from a clock that includes the time in which
 /// the VM is suspended.
 ///
 /// A leader that is suspended until its lease has expired and another entry leads could continue when it resumes, so that two leaders act
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "core/base/pendingcall.h"
+#include "core/base/storerevision.h"
 #include "core/base/time.h"
 
 #include <cstdint>
@@ -53,9 +54,9 @@
 /// The key was read; answers ReadClaim or WatchClaim.
 struct ClaimRead {
     std::uint64_t call = 0;
-    std::optional<Claim> claim;      ///< not set if there is no leader
-    std::uint64_t claimRevision = 0; ///< store revision of the write of the claim
-    std::uint64_t storeRevision = 0; ///< store revision from which a watch continues
+    std::optional<Claim> claim;  ///< not set if there is no leader
+    StoreRevision claimRevision; ///< of the write of the claim
+    StoreRevision storeRevision; ///< from which a watch continues
 };
 struct LeaseAcquired {
     std::uint64_t call = 0;
@@ -64,7 +65,7 @@
 };
 struct ClaimWritten {
     std::uint64_t call = 0;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
 };
 struct LeaseRenewed {
     std::uint64_t call = 0;
@@ -83,9 +84,13 @@
 struct TokenRefused {
     std::uint64_t token = 0;
 };
+/// The store states this era. If it has risen, claims and leases may be lost.
+struct EraObserved {
+    std::uint64_t era = 0;
+};
 struct Tick {
 };
-using Event = std::variant<EligibilityChanged, ClaimRead, LeaseAcquired, ClaimWritten, LeaseRenewed, CallFailed, TokenRefused, Tick>;
+using Event = std::variant<EligibilityChanged, ClaimRead, LeaseAcquired, ClaimWritten, LeaseRenewed, CallFailed, TokenRefused, EraObserved, Tick>;
 /// @}
 
 /// \name Actions. Each call is answered by an event with its number, or by CallFailed.
@@ -96,7 +101,7 @@
 /// Watches the key. Answered when the key changes after \p revision, or after some seconds without a change.
 struct WatchClaim {
     std::uint64_t call = 0;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
 };
 struct AcquireLease {
     std::uint64_t call = 0;
@@ -120,9 +125,10 @@
     std::uint64_t token = 0;
 };
 enum class TermEnd {
-    Leaving,      ///< the entry is no longer eligible
-    LeaseEnded,   ///< the lease could not be renewed in time
-    TokenRefused, ///< another entry has led since the term began
+    Leaving,       ///< the entry is no longer eligible
+    LeaseEnded,    ///< the lease could not be renewed in time
+    TokenRefused,  ///< another entry has led since the term began
+    StoreRestored, ///< the store came back from a copy, in which the claim may be missing
 };
 auto termEndName(TermEnd reason) -> std::string_view;
 struct TermEnded {
@@ -152,7 +158,9 @@
     PendingCall pending;
     TimePoint callStartedAt; ///< start of the call in flight
     std::uint64_t attempts = 0;
-    std::uint64_t watchRevision = 0; ///< store revision from which the next watch continues
+    StoreRevision watchRevision; ///< from which the next watch continues
+    std::uint64_t era = 0;       ///< newest era that the store has stated; 0: none yet
+    TimePoint claimNotBefore;    ///< until then, a leader from before the last restore of the store may still act
 
     std::uint64_t lease = 0; ///< id of the lease; 0 if the entry holds none
     Duration leaseLifetime{};
@@ -163,6 +171,13 @@
 
 auto makeState(Options options) -> State;
 
+/// The fencing token of a claim written at this revision, and the number and era of that revision.
+/// @{
+auto fencingTokenOf(StoreRevision claimRevision) -> std::uint64_t;
+auto claimNumberOf(std::uint64_t token) -> std::uint64_t;
+auto eraOf(std::uint64_t token) -> std::uint64_t;
+/// @}
+
 /// Applies \p event to \p state.
 /// \return the actions to perform
 auto step(State &state, const Event &event, TimePoint now) -> Actions;
--- a/src/core/leadership/tests/dutyworld.cpp
+++ b/src/core/leadership/tests/dutyworld.cpp
@@ -28,6 +28,8 @@
 constexpr Duration ClientTimeout = 600ms;
 constexpr Duration LeaseTime = 3s;
 constexpr std::size_t Entries = 3;
+/// Each copy contains the first record, which was written long before.
+constexpr Duration FirstCopy = 15s;
 
 /// Model of the platform's store: two keys, leases and conditional writes.
 class Store
@@ -80,19 +82,31 @@
     }
     auto writeRecord(const usage::WriteRecord &write) -> std::uint64_t
     {
-        if (record.revision != write.expectedRevision || leader.revision != write.token) {
+        if (record.revision != write.expectedRevision || leader.revision != claimNumberOf(write.token)) {
             return 0;
         }
         record.revision = ++revision;
         recorded = write.record;
+        recordedEra = era;
         return revision;
     }
+    /// Keeps what \p copy contains, and starts the next era.
+    auto restore(const Store &copy) -> void
+    {
+        const auto nextEra = era + 1;
+        const auto lastLease = lastLease_;
+        *this = copy;
+        era = nextEra;
+        lastLease_ = lastLease;
+    }
 
+    std::uint64_t era = 1;
     std::uint64_t revision = 100;
     Item leader;
     Claim claimed;
     Item record;
     usage::Record recorded;
+    std::uint64_t recordedEra = 0;
 
 private:
     auto deleteLeaderOf(std::uint64_t lease) -> void
@@ -127,6 +141,9 @@
             scheduleTick(i);
             scheduleFault(i);
         }
+        if (options_.restoresStore) {
+            after(FirstCopy, [this]() { scheduleRestore(); });
+        }
     }
 
     auto run() -> RunResult
@@ -232,6 +249,18 @@
         apply(number, usage::Tick{ .time = trueTime(), .entries = { "counter" } });
     }
 
+    /// A copy is saved, and some seconds later the store is away for a moment and comes back from it.
+    auto scheduleRestore() -> void
+    {
+        after(2s + 1ms * static_cast<std::int64_t>(draw(8000)), [this]() {
+            after(1ms * static_cast<std::int64_t>(draw(5000)), [this, copy = store_]() {
+                platformDownUntil_ = std::max(platformDownUntil_, now_ + 1ms * static_cast<std::int64_t>(draw(2000)));
+                store_.restore(copy);
+                scheduleRestore();
+            });
+        });
+    }
+
     auto scheduleFault(std::size_t number) -> void
     {
         after(1s + 1ms * static_cast<std::int64_t>(draw(9000)), [this, number]() {
@@ -290,11 +319,15 @@
         const auto delay = networkFault == 1 ? 1ms * static_cast<std::int64_t>(draw(6000)) : 1ms * static_cast<std::int64_t>(1 + draw(30));
         after(delay, [this, number, incarnation, answered, execute = std::move(execute), isAnswerLost = draw(20) == 0]() {
             auto answer = execute();
+            const auto era = store_.era;
             if (isAnswerLost) {
                 return;
             }
-            deliver(number, incarnation, 1ms * static_cast<std::int64_t>(1 + draw(30)), [answered, answer = std::move(answer)]() {
+            deliver(number, incarnation, 1ms * static_cast<std::int64_t>(1 + draw(30)), [this, number, era, answered, answer = std::move(answer)]() {
                 if (!std::exchange(*answered, true)) {
+                    if (options_.mistake != Mistake::IgnoresEra) {
+                        apply(number, EraObserved{ .era = era });
+                    }
                     answer();
                 }
             });
@@ -306,12 +339,17 @@
         apply(number, CallFailed{ .call = call, .failure = failure });
     }
 
+    [[nodiscard]] auto positionOf(std::uint64_t number) const -> StoreRevision
+    {
+        return { .era = options_.mistake == Mistake::IgnoresEra ? 0 : store_.era, .number = number };
+    }
+
     auto readClaim(std::size_t number, std::uint64_t id) -> std::function<void()>
     {
-        ClaimRead read{ .call = id, .storeRevision = store_.revision };
+        ClaimRead read{ .call = id, .storeRevision = positionOf(store_.revision) };
         if (store_.leader.revision != 0) {
             read.claim = store_.claimed;
-            read.claimRevision = store_.leader.revision;
+            read.claimRevision = positionOf(store_.leader.revision);
         }
         return [this, number, read]() { apply(number, read); };
     }
@@ -345,8 +383,10 @@
             number,
             [this, number, action]() {
                 const auto revision = store_.writeClaim(action.claim, action.lease);
-                return [this, number, action, revision]() {
-                    revision == 0 ? fail(number, action.call, CallFailure::Lost) : apply(number, ClaimWritten{ .call = action.call, .revision = revision });
+                const auto position = positionOf(revision);
+                return [this, number, action, position]() {
+                    position.number == 0 ? fail(number, action.call, CallFailure::Lost)
+                                         : apply(number, ClaimWritten{ .call = action.call, .revision = position });
                 };
             },
             [this, number, id = action.call]() { fail(number, id, CallFailure::Unknown); });
@@ -390,7 +430,13 @@
         call(
             number,
             [this, number, id = action.call]() {
-                const usage::RecordRead read{ .call = id, .record = store_.recorded, .revision = store_.record.revision };
+                const usage::RecordRead read{
+                    .call = id,
+                    .record = store_.recorded,
+                    .revision = store_.record.revision,
+                    .mayBeIncomplete = options_.mistake != Mistake::IgnoresEra && store_.record.revision != 0 && store_.recordedEra < store_.era,
+                    .time = trueTime(),
+                };
                 return [this, number, read]() { apply(number, read); };
             },
             [this, number, id = action.call]() { apply(number, usage::RecordCallFailed{ .call = id }); });
--- a/src/core/leadership/tests/leadership_tests.cpp
+++ b/src/core/leadership/tests/leadership_tests.cpp
@@ -33,7 +33,7 @@
         auto actions = apply(EligibilityChanged{ .isEligible = true });
         actions = apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call });
         actions = apply(LeaseAcquired{ .call = findAction<AcquireLease>(actions).value().call, .lease = 5, .lifetime = 3s });
-        actions = apply(ClaimWritten{ .call = findAction<WriteClaim>(actions).value().call, .revision = token });
+        actions = apply(ClaimWritten{ .call = findAction<WriteClaim>(actions).value().call, .revision = { .number = token } });
         apply(LeaseRenewed{ .call = findAction<RenewLease>(actions).value().call });
     }
     [[nodiscard]] auto token() const -> std::optional<std::uint64_t>
@@ -108,7 +108,8 @@
     actions = entry.apply(LeaseAcquired{ .call = findAction<AcquireLease>(actions).value().call, .lease = 5, .lifetime = 3s });
     const auto write = findAction<WriteClaim>(actions).value();
     actions = entry.apply(CallFailed{ .call = write.call, .failure = CallFailure::Unknown });
-    entry.apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call, .claim = write.claim, .claimRevision = 21, .storeRevision = 30 });
+    entry.apply(ClaimRead{
+        .call = findAction<ReadClaim>(actions).value().call, .claim = write.claim, .claimRevision = { .number = 21 }, .storeRevision = { .number = 30 } });
     EXPECT_EQ(entry.token(), 21U);
 }
 
@@ -118,9 +119,10 @@
     Entry entry;
     auto actions = entry.apply(EligibilityChanged{ .isEligible = true });
     const Claim earlier{ .entry = "e1", .incarnation = 0, .attempt = 1 };
-    actions = entry.apply(ClaimRead{ .call = findAction<ReadClaim>(actions).value().call, .claim = earlier, .claimRevision = 21, .storeRevision = 30 });
+    actions = entry.apply(ClaimRead{
+        .call = findAction<ReadClaim>(actions).value().call, .claim = earlier, .claimRevision = { .number = 21 }, .storeRevision = { .number = 30 } });
     EXPECT_FALSE(entry.token());
-    EXPECT_EQ(findAction<WatchClaim>(actions).value().revision, 30U);
+    EXPECT_EQ(findAction<WatchClaim>(actions).value().revision.number, 30U);
 }
 
 TEST(LeadershipTests, anUnavailableStoreEndsATermAndGetsFewCalls)
--- a/src/core/usage/reporter.cpp
+++ b/src/core/usage/reporter.cpp
@@ -48,6 +48,9 @@
         if (acceptAnswer(state_.pending, event.call)) {
             state_.record = event.record;
             state_.revision = event.revision;
+            if (event.mayBeIncomplete) {
+                state_.firstFixable = std::max(state_.firstFixable, windowAt(event.time, state_.options.windowLength));
+            }
         }
     }
 
@@ -55,6 +58,7 @@
     {
         if (acceptAnswer(state_.pending, event.call)) {
             state_.record = std::move(state_.proposed);
+            state_.remembered = *state_.record;
             state_.revision = event.revision;
         }
     }
@@ -138,15 +142,33 @@
         }
         // Without this bound, an entry whose clock is years behind would make the leader iterate over all windows since then.
         first = std::max(first, windowAt(time - std::chrono::duration_cast<UnixTime>(state_.options.reportDeadline), state_.options.windowLength));
+        first = std::max(first, state_.firstFixable);
         return state_.record->empty() ? first : std::max(first, state_.record->rbegin()->first + 1);
     }
 
+    /// The record with the windows that this entry had fixed and that a restore of the store has lost.
+    [[nodiscard]] auto recordWithRemembered() const -> Record
+    {
+        auto record = *state_.record;
+        for (const auto &[window, counts] : state_.remembered) {
+            if (window >= nextAfter(*state_.record)) {
+                record[window] = counts;
+            }
+        }
+        return record;
+    }
+
+    static auto nextAfter(const Record &record) -> Window
+    {
+        return record.empty() ? Window{} : record.rbegin()->first + 1;
+    }
+
     /// Fixes the counts of the windows that are ready. Windows are fixed in ascending order: a missing window is never added once a later one
     /// is fixed.
     auto fixWindows(const Tick &tick) -> void
     {
-        auto proposed = *state_.record;
-        for (auto window = firstUnfixedWindow(tick.time); isReady(window, tick); ++window) {
+        auto proposed = recordWithRemembered();
+        for (auto window = std::max(firstUnfixedWindow(tick.time), nextAfter(proposed)); isReady(window, tick); ++window) {
             proposed[window] = totalCounts(state_.ledger, window);
         }
         if (proposed.size() == state_.record->size()) {
--- a/src/core/usage/reporter.h
+++ b/src/core/usage/reporter.h
@@ -4,6 +4,9 @@
 /// Failure: a leader sends the counts of a window and crashes before any other entry knows. The next leader has received the reports of one
 /// more entry and sends other counts for the same window. Therefore the counts of a window are fixed in the platform's store by a
 /// compare-and-swap write before they are sent for the first time, and every later leader sends the fixed counts.
+///
+/// Failure: the store comes back from a copy that lacks the latest record, whose counts were sent already. A leader that has no memory of them
+/// would fix others. It therefore skips the windows that ended before it read such a record; one that has fixed them writes them again.
 
 #pragma once
 
@@ -39,8 +42,10 @@
 };
 struct RecordRead {
     std::uint64_t call = 0;
-    Record record;              ///< empty if the store contains no record
-    std::uint64_t revision = 0; ///< revision of the last write of the record; 0 if the store contains no record
+    Record record;                ///< empty if the store contains no record
+    std::uint64_t revision = 0;   ///< revision of the last write of the record; 0 if the store contains no record
+    bool mayBeIncomplete = false; ///< the store has come back from a copy since the record was written, so later windows may have been reported
+    UnixTime time{};              ///< when it was read
 };
 struct RecordWritten {
     std::uint64_t call = 0;
@@ -97,6 +102,8 @@
 
     std::optional<Record> record; ///< not set if the record has to be read
     std::uint64_t revision = 0;
+    Record remembered;                         ///< windows that this entry has fixed, also in earlier terms
+    Window firstFixable = 0;                   ///< earlier windows may have been reported by an entry whose record is lost
     Record proposed;                           ///< content of the write in progress
     PendingCall pending;                       ///< call for the record
     TimePoint readNotBefore;                   ///< earliest time of the next read of the record
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -154,9 +154,14 @@
     event(Level::Info, "configuration-adopted", { { "configuration", version }, { "bytes", bytes }, { "routes", routes }, { "workspaces", workspaces } });
 }
 
-auto Accounting::configurationOffered(std::uint64_t revision) -> void
+auto Accounting::configurationOffered(StoreRevision revision) -> void
 {
-    event(Level::Info, "configuration-offered", { { "revision", revision } });
+    event(Level::Info, "configuration-offered", { { "era", revision.era }, { "revision", revision.number } });
+}
+
+auto Accounting::storeRestored(std::uint64_t era) -> void
+{
+    event(Level::Warning, "store-restored", { { "era", era } });
 }
 
 auto Accounting::documentPartFailed(std::string_view peer, std::string_view detail) -> void
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "core/base/storerevision.h"
 #include "core/base/time.h"
 #include "core/ordering/ordering.h"
 #include "core/passthrough/actions.h"
@@ -47,7 +48,9 @@
     /// \name Configuration, backend servers and fleet
     /// @{
     /// Another entry announced a newer configuration, at this revision of the store.
-    auto configurationOffered(std::uint64_t revision) -> void;
+    auto configurationOffered(StoreRevision revision) -> void;
+    /// The store came back from a copy.
+    auto storeRestored(std::uint64_t era) -> void;
     /// A part of a newer configuration could not be fetched from another entry.
     auto documentPartFailed(std::string_view peer, std::string_view detail) -> void;
     auto configurationAdopted(std::uint64_t version, std::size_t bytes, std::size_t routes, std::size_t workspaces) -> void;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -37,6 +37,11 @@
 constexpr Duration MaxStaleness = std::chrono::seconds(10);
 /// When the list could not be read for longer than this, live servers may have lost their registration.
 constexpr Duration OutageThreshold = std::chrono::milliseconds(1500);
+/// After the store came back from a copy, the operators write again what the copy lacks.
+constexpr Duration RestoreSettleTime = std::chrono::seconds(1);
+/// Servers write again what the copy lacks within about two seconds, and the store removes registrations of servers that are gone after
+/// three missed heartbeats.
+constexpr Duration MaxRegistrationDoubt = std::chrono::milliseconds(4500);
 /// The same threshold for an entry that did not attempt to read the list.
 constexpr Duration UnattemptedOutageThreshold = std::chrono::milliseconds(3500);
 
@@ -86,8 +91,9 @@
     }
 }
 
-auto Directory::recordConfigurationRevision(std::uint64_t revision) -> void
+auto Directory::recordConfigurationRevision(StoreRevision revision) -> void
 {
+    acceptEra(revision.era);
     configurationRevision_ = std::max(configurationRevision_, revision);
     documentRevision_ = std::max(documentRevision_, revision);
 }
@@ -128,6 +134,7 @@
     if (known.serversRevision <= servers_.revision) {
         return;
     }
+    acceptEra(known.serversRevision.era);
     servers_ = { .revision = known.serversRevision, .asOf = known.serversAt.value_or(TimePoint()) };
     for (const auto &server : known.servers) {
         servers_.byId[server.id] = server;
@@ -204,7 +211,7 @@
         for (auto &[id, server] : page.byId) {
             read->servers.push_back(std::move(server));
         }
-        read->revision = read->revision == 0 ? items.revision : read->revision;
+        read->revision = read->revision.number == 0 ? items.revision : read->revision;
         if (items.hasMore && !items.items.empty()) {
             readStaleServers(items.items.back().key, read);
             return;
@@ -247,12 +254,64 @@
 {
     calls_ += 1;
     client_.fetch(request, [this, name, onDone = std::move(onDone)](const http::Result &result) {
-        const auto outcome = adapter::outcomeOf(result);
+        auto outcome = adapter::outcomeOf(result);
         reportReachability(name, outcome, result);
+        if (!acceptEra(adapter::eraOf(result))) {
+            outcome = StoreOutcome::Unknown; // the response is older than the restore of the store
+        }
         onDone(outcome, result);
     });
 }
 
+auto Directory::acceptEra(std::uint64_t era) -> bool
+{
+    if (era == 0 || era == era_) {
+        return true;
+    }
+    if (era < era_) {
+        return false;
+    }
+    if (std::exchange(era_, era) != 0) {
+        handleRestore();
+    }
+    return true;
+}
+
+/// What this entry wrote may be lost, so it is written again. What it has read stays in force until the store has later data.
+auto Directory::handleRestore() -> void
+{
+    restore_ = Restore{ .seenAt = now() };
+    if (lease_ != 0 && !isDeregistered_) {
+        isRegistrationLost_ = true;
+        leaseTimer_ = loop_.after(Duration::zero(), [this]() { writeRegistration(); });
+    }
+    callbacks_.onStoreRestored(era_);
+}
+
+/// Failure: the store came back from a copy and has given out the revision again from which an entry watches. Symptom: the watch succeeds
+/// and skips what was written before, for ever. Revisions of an earlier era therefore lead to a new read.
+auto Directory::canContinueFrom(StoreRevision revision) const -> bool
+{
+    return revision.number != 0 && revision.era == era_;
+}
+
+/// Failure: the copy lacks a configuration that was acknowledged, such as one that withdraws a key. Symptom: an entry that had not received it
+/// confirms the older one until the operators have written the newer one again.
+auto Directory::isConfigurationSettled(TimePoint requestedAt) const -> bool
+{
+    if (!restore_) {
+        return true;
+    }
+    const auto isWrittenSince = restore_->copyRevision && documentRevision_.era == era_ && documentRevision_.number > *restore_->copyRevision;
+    return isWrittenSince || requestedAt - restore_->seenAt >= RestoreSettleTime;
+}
+
+/// Whether the registration may be outdated, because it is in the copy and its server has not written it since.
+auto Directory::isDoubtful(const adapter::StoreItem &item) const -> bool
+{
+    return restore_ && restore_->copyRevision && item.revision.number <= *restore_->copyRevision && now() - restore_->seenAt < MaxRegistrationDoubt;
+}
+
 auto Directory::reportReachability(std::string_view name, StoreOutcome outcome, const http::Result &result) -> void
 {
     const auto reachable = outcome != StoreOutcome::Unknown && outcome != StoreOutcome::Refused;
@@ -262,31 +321,39 @@
     }
 }
 
-auto Directory::fetchItems(Poll &poll, std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void
+auto Directory::fetchItems(Poll &poll, std::string_view name, const http::Request &request, Continuity continuity, OnItems onItems, OnFailure onFailure) -> void
 {
     const auto generation = generation_;
+    const auto era = era_;
     poll.isInFlight = true;
-    callStore(
-        name,
-        request,
-        [this, &poll, name, generation, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome, const http::Result &result) {
-            if (generation != generation_) {
-                return;
-            }
-            poll.isInFlight = false;
-            if (outcome != StoreOutcome::Done) {
-                onFailure(outcome);
-                return;
-            }
-            poll.consecutiveFailures = 0;
-            const auto items = adapter::decodeItems(std::get<http::Response>(result));
-            if (!items) {
-                callbacks_.onInvalid(name, "response of the store cannot be decoded");
-                onFailure(StoreOutcome::Unknown);
-                return;
-            }
-            onItems(*items);
-        });
+    callStore(name,
+              request,
+              [this, &poll, name, generation, era, continuity, onItems = std::move(onItems), onFailure = std::move(onFailure)](StoreOutcome outcome,
+                                                                                                                               const http::Result &result) {
+                  if (generation != generation_) {
+                      return;
+                  }
+                  poll.isInFlight = false;
+                  if (outcome != StoreOutcome::Done) {
+                      onFailure(outcome);
+                      return;
+                  }
+                  poll.consecutiveFailures = 0;
+                  if (continuity == Continuity::Required && era != era_) {
+                      onFailure(StoreOutcome::HistoryGone);
+                      return;
+                  }
+                  const auto items = adapter::decodeItems(std::get<http::Response>(result));
+                  if (!items) {
+                      callbacks_.onInvalid(name, "response of the store cannot be decoded");
+                      onFailure(StoreOutcome::Unknown);
+                      return;
+                  }
+                  if (restore_ && !restore_->copyRevision) {
+                      restore_->copyRevision = items->revision.number;
+                  }
+                  onItems(*items);
+              });
 }
 
 auto Directory::readConfiguration() -> void
@@ -296,6 +363,7 @@
         configurationPoll_,
         "read-configuration",
         adapter::makeRange(options_.store, adapter::configurationKey(), ""),
+        Continuity::None,
         [this, requestedAt](const adapter::StoreItems &items) {
             handleConfiguration(items, requestedAt);
             scheduleNext(configurationPoll_, Duration::zero(), &Directory::watchConfiguration);
@@ -308,7 +376,7 @@
 /// a few bytes.
 auto Directory::refreshConfiguration() -> void
 {
-    if (configurationRevision_ == 0) {
+    if (!canContinueFrom(configurationRevision_)) {
         readConfiguration();
     } else {
         fetchConfigurationChange(ImmediateWatchTimeout);
@@ -317,6 +385,10 @@
 
 auto Directory::watchConfiguration() -> void
 {
+    if (!canContinueFrom(configurationRevision_)) {
+        readConfiguration();
+        return;
+    }
     fetchConfigurationChange(options_.configurationWatchTimeout);
 }
 
@@ -327,6 +399,7 @@
         configurationPoll_,
         "watch-configuration",
         adapter::makeWatch(options_.store, adapter::configurationKey(), configurationRevision_, watchTimeout),
+        Continuity::Required,
         [this, requestedAt](const adapter::StoreItems &items) {
             handleConfiguration(items, requestedAt);
             scheduleNext(configurationPoll_, Duration::zero(), &Directory::watchConfiguration);
@@ -350,7 +423,9 @@
             callbacks_.onConfiguration({ .document = item.value, .revision = item.revision });
         }
     }
-    callbacks_.onConfigurationConfirmed(documentRevision_, requestedAt);
+    if (isConfigurationSettled(requestedAt)) {
+        callbacks_.onConfigurationConfirmed(documentRevision_, requestedAt);
+    }
     if (serversAndEntriesPending_) {
         readServersAndEntries();
     }
@@ -359,7 +434,7 @@
 /// If a list is known, reading the changes since its revision takes one call instead of one for each page.
 auto Directory::refreshServers() -> void
 {
-    if (servers_.revision == 0) {
+    if (!canContinueFrom(servers_.revision)) {
         readServers();
     } else {
         fetchServerChanges(ImmediateWatchTimeout);
@@ -369,6 +444,9 @@
 auto Directory::readServers() -> void
 {
     partialServers_ = { .asOf = now() };
+    if (restore_) {
+        restore_->hasIgnoredServers = false;
+    }
     readServersPage("");
 }
 
@@ -378,6 +456,7 @@
         serversPoll_,
         "read-servers",
         adapter::makeRange(options_.store, adapter::serversPrefix(), after),
+        after.empty() ? Continuity::None : Continuity::Required,
         [this](const adapter::StoreItems &items) { handleServersPage(items); },
         [this](StoreOutcome /*outcome*/) {
             lastServersFailureAt_ = now();
@@ -388,7 +467,7 @@
 /// The pages are not a consistent snapshot, so the revision of the first page is a safe lower bound for the whole list.
 auto Directory::handleServersPage(const adapter::StoreItems &items) -> void
 {
-    partialServers_.revision = partialServers_.revision == 0 ? items.revision : partialServers_.revision;
+    partialServers_.revision = partialServers_.revision.number == 0 ? items.revision : partialServers_.revision;
     for (const auto &item : items.items) {
         applyServer(partialServers_, item);
     }
@@ -402,6 +481,11 @@
 
 auto Directory::watchServers() -> void
 {
+    const auto isDoubtOver = restore_ && restore_->hasIgnoredServers && now() - restore_->seenAt >= MaxRegistrationDoubt;
+    if (isDoubtOver || !canContinueFrom(servers_.revision)) {
+        readServers();
+        return;
+    }
     fetchServerChanges(options_.serversWatchTimeout);
 }
 
@@ -412,6 +496,7 @@
         serversPoll_,
         "watch-servers",
         adapter::makeWatch(options_.store, adapter::serversPrefix(), servers_.revision, watchTimeout),
+        Continuity::Required,
         [this, requestedAt](const adapter::StoreItems &items) {
             servers_.asOf = std::max(servers_.asOf, requestedAt);
             handleServerChanges(items);
@@ -446,6 +531,13 @@
         list.byId.erase(id);
         return;
     }
+    if (isDoubtful(item)) {
+        restore_->hasIgnoredServers = true;
+        if (const auto known = servers_.byId.find(id); known != servers_.byId.end()) {
+            list.byId[id] = known->second;
+        }
+        return;
+    }
     try {
         list.byId[id] = adapter::decodeServer(item.key, item.value);
     } catch (const adapter::InvalidDocument &error) {
@@ -478,6 +570,9 @@
 {
     const auto knownAt = serversConfirmedAt_.value_or(servers_.asOf);
     const auto hasFailedSince = lastServersFailureAt_ && *lastServersFailureAt_ > knownAt;
+    if (restore_ && servers_.asOf - restore_->seenAt < UnattemptedOutageThreshold) {
+        return restore_->seenAt; // servers whose registration was lost are about to write it again
+    }
     const auto isOutage = servers_.asOf - knownAt > (hasFailedSince ? OutageThreshold : UnattemptedOutageThreshold);
     return isOutage ? std::optional(servers_.asOf) : std::nullopt;
 }
@@ -502,6 +597,7 @@
         entriesPoll_,
         "read-entries",
         adapter::makeRange(options_.store, EntriesPrefix, ""),
+        Continuity::None,
         [this](const adapter::StoreItems &items) {
             registeredEntries_.clear();
             handleEntries(items);
@@ -515,10 +611,15 @@
 
 auto Directory::watchEntries() -> void
 {
+    if (!canContinueFrom(entriesRevision_)) {
+        readEntries();
+        return;
+    }
     fetchItems(
         entriesPoll_,
         "watch-entries",
         adapter::makeWatch(options_.store, EntriesPrefix, entriesRevision_, EntriesWatchTimeout),
+        Continuity::Required,
         [this](const adapter::StoreItems &items) {
             handleEntries(items);
             scheduleNext(entriesPoll_, EntriesWatchInterval, &Directory::watchEntries);
@@ -579,6 +680,7 @@
     if (isDeregistered_) {
         return;
     }
+    isRegistrationLost_ = false;
     const auto key = std::string(EntriesPrefix) + options_.self.name;
     callStore(
         "register", adapter::makePut(options_.store, key, adapter::encodeEntry(options_.self), lease_), [this](StoreOutcome outcome, const http::Result &) {
@@ -598,6 +700,9 @@
         return;
     }
     callStore("renew-lease", adapter::makeRenewal(options_.store, lease_), [this](StoreOutcome outcome, const http::Result &) {
+        if (isRegistrationLost_) {
+            return; // it is about to be written again
+        }
         if (outcome == StoreOutcome::Absent) {
             acquireLease();
             return;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -56,7 +56,7 @@
     auto readRegistrations() -> void;
     /// \name Data received from other entries
     /// @{
-    auto recordConfigurationRevision(std::uint64_t revision) -> void;
+    auto recordConfigurationRevision(StoreRevision revision) -> void;
     /// Takes over the known list of servers before this entry reads the store, if it is newer than the list read last.
     auto adoptServers(const DirectoryState &known) -> void;
     auto recordServersConfirmed(TimePoint asOf) -> void;
@@ -86,16 +86,36 @@
     /// The backend servers as of a revision of the store.
     struct ServerList {
         std::map<std::string, passthrough::Server> byId;
-        std::uint64_t revision = 0; ///< 0: no list is known
+        StoreRevision revision; ///< number 0: no list is known
         TimePoint asOf;
     };
 
+    /// The store's last return from a copy, as this entry's own calls showed it.
+    struct Restore {
+        TimePoint seenAt;
+        std::optional<std::uint64_t> copyRevision; ///< revision of the store soon after its return; not set: no response has stated it yet
+        bool hasIgnoredServers = false;            ///< registrations of the copy were ignored, so the list has to be read again
+    };
+    /// Whether a response may refer to an earlier era than the call.
+    enum class Continuity {
+        None,     ///< the call stands for itself
+        Required, ///< it continues from an earlier response
+    };
+
     using OnItems = std::function<void(const adapter::StoreItems &items)>;
     using OnFailure = std::function<void(adapter::StoreOutcome outcome)>;
     using ReadMethod = void (Directory::*)();
 
     auto callStore(std::string_view name, const http::Request &request, std::function<void(adapter::StoreOutcome, const http::Result &)> onDone) -> void;
-    auto fetchItems(Poll &poll, std::string_view name, const http::Request &request, OnItems onItems, OnFailure onFailure) -> void;
+    auto fetchItems(Poll &poll, std::string_view name, const http::Request &request, Continuity continuity, OnItems onItems, OnFailure onFailure) -> void;
+    /// \return whether the response belongs to the store's newest era that is known
+    auto acceptEra(std::uint64_t era) -> bool;
+    auto handleRestore() -> void;
+    /// Whether a watch from this revision misses nothing.
+    [[nodiscard]] auto canContinueFrom(StoreRevision revision) const -> bool;
+    /// Whether the operators have had the time to write again what a restore may have lost.
+    [[nodiscard]] auto isConfigurationSettled(TimePoint requestedAt) const -> bool;
+    [[nodiscard]] auto isDoubtful(const adapter::StoreItem &item) const -> bool;
     auto reportReachability(std::string_view name, adapter::StoreOutcome outcome, const http::Result &result) -> void;
     /// Schedules the next call, if this entry reads for others.
     auto scheduleNext(Poll &poll, Duration pause, ReadMethod method) -> void;
@@ -146,23 +166,26 @@
     std::optional<bool> lastReachable_; ///< as last reported
     bool readsForPeers_ = false;
     bool serversAndEntriesPending_ = false; ///< the servers and entries are read once the store has responded to a read of the configuration
-    std::uint64_t generation_ = 0;          ///< incremented when this entry stops reading for others; responses to calls of an earlier generation are dropped
+    std::uint64_t era_ = 0;                 ///< newest era of the store that is known, from this entry's calls or another entry
+    std::optional<Restore> restore_;
+    std::uint64_t generation_ = 0; ///< incremented when this entry stops reading for others; responses to calls of an earlier generation are dropped
     Poll configurationPoll_;
     Poll serversPoll_;
     Poll entriesPoll_;
 
-    std::uint64_t configurationRevision_ = 0; ///< store revision from which the configuration is watched
-    std::uint64_t documentRevision_ = 0;      ///< of the newest configuration known, by this entry's reads or another entry
-    std::uint64_t entriesRevision_ = 0;
+    StoreRevision configurationRevision_; ///< store revision from which the configuration is watched
+    StoreRevision documentRevision_;      ///< of the newest configuration known, by this entry's reads or another entry
+    StoreRevision entriesRevision_;
     std::map<std::string, adapter::EntryRecord> registeredEntries_; ///< by store key
     ServerList servers_;                                            ///< newest complete list
     ServerList partialServers_;                                     ///< pages of the list that is being read
-    std::map<std::string, std::uint64_t> reportedInvalidServers_;   ///< revision of the last registration reported as invalid, by store key
+    std::map<std::string, StoreRevision> reportedInvalidServers_;   ///< revision of the last registration reported as invalid, by store key
     std::optional<TimePoint> serversConfirmedAt_;                   ///< newest time as of which this entry or another one knew the list
     std::optional<TimePoint> outageEndedAt_;
     std::optional<TimePoint> lastServersFailureAt_; ///< time of the last failed call for the list
 
     bool isRegistrationStarted_ = false; ///< registration has been requested
+    bool isRegistrationLost_ = false;    ///< a restore of the store may have lost it, and it has not been written again yet
     std::uint64_t lease_ = 0;
     Duration grantedLeaseDuration_{}; ///< may differ from the requested duration
     bool isDeregistered_ = false;
--- a/src/gateway/directorypage.h
+++ b/src/gateway/directorypage.h
@@ -14,7 +14,7 @@
 
 /// Path of directory queries. It also identifies the response format: an entry whose version uses another format responds 404, and the
 /// querying entry turns to the next reader or to the store.
-constexpr std::string_view DirectoryPath = "/directory/summary";
+constexpr std::string_view DirectoryPath = "/directory/overview";
 
 class DirectoryPage
 {
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -111,6 +111,16 @@
     return requests;
 }
 
+auto toJson(const StoreRevision &revision) -> json
+{
+    return { revision.era, revision.number };
+}
+
+auto toRevision(const json &item) -> StoreRevision
+{
+    return { .era = item.at(0).get<std::uint64_t>(), .number = item.at(1).get<std::uint64_t>() };
+}
+
 auto toPackedList(const json &item) -> PackedList
 {
     const auto &bytes = item.at(1).get_binary();
@@ -129,13 +139,13 @@
     dropOldDocuments(state.configurations);
 }
 
-auto recordConfigurationRead(DirectoryState &state, std::uint64_t revision) -> void
+auto recordConfigurationRead(DirectoryState &state, StoreRevision revision) -> void
 {
     state.tags.configuration = std::max(state.tags.configuration, revision);
     state.offeredAt.erase(state.offeredAt.begin(), state.offeredAt.upper_bound(revision));
 }
 
-auto recordConfirmation(DirectoryState &state, std::uint64_t revision, TimePoint asOf) -> bool
+auto recordConfirmation(DirectoryState &state, StoreRevision revision, TimePoint asOf) -> bool
 {
     constexpr std::size_t MaxPending = 100;
     if (revision <= state.tags.configuration) {
@@ -171,7 +181,7 @@
     std::erase_if(state.offeredAt, [asOf](const auto &offer) { return offer.second < asOf; });
 }
 
-auto recordOffer(DirectoryState &state, std::uint64_t revision, TimePoint now) -> bool
+auto recordOffer(DirectoryState &state, StoreRevision revision, TimePoint now) -> bool
 {
     constexpr std::size_t MaxOffers = 100; // offers recorded while a configuration is being fetched; the oldest one determines outdatedSince()
     if (revision <= state.tags.configuration || state.offeredAt.size() >= MaxOffers) {
@@ -188,7 +198,7 @@
 namespace
 {
 
-auto recordServersRead(DirectoryState &state, std::uint64_t revision, TimePoint asOf, std::optional<TimePoint> outageEndedAt) -> void
+auto recordServersRead(DirectoryState &state, StoreRevision revision, TimePoint asOf, std::optional<TimePoint> outageEndedAt) -> void
 {
     state.serversRevision = revision;
     state.serversAt = std::max(state.serversAt.value_or(asOf), asOf);
@@ -310,7 +320,7 @@
 
 auto encodeAnswer(const DirectoryAnswer &answer) -> std::string
 {
-    json document = { { "servers_revision", answer.serversRevision } };
+    json document = { { "servers_revision", toJson(answer.serversRevision) } };
     if (answer.serversAge) {
         document["servers_age"] = answer.serversAge->count();
     }
@@ -319,7 +329,7 @@
     }
     if (answer.configuration) {
         const auto &offer = *answer.configuration;
-        document["configuration"] = { offer.revision, offer.tag, offer.bytes, offer.documentBytes };
+        document["configuration"] = { toJson(offer.revision), offer.tag, offer.bytes, offer.documentBytes };
     }
     if (answer.servers) {
         document["servers"] = toJson(*answer.servers);
@@ -349,7 +359,7 @@
     try {
         const auto document = json::from_cbor(bytes);
         DirectoryAnswer answer;
-        answer.serversRevision = document.at("servers_revision");
+        answer.serversRevision = toRevision(document.at("servers_revision"));
         if (document.contains("servers_age")) {
             answer.serversAge = Duration(document.at("servers_age").get<Duration::rep>());
         }
@@ -358,7 +368,7 @@
         }
         if (document.contains("configuration")) {
             const auto &offer = document.at("configuration");
-            answer.configuration = DocumentOffer{ .revision = offer.at(0), .tag = offer.at(1), .bytes = offer.at(2), .documentBytes = offer.at(3) };
+            answer.configuration = DocumentOffer{ .revision = toRevision(offer.at(0)), .tag = offer.at(1), .bytes = offer.at(2), .documentBytes = offer.at(3) };
         }
         if (document.contains("servers")) {
             answer.servers = toPackedList(document.at("servers"));
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/base/storerevision.h"
 #include "core/base/time.h"
 #include "core/fleet/entryrecord.h"
 #include "core/passthrough/configuration.h"
@@ -25,7 +26,7 @@
 /// A complete list of the backend servers as it was read from the store.
 struct ServersSnapshot {
     std::vector<passthrough::Server> servers;
-    std::uint64_t revision = 0; ///< store revision; orders lists received by different paths
+    StoreRevision revision; ///< orders lists received by different paths
     TimePoint asOf;
     std::optional<TimePoint> outageEndedAt; ///< end of the last outage of the store; servers not listed since then may be about to register again
 };
@@ -34,7 +35,7 @@
 struct ServersDelta {
     ServerChanges changes;
     std::uint64_t tag = 0; ///< content tag of the list with these changes applied
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     TimePoint asOf;
     std::optional<TimePoint> outageEndedAt; ///< see ServersSnapshot
 };
@@ -42,15 +43,17 @@
 /// Receives the directory from one of its sources: the entry's own reads of the store, or another entry.
 struct DirectoryCallbacks {
     std::function<void(const ConfigurationSnapshot &read)> onConfiguration;
-    std::function<void(std::uint64_t revision, TimePoint asOf)> onConfigurationConfirmed; ///< the configuration of this revision was the newest at that time
-    std::function<void(std::uint64_t revision)> onConfigurationOffered;                   ///< another entry has a newer configuration of this revision
+    std::function<void(StoreRevision revision, TimePoint asOf)> onConfigurationConfirmed; ///< the configuration of this revision was the newest at that time
+    std::function<void(StoreRevision revision)> onConfigurationOffered;                   ///< another entry has a newer configuration of this revision
     std::function<void(const ServersSnapshot &read)> onServers;
     std::function<void(const ServersDelta &change)> onServersDelta;
-    std::function<void(std::uint64_t revision, TimePoint asOf)> onServersConfirmed;              ///< the last delivered list was read again without changes
+    std::function<void(StoreRevision revision, TimePoint asOf)> onServersConfirmed;              ///< the last delivered list was read again without changes
     std::function<void(const std::vector<fleet::EntryRecord> &alive, TimePoint asOf)> onEntries; ///< entries from which another entry receives heartbeats
     std::function<void(TimePoint asOf)> onEntriesConfirmed;                                      ///< the last delivered entries are still alive
     std::function<void(const std::vector<fleet::EntryRecord> &registered)> onRegistrations;      ///< entries registered in the store
     std::function<void()> onRegistrationsFailed;
+    /// The store came back from a copy, as this entry's calls or another entry show. What entries wrote there may be lost.
+    std::function<void(std::uint64_t era)> onStoreRestored;
     std::function<void(const std::string &list)> onEntriesSnapshot;                                  ///< list of entries that was last saved in the store
     std::function<void(const std::vector<passthrough::QuarantinedRequest> &requests)> onQuarantined; ///< quarantined requests that another entry knows
     std::function<void(const std::string &peer, bool isHealthy)> onReaderChecked; ///< whether the queried entry responded with fresh data of the store
@@ -61,8 +64,8 @@
 
 /// Content tags, by which two entries compare parts of the directory without sending them.
 struct DirectoryTags {
-    std::uint64_t configuration = 0; ///< store revision of the newest document read, even if it held an older version; 0: none
-    std::uint64_t servers = 0;       ///< hash of the content, as for the entries
+    StoreRevision configuration; ///< of the newest document read, even if it held an older version
+    std::uint64_t servers = 0;   ///< hash of the content, as for the entries
     std::uint64_t entries = 0;
     std::uint64_t quarantined = 0; ///< 0: no quarantined requests
 };
@@ -79,11 +82,11 @@
 struct DirectoryState {
     std::vector<OfferedDocument> configurations; ///< newest first; the newest one is in force
     std::optional<TimePoint> confirmedAt;
-    std::map<std::uint64_t, TimePoint> offeredAt;            ///< when another entry first offered each newer configuration, by revision
-    std::map<std::uint64_t, TimePoint> pendingConfirmations; ///< of configurations that have not been received yet; see recordConfirmation()
+    std::map<StoreRevision, TimePoint> offeredAt;            ///< when another entry first offered each newer configuration, by revision
+    std::map<StoreRevision, TimePoint> pendingConfirmations; ///< of configurations that have not been received yet; see recordConfirmation()
     ServerRecords servers;                                   ///< sorted by id
     ChangeLog serverLog;                                     ///< recent changes of \c servers
-    std::uint64_t serversRevision = 0;
+    StoreRevision serversRevision;
     std::optional<TimePoint> serversAt;
     std::optional<TimePoint> outageEndedAt;  ///< end of the last outage of the store; see ServersSnapshot
     std::vector<fleet::EntryRecord> entries; ///< entries that are alive
@@ -99,16 +102,17 @@
 ///
 /// Failure: an entry that read the store for others is cut off for a while and returns. Symptom: entries that query it get a list
 /// that is seconds old, consider a server alive that has left since, and switch back and forth between two sets of readers.
-/// The store's revision therefore orders data received by different paths, and data older than the known state changes nothing.
+/// The store's revision therefore orders data received by different paths, and data older than the known state changes nothing. After the
+/// store came back from a copy, its new era makes what it gives out later than what is known.
 /// @{
 auto applyConfiguration(DirectoryState &state, const ConfigurationSnapshot &read) -> void;
 /// Records that the configuration of this revision was read, whether or not its version is newer than the one in force. Offers up to
 /// this revision no longer count as outstanding.
-auto recordConfigurationRead(DirectoryState &state, std::uint64_t revision) -> void;
+auto recordConfigurationRead(DirectoryState &state, StoreRevision revision) -> void;
 /// Records that the configuration of this revision was the newest at \p asOf. While configurations follow each other, each
 /// confirmation refers to one that is still to be fetched, so it is kept until then; otherwise no configuration would ever be confirmed.
 /// \return whether the known configuration is at least as new, and so is confirmed as of that time
-auto recordConfirmation(DirectoryState &state, std::uint64_t revision, TimePoint asOf) -> bool;
+auto recordConfirmation(DirectoryState &state, StoreRevision revision, TimePoint asOf) -> bool;
 /// Applies the confirmations of configurations up to the known one, which was just received.
 /// \return the time as of which the known configuration is confirmed; nothing if there are no such confirmations
 auto applyPendingConfirmations(DirectoryState &state) -> std::optional<TimePoint>;
@@ -116,7 +120,7 @@
 /// dropped.
 auto applyConfirmation(DirectoryState &state, TimePoint asOf) -> void;
 /// Records that another entry offers a newer configuration. \return whether the offer is new
-auto recordOffer(DirectoryState &state, std::uint64_t revision, TimePoint now) -> bool;
+auto recordOffer(DirectoryState &state, StoreRevision revision, TimePoint now) -> bool;
 /// \return what changed; nothing if the list is older than the known one
 auto applyServers(DirectoryState &state, const ServersSnapshot &read) -> std::optional<ServerChanges>;
 /// \return false if the delta does not apply to the known list, so that the whole list has to be requested
@@ -135,7 +139,7 @@
     std::optional<Duration> confirmedAge;       ///< age of the configuration's last confirmation; not set: never confirmed
     std::optional<DocumentOffer> configuration; ///< the newest configuration, to be fetched in parts; not set: none
     std::optional<Duration> serversAge;         ///< age of the list of servers; not set: never read
-    std::uint64_t serversRevision = 0;
+    StoreRevision serversRevision;
     std::optional<PackedList> servers;          ///< the whole list, if the change log no longer covers the querying entry's list
     std::optional<ServerChanges> serverChanges; ///< changes relative to the querying entry's list
     std::uint64_t serversTag = 0;               ///< content tag of the list with these changes applied
--- a/src/gateway/documentfetcher.h
+++ b/src/gateway/documentfetcher.h
@@ -61,7 +61,7 @@
     std::uint64_t generation_ = 0; ///< incremented when the readers change; responses to requests of an earlier generation are dropped
     std::optional<DocumentTransfer> transfer_;
     std::optional<DocumentOffer> pendingOffer_; ///< newest offer received since the transfer started
-    std::uint64_t lastDeliveredRevision_ = 0;   ///< of the last document received; it is not fetched again, even if it could not be unpacked
+    StoreRevision lastDeliveredRevision_;       ///< of the last document received; it is not fetched again, even if it could not be unpacked
     task::Watch timer_;
 };
 
--- a/src/gateway/documenttransfer.h
+++ b/src/gateway/documenttransfer.h
@@ -8,6 +8,8 @@
 
 #pragma once
 
+#include "core/base/storerevision.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -20,14 +22,14 @@
 
 /// A configuration as it was read from the store, by this entry or another one.
 struct ConfigurationSnapshot {
-    std::string document;       ///< as the operators wrote it
-    std::uint64_t revision = 0; ///< store revision; orders documents received by different paths
-    std::string packed;         ///< compressed form in which another entry sent it; empty: read from the store
+    std::string document;   ///< as the operators wrote it
+    StoreRevision revision; ///< orders documents received by different paths
+    std::string packed;     ///< compressed form in which another entry sent it; empty: read from the store
 };
 
 /// Description of a document that an entry offers to others.
 struct DocumentOffer {
-    std::uint64_t revision = 0;      ///< see ConfigurationSnapshot
+    StoreRevision revision;          ///< see ConfigurationSnapshot
     std::uint64_t tag = 0;           ///< content tag of the packed bytes; entries that offer the same tag send the same parts
     std::uint64_t bytes = 0;         ///< size of the packed document
     std::uint64_t documentBytes = 0; ///< size of the unpacked document
--- a/src/gateway/duties.cpp
+++ b/src/gateway/duties.cpp
@@ -78,6 +78,13 @@
     }
 }
 
+auto Duties::handleStoreRestored(std::uint64_t era) -> void
+{
+    if (duties_.reportsUsage || duties_.ordersServers) {
+        election_.observeEra(era);
+    }
+}
+
 auto Duties::leads() const -> bool
 {
     return election_.token().has_value();
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -37,6 +37,8 @@
     auto start() -> void;
     /// Sets whether this entry may become the leader: it reads the store, serves requests and is not leaving.
     auto setEligible(bool isEligible) -> void;
+    /// The store came back from a copy.
+    auto handleStoreRestored(std::uint64_t era) -> void;
     /// Whether this entry is the leader now.
     [[nodiscard]] auto leads() const -> bool;
     /// Takes over the services whose backend servers can be ordered.
--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -71,6 +71,11 @@
     apply(leadership::EligibilityChanged{ .isEligible = isEligible });
 }
 
+auto Election::observeEra(std::uint64_t era) -> void
+{
+    apply(leadership::EraObserved{ .era = era });
+}
+
 auto Election::handleTokenRefused(std::uint64_t token) -> void
 {
     apply(leadership::TokenRefused{ .token = token });
@@ -158,6 +163,9 @@
 {
     calls_ += 1;
     client_.fetch(request, [this, call, onResponse = std::move(onResponse)](const http::Result &result) {
+        if (const auto era = adapter::eraOf(result); era > state_.era) {
+            apply(leadership::EraObserved{ .era = era });
+        }
         const auto outcome = adapter::outcomeOf(result);
         if (outcome == StoreOutcome::Done) {
             onResponse(std::get<http::Response>(result));
@@ -199,11 +207,11 @@
     apply(read);
 }
 
-/// After any change the key is read again. A watch that ends without changes confirms the last claim read.
+/// After any change, or a restore of the store, the key is read again. A watch that ends without changes confirms the last claim read.
 auto Election::handleClaimChange(std::uint64_t call, const http::Response &response) -> void
 {
     const auto items = adapter::decodeItems(response);
-    if (!items || !items->items.empty()) {
+    if (!items || !items->items.empty() || items->revision.era != lastRead_.storeRevision.era) {
         execute(leadership::ReadClaim{ .call = call });
         return;
     }
--- a/src/gateway/election.h
+++ b/src/gateway/election.h
@@ -17,8 +17,8 @@
 namespace auburnspread::gateway
 {
 
-/// Key under which the leader writes its claim. The revision of the claim is the fencing token of the term: writes that only the leader may
-/// make name this key and the token in their conditions.
+/// Key under which the leader writes its claim. Writes that only the leader may make name this key and the claim's revision in their
+/// conditions.
 constexpr std::string_view LeaderKey = "auburnspread/leader";
 
 struct ElectionCallbacks {
@@ -35,6 +35,8 @@
     auto start() -> void;
     /// Sets whether this entry may become the leader.
     auto setEligible(bool isEligible) -> void;
+    /// The store states this era, as other calls of this entry or other entries show.
+    auto observeEra(std::uint64_t era) -> void;
     /// The platform refused a call with \p token, since a later term has started.
     auto handleTokenRefused(std::uint64_t token) -> void;
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -209,15 +209,16 @@
 {
     return {
         .onConfiguration = [this](const ConfigurationSnapshot &read) { handleConfiguration(read); },
-        .onConfigurationConfirmed = [this](std::uint64_t revision, TimePoint asOf) { handleConfirmation(revision, asOf); },
-        .onConfigurationOffered = [this](std::uint64_t revision) { handleOffer(revision); },
+        .onConfigurationConfirmed = [this](StoreRevision revision, TimePoint asOf) { handleConfirmation(revision, asOf); },
+        .onConfigurationOffered = [this](StoreRevision revision) { handleOffer(revision); },
         .onServers = [this](const ServersSnapshot &read) { handleServers(read); },
         .onServersDelta = [this](const ServersDelta &change) { handleServersDelta(change); },
-        .onServersConfirmed = [this](std::uint64_t revision, TimePoint asOf) { handleServersConfirmed(revision, asOf); },
+        .onServersConfirmed = [this](StoreRevision revision, TimePoint asOf) { handleServersConfirmed(revision, asOf); },
         .onEntries = [this](const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) { handleEntries(alive, asOf); },
         .onEntriesConfirmed = [this](TimePoint asOf) { gateway::confirmEntries(known_, asOf); },
         .onRegistrations = [this](const std::vector<fleet::EntryRecord> &registered) { handleRegistrations(registered); },
         .onRegistrationsFailed = [this]() { handleRegistrations(role_.registered); },
+        .onStoreRestored = [this](std::uint64_t era) { handleStoreRestored(era); },
         .onEntriesSnapshot = [this](const std::string &list) { handleEntriesSnapshot(list); },
         .onQuarantined
         = [this](const std::vector<passthrough::QuarantinedRequest> &requests) { callbacks_.onEvent(passthrough::QuarantineListed{ .requests = requests }); },
@@ -267,7 +268,7 @@
 }
 
 /// A document that could not be decoded may withdraw keys, so it does not confirm the configuration in force.
-auto Fleet::handleConfirmation(std::uint64_t revision, TimePoint asOf) -> void
+auto Fleet::handleConfirmation(StoreRevision revision, TimePoint asOf) -> void
 {
     if (isConfigurationValid_ && gateway::recordConfirmation(known_, revision, asOf)) {
         publishConfirmation(asOf);
@@ -280,7 +281,7 @@
     callbacks_.onEvent(passthrough::ConfigurationConfirmed{ .asOf = asOf });
 }
 
-auto Fleet::handleOffer(std::uint64_t revision) -> void
+auto Fleet::handleOffer(StoreRevision revision) -> void
 {
     if (gateway::recordOffer(known_, revision, now())) {
         accounting_.configurationOffered(revision);
@@ -327,7 +328,7 @@
 }
 
 /// The known list was read again and has not changed.
-auto Fleet::handleServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void
+auto Fleet::handleServersConfirmed(StoreRevision revision, TimePoint asOf) -> void
 {
     if (revision >= known_.serversRevision && known_.serversAt) {
         known_.serversRevision = revision;
@@ -414,6 +415,14 @@
     }
 }
 
+/// The saved list of entries may be lost with the rest. Claims and registrations are written again by those who hold them.
+auto Fleet::handleStoreRestored(std::uint64_t era) -> void
+{
+    accounting_.storeRestored(era);
+    savedSnapshotTag_ = 0;
+    duties_.handleStoreRestored(era);
+}
+
 auto Fleet::handleReaderCheck(const std::string &peer, bool isHealthy) -> void
 {
     isHealthy ? fleet::markFit(role_, peer, now()) : fleet::markUnfit(role_, peer, now());
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -70,17 +70,18 @@
 private:
     auto directoryCallbacks() -> DirectoryCallbacks;
     auto handleConfiguration(const ConfigurationSnapshot &read) -> void;
-    auto handleConfirmation(std::uint64_t revision, TimePoint asOf) -> void;
+    auto handleConfirmation(StoreRevision revision, TimePoint asOf) -> void;
     auto publishConfirmation(TimePoint asOf) -> void;
-    auto handleOffer(std::uint64_t revision) -> void;
+    auto handleOffer(StoreRevision revision) -> void;
     auto publishOutdatedSince() -> void;
     auto handleServers(const ServersSnapshot &read) -> void;
-    auto handleServersConfirmed(std::uint64_t revision, TimePoint asOf) -> void;
+    auto handleServersConfirmed(StoreRevision revision, TimePoint asOf) -> void;
     auto handleServersDelta(const ServersDelta &change) -> void;
     auto logServerChanges(const ServerChanges &changes) -> void;
     auto handleEntries(std::vector<fleet::EntryRecord> alive, TimePoint asOf) -> void;
     auto handleRegistrations(const std::vector<fleet::EntryRecord> &registered) -> void;
     auto handleEntriesSnapshot(const std::string &list) -> void;
+    auto handleStoreRestored(std::uint64_t era) -> void;
     auto handleReaderCheck(const std::string &peer, bool isHealthy) -> void;
     auto handlePeerMessage(const PeerMessage &message) -> void;
     auto handleHeartbeat(const fleet::Heartbeat &heartbeat) -> void;
--- a/src/gateway/fuzztests/inputs_fuzz_tests.cpp
+++ b/src/gateway/fuzztests/inputs_fuzz_tests.cpp
@@ -114,8 +114,8 @@
     const passthrough::PeerReported report{ .entry = "entry-2", .uses = { { .server = "i-1", .inFlight = 3, .unreadTokens = 4000, .waitingTokens = 5 } } };
     readMutated<std::runtime_error>(encodePeerMessage(report), [](const std::string &bytes) { decodePeerMessage(bytes); });
     DirectoryState state;
-    applyConfiguration(state, { .document = makeConfigurationText(), .revision = 1 });
-    applyServers(state, { .servers = { { .id = "i-1", .service = "portal", .address = "127.0.0.1:80" } }, .revision = 3 });
+    applyConfiguration(state, { .document = makeConfigurationText(), .revision = { .number = 1 } });
+    applyServers(state, { .servers = { { .id = "i-1", .service = "portal", .address = "127.0.0.1:80" } }, .revision = { .number = 3 } });
     const auto answer = encodeAnswer(makeAnswer(state, {}, TimePoint(std::chrono::hours(1))));
     readMutated<std::runtime_error>(answer, [](const std::string &bytes) { decodeAnswer(bytes); });
 }
--- a/src/gateway/tests/directorystate_tests.cpp
+++ b/src/gateway/tests/directorystate_tests.cpp
@@ -21,7 +21,7 @@
 auto makeState() -> DirectoryState
 {
     DirectoryState state{ .confirmedAt = Now - std::chrono::milliseconds(300) };
-    applyConfiguration(state, { .document = Document, .revision = 12 });
+    applyConfiguration(state, { .document = Document, .revision = { .number = 12 } });
     applyServers(state, { .servers = { makeServer(true) }, .asOf = Now });
     applyEntries(state, { { .name = "e1", .callerAddress = "10.0.0.2:80", .peerAddress = "10.0.0.2:90", .failureDomain = "a" } }, Now);
     return state;
@@ -37,7 +37,7 @@
     DocumentTransfer transfer{ .offer = *whole.configuration };
     ASSERT_EQ(appendPart(transfer, readPart(state.configurations, whole.configuration->tag, 0).value()), PartOutcome::Complete);
     EXPECT_EQ(unpackDocument(transfer).value().document, Document);
-    EXPECT_EQ(whole.configuration->revision, 12U);
+    EXPECT_EQ(whole.configuration->revision.number, 12U);
     EXPECT_EQ(unpackServers(*whole.servers).front(), state.servers.front());
     EXPECT_EQ(unpackEntries(*whole.entries).front(), state.entries.front());
     EXPECT_EQ(*whole.confirmedAge, std::chrono::milliseconds(300));
@@ -73,11 +73,23 @@
     DirectoryState state;
     const passthrough::Server leaving{ .id = "i-1", .service = "engines", .isLeaving = true };
     const passthrough::Server available{ .id = "i-1", .service = "engines" };
-    EXPECT_TRUE(applyServers(state, { .servers = { leaving }, .revision = 20, .asOf = Now }));
-    EXPECT_FALSE(applyServers(state, { .servers = { available }, .revision = 12, .asOf = Now }));
+    EXPECT_TRUE(applyServers(state, { .servers = { leaving }, .revision = { .number = 20 }, .asOf = Now }));
+    EXPECT_FALSE(applyServers(state, { .servers = { available }, .revision = { .number = 12 }, .asOf = Now }));
     EXPECT_TRUE(state.servers.front().isLeaving);
 }
 
+/// After the store came back from a copy, a reader that has not seen it yet still sends the list from before.
+TEST(DirectoryStateTests, aListOfAnEarlierEraIsNotApplied)
+{
+    DirectoryState state;
+    const passthrough::Server leaving{ .id = "i-1", .service = "engines", .isLeaving = true };
+    const passthrough::Server available{ .id = "i-1", .service = "engines" };
+    EXPECT_TRUE(applyServers(state, { .servers = { leaving }, .revision = { .era = 2, .number = 12 }, .asOf = Now }));
+    EXPECT_FALSE(applyServers(state, { .servers = { available }, .revision = { .era = 1, .number = 20 }, .asOf = Now }));
+    EXPECT_TRUE(state.servers.front().isLeaving);
+    EXPECT_EQ(decodeAnswer(encodeAnswer(makeAnswer(state, {}, Now))).serversRevision, (StoreRevision{ .era = 2, .number = 12 }));
+}
+
 TEST(DirectoryStateTests, anAnswerContainsTheAgeOfItsList)
 {
     auto state = makeState();
@@ -110,15 +122,15 @@
     auto state = makeState();
     const auto at = [](int milliseconds) { return Now + std::chrono::milliseconds(milliseconds); };
     EXPECT_FALSE(outdatedSince(state));
-    EXPECT_TRUE(recordOffer(state, 13, at(0)));
-    EXPECT_FALSE(recordOffer(state, 13, at(300))) << "offered before";
-    EXPECT_TRUE(recordOffer(state, 15, at(600)));
+    EXPECT_TRUE(recordOffer(state, { .number = 13 }, at(0)));
+    EXPECT_FALSE(recordOffer(state, { .number = 13 }, at(300))) << "offered before";
+    EXPECT_TRUE(recordOffer(state, { .number = 15 }, at(600)));
     EXPECT_EQ(outdatedSince(state), at(0));
-    applyConfiguration(state, { .document = Document, .revision = 13 });
+    applyConfiguration(state, { .document = Document, .revision = { .number = 13 } });
     EXPECT_EQ(outdatedSince(state), at(600));
-    applyConfiguration(state, { .document = Document, .revision = 16 });
+    applyConfiguration(state, { .document = Document, .revision = { .number = 16 } });
     EXPECT_FALSE(outdatedSince(state));
-    EXPECT_FALSE(recordOffer(state, 16, at(900))) << "no newer one";
+    EXPECT_FALSE(recordOffer(state, { .number = 16 }, at(900))) << "no newer one";
 }
 
 /// Guards against an entry that refuses every request permanently. Another entry with corrupt state offered a configuration that was
@@ -126,7 +138,7 @@
 TEST(DirectoryStateTests, anOfferUnknownToTheStoreIsDropped)
 {
     auto state = makeState();
-    recordOffer(state, 1000, Now);
+    recordOffer(state, { .number = 1000 }, Now);
     applyConfirmation(state, Now - std::chrono::milliseconds(1));
     EXPECT_EQ(outdatedSince(state), Now) << "it may have been written since";
     applyConfirmation(state, Now + std::chrono::milliseconds(1));
--- a/src/gateway/tests/documenttransfer_tests.cpp
+++ b/src/gateway/tests/documenttransfer_tests.cpp
@@ -55,7 +55,7 @@
 
     auto put(const std::string &document, std::uint64_t revision) -> DocumentOffer
     {
-        documents.insert(documents.begin(), makeOfferedDocument({ .document = document, .revision = revision }));
+        documents.insert(documents.begin(), makeOfferedDocument({ .document = document, .revision = { .number = revision } }));
         return documents.front().offer;
     }
 
@@ -99,7 +99,7 @@
     runUntilReceived(1);
     ASSERT_EQ(received.size(), 1U);
     EXPECT_TRUE(received.front().document == document);
-    EXPECT_EQ(received.front().revision, 7U);
+    EXPECT_EQ(received.front().revision.number, 7U);
     EXPECT_EQ(other.queries.front().from, 3 * PartBytes);
     EXPECT_EQ(dying.queries.size() + other.queries.size(), 6U) << "five parts and one request without a response";
 }
@@ -126,7 +126,7 @@
     Reader reader(loop);
     const auto newer = makeDocument(PartBytes + 1, 2);
     fetcher.setReaders({ reader.address });
-    fetcher.fetch({ .revision = 7, .tag = 1, .bytes = 10, .documentBytes = 10 });
+    fetcher.fetch({ .revision = { .number = 7 }, .tag = 1, .bytes = 10, .documentBytes = 10 });
     fetcher.fetch(reader.put(newer, 8));
     runUntilReceived(1);
     ASSERT_EQ(received.size(), 1U);
@@ -143,7 +143,7 @@
     fetcher.fetch(reader.put(makeDocument(1, 2), 8));
     runUntilReceived(1);
     ASSERT_EQ(reader.queries.size(), 1U);
-    EXPECT_EQ(received.front().revision, 8U);
+    EXPECT_EQ(received.front().revision.number, 8U);
 }
 
 /// Guards against a withdrawn key that is admitted by an entry that considers itself up to date. The reader confirmed a newer configuration
@@ -152,10 +152,10 @@
 {
     task::EventLoop loop;
     DirectoryState reader{ .confirmedAt = task::monotonicNow(), .serversAt = task::monotonicNow() };
-    applyConfiguration(reader, { .document = makeDocument(4 * PartBytes, 1), .revision = 7 });
+    applyConfiguration(reader, { .document = makeDocument(4 * PartBytes, 1), .revision = { .number = 7 } });
     DirectoryPage page(loop, reader);
 
-    DirectoryState known{ .tags = { .configuration = 3 } };
+    DirectoryState known{ .tags = { .configuration = { .number = 3 } } };
     std::vector<std::uint64_t> confirmed; ///< revision that the entry had at each confirmation
     DirectoryFollower follower(loop,
                                known,
@@ -165,13 +165,13 @@
                                        [&](const ConfigurationSnapshot &read) {
                                            applyConfiguration(known, read);
                                            if (applyPendingConfirmations(known)) {
-                                               confirmed.push_back(known.tags.configuration);
+                                               confirmed.push_back(known.tags.configuration.number);
                                            }
                                        },
                                    .onConfigurationConfirmed =
-                                       [&](std::uint64_t revision, TimePoint asOf) {
+                                       [&](StoreRevision revision, TimePoint asOf) {
                                            if (recordConfirmation(known, revision, asOf)) {
-                                               confirmed.push_back(known.tags.configuration);
+                                               confirmed.push_back(known.tags.configuration.number);
                                            }
                                        },
                                    .onConfigurationOffered = [](auto &&...) {},
@@ -216,7 +216,7 @@
 
 TEST(DocumentTransferTests, aTransferWithWrongBytesRestarts)
 {
-    const auto offered = makeOfferedDocument({ .document = "document", .revision = 1 });
+    const auto offered = makeOfferedDocument({ .document = "document", .revision = { .number = 1 } });
     auto other = offered.bytes;
     other.back() = static_cast<char>(other.back() + 1);
     for (const auto &part : { offered.bytes + "s", other, std::string() }) {
@@ -230,7 +230,7 @@
 {
     const auto size = *rc::gen::inRange<std::size_t>(1, 3 * PartBytes + 2);
     const auto document = makeDocument(size, 1);
-    const std::vector<OfferedDocument> documents = { makeOfferedDocument({ .document = document, .revision = 5 }) };
+    const std::vector<OfferedDocument> documents = { makeOfferedDocument({ .document = document, .revision = { .number = 5 } }) };
     DocumentTransfer transfer{ .offer = documents.front().offer };
     auto outcome = PartOutcome::Incomplete;
     while (outcome == PartOutcome::Incomplete) {
@@ -249,16 +249,16 @@
 /// bytes it received, so that a transfer can continue at any entry that has fetched the same bytes.
 TEST(DocumentTransferTests, aPackedDocumentIsOfferedUnchanged)
 {
-    const auto offered = makeOfferedDocument({ .document = "document", .revision = 1, .packed = "packed otherwise" });
+    const auto offered = makeOfferedDocument({ .document = "document", .revision = { .number = 1 }, .packed = "packed otherwise" });
     EXPECT_EQ(offered.bytes, "packed otherwise");
     EXPECT_EQ(offered.offer.bytes, offered.bytes.size());
-    EXPECT_NE(offered.offer.tag, makeOfferedDocument({ .document = "document", .revision = 1 }).offer.tag);
+    EXPECT_NE(offered.offer.tag, makeOfferedDocument({ .document = "document", .revision = { .number = 1 } }).offer.tag);
 }
 
 /// An offer with a wrong size must not make an entry apply a truncated document, nor exhaust its memory.
 TEST(DocumentTransferTests, aDocumentOfAnotherSizeThanOfferedIsRejected)
 {
-    const auto offered = makeOfferedDocument({ .document = std::string(5000, 'a'), .revision = 1 });
+    const auto offered = makeOfferedDocument({ .document = std::string(5000, 'a'), .revision = { .number = 1 } });
     for (const std::uint64_t size : { 4999, 5001 }) {
         DocumentTransfer transfer{ .offer = offered.offer, .bytes = offered.bytes };
         transfer.offer.documentBytes = size;
@@ -275,5 +275,5 @@
         route = { .name = "route-" + std::to_string(random()), .host = "quotes.example", .prefix = "/" + std::to_string(random()) + "/" };
     }
     const auto document = adapter::standins::configurationText(1, routes, "portal", "roofers", { "key-1" });
-    EXPECT_LT(makeOfferedDocument({ .document = document, .revision = 1 }).offer.bytes * 6, document.size());
+    EXPECT_LT(makeOfferedDocument({ .document = document, .revision = { .number = 1 } }).offer.bytes * 6, document.size());
 }
--- a/src/gateway/tests/duties_tests.cpp
+++ b/src/gateway/tests/duties_tests.cpp
@@ -118,7 +118,7 @@
 {
     Platform platform;
     Candidate entry(platform, "entry-1");
-    platform.duties.raiseToken(1'000'000);
+    platform.duties.raiseToken(std::uint64_t{ 1 } << 60U);
     entry.election.setEligible(true);
     entry.usage.recordStart("roofers", now());
     EXPECT_TRUE(runUntil(platform.loop, [&entry]() { return entry.termEnd == leadership::TermEnd::TokenRefused; }));
--- a/src/gateway/tests/followingentry.cpp
+++ b/src/gateway/tests/followingentry.cpp
@@ -86,7 +86,7 @@
 auto FollowingEntry::offer(std::uint64_t version) -> void
 {
     constexpr std::uint64_t Later = 1000; // later than any revision of the stand-in
-    applyConfiguration(reader.state, { .document = makeConfigurationText(version), .revision = Later + version });
+    applyConfiguration(reader.state, { .document = makeConfigurationText(version), .revision = { .era = 1, .number = Later + version } });
 }
 
 auto FollowingEntry::requestWithoutKey(Fingerprint fingerprint) -> std::optional<passthrough::Refuse>
--- a/src/gateway/tests/largedocument_tests.cpp
+++ b/src/gateway/tests/largedocument_tests.cpp
@@ -58,7 +58,7 @@
     const auto document = makeDocument(LargestDocument);
     task::EventLoop loop;
     DirectoryState state;
-    applyConfiguration(state, { .document = document, .revision = 1 });
+    applyConfiguration(state, { .document = document, .revision = { .number = 1 } });
     DirectoryPage page(loop, state);
     const NarrowLink link(loop, page.listen("127.0.0.1:0"), { .bytes = CarriedWithinTimeout });
 
--- a/src/gateway/tests/restoredstore_tests.cpp
+++ b/src/gateway/tests/restoredstore_tests.cpp
@@ -1,12 +1,16 @@
 #include "gateway/clock.h"
 #include "gateway/directory.h"
+#include "gateway/tests/followingentry.h"
 #include "platform/standins/storestandin.h"
 #include "platform/standins/wiretext.h"
 #include "wire/http/tests/exchange.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <optional>
 #include <string>
+#include <vector>
 
 using namespace auburnspread;
 using namespace auburnspread::gateway;
@@ -39,6 +43,16 @@
             store.put("other", std::to_string(i));
         }
     }
+    auto putServer(const std::string &id, bool isLeaving = false) -> void
+    {
+        const passthrough::Server server{ .service = "portal", .address = "127.0.0.1:9", .failureDomain = "a", .slots = 6, .isLeaving = isLeaving };
+        store.put(adapter::standins::serverKey(id), adapter::standins::serverText(server));
+    }
+    [[nodiscard]] auto findServer(const std::string &id) const -> std::optional<passthrough::Server>
+    {
+        const auto found = std::find_if(servers.begin(), servers.end(), [&id](const passthrough::Server &each) { return each.id == id; });
+        return found == servers.end() ? std::nullopt : std::optional(*found);
+    }
     /// Waits until the entry continues its watch of the configuration from the newest revision.
     auto catchUp() -> void
     {
@@ -50,14 +64,22 @@
     StoreStandin store{ loop };
     std::string configuration; ///< as read last
     int confirmations = 0;
+    TimePoint confirmedAt;
+    std::optional<TimePoint> restoredAt;
+    std::vector<passthrough::Server> servers;
     Directory directory{ loop,
                          { .store = store.address(), .self = { .name = "entry-1" }, .leaseDuration = std::chrono::seconds(1) },
                          {
                              .onConfiguration = [this](const ConfigurationSnapshot &read) { configuration = read.document; },
-                             .onConfigurationConfirmed = [this](auto &&...) { confirmations += 1; },
-                             .onServers = [](auto &&...) {},
+                             .onConfigurationConfirmed =
+                                 [this](StoreRevision, TimePoint asOf) {
+                                     confirmations += 1;
+                                     confirmedAt = asOf;
+                                 },
+                             .onServers = [this](const ServersSnapshot &read) { servers = read.servers; },
                              .onRegistrations = [](auto &&...) {},
                              .onRegistrationsFailed = []() {},
+                             .onStoreRestored = [this](std::uint64_t) { restoredAt = now(); },
                              .onEntriesSnapshot = [](auto &&...) {},
                              .onReachable = [](auto &&...) {},
                          } };
@@ -93,3 +115,96 @@
     EXPECT_TRUE(runUntil(
         reader.loop, [&]() { return reader.store.find(EntryKey).has_value(); }, std::chrono::seconds(10)));
 }
+
+/// Guards against requests to servers that have left. In the copy, one server is not leaving yet and one that has gone is still
+/// registered. A server that registers after the restore is used at once.
+TEST(RestoredStoreTests, theRegistrationsOfTheCopyDoNotReplaceWhatIsKnown)
+{
+    StoreReader reader;
+    reader.putServer("i-leaving");
+    reader.putServer("i-gone");
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.findServer("i-gone").has_value(); }));
+    reader.store.saveCopy();
+    reader.putServer("i-leaving", true);
+    reader.store.remove(adapter::standins::serverKey("i-gone"));
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.servers.size() == 1 && reader.servers.front().isLeaving; }));
+    reader.store.restoreCopy();
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.restoredAt.has_value(); }));
+    reader.putServer("i-new");
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.findServer("i-new").has_value(); }));
+    ASSERT_TRUE(reader.findServer("i-leaving"));
+    EXPECT_TRUE(reader.findServer("i-leaving")->isLeaving);
+    EXPECT_FALSE(reader.findServer("i-gone"));
+    EXPECT_TRUE(runUntil(reader.loop, [&]() { return reader.findServer("i-gone").has_value(); })) << "a registration that stays is believed in the end";
+}
+
+/// Guards against a withdrawn key that is admitted for longer. The copy lacks the configuration that withdraws it, and confirms the one
+/// before until the operators have written the newer one again.
+TEST(RestoredStoreTests, theCopyDoesNotConfirmTheConfigurationAtOnce)
+{
+    constexpr Duration SettleTime = std::chrono::seconds(1);
+    StoreReader reader;
+    reader.store.saveCopy();
+    reader.store.restoreCopy();
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.restoredAt.has_value(); }));
+    const auto before = reader.confirmations;
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.confirmations > before; }));
+    EXPECT_GE(reader.confirmedAt, *reader.restoredAt + SettleTime);
+}
+
+TEST(RestoredStoreTests, aConfigurationWrittenSinceTheRestoreIsConfirmedAtOnce)
+{
+    StoreReader reader;
+    reader.store.saveCopy();
+    reader.store.restoreCopy();
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.restoredAt.has_value(); }));
+    reader.catchUp();
+    reader.putConfiguration("2");
+    ASSERT_TRUE(runUntil(reader.loop, [&]() { return reader.configuration == "2"; }));
+    const auto before = reader.confirmations;
+    EXPECT_TRUE(runUntil(reader.loop, [&]() { return reader.confirmations > before; }));
+}
+
+namespace
+{
+
+/// The reader has this version, at this position of the store.
+auto offerAt(gateway::tests::FollowingEntry &entry, std::uint64_t version, StoreRevision revision) -> void
+{
+    applyConfiguration(entry.reader.state, { .document = gateway::tests::makeConfigurationText(version), .revision = revision });
+}
+
+auto versionOf(const gateway::tests::FollowingEntry &entry) -> std::uint64_t
+{
+    return passthrough::statusOf(*entry.router, now()).configurationVersion;
+}
+
+} // namespace
+
+/// Guards against an entry that ignores every new configuration because the restored store gives out revisions below the one it knows.
+TEST(RestoredStoreTests, aLowerRevisionOfALaterEraIsTakenFromOtherEntries)
+{
+    gateway::tests::FollowingEntry entry;
+    entry.reader.sendsParts = true;
+    entry.offer(7);
+    ASSERT_TRUE(runUntil(entry.loop, [&]() { return versionOf(entry) == 7; }));
+    offerAt(entry, 9, { .era = 2, .number = 50 });
+    EXPECT_TRUE(runUntil(entry.loop, [&]() { return versionOf(entry) == 9; }));
+}
+
+/// Guards against a configuration that goes back to the one in the copy of the store, and against an entry that stops serving because
+/// it does not have that older one.
+TEST(RestoredStoreTests, anOlderConfigurationOfALaterEraStopsNoEntryAndIsNotAdopted)
+{
+    gateway::tests::FollowingEntry entry;
+    entry.reader.sendsParts = true;
+    entry.offer(7);
+    ASSERT_TRUE(runUntil(entry.loop, [&]() { return versionOf(entry) == 7; }));
+    offerAt(entry, 6, { .era = 2, .number = 50 });
+    const auto queries = entry.reader.queries;
+    ASSERT_TRUE(runUntil(entry.loop, [&]() { return entry.reader.queries >= queries + 4; }));
+    EXPECT_EQ(versionOf(entry), 7U);
+    EXPECT_FALSE(entry.isOutOfDate());
+    offerAt(entry, 8, { .era = 2, .number = 60 });
+    EXPECT_TRUE(runUntil(entry.loop, [&]() { return versionOf(entry) == 8; }));
+}
--- a/src/gateway/tests/serverchanges_tests.cpp
+++ b/src/gateway/tests/serverchanges_tests.cpp
@@ -85,10 +85,10 @@
     DirectoryState reader;
     DirectoryState querier;
     auto servers = makeFleet(3000);
-    applyServers(reader, { .servers = servers, .revision = 1, .asOf = Now });
+    applyServers(reader, { .servers = servers, .revision = { .number = 1 }, .asOf = Now });
     EXPECT_TRUE(query(querier, reader).servers) << "an entry without a list gets the whole list";
     servers[7].isLeaving = true;
-    applyServers(reader, { .servers = servers, .revision = 2, .asOf = Now });
+    applyServers(reader, { .servers = servers, .revision = { .number = 2 }, .asOf = Now });
     EXPECT_LT(encodeAnswer(makeAnswer(reader, querier.tags, Now)).size(), MaxBytes);
     query(querier, reader);
     EXPECT_EQ(querier.servers, reader.servers);
@@ -98,10 +98,10 @@
 TEST(ServerChangesTests, aChangeOfAnotherListIsNotApplied)
 {
     DirectoryState state;
-    applyServers(state, { .servers = makeFleet(3), .revision = 1, .asOf = Now });
+    applyServers(state, { .servers = makeFleet(3), .revision = { .number = 1 }, .asOf = Now });
     auto other = makeFleet(4);
     const auto before = other;
     other[0].isLeaving = true;
-    EXPECT_FALSE(applyServersDelta(state, { .changes = diffServers(before, other), .tag = tagOf(other), .revision = 2, .asOf = Now }));
+    EXPECT_FALSE(applyServersDelta(state, { .changes = diffServers(before, other), .tag = tagOf(other), .revision = { .number = 2 }, .asOf = Now }));
     EXPECT_EQ(state.servers.size(), 3U);
 }
--- a/src/gateway/tests/steadychanges_tests.cpp
+++ b/src/gateway/tests/steadychanges_tests.cpp
@@ -72,7 +72,7 @@
     {
         if (now >= nextChange) {
             writtenAt.push_back(now);
-            applyConfiguration(reader, { .document = makeDocument(documentBytes, writtenAt.size()), .revision = writtenAt.size() });
+            applyConfiguration(reader, { .document = makeDocument(documentBytes, writtenAt.size()), .revision = { .number = writtenAt.size() } });
             nextChange += interval;
         }
         reader.confirmedAt = now;
@@ -162,7 +162,7 @@
         RC_ASSERT(changes.follower.confirmedAt.has_value());
         const auto confirmedAt = *changes.follower.confirmedAt;
         RC_ASSERT(changes.now - confirmedAt <= bound);
-        const auto nextRevision = changes.follower.tags.configuration + 1;
+        const auto nextRevision = changes.follower.tags.configuration.number + 1;
         const auto hasNewer = nextRevision <= changes.writtenAt.size();
         RC_ASSERT(confirmedAt <= (hasNewer ? changes.writtenAt[nextRevision - 1] : changes.now));
         RC_ASSERT(changes.now - outdatedSince(changes.follower).value_or(changes.now) <= bound);
--- a/src/gateway/usagereports.cpp
+++ b/src/gateway/usagereports.cpp
@@ -21,20 +21,28 @@
 /// Key of the record that fixes the counts of the latest windows.
 constexpr std::string_view RecordKey = "auburnspread/counted";
 
-auto encodeRecord(const usage::Record &record) -> std::string
+/// The era is that of the term in which the record is written.
+auto encodeRecord(const usage::Record &record, std::uint64_t era) -> std::string
 {
     auto windows = json::array();
     for (const auto &[window, counts] : record) {
         windows.push_back({ window, json(counts) });
     }
-    return windows.dump();
+    return json{ { "era", era }, { "windows", std::move(windows) } }.dump();
 }
 
-auto decodeRecord(const std::string &text) -> usage::Record
+struct WrittenRecord {
+    usage::Record windows;
+    std::uint64_t era = 0; ///< of the store when it was written
+};
+
+/// Earlier versions wrote the windows alone.
+auto decodeRecord(const std::string &text) -> WrittenRecord
 {
-    usage::Record record;
-    for (const auto &window : json::parse(text)) {
-        record[window.at(0).get<usage::Window>()] = window.at(1).get<usage::Counts>();
+    const auto document = json::parse(text);
+    WrittenRecord record{ .era = document.is_object() ? document.at("era").get<std::uint64_t>() : 0 };
+    for (const auto &window : document.is_object() ? document.at("windows") : document) {
+        record.windows[window.at(0).get<usage::Window>()] = window.at(1).get<usage::Counts>();
     }
     return record;
 }
@@ -120,12 +128,14 @@
         apply(usage::RecordCallFailed{ .call = call });
         return;
     }
-    usage::RecordRead read{ .call = call };
+    usage::RecordRead read{ .call = call, .time = clock_.at(now()) };
     try {
         for (const auto &item : items->items) {
             if (item.key == RecordKey) {
-                read.record = decodeRecord(item.value);
-                read.revision = item.revision;
+                const auto record = decodeRecord(item.value);
+                read.record = record.windows;
+                read.revision = item.revision.number;
+                read.mayBeIncomplete = record.era != 0 && record.era < item.revision.era;
             }
         }
     } catch (const json::exception &error) {
@@ -141,15 +151,16 @@
     constexpr std::uint64_t NoLease = 0;
     const std::vector<adapter::StoreCondition> conditions{
         { .key = std::string(RecordKey), .revision = action.expectedRevision },
-        { .key = std::string(LeaderKey), .revision = action.token },
+        { .key = std::string(LeaderKey), .revision = leadership::claimNumberOf(action.token) },
     };
     calls_ += 1;
-    const auto request = adapter::makeConditionalPut(options_.store, conditions, RecordKey, encodeRecord(action.record), NoLease);
+    const auto request
+        = adapter::makeConditionalPut(options_.store, conditions, RecordKey, encodeRecord(action.record, leadership::eraOf(action.token)), NoLease);
     client_.fetch(request, [this, call = action.call](const http::Result &result) {
         const auto isDone = adapter::outcomeOf(result) == StoreOutcome::Done;
         const auto revision = isDone ? adapter::decodeRevision(std::get<http::Response>(result)) : std::nullopt;
         if (revision) {
-            apply(usage::RecordWritten{ .call = call, .revision = *revision });
+            apply(usage::RecordWritten{ .call = call, .revision = revision->number });
         } else {
             apply(usage::RecordCallFailed{ .call = call });
         }
