Soak: the store comes back from a copy

store-restored saves a copy at its beginning and brings the store back to it at its end, drawn at a rate of its own (--restores), so that the faults of recorded seeds stay the same. Operators and backend servers write again 0.3 s later.

--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -45,29 +45,24 @@
     double faults = 1;
     double limits = 0;
     double notices = 0;
+    double restores = 0;
     bool onlyPlanned = false;
     bool bounds = false;
 };
 
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
-                       "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--planned] [--bounds]\n"
+                       "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--restores A_SECOND]\n"
+                       "                  [--planned] [--bounds]\n"
                        "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n";
 
 auto readOptions(int argc, char **argv) -> std::optional<Options>
 {
     Options options;
     const std::vector<option> names = {
-        { "seed", required_argument, nullptr, 's' },
-        { "seconds", required_argument, nullptr, 't' },
-        { "entries", required_argument, nullptr, 'e' },
-        { "servers", required_argument, nullptr, 'b' },
-        { "notices", required_argument, nullptr, 'n' },
-        { "rate", required_argument, nullptr, 'r' },
-        { "faults", required_argument, nullptr, 'f' },
-        { "limits", required_argument, nullptr, 'm' },
-        { "planned", no_argument, nullptr, 'p' },
-        { "bounds", no_argument, nullptr, 'l' },
-        { nullptr, 0, nullptr, 0 },
+        { "seed", required_argument, nullptr, 's' },    { "seconds", required_argument, nullptr, 't' }, { "entries", required_argument, nullptr, 'e' },
+        { "servers", required_argument, nullptr, 'b' }, { "notices", required_argument, nullptr, 'n' }, { "rate", required_argument, nullptr, 'r' },
+        { "faults", required_argument, nullptr, 'f' },  { "limits", required_argument, nullptr, 'm' },  { "restores", required_argument, nullptr, 'o' },
+        { "planned", no_argument, nullptr, 'p' },       { "bounds", no_argument, nullptr, 'l' },        { nullptr, 0, nullptr, 0 },
     };
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", names.data(), nullptr)) != -1;) {
         switch (letter) {
@@ -95,6 +90,9 @@
         case 'n':
             options.notices = std::stod(optarg);
             break;
+        case 'o':
+            options.restores = std::stod(optarg);
+            break;
         case 'p':
             options.onlyPlanned = true;
             break;
@@ -128,6 +126,7 @@
                            .faultsPerSecond = options.faults,
                            .limitsPerSecond = options.limits,
                            .noticesPerSecond = options.notices,
+                           .restoresPerSecond = options.restores,
                            .onlyPlannedWork = options.onlyPlanned }))
     {
     }
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -29,7 +29,7 @@
 
 /// Number of kinds that are drawn as faults. They come first in the table.
 constexpr auto DrawnKinds = static_cast<std::size_t>(
-    std::count_if(FaultKinds.begin(), FaultKinds.end(), [](const NamedValue<FaultKind> &each) { return !isServerStatement(each.value); }));
+    std::count_if(FaultKinds.begin(), FaultKinds.end(), [](const NamedValue<FaultKind> &each) { return !isDrawnSeparately(each.value); }));
 
 using Random = std::mt19937_64;
 
@@ -61,7 +61,7 @@
 
 /// Adds what \p draw returns, \p perSecond times a second, drawn from numbers of their own, so that the other faults of a seed stay the same.
 template <typename Draw>
-auto addStatements(std::vector<Fault> &plan, const PlanOptions &options, std::uint64_t otherSeed, double perSecond, Draw draw) -> void
+auto addDrawn(std::vector<Fault> &plan, const PlanOptions &options, std::uint64_t otherSeed, double perSecond, Draw draw) -> void
 {
     Random random(options.seed ^ otherSeed);
     const auto count = static_cast<std::size_t>(std::chrono::duration<double>(options.length).count() * perSecond);
@@ -71,7 +71,7 @@
 auto addLimits(std::vector<Fault> &plan, const PlanOptions &options) -> void
 {
     constexpr std::uint64_t OtherSeed = 0x6c696d6974ULL;
-    addStatements(plan, options, OtherSeed, options.limitsPerSecond, [&options](Random &random) -> Fault {
+    addDrawn(plan, options, OtherSeed, options.limitsPerSecond, [&options](Random &random) -> Fault {
         return {
             .at = drawDuration(random, Duration::zero(), options.length),
             .length = drawDuration(random, ShortestLimit, LongestLimit),
@@ -85,7 +85,7 @@
 auto addNotices(std::vector<Fault> &plan, const PlanOptions &options) -> void
 {
     constexpr std::uint64_t OtherSeed = 0x6e6f74696365ULL;
-    addStatements(plan, options, OtherSeed, options.noticesPerSecond, [&options](Random &random) -> Fault {
+    addDrawn(plan, options, OtherSeed, options.noticesPerSecond, [&options](Random &random) -> Fault {
         return {
             .at = drawDuration(random, Duration::zero(), options.length),
             .length = drawDuration(random, ShortestOverload, LongestOverload),
@@ -96,6 +96,18 @@
     });
 }
 
+auto addRestores(std::vector<Fault> &plan, const PlanOptions &options) -> void
+{
+    constexpr std::uint64_t OtherSeed = 0x726573746f7265ULL;
+    addDrawn(plan, options, OtherSeed, options.restoresPerSecond, [&options](Random &random) -> Fault {
+        return {
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestFault, LongestFault),
+            .kind = FaultKind::StoreRestored,
+        };
+    });
+}
+
 } // namespace
 
 auto makePlan(const PlanOptions &options) -> std::vector<Fault>
@@ -112,6 +124,7 @@
     }
     addLimits(plan, options);
     addNotices(plan, options);
+    addRestores(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -34,27 +34,20 @@
     ServerLimit,          ///< a backend server states a limit on its requests
     ServerBackoff,        ///< a backend server rejects requests and asks for a backoff
     ServerSilentlyLeaves, ///< a backend server states in its answers alone that it is leaving, and is replaced
+    StoreRestored,        ///< at its end, the store comes back as it was at its beginning; what others wrote is written again soon
 };
 
 constexpr auto FaultKinds = std::to_array<NamedValue<FaultKind>>({
-    { FaultKind::EntryKilled, "entry-killed" },
-    { FaultKind::EntryStopped, "entry-stopped" },
-    { FaultKind::EntryPaused, "entry-paused" },
-    { FaultKind::EntryReloads, "entry-reloads" },
-    { FaultKind::AllKilled, "all-killed" },
-    { FaultKind::CallerPath, "caller-path" },
-    { FaultKind::StorePath, "store-path" },
-    { FaultKind::ServerPath, "server-path" },
-    { FaultKind::ServerCrashes, "server-crashes" },
-    { FaultKind::ServerLeaves, "server-leaves" },
-    { FaultKind::StoreBusy, "store-busy" },
-    { FaultKind::StoreSilent, "store-silent" },
-    { FaultKind::StoreForgets, "store-forgets" },
-    { FaultKind::LeasesEnd, "leases-end" },
-    { FaultKind::Configuration, "configuration" },
-    { FaultKind::ServerLimit, "server-limit" },
-    { FaultKind::ServerBackoff, "server-backoff" },
-    { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
+    { FaultKind::EntryKilled, "entry-killed" },     { FaultKind::EntryStopped, "entry-stopped" },
+    { FaultKind::EntryPaused, "entry-paused" },     { FaultKind::EntryReloads, "entry-reloads" },
+    { FaultKind::AllKilled, "all-killed" },         { FaultKind::CallerPath, "caller-path" },
+    { FaultKind::StorePath, "store-path" },         { FaultKind::ServerPath, "server-path" },
+    { FaultKind::ServerCrashes, "server-crashes" }, { FaultKind::ServerLeaves, "server-leaves" },
+    { FaultKind::StoreBusy, "store-busy" },         { FaultKind::StoreSilent, "store-silent" },
+    { FaultKind::StoreForgets, "store-forgets" },   { FaultKind::LeasesEnd, "leases-end" },
+    { FaultKind::Configuration, "configuration" },  { FaultKind::ServerLimit, "server-limit" },
+    { FaultKind::ServerBackoff, "server-backoff" }, { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
+    { FaultKind::StoreRestored, "store-restored" },
 });
 
 /// Planned work, around which no request may be lost.
@@ -63,12 +56,18 @@
     return kind == FaultKind::EntryStopped || kind == FaultKind::EntryReloads || kind == FaultKind::ServerLeaves || kind == FaultKind::Configuration;
 }
 
-/// What a backend server states itself. It harms nothing, and has options and random numbers of its own.
+/// What a backend server states itself. It harms nothing.
 constexpr auto isServerStatement(FaultKind kind) -> bool
 {
     return kind == FaultKind::ServerLimit || kind == FaultKind::ServerBackoff || kind == FaultKind::ServerSilentlyLeaves;
 }
 
+/// Kinds that have options and random numbers of their own, so that the other faults of a seed stay the same.
+constexpr auto isDrawnSeparately(FaultKind kind) -> bool
+{
+    return isServerStatement(kind) || kind == FaultKind::StoreRestored;
+}
+
 struct Fault {
     Duration at{};     ///< since the start of the load
     Duration length{}; ///< until it is undone
@@ -85,8 +84,9 @@
     std::size_t entries = 0;
     std::size_t servers = 0;
     double faultsPerSecond = 1;
-    double limitsPerSecond = 0;  ///< rate limits of backend servers, beside the faults
-    double noticesPerSecond = 0; ///< backoffs and leavings that backend servers state in their answers, beside the faults
+    double limitsPerSecond = 0;   ///< rate limits of backend servers, beside the faults
+    double noticesPerSecond = 0;  ///< backoffs and leavings that backend servers state in their answers, beside the faults
+    double restoresPerSecond = 0; ///< returns of the store from a copy, beside the faults
     bool onlyPlannedWork = false;
 };
 
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -199,7 +199,18 @@
     version_ += VersionStep;
     std::vector<std::string> names;
     std::transform(keys_.begin(), keys_.end(), std::back_inserter(names), [](const Key &key) { return key.name; });
-    store_.put(std::string(standins::ConfigurationKey), standins::configurationText(version_, makeRoutes(version_), ServiceName, SiteWorkspace, names));
+    configuration_ = standins::configurationText(version_, makeRoutes(version_), ServiceName, SiteWorkspace, names);
+    store_.put(std::string(standins::ConfigurationKey), configuration_);
+}
+
+auto Site::writeAgain() -> void
+{
+    store_.put(std::string(standins::ConfigurationKey), configuration_);
+    for (const auto &server : servers_) {
+        if (server.standin) {
+            putServer(server);
+        }
+    }
 }
 
 auto Site::addKey() -> void
@@ -331,6 +342,9 @@
     case FaultKind::StoreForgets:
         store_.dropHistory();
         break;
+    case FaultKind::StoreRestored:
+        store_.saveCopy();
+        break;
     case FaultKind::LeasesEnd:
         store_.endLeases();
         break;
@@ -374,6 +388,12 @@
     case FaultKind::StoreSilent:
         store_.setSilent(false);
         break;
+    case FaultKind::StoreRestored: {
+        constexpr Duration WritesAgainAfter = std::chrono::milliseconds(300);
+        store_.restoreCopy();
+        writer_ = loop_.after(WritesAgainAfter, [this]() { writeAgain(); });
+        break;
+    }
     default:
         break;
     }
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -128,6 +128,8 @@
     /// The server states in its answers that it is leaving, and tells the store as well unless it leaves silently.
     auto beginLeaving(const Fault &fault) -> void;
     auto putConfiguration() -> void;
+    /// The operators and the backend servers write again what a copy of the store may lack.
+    auto writeAgain() -> void;
     auto addKey() -> void;
     auto rotateKeys() -> void;
 
@@ -142,6 +144,8 @@
     std::uint64_t lastKey_ = 0;
     std::deque<Key> keys_;
     std::string withdrawnKey_;
+    std::string configuration_; ///< as written last
+    task::Watch writer_;
 };
 
 } // namespace auburnspread::soak
--- a/src/soak/tests/plan_tests.cpp
+++ b/src/soak/tests/plan_tests.cpp
@@ -35,6 +35,7 @@
     auto options = makeOptions(1);
     options.limitsPerSecond = 0.3;
     options.noticesPerSecond = 0.3;
+    options.restoresPerSecond = 0.3;
     for (const auto &fault : makePlan(options)) {
         kinds.insert(fault.kind);
         EXPECT_LT(fault.target, 4U);
@@ -43,6 +44,9 @@
             EXPECT_EQ(fault.backoff > Duration::zero(), fault.kind != FaultKind::ServerLimit);
             continue;
         }
+        if (fault.kind == FaultKind::StoreRestored) {
+            continue;
+        }
         paths.insert(fault.path);
         EXPECT_NE(fault.path, PathFault::None);
     }
@@ -50,14 +54,15 @@
     EXPECT_EQ(paths.size(), PathFaults.size() - 1);
 }
 
-TEST(PlanTests, statementsOfServersLeaveTheOtherFaultsAsTheyAre)
+TEST(PlanTests, separatelyDrawnKindsLeaveTheOtherFaultsAsTheyAre)
 {
     auto options = makeOptions(7);
     const auto without = makePlan(options);
     options.limitsPerSecond = 0.3;
     options.noticesPerSecond = 0.3;
+    options.restoresPerSecond = 0.3;
     auto with = makePlan(options);
-    EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return isServerStatement(fault.kind); }), 0U);
+    EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return isDrawnSeparately(fault.kind); }), 0U);
     ASSERT_EQ(with.size(), without.size());
     EXPECT_TRUE(std::equal(with.begin(), with.end(), without.begin(), [](const Fault &a, const Fault &b) { return a.at == b.at && a.kind == b.kind; }));
 }
