An entry that leaves refuses what it could not answer before its exit

Cause: new requests were refused for the last 2.5 s, as if all ended within that time; the slow kinds take longer.

A route that was not served lately counts with the time that its callers wait. Plain calls are taken as before. A restart of all entries at once needs nothing special: what is refused comes back to one that has restarted.

Ruled out: a longer refusal period for all kinds (plain calls of 60 ms would be refused for seconds).

Evidence: planned_restart_tests, two red before (10 streams cut of a run of 4.5 s streams); the property draws lengths of 0.1 to 7 s and rates.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -208,6 +208,11 @@
     std::vector<QuarantinedRequest> requests;
 };
 
+/// The entry got the termination signal. It refuses requests that probably can't be answered before it exits.
+struct LeavingStarted {
+    TimePoint exitAt; ///< when it exits at the latest, whatever is still running
+};
+
 /// The entry is about to stop and refuses every request that arrives from now on.
 struct ClosingStarted {
 };
@@ -237,6 +242,7 @@
                            CacheListed,
                            CrashesReported,
                            QuarantineListed,
+                           LeavingStarted,
                            ClosingStarted,
                            Tick>;
 
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -26,6 +26,20 @@
     return isConfigurationFresh(state, state.now) && !state.outdatedSince ? reason : Reason::StaleConfiguration;
 }
 
+/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. A route that has not
+/// been served lately counts with the longest time that its callers wait.
+auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route) -> bool
+{
+    constexpr double Margin = 1.25; // requests may take longer than those before, as all entries' requests move to fewer entries
+    if (!state.exitAt) {
+        return false;
+    }
+    const auto most = std::min(route.timeout, call.deadline.value_or(route.timeout));
+    const auto found = state.answerTimes.find(route.name);
+    const auto expected = found == state.answerTimes.end() ? most : std::min(most, scaled(found->second.longest, Margin));
+    return state.now + expected > *state.exitAt;
+}
+
 auto authorize(const RouterState &state, const RequestArrived &call, RouteMatch &found) -> std::optional<Reason>
 {
     if (state.closing) {
@@ -164,6 +178,10 @@
         refuseArrival(state, call, *reason, actions);
         return;
     }
+    if (mayOutlastEntry(state, call, *match.route)) {
+        refuseArrival(state, call, Reason::Draining, actions);
+        return;
+    }
     if (isQuarantined(state.crashes, call.fingerprint, state.now)) {
         refuseArrival(state, call, Reason::Quarantined, actions);
         return;
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -99,6 +99,11 @@
 
 using DueCheck = std::pair<TimePoint, RequestId>;
 
+/// How long the requests of a route took lately, from their arrival to the end of the response.
+struct AnswerTime {
+    Duration longest{}; ///< decays with each request; zero: none was answered yet
+};
+
 struct RouterState {
     RouterOptions options;
     TimePoint now;
@@ -108,6 +113,7 @@
     ServerTable servers;
     std::uint32_t entries = 1;
     std::uint32_t retryBudgetShares = 1; ///< number of entries that the retry allowance is divided among
+    std::optional<TimePoint> exitAt;     ///< see LeavingStarted
     bool closing = false;
 
     std::unordered_map<RequestId, Request> requests;
@@ -115,7 +121,8 @@
     std::map<std::string, Pool> pools; ///< by service
     std::set<DueCheck> dueChecks;      ///< times at which the queue deadline or the deadline of a request passes
     CrashLedger crashes;
-    TimePoint serversConfirmedAt; ///< time as of which the list of servers was last known to be current
+    TimePoint serversConfirmedAt;                                   ///< time as of which the list of servers was last known to be current
+    std::unordered_map<std::string, AnswerTime> answerTimes;        ///< by route
     std::unordered_map<std::string, Duration> longestDeadlines;     ///< longest deadlines that callers set, by route
     std::unordered_map<std::string, BaselineErrorRate> usualErrors; ///< by route
     std::uint64_t seed = 0;                                         ///< seed of this entry's tie-breaks
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -29,6 +29,9 @@
         state.table = std::make_shared<const RouteTable>(configuration);
         state.longestDeadlines.clear(); // routes come and go with configurations
         state.usualErrors.clear();
+        std::erase_if(state.answerTimes, [&configuration](const auto &item) {
+            return std::none_of(configuration.routes.begin(), configuration.routes.end(), [&item](const Route &route) { return route.name == item.first; });
+        });
         state.servers.cacheTokens.clear();
         for (const auto &service : configuration.services) {
             state.servers.cacheTokens[service.name] = service.cacheTokens;
@@ -148,6 +151,10 @@
     {
         setListedRequests(state.crashes, event.requests);
     }
+    auto operator()(const LeavingStarted &event) const -> void
+    {
+        state.exitAt = event.exitAt;
+    }
     auto operator()(const ClosingStarted & /*event*/) const -> void
     {
         state.closing = true;
--- a/src/gateway/leaving.cpp
+++ b/src/gateway/leaving.cpp
@@ -21,12 +21,17 @@
     return { .startedAt = now, .lastBusyAt = now };
 }
 
+auto exitDeadlineOf(const DrainState &drain, Duration drainTime) -> TimePoint
+{
+    return drain.startedAt + drainTime - ExitMargin;
+}
+
 auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep
 {
     const auto elapsed = now - drain.startedAt;
     drain.lastBusyAt = isBusy ? now : drain.lastBusyAt;
     const auto isUnused = elapsed > AddressCacheTime * MaxCacheTimeFactor && now - drain.lastBusyAt > IdleTime;
-    if (isUnused || elapsed >= drainTime - ExitMargin) {
+    if (isUnused || now >= exitDeadlineOf(drain, drainTime)) {
         return DrainStep::Exit;
     }
     if (!drain.refusesNewRequests && elapsed >= drainTime - RefusalPeriod) {
--- a/src/gateway/tests/plannedrestart_tests.cpp
+++ b/src/gateway/tests/plannedrestart_tests.cpp
@@ -42,6 +42,9 @@
         auto nextArrival = harness_.now();
         while (true) {
             const auto isLeaving = harness_.now() >= signalAt;
+            if (isLeaving) {
+                harness_.apply(LeavingStarted{ .exitAt = exitDeadlineOf(drain, DrainTime) });
+            }
             if (isLeaving && advanceAndCheckExit(drain)) {
                 break;
             }
