--- a/src/core/base/storerevision.h
+++ b/src/core/base/storerevision.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <utility>
 
 namespace auburnspread
 {
@@ -15,7 +16,11 @@
     std::uint64_t era = 0;    ///< rises each time the store comes back from a copy; 0: the store states no era
     std::uint64_t number = 0; ///< the store's revision; 0: nothing was read
 
-    auto operator<=>(const StoreRevision &) const = default;
+    auto operator==(const StoreRevision &) const -> bool = default;
+    auto operator<=>(const StoreRevision &other) const -> std::strong_ordering
+    {
+        return std::pair(era, number) <=> std::pair(other.era, other.number);
+    }
 };
 
 } // namespace auburnspread
--- a/src/core/passthrough/crashledger.cpp
+++ b/src/core/passthrough/crashledger.cpp
@@ -136,6 +136,7 @@
         }
     }
     std::vector<QuarantinedRequest> sorted;
+    sorted.reserve(all.size());
     for (const auto &[fingerprint, at] : all) {
         sorted.push_back({ .fingerprint = fingerprint, .at = at });
     }
--- a/src/gateway/tests/serverchanges_tests.cpp
+++ b/src/gateway/tests/serverchanges_tests.cpp
@@ -69,7 +69,7 @@
     DirectoryState querier;
     std::uint64_t revision = 0;
     for (const auto &[servers, asks] : lists) {
-        applyServers(reader, { .servers = makeList(servers), .revision = ++revision, .asOf = Now });
+        applyServers(reader, { .servers = makeList(servers), .revision = { .number = ++revision }, .asOf = Now });
         if (asks) {
             query(querier, reader);
             RC_ASSERT(querier.servers == reader.servers);
