A leaving entry refuses only late requests that it may not answer, and trusts few answers less

The first version refused slow kinds from the moment at which their longest time did not fit any more, some 2 s after SIGTERM, and trusted the longest of very few answers.

Change: until the addresses that callers may have cached have expired (3 s, less 0.2 s in which a busy VM may notice the signal late) requests are taken as before; after that, a route with fewer than 50 answers counts with the time that its callers wait.

Evidence: planned_restart_tests draws the time since the entry's start as well; clean.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -208,9 +208,10 @@
     std::vector<QuarantinedRequest> requests;
 };
 
-/// The entry got the termination signal. It refuses requests that probably can't be answered before it exits.
+/// The entry got the termination signal. Late requests that may not be answered before it exits are refused.
 struct LeavingStarted {
-    TimePoint exitAt; ///< when it exits at the latest, whatever is still running
+    TimePoint lateFrom; ///< until then, callers may still have this entry's address from a list that was valid
+    TimePoint exitAt;   ///< when it exits at the latest, whatever is still running
 };
 
 /// The entry is about to stop and refuses every request that arrives from now on.
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -26,18 +26,20 @@
     return isConfigurationFresh(state, state.now) && !state.outdatedSince ? reason : Reason::StaleConfiguration;
 }
 
-/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. A route that has not
-/// been served lately counts with the longest time that its callers wait.
+/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. A route of which
+/// few requests were answered counts with the longest time that its callers wait.
 auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route) -> bool
 {
-    constexpr double Margin = 1.25; // requests may take longer than those before, as all entries' requests move to fewer entries
-    if (!state.exitAt) {
+    constexpr std::uint32_t MinRequests = 50; // fewer may all have been short ones
+    constexpr double Margin = 1.25;           // requests may take longer than those before, as the load moves to fewer entries
+    if (!state.leaving || state.now < state.leaving->lateFrom) {
         return false;
     }
     const auto most = std::min(route.timeout, call.deadline.value_or(route.timeout));
     const auto found = state.answerTimes.find(route.name);
-    const auto expected = found == state.answerTimes.end() ? most : std::min(most, scaled(found->second.longest, Margin));
-    return state.now + expected > *state.exitAt;
+    const auto isKnown = found != state.answerTimes.end() && found->second.requests >= MinRequests;
+    const auto expected = isKnown ? std::min(most, scaled(found->second.longest, Margin)) : most;
+    return state.now + expected > state.leaving->exitAt;
 }
 
 auto authorize(const RouterState &state, const RequestArrived &call, RouteMatch &found) -> std::optional<Reason>
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -202,6 +202,7 @@
 {
     constexpr double Decay = 0.99; // remembers about the last hundred requests
     known.longest = std::max(observed, scaled(known.longest, Decay));
+    known.requests += 1;
 }
 
 auto noteCrash(RouterState &state, const Request &request, const CrashIncident &incident, Actions &actions) -> void
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -101,7 +101,8 @@
 
 /// How long the requests of a route took lately, from their arrival to the end of the response.
 struct AnswerTime {
-    Duration longest{}; ///< decays with each request; zero: none was answered yet
+    Duration longest{};         ///< decays with each request
+    std::uint32_t requests = 0; ///< number of requests that were answered
 };
 
 struct RouterState {
@@ -113,7 +114,7 @@
     ServerTable servers;
     std::uint32_t entries = 1;
     std::uint32_t retryBudgetShares = 1; ///< number of entries that the retry allowance is divided among
-    std::optional<TimePoint> exitAt;     ///< see LeavingStarted
+    std::optional<LeavingStarted> leaving;
     bool closing = false;
 
     std::unordered_map<RequestId, Request> requests;
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -153,7 +153,7 @@
     }
     auto operator()(const LeavingStarted &event) const -> void
     {
-        state.exitAt = event.exitAt;
+        state.leaving = event;
     }
     auto operator()(const ClosingStarted & /*event*/) const -> void
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -475,7 +475,10 @@
     }
     onDrained = std::move(whenDrained);
     drainState = beginDrain(now());
-    apply(passthrough::LeavingStarted{ .exitAt = exitDeadlineOf(*drainState, settings.leavingTime) });
+    apply(passthrough::LeavingStarted{
+        .lateFrom = cachedAddressesExpireAt(*drainState),
+        .exitAt = exitDeadlineOf(*drainState, settings.leavingTime),
+    });
     checkReadiness();
     fleet.leave();
     frontend.closeAfterResponses();
--- a/src/gateway/leaving.cpp
+++ b/src/gateway/leaving.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr int MaxCacheTimeFactor = 3;
+/// On a busy VM the process notices the signal this much later.
+constexpr Duration SignalDelay = std::chrono::milliseconds(200);
 /// Requests that arrive in this period before the exit may not complete in time and are refused.
 constexpr Duration RefusalPeriod = std::chrono::milliseconds(2500);
 /// The process exits this much before the end of the drain time, after which it is killed.
@@ -21,6 +23,11 @@
     return { .startedAt = now, .lastBusyAt = now };
 }
 
+auto cachedAddressesExpireAt(const DrainState &drain) -> TimePoint
+{
+    return drain.startedAt + AddressCacheTime * MaxCacheTimeFactor - SignalDelay;
+}
+
 auto exitDeadlineOf(const DrainState &drain, Duration drainTime) -> TimePoint
 {
     return drain.startedAt + drainTime - ExitMargin;
--- a/src/gateway/leaving.h
+++ b/src/gateway/leaving.h
@@ -3,8 +3,8 @@
 ///
 /// Callers cache the list of entries for some seconds and keep their connections until a response closes them. If the entry
 /// exited while callers still used its address, their new connections would be refused and requests on kept-alive connections
-/// would be cut off. The entry therefore serves requests for as long as they may arrive. The router refuses those that probably do not
-/// complete before the exit, and in the last period all of them.
+/// would be cut off. The entry therefore serves requests for as long as they may arrive. Once the cached addresses have expired, the router
+/// refuses those that may not complete before the exit, and in the last period all of them.
 
 #pragma once
 
@@ -30,6 +30,8 @@
 
 auto beginDrain(TimePoint now) -> DrainState;
 
+/// When the addresses that callers had cached before the drain have expired.
+auto cachedAddressesExpireAt(const DrainState &drain) -> TimePoint;
 /// When the entry exits at the latest.
 auto exitDeadlineOf(const DrainState &drain, Duration drainTime) -> TimePoint;
 
--- a/src/gateway/tests/plannedrestart_tests.cpp
+++ b/src/gateway/tests/plannedrestart_tests.cpp
@@ -27,8 +27,10 @@
 {
 public:
     /// Each stream takes between half of \p longest and all of it.
-    explicit PlannedRestart(Duration longest)
+    /// \p warmUp: time from the start of the entry to the signal
+    explicit PlannedRestart(Duration longest, Duration warmUp = WarmUp)
         : longest_(longest)
+        , warmUp_(warmUp)
     {
         auto servers = makeServers();
         std::for_each(servers.begin(), servers.end(), [](Server &each) { each.slots = 1000; });
@@ -37,13 +39,13 @@
 
     auto run(Duration arrivalInterval) -> void
     {
-        const auto signalAt = harness_.now() + WarmUp;
+        const auto signalAt = harness_.now() + warmUp_;
         auto drain = beginDrain(signalAt);
         auto nextArrival = harness_.now();
         while (true) {
             const auto isLeaving = harness_.now() >= signalAt;
             if (isLeaving) {
-                harness_.apply(LeavingStarted{ .exitAt = exitDeadlineOf(drain, DrainTime) });
+                harness_.apply(LeavingStarted{ .lateFrom = cachedAddressesExpireAt(drain), .exitAt = exitDeadlineOf(drain, DrainTime) });
             }
             if (isLeaving && advanceAndCheckExit(drain)) {
                 break;
@@ -122,6 +124,7 @@
 
     RouterHarness harness_;
     Duration longest_;
+    Duration warmUp_;
     std::vector<Run> runs_;
     std::size_t lost_ = 0;
     std::size_t servedWhileLeaving_ = 0;
@@ -142,11 +145,11 @@
     EXPECT_EQ(restart.refusedWithoutDelay(), 0U);
 }
 
-/// The same for streams of any length and any rate of arrivals.
+/// The same for streams of any length, any rate of arrivals, and an entry that started any time before.
 RC_GTEST_PROP(PlannedRestartTests, noStreamOfAnyLengthIsCutOff, ())
 {
     const auto longest = std::chrono::milliseconds(*rc::gen::inRange(100, 7000));
-    PlannedRestart restart(longest);
+    PlannedRestart restart(longest, std::chrono::milliseconds(*rc::gen::inRange(0, 30'000)));
     restart.run(std::chrono::milliseconds(*rc::gen::inRange(50, 400)));
     RC_ASSERT(restart.lost() == 0U);
     RC_ASSERT(restart.refusedWithoutDelay() == 0U);
