Directory: one place decides whether a watch may continue, and an unused loop in a test goes

The check of the era stood in the two callers of each watch, of the configuration and of the servers. It moves into fetchConfigurationChange and fetchServerChanges, which every watch passes through.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -376,24 +376,20 @@
 /// a few bytes.
 auto Directory::refreshConfiguration() -> void
 {
-    if (!canContinueFrom(configurationRevision_)) {
-        readConfiguration();
-    } else {
-        fetchConfigurationChange(ImmediateWatchTimeout);
-    }
+    fetchConfigurationChange(ImmediateWatchTimeout);
 }
 
 auto Directory::watchConfiguration() -> void
 {
-    if (!canContinueFrom(configurationRevision_)) {
-        readConfiguration();
-        return;
-    }
     fetchConfigurationChange(options_.configurationWatchTimeout);
 }
 
 auto Directory::fetchConfigurationChange(Duration watchTimeout) -> void
 {
+    if (!canContinueFrom(configurationRevision_)) {
+        readConfiguration();
+        return;
+    }
     const auto requestedAt = now();
     fetchItems(
         configurationPoll_,
@@ -434,11 +430,7 @@
 /// If a list is known, reading the changes since its revision takes one call instead of one for each page.
 auto Directory::refreshServers() -> void
 {
-    if (!canContinueFrom(servers_.revision)) {
-        readServers();
-    } else {
-        fetchServerChanges(ImmediateWatchTimeout);
-    }
+    fetchServerChanges(ImmediateWatchTimeout);
 }
 
 auto Directory::readServers() -> void
@@ -482,7 +474,7 @@
 auto Directory::watchServers() -> void
 {
     const auto isDoubtOver = restore_ && restore_->hasIgnoredServers && now() - restore_->seenAt >= MaxRegistrationDoubt;
-    if (isDoubtOver || !canContinueFrom(servers_.revision)) {
+    if (isDoubtOver) {
         readServers();
         return;
     }
@@ -491,6 +483,10 @@
 
 auto Directory::fetchServerChanges(Duration watchTimeout) -> void
 {
+    if (!canContinueFrom(servers_.revision)) {
+        readServers();
+        return;
+    }
     const auto requestedAt = now();
     fetchItems(
         serversPoll_,
--- a/src/gateway/tests/restoredstore_tests.cpp
+++ b/src/gateway/tests/restoredstore_tests.cpp
@@ -107,7 +107,6 @@
 /// Guards against an entry that is missing from the list of entries. Its registration and its lease were younger than the copy.
 TEST(RestoredStoreTests, theRegistrationIsWrittenAgain)
 {
-    task::EventLoop loop;
     StoreReader reader;
     reader.store.remove(EntryKey);
     reader.store.saveCopy();
