A caller that resets its connection is noticed before its response begins

What callers saw: nothing, they had left. What servers saw: work for callers that had left, until its end or deadline.

Cause: while a request is answered, the library does not read from the caller's connection, and a watch for EV_CLOSED alone stands in. With a reset, epoll reports an error, which libevent passes on as readable and writable, never as closed. So the reset went unnoticed until the first byte of the response was written, and epoll_wait returned at once all the time: an event loop of its own without work, one request with a reset connection, took 0.499 s of processor time in one second. An entry that has a quota of 0.12 of a core is then late at everything else, its list of leaving servers included. Class: a state of a socket that is reported by another event than the one waited for.

Ruled out: closes (FIN), which were noticed (theDisconnectOfACallerCancelsItsAttempt passed). Streams that have begun: the library reads there.

Change: DisconnectWatch waits for readable and closed, and asks the socket for its error; where a caller has sent its next request already, so that the connection stays readable, it asks ten times a second. The chat face had the same watch and takes the same class.

Before: aResetByACallerCancelsItsAttempt, aResetByACallerWithPipelinedRequestsCancelsItsAttempt failed (5.4 s, the deadline), aCallerThatResetsItsConnectionIsReported hung. After: 406, 410 ms, 15 of 15 tests of the chat face's caller task.

--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -290,15 +290,11 @@
     return exchange;
 }
 
-//! NOTE a paused connection is not read, so the library does not see the caller close it; a watch for the closed
-//! state alone does, without taking bytes of a further request
+//! NOTE a paused connection is not read, so the library does not see the caller close it
 auto CallerTask::State::watchCaller(Exchange &exchange) -> void
 {
     auto *connection = exchange.request->conn;
-    const auto onClosed
-        = [](evutil_socket_t /*descriptor*/, short /*what*/, void *context) { evhtp_connection_free(static_cast<evhtp_connection *>(context)); };
-    exchange.closedWatch.reset(event_new(loop.base(), bufferevent_getfd(connection->bev), EV_CLOSED, onClosed, connection));
-    event_add(exchange.closedWatch.get(), nullptr);
+    exchange.disconnectWatch = http::DisconnectWatch(loop, bufferevent_getfd(connection->bev), [connection]() { evhtp_connection_free(connection); });
 
     const auto onOutput = [](evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) {
         if (info->n_deleted > 0) {
--- a/src/entry/caller/internal/exchange.h
+++ b/src/entry/caller/internal/exchange.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "entry/messages/messages.h"
-#include "runtime/task/eventloop.h"
 #include "wire/chat/chatanswer.h"
+#include "wire/http/disconnectwatch.h"
 
 #include <event2/buffer.h>
 
@@ -22,9 +22,9 @@
     std::string publicId;
     routing::CallKind kind = routing::CallKind::Chat;
     bool stream = false;
-    bool begun = false;             ///< the status line was written
-    bool blocked = false;           ///< more bytes wait for the caller than allowed
-    task::EventPointer closedWatch; ///< the caller closing its side
+    bool begun = false;   ///< the status line was written
+    bool blocked = false; ///< more bytes wait for the caller than allowed
+    http::DisconnectWatch disconnectWatch;
     evbuffer_cb_entry *drainWatch = nullptr;
     chat::WholeAnswer whole;
     int serviceStatus = 0;
--- a/src/entry/caller/tests/callertask_tests.cpp
+++ b/src/entry/caller/tests/callertask_tests.cpp
@@ -206,6 +206,18 @@
     fixture.mailboxes.caller.post(AnswerEnded{ .request = id }); // late: must find no one
 }
 
+// The same before its answer begins, by a reset: nothing is written that would show it.
+TEST(CallerTaskTests, aCallerThatResetsItsConnectionIsReported)
+{
+    Fixture fixture;
+    WireCaller caller(fixture.task.address());
+    caller.send(makePost(GoodBody));
+    const auto id = fixture.nextSubmission().arrived.request;
+    caller.reset();
+    const auto event = std::get<routing::Event>(fixture.nextToRouter().value());
+    EXPECT_EQ(std::get<routing::CallerGone>(event).request, id);
+}
+
 // A second request sent behind the first gets its answer second, on the same connection.
 TEST(CallerTaskTests, pipelinedRequestsAreAnsweredInOrder)
 {
--- a/src/entry/caller/tests/wirecaller.cpp
+++ b/src/entry/caller/tests/wirecaller.cpp
@@ -81,6 +81,13 @@
     return readUntil({});
 }
 
+auto WireCaller::reset() -> void
+{
+    constexpr linger NoLinger{ .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &NoLinger, sizeof NoLinger);
+    close();
+}
+
 auto WireCaller::close() -> void
 {
     if (socket_ >= 0) {
--- a/src/entry/caller/tests/wirecaller.h
+++ b/src/entry/caller/tests/wirecaller.h
@@ -24,6 +24,8 @@
     /// Reads until the other side ends the connection.
     auto readToEnd() -> std::string;
     auto close() -> void;
+    /// Closes the connection with a reset.
+    auto reset() -> void;
 
 private:
     int socket_ = -1;
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -1,11 +1,11 @@
 #include "gateway/frontend.h"
 
 #include "runtime/net/endpoint.h"
+#include "wire/http/disconnectwatch.h"
 #include "wire/http/evhttpheaders.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
@@ -55,7 +55,7 @@
     RequestId id{};
     evhttp_request *request = nullptr; ///< owned by libevent
     evhttp_connection *connection = nullptr;
-    task::EventPointer disconnectWatch;
+    http::DisconnectWatch disconnectWatch;
 };
 
 auto makeBuffer(std::string_view bytes) -> BufferPointer
@@ -190,17 +190,14 @@
 }
 
 //! NOTE while a request is being answered, libevent does not read from its connection and so does not notice that the caller
-//! closes it. A separate event for EV_CLOSED does, without consuming bytes of a pipelined request.
+//! closes it
 auto Frontend::Impl::watchForDisconnect(Exchange &exchange) -> void
 {
     auto *connection = exchange.connection;
-    const auto onClosed
-        = [](evutil_socket_t /*descriptor*/, short /*what*/, void *context) { evhttp_connection_free(static_cast<evhttp_connection *>(context)); };
     const auto descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
     const int on = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    exchange.disconnectWatch.reset(event_new(loop.base(), descriptor, EV_CLOSED, onClosed, connection));
-    event_add(exchange.disconnectWatch.get(), nullptr);
+    exchange.disconnectWatch = http::DisconnectWatch(loop, descriptor, [connection]() { evhttp_connection_free(connection); });
 }
 
 /// In some cases libevent has detached a request with an incomplete response from its connection. It must then be freed here.
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -6,6 +6,13 @@
 using namespace auburnspread::gateway::tests;
 namespace standins = auburnspread::adapter::standins;
 
+namespace
+{
+
+constexpr auto OneCallerGone = "auburnspread_callers_gone_total 1\n";
+
+} // namespace
+
 TEST(PassThroughTests, methodPathQueryBodyAndHeadersAreForwardedUnchangedWithoutTheKey)
 {
     SiteWithServer served;
@@ -138,6 +145,26 @@
     EXPECT_TRUE(connection.seesEnd());
 }
 
+/// Guards against the same after a reset, which a caller's host sends if the caller ends without having read everything.
+TEST(PassThroughTests, aResetByACallerCancelsItsAttempt)
+{
+    SiteWithServer served;
+    const auto connection = served.sendAndAccept(makeRequest("/quote/1", "id-1", "x"));
+    served.caller.reset();
+    EXPECT_TRUE(connection.seesEnd());
+    EXPECT_TRUE(contains(served.site.metrics(), OneCallerGone));
+}
+
+/// Guards against the same for a caller that has already sent its next request on the connection.
+TEST(PassThroughTests, aResetByACallerWithPipelinedRequestsCancelsItsAttempt)
+{
+    SiteWithServer served;
+    const auto connection = served.sendAndAccept(makeRequest("/quote/1", "id-1", "x") + makeRequest("/fetch/2", "id-2"));
+    served.caller.reset();
+    EXPECT_TRUE(connection.seesEnd());
+    EXPECT_TRUE(contains(served.site.metrics(), OneCallerGone));
+}
+
 /// Guards against request smuggling: with two indications of the body length, entry and server could disagree on where the
 /// next request begins, and a request would run that its sender had no key for. Nothing after such a request may be read.
 TEST(PassThroughTests, anAmbiguousLengthIsRejectedAndTheConnectionClosed)
--- /dev/null
+++ b/src/wire/http/disconnectwatch.cpp
@@ -0,0 +1,55 @@
+#include "wire/http/disconnectwatch.h"
+
+#include <event2/event.h>
+
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <utility>
+
+namespace auburnspread::http
+{
+
+namespace
+{
+
+/// Interval at which a connection with unread bytes is checked for a reset. It is readable all the time, so an event would not show it.
+constexpr timeval ResetCheckInterval{ .tv_sec = 0, .tv_usec = 100'000 };
+
+auto hasError(int descriptor) -> bool
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    return ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+}
+
+} // namespace
+
+struct DisconnectWatch::State {
+    std::function<void()> onDisconnected;
+    task::EventPointer readable; ///< until the peer sends something, which may be its next request
+    task::EventPointer closed;   ///< from then on
+};
+
+DisconnectWatch::DisconnectWatch(task::EventLoop &loop, int descriptor, std::function<void()> onDisconnected)
+    : state_(std::make_shared<State>())
+{
+    state_->onDisconnected = std::move(onDisconnected);
+    //! NOTE libevent reports a reset as readable only, not as closed
+    state_->readable.reset(event_new(loop.base(), descriptor, EV_READ | EV_CLOSED, handle, state_.get()));
+    state_->closed.reset(event_new(loop.base(), descriptor, EV_CLOSED, handle, state_.get()));
+    event_add(state_->readable.get(), nullptr);
+}
+
+auto DisconnectWatch::handle(int descriptor, short what, void *context) -> void
+{
+    auto &state = *static_cast<State *>(context);
+    if ((static_cast<unsigned>(what) & EV_CLOSED) != 0 || hasError(descriptor)) {
+        const auto onDisconnected = state.onDisconnected; // the call may destroy the state
+        onDisconnected();
+        return;
+    }
+    event_add(state.closed.get(), &ResetCheckInterval);
+}
+
+} // namespace auburnspread::http
--- /dev/null
+++ b/src/wire/http/disconnectwatch.h
@@ -0,0 +1,28 @@
+/// \file
+/// Detects that the peer closes or resets a connection from which nothing is read for the time being.
+
+#pragma once
+
+#include "runtime/task/eventloop.h"
+
+#include <functional>
+#include <memory>
+
+namespace auburnspread::http
+{
+
+class DisconnectWatch
+{
+public:
+    DisconnectWatch() = default;
+    /// Calls \p onDisconnected once, which may destroy the watch. The connection's unread bytes are left as they are.
+    DisconnectWatch(task::EventLoop &loop, int descriptor, std::function<void()> onDisconnected);
+
+private:
+    struct State;
+    static auto handle(int descriptor, short what, void *context) -> void;
+
+    std::shared_ptr<State> state_;
+};
+
+} // namespace auburnspread::http
