Leaving engines and leaving callers before many entries, forwarded requests included: a test in virtual time

What must hold: no request reaches an engine later than 0.4 s (a connection attempt) after the last entry learnt of its leaving, and no server works half a second later for a caller that has left.

--- a/src/core/passthrough/tests/cutfleet.cpp
+++ b/src/core/passthrough/tests/cutfleet.cpp
@@ -80,6 +80,9 @@
         if (options_.kind == CutKind::Resetting && !options_.areServersDown) {
             after(options_.cutFrom, [this]() { resetConnections(); });
         }
+        if (options_.leavingInterval != Duration::zero()) {
+            scheduleLeaving();
+        }
         scheduleArrival();
         scheduleTick();
         while (!queue_.empty() && queue_.top().at <= Start + options_.length) {
@@ -100,6 +103,7 @@
     struct Running {
         Send send;
         std::shared_ptr<CallerRequest> caller;
+        bool isExecuting = false; ///< the server has got the request
         bool hasStarted = false;
         int events = 0;
     };
@@ -161,6 +165,54 @@
         return options_.areServersDown && isDuringCut();
     }
 
+    /// The engine that is listed longest leaves, and another one takes its place.
+    auto scheduleLeaving() -> void
+    {
+        after(options_.leavingInterval, [this]() {
+            const auto id = "e" + std::to_string(result_.leftEngines);
+            leavingSince_[id] = now_;
+            const auto added = makeServer("e" + std::to_string(EngineCount + result_.leftEngines), "engines", 32);
+            result_.leftEngines += 1;
+            auto leaving = makeServer(id, "engines", 32);
+            leaving.isLeaving = true;
+            for (std::size_t i = 0; i < options_.entries; ++i) {
+                after(drawDelay(options_.longestListDelay), [this, i, leaving, added]() {
+                    apply(i, ServersChanged{ .changed = { leaving, added }, .asOf = now_ });
+                });
+            }
+            scheduleLeaving();
+        });
+    }
+
+    auto drawDelay(Duration longest) -> Duration
+    {
+        return Duration(static_cast<Duration::rep>(draw(static_cast<double>(longest.count()))));
+    }
+
+    auto scheduleCallersEnd(std::size_t entry, RequestId request) -> void
+    {
+        constexpr Duration LongestPatience = std::chrono::milliseconds(500);
+        constexpr Duration WorkMayLast = std::chrono::milliseconds(500);
+        after(drawDelay(LongestPatience), [this, entry, request]() {
+            const auto node = callers_.extract({ entry, request });
+            if (!node) {
+                return;
+            }
+            result_.leftCallers += 1;
+            apply(entry, CallerGone{ .request = request });
+            const auto &path = node.mapped()->path;
+            if (path != NoticePath) {
+                after(WorkMayLast, [this, caller = node.mapped()]() { countAbandonedWork(caller); });
+            }
+        });
+    }
+
+    auto countAbandonedWork(const std::shared_ptr<CallerRequest> &caller) -> void
+    {
+        const auto isFor = [&caller](const auto &item) { return item.second.caller == caller && item.second.isExecuting; };
+        result_.abandonedWork += std::any_of(running_.begin(), running_.end(), isFor) ? 1 : 0;
+    }
+
     auto scheduleTick() -> void
     {
         after(TickInterval, [this]() {
@@ -191,7 +243,11 @@
         if (caller->isCounted) {
             shareOf(entry).all += 1;
         }
-        submit(entry, makeArrival(path), caller);
+        const auto arrived = makeArrival(path);
+        submit(entry, arrived, caller);
+        if (draw(1) < options_.leavingCallers) {
+            scheduleCallersEnd(entry, arrived.request);
+        }
     }
 
     auto makeArrival(const std::string &path) -> RequestArrived
@@ -401,6 +457,8 @@
             return;
         }
         auto &running = running_.at(key);
+        running.isExecuting = true;
+        countLateSend(running.send.server);
         auto &execution = running.caller->execution;
         execution.servers.insert(running.send.server);
         execution.count += 1;
@@ -411,6 +469,13 @@
         after(WorkTime, [this, key]() { answer(key); });
     }
 
+    auto countLateSend(const std::string &server) -> void
+    {
+        const auto found = leavingSince_.find(server);
+        const auto isLate = found != leavingSince_.end() && now_ - found->second > options_.longestListDelay + ConnectTimeout;
+        result_.lateSends += isLate ? 1 : 0;
+    }
+
     auto answer(const AttemptKey &key) -> void
     {
         if (!running_.contains(key)) {
@@ -509,8 +574,9 @@
     std::map<RequestKey, std::shared_ptr<CallerRequest>> callers_;
     std::map<AttemptKey, Running> running_;
     std::set<AttemptKey> forwardings_;
-    std::map<RequestKey, AttemptKey> origins_; ///< forwarding that a request came from
-    std::map<Line, TimePoint> connections_;    ///< when a connection was last used, by entry and server
+    std::map<RequestKey, AttemptKey> origins_;      ///< forwarding that a request came from
+    std::map<Line, TimePoint> connections_;         ///< when a connection was last used, by entry and server
+    std::map<std::string, TimePoint> leavingSince_; ///< by engine
     std::uint64_t lastOrder_ = 0;
     std::uint64_t lastRequest_ = 0;
     CutFleetResult result_;
--- a/src/core/passthrough/tests/cutfleet.h
+++ b/src/core/passthrough/tests/cutfleet.h
@@ -27,10 +27,13 @@
     bool isPortalOnly = false; ///< the path to one service only is lost
     Duration cutFrom = std::chrono::seconds(5);
     Duration cutUntil = std::chrono::seconds(17);
-    Duration cutPeriod{};           ///< the path comes back for half of each period; 0: it is lost all the time
-    bool areServersDown = false;    ///< during the cut, all servers are down for everybody instead
-    double requestsPerSecond = 100; ///< requests of all callers
-    double lostForwards = 0;        ///< share of the connections between entries that fail
+    Duration cutPeriod{};                                        ///< the path comes back for half of each period; 0: it is lost all the time
+    bool areServersDown = false;                                 ///< during the cut, all servers are down for everybody instead
+    double requestsPerSecond = 100;                              ///< requests of all callers
+    double lostForwards = 0;                                     ///< share of the connections between entries that fail
+    Duration leavingInterval{};                                  ///< between two engines that leave and are replaced; 0: none leaves
+    Duration longestListDelay = std::chrono::milliseconds(1500); ///< until an entry learns that an engine is leaving
+    double leavingCallers = 0;                                   ///< share of the callers that leave within half a second
     Duration length = std::chrono::seconds(20);
     std::uint64_t seed = 1;
 };
@@ -57,6 +60,10 @@
     std::size_t forwards = 0;           ///< requests that entries passed on to others
     std::size_t chains = 0;             ///< of these, the ones that were passed on a second time
     std::size_t forwardsOutsideCut = 0; ///< requests that were passed on before the cut or more than two seconds after it
+    std::size_t leftEngines = 0;        ///< engines that left
+    std::size_t lateSends = 0;          ///< requests that reached an engine after every entry had to know that it was leaving
+    std::size_t leftCallers = 0;        ///< callers that left before the end of their response
+    std::size_t abandonedWork = 0;      ///< of these, the ones for whose repeatable request or stream a server still works half a second later
     std::size_t directAfterCut = 0;     ///< requests that entries sent to servers themselves more than two seconds after the cut, of the entries that were cut
 };
 
