Software versions of backend servers are decoded and logged, and which attempt a caller resumes

The logs could not tell the hypotheses apart: nothing states the version of the server of an attempt, nor which earlier attempt a caller takes up. Nothing decides by it yet.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -7,6 +7,7 @@
 #include "core/base/ids.h"
 #include "core/base/reason.h"
 #include "core/base/time.h"
+#include "core/passthrough/configuration.h"
 #include "core/passthrough/crashledger.h"
 #include "core/passthrough/servernotice.h"
 
@@ -32,6 +33,8 @@
     bool isStream = false;                ///< forward each event as it arrives
     bool isRepeat = false;                ///< the request was sent before
     std::optional<Failure> repeatedAfter; ///< failure of the previous attempt; not set: this is the first attempt
+    SoftwareVersion version;              ///< of the server
+    std::string resumedAttempt;           ///< see RequestArrived; for logs
     Duration startTimeout{};              ///< the attempt fails if no response starts within this time
     Duration silenceTimeout{};            ///< a stream fails if no further event arrives within this time
     std::string fetchFrom;                ///< address of an engine to copy KV cache from; empty: none
--- a/src/core/passthrough/configuration.h
+++ b/src/core/passthrough/configuration.h
@@ -88,6 +88,13 @@
     CallerLimits limits;
 };
 
+/// Version of a backend server's software, as its operators name it. Versions have no order.
+struct SoftwareVersion {
+    std::string name; ///< empty: not given
+
+    auto operator==(const SoftwareVersion &) const -> bool = default;
+};
+
 /// A backend server as it registered itself. It may restart under the same id with another \c startedAt.
 struct Server {
     std::string id;
@@ -99,6 +106,7 @@
     bool isPreemptible = false; ///< may be preempted at short notice
     Duration warmupRemaining{}; ///< remaining time in which the server is slow after its start
     std::int64_t startedAt = 0; ///< Unix time of the server's start in ms, as registered; 0: not given
+    SoftwareVersion version{};
 
     auto operator==(const Server &) const -> bool = default;
 };
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -45,6 +45,7 @@
     Prompt prompt;
     Fingerprint fingerprint{};                   ///< hash of method, host, path, key and body
     std::string lastEventId;                     ///< the caller resumes a stream after this event; empty: from the beginning
+    std::string resumedAttempt;                  ///< the caller's id of the attempt that brought the first event of this stream; empty: not given
     std::optional<std::uint32_t> forwardedSends; ///< set if another entry forwarded the request: number of attempts it has used up
 };
 
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -122,6 +122,8 @@
         .isStream = request.route->repeatability == Repeatability::Stream,
         .isRepeat = isRepeat,
         .repeatedAfter = request.repeatedAfter,
+        .version = server.record.version,
+        .resumedAttempt = request.call.resumedAttempt,
         .startTimeout = startTimeoutOf(request, correctedStartEstimate(state, request, placement)),
         .silenceTimeout = silenceTimeoutOf(request),
         .fetchFrom = placement.fetchFrom ? placement.fetchFrom->record.address : "",
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -74,6 +74,8 @@
             { "rank", action.rank },
             { "repeat", action.isRepeat },
             { "resumed_after", action.lastEventId },
+            { "resumes", action.resumedAttempt },
+            { "version", action.version.name },
             { "estimated_start_ms", wholeMilliseconds(action.estimatedStart) },
             { "prompt_tokens", action.promptTokens },
             { "unread_tokens", action.unreadTokens },
@@ -201,9 +203,11 @@
     event(Level::Warning, "configuration-part-failed", { { "peer", peer }, { "detail", detail } });
 }
 
-auto Accounting::serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void
+auto Accounting::serversChanged(std::string_view change, const passthrough::Server &server) -> void
 {
-    event(Level::Info, "backend-server-changed", { { "peer", server }, { "change", change }, { "service", service } });
+    event(Level::Info,
+          "backend-server-changed",
+          { { "peer", server.id }, { "change", change }, { "service", server.service }, { "version", server.version.name } });
 }
 
 auto Accounting::entriesChanged(std::size_t entries) -> void
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -65,7 +65,7 @@
     /// A part of a newer configuration could not be fetched from another entry.
     auto documentPartFailed(std::string_view peer, std::string_view detail) -> void;
     auto configurationAdopted(std::uint64_t version, std::size_t bytes, std::size_t routes, std::size_t workspaces) -> void;
-    auto serversChanged(std::string_view change, std::string_view server, std::string_view service) -> void;
+    auto serversChanged(std::string_view change, const passthrough::Server &server) -> void;
     auto entriesChanged(std::size_t entries) -> void;
     auto dependencyStateChanged(std::string_view peer, bool reachable, std::string_view step, std::string_view detail) -> void;
     auto roleChanged(bool readsStore, std::size_t readers) -> void;
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -21,7 +21,8 @@
 
 auto toJson(const passthrough::Server &server) -> json
 {
-    return { server.id, server.service, server.address, server.failureDomain, server.slots, server.isLeaving, server.isPreemptible, server.startedAt };
+    return { server.id,        server.service,       server.address,   server.failureDomain, server.slots,
+             server.isLeaving, server.isPreemptible, server.startedAt, server.version.name };
 }
 
 auto serverFromJson(const json &item) -> passthrough::Server
@@ -35,6 +36,7 @@
         .isLeaving = item.at(5).get<bool>(),
         .isPreemptible = item.at(6).get<bool>(),
         .startedAt = item.at(7).get<std::int64_t>(),
+        .version = { item.size() > 8 ? item.at(8).get<std::string>() : std::string() },
     };
 }
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -342,20 +342,20 @@
 {
     for (const auto &server : changes.changed) {
         const auto [found, isNew] = loggedServers_.try_emplace(server.id);
-        const auto before = std::exchange(found->second, { .service = server.service, .isLeaving = server.isLeaving, .startedAt = server.startedAt });
+        const auto before = std::exchange(found->second, server);
         if (isNew) {
-            accounting_.serversChanged("joined", server.id, server.service);
+            accounting_.serversChanged("joined", server);
         } else if (before.startedAt != server.startedAt) {
-            accounting_.serversChanged("restarted", server.id, server.service);
+            accounting_.serversChanged("restarted", server);
             callbacks_.onServerGone(server.id);
         } else if (before.isLeaving != server.isLeaving) {
-            accounting_.serversChanged(server.isLeaving ? "leaving" : "available", server.id, server.service);
+            accounting_.serversChanged(server.isLeaving ? "leaving" : "available", server);
         }
     }
     for (const auto &id : changes.removed) {
         const auto gone = loggedServers_.extract(id);
         if (gone) {
-            accounting_.serversChanged("unlisted", id, gone.mapped().service);
+            accounting_.serversChanged("unlisted", gone.mapped());
             callbacks_.onServerGone(id);
         }
     }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -112,13 +112,8 @@
     std::set<std::string> engineServices_;
     DirectoryPage directoryPage_; ///< answers directory queries of other entries
 
-    struct LoggedServer {
-        std::string service;
-        bool isLeaving = false;
-        std::int64_t startedAt = 0;
-    };
-    std::map<std::string, LoggedServer> loggedServers_; ///< by id, as last logged
-    bool isConfigurationValid_ = false;                 ///< the newest configuration received could be decoded
+    std::map<std::string, passthrough::Server> loggedServers_; ///< by id, as last logged
+    bool isConfigurationValid_ = false;                        ///< the newest configuration received could be decoded
     LoadReports reports_;
     Duties duties_;
     struct RepeatedCrashReport {
--- a/src/gateway/serverchanges.cpp
+++ b/src/gateway/serverchanges.cpp
@@ -25,7 +25,8 @@
 auto isSameRecord(const Server &one, const Server &other) -> bool
 {
     return one.id == other.id && one.service == other.service && one.address == other.address && one.failureDomain == other.failureDomain
-        && one.slots == other.slots && one.isLeaving == other.isLeaving && one.isPreemptible == other.isPreemptible && one.startedAt == other.startedAt;
+        && one.slots == other.slots && one.isLeaving == other.isLeaving && one.isPreemptible == other.isPreemptible && one.startedAt == other.startedAt
+        && one.version == other.version;
 }
 
 auto hashText(std::uint64_t hash, std::string_view text) -> std::uint64_t
@@ -41,7 +42,7 @@
 auto hashOf(const Server &server) -> std::uint64_t
 {
     std::uint64_t hash = 0;
-    for (const auto *text : { &server.id, &server.service, &server.address, &server.failureDomain }) {
+    for (const auto *text : { &server.id, &server.service, &server.address, &server.failureDomain, &server.version.name }) {
         hash = hashText(hash, *text);
     }
     for (const auto number :
