--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -148,9 +148,9 @@
     done.get_future().wait();
 }
 
-auto Site::addServer(const std::string &id, const std::string &service, const std::string &address) -> void
+auto Site::addServer(const std::string &id, const std::string &service, const std::string &address, const std::string &version) -> void
 {
-    const auto entry = standins::serverText({ .service = service, .address = address, .failureDomain = "a", .slots = 6 });
+    const auto entry = standins::serverText({ .service = service, .address = address, .failureDomain = "a", .slots = 6, .version = { version } });
     const auto countServers = [this]() {
         const auto page = metrics();
         const std::string name = "\nauburnspread_backend_servers ";
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -43,7 +43,7 @@
     [[nodiscard]] auto metrics() const -> std::string;
 
     /// Registers a backend server in the store and waits until the gateway has read it.
-    auto addServer(const std::string &id, const std::string &service, const std::string &address) -> void;
+    auto addServer(const std::string &id, const std::string &service, const std::string &address, const std::string &version = "v1") -> void;
     /// Announces another entry, which takes callers' requests at \p callerAddress, and waits until the gateway knows it.
     auto addEntry(const std::string &name, const std::string &callerAddress) -> void;
     /// Stores a configuration that accepts \p key and `key-other`.
