Soak with two software versions and callers that take their streams up at other entries

--versions: servers are of two versions in turn, their events state it; one caller of a resumable stream in three leaves after 120 ms and takes it up at once at any entry, naming the attempt. Promise version-kept: the rest is of the version that began it, and each answer of one version. Without the option, runs stay as they were.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -33,6 +33,19 @@
     return { line.substr(0, colon), line.substr(colon + 2) };
 }
 
+/// One caller of a resumable stream in so many leaves early, when it has got an event or two.
+constexpr std::uint64_t EarlyCallers = 3;
+constexpr Duration EarlyPatience = std::chrono::milliseconds(120);
+
+auto streamAnswers(const std::string &id, int first) -> std::map<std::string, std::string>
+{
+    std::map<std::string, std::string> answers;
+    for (const auto *version : ServerVersions) {
+        answers[version] = standins::streamAnswerOf(id, StreamEvents, version, first);
+    }
+    return answers;
+}
+
 auto makeBody(const std::string &id) -> std::string
 {
     constexpr std::size_t Filling = 200;
@@ -136,29 +149,59 @@
     request.body = request.method == "POST" ? makeBody(request.id) : "";
     request.expectedAnswer
         = request.target.starts_with(StreamPrefix) ? standins::streamAnswerOf(request.id, StreamEvents) : standins::wholeAnswerOf(request.id);
+    if (options_.takesStreamsUp && request.target.starts_with(StreamPrefix)) {
+        request.answersByVersion = streamAnswers(request.id, 1);
+    }
+    request.leavesEarly = options_.takesStreamsUp && route.kind == RequestKind::Check && lastId_ % EarlyCallers == 0;
+    const auto patience = request.leavesEarly ? EarlyPatience : CallerPatience;
+    submit(std::move(request), {}, patience);
+}
+
+auto Callers::submit(Sent request, const http::Headers &headers, Duration patience) -> void
+{
+    request.isAllowed = request.isAllowed && !request.leavesEarly;
     ledger_.sent(request);
     open_ += 1;
     constexpr int DeadlineMs = 5000;
-    const http::Request call{
+    http::Request call{
         .method = http::methodFromName(request.method).value(),
-        .address = site_.callerAddress(entry),
+        .address = site_.callerAddress(std::stoul(request.entry)),
         .path = request.target,
         .headers = { { "Host", SiteHost },
                      splitLine(standins::attemptIdLine(request.id)),
                      splitLine(standins::keyLine(request.key)),
                      splitLine(standins::deadlineLine(DeadlineMs)) },
         .body = request.body,
-        .timeout = CallerPatience,
+        .timeout = patience,
     };
+    call.headers.insert(call.headers.end(), headers.begin(), headers.end());
     client_.fetch(call, [this, request = std::move(request)](const http::Result &result) { takeResult(request, result); });
 }
 
+/// Goes on after an event that the caller got for sure, at once and at any entry.
+auto Callers::takeStreamUp(const Sent &first) -> void
+{
+    constexpr int LastEvent = 1;
+    const auto entry = chooseEntry();
+    auto request = first;
+    request.id = "a" + std::to_string(options_.seed) + "-" + std::to_string(++lastId_);
+    request.resumes = first.id;
+    request.entry = std::to_string(entry);
+    request.incarnation = site_.incarnation(entry);
+    request.answersByVersion = streamAnswers(first.id, LastEvent + 1);
+    request.at = task::monotonicNow();
+    submit(std::move(request), { splitLine(standins::lastEventLine(std::to_string(LastEvent))), splitLine(standins::resumesLine(first.id)) }, CallerPatience);
+}
+
 auto Callers::takeResult(const Sent &request, const http::Result &result) -> void
 {
     open_ -= 1;
     Ended ended{ .id = request.id, .at = task::monotonicNow() };
     if (const auto *error = std::get_if<http::Error>(&result)) {
         ended.cause = error->text;
+        if (request.leavesEarly && request.resumes.empty() && error->step == http::Step::Receive) {
+            takeStreamUp(request);
+        }
     } else {
         const auto &response = std::get<http::Response>(result);
         ended.status = response.status;
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -20,6 +20,7 @@
 struct CallersOptions {
     std::uint64_t seed = 1;
     double requestsPerSecond = 100;
+    bool takesStreamsUp = false; ///< some callers leave resumable streams early and take them up at another entry
 };
 
 class Callers
@@ -41,6 +42,8 @@
     auto chooseEntry() -> std::size_t;
     auto send() -> void;
     auto sendKind(const KindRoute &route, std::size_t entry) -> void;
+    auto submit(Sent request, const http::Headers &headers, Duration patience) -> void;
+    auto takeStreamUp(const Sent &first) -> void;
     auto takeResult(const Sent &request, const http::Result &result) -> void;
     auto drawBelow(std::size_t end) -> std::size_t;
 
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -1,6 +1,7 @@
 #include "soak/ledger.h"
 
 #include <algorithm>
+#include <set>
 
 namespace auburnspread::soak
 {
@@ -44,6 +45,13 @@
     return "at " + run.server + ": " + run.method + " " + run.target;
 }
 
+auto isWhole(const Sent &sent, const std::string &body) -> bool
+{
+    const auto &answers = sent.answersByVersion;
+    const auto isAnswer = [&body](const auto &item) { return item.second == body; };
+    return answers.empty() ? body == sent.expectedAnswer : std::any_of(answers.begin(), answers.end(), isAnswer);
+}
+
 } // namespace
 
 auto Ledger::sent(const Sent &request) -> void
@@ -124,6 +132,11 @@
     disturbances_.push_back({ from, to + Aftermath });
 }
 
+auto Ledger::serverStarts(const std::string &server, const std::string &version) -> void
+{
+    serverVersions_[server] = version;
+}
+
 auto Ledger::isCalm(TimePoint from, TimePoint to) const -> bool
 {
     return !overlapsAny(disturbances_, from, to);
@@ -168,14 +181,32 @@
         return;
     }
     const auto isSigned = std::any_of(record.runs.begin(), record.runs.end(), [&](const Execution &run) { return isPassedOn(record, run); });
-    if (!isSigned || ended.body != record.sent.expectedAnswer) {
+    if (!isSigned || !isWhole(record.sent, ended.body)) {
         violations.push_back({ Promise::OwnAnswer, ended.id, "got '" + ended.body + "', signature '" + ended.signature + "'" });
     }
 }
 
+/// The events of the response and those that the caller had before are of one version. A first try that ran at servers of two versions got
+/// events of one of them, which is not known here.
+auto Ledger::checkResumption(const Record &record, Violations &violations) const -> void
+{
+    const auto first = records_.find(record.sent.resumes);
+    if (first == records_.end() || !record.ended || !isSuccess(record.ended->status)) {
+        return;
+    }
+    std::set<std::string> versions;
+    for (const auto &run : first->second.runs) {
+        versions.insert(serverVersions_.at(run.server));
+    }
+    const auto &answers = record.sent.answersByVersion;
+    if (versions.size() == 1 && record.ended->body != answers.at(*versions.begin())) {
+        violations.push_back({ Promise::VersionKept, record.sent.id, "began at " + *versions.begin() + " as " + record.sent.resumes + ", goes on otherwise" });
+    }
+}
+
 auto Ledger::checkPlannedWork(const Record &record, Violations &violations) const -> void
 {
-    const auto isLost = record.ended && record.ended->status == 0 && !record.runs.empty();
+    const auto isLost = record.ended && record.ended->status == 0 && !record.runs.empty() && !record.sent.leavesEarly;
     if (isLost && isCalm(record.sent.at, record.ended->at)) {
         violations.push_back({ Promise::NothingLost, record.sent.id, "ran and got no answer: " + record.ended->cause });
     }
@@ -327,6 +358,7 @@
         checkRuns(record, violations);
         checkAnswer(record, violations);
         checkPlannedWork(record, violations);
+        checkResumption(record, violations);
         if (bounds) {
             checkBounds(record, *bounds, violations);
         }
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -33,6 +33,7 @@
     LimitKept,     ///< a server that names a limit gets at most some more from entries that passed its answers on
     BackoffKept,   ///< a server that has asked an entry for a backoff gets no more than two requests from it while the backoff lasts
     LeavingKept,   ///< a server gets no requests from an entry that has passed on an answer in which it states that it is leaving
+    VersionKept,   ///< a stream holds events of one software version, over all tries of its caller
     Recovers,      ///< after the last fault everything is served again
 };
 
@@ -50,6 +51,7 @@
     { Promise::LimitKept, "limit-kept" },
     { Promise::BackoffKept, "backoff-kept" },
     { Promise::LeavingKept, "leaving-kept" },
+    { Promise::VersionKept, "version-kept" },
     { Promise::Recovers, "recovers" },
 });
 
@@ -62,11 +64,14 @@
     std::string target;
     std::string body;
     std::string key;
-    std::string workspace;         ///< that holds the key
-    std::uint32_t mostRuns = 1;    ///< that its route allows
-    std::string expectedAnswer;    ///< whole
-    bool isAllowed = true;         ///< by every version that may be in force
-    std::uint64_t onlyVersion = 0; ///< the configuration that has its route; 0: all have
+    std::string workspace;                               ///< that holds the key
+    std::uint32_t mostRuns = 1;                          ///< that its route allows
+    std::string expectedAnswer;                          ///< whole
+    std::map<std::string, std::string> answersByVersion; ///< whole, of a stream, by the software version of its servers; empty: no stream
+    std::string resumes;                                 ///< id of the request that began the stream which this one takes up; empty: none
+    bool leavesEarly = false;                            ///< the caller may leave before the end of the answer
+    bool isAllowed = true;                               ///< by every version that may be in force
+    std::uint64_t onlyVersion = 0;                       ///< the configuration that has its route; 0: all have
     TimePoint at;
 };
 
@@ -101,6 +106,7 @@
     auto ran(const adapter::standins::Execution &run) -> void;
     auto rejected(const adapter::standins::Rejection &rejection) -> void;
     auto keyWithdrawn(const std::string &key, TimePoint at) -> void;
+    auto serverStarts(const std::string &server, const std::string &version) -> void;
     auto serverLeaves(const std::string &server, TimePoint at) -> void;
     /// Its answers state from now on that it is leaving.
     auto serverStatesLeaving(const std::string &server, TimePoint at) -> void;
@@ -144,6 +150,7 @@
     auto checkAnswer(const Record &record, Violations &violations) const -> void;
     auto checkPlannedWork(const Record &record, Violations &violations) const -> void;
     auto checkBounds(const Record &record, const TimeBounds &bounds, Violations &violations) const -> void;
+    auto checkResumption(const Record &record, Violations &violations) const -> void;
     auto checkLimits(Violations &violations) const -> void;
     auto checkBackoffs(Violations &violations) const -> void;
     auto checkStatedLeavings(Violations &violations) const -> void;
@@ -153,6 +160,7 @@
     std::map<std::string, Record> records_;
     Violations unasked_;
     std::map<std::string, TimePoint> withdrawnKeys_;
+    std::map<std::string, std::string> serverVersions_;
     std::map<std::string, TimePoint> leavingServers_;
     std::map<std::string, TimePoint> statedLeavings_;
     struct Interval {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -47,22 +47,33 @@
     double notices = 0;
     double restores = 0;
     bool onlyPlanned = false;
+    bool versions = false;
     bool bounds = false;
 };
 
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
                        "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--restores A_SECOND]\n"
-                       "                  [--planned] [--bounds]\n"
-                       "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n";
+                       "                  [--planned] [--bounds] [--versions]\n"
+                       "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n"
+                       "--versions: backend servers of two software versions, and callers that take their streams up at other entries\n";
 
 auto readOptions(int argc, char **argv) -> std::optional<Options>
 {
     Options options;
     const std::vector<option> names = {
-        { "seed", required_argument, nullptr, 's' },    { "seconds", required_argument, nullptr, 't' }, { "entries", required_argument, nullptr, 'e' },
-        { "servers", required_argument, nullptr, 'b' }, { "notices", required_argument, nullptr, 'n' }, { "rate", required_argument, nullptr, 'r' },
-        { "faults", required_argument, nullptr, 'f' },  { "limits", required_argument, nullptr, 'm' },  { "restores", required_argument, nullptr, 'o' },
-        { "planned", no_argument, nullptr, 'p' },       { "bounds", no_argument, nullptr, 'l' },        { nullptr, 0, nullptr, 0 },
+        { "seed", required_argument, nullptr, 's' },
+        { "seconds", required_argument, nullptr, 't' },
+        { "entries", required_argument, nullptr, 'e' },
+        { "servers", required_argument, nullptr, 'b' },
+        { "notices", required_argument, nullptr, 'n' },
+        { "rate", required_argument, nullptr, 'r' },
+        { "faults", required_argument, nullptr, 'f' },
+        { "limits", required_argument, nullptr, 'm' },
+        { "restores", required_argument, nullptr, 'o' },
+        { "planned", no_argument, nullptr, 'p' },
+        { "bounds", no_argument, nullptr, 'l' },
+        { "versions", no_argument, nullptr, 'v' },
+        { nullptr, 0, nullptr, 0 },
     };
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", names.data(), nullptr)) != -1;) {
         switch (letter) {
@@ -99,6 +110,9 @@
         case 'l':
             options.bounds = true;
             break;
+        case 'v':
+            options.versions = true;
+            break;
         default:
             return std::nullopt;
         }
@@ -117,8 +131,8 @@
 public:
     Soak(const Options &options, const std::filesystem::path &folder)
         : options_(options)
-        , site_(loop_, { .entries = options.entries, .servers = options.servers, .folder = folder }, ledger_)
-        , callers_(loop_, { .seed = options.seed, .requestsPerSecond = options.rate }, site_, ledger_)
+        , site_(loop_, { .entries = options.entries, .servers = options.servers, .hasVersions = options.versions, .folder = folder }, ledger_)
+        , callers_(loop_, { .seed = options.seed, .requestsPerSecond = options.rate, .takesStreamsUp = options.versions }, site_, ledger_)
         , plan_(makePlan({ .seed = options.seed,
                            .length = std::chrono::seconds(options.seconds),
                            .entries = options.entries,
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -138,11 +138,14 @@
 {
     auto &server = servers_.at(number);
     server.id = "i-" + std::to_string(++lastServer_);
+    server.version = options_.hasVersions ? ServerVersions.at(lastServer_ % ServerVersions.size()) : "";
+    ledger_.serverStarts(server.id, server.version);
     server.standin = std::make_unique<standins::ServerStandin>(loop_,
                                                                standins::ServerStandinOptions{
                                                                    .id = server.id,
                                                                    .streamPrefix = StreamPrefix,
                                                                    .events = StreamEvents,
+                                                                   .version = server.version,
                                                                    .onExecuted = [this](const standins::Execution &run) { ledger_.ran(run); },
                                                                    .onRejected = [this](const standins::Rejection &rejection) { ledger_.rejected(rejection); },
                                                                });
@@ -156,9 +159,12 @@
 
 auto Site::putServer(const Server &server) -> void
 {
-    const passthrough::Server record{
-        .service = ServiceName, .address = server.proxy->address(), .failureDomain = "a", .slots = ServerSlots, .isLeaving = server.isLeaving
-    };
+    const passthrough::Server record{ .service = ServiceName,
+                                      .address = server.proxy->address(),
+                                      .failureDomain = "a",
+                                      .slots = ServerSlots,
+                                      .isLeaving = server.isLeaving,
+                                      .version = { server.version } };
     store_.put(standins::serverKey(server.id), standins::serverText(record));
 }
 
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -25,6 +25,8 @@
 constexpr auto SiteHost = "quotes.example"; ///< of all routes
 constexpr auto SiteWorkspace = "roofers";
 constexpr int StreamEvents = 8;
+/// Software versions that the backend servers have in turn.
+constexpr auto ServerVersions = std::to_array<const char *>({ "v1", "v1.1" });
 
 /// Kinds of requests, each with a route of its own.
 enum class RequestKind {
@@ -53,6 +55,7 @@
 struct SiteOptions {
     std::size_t entries = 3;
     std::size_t servers = 4;
+    bool hasVersions = false;     ///< the backend servers have software versions, in turn
     std::filesystem::path folder; ///< for settings and logs
 };
 
@@ -104,6 +107,7 @@
     };
     struct Server {
         std::string id;
+        std::string version; ///< of its software; empty: it states none
         std::unique_ptr<adapter::standins::ServerStandin> standin;
         std::unique_ptr<Proxy> proxy;
         bool isLeaving = false;    ///< and said so
--- a/src/soak/tests/ledger_tests.cpp
+++ b/src/soak/tests/ledger_tests.cpp
@@ -101,6 +101,27 @@
     }
 }
 
+TEST(LedgerTests, aStreamThatGoesOnAtAnotherVersionIsSeen)
+{
+    for (const auto *version : { "v1", "v2" }) {
+        Ledger ledger;
+        ledger.serverStarts("i-1", "v1");
+        ledger.serverStarts("i-2", "v2");
+        const auto first = makeSent("a");
+        ledger.sent(first);
+        ledger.ran(makeRun(first, "i-1"));
+        auto again = makeSent("b");
+        again.resumes = "a";
+        again.answersByVersion = { { "v1", "rest of v1" }, { "v2", "rest of v2" } };
+        ledger.sent(again);
+        ledger.ran(makeRun(again, version == std::string("v1") ? "i-1" : "i-2"));
+        auto end = makeSuccess(again);
+        end.body = again.answersByVersion.at(version);
+        ledger.ended(end);
+        EXPECT_EQ(breaks(ledger, Promise::VersionKept), version == std::string("v2"));
+    }
+}
+
 TEST(LedgerTests, aRefusalOfWhatRanIsSeenAlsoWhenItRunsLater)
 {
     Ledger ledger;
