A stream whose servers ask for a backoff is not refused for good

aStreamWhoseServersAskForABackoffCanComeBack failed: a resumption was refused as version-gone, without a time to return, while all servers of its version had asked for a pause. Only leaving servers count as gone now; the refusal is backend-backoff and states when the pause ends.

--- a/src/core/passthrough/internal/resuming.cpp
+++ b/src/core/passthrough/internal/resuming.cpp
@@ -261,7 +261,7 @@
     }
     const auto &servers = group->second.all;
     return std::any_of(servers.begin(), servers.end(), [&](const ServerPointer &server) {
-        return server->record.version == origin.version && takesRequests(*server, state.now);
+        return server->record.version == origin.version && !server->record.isLeaving && !server->stated.isLeaving;
     });
 }
 
--- a/src/core/passthrough/internal/resuming.h
+++ b/src/core/passthrough/internal/resuming.h
@@ -24,7 +24,7 @@
 /// The first event of an attempt arrived: its stream is held to the version of the attempt's server, and other entries are told.
 auto recordStreamStart(RouterState &state, Request &request, const Attempt &attempt, Actions &actions) -> void;
 
-/// Whether a listed server of the origin's version takes requests.
+/// Whether a listed server of the origin's version is not leaving.
 auto hasServerOfVersion(const RouterState &state, const StreamOrigin &origin) -> bool;
 /// Records which versions the servers of the services have, as of the last list.
 auto updateVersionHistories(RouterState &state) -> void;
--- a/src/core/passthrough/tests/streamversions_tests.cpp
+++ b/src/core/passthrough/tests/streamversions_tests.cpp
@@ -139,3 +139,19 @@
     EXPECT_EQ(refusal->reason, Reason::VersionGone);
     EXPECT_EQ(refusal->outcome, Outcome::NotRun);
 }
+
+/// Guards against a stream that counts as lost although its servers only ask for a pause: its caller hears when the pause ends.
+TEST(StreamVersionTests, aStreamWhoseServersAskForABackoffCanComeBack)
+{
+    RouterHarness harness;
+    for (const auto *server : { "e1", "e2" }) {
+        harness.apply(CallNoticed{ .server = server, .notice = { .backoff = std::chrono::seconds(3) } });
+    }
+    auto resumption = harness.request(CheckPath);
+    resumption.lastEventId = "3";
+    resumption.origin = StreamOrigin{ .service = "engines" };
+    const auto refusal = find<Refuse>(harness.apply(resumption));
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->reason, Reason::BackendBackoff);
+    EXPECT_GE(refusal->retryAfter.value_or(Duration::zero()), std::chrono::seconds(3));
+}
