--- a/src/core/passthrough/tests/cutfleet.cpp
+++ b/src/core/passthrough/tests/cutfleet.cpp
@@ -30,8 +30,9 @@
 constexpr int EventsOfStream = 8;
 constexpr int EngineCount = 12;
 constexpr int PortalCount = 3;
-constexpr Duration StableTime = std::chrono::seconds(3);   ///< from this time after the beginning of a cut, callers must be served
-constexpr Duration RecoveryTime = std::chrono::seconds(2); ///< from this time after the end of a cut, entries use the servers themselves again
+constexpr Duration WorkMayLast = std::chrono::milliseconds(500); ///< on a server, after its caller has left
+constexpr Duration StableTime = std::chrono::seconds(3);         ///< from this time after the beginning of a cut, callers must be served
+constexpr Duration RecoveryTime = std::chrono::seconds(2);       ///< from this time after the end of a cut, entries use the servers themselves again
 constexpr TimePoint Start{ std::chrono::hours(1) };
 
 struct Execution {
@@ -192,7 +193,6 @@
     auto scheduleCallersEnd(std::size_t entry, RequestId request) -> void
     {
         constexpr Duration LongestPatience = std::chrono::milliseconds(500);
-        constexpr Duration WorkMayLast = std::chrono::milliseconds(500);
         after(drawDelay(LongestPatience), [this, entry, request]() {
             const auto node = callers_.extract({ entry, request });
             if (!node) {
