One event watches for the disconnect of a caller

Read-through: each request allocated a second event that hardly any needs, the one for a caller that has sent its next request already. It is made when such bytes arrive. Behaviour is as it was: the tests of closes, resets and pipelined resets pass as before.

--- a/src/wire/http/disconnectwatch.cpp
+++ b/src/wire/http/disconnectwatch.cpp
@@ -27,8 +27,7 @@
 
 struct DisconnectWatch::State {
     std::function<void()> onDisconnected;
-    task::EventPointer readable; ///< until the peer sends something, which may be its next request
-    task::EventPointer closed;   ///< from then on
+    task::EventPointer event; ///< for reading too, until the peer sends something, which may be its next request
 };
 
 DisconnectWatch::DisconnectWatch(task::EventLoop &loop, int descriptor, std::function<void()> onDisconnected)
@@ -36,9 +35,8 @@
 {
     state_->onDisconnected = std::move(onDisconnected);
     //! NOTE libevent reports a reset as readable only, not as closed
-    state_->readable.reset(event_new(loop.base(), descriptor, EV_READ | EV_CLOSED, handle, state_.get()));
-    state_->closed.reset(event_new(loop.base(), descriptor, EV_CLOSED, handle, state_.get()));
-    event_add(state_->readable.get(), nullptr);
+    state_->event.reset(event_new(loop.base(), descriptor, EV_READ | EV_CLOSED, handle, state_.get()));
+    event_add(state_->event.get(), nullptr);
 }
 
 auto DisconnectWatch::handle(int descriptor, short what, void *context) -> void
@@ -49,7 +47,8 @@
         onDisconnected();
         return;
     }
-    event_add(state.closed.get(), &ResetCheckInterval);
+    state.event.reset(event_new(event_get_base(state.event.get()), descriptor, EV_CLOSED, handle, &state));
+    event_add(state.event.get(), &ResetCheckInterval);
 }
 
 } // namespace auburnspread::http
