Soak: a stream that is taken up again is not excused from the check of lost answers

Read-through: the second try inherited leavesEarly from the first, though its caller waits for the end, so that an answer lost around planned work would not have been seen there. The check is stricter now.

--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -186,6 +186,7 @@
     auto request = first;
     request.id = "a" + std::to_string(options_.seed) + "-" + std::to_string(++lastId_);
     request.resumes = first.id;
+    request.leavesEarly = false;
     request.entry = std::to_string(entry);
     request.incarnation = site_.incarnation(entry);
     request.answersByVersion = streamAnswers(first.id, LastEvent + 1);
@@ -199,7 +200,7 @@
     Ended ended{ .id = request.id, .at = task::monotonicNow() };
     if (const auto *error = std::get_if<http::Error>(&result)) {
         ended.cause = error->text;
-        if (request.leavesEarly && request.resumes.empty() && error->step == http::Step::Receive) {
+        if (request.leavesEarly && error->step == http::Step::Receive) {
             takeStreamUp(request);
         }
     } else {
