A request whose server is silent gives way to more urgent ones that wait

A replacement for a silent attempt is not queued, so that it could take the place for which a more urgent request waits. Found by reading; the queue orders retries by rank. Now the attempt is kept while a more urgent request waits for a server of the service (urgent-waiting). Test: aRequestIsNotSentElsewhereWhileAMoreUrgentOneWaits.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -201,6 +201,7 @@
     DeadlineNear,    ///< no other response would arrive in time
     AccessUncertain, ///< its key is withdrawn, or may be
     Quarantined,     ///< it crashes the servers that run it
+    UrgentWaiting,   ///< a more urgent request waits for a server of the service
     NoServer,        ///< no other server that responds has room
     RetryBudget,     ///< the retry budget of the service is used up
 };
--- a/src/core/passthrough/internal/silence.cpp
+++ b/src/core/passthrough/internal/silence.cpp
@@ -19,6 +19,7 @@
     { KeptBecause::DeadlineNear, "deadline-near" },
     { KeptBecause::AccessUncertain, "access-uncertain" },
     { KeptBecause::Quarantined, "quarantined" },
+    { KeptBecause::UrgentWaiting, "urgent-waiting" },
     { KeptBecause::NoServer, "no-server" },
     { KeptBecause::RetryBudget, "retry-budget" },
 });
@@ -50,6 +51,12 @@
     });
 }
 
+auto isUrgentRequestWaiting(const RouterState &state, const Request &request) -> bool
+{
+    const auto &waiting = state.pools.at(request.service).waiting;
+    return !waiting.empty() && std::get<int>(*waiting.begin()) < request.rank;
+}
+
 auto reasonToKeep(RouterState &state, const Request &request) -> std::optional<KeptBecause>
 {
     if (request.sends >= request.route->attempts) {
@@ -67,6 +74,9 @@
     if (!allowsRetry(state.pools[request.service].budget, state.options.retries, state.retryBudgetShares, state.now)) {
         return KeptBecause::RetryBudget;
     }
+    if (isUrgentRequestWaiting(state, request)) {
+        return KeptBecause::UrgentWaiting;
+    }
     return std::nullopt;
 }
 
--- a/src/core/passthrough/tests/silentservers_tests.cpp
+++ b/src/core/passthrough/tests/silentservers_tests.cpp
@@ -123,6 +123,27 @@
     EXPECT_EQ(keptBecauseOf(actions), KeptBecause::AccessUncertain);
 }
 
+/// Guards against a place that goes to a less urgent request while a more urgent one waits for it.
+TEST(SilentServerTests, aRequestIsNotSentElsewhereWhileAMoreUrgentOneWaits)
+{
+    RunningRequest running(QuotePath);
+    auto configuration = makeConfiguration(2);
+    configuration.routes[0].isResumable = true;
+    configuration.routes[0].attempts = 2;
+    running.harness.apply(ConfigurationAdopted{ configuration });
+    const auto less = find<Send>(running.harness.arrive(QuotePath));
+    running.start(less->attempt);
+    auto hasQueue = false;
+    for (auto requests = 0; requests < 200 && !hasQueue; ++requests) {
+        hasQueue = !find<Send>(running.harness.arrive(CheckPath));
+    }
+    ASSERT_TRUE(hasQueue);
+    const auto actions = running.harness.apply(
+        AttemptSilent{ .attempt = less->attempt, .timeout = Failure::ProgressTimeout, .silentFor = SilenceTimeout, .lastEventId = "1" });
+    EXPECT_FALSE(givesUp(actions));
+    EXPECT_EQ(keptBecauseOf(actions), KeptBecause::UrgentWaiting);
+}
+
 /// Guards against waiting for a server that is gone: another one is asked to go on as soon as the silence is reported.
 TEST(SilentServerTests, aStreamGoesOnAtAnotherServerThatRespondsFirst)
 {
