--- a/src/gateway/tests/silentservers_tests.cpp
+++ b/src/gateway/tests/silentservers_tests.cpp
@@ -29,11 +29,11 @@
     {
     }
 
-    auto send() -> void
+    auto send(AttemptId attempt = AttemptId{ 1 }) -> void
     {
         upstream_.send(
             {
-                .attempt = AttemptId{ 1 },
+                .attempt = attempt,
                 .server = "i-1",
                 .address = address_,
                 .remaining = SilenceTimeout,
@@ -187,3 +187,35 @@
     isDone.notify_one();
     thread.join();
 }
+
+/// Guards against a response that ends because another one of its server was reported as silent, which closes idle connections.
+TEST(SilentServerTests, theOtherAttemptsOnASilentServerGoOn)
+{
+    const Server server;
+    SilentExchange exchange(server);
+    exchange.send();
+    std::atomic<bool> isFirstRead = false;
+    std::atomic<bool> goesOn = false;
+    std::thread thread([&]() {
+        const auto first = server.accept();
+        first.readUntil(EndOfHead);
+        isFirstRead = true;
+        const auto second = server.accept();
+        second.readUntil(EndOfHead);
+        second.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n"));
+        goesOn.wait(false);
+        second.send(makeChunk("id: 2\ndata: b\n\n") + LastChunk);
+    });
+    exchange.runUntil([&]() { return isFirstRead.load(); });
+    exchange.passTimeout();
+    ASSERT_EQ(exchange.silences.size(), 1U);
+    exchange.send(AttemptId{ 2 });
+    exchange.runUntil([&]() { return !exchange.body.empty(); });
+    exchange.passTimeout();
+    goesOn = true;
+    goesOn.notify_one();
+    exchange.runUntil([&]() { return exchange.isComplete || exchange.failure; });
+    thread.join();
+    EXPECT_FALSE(exchange.failure);
+    EXPECT_EQ(exchange.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
