Requests that may have run at another entry are sent again: three tests that fail

Cause: a request on a silent server is forwarded while its first attempt goes on. If the other entry's connection breaks, or it refuses with "may have run", handleForwardFailed and handleForwardRefused leave the request to the first attempt (leaveToOthers) and keep nothing of the attempts that the other entry may have used. The next report of the silence (every 100 ms), or the failure of the first server, sends or forwards the request again: more attempts than the route allows, against "One run" in docs/design/forwarding.md.

--- /dev/null
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -0,0 +1,90 @@
+#include "core/passthrough/tests/world.h"
+
+#include <gtest/gtest.h>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+using namespace auburnspread::passthrough::tests;
+
+namespace
+{
+
+constexpr Duration SilenceTimeout = std::chrono::seconds(1);
+constexpr Duration SilenceReportInterval = std::chrono::milliseconds(100);
+
+/// A router with two engines and two other entries, which considers the engines as cut off once both are silent.
+struct CutOffEntry {
+    CutOffEntry()
+    {
+        harness.apply(EntriesCounted{ .entries = 3, .names = { "entry-1", "entry-2", "entry-3" }, .otherAddresses = { "127.0.0.1:2", "127.0.0.1:3" } });
+    }
+
+    auto open(const std::string &path) -> Send
+    {
+        return find<Send>(harness.arrive(path)).value();
+    }
+    auto reportSilence(AttemptId attempt) -> Actions
+    {
+        return harness.apply(AttemptSilent{ .attempt = attempt, .timeout = Failure::FirstTokenTimeout, .silentFor = SilenceTimeout });
+    }
+    /// Leaves a stream silent on each engine until the entry counts as cut off.
+    /// \return the first stream, and its forwarding
+    auto forwardSilentStream() -> std::pair<Send, Forward>
+    {
+        const auto first = open(CheckPath);
+        auto other = first;
+        while (other.server == first.server) {
+            other = open(QuotePath);
+        }
+        harness.advance(SilenceTimeout);
+        reportSilence(other.attempt);
+        for (auto reports = 0; reports < 10; ++reports) {
+            if (const auto forwarded = find<Forward>(reportSilence(first.attempt))) {
+                return { first, *forwarded };
+            }
+            harness.advance(SilenceReportInterval);
+        }
+        return { first, {} };
+    }
+
+    RouterHarness harness;
+};
+
+auto sendsAgain(const Actions &actions) -> bool
+{
+    return count<Send>(actions) + count<Forward>(actions) > 0;
+}
+
+} // namespace
+
+/// Guards against more attempts than the route allows: the other entry may have used the last one before its connection broke.
+TEST(SeveralAttemptsTests, aRequestThatMayHaveRunAtAnotherEntryIsNotSentAgain)
+{
+    CutOffEntry entry;
+    const auto [first, forwarded] = entry.forwardSilentStream();
+    ASSERT_FALSE(forwarded.peer.empty());
+    EXPECT_FALSE(sendsAgain(entry.harness.apply(AttemptFailed{ .attempt = forwarded.attempt, .failure = Failure::BrokenBeforeFirstByte })));
+    EXPECT_FALSE(sendsAgain(entry.reportSilence(first.attempt)));
+}
+
+/// The same once the first server fails as well.
+TEST(SeveralAttemptsTests, aRequestThatMayHaveRunAtAnotherEntryIsNotSentAgainOnceItsServerFails)
+{
+    CutOffEntry entry;
+    const auto [first, forwarded] = entry.forwardSilentStream();
+    ASSERT_FALSE(forwarded.peer.empty());
+    entry.harness.apply(AttemptFailed{ .attempt = forwarded.attempt, .failure = Failure::BrokenBeforeFirstByte });
+    const auto actions = entry.harness.apply(AttemptFailed{ .attempt = first.attempt, .failure = Failure::BrokenBeforeFirstByte });
+    EXPECT_FALSE(sendsAgain(actions));
+    EXPECT_FALSE(sendsAgain(entry.harness.advance(SilenceTimeout)));
+}
+
+/// The same if the other entry states that the request may have run.
+TEST(SeveralAttemptsTests, aRequestThatAnotherEntryRefusesAsMaybeRunIsNotSentAgain)
+{
+    CutOffEntry entry;
+    const auto [first, forwarded] = entry.forwardSilentStream();
+    ASSERT_FALSE(forwarded.peer.empty());
+    entry.harness.apply(ForwardRefused{ .attempt = forwarded.attempt, .reason = Reason::BackendFailed, .outcome = Outcome::MayHaveRun, .status = 502 });
+    EXPECT_FALSE(sendsAgain(entry.reportSilence(first.attempt)));
+}
