An error that another entry passes on ends the attempt of a sound server: a test that fails

Cause: handleForwardAnswered prefers the forwarded attempt whatever its status, cancels the first one and delivers the error, also a 5xx. handleAnswered leaves the request to the other attempts in this case. Ruled out: refusals of the other entry with its reason (ForwardRefused), which leave the request to the first attempt.

--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -88,3 +88,15 @@
     entry.harness.apply(ForwardRefused{ .attempt = forwarded.attempt, .reason = Reason::BackendFailed, .outcome = Outcome::MayHaveRun, .status = 502 });
     EXPECT_FALSE(sendsAgain(entry.reportSilence(first.attempt)));
 }
+
+/// Guards against a sound server's response that is given up for an error of the server that another entry asked.
+TEST(SeveralAttemptsTests, anErrorThatAnotherEntryPassesOnLeavesTheRequestToItsServer)
+{
+    CutOffEntry entry;
+    const auto [first, forwarded] = entry.forwardSilentStream();
+    ASSERT_FALSE(forwarded.peer.empty());
+    const auto actions = entry.harness.apply(AttemptAnswered{ .attempt = forwarded.attempt, .status = 500 });
+    EXPECT_EQ(count<Cancel>(actions), 0U);
+    EXPECT_FALSE(find<Deliver>(actions));
+    EXPECT_TRUE(find<Complete>(entry.harness.apply(AttemptFinished{ .attempt = first.attempt })));
+}
