One call that hangs keeps its sound server out of use: two tests that fail

Cause: handleSilent calls recordSilence at each report, every 100 ms for as long as the attempt is silent, and this renews silentUntil, also after the server has sent something on other connections since. docs/design/silence.md says that the server goes on at once then, and that the suspension takes 0.3 s to 3 s. Now the attempt lasts to its deadline, and a sound server of a plain service gets no request between each report and its next response; without other calls in progress, none for 3.5 s and more. Ruled out: isUnresponsive; with the first report alone, the server is tried again after 14 x 100 ms (a control that is not committed). Conclusion: the renewal needs a condition, such as that the server has sent nothing since the attempt fell silent.

--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -100,3 +100,42 @@
     EXPECT_FALSE(find<Deliver>(actions));
     EXPECT_TRUE(find<Complete>(entry.harness.apply(AttemptFinished{ .attempt = first.attempt })));
 }
+
+/// Guards against callers that are refused because of one call that hangs at a sound server: each further report of the same silence
+/// suspends the server again, although it has answered other calls since.
+TEST(SeveralAttemptsTests, aServerThatAnswersOtherCallsTakesRequestsWhileOneCallIsSilent)
+{
+    RouterHarness harness;
+    harness.apply(ServersListed{ .servers = { makeServer("p1", "portal", 6) }, .asOf = harness.now() });
+    const auto hanging = find<Send>(harness.arrive(FetchPath)).value();
+    const auto other = find<Send>(harness.arrive(FetchPath)).value();
+    const auto reportSilence = [&](Duration silentFor) {
+        harness.apply(AttemptSilent{ .attempt = hanging.attempt, .timeout = Failure::FirstTokenTimeout, .silentFor = silentFor });
+    };
+    harness.advance(SilenceTimeout);
+    reportSilence(SilenceTimeout);
+    harness.advance(SilenceReportInterval / 2);
+    ASSERT_TRUE(find<Deliver>(harness.apply(AttemptAnswered{ .attempt = other.attempt, .status = 200 })));
+    EXPECT_TRUE(find<Send>(harness.arrive(FetchPath))) << "before the next report";
+    harness.advance(SilenceReportInterval / 2);
+    reportSilence(SilenceTimeout + SilenceReportInterval);
+    EXPECT_TRUE(find<Send>(harness.arrive(FetchPath))) << "after the next report";
+}
+
+/// The same for as long as the call hangs: without other calls, nothing shows that the server is sound.
+TEST(SeveralAttemptsTests, aServerIsTriedAgainWhileOneCallIsSilent)
+{
+    RouterHarness harness;
+    harness.apply(ServersListed{ .servers = { makeServer("p1", "portal", 6) }, .asOf = harness.now() });
+    const auto hanging = find<Send>(harness.arrive(FetchPath)).value();
+    auto silentFor = SilenceTimeout;
+    harness.advance(silentFor);
+    harness.apply(AttemptSilent{ .attempt = hanging.attempt, .timeout = Failure::FirstTokenTimeout, .silentFor = silentFor });
+    auto isTried = false;
+    for (auto reports = 0; reports < 35 && !isTried; ++reports) {
+        silentFor += SilenceReportInterval;
+        isTried = count<Send>(harness.advance(SilenceReportInterval)) > 0 || count<Send>(harness.arrive(FetchPath)) > 0;
+        harness.apply(AttemptSilent{ .attempt = hanging.attempt, .timeout = Failure::FirstTokenTimeout, .silentFor = silentFor });
+    }
+    EXPECT_TRUE(isTried);
+}
