A stream does not return to a sound server that was silent once: a test that fails

Cause: handleSilent adds the server to serversToAvoid, which excludes it for the rest of the request (isEligible) and is never taken back. With three attempts and two servers, a stream that moved away during a silence is broken off at its deadline (DeadlinePassed) when its second server breaks, while the first one is sound and takes other requests. Ruled out: the first server's suspension and the retry budget; a new request of the same route is sent to it at that moment (in the test).

--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -101,6 +101,37 @@
     EXPECT_TRUE(find<Complete>(entry.harness.apply(AttemptFinished{ .attempt = first.attempt })));
 }
 
+/// Guards against a stream that is broken off although a sound server of its version is there: a server stays excluded for the request
+/// after it was silent once.
+TEST(SeveralAttemptsTests, aStreamReturnsToAServerThatWasSilentOnce)
+{
+    RouterHarness harness;
+    auto configuration = makeConfiguration(2);
+    configuration.routes[1].attempts = 3;
+    harness.apply(ConfigurationAdopted{ configuration });
+    const auto first = find<Send>(harness.arrive(CheckPath)).value();
+    harness.apply(AttemptStarted{ .attempt = first.attempt, .isForwarded = true });
+    // keeps a connection to the first server on which it goes on
+    auto beside = find<Send>(harness.arrive(QuotePath)).value();
+    while (beside.server != first.server) {
+        beside = find<Send>(harness.arrive(QuotePath)).value();
+    }
+    harness.advance(SilenceTimeout);
+    const auto second = find<Send>(
+        harness.apply(AttemptSilent{ .attempt = first.attempt, .timeout = Failure::ProgressTimeout, .silentFor = SilenceTimeout, .lastEventId = "1" }));
+    ASSERT_TRUE(second);
+    harness.apply(AttemptStarted{ .attempt = second->attempt, .isForwarded = true });
+    harness.apply(AttemptStarted{ .attempt = beside.attempt, .isForwarded = true });
+    auto actions = harness.apply(AttemptFailed{ .attempt = second->attempt, .failure = Failure::BrokenStream, .answerBegun = true, .lastEventId = "2" });
+    EXPECT_FALSE(find<AbortAnswer>(actions));
+    EXPECT_EQ(find<Send>(harness.arrive(CheckPath)).value().server, first.server) << "the first server takes other requests";
+    const auto later = harness.advance(SilenceTimeout);
+    actions.insert(actions.end(), later.begin(), later.end());
+    const auto third = find<Send>(actions);
+    ASSERT_TRUE(third);
+    EXPECT_EQ(third->server, first.server);
+}
+
 /// Guards against callers that are refused because of one call that hangs at a sound server: each further report of the same silence
 /// suspends the server again, although it has answered other calls since.
 TEST(SeveralAttemptsTests, aServerThatAnswersOtherCallsTakesRequestsWhileOneCallIsSilent)
