The server of a failed replacement is named for what the first one did: a test that fails

Cause: request.lastPeer is that of the latest send. preferAttempt corrects it only while there are several attempts; where the replacement fails first, the request is left to the first attempt and lastPeer (and in the gateway OpenRequest::server) still names the replacement's server. Refusals, broken responses and delivered ones are then logged with a server that had no part in them.

--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -132,6 +132,22 @@
     EXPECT_EQ(third->server, first.server);
 }
 
+/// Guards against a wrong name in logs and refusals: the server of a replacement that failed is named for what its first server did.
+TEST(SeveralAttemptsTests, theServerThatBrokeTheResponseIsNamed)
+{
+    RouterHarness harness;
+    const auto first = find<Send>(harness.arrive(CheckPath)).value();
+    harness.apply(AttemptStarted{ .attempt = first.attempt, .isForwarded = true });
+    harness.advance(SilenceTimeout);
+    const auto second = find<Send>(
+        harness.apply(AttemptSilent{ .attempt = first.attempt, .timeout = Failure::ProgressTimeout, .silentFor = SilenceTimeout, .lastEventId = "1" }));
+    ASSERT_TRUE(second);
+    harness.apply(AttemptFailed{ .attempt = second->attempt, .failure = Failure::NotStarted, .answerBegun = true });
+    const auto actions = harness.apply(AttemptFailed{ .attempt = first.attempt, .failure = Failure::BrokenStream, .answerBegun = true, .lastEventId = "1" });
+    ASSERT_TRUE(find<AbortAnswer>(actions));
+    EXPECT_EQ(find<AbortAnswer>(actions)->peer, first.server);
+}
+
 /// Guards against callers that are refused because of one call that hangs at a sound server: each further report of the same silence
 /// suspends the server again, although it has answered other calls since.
 TEST(SeveralAttemptsTests, aServerThatAnswersOtherCallsTakesRequestsWhileOneCallIsSilent)
