--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -148,6 +148,92 @@
     EXPECT_EQ(find<AbortAnswer>(actions)->peer, first.server);
 }
 
+/// Guards against an attempt of which nothing is known any more: the count of open attempts does not return to zero.
+TEST(SeveralAttemptsTests, noAttemptRemainsAfterAnyOrderOfEnds)
+{
+    enum class End { FirstFinishes, SecondFinishes, FirstFails, SecondFails, CallerLeaves, DeadlinePasses, ServersVanish };
+    using enum End;
+    const std::vector<std::vector<End>> orders{
+        { FirstFinishes },
+        { SecondFinishes },
+        { FirstFails, SecondFinishes },
+        { SecondFails, FirstFinishes },
+        { FirstFails, SecondFails },
+        { SecondFails, FirstFails },
+        { CallerLeaves },
+        { FirstFails, CallerLeaves },
+        { SecondFails, CallerLeaves },
+        { DeadlinePasses },
+        { FirstFails, DeadlinePasses },
+        { ServersVanish, FirstFinishes },
+        { ServersVanish, FirstFails, SecondFails },
+        { ServersVanish, DeadlinePasses },
+        { FirstFinishes, SecondFinishes, FirstFails, CallerLeaves },
+    };
+    for (const auto &order : orders) {
+        RouterHarness harness;
+        const auto arrived = harness.request(CheckPath);
+        const auto first = find<Send>(harness.apply(arrived)).value();
+        harness.apply(AttemptStarted{ .attempt = first.attempt, .isForwarded = true });
+        harness.advance(SilenceTimeout);
+        const auto second = find<Send>(
+            harness.apply(AttemptSilent{ .attempt = first.attempt, .timeout = Failure::ProgressTimeout, .silentFor = SilenceTimeout, .lastEventId = "1" }));
+        ASSERT_TRUE(second);
+        std::size_t ends = 0;
+        auto callerLeft = false;
+        const auto fail = [&](AttemptId attempt) {
+            return harness.apply(AttemptFailed{ .attempt = attempt, .failure = Failure::BrokenStream, .answerBegun = true, .lastEventId = "1" });
+        };
+        for (const auto end : order) {
+            Actions actions;
+            switch (end) {
+            case FirstFinishes:
+                actions = harness.apply(AttemptFinished{ .attempt = first.attempt });
+                break;
+            case SecondFinishes:
+                actions = harness.apply(AttemptFinished{ .attempt = second->attempt });
+                break;
+            case FirstFails:
+                actions = fail(first.attempt);
+                break;
+            case SecondFails:
+                actions = fail(second->attempt);
+                break;
+            case CallerLeaves:
+                callerLeft = true;
+                actions = harness.apply(CallerGone{ .request = arrived.request });
+                break;
+            case DeadlinePasses:
+                actions = harness.advance(std::chrono::seconds(5));
+                break;
+            case ServersVanish:
+                actions = harness.apply(ServersListed{ .servers = {}, .asOf = harness.now() });
+                break;
+            }
+            ends += count<Complete>(actions) + count<AbortAnswer>(actions) + count<Refuse>(actions) + count<Deliver>(actions);
+            EXPECT_FALSE(callerLeft && count<Send>(actions) > 0);
+        }
+        EXPECT_EQ(statusOf(harness.router(), harness.now()).inFlight, 0U);
+        EXPECT_EQ(loadOfService(harness.router(), "engines", harness.now()).requests, 0U);
+        EXPECT_EQ(loadOfService(harness.router(), "engines", harness.now()).unreadTokens, 0U);
+        EXPECT_LE(ends, 1U);
+        EXPECT_TRUE(ends == 1 || callerLeft);
+    }
+}
+
+/// Guards against a request that another entry works on after its own server went on.
+TEST(SeveralAttemptsTests, aForwardingEndsWhenTheFirstServerGoesOn)
+{
+    CutOffEntry entry;
+    const auto [first, forwarded] = entry.forwardSilentStream();
+    ASSERT_FALSE(forwarded.peer.empty());
+    const auto actions = entry.harness.apply(AttemptStarted{ .attempt = first.attempt, .isForwarded = true });
+    ASSERT_TRUE(find<Cancel>(actions));
+    EXPECT_EQ(find<Cancel>(actions)->attempt, forwarded.attempt);
+    EXPECT_TRUE(entry.harness.apply(AttemptFailed{ .attempt = forwarded.attempt, .failure = Failure::BrokenStream }).empty());
+    EXPECT_TRUE(find<Complete>(entry.harness.apply(AttemptFinished{ .attempt = first.attempt })));
+}
+
 /// Guards against callers that are refused because of one call that hangs at a sound server: each further report of the same silence
 /// suspends the server again, although it has answered other calls since.
 TEST(SeveralAttemptsTests, aServerThatAnswersOtherCallsTakesRequestsWhileOneCallIsSilent)
