Streams of a server that is gone wait although an idle server is there: a test that fails

Cause: isHeardSince takes a server that owes this entry nothing, or that has sent something since the silence began. The first replacement makes an idle server owe a response, so that it is no candidate for the others until its first event; the next question comes up to 100 ms after that. Of three streams of a server that is gone, one is sent to the idle server at the first report and two are kept (no-server). A request that was sent a moment ago says nothing about its server; one that was there before the silence, or whose response is overdue, does. Ruled out: room and the retry budget; a new request is sent to the idle server at that moment (in the test), and the decision is no-server.

--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -272,3 +272,25 @@
     }
     EXPECT_TRUE(isTried);
 }
+
+/// Guards against callers that wait although another server is idle: of the streams of a server that is gone only the first is sent to it,
+/// since a server that has just got a request has not responded yet.
+TEST(SeveralAttemptsTests, allStreamsOfAServerThatIsGoneAreSentToAnIdleOne)
+{
+    RouterHarness harness;
+    const auto gone = makeServer("e1", "engines", 32);
+    harness.apply(ServersListed{ .servers = { gone }, .asOf = harness.now() });
+    std::vector<Send> streams;
+    for (auto requests = 0; requests < 3; ++requests) {
+        streams.push_back(find<Send>(harness.arrive(CheckPath)).value());
+        harness.apply(AttemptStarted{ .attempt = streams.back().attempt, .isForwarded = true });
+    }
+    harness.apply(ServersListed{ .servers = { gone, makeServer("e2", "engines", 32) }, .asOf = harness.now() });
+    harness.advance(SilenceTimeout);
+    for (const auto &stream : streams) {
+        const auto actions
+            = harness.apply(AttemptSilent{ .attempt = stream.attempt, .timeout = Failure::ProgressTimeout, .silentFor = SilenceTimeout, .lastEventId = "1" });
+        EXPECT_TRUE(find<Send>(actions)) << keptBecauseName(find<SilenceJudged>(actions)->keptBecause.value_or(KeptBecause::AttemptsUsed));
+    }
+    EXPECT_EQ(find<Send>(harness.arrive(CheckPath)).value().server, "e2") << "a new request is sent to it";
+}
