--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -294,3 +294,22 @@
     }
     EXPECT_EQ(find<Send>(harness.arrive(CheckPath)).value().server, "e2") << "a new request is sent to it";
 }
+
+/// Guards against a caller that is told that nothing ran: one of its two servers had the request, the other one rejected it.
+TEST(SeveralAttemptsTests, aRequestThatOneOfItsServersRanIsNotRefusedAsNotRun)
+{
+    for (const auto firstFailsLast : { true, false }) {
+        RouterHarness harness;
+        const auto first = find<Send>(harness.arrive(FetchPath)).value();
+        harness.advance(SilenceTimeout);
+        const auto second
+            = find<Send>(harness.apply(AttemptSilent{ .attempt = first.attempt, .timeout = Failure::FirstTokenTimeout, .silentFor = SilenceTimeout }));
+        ASSERT_TRUE(second);
+        const AttemptFailed ran{ .attempt = first.attempt, .failure = Failure::BrokenBeforeFirstByte };
+        const AttemptFailed rejected{ .attempt = second->attempt, .failure = Failure::NotStarted };
+        harness.apply(firstFailsLast ? rejected : ran);
+        auto actions = harness.apply(firstFailsLast ? ran : rejected);
+        ASSERT_TRUE(find<Refuse>(actions));
+        EXPECT_EQ(find<Refuse>(actions)->outcome, Outcome::MayHaveRun);
+    }
+}
