Several attempts of a request: what a review of silent servers found

Mended: - After a forwarding that broke off or was refused as may-have-run, the request was sent again, beyond the attempts of its route: how many the other entry had used is not known. Beside them, by reading: a silent plain call counted for no usage when another attempt replaced it; the time of the entry's own pause counted as silence in the logs.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -215,8 +215,8 @@
     std::string server;
     Failure timeout{};
     Duration silentFor{};
-    Duration othersSilentFor{};             ///< time since any other server of the service sent something to this entry
-    std::optional<KeptBecause> keptBecause; ///< not set: the request is sent to another server as well
+    std::optional<Duration> othersSilentFor; ///< time since any other server of the service sent this entry something; not set: none has
+    std::optional<KeptBecause> keptBecause;  ///< not set: the request is sent to another server as well
 };
 
 /// One of several attempts of a request went on, and the others are cancelled; for logs.
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -20,7 +20,6 @@
 constexpr int BadGatewayStatus = 502;
 constexpr int UnavailableStatus = 503;
 constexpr int GatewayTimeoutStatus = 504;
-constexpr int FirstErrorStatus = 500;
 
 /// Failed connections after which a request is not retried any more. Nothing ran on a failed connection, but each one takes time.
 constexpr std::uint32_t MaxFailedConnections = 3;
@@ -422,7 +421,7 @@
         recordActivity(*server, state.now);
         recordOutcome(state, request, *server, Failure::ServerError);
         recordFailure(*server, Failure::ServerError, state.now);
-        if (leaveToOthers(request, event.attempt)) {
+        if (leaveToOthers(state, request, event.attempt)) {
             request.serversToAvoid.push_back(server->record.id);
             dispatchService(state, request.service, actions);
             return;
@@ -494,7 +493,7 @@
     }
     request.serversToAvoid.push_back(server->record.id);
     const auto service = request.service;
-    if (leaveToOthers(request, event.attempt)) {
+    if (leaveToOthers(state, request, event.attempt)) {
         dispatchService(state, service, actions);
         return;
     }
--- a/src/core/passthrough/internal/ending.h
+++ b/src/core/passthrough/internal/ending.h
@@ -10,6 +10,7 @@
 namespace auburnspread::passthrough::detail
 {
 
+constexpr int FirstErrorStatus = 500;
 /// A request with less time than this until its deadline is not sent again, because no response can arrive in time.
 constexpr Duration MinRemainingForRetry = std::chrono::milliseconds(30);
 
--- a/src/core/passthrough/internal/forwarding.cpp
+++ b/src/core/passthrough/internal/forwarding.cpp
@@ -118,9 +118,21 @@
     return std::find(Reasons.begin(), Reasons.end(), reason) != Reasons.end();
 }
 
-auto retryElsewhere(RouterState &state, Request &request, const std::string &peer, Actions &actions) -> void
+/// It is not known how many servers the other entry has tried, so that a further one could exceed the attempts of the route.
+auto useUpAttempts(Request &request) -> void
+{
+    request.sends = std::max(request.sends, request.route->attempts);
+}
+
+/// Removes a forwarding that has ended from its request. \return whether the request has other attempts that may serve it
+auto leaveForwardingToOthers(const RouterState &state, Request &request, AttemptId attempt, const std::string &peer) -> bool
 {
     request.peersTried.push_back(peer);
+    return leaveToOthers(state, request, attempt);
+}
+
+auto retryElsewhere(RouterState &state, Request &request, Actions &actions) -> void
+{
     enqueue(state, request);
     dispatchService(state, request.service, actions);
 }
@@ -244,9 +256,19 @@
 auto handleForwardAnswered(RouterState &state, const AttemptAnswered &event, Actions &actions) -> void
 {
     auto &request = state.requests.at(state.forwardings.at(event.attempt).request);
-    preferAttempt(state, request, event.attempt, actions);
+    const auto isError = event.status >= FirstErrorStatus;
+    if (!isError) {
+        preferAttempt(state, request, event.attempt, actions);
+    }
     const auto forwarding = closeForwarding(state, event.attempt);
     recordAble(state.peers, forwarding.peer, request.service);
+    if (isError) {
+        request.mayHaveRun = true;
+        useUpAttempts(request);
+        if (leaveForwardingToOthers(state, request, event.attempt, forwarding.peer)) {
+            return;
+        }
+    }
     actions.emplace_back(Deliver{ .request = forwarding.request, .attempt = event.attempt, .status = event.status });
     removeAndDispatch(state, request, actions);
 }
@@ -269,15 +291,16 @@
     }
     request.mayHaveRun = request.mayHaveRun || !provesNotStarted(event.failure);
     request.answerBegun = request.answerBegun || event.answerBegun;
-    if (leaveToOthers(request, event.attempt)) {
-        request.peersTried.push_back(forwarding.peer);
+    if (!provesNotStarted(event.failure)) {
+        useUpAttempts(request);
+    }
+    if (leaveForwardingToOthers(state, request, event.attempt, forwarding.peer)) {
         return;
     }
     if (provesNotStarted(event.failure) && !request.callerGone) {
-        retryElsewhere(state, request, forwarding.peer, actions);
+        retryElsewhere(state, request, actions);
         return;
     }
-    // it is not known how many servers the other entry has tried, so that a retry could exceed the attempts of the route
     const auto service = request.service;
     endWithoutAnswer(state, request, request.answerBegun ? Reason::StreamBroken : Reason::BackendFailed, actions);
     dispatchService(state, service, actions);
@@ -292,16 +315,17 @@
     if (isUnable) {
         recordUnable(state.peers, forwarding.peer, request.service, state.now);
     }
-    if (leaveToOthers(request, event.attempt)) {
-        request.mayHaveRun = request.mayHaveRun || !isNotRun;
-        request.peersTried.push_back(forwarding.peer);
+    if (!isNotRun) {
+        useUpAttempts(request);
+    }
+    request.mayHaveRun = request.mayHaveRun || !isNotRun;
+    if (leaveForwardingToOthers(state, request, event.attempt, forwarding.peer)) {
         return;
     }
     if (isUnable && !request.callerGone) {
-        retryElsewhere(state, request, forwarding.peer, actions);
+        retryElsewhere(state, request, actions);
         return;
     }
-    request.mayHaveRun = request.mayHaveRun || !isNotRun;
     if (request.answerBegun || (isNotRun && request.mayHaveRun)) {
         // the response denies an execution of which this entry knows, or comes after the beginning of another one
         const auto service = request.service;
--- a/src/core/passthrough/internal/silence.cpp
+++ b/src/core/passthrough/internal/silence.cpp
@@ -101,7 +101,8 @@
     return std::nullopt;
 }
 
-auto timeSinceOthersWereHeard(const RouterState &state, const ServerState &silent) -> Duration
+/// \return nothing if no other server has sent anything yet
+auto timeSinceOthersWereHeard(const RouterState &state, const ServerState &silent) -> std::optional<Duration>
 {
     const auto group = state.servers.byService.find(silent.record.service);
     TimePoint last;
@@ -110,7 +111,14 @@
             last = server.get() == &silent ? last : std::max(last, server->lastHeardAt);
         }
     }
-    return state.now - last;
+    return last == TimePoint() ? std::nullopt : std::optional(state.now - last);
+}
+
+/// Id of the attempt's server, or address of the entry that handles it.
+auto peerOf(const RouterState &state, AttemptId id) -> const std::string &
+{
+    const auto found = state.attempts.find(id);
+    return found == state.attempts.end() ? state.forwardings.at(id).peer : found->second.server->record.id;
 }
 
 auto cancelAttempt(RouterState &state, AttemptId id, Actions &actions) -> void
@@ -135,7 +143,9 @@
     auto &request = state.requests.at(attempt.request);
     const auto server = attempt.server;
     const auto isNew = !std::exchange(attempt.isSilent, true);
-    recordSilence(*server, isNew, state.now);
+    if (isNew) {
+        recordSilence(*server, state.now - event.silentFor, state.now);
+    }
     notePathFailure(state, request.service, server->record.id, actions);
     if (!areAllSilent(state, request)) {
         return;
@@ -168,13 +178,15 @@
         return;
     }
     const auto isReplacement = request.attempts.front() != attempt;
+    for (const auto id : request.attempts) {
+        std::erase(request.serversToAvoid, peerOf(state, id)); // it was silent, which is no failure
+    }
     for (const auto other : std::exchange(request.attempts, { attempt })) {
         if (other != attempt) {
             cancelAttempt(state, other, actions);
         }
     }
-    const auto found = state.attempts.find(attempt);
-    request.lastPeer = found == state.attempts.end() ? state.forwardings.at(attempt).peer : found->second.server->record.id;
+    request.lastPeer = peerOf(state, attempt);
     actions.emplace_back(AttemptPreferred{
         .request = request.call.request,
         .attempt = attempt,
@@ -183,10 +195,14 @@
     });
 }
 
-auto leaveToOthers(Request &request, AttemptId attempt) -> bool
+auto leaveToOthers(const RouterState &state, Request &request, AttemptId attempt) -> bool
 {
     std::erase(request.attempts, attempt);
-    return !request.attempts.empty();
+    if (request.attempts.empty()) {
+        return false;
+    }
+    request.lastPeer = peerOf(state, request.attempts.front());
+    return true;
 }
 
 auto cancelAttempts(RouterState &state, Request &request, Actions &actions) -> void
--- a/src/core/passthrough/internal/silence.h
+++ b/src/core/passthrough/internal/silence.h
@@ -17,7 +17,7 @@
 /// Cancels the request's other attempts, because \p attempt goes on.
 auto preferAttempt(RouterState &state, Request &request, AttemptId attempt, Actions &actions) -> void;
 /// Removes an attempt that has ended from its request. \return whether the request has other attempts that may serve it
-auto leaveToOthers(Request &request, AttemptId attempt) -> bool;
+auto leaveToOthers(const RouterState &state, Request &request, AttemptId attempt) -> bool;
 /// Cancels all attempts of the request.
 auto cancelAttempts(RouterState &state, Request &request, Actions &actions) -> void;
 
--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -364,6 +364,7 @@
 auto recordSend(ServerTable &table, ServerState &server, const RequestLoad &load, Duration expected, TimePoint now) -> void
 {
     markReportable(table, server);
+    server.busySince = server.ownLoad.inFlight == 0 ? now : server.busySince;
     server.ownLoad.inFlight += 1;
     server.ownLoad.unreadTokens += load.unreadTokens;
     server.ownLoad.heldTokens += load.heldTokens;
@@ -442,13 +443,14 @@
     server.consecutiveFailures += 1;
 }
 
-auto recordSilence(ServerState &server, bool isNew, TimePoint now) -> void
+auto recordSilence(ServerState &server, TimePoint silentSince, TimePoint now) -> void
 {
-    if (isNew) {
-        recordOutcome(server, 1, now);
+    if (server.lastHeardAt > silentSince) {
+        return; // only this connection is silent
     }
+    recordOutcome(server, 1, now);
     server.silentUntil = std::max(server.silentUntil, now + suspensionAfter(server.consecutiveFailures));
-    server.consecutiveFailures += isNew ? 1 : 0;
+    server.consecutiveFailures += 1;
 }
 
 auto recordAttemptEnd(ServerState &server, const RequestLoad &load) -> void
@@ -475,7 +477,7 @@
 
 auto isHeardSince(const ServerState &server, TimePoint at) -> bool
 {
-    return server.lastHeardAt > at || server.ownLoad.inFlight == 0;
+    return server.lastHeardAt > at || server.ownLoad.inFlight == 0 || server.busySince > at;
 }
 
 auto isUnresponsive(const ServerState &server, TimePoint now) -> bool
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -62,6 +62,7 @@
     TimePoint suspendedUntil;               ///< no new requests before, after failed connections
     TimePoint silentUntil;                  ///< no new requests before, unless the server sends something: an attempt on it is silent
     TimePoint lastHeardAt;                  ///< when the server last sent something to this entry
+    TimePoint busySince;                    ///< since when it has had requests of this entry in flight
     std::uint32_t consecutiveFailures = 0;  ///< failures in a row that suggest an unreachable or crashed server
     double failureRate = 0;                 ///< moving average of this entry's failures, 0 to 1, as of \c failureRateAt
     TimePoint failureRateAt;
@@ -173,8 +174,8 @@
 auto recordSend(ServerTable &table, ServerState &server, const RequestLoad &load, Duration expected, TimePoint now) -> void;
 /// The server sent something, so it is responsive.
 auto recordActivity(ServerState &server, TimePoint now) -> void;
-/// The server has sent nothing on an attempt for longer than expected. \p isNew: false if this silence was recorded before and goes on
-auto recordSilence(ServerState &server, bool isNew, TimePoint now) -> void;
+/// The server has sent nothing on an attempt for longer than expected, and nothing else either since \p silentSince.
+auto recordSilence(ServerState &server, TimePoint silentSince, TimePoint now) -> void;
 /// The prompt no longer counts as unread: the first byte of the answer arrived, or the attempt ended.
 auto recordPromptRead(ServerState &server, const RequestLoad &load) -> void;
 /// \return ratio of the observed to the expected time to the first byte, clamped
@@ -196,7 +197,7 @@
 auto isUsable(const ServerState &server, TimePoint now) -> bool;
 /// \return when the first backoff of the service's servers ends, if all of those that are not leaving have requested one
 auto firstBackoffEnd(const ServerTable &table, const std::string &service, TimePoint now) -> std::optional<TimePoint>;
-/// Whether the server has sent something since \p at, or had nothing to send to this entry.
+/// Whether the server has sent something since \p at, or had nothing to send to this entry then.
 auto isHeardSince(const ServerState &server, TimePoint at) -> bool;
 /// Whether a response is overdue and it is not yet time to probe the server with another request.
 auto isUnresponsive(const ServerState &server, TimePoint now) -> bool;
--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -124,10 +124,16 @@
     harness.apply(AttemptStarted{ .attempt = beside.attempt, .isForwarded = true });
     auto actions = harness.apply(AttemptFailed{ .attempt = second->attempt, .failure = Failure::BrokenStream, .answerBegun = true, .lastEventId = "2" });
     EXPECT_FALSE(find<AbortAnswer>(actions));
-    EXPECT_EQ(find<Send>(harness.arrive(CheckPath)).value().server, first.server) << "the first server takes other requests";
+    const auto others = harness.arrive(CheckPath); // dispatches the queue as well
+    EXPECT_EQ(find<Send>(others).value().server, first.server) << "the first server takes other requests";
     const auto later = harness.advance(SilenceTimeout);
+    actions.insert(actions.end(), others.begin(), others.end());
     actions.insert(actions.end(), later.begin(), later.end());
-    const auto third = find<Send>(actions);
+    std::optional<Send> third;
+    for (const auto &action : actions) {
+        const auto *send = std::get_if<Send>(&action);
+        third = send != nullptr && send->request == first.request ? std::optional(*send) : third;
+    }
     ASSERT_TRUE(third);
     EXPECT_EQ(third->server, first.server);
 }
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -168,7 +168,7 @@
             { "attempt", static_cast<std::uint64_t>(action.attempt) },
             { "timeout", failureName(action.timeout) },
             { "silent_ms", wholeMilliseconds(action.silentFor) },
-            { "others_silent_ms", wholeMilliseconds(action.othersSilentFor) },
+            { "others_silent_ms", action.othersSilentFor ? wholeMilliseconds(*action.othersSilentFor) : -1 },
             { "sent_elsewhere", !action.keptBecause },
             { "kept_because", action.keptBecause ? keptBecauseName(*action.keptBecause) : "" },
             { "servers_age_ms", wholeMilliseconds(context.serversAge) } });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,8 +29,6 @@
 constexpr int OkStatus = 200;
 constexpr int FirstRedirectStatus = 300;
 
-/// Interval between checks of timeouts and deadlines, the shortest of which are some hundred milliseconds.
-
 /// The configuration counts as confirmed for the key withdrawal time less this margin: a watch of the store may miss changes
 /// for a second before its connection is closed, and a timer may fire late.
 constexpr Duration KeyFreshnessMargin = std::chrono::milliseconds(1500);
@@ -124,6 +122,7 @@
     auto handleStreamEnd(AttemptId attempt, const BodyEnd &body) -> void;
     auto handleResponse(AttemptId attempt, BufferedResponse response, const BodyEnd &body) -> void;
     auto handleAttemptFailure(AttemptId attempt, const AttemptFailure &failure) -> void;
+    auto handleAttemptSilence(AttemptId attempt, const AttemptSilence &silence) -> void;
 
     auto handleAttemptStarted(AttemptId attempt, bool isForwarded) -> void;
     auto reportExecutionStart(OpenAttempt &attempt) -> void;
@@ -184,11 +183,7 @@
               .onStreamEnded = [this](AttemptId attempt, const BodyEnd &body) { handleStreamEnd(attempt, body); },
               .onResponse = [this](AttemptId attempt, BufferedResponse response, const BodyEnd &body) { handleResponse(attempt, std::move(response), body); },
               .onFailed = [this](AttemptId attempt, const AttemptFailure &failure) { handleAttemptFailure(attempt, failure); },
-              .onSilent =
-                  [this](AttemptId attempt, const AttemptSilence &silence) {
-                      apply(passthrough::AttemptSilent{
-                          .attempt = attempt, .timeout = silence.timeout, .silentFor = silence.silentFor, .lastEventId = silence.lastEventId });
-                  },
+              .onSilent = [this](AttemptId attempt, const AttemptSilence &silence) { handleAttemptSilence(attempt, silence); },
           })
     , connectProbe(loop,
                    [this](const std::string &server, bool isReachable) { apply(passthrough::ServerProbed{ .server = server, .isReachable = isReachable }); })
@@ -491,6 +486,7 @@
     const auto found = node ? requests.find(node.mapped().request) : requests.end();
     if (found != requests.end()) {
         found->second.body = body;
+        found->second.server = node.mapped().server;
     }
     apply(passthrough::AttemptFinished{ .attempt = attempt });
 }
@@ -505,6 +501,7 @@
     const auto status = response.status;
     if (found != requests.end()) {
         found->second.body = body;
+        found->second.server = node.mapped().server;
     }
     if (const auto refusal = node && node.mapped().isForwarded ? readPeerRefusal(response) : std::nullopt) {
         pendingResponses[attempt] = std::move(response);
@@ -545,6 +542,20 @@
     apply(passthrough::AttemptFailed{ .attempt = attempt, .failure = failure.failure, .answerBegun = responseStarted, .lastEventId = failure.lastEventId });
 }
 
+auto Gateway::Impl::handleAttemptSilence(AttemptId attempt, const AttemptSilence &silence) -> void
+{
+    const auto found = attempts.find(attempt);
+    if (found != attempts.end() && !found->second.isStream) {
+        reportExecutionStart(found->second); // a call whose response is overdue has most likely run
+    }
+    apply(passthrough::AttemptSilent{
+        .attempt = attempt,
+        .timeout = silence.timeout,
+        .silentFor = silence.silentFor,
+        .lastEventId = silence.lastEventId,
+    });
+}
+
 auto Gateway::Impl::checkTimeouts() -> void
 {
     const auto at = now();
--- a/src/gateway/tests/silentservers_tests.cpp
+++ b/src/gateway/tests/silentservers_tests.cpp
@@ -195,6 +195,7 @@
     SilentExchange exchange(server);
     exchange.send();
     std::atomic<bool> isFirstRead = false;
+    std::atomic<bool> isDone = false;
     std::atomic<bool> goesOn = false;
     std::thread thread([&]() {
         const auto first = server.accept();
@@ -205,6 +206,7 @@
         second.send(makeStreamHead("id-1") + makeChunk("id: 1\ndata: a\n\n"));
         goesOn.wait(false);
         second.send(makeChunk("id: 2\ndata: b\n\n") + LastChunk);
+        isDone.wait(false); // the first connection stays open
     });
     exchange.runUntil([&]() { return isFirstRead.load(); });
     exchange.passTimeout();
@@ -215,6 +217,8 @@
     goesOn = true;
     goesOn.notify_one();
     exchange.runUntil([&]() { return exchange.isComplete || exchange.failure; });
+    isDone = true;
+    isDone.notify_one();
     thread.join();
     EXPECT_FALSE(exchange.failure);
     EXPECT_EQ(exchange.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -493,6 +493,7 @@
         extend(attempt->connectDeadline, pause);
         extend(attempt->firstByteDeadline, pause);
         extend(attempt->progressDeadline, pause);
+        extend(attempt->lastProgressAt, pause);
     }
 }
 
