Entries borrow places of brittle servers in turns

Cause, traced (15 entries, 4 servers of 4 slots, one rejection a second tolerated): entries that have no place of their own on a server send to one whose reported load is nil. All read the same reports, so that all choose the same idle server until the next report. Three falls, 9 rejections; each in a run of sends with "reported 0, peers 0" at one server: at 4.757 to 4.768 s, p2 gets requests from the entries with ranks 14, 2, 13, 11, 6, 8 within 11 ms; only rank 2 owns a place there.

Ruled out by the trace and the code: entries that do not know the statement (all of these know it), entries that keep to their own places, queued requests.

Change: an entry that has used its even share borrows only in its turn, of 40 ms. Each draws its turns by itself, for each server, so that an eighth of the slots is borrowed at a time on average, whatever the load. A request that has waited may then borrow too.

A new test, for 26 entries that read the same reports of an idle server.

The price is paid where there are about as many entries as places: entries without one refuse requests while servers have room. Places that are dealt out over all servers of a service would help them; open.

--- a/src/core/passthrough/brittleness.cpp
+++ b/src/core/passthrough/brittleness.cpp
@@ -1,5 +1,7 @@
 #include "core/passthrough/brittleness.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,6 +19,11 @@
 /// to its share, and while the lists of entries differ, twice as many count themselves among those that may.
 constexpr double UsedTolerance = 0.25;
 
+/// Time for which an entry that has used its even share may borrow places of others, when its turn comes: a few ticks.
+constexpr Duration TurnLength = std::chrono::milliseconds(40);
+/// Mean share of a server's slots that entries may borrow at the same time.
+constexpr double BorrowedShare = 0.125;
+
 auto sendersOf(double rejectionsPerSecond) -> std::uint32_t
 {
     constexpr double MostSenders = 1000; // more than there are entries
@@ -30,6 +37,16 @@
     return places / sharers + (rank < places % sharers ? 1 : 0);
 }
 
+/// Whether it is this entry's turn to borrow. Each entry draws its turns by itself. On average, \c BorrowedShare of the slots is borrowed
+/// if all entries have waiting requests.
+auto isOwnTurn(const RoomUsage &usage, TimePoint now) -> bool
+{
+    constexpr double DrawRange = 0x1p64;
+    const auto turn = static_cast<std::uint64_t>(now.time_since_epoch() / TurnLength);
+    const auto drawn = static_cast<double>(XXH64(&turn, sizeof turn, usage.turnSeed)) / DrawRange;
+    return drawn * usage.entries < usage.slots * BorrowedShare;
+}
+
 } // namespace
 
 auto toleratedRejections(const Brittleness &brittleness) -> std::optional<double>
@@ -74,8 +91,7 @@
     if (mayFill(brittleness)) {
         return ownUnreported < evenShare(room, brittleness.senderRank, usage.entries);
     }
-    // requests that have waited would be sent by many entries at the moment at which they learn of room
-    return usage.hasJustArrived && usage.inFlight + 1 < usage.slots / 2 && ownUnreported == 0;
+    return usage.inFlight + 1 < usage.slots / 2 && ownUnreported == 0 && isOwnTurn(usage, now);
 }
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/brittleness.h
+++ b/src/core/passthrough/brittleness.h
@@ -2,9 +2,10 @@
 /// Servers that fail when they have to reject too many requests within a second, and how all entries together spare them.
 ///
 /// A service's servers state in their answers how many rejections for want of room they bear. From then on an entry counts on their slots
-/// alone, not on their queues, and keeps to its even share of the slots, which no other entry uses. Entries with a small share, or none, also
-/// send a request that has not waited to a server that is less than half full. Only a few entries, chosen by rendezvous hashing, fill the
-/// room that the reports show. An entry that was rejected pauses.
+/// alone, not on their queues, and keeps to its even share of the slots. Only a few entries, chosen by rendezvous hashing, fill the room that
+/// the reports show. The others borrow places of a server that is less than half full, one each, in turns that each draws at random: all of
+/// them read the same reports, and if each entry used the room that it sees, all would send to the same idle server until the next report.
+/// Regardless of the load, only few have their turn at the same time. An entry that was rejected pauses.
 
 #pragma once
 
@@ -48,8 +49,8 @@
     std::uint32_t ownReported = 0; ///< \c ownInFlight as of this entry's last report
     std::uint32_t inFlight = 0;    ///< of all entries, those of the others as reported
     std::uint32_t entries = 1;
-    bool hasJustArrived = false; ///< the request has not waited
-    bool peersKnown = false;     ///< whether most of the other entries have reported
+    bool peersKnown = false;    ///< whether most of the other entries have reported
+    std::uint64_t turnSeed = 0; ///< seed of the draw of turns, different at each entry and for each server
 };
 
 /// Whether this entry may send one more request to the server. Always true for a server that bears any number of rejections.
--- a/src/core/passthrough/internal/candidate.cpp
+++ b/src/core/passthrough/internal/candidate.cpp
@@ -74,8 +74,8 @@
         .ownReported = server.reportedLoad.inFlight,
         .inFlight = totalLoad(server).inFlight,
         .entries = query.entries,
-        .hasJustArrived = query.hasJustArrived,
         .peersKnown = query.peersKnown && query.entryNamesKnown,
+        .turnSeed = query.entryHash ^ server.hash,
     };
     return hasSafeRoom(server.brittleness, usage, now);
 }
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -174,7 +174,7 @@
         // accumulating short prompts make responses pause, so for them the reported load counts in full
         .reportAge = isShort(request.call.prompt) ? Duration::zero() : reportAgeOf(state),
         .admissionFactor = releaseFactor(strainOf(pool, request)),
-        .hasJustArrived = state.now == request.arrived,
+        .entryHash = state.servers.ownNameHash,
         .unreportedTokens = unseen * pool.averageUnreadTokens,
         .maxQueueTime = request.route->hasPrompt ? std::optional(maxWorkAheadOf(state, request)) : std::nullopt,
         .tieBreak = request.tieBreak,
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -49,7 +49,7 @@
     bool leavesReserve = false;               ///< whether more urgent tiers exist, for which part of a server's rate limit must stay free
     Duration reportAge{};                     ///< age of the other entries' reports
     double admissionFactor = 1;               ///< multiple of the engines' free capacity up to which waiting requests are sent
-    bool hasJustArrived = false;              ///< the request has not waited
+    std::uint64_t entryHash = 0;              ///< hash of this entry's name
     double unreportedTokens = 0;              ///< estimated prompt tokens that other entries have sent since their last reports
     std::optional<Duration> maxQueueTime;     ///< longest time that the work queued on the engine may take; unlimited if not set
     std::uint64_t tieBreak = 0;               ///< specific to the request; distributes choices between equal servers
--- a/src/core/passthrough/tests/brittleness_tests.cpp
+++ b/src/core/passthrough/tests/brittleness_tests.cpp
@@ -4,6 +4,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
 using namespace auburnspread;
 using namespace auburnspread::passthrough;
 using namespace auburnspread::passthrough::tests;
@@ -42,6 +46,29 @@
     EXPECT_GE(result.executions, result.requests * 99 / 100);
 }
 
+/// Guards against entries that all use the same room, because all read the same reports of an idle server.
+TEST(BrittlenessTests, fewEntriesBorrowAtTheSameTimeAndEachGetsItsTurn)
+{
+    constexpr std::uint32_t Slots = 4;
+    constexpr std::uint32_t Entries = 30;
+    constexpr int Instants = 2000;
+    std::vector<int> turns(Entries, 0);
+    auto crowded = 0;
+    for (auto instant = 0; instant < Instants; ++instant) {
+        std::uint32_t senders = 0;
+        for (std::uint32_t rank = Slots; rank < Entries; ++rank) {
+            Brittleness brittleness{ .own = { .rejectionsPerSecond = 1, .at = Now }, .senderRank = rank };
+            const RoomUsage usage{ .slots = Slots, .entries = Entries, .peersKnown = true, .turnSeed = rank };
+            const auto sends = hasSafeRoom(brittleness, usage, Now + instant * 20ms);
+            senders += sends ? 1 : 0;
+            turns[rank] += sends ? 1 : 0;
+        }
+        crowded += senders > Slots ? 1 : 0;
+    }
+    EXPECT_EQ(crowded, 0);
+    EXPECT_TRUE(std::all_of(turns.begin() + Slots, turns.end(), [](int count) { return count > 0; }));
+}
+
 RC_GTEST_PROP(BrittlenessTests, brittleServersFailNoMoreOftenThanTolerated, ())
 {
     const BrittleFleetOptions options{
