--- a/src/core/routing/tests/world.h
+++ b/src/core/routing/tests/world.h
@@ -43,6 +43,7 @@
     ServerReturns,
     ChangeDocument,
     PeerReports,
+    FallSilent, ///< not among the events that other tests draw
 };
 
 /// One random event: what happens, and numbers that choose to whom and how.
