--- a/src/gateway/tests/silentservers_tests.cpp
+++ b/src/gateway/tests/silentservers_tests.cpp
@@ -1,11 +1,15 @@
 #include "gateway/clock.h"
 #include "gateway/tests/site.h"
+#include "gateway/tests/standinserver.h"
 #include "gateway/upstream.h"
 
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <optional>
+#include <sstream>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -98,8 +102,51 @@
                         } };
 };
 
+auto isAttemptKept(const Site &site) -> bool
+{
+    std::istringstream lines(site.metrics());
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("auburnspread_silent_attempts_kept_total{") && !line.ends_with(" 0")) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Sends a stream's request to the only server, which falls silent, and lets the server go on once the gateway has judged its silence.
+auto expectWholeStream(const std::function<void(adapter::standins::ServerStandin &standin)> &configure) -> void
+{
+    constexpr int Events = 10;
+    Site site;
+    StandinServer server("i-1", configure, "/check/");
+    site.addServer("i-1", "portal", server.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/check/1", "id-1", "x"));
+    EXPECT_TRUE(waitUntil([&site]() { return isAttemptKept(site); }));
+    server.goOn();
+    const auto answer = caller.readUntil(LastChunk);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    for (int number = 1; number <= Events; ++number) {
+        EXPECT_TRUE(contains(answer, "data: id-1/" + std::to_string(number) + "\n")) << answer;
+    }
+    EXPECT_TRUE(answer.ends_with(LastChunk)) << answer;
+    EXPECT_EQ(server.executions(), 1);
+}
+
 } // namespace
 
+/// Guards against a stream that the whole gateway breaks off because the process of its server pauses and then goes on.
+TEST(SilentServerTests, aStreamWhoseServerPausesIsRelayedToItsEnd)
+{
+    expectWholeStream([](adapter::standins::ServerStandin &standin) { standin.fallSilentBeforeEvent(3); });
+}
+
+/// The same where the server is silent before it has read the request, on a connection that only the kernel has accepted.
+TEST(SilentServerTests, aRequestToAPausedServerIsServedWhenItGoesOn)
+{
+    expectWholeStream([](adapter::standins::ServerStandin &standin) { standin.setSilent(true); });
+}
+
 /// Guards against a response that is given up because its server is silent for longer than a timeout and then goes on.
 TEST(SilentServerTests, aStreamThatGoesOnAfterTheTimeoutIsRelayedToItsEnd)
 {
--- a/src/gateway/tests/standinserver.cpp
+++ b/src/gateway/tests/standinserver.cpp
@@ -5,14 +5,15 @@
 
 namespace standins = adapter::standins;
 
-StandinServer::StandinServer(const std::string &id, const std::function<void(standins::ServerStandin &standin)> &configure)
+StandinServer::StandinServer(const std::string &id, const std::function<void(standins::ServerStandin &standin)> &configure, const std::string &streamPrefix)
     : standin_(loop_,
                {
                    .id = id,
-                   .streamPrefix = "/quote/",
+                   .streamPrefix = streamPrefix,
                    .onExecuted = [this](const standins::Execution &) { executions_ += 1; },
                    .onRejected = [this](const standins::Rejection &) { rejections_ += 1; },
                })
+    , receiver_(loop_.receive(silences_, [this](bool isSilent) { standin_.setSilent(isSilent); }))
 {
     configure(standin_);
     thread_ = std::thread([this]() { loop_.run(); });
@@ -39,4 +40,9 @@
     return rejections_;
 }
 
+auto StandinServer::goOn() -> void
+{
+    silences_.post(false);
+}
+
 } // namespace auburnspread::gateway::tests
--- a/src/gateway/tests/standinserver.h
+++ b/src/gateway/tests/standinserver.h
@@ -5,6 +5,8 @@
 
 #include "platform/standins/serverstandin.h"
 
+#include "runtime/task/mailbox.h"
+
 #include <atomic>
 #include <functional>
 #include <string>
@@ -16,8 +18,10 @@
 class StandinServer
 {
 public:
-    /// \p configure is called before the server accepts its first request.
-    StandinServer(const std::string &id, const std::function<void(adapter::standins::ServerStandin &standin)> &configure);
+    /// \p configure is called before the server accepts its first request. Paths that begin with \p streamPrefix are answered by a stream.
+    StandinServer(const std::string &id,
+                  const std::function<void(adapter::standins::ServerStandin &standin)> &configure,
+                  const std::string &streamPrefix = "/quote/");
     ~StandinServer();
     StandinServer(const StandinServer &) = delete;
     auto operator=(const StandinServer &) -> StandinServer & = delete;
@@ -27,12 +31,16 @@
     [[nodiscard]] auto executions() const -> int;
     /// Number of requests that it has rejected.
     [[nodiscard]] auto rejections() const -> int;
+    /// Ends a silence.
+    auto goOn() -> void;
 
 private:
     task::EventLoop loop_;
+    task::Mailbox<bool> silences_; ///< for the loop's thread: whether the server is silent
     std::atomic<int> executions_ = 0;
     std::atomic<int> rejections_ = 0;
     adapter::standins::ServerStandin standin_;
+    task::Watch receiver_;
     std::thread thread_;
 };
 
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -20,8 +20,11 @@
 /// Statuses that say: this must not be asked for.
 constexpr auto DenyingStatuses = std::to_array<int>({ 400, 401, 403, 404 });
 
-/// A fault may show this long after its end: connections that it harmed are found out, servers are tried again.
-constexpr Duration Aftermath = std::chrono::seconds(4);
+/// The entry has given up a request that may have run.
+constexpr int BadGatewayStatus = 502;
+
+/// A request that ends earlier has not ended by its deadline, which is 5 s from its arrival at the entry.
+constexpr Duration BeforeDeadline = std::chrono::milliseconds(4500);
 
 auto isSuccess(int status) -> bool
 {
@@ -123,8 +126,23 @@
 
 auto Ledger::isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool
 {
-    const auto found = harm_.find(name);
-    return found != harm_.end() && overlapsAny(found->second, from, to);
+    return overlapsAnyOf(harm_, name, from, to);
+}
+
+auto Ledger::overlapsAnyOf(const Intervals &intervals, const std::string &name, TimePoint from, TimePoint to) -> bool
+{
+    const auto found = intervals.find(name);
+    return found != intervals.end() && overlapsAny(found->second, from, to);
+}
+
+auto Ledger::serverSilent(const std::string &server, TimePoint from, TimePoint to) -> void
+{
+    silences_[server].push_back({ from, to });
+}
+
+auto Ledger::broken(const std::string &name, TimePoint from, TimePoint to) -> void
+{
+    breaks_[name].push_back({ from, to });
 }
 
 auto Ledger::disturbed(TimePoint from, TimePoint to) -> void
@@ -207,8 +225,36 @@
 auto Ledger::checkPlannedWork(const Record &record, Violations &violations) const -> void
 {
     const auto isLost = record.ended && record.ended->status == 0 && !record.runs.empty() && !record.sent.leavesEarly;
-    if (isLost && isCalm(record.sent.at, record.ended->at)) {
-        violations.push_back({ Promise::NothingLost, record.sent.id, "ran and got no answer: " + record.ended->cause });
+    if (!isLost || !isCalm(record.sent.at, record.ended->at)) {
+        return;
+    }
+    const auto mayHaveMetDeadline = record.ended->at - record.sent.at >= BeforeDeadline;
+    if (mayHaveMetDeadline && metSilence(record)) {
+        return;
+    }
+    violations.push_back({ Promise::NothingLost, record.sent.id, "ran and got no answer: " + record.ended->cause });
+}
+
+auto Ledger::metSilence(const Record &record) const -> bool
+{
+    const auto isSilent = [&](const Execution &run) { return overlapsAnyOf(silences_, run.server, run.at, record.ended->at); };
+    return std::any_of(record.runs.begin(), record.runs.end(), isSilent);
+}
+
+auto Ledger::checkSilences(const Record &record, Violations &violations) const -> void
+{
+    const auto &sent = record.sent;
+    const auto isGivenUp = record.ended && (record.ended->status == 0 || record.ended->status == BadGatewayStatus) && !sent.leavesEarly;
+    if (!isGivenUp || !metSilence(record)) {
+        return;
+    }
+    const auto &ended = *record.ended;
+    const auto mayBreakOff = ended.at - sent.at >= BeforeDeadline || overlapsAnyOf(breaks_, AnyEntry, sent.at, ended.at)
+        || overlapsAnyOf(breaks_, sent.entry, sent.at, ended.at)
+        || std::any_of(record.runs.begin(), record.runs.end(), [&](const Execution &run) { return overlapsAnyOf(breaks_, run.server, run.at, ended.at); });
+    if (!mayBreakOff) {
+        violations.push_back(
+            { Promise::SilenceBorne, sent.id, "ran " + describe(record.runs.front()) + ", status " + std::to_string(ended.status) + ": " + ended.cause });
     }
 }
 
@@ -358,6 +404,7 @@
         checkRuns(record, violations);
         checkAnswer(record, violations);
         checkPlannedWork(record, violations);
+        checkSilences(record, violations);
         checkResumption(record, violations);
         if (bounds) {
             checkBounds(record, *bounds, violations);
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -28,6 +28,7 @@
     NeverBack,     ///< a process that served a version serves no older one
     LeavingServer, ///< a server that leaves gets nothing after the bound
     NothingLost,   ///< around planned work alone, a request that ran is answered
+    SilenceBorne,  ///< a request is not given up because its servers fall silent for a while, whatever else happens elsewhere
     Admitted,      ///< what every version of the last seconds allows is never answered as unknown or forbidden
     Answered,      ///< a request on a sound way is answered soon after its timeout at the latest
     LimitKept,     ///< a server that names a limit gets at most some more from entries that passed its answers on
@@ -46,6 +47,7 @@
     { Promise::NeverBack, "never-back" },
     { Promise::LeavingServer, "leaving-server" },
     { Promise::NothingLost, "nothing-lost" },
+    { Promise::SilenceBorne, "silence-borne" },
     { Promise::Admitted, "admitted" },
     { Promise::Answered, "answered" },
     { Promise::LimitKept, "limit-kept" },
@@ -117,6 +119,13 @@
     /// @}
     /// An entry was killed, paused or cut off, or the way to a server was harmed: neither is bound by limits until some seconds later.
     auto harmed(const std::string &name, TimePoint from, TimePoint to) -> void;
+    /// A server reads and writes nothing between the two, and goes on.
+    auto serverSilent(const std::string &server, TimePoint from, TimePoint to) -> void;
+    /// The process of a server or of any entry (\c AnyEntry), or the way to a server or from callers to an entry, may end what runs there.
+    auto broken(const std::string &name, TimePoint from, TimePoint to) -> void;
+    static constexpr auto AnyEntry = "any entry";
+    /// A fault may show this long after its end: connections that it harmed are found out, servers are tried again.
+    static constexpr Duration Aftermath = std::chrono::seconds(4);
     /// Something other than planned work harmed the deployment between the two.
     auto disturbed(TimePoint from, TimePoint to) -> void;
 
@@ -149,6 +158,9 @@
     auto checkRuns(const Record &record, Violations &violations) const -> void;
     auto checkAnswer(const Record &record, Violations &violations) const -> void;
     auto checkPlannedWork(const Record &record, Violations &violations) const -> void;
+    auto checkSilences(const Record &record, Violations &violations) const -> void;
+    /// Whether a server of the request fell silent while it ran there.
+    [[nodiscard]] auto metSilence(const Record &record) const -> bool;
     auto checkBounds(const Record &record, const TimeBounds &bounds, Violations &violations) const -> void;
     auto checkResumption(const Record &record, Violations &violations) const -> void;
     auto checkLimits(Violations &violations) const -> void;
@@ -169,6 +181,8 @@
     };
     /// Whether one of \p intervals and the time between the two have a part in common.
     static auto overlapsAny(const std::vector<Interval> &intervals, TimePoint from, TimePoint to) -> bool;
+    using Intervals = std::map<std::string, std::vector<Interval>>;
+    static auto overlapsAnyOf(const Intervals &intervals, const std::string &name, TimePoint from, TimePoint to) -> bool;
     std::vector<Interval> disturbances_;
     struct Limit {
         std::string server;
@@ -178,7 +192,9 @@
     auto checkLimit(const Limit &limit, Violations &violations) const -> void;
     [[nodiscard]] auto isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool;
     std::vector<Limit> limits_;
-    std::map<std::string, std::vector<Interval>> harm_; ///< by entry or server
+    Intervals harm_;     ///< by entry or server
+    Intervals breaks_;   ///< by entry or server
+    Intervals silences_; ///< by server
 };
 
 } // namespace auburnspread::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -45,6 +45,7 @@
     double faults = 1;
     double limits = 0;
     double notices = 0;
+    double silences = 0;
     double restores = 0;
     bool onlyPlanned = false;
     bool versions = false;
@@ -53,7 +54,7 @@
 
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
                        "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--restores A_SECOND]\n"
-                       "                  [--planned] [--bounds] [--versions]\n"
+                       "                  [--silences A_SECOND] [--planned] [--bounds] [--versions]\n"
                        "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n"
                        "--versions: backend servers of two software versions, and callers that take their streams up at other entries\n";
 
@@ -61,19 +62,13 @@
 {
     Options options;
     const std::vector<option> names = {
-        { "seed", required_argument, nullptr, 's' },
-        { "seconds", required_argument, nullptr, 't' },
-        { "entries", required_argument, nullptr, 'e' },
-        { "servers", required_argument, nullptr, 'b' },
-        { "notices", required_argument, nullptr, 'n' },
-        { "rate", required_argument, nullptr, 'r' },
-        { "faults", required_argument, nullptr, 'f' },
-        { "limits", required_argument, nullptr, 'm' },
-        { "restores", required_argument, nullptr, 'o' },
-        { "planned", no_argument, nullptr, 'p' },
-        { "bounds", no_argument, nullptr, 'l' },
-        { "versions", no_argument, nullptr, 'v' },
-        { nullptr, 0, nullptr, 0 },
+        { "seed", required_argument, nullptr, 's' },     { "seconds", required_argument, nullptr, 't' },
+        { "entries", required_argument, nullptr, 'e' },  { "servers", required_argument, nullptr, 'b' },
+        { "notices", required_argument, nullptr, 'n' },  { "rate", required_argument, nullptr, 'r' },
+        { "faults", required_argument, nullptr, 'f' },   { "limits", required_argument, nullptr, 'm' },
+        { "restores", required_argument, nullptr, 'o' }, { "silences", required_argument, nullptr, 'i' },
+        { "planned", no_argument, nullptr, 'p' },        { "bounds", no_argument, nullptr, 'l' },
+        { "versions", no_argument, nullptr, 'v' },       { nullptr, 0, nullptr, 0 },
     };
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", names.data(), nullptr)) != -1;) {
         switch (letter) {
@@ -104,6 +99,9 @@
         case 'o':
             options.restores = std::stod(optarg);
             break;
+        case 'i':
+            options.silences = std::stod(optarg);
+            break;
         case 'p':
             options.onlyPlanned = true;
             break;
@@ -140,6 +138,7 @@
                            .faultsPerSecond = options.faults,
                            .limitsPerSecond = options.limits,
                            .noticesPerSecond = options.notices,
+                           .silencesPerSecond = options.silences,
                            .restoresPerSecond = options.restores,
                            .onlyPlannedWork = options.onlyPlanned }))
     {
@@ -178,7 +177,7 @@
         std::cout << nlohmann::json{ { "event", "fault" },       { "at_ms", milliseconds(now - startedAt_) },  { "kind", findName(FaultKinds, fault.kind) },
                                      { "target", fault.target }, { "path", findName(PathFaults, fault.path) }, { "length_ms", milliseconds(fault.length) } }
                   << "\n";
-        if (!isPlannedWork(fault.kind) && !isServerStatement(fault.kind)) {
+        if (mayLoseRequests(fault.kind)) {
             ledger_.disturbed(now, now + fault.length);
         }
         site_.begin(fault);
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -26,6 +26,13 @@
 constexpr Duration ShortestBackoff = std::chrono::seconds(1);
 constexpr Duration LongestBackoff = std::chrono::seconds(4);
 /// @}
+/// \name Silence of backend servers: on both sides of the timeouts of entries, which are about a second, and shorter than any deadline
+/// @{
+constexpr Duration ShortestSilence = std::chrono::milliseconds(300);
+constexpr Duration LongestSilence = std::chrono::milliseconds(2500);
+/// One silence in so many is one of all servers.
+constexpr std::size_t SilencesOfAll = 3;
+/// @}
 
 /// Number of kinds that are drawn as faults. They come first in the table.
 constexpr auto DrawnKinds = static_cast<std::size_t>(
@@ -96,6 +103,21 @@
     });
 }
 
+auto addSilences(std::vector<Fault> &plan, const PlanOptions &options) -> void
+{
+    constexpr std::uint64_t OtherSeed = 0x73696c656e6365ULL;
+    addDrawn(plan, options, OtherSeed, options.silencesPerSecond, [&options](Random &random) -> Fault {
+        const auto isOfAll = drawBelow(random, SilencesOfAll) == 0;
+        return {
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestSilence, LongestSilence),
+            .kind = FaultKind::ServerSilent,
+            .target = drawBelow(random, options.servers),
+            .servers = isOfAll ? options.servers : 1 + drawBelow(random, options.servers),
+        };
+    });
+}
+
 auto addRestores(std::vector<Fault> &plan, const PlanOptions &options) -> void
 {
     constexpr std::uint64_t OtherSeed = 0x726573746f7265ULL;
@@ -124,6 +146,7 @@
     }
     addLimits(plan, options);
     addNotices(plan, options);
+    addSilences(plan, options);
     addRestores(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -34,20 +34,18 @@
     ServerLimit,          ///< a backend server states a limit on its requests
     ServerBackoff,        ///< a backend server rejects requests and asks for a backoff
     ServerSilentlyLeaves, ///< a backend server states in its answers alone that it is leaving, and is replaced
+    ServerSilent,         ///< several backend servers read and write nothing for a while and then go on, their connections stay open
     StoreRestored,        ///< at its end, the store comes back as it was at its beginning; what others wrote is written again soon
 };
 
 constexpr auto FaultKinds = std::to_array<NamedValue<FaultKind>>({
-    { FaultKind::EntryKilled, "entry-killed" },     { FaultKind::EntryStopped, "entry-stopped" },
-    { FaultKind::EntryPaused, "entry-paused" },     { FaultKind::EntryReloads, "entry-reloads" },
-    { FaultKind::AllKilled, "all-killed" },         { FaultKind::CallerPath, "caller-path" },
-    { FaultKind::StorePath, "store-path" },         { FaultKind::ServerPath, "server-path" },
-    { FaultKind::ServerCrashes, "server-crashes" }, { FaultKind::ServerLeaves, "server-leaves" },
-    { FaultKind::StoreBusy, "store-busy" },         { FaultKind::StoreSilent, "store-silent" },
-    { FaultKind::StoreForgets, "store-forgets" },   { FaultKind::LeasesEnd, "leases-end" },
-    { FaultKind::Configuration, "configuration" },  { FaultKind::ServerLimit, "server-limit" },
-    { FaultKind::ServerBackoff, "server-backoff" }, { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
-    { FaultKind::StoreRestored, "store-restored" },
+    { FaultKind::EntryKilled, "entry-killed" },   { FaultKind::EntryStopped, "entry-stopped" },   { FaultKind::EntryPaused, "entry-paused" },
+    { FaultKind::EntryReloads, "entry-reloads" }, { FaultKind::AllKilled, "all-killed" },         { FaultKind::CallerPath, "caller-path" },
+    { FaultKind::StorePath, "store-path" },       { FaultKind::ServerPath, "server-path" },       { FaultKind::ServerCrashes, "server-crashes" },
+    { FaultKind::ServerLeaves, "server-leaves" }, { FaultKind::StoreBusy, "store-busy" },         { FaultKind::StoreSilent, "store-silent" },
+    { FaultKind::StoreForgets, "store-forgets" }, { FaultKind::LeasesEnd, "leases-end" },         { FaultKind::Configuration, "configuration" },
+    { FaultKind::ServerLimit, "server-limit" },   { FaultKind::ServerBackoff, "server-backoff" }, { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
+    { FaultKind::ServerSilent, "server-silent" }, { FaultKind::StoreRestored, "store-restored" },
 });
 
 /// Planned work, around which no request may be lost.
@@ -65,7 +63,13 @@
 /// Kinds that have options and random numbers of their own, so that the other faults of a seed stay the same.
 constexpr auto isDrawnSeparately(FaultKind kind) -> bool
 {
-    return isServerStatement(kind) || kind == FaultKind::StoreRestored;
+    return isServerStatement(kind) || kind == FaultKind::ServerSilent || kind == FaultKind::StoreRestored;
+}
+
+/// Failures that may cost a request that runs.
+constexpr auto mayLoseRequests(FaultKind kind) -> bool
+{
+    return !isPlannedWork(kind) && !isServerStatement(kind) && kind != FaultKind::ServerSilent;
 }
 
 struct Fault {
@@ -74,8 +78,9 @@
     FaultKind kind{};
     std::size_t target = 0; ///< number of an entry or a backend server
     PathFault path = PathFault::None;
-    double perSecond = 0; ///< requests that a limited server takes
-    Duration backoff{};   ///< that a server asks for when it rejects a request
+    double perSecond = 0;    ///< requests that a limited server takes
+    Duration backoff{};      ///< that a server asks for when it rejects a request
+    std::size_t servers = 1; ///< that fall silent together: the target and those after it
 };
 
 struct PlanOptions {
@@ -86,6 +91,7 @@
     double faultsPerSecond = 1;
     double limitsPerSecond = 0;   ///< rate limits of backend servers, beside the faults
     double noticesPerSecond = 0;  ///< backoffs and leavings that backend servers state in their answers, beside the faults
+    double silencesPerSecond = 0; ///< silences of backend servers, beside the faults
     double restoresPerSecond = 0; ///< returns of the store from a copy, beside the faults
     bool onlyPlannedWork = false;
 };
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint32_t ServerSlots = 64;
 /// Of a process that is asked to end: long enough for the addresses that callers keep, short enough for many ends in a run.
 constexpr auto LeavingSeconds = "6";
+constexpr Duration ServesOn = std::chrono::seconds(4); ///< a backend server that leaves
 constexpr std::size_t KeysInForce = 3;
 constexpr std::uint64_t VersionStep = 3; ///< versions grow unevenly
 
@@ -151,6 +152,8 @@
                                                                });
     server.proxy = std::make_unique<Proxy>(loop_, server.standin->address());
     server.replacement = {};
+    server.silence = {};
+    server.silentUntil = {};
     server.isLeaving = false;
     server.isLimited = false;
     server.isOverloaded = false;
@@ -172,15 +175,15 @@
 {
     auto &server = servers_.at(number);
     server.replacement = {};
+    server.silence = {};
+    ledger_.broken(server.id, task::monotonicNow(), TimePoint::max());
     server.standin.reset();
     server.proxy.reset();
     store_.remove(standins::serverKey(server.id));
 }
 
-/// It serves on for some time, so that what is under way ends, and gives its place to a new one.
 auto Site::beginLeaving(const Fault &fault) -> void
 {
-    constexpr Duration ServesOn = std::chrono::seconds(4);
     const auto number = fault.target;
     auto &server = servers_.at(number);
     if (!server.standin || server.isLeaving) {
@@ -194,7 +197,18 @@
     }
     server.standin->stateLeaving();
     ledger_.serverStatesLeaving(server.id, now);
-    server.replacement = loop_.after(ServesOn, [this, number]() {
+    replaceAfter(number, ServesOn);
+}
+
+/// It serves on for some time, also after a silence, so that what is under way ends, and gives its place to a new one.
+auto Site::replaceAfter(std::size_t number, Duration delay) -> void
+{
+    servers_.at(number).replacement = loop_.after(delay, [this, number]() {
+        const auto earliest = servers_.at(number).silentUntil + ServesOn;
+        if (const auto now = task::monotonicNow(); now < earliest) {
+            replaceAfter(number, earliest - now);
+            return;
+        }
         stopServer(number);
         startServer(number);
     });
@@ -268,6 +282,43 @@
     }
 }
 
+auto Site::beginSilence(const Fault &fault) -> void
+{
+    const auto now = task::monotonicNow();
+    for (std::size_t i = 0; i < fault.servers; ++i) {
+        auto &server = servers_.at((fault.target + i) % servers_.size());
+        if (!server.standin || server.silentUntil > now + fault.length) {
+            continue;
+        }
+        server.silentUntil = now + fault.length;
+        server.standin->setSilent(true);
+        ledger_.serverSilent(server.id, now, server.silentUntil);
+        server.silence = loop_.after(fault.length, [&server]() { server.standin->setSilent(false); });
+    }
+}
+
+auto Site::noteBreak(const Fault &fault) -> void
+{
+    const auto now = task::monotonicNow();
+    const auto to = now + fault.length;
+    switch (fault.kind) {
+    case FaultKind::EntryKilled:
+    case FaultKind::EntryPaused:
+    case FaultKind::AllKilled:
+        ledger_.broken(Ledger::AnyEntry, now, to);
+        break;
+    case FaultKind::CallerPath:
+    case FaultKind::ServerPath:
+        if (fault.path != PathFault::Delayed) {
+            const auto isOfServer = fault.kind == FaultKind::ServerPath;
+            ledger_.broken(isOfServer ? servers_.at(fault.target).id : std::to_string(fault.target), now, to + Ledger::Aftermath);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
 auto Site::noteHarm(const Fault &fault) -> void
 {
     const auto now = task::monotonicNow();
@@ -295,6 +346,7 @@
 auto Site::begin(const Fault &fault) -> void
 {
     noteHarm(fault);
+    noteBreak(fault);
     switch (fault.kind) {
     case FaultKind::ServerLimit:
         beginLimit(fault);
@@ -302,6 +354,9 @@
     case FaultKind::ServerBackoff:
         beginOverload(fault);
         break;
+    case FaultKind::ServerSilent:
+        beginSilence(fault);
+        break;
     case FaultKind::EntryKilled:
     case FaultKind::EntryStopped: {
         auto &entry = entries_.at(fault.target);
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -114,6 +114,8 @@
         bool isLimited = false;    ///< its answers name a limit
         bool isOverloaded = false; ///< it rejects requests and asks for a backoff
         task::Watch replacement;   ///< of a server that leaves
+        TimePoint silentUntil;
+        task::Watch silence; ///< ends it
     };
 
     auto addEntry(std::size_t number) -> void;
@@ -125,12 +127,16 @@
     auto endLimit(const Fault &fault) -> void;
     auto beginOverload(const Fault &fault) -> void;
     auto endOverload(const Fault &fault) -> void;
+    auto beginSilence(const Fault &fault) -> void;
     /// Tells the ledger what the fault excuses from keeping to limits.
     auto noteHarm(const Fault &fault) -> void;
+    /// Tells the ledger which running requests the fault may end.
+    auto noteBreak(const Fault &fault) -> void;
     auto putServer(const Server &server) -> void;
     auto stopServer(std::size_t number) -> void;
     /// The server states in its answers that it is leaving, and tells the store as well unless it leaves silently.
     auto beginLeaving(const Fault &fault) -> void;
+    auto replaceAfter(std::size_t number, Duration delay) -> void;
     auto putConfiguration() -> void;
     /// The operators and the backend servers write again what a copy of the store may lack.
     auto writeAgain() -> void;
--- a/src/soak/tests/ledger_tests.cpp
+++ b/src/soak/tests/ledger_tests.cpp
@@ -160,6 +160,63 @@
     }
 }
 
+/// Guards against a check that misses a response which is given up for a silence, or that takes other ends for one.
+TEST(LedgerTests, aRequestGivenUpForASilenceIsSeenAlsoDuringOtherFaults)
+{
+    struct Case {
+        const char *name;
+        std::function<void(Ledger &)> happens;
+        int status = 0;
+        int endedAt = 1100;
+        bool isSeen = true;
+    };
+    const auto silence = [](Ledger &ledger) { ledger.serverSilent("i-1", at(50), at(2000)); };
+    const auto with = [&silence](const std::string &name) {
+        return [silence, name](Ledger &ledger) {
+            silence(ledger);
+            ledger.broken(name, at(500), at(600));
+        };
+    };
+    for (const auto &each : std::vector<Case>{
+             { .name = "broken off", .happens = silence },
+             { .name = "502", .happens = silence, .status = 502 },
+             { .name = "refused", .happens = silence, .status = 503, .isSeen = false },
+             { .name = "past its deadline", .happens = silence, .endedAt = 5000, .isSeen = false },
+             { .name = "no silence", .happens = [](Ledger &) {}, .isSeen = false },
+             { .name = "another server silent", .happens = [](Ledger &ledger) { ledger.serverSilent("i-2", at(50), at(2000)); }, .isSeen = false },
+             { .name = "another server crashed", .happens = with("i-2") },
+             { .name = "server crashed", .happens = with("i-1"), .isSeen = false },
+             { .name = "way to another entry cut", .happens = with("1") },
+             { .name = "way to its entry cut", .happens = with("0"), .isSeen = false },
+             { .name = "an entry killed", .happens = with(Ledger::AnyEntry), .isSeen = false },
+         }) {
+        Ledger ledger;
+        ledger.disturbed(at(0), at(1000));
+        const auto sent = makeSent("a");
+        ledger.sent(sent);
+        ledger.ran(makeRun(sent));
+        ledger.ended({ .id = "a", .status = each.status, .cause = "reset", .at = at(each.endedAt) });
+        each.happens(ledger);
+        EXPECT_EQ(breaks(ledger, Promise::SilenceBorne), each.isSeen) << each.name;
+    }
+}
+
+/// Guards against a check that counts a request which met its deadline during silences as lost, or that forgives an earlier end.
+TEST(LedgerTests, onlyADeadlineExcusesAnAnswerLostInASilenceAroundPlannedWork)
+{
+    for (const auto &[endedAt, isSilent, isSeen] : { std::tuple(4400, true, true), std::tuple(5000, true, false), std::tuple(5000, false, true) }) {
+        Ledger ledger;
+        const auto sent = makeSent("a");
+        ledger.sent(sent);
+        ledger.ran(makeRun(sent));
+        ledger.ended({ .id = "a", .cause = "reset", .at = at(endedAt) });
+        if (isSilent) {
+            ledger.serverSilent("i-1", at(50), at(2000));
+        }
+        EXPECT_EQ(breaks(ledger, Promise::NothingLost), isSeen) << endedAt;
+    }
+}
+
 TEST(LedgerTests, aWithdrawnKeyMayRunUntilTheBoundAndNotLater)
 {
     for (const auto withdrawn : { -4900, -5100 }) {
--- a/src/soak/tests/plan_tests.cpp
+++ b/src/soak/tests/plan_tests.cpp
@@ -36,6 +36,8 @@
     options.limitsPerSecond = 0.3;
     options.noticesPerSecond = 0.3;
     options.restoresPerSecond = 0.3;
+    options.silencesPerSecond = 0.3;
+    std::set<std::size_t> silentServers;
     for (const auto &fault : makePlan(options)) {
         kinds.insert(fault.kind);
         EXPECT_LT(fault.target, 4U);
@@ -44,6 +46,11 @@
             EXPECT_EQ(fault.backoff > Duration::zero(), fault.kind != FaultKind::ServerLimit);
             continue;
         }
+        if (fault.kind == FaultKind::ServerSilent) {
+            silentServers.insert(fault.servers);
+            EXPECT_LE(fault.length, std::chrono::milliseconds(2500));
+            continue;
+        }
         if (fault.kind == FaultKind::StoreRestored) {
             continue;
         }
@@ -51,6 +58,7 @@
         EXPECT_NE(fault.path, PathFault::None);
     }
     EXPECT_EQ(kinds.size(), FaultKinds.size());
+    EXPECT_EQ(silentServers, (std::set<std::size_t>{ 1, 2, 3, 4 }));
     EXPECT_EQ(paths.size(), PathFaults.size() - 1);
 }
 
@@ -61,6 +69,7 @@
     options.limitsPerSecond = 0.3;
     options.noticesPerSecond = 0.3;
     options.restoresPerSecond = 0.3;
+    options.silencesPerSecond = 0.3;
     auto with = makePlan(options);
     EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return isDrawnSeparately(fault.kind); }), 0U);
     ASSERT_EQ(with.size(), without.size());
