A request that another entry had is not sent again in the next silence

A server fell silent, the request was forwarded beside it and ran elsewhere, the server went on, the forwarding was cancelled, and at the server's next silence the request was sent once more: a cancelled forwarding counted for nothing. It now uses up the attempts of the route, as one that breaks off does, because how many servers the other entry had tried is not known.

--- a/src/core/passthrough/internal/forwarding.cpp
+++ b/src/core/passthrough/internal/forwarding.cpp
@@ -118,12 +118,6 @@
     return std::find(Reasons.begin(), Reasons.end(), reason) != Reasons.end();
 }
 
-/// It is not known how many servers the other entry has tried, so that a further one could exceed the attempts of the route.
-auto useUpAttempts(Request &request) -> void
-{
-    request.sends = std::max(request.sends, request.route->attempts);
-}
-
 /// Removes a forwarding that has ended from its request. \return whether the request has other attempts that may serve it
 auto leaveForwardingToOthers(const RouterState &state, Request &request, AttemptId attempt, const std::string &peer) -> bool
 {
@@ -231,6 +225,11 @@
     return state.forwardings.contains(attempt);
 }
 
+auto useUpAttempts(Request &request) -> void
+{
+    request.sends = std::max(request.sends, request.route->attempts);
+}
+
 auto closeForwarding(RouterState &state, AttemptId attempt) -> Forwarding
 {
     auto forwarding = std::move(state.forwardings.extract(attempt).mapped());
--- a/src/core/passthrough/internal/forwarding.h
+++ b/src/core/passthrough/internal/forwarding.h
@@ -35,6 +35,8 @@
 auto handleForwardFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void;
 auto handleForwardFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void;
 auto handleForwardRefused(RouterState &state, const ForwardRefused &event, Actions &actions) -> void;
+/// No further attempt is left to the request: it is not known how many servers the entry to which it was forwarded has tried.
+auto useUpAttempts(Request &request) -> void;
 /// Removes the forwarding without a further action.
 auto closeForwarding(RouterState &state, AttemptId attempt) -> Forwarding;
 
--- a/src/core/passthrough/internal/silence.cpp
+++ b/src/core/passthrough/internal/silence.cpp
@@ -121,11 +121,12 @@
     return found == state.attempts.end() ? state.forwardings.at(id).peer : found->second.server->record.id;
 }
 
-auto cancelAttempt(RouterState &state, AttemptId id, Actions &actions) -> void
+auto cancelAttempt(RouterState &state, Request &request, AttemptId id, Actions &actions) -> void
 {
     actions.emplace_back(Cancel{ .attempt = id });
     if (isForwarding(state, id)) {
         closeForwarding(state, id);
+        useUpAttempts(request);
     } else {
         closeAttempt(state, id);
     }
@@ -183,7 +184,7 @@
     }
     for (const auto other : std::exchange(request.attempts, { attempt })) {
         if (other != attempt) {
-            cancelAttempt(state, other, actions);
+            cancelAttempt(state, request, other, actions);
         }
     }
     request.lastPeer = peerOf(state, attempt);
@@ -208,7 +209,7 @@
 auto cancelAttempts(RouterState &state, Request &request, Actions &actions) -> void
 {
     for (const auto id : std::exchange(request.attempts, {})) {
-        cancelAttempt(state, id, actions);
+        cancelAttempt(state, request, id, actions);
     }
 }
 
--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -89,6 +89,17 @@
     EXPECT_FALSE(sendsAgain(entry.reportSilence(first.attempt)));
 }
 
+/// The same if the first server goes on while the other entry has the request, and falls silent again.
+TEST(SeveralAttemptsTests, aRequestThatAnotherEntryHadIsNotSentAgainInTheNextSilence)
+{
+    CutOffEntry entry;
+    const auto [first, forwarded] = entry.forwardSilentStream();
+    ASSERT_FALSE(forwarded.peer.empty());
+    EXPECT_EQ(find<Cancel>(entry.harness.apply(AttemptStarted{ .attempt = first.attempt, .isForwarded = true }))->attempt, forwarded.attempt);
+    entry.harness.advance(SilenceTimeout);
+    EXPECT_FALSE(sendsAgain(entry.reportSilence(first.attempt)));
+}
+
 /// Guards against a sound server's response that is given up for an error of the server that another entry asked.
 TEST(SeveralAttemptsTests, anErrorThatAnotherEntryPassesOnLeavesTheRequestToItsServer)
 {
