--- a/src/core/passthrough/tests/severalattempts_tests.cpp
+++ b/src/core/passthrough/tests/severalattempts_tests.cpp
@@ -37,7 +37,8 @@
             other = open(QuotePath);
         }
         harness.advance(SilenceTimeout);
-        reportSilence(other.attempt);
+        onOtherEngine = other.attempt;
+        reportSilence(onOtherEngine);
         for (auto reports = 0; reports < 10; ++reports) {
             if (const auto forwarded = find<Forward>(reportSilence(first.attempt))) {
                 return { first, *forwarded };
@@ -48,6 +49,7 @@
     }
 
     RouterHarness harness;
+    AttemptId onOtherEngine{}; ///< attempt of the stream on the other engine
 };
 
 auto sendsAgain(const Actions &actions) -> bool
@@ -97,6 +99,7 @@
     ASSERT_FALSE(forwarded.peer.empty());
     EXPECT_EQ(find<Cancel>(entry.harness.apply(AttemptStarted{ .attempt = first.attempt, .isForwarded = true }))->attempt, forwarded.attempt);
     entry.harness.advance(SilenceTimeout);
+    entry.harness.apply(AttemptStarted{ .attempt = entry.onOtherEngine, .isForwarded = true }); // a server that could take the request
     EXPECT_FALSE(sendsAgain(entry.reportSilence(first.attempt)));
 }
 
