A server whose responses all stop at almost the same moment counts as silent for each of them

Of the responses that end when a server goes, all but the last one have a last event some milliseconds before the server's last one, so that a single one counted, and requests went to the server again after 0.3 s. Test: aServerWhoseResponsesAllStopIsAvoided, fails without this change.

--- a/src/core/passthrough/servertable.cpp
+++ b/src/core/passthrough/servertable.cpp
@@ -445,7 +445,9 @@
 
 auto recordSilence(ServerState &server, TimePoint silentSince, TimePoint now) -> void
 {
-    if (server.lastHeardAt > silentSince) {
+    // other responses of a server that falls silent may have gone on a little longer
+    const auto isHeardLately = now - server.lastHeardAt < (now - silentSince) / 2;
+    if (isHeardLately) {
         return; // only this connection is silent
     }
     recordOutcome(server, 1, now);
--- a/src/core/passthrough/servertable.h
+++ b/src/core/passthrough/servertable.h
@@ -174,7 +174,8 @@
 auto recordSend(ServerTable &table, ServerState &server, const RequestLoad &load, Duration expected, TimePoint now) -> void;
 /// The server sent something, so it is responsive.
 auto recordActivity(ServerState &server, TimePoint now) -> void;
-/// The server has sent nothing on an attempt for longer than expected, and nothing else either since \p silentSince.
+/// The server has sent nothing on an attempt since \p silentSince, which is longer than expected. It counts as silent unless it has sent
+/// something else lately.
 auto recordSilence(ServerState &server, TimePoint silentSince, TimePoint now) -> void;
 /// The prompt no longer counts as unread: the first byte of the answer arrived, or the attempt ended.
 auto recordPromptRead(ServerState &server, const RequestLoad &load) -> void;
--- a/src/core/passthrough/tests/silentservers_tests.cpp
+++ b/src/core/passthrough/tests/silentservers_tests.cpp
@@ -235,6 +235,25 @@
     EXPECT_EQ(count<AbortAnswer>(actions), 1U);
 }
 
+/// Guards against requests to a server that is gone: of its responses that end at almost the same moment, each one counts.
+TEST(SilentServerTests, aServerWhoseResponsesAllStopIsAvoided)
+{
+    RouterHarness harness;
+    harness.apply(ServersListed{ .servers = { makeServer("e1", "engines", 32) }, .asOf = harness.now() });
+    std::vector<std::pair<AttemptId, TimePoint>> streams;
+    for (auto i = 0; i < 4; ++i) {
+        streams.emplace_back(find<Send>(harness.arrive(CheckPath)).value().attempt, harness.now());
+        harness.apply(AttemptStarted{ .attempt = streams.back().first, .isForwarded = true });
+        harness.advance(std::chrono::milliseconds(20));
+    }
+    harness.advance(SilenceTimeout);
+    for (const auto &[attempt, lastEventAt] : streams) {
+        harness.apply(AttemptSilent{ .attempt = attempt, .timeout = Failure::ProgressTimeout, .silentFor = harness.now() - lastEventAt });
+    }
+    harness.advance(std::chrono::milliseconds(500)); // longer than a single report keeps requests away
+    EXPECT_FALSE(find<Send>(harness.arrive(CheckPath)));
+}
+
 /// Guards against refusals while servers are sound: one that goes on after a silence takes requests at once.
 TEST(SilentServerTests, aServerThatGoesOnTakesRequestsAtOnce)
 {
