--- a/src/core/routing/internal/attempts.cpp
+++ b/src/core/routing/internal/attempts.cpp
@@ -5,12 +5,10 @@
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/naive.h"
 #include "core/routing/internal/placing.h"
-#include "core/routing/internal/silence.h"
 #include "core/routing/internal/suspects.h"
 #include "core/routing/internal/waiting.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace auburnspread::routing
 {
@@ -29,6 +27,20 @@
     return !request.attempts.empty() && !state.attempts.at(request.attempts.front()).sent;
 }
 
+auto describe(const Request &request, Failure failure, bool wasCommitted) -> retry::FailedRequest
+{
+    const auto isChat = request.call.kind == CallKind::Chat;
+    return {
+        .failure = failure,
+        .repeatable = request.repeatable,
+        .resumable = isChat,
+        // A service's answer has no offsets: once committed, an unknown part of it is out.
+        .answerBegun = request.call.stream && (isChat ? request.relayed > 0 : wasCommitted),
+        .retriesMade = request.retries,
+        .deadline = request.deadline,
+    };
+}
+
 /// An answer of which the caller has seen nothing yet begins anew if no backend server can go on with it.
 auto restartIfNeeded(RouterState &state, Request &request) -> void
 {
@@ -39,31 +51,26 @@
     }
 }
 
-/// \param isPaid whether the retry was counted already, when it began to wait beside the attempt
-auto retryElsewhere(RouterState &state, Request &request, const FailedAttempt &failed, bool isPaid, Actions &actions) -> void
+auto retryElsewhere(RouterState &state, Request &request, Failure failure, bool wasCommitted, Actions &actions) -> void
 {
-    const auto failure = failed.failure;
-    request.restarts = false;
     const auto peer = request.tried.back().name;
     if (decideSuspect(state, request).verdict == quarantine::Verdict::Refuse) {
         refuse(state, request, { .reason = Reason::Quarantined, .step = "quarantine", .peer = peer }, actions);
         return;
     }
-    if (const auto reason = retry::findRetryObstacle(describeFailure(request, failed), state.now)) {
+    if (const auto reason = retry::findRetryObstacle(describe(request, failure, wasCommitted), state.now)) {
         refuse(state, request, { .reason = *reason, .step = "relay", .peer = peer }, actions);
         return;
     }
     restartIfNeeded(state, request);
     if (canEverRun(state, request)) {
         // What did not start loaded no backend server, so trying it elsewhere cannot multiply the load.
-        if (!isPaid && !provesNotStarted(failure) && !retry::takeRetry(request.requestClass->retryBudget, state.now)) {
+        if (!provesNotStarted(failure) && !retry::takeRetry(request.requestClass->retryBudget, state.now)) {
             refuse(state, request, { .reason = Reason::RetryBudget, .step = "relay", .peer = peer }, actions);
             return;
         }
         request.retries += 1;
-        if (!isPaid) {
-            actions.emplace_back(Retried{ .request = request.call.request, .failure = failure, .resumed = request.relayed > 0 });
-        }
+        actions.emplace_back(Retried{ .request = request.call.request, .failure = failure, .resumed = request.relayed > 0 });
     }
     waitForSlot(state, request, actions);
 }
@@ -77,22 +84,24 @@
         return;
     }
     auto &request = state.requests.at(attempt->request);
-    attempt->silent = false;
-    beginAnewIfRestarted(state, request, *attempt);
+    attempt->committed = true;
     balancing::noteFirstToken(*state.balancing, event.attempt, state.now);
     if (attempt->resumeOffset == 0) {
         admission::recordFirstToken(estimatesOf(request), state.now - attempt->sentAt);
     }
     request.firstTokenAt = request.firstTokenAt.value_or(state.now);
-    cancelCommitted(state, request, actions);
-    attempt->committed = true;
-    actions.emplace_back(CommitAttempt{ .request = attempt->request, .attempt = attempt->id, .relayedTokens = request.relayed });
-    preferAttempt(state, request, event.attempt, actions);
+    actions.emplace_back(CommitAttempt{ .request = attempt->request, .attempt = attempt->id });
+    const auto live = request.attempts;
+    for (const auto other : live) {
+        if (other != event.attempt) {
+            cancelAttempt(state, other, actions);
+        }
+    }
 }
 
-auto onProgress(RouterState &state, const AttemptProgress &event, Actions &actions) -> void
+auto onProgress(RouterState &state, const AttemptProgress &event) -> void
 {
-    auto *attempt = findLive(state, event.attempt);
+    const auto *attempt = findLive(state, event.attempt);
     if (attempt == nullptr) {
         return;
     }
@@ -100,9 +109,6 @@
     request.relayed = std::max(request.relayed, event.relayedTokens);
     const auto own = event.relayedTokens - std::min(event.relayedTokens, attempt->resumeOffset);
     balancing::noteProgress(*state.balancing, event.attempt, own, state.now);
-    if (attempt->committed && std::exchange(attempt->silent, false)) {
-        preferAttempt(state, request, event.attempt, actions);
-    }
 }
 
 auto onFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void
@@ -119,10 +125,9 @@
     if (attempt == nullptr) {
         return;
     }
-    const FailedAttempt failed{ .failure = event.failure, .wasCommitted = attempt->committed };
+    const auto wasCommitted = attempt->committed;
     auto &request = state.requests.at(attempt->request);
     request.relayed = std::max(request.relayed, event.relayedTokens);
-    const auto isPaid = request.attempts.size() == 1 && stayWithAttempts(state, request);
     failAttempt(state, event.attempt, event.failure, actions);
     if (!request.attempts.empty()) {
         return;
@@ -131,7 +136,7 @@
         retryNaively(state, request, event.failure, actions);
         return;
     }
-    retryElsewhere(state, request, failed, isPaid, actions);
+    retryElsewhere(state, request, event.failure, wasCommitted, actions);
 }
 
 auto onClaimSettled(RouterState &state, const ClaimSettled &event, Actions &actions) -> void
--- a/src/core/routing/internal/dispatching.cpp
+++ b/src/core/routing/internal/dispatching.cpp
@@ -103,10 +103,6 @@
         }
         ++next;
         auto &request = state.requests.at(id);
-        if (!request.attempts.empty() && decideSuspect(state, request).verdict != Verdict::Run) {
-            stayWithAttempts(state, request);
-            continue;
-        }
         leaveWaiting(state, request);
         const auto result = tryPlace(state, request, false, actions);
         if (result == Result::Placed) {
--- a/src/core/routing/internal/hedging.cpp
+++ b/src/core/routing/internal/hedging.cpp
@@ -46,8 +46,7 @@
 
 auto onHedgeDue(RouterState &state, Request &request, Actions &actions) -> void
 {
-    if (request.stage != Stage::Placed || request.attempts.size() != 1 || request.firstTokenAt || !hasSpareCapacity(state, request.route)
-        || !isUnsuspected(state, request)) {
+    if (request.attempts.size() != 1 || request.firstTokenAt || !hasSpareCapacity(state, request.route) || !isUnsuspected(state, request)) {
         return;
     }
     const auto server = chooseServer(state, request, {});
--- a/src/core/routing/internal/placing.cpp
+++ b/src/core/routing/internal/placing.cpp
@@ -59,15 +59,13 @@
     state.lastAttempt += 1;
     const auto id = static_cast<AttemptId>(state.lastAttempt);
     auto &attempt = state.attempts[id];
-    const auto view = balancing::viewServer(*state.balancing, placement.server);
     attempt = { .id = id,
                 .request = request.call.request,
                 .server = placement.server,
-                .serverName = view.name,
-                .failureDomain = view.failureDomain,
+                .serverName = balancing::viewServer(*state.balancing, placement.server).name,
                 .alone = placement.alone,
                 .onFloor = placement.onFloor,
-                .resumeOffset = resumeOffsetOf(request) };
+                .resumeOffset = request.relayed };
     request.attempts.push_back(id);
     request.stage = Stage::Placed;
     request.requestClass->inFlight += 1;
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -83,7 +83,7 @@
 
 enum class Stage {
     Queued,
-    Parked, ///< a retry: waits outside the queue, since not every server of its route will do; silent attempts may go on meanwhile
+    Parked, ///< a retry: waits outside the queue, since not every server of its route will do
     Held,   ///< waits for an equal request: see suspects.h
     Placed, ///< holds a slot of a backend server
 };
@@ -122,7 +122,6 @@
     std::uint32_t retries = 0;
     std::vector<AttemptId> attempts; ///< live ones
     std::vector<TriedServer> tried;
-    bool restarts = false; ///< the next attempt begins a whole answer anew beside a silent one that has begun it
 };
 
 struct Attempt {
@@ -130,10 +129,8 @@
     RequestId request{};
     ServerIndex server{};
     std::string serverName;
-    std::string failureDomain; ///< of the server
-    bool sent = false;         ///< false: the slot is held while the idempotency key is claimed
+    bool sent = false; ///< false: the slot is held while the idempotency key is claimed
     bool committed = false;
-    bool silent = false; ///< its timeout has passed, and nothing has come since
     bool alone = false;
     bool onFloor = false;
     std::uint32_t resumeOffset = 0;
@@ -210,12 +207,6 @@
     return request.call.stream ? std::min(request.requestClass->definition.firstTokenTarget, answer) : answer;
 }
 
-/// At which token a new attempt of the request begins.
-inline auto resumeOffsetOf(const Request &request) -> std::uint32_t
-{
-    return request.restarts ? 0 : request.relayed;
-}
-
 inline auto estimatesOf(Request &request) -> admission::Estimates &
 {
     return request.requestClass->estimates[request.route];
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -7,7 +7,6 @@
 #include "core/routing/internal/dispatching.h"
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/reporting.h"
-#include "core/routing/internal/silence.h"
 #include "core/routing/internal/state.h"
 #include "core/routing/internal/suspects.h"
 #include "core/routing/internal/waiting.h"
@@ -55,7 +54,7 @@
     }
     auto operator()(const AttemptProgress &event) const -> void
     {
-        onProgress(state, event, actions);
+        onProgress(state, event);
     }
     auto operator()(const AttemptFinished &event) const -> void
     {
@@ -65,10 +64,6 @@
     {
         onFailed(state, event, actions);
     }
-    auto operator()(const AttemptSilent &event) const -> void
-    {
-        onSilent(state, event, actions);
-    }
     auto operator()(const LoadReported &event) const -> void
     {
         const balancing::LoadReport report{ .running = event.running, .waiting = event.waiting, .age = event.age };
--- a/src/entry/backend/internal/chatattempt.cpp
+++ b/src/entry/backend/internal/chatattempt.cpp
@@ -23,10 +23,7 @@
         return;
     }
     reportStarted(attempt);
-    noteArrival(attempt);
-    if (attempt.committed && chunk.offset < attempt.relayFrom) {
-        return;
-    }
+    extendDeadline(attempt);
     AnswerPart part{ .request = attempt.dispatch.request };
     if (attempt.payload->stream) {
         part.event = chat::makeCallerEvent(std::move(chunk), attempt.payload->publicId);
@@ -34,9 +31,6 @@
         part.content = std::move(chunk.content);
     }
     relayPart(attempt, std::move(part));
-    if (attempt.committed) {
-        attempt.shared->relayed = relayedTokensOf(attempt);
-    }
     reportProgress(attempt);
 }
 
