--- a/src/entry/backend/tests/backendtask_tests.cpp
+++ b/src/entry/backend/tests/backendtask_tests.cpp
@@ -1,8 +1,8 @@
 #include "entry/backend/tests/backendfixture.h"
+#include "entry/backend/tests/chatbytes.h"
 
 #include <gtest/gtest.h>
 
-#include <sstream>
 #include <string>
 #include <string_view>
 
@@ -13,40 +13,6 @@
 namespace
 {
 
-constexpr auto Id = "entry-1-7-1"; // of the first attempt, on the wire
-constexpr auto StreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr auto StreamEnd = "0\r\n\r\n";
-
-auto makeHttpChunk(const std::string &bytes) -> std::string
-{
-    std::ostringstream chunk;
-    chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return chunk.str();
-}
-
-auto makeEvent(const std::string &data) -> std::string
-{
-    return makeHttpChunk("data: " + data + "\n\n");
-}
-
-auto makeToken(int offset, const std::string &content, const std::string &id = Id) -> std::string
-{
-    return makeEvent(
-        nlohmann::json{ { "id", id }, { "offset", offset }, { "choices", { { { "delta", { { "content", content } } }, { "finish_reason", nullptr } } } } }
-            .dump());
-}
-
-auto makeLast(int offset) -> std::string
-{
-    return makeEvent(nlohmann::json{
-        { "id", Id },
-        { "offset", offset },
-        { "choices", { { { "delta", nlohmann::json::object() }, { "finish_reason", "stop" } } } },
-        { "usage", { { "completion_tokens", offset } } },
-    }
-                         .dump());
-}
-
 auto makeStatus(int status, const std::string &headers = "") -> std::string
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 2\r\n" + headers + "\r\nno";
