Log by which expectation a late request is accepted or refused

late-request: what is left until the exit, the expected time, and from how many requests it is learnt and since when, so that a bound that is learnt too early differs from one that is too low.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -227,6 +227,17 @@
     bool isReplacement = false; ///< whether it was sent because the server of an earlier one was silent
 };
 
+/// An entry that is leaving accepted a request, or refused it because it may not be answered before the entry exits; for logs.
+struct LateRequestJudged {
+    RequestId request{};
+    std::string route;
+    bool isAccepted = false;
+    Duration remaining{};            ///< until the entry exits
+    Duration expected{};             ///< time until the end of the response that is reckoned with
+    std::uint32_t knownRequests = 0; ///< number of earlier requests of the route from which it is learnt
+    Duration knownFor{};             ///< time since the first of them; 0: none
+};
+
 using Action = std::variant<Send,
                             Cancel,
                             Deliver,
@@ -244,7 +255,8 @@
                             OriginResolved,
                             BrittlenessChanged,
                             SilenceJudged,
-                            AttemptPreferred>;
+                            AttemptPreferred,
+                            LateRequestJudged>;
 using Actions = std::vector<Action>;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -30,7 +30,7 @@
 
 /// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. A route of which
 /// few requests were answered counts with the longest time that its callers wait.
-auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route) -> bool
+auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route, Actions &actions) -> bool
 {
     constexpr std::uint32_t MinRequests = 50; // fewer may all have been short ones
     constexpr double Margin = 1.25;           // requests may take longer than those before, as the load moves to fewer entries
@@ -41,7 +41,17 @@
     const auto found = state.answerTimes.find(route.name);
     const auto isKnown = found != state.answerTimes.end() && found->second.requests >= MinRequests;
     const auto expected = isKnown ? std::min(most, scaled(found->second.longest, Margin)) : most;
-    return state.now + expected > state.leaving->exitAt;
+    const auto remaining = state.leaving->exitAt - state.now;
+    actions.emplace_back(LateRequestJudged{
+        .request = call.request,
+        .route = route.name,
+        .isAccepted = expected <= remaining,
+        .remaining = remaining,
+        .expected = expected,
+        .knownRequests = found == state.answerTimes.end() ? 0 : found->second.requests,
+        .knownFor = found == state.answerTimes.end() ? Duration::zero() : state.now - found->second.since,
+    });
+    return expected > remaining;
 }
 
 auto authorize(const RouterState &state, const RequestArrived &call, RouteMatch &found) -> std::optional<Reason>
@@ -183,7 +193,7 @@
         refuseArrival(state, call, *reason, actions);
         return;
     }
-    if (mayOutlastEntry(state, call, *match.route)) {
+    if (mayOutlastEntry(state, call, *match.route, actions)) {
         refuseArrival(state, call, Reason::Draining, actions);
         return;
     }
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -189,10 +189,11 @@
     return findServer(state.servers, server.record.id) && !server.record.isLeaving && !server.stated.isLeaving;
 }
 
-auto recordAnswerTime(AnswerTime &known, Duration observed) -> void
+auto recordAnswerTime(AnswerTime &known, TimePoint arrived, Duration observed) -> void
 {
     constexpr double Decay = 0.99; // remembers about the last hundred requests
     known.longest = std::max(observed, scaled(known.longest, Decay));
+    known.since = known.requests == 0 ? arrived : known.since;
     known.requests += 1;
 }
 
@@ -210,7 +211,7 @@
 
 auto noteCompletion(RouterState &state, const Request &request, Actions &actions) -> void
 {
-    recordAnswerTime(state.answerTimes[request.route->name], state.now - request.arrived);
+    recordAnswerTime(state.answerTimes[request.route->name], request.arrived, state.now - request.arrived);
     if (recordCompletion(state.crashes, request.call.fingerprint)) {
         actions.emplace_back(ReportCrashes{ .fingerprint = request.call.fingerprint });
     }
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -123,6 +123,7 @@
 struct AnswerTime {
     Duration longest{};         ///< decays with each request
     std::uint32_t requests = 0; ///< number of requests that were answered
+    TimePoint since;            ///< arrival of the first of them
 };
 
 struct RouterState {
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -187,6 +187,19 @@
             { "is_replacement", action.isReplacement } });
 }
 
+auto Accounting::lateRequestJudged(const RequestLogContext &context, const passthrough::LateRequestJudged &action) -> void
+{
+    event(Level::Info,
+          "late-request",
+          { { "request", context.request },
+            { "route", action.route },
+            { "accepted", action.isAccepted },
+            { "remaining_ms", wholeMilliseconds(action.remaining) },
+            { "expected_ms", wholeMilliseconds(action.expected) },
+            { "known_requests", action.knownRequests },
+            { "known_for_ms", wholeMilliseconds(action.knownFor) } });
+}
+
 auto Accounting::requestRefused(const RequestLogContext &context, const passthrough::Refuse &refusal) -> void
 {
     refusals_.add(refusal.reason);
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -53,6 +53,8 @@
     auto silenceJudged(const RequestLogContext &context, const passthrough::SilenceJudged &action) -> void;
     /// One of several attempts of a request went on.
     auto attemptPreferred(const RequestLogContext &context, const passthrough::AttemptPreferred &action) -> void;
+    /// This entry is leaving and accepted a request, or refused it because it may not be answered before the exit.
+    auto lateRequestJudged(const RequestLogContext &context, const passthrough::LateRequestJudged &action) -> void;
     auto requestRefused(const RequestLogContext &context, const passthrough::Refuse &refusal) -> void;
     auto badRequestRefused(std::string_view step, std::string_view detail) -> void;
     auto responseDelivered(const RequestLogContext &context, const DeliveredResponse &response) -> void;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,6 +113,7 @@
     auto execute(const passthrough::OriginResolved &change) -> void;
     auto execute(const passthrough::SilenceJudged &action) -> void;
     auto execute(const passthrough::AttemptPreferred &action) -> void;
+    auto execute(const passthrough::LateRequestJudged &action) -> void;
 
     auto handleRequest(RequestId id, BufferedRequestPointer message) -> void;
     auto handleCallerGone(RequestId id) -> void;
@@ -409,6 +410,14 @@
     }
 }
 
+auto Gateway::Impl::execute(const passthrough::LateRequestJudged &action) -> void
+{
+    const auto found = requests.find(action.request);
+    if (found != requests.end()) {
+        accounting.lateRequestJudged(logContextOf(found->second), action);
+    }
+}
+
 auto Gateway::Impl::handleRequest(RequestId id, BufferedRequestPointer message) -> void
 {
     passthrough::RequestArrived arrived{ .request = id, .path = message->target };
