Late requests are judged by all requests of their time, not by those that have ended

What callers saw: a stream that an entry accepted 3.0 s to 3.5 s after its termination signal was cut off when the entry exited, 7.7 s after the signal. Cause: the expected time of a late request was the longest of the responses that had ended, once there were 50. In an entry that has run for some seconds these are the short ones; the long ones of the same time still run. Rare long ones were forgotten after a hundred short ones, a route that moved to another service kept the times of the old one, and times of any age counted. Change: what is asked is whether requests take longer than what is left until the exit, and that is known of each one once so much time has passed since its arrival, ended or not. Only requests of which it is known count towards the 50, those that still run count with their age, requests that ended otherwise count with the time that they took, and all that is older than a minute is dropped. Times are kept by route and service. Before: five of the six tests of short_lived_entries_tests fail.

--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnspread::passthrough::detail
 {
@@ -28,32 +29,6 @@
     return isConfigurationFresh(state, state.now) && !state.outdatedSince ? reason : Reason::StaleConfiguration;
 }
 
-/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. A route of which
-/// few requests were answered counts with the longest time that its callers wait.
-auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route, Actions &actions) -> bool
-{
-    constexpr std::uint32_t MinRequests = 50; // fewer may all have been short ones
-    constexpr double Margin = 1.25;           // requests may take longer than those before, as the load moves to fewer entries
-    if (!state.leaving || state.now < state.leaving->lateFrom) {
-        return false;
-    }
-    const auto most = std::min(route.timeout, call.deadline.value_or(route.timeout));
-    const auto found = state.answerTimes.find(route.name);
-    const auto isKnown = found != state.answerTimes.end() && found->second.requests >= MinRequests;
-    const auto expected = isKnown ? std::min(most, scaled(found->second.longest, Margin)) : most;
-    const auto remaining = state.leaving->exitAt - state.now;
-    actions.emplace_back(LateRequestJudged{
-        .request = call.request,
-        .route = route.name,
-        .isAccepted = expected <= remaining,
-        .remaining = remaining,
-        .expected = expected,
-        .knownRequests = found == state.answerTimes.end() ? 0 : found->second.requests,
-        .knownFor = found == state.answerTimes.end() ? Duration::zero() : state.now - found->second.since,
-    });
-    return expected > remaining;
-}
-
 auto authorize(const RouterState &state, const RequestArrived &call, RouteMatch &found) -> std::optional<Reason>
 {
     if (state.closing) {
@@ -102,6 +77,46 @@
     return route.shares.back().service;
 }
 
+/// How long the requests of the route to the service that run or wait have taken so far.
+auto longestOpenRequest(const RouterState &state, const Route &route, const std::string &service) -> Duration
+{
+    Duration longest{};
+    for (const auto &[id, request] : state.requests) {
+        if (request.service == service && request.route->name == route.name) {
+            longest = std::max(longest, state.now - request.arrived);
+        }
+    }
+    return longest;
+}
+
+/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. As long as too few
+/// requests show it, the longest time that its callers wait counts.
+auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route, const std::string &service, Actions &actions) -> bool
+{
+    constexpr std::uint32_t MinRequests = 50; // fewer may all have been short ones
+    constexpr double Margin = 1.25;           // requests may take longer than those before, as the load moves to fewer entries
+    if (!state.leaving || state.now < state.leaving->lateFrom) {
+        return false;
+    }
+    const auto remaining = state.leaving->exitAt - state.now;
+    const auto found = state.answerTimes.find({ route.name, service });
+    const auto known
+        = found == state.answerTimes.end() ? KnownAnswerTimes{ .since = state.now } : knownAnswerTimes(found->second, scaled(remaining, 1 / Margin), state.now);
+    const auto most = std::min(route.timeout, call.deadline.value_or(route.timeout));
+    const auto longest = std::max(known.longest, longestOpenRequest(state, route, service));
+    const auto expected = known.requests < MinRequests ? most : std::min(most, scaled(longest, Margin));
+    actions.emplace_back(LateRequestJudged{
+        .request = call.request,
+        .route = route.name,
+        .isAccepted = expected <= remaining,
+        .remaining = remaining,
+        .expected = expected,
+        .knownRequests = known.requests,
+        .knownFor = state.now - known.since,
+    });
+    return expected > remaining;
+}
+
 /// Latest time until which a request is queued. Engines that can't accept a stream within a part of its target are overloaded, and
 /// its response would be late. The caller is then refused early, with the information that nothing ran, instead of waiting until it
 /// gives up.
@@ -150,7 +165,7 @@
     return route.tier * WorkspaceTiers + std::clamp(ofWorkspace, 0, WorkspaceTiers - 1);
 }
 
-auto admit(RouterState &state, const RequestArrived &call, const RouteMatch &match) -> Request &
+auto admit(RouterState &state, const RequestArrived &call, const RouteMatch &match, std::string service) -> Request &
 {
     const auto &route = *match.route;
     auto &request = state.requests[call.request];
@@ -159,9 +174,9 @@
     request.route = &route;
     request.workspace = match.workspace == nullptr ? "" : match.workspace->name;
     request.rank = rankOf(route, match.workspace);
-    request.order = ++state.lastOrder;
+    request.order = state.lastOrder;
     request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
-    request.service = chooseService(route, request.order);
+    request.service = std::move(service);
     request.lessUrgentTiers = state.table->lessUrgentTiers(route);
     request.hasMoreUrgentTiers = state.table->hasMoreUrgentTiers(route);
     request.arrived = state.now;
@@ -193,7 +208,8 @@
         refuseArrival(state, call, *reason, actions);
         return;
     }
-    if (mayOutlastEntry(state, call, *match.route, actions)) {
+    auto service = chooseService(*match.route, ++state.lastOrder);
+    if (mayOutlastEntry(state, call, *match.route, service, actions)) {
         refuseArrival(state, call, Reason::Draining, actions);
         return;
     }
@@ -201,7 +217,7 @@
         refuseArrival(state, call, Reason::Quarantined, actions);
         return;
     }
-    auto &request = admit(state, call, match);
+    auto &request = admit(state, call, match, std::move(service));
     if (!isCutOff(state, request.service)) {
         recordArrival(state.pools[request.service].arrivals, state.now); // a forwarded request arrives at the other entry
     }
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -90,6 +90,7 @@
 auto removeRequest(RouterState &state, Request &request) -> void
 {
     const auto id = request.call.request;
+    recordAnswerTime(state.answerTimes[{ request.route->name, request.service }], request.arrived, request.isAnswered, state.now);
     leaveQueue(state, request);
     stopResolving(state, request);
     state.dueChecks.erase({ request.queueDeadline, id });
@@ -189,14 +190,6 @@
     return findServer(state.servers, server.record.id) && !server.record.isLeaving && !server.stated.isLeaving;
 }
 
-auto recordAnswerTime(AnswerTime &known, TimePoint arrived, Duration observed) -> void
-{
-    constexpr double Decay = 0.99; // remembers about the last hundred requests
-    known.longest = std::max(observed, scaled(known.longest, Decay));
-    known.since = known.requests == 0 ? arrived : known.since;
-    known.requests += 1;
-}
-
 auto noteCrash(RouterState &state, const Request &request, const CrashIncident &incident, Actions &actions) -> void
 {
     const auto fingerprint = request.call.fingerprint;
@@ -209,9 +202,9 @@
     }
 }
 
-auto noteCompletion(RouterState &state, const Request &request, Actions &actions) -> void
+auto noteCompletion(RouterState &state, Request &request, Actions &actions) -> void
 {
-    recordAnswerTime(state.answerTimes[request.route->name], request.arrived, state.now - request.arrived);
+    request.isAnswered = true;
     if (recordCompletion(state.crashes, request.call.fingerprint)) {
         actions.emplace_back(ReportCrashes{ .fingerprint = request.call.fingerprint });
     }
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/passthrough/actions.h"
+#include "core/passthrough/answertimes.h"
 #include "core/passthrough/crashledger.h"
 #include "core/passthrough/enginesplit.h"
 #include "core/passthrough/events.h"
@@ -27,6 +28,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace auburnspread::passthrough
@@ -68,6 +70,7 @@
     bool mayHaveRun = false;
     bool answerBegun = false;
     bool callerGone = false;
+    bool isAnswered = false; ///< it got its whole response
     std::string lastEventId;
     std::string lastPeer;
     std::optional<StreamOrigin> origin;    ///< set once the stream has begun: it goes on at this service and version only
@@ -119,13 +122,6 @@
 
 using DueCheck = std::pair<TimePoint, RequestId>;
 
-/// How long the requests of a route took lately, from their arrival to the end of the response.
-struct AnswerTime {
-    Duration longest{};         ///< decays with each request
-    std::uint32_t requests = 0; ///< number of requests that were answered
-    TimePoint since;            ///< arrival of the first of them
-};
-
 struct RouterState {
     RouterOptions options;
     TimePoint now;
@@ -147,14 +143,14 @@
     std::set<DueCheck> dueChecks;                     ///< times at which the queue deadline or the deadline of a request passes
     CrashLedger crashes;
     StreamVersions streams;
-    std::map<std::string, VersionHistory> versionHistories;         ///< by service
-    std::vector<KeeperCandidate> keepers;                           ///< the other entries
-    std::unordered_map<StreamId, std::vector<RequestId>> resolving; ///< requests in stage Resolving, by stream
-    TimePoint serversConfirmedAt;                                   ///< time as of which the list of servers was last known to be current
-    std::unordered_map<std::string, AnswerTime> answerTimes;        ///< by route
-    std::unordered_map<std::string, Duration> longestDeadlines;     ///< longest deadlines that callers set, by route
-    std::unordered_map<std::string, BaselineErrorRate> usualErrors; ///< by route
-    std::uint64_t seed = 0;                                         ///< seed of this entry's tie-breaks
+    std::map<std::string, VersionHistory> versionHistories;                 ///< by service
+    std::vector<KeeperCandidate> keepers;                                   ///< the other entries
+    std::unordered_map<StreamId, std::vector<RequestId>> resolving;         ///< requests in stage Resolving, by stream
+    TimePoint serversConfirmedAt;                                           ///< time as of which the list of servers was last known to be current
+    std::map<std::pair<std::string, std::string>, AnswerTimes> answerTimes; ///< by route and service
+    std::unordered_map<std::string, Duration> longestDeadlines;             ///< longest deadlines that callers set, by route
+    std::unordered_map<std::string, BaselineErrorRate> usualErrors;         ///< by route
+    std::uint64_t seed = 0;                                                 ///< seed of this entry's tie-breaks
     std::uint64_t lastOrder = 0;
     std::uint64_t lastAttempt = 0;
 };
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -32,8 +32,9 @@
         state.table = std::make_shared<const RouteTable>(configuration);
         state.longestDeadlines.clear(); // routes come and go with configurations
         state.usualErrors.clear();
-        std::erase_if(state.answerTimes, [&configuration](const auto &item) {
-            return std::none_of(configuration.routes.begin(), configuration.routes.end(), [&item](const Route &route) { return route.name == item.first; });
+        std::erase_if(state.answerTimes, [&state, &configuration](const auto &item) {
+            const auto isOfItem = [&item](const Route &route) { return route.name == item.first.first; };
+            return isOutdated(item.second, state.now) || std::none_of(configuration.routes.begin(), configuration.routes.end(), isOfItem);
         });
         state.servers.cacheTokens.clear();
         for (const auto &service : configuration.services) {
