--- a/src/gateway/tests/standinserver.cpp
+++ b/src/gateway/tests/standinserver.cpp
@@ -12,8 +12,10 @@
                    .streamPrefix = streamPrefix,
                    .onExecuted = [this](const standins::Execution &) { executions_ += 1; },
                    .onRejected = [this](const standins::Rejection &) { rejections_ += 1; },
+                   .onCrashed = [this]() { crashes_ += 1; },
                })
     , receiver_(loop_.receive(silences_, [this](bool isSilent) { standin_.setSilent(isSilent); }))
+    , restarter_(loop_.receive(restarts_, [this](bool /*isWanted*/) { standin_.start(); }))
 {
     configure(standin_);
     thread_ = std::thread([this]() { loop_.run(); });
@@ -40,9 +42,19 @@
     return rejections_;
 }
 
+auto StandinServer::crashes() const -> int
+{
+    return crashes_;
+}
+
 auto StandinServer::goOn() -> void
 {
     silences_.post(false);
 }
 
+auto StandinServer::restart() -> void
+{
+    restarts_.post(true);
+}
+
 } // namespace auburnspread::gateway::tests
--- a/src/gateway/tests/standinserver.h
+++ b/src/gateway/tests/standinserver.h
@@ -31,16 +31,23 @@
     [[nodiscard]] auto executions() const -> int;
     /// Number of requests that it has rejected.
     [[nodiscard]] auto rejections() const -> int;
+    /// Number of times that it has crashed.
+    [[nodiscard]] auto crashes() const -> int;
     /// Ends a silence.
     auto goOn() -> void;
+    /// Starts it again after a crash, at the same address.
+    auto restart() -> void;
 
 private:
     task::EventLoop loop_;
     task::Mailbox<bool> silences_; ///< for the loop's thread: whether the server is silent
+    task::Mailbox<bool> restarts_;
     std::atomic<int> executions_ = 0;
     std::atomic<int> rejections_ = 0;
+    std::atomic<int> crashes_ = 0;
     adapter::standins::ServerStandin standin_;
     task::Watch receiver_;
+    task::Watch restarter_;
     std::thread thread_;
 };
 
