--- a/src/entry/backend/tests/tcpserver.cpp
+++ b/src/entry/backend/tests/tcpserver.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 #include <utility>
 
@@ -52,14 +53,20 @@
 }
 
 auto TcpConnection::send(std::string_view bytes) const -> void
+{
+    static_cast<void>(trySend(bytes)); // if the task has closed the connection, it did so as it should after a fault
+}
+
+auto TcpConnection::trySend(std::string_view bytes) const -> bool
 {
     while (!bytes.empty()) {
         const auto sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (sent <= 0) {
-            return; // the task has closed the connection, as it should after a fault
+            return false;
         }
         bytes.remove_prefix(static_cast<std::size_t>(sent));
     }
+    return true;
 }
 
 auto TcpConnection::readUntil(std::string_view text) const -> std::string
@@ -82,6 +89,13 @@
     return ::recv(descriptor_, &byte, 1, 0) == 0;
 }
 
+auto TcpConnection::seesEndOrReset() const -> bool
+{
+    char byte = 0;
+    const auto read = ::recv(descriptor_, &byte, 1, 0);
+    return read == 0 || (read < 0 && errno == ECONNRESET);
+}
+
 auto TcpConnection::close() -> void
 {
     closeOnce(descriptor_);
--- a/src/entry/backend/tests/tcpserver.h
+++ b/src/entry/backend/tests/tcpserver.h
@@ -21,10 +21,14 @@
     auto operator=(const TcpConnection &) -> TcpConnection & = delete;
 
     auto send(std::string_view bytes) const -> void;
+    /// Sends \p bytes. \return false if the other side has closed the connection
+    [[nodiscard]] auto trySend(std::string_view bytes) const -> bool;
     /// Reads until \p text was seen. \throws std::runtime_error if the connection ends before
     auto readUntil(std::string_view text) const -> std::string;
     /// Whether the other side ends the connection.
     [[nodiscard]] auto seesEnd() const -> bool;
+    /// The same, or resets it because it did not read everything.
+    [[nodiscard]] auto seesEndOrReset() const -> bool;
     auto close() -> void;
     /// Closes the connection with a reset.
     auto reset() -> void;
