A response that is known to be bad at its head ends its attempt at once

Callers waited for the end of a response that could not be used: a faulty server that sends it slowly, or without end, held the request until its deadline, 504 instead of a retry or 502.

Cause: handleBody dropped the bytes of a rejected response, but the attempt ended with its body only, so that the connection could be used again. Now the attempt fails in the event loop's next iteration. A rejection that arrives as a whole, as short ones do, still ends before that and keeps its connection; a connection whose response is not complete is never kept.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -57,6 +57,7 @@
     EventSplitter splitter;
     http::Framing framing{};
     bool headReceived = false;
+    bool isComplete = false;          ///< the response was received to its end
     bool isRelayed = false;           ///< the response is relayed event by event
     bool relayStarted = false;        ///< some of its events were relayed
     bool ignoresCallbacks = false;    ///< callbacks of libevent are ignored while the attempt starts and after it has ended
@@ -197,6 +198,7 @@
     auto handleDone(AttemptId id, evhttp_request *request) -> void;
     auto completeAttempt(Attempt &attempt) -> void;
     auto fail(Attempt &attempt, Failure failure) -> void;
+    auto failSoon(AttemptId id, Failure failure) -> void;
     auto recordProgress(Attempt &attempt) -> void;
     auto extendTimeouts(TimePoint now) -> void;
     auto review(Attempt &attempt, TimePoint now) -> void;
@@ -209,8 +211,8 @@
     http::ConnectionPool pool;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts;
     std::optional<TimePoint> reviewedAt;
-    std::vector<AttemptId> failedStarts; ///< attempts that could not be started; failed in the event loop's next iteration
-    task::Watch failedStartsTimer;
+    std::vector<std::pair<AttemptId, Failure>> dueFailures; ///< for the event loop's next iteration
+    task::Watch dueFailuresTimer;
 };
 
 namespace
@@ -277,15 +279,7 @@
     if (started && attempt.connection && bufferevent_getfd(transportOf(*attempt.connection)) >= 0) {
         return;
     }
-    failedStarts.push_back(id);
-    failedStartsTimer = loop.after(Duration::zero(), [this]() {
-        for (const auto failedStart : std::exchange(failedStarts, {})) {
-            const auto found = attempts.find(failedStart);
-            if (found != attempts.end()) {
-                fail(*found->second, Failure::ConnectFailed);
-            }
-        }
-    });
+    failSoon(id, Failure::ConnectFailed);
 }
 
 /// \return false if the attempt could not be started
@@ -353,7 +347,10 @@
     if (carriesBrittleness(attempt)) {
         callbacks.onBrittleness(attempt.id, attempt.head.rejectionsPerSecond);
     }
-    if (!attempt.isRelayed && !attempt.rejection) {
+    if (attempt.rejection) {
+        // a short response ends in this iteration, so that its connection can be reused
+        failSoon(attempt.id, *attempt.rejection);
+    } else if (!attempt.isRelayed) {
         callbacks.onStarted(attempt.id, false);
     }
 }
@@ -407,6 +404,7 @@
         fail(attempt, attempt.rejection.value_or(disconnectFailure(attempt)));
         return;
     }
+    attempt.isComplete = true;
     if (attempt.rejection) {
         fail(attempt, *attempt.rejection);
         return;
@@ -446,6 +444,20 @@
     return attempt.headReceived ? Failure::BrokenStream : Failure::BrokenBeforeFirstByte;
 }
 
+/// Fails the attempt in the event loop's next iteration, unless it ends before.
+auto Upstream::Impl::failSoon(AttemptId id, Failure failure) -> void
+{
+    dueFailures.emplace_back(id, failure);
+    dueFailuresTimer = loop.after(Duration::zero(), [this]() {
+        for (const auto &[dueAttempt, dueFailure] : std::exchange(dueFailures, {})) {
+            const auto found = attempts.find(dueAttempt);
+            if (found != attempts.end()) {
+                fail(*found->second, dueFailure);
+            }
+        }
+    });
+}
+
 auto Upstream::Impl::fail(Attempt &attempt, Failure failure) -> void
 {
     const auto id = attempt.id;
@@ -472,7 +484,7 @@
         auto *transport = transportOf(*connection);
         const auto isClean = evbuffer_get_length(bufferevent_get_input(transport)) == 0 && evbuffer_get_length(bufferevent_get_output(transport)) == 0;
         connection->idleTime = attempt.head.idleTime;
-        if (mayKeep && isClean && !attempt.head.closes && attempt.headReceived) {
+        if (mayKeep && isClean && !attempt.head.closes && attempt.isComplete) {
             pool.keep(std::move(connection));
         } else {
             pool.retire(std::move(connection));
