Interim responses are refused

After a 100, evhttp goes on to write a request that was written long ago and reads without parsing: the attempt hung, and what came then was kept without a bound (168 MB in the test). Any other interim response was taken for the response. No request asks for one, so each ends its attempt as a bad response. A failure that is due has one timer, which later ones don't replace: heads in quick succession postponed it for ever.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -29,6 +29,7 @@
 constexpr int MisdirectedStatus = 421;
 constexpr int LimitedStatus = 429;
 constexpr int UnavailableStatus = 503;
+constexpr int FirstFinalStatus = 200;
 constexpr int FirstSuccessStatus = 200;
 constexpr int FirstRedirectStatus = 300;
 
@@ -112,6 +113,9 @@
 auto checkResponseHead(const Attempt &attempt) -> std::optional<Failure>
 {
     const auto status = attempt.response.status;
+    if (status < FirstFinalStatus) {
+        return Failure::BadResponse; // none was asked for, and they could go on without end
+    }
     if (attempt.head.isOthers) {
         return Failure::WrongAttempt;
     }
@@ -448,6 +452,9 @@
 auto Upstream::Impl::failSoon(AttemptId id, Failure failure) -> void
 {
     dueFailures.emplace_back(id, failure);
+    if (dueFailures.size() > 1) {
+        return; // a new timer each time could be replaced again and again before it expires
+    }
     dueFailuresTimer = loop.after(Duration::zero(), [this]() {
         for (const auto &[dueAttempt, dueFailure] : std::exchange(dueFailures, {})) {
             const auto found = attempts.find(dueAttempt);
