Lines between the chunks of a response are bounded

evhttp limits heads, bodies and trailers, but reads the line of a chunk's size, with its extension, without any bound, and skips empty lines there for ever. A backend server could grow the entry's memory until the deadline (18 MB within 4 s, byte by byte too), and so could whatever else an entry asks by HTTP: the store, other entries for documents, health and cache lists.

A guard on the input of each pooled connection, so of Upstream and of http::Client, counts what comes between two chunks and lets evhttp fail the response as too long beyond the limit of heads.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -225,6 +225,7 @@
 /// Context of libevent's callbacks, which leads to the attempt. The connection owns it, because libevent may drop a request
 /// without a final callback.
 struct RequestContext {
+    http::ResponseGuard &guard; ///< of the connection
     std::function<void(evhttp_request *request)> onHead;
     std::function<void(evhttp_request *request)> onBody;
     std::function<void(evhttp_request *request)> onDone;
@@ -249,6 +250,7 @@
 
 auto onDoneCallback(evhttp_request *request, void *context) -> void
 {
+    contextOf(context).guard.request = nullptr;
     // copied, because the call may start the next exchange on the connection, which destroys this context
     const auto onDone = contextOf(context).onDone;
     onDone(request);
@@ -256,6 +258,7 @@
 
 auto onErrorCallback(evhttp_request_error error, void *context) -> void
 {
+    contextOf(context).guard.request = nullptr;
     contextOf(context).onError(error);
 }
 
@@ -303,6 +306,7 @@
         }
     };
     const auto context = std::make_shared<RequestContext>(RequestContext{
+        .guard = attempt.connection->guard,
         .onHead = [this, ifOpen](evhttp_request *request) { ifOpen([&](Attempt &openAttempt) { handleHead(openAttempt, request); }); },
         .onBody = [this, ifOpen](evhttp_request *request) { ifOpen([&](Attempt &openAttempt) { handleBody(openAttempt, request); }); },
         .onDone = [this, id](evhttp_request *request) { handleDone(id, request); },
@@ -317,6 +321,7 @@
     });
     attempt.connection->context = context;
     auto *request = evhttp_request_new(onDoneCallback, context.get());
+    http::beginResponse(attempt.connection->guard, request);
     evhttp_request_set_header_cb(request, onHeadCallback);
     evhttp_request_set_chunked_cb(request, onBodyCallback);
     evhttp_request_set_error_cb(request, onErrorCallback);
--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace auburnspread::http
@@ -18,12 +19,13 @@
     connection.hasSent = connection.hasSent || info->n_added > 0;
 }
 
-auto countReceived(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *context) -> void
+auto countReceived(evbuffer *buffer, const evbuffer_cb_info *info, void *context) -> void
 {
     auto &connection = *static_cast<Connection *>(context);
     if (info->n_added > 0) {
         connection.receivedBytes += info->n_added;
         connection.lastReceivedAt = task::monotonicNow();
+        guardResponse(connection.guard, buffer, info->n_added);
     }
 }
 
@@ -47,6 +49,7 @@
     connection.receivedBytes = 0;
     connection.lastReceivedAt = {};
     connection.error.reset();
+    connection.guard.maxChunkBytes = std::numeric_limits<std::size_t>::max();
 }
 
 } // namespace
@@ -78,6 +81,7 @@
     auto *transport = evhttp_connection_get_bufferevent(raw);
     evbuffer_add_cb(bufferevent_get_output(transport), countSent, connection.get());
     evbuffer_add_cb(bufferevent_get_input(transport), countReceived, connection.get());
+    connection->guard.maxLineBytes = options_.headerBytes;
     evhttp_connection_set_max_headers_size(raw, static_cast<ev_ssize_t>(options_.headerBytes));
     evhttp_connection_set_max_body_size(raw, static_cast<ev_ssize_t>(options_.bodyBytes));
     return connection;
@@ -107,6 +111,7 @@
     }
     connection->idleSince = task::monotonicNow();
     connection->onDone = nullptr;
+    connection->guard.request = nullptr;
     idle.push_back(std::move(connection));
 }
 
@@ -114,6 +119,7 @@
 auto ConnectionPool::retire(std::unique_ptr<Connection> connection) -> void
 {
     connection->onDone = nullptr;
+    connection->guard.request = nullptr;
     retired_.push_back(std::move(connection));
     retirement_ = loop_.after(Duration(0), [this]() { retired_.clear(); });
 }
--- a/src/wire/http/connectionpool.h
+++ b/src/wire/http/connectionpool.h
@@ -6,6 +6,7 @@
 #include "runtime/net/endpoint.h"
 #include "runtime/task/eventloop.h"
 #include "wire/http/client.h"
+#include "wire/http/responseguard.h"
 
 #include <event2/http.h>
 
@@ -34,6 +35,7 @@
     bool hasSent = false;
     std::size_t receivedBytes = 0;
     TimePoint lastReceivedAt; ///< of the current exchange's bytes; long ago if none came
+    ResponseGuard guard;
     std::optional<evhttp_request_error> error;
     std::function<void(evhttp_request *raw)> onDone; ///< of the current exchange; empty: no one waits
     std::shared_ptr<void> context;                   ///< what evhttp's callbacks of the current exchange use; lives as long as they may come
--- a/src/wire/http/internal/rawrequest.cpp
+++ b/src/wire/http/internal/rawrequest.cpp
@@ -14,13 +14,17 @@
 
 auto onError(evhttp_request_error error, void *context) -> void
 {
-    static_cast<Connection *>(context)->error = error;
+    auto &connection = *static_cast<Connection *>(context);
+    connection.guard.request = nullptr;
+    connection.error = error;
 }
 
 auto onRequestDone(evhttp_request *raw, void *context) -> void
 {
+    auto &connection = *static_cast<Connection *>(context);
+    connection.guard.request = nullptr;
     // a copy: the call may end the connection's interest in the exchange
-    const auto onDone = static_cast<Connection *>(context)->onDone;
+    const auto onDone = connection.onDone;
     if (onDone) {
         onDone(raw);
     }
@@ -82,6 +86,7 @@
         }
     }
     evbuffer_add(evhttp_request_get_output_buffer(raw.get()), request.body.data(), request.body.size());
+    beginResponse(connection.guard, raw.get());
     return raw;
 }
 
