Bytes that can't begin a response end it without waiting for a line end

evhttp looks at a first line when its end is there: a server that sends other bytes held its request for as long as it sent no line end, up to 64 KiB. The guard of pooled connections ends the line as soon as it can't be that of a response, and evhttp rejects it.

endless_bytes_tests noResponse*: 1 of 3 failed before, all pass now. wire_http_tests: passed.

--- a/src/wire/http/responseguard.cpp
+++ b/src/wire/http/responseguard.cpp
@@ -4,12 +4,24 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include <algorithm>
+#include <array>
+#include <string_view>
+
 namespace auburnspread::http
 {
 
 namespace
 {
 
+auto mayBeginResponse(evbuffer *input) -> bool
+{
+    constexpr std::string_view Start = "HTTP/";
+    std::array<char, Start.size()> bytes{};
+    const auto count = evbuffer_copyout(input, bytes.data(), bytes.size());
+    return Start.starts_with(std::string_view(bytes.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(count, 0))));
+}
+
 /// Whether too many bytes lie between two chunks, or a chunk is too long.
 auto exceedsLimit(ResponseGuard &guard, std::size_t addedBytes) -> bool
 {
@@ -35,12 +47,19 @@
     guard.bodyBytes = 0;
 }
 
-auto guardResponse(ResponseGuard &guard, evbuffer * /*input*/, std::size_t addedBytes) -> void
+auto guardResponse(ResponseGuard &guard, evbuffer *input, std::size_t addedBytes) -> void
 {
     auto *request = guard.request;
     if (request == nullptr) {
         return;
     }
+    if (request->response_code == 0) {
+        if (!mayBeginResponse(input)) {
+            guard.request = nullptr;
+            evbuffer_add(input, "\n", 1); // ends the line, which evhttp then rejects
+        }
+        return;
+    }
     if (request->chunked != 0 && exceedsLimit(guard, addedBytes)) {
         guard.request = nullptr;
         request->body_size = std::numeric_limits<std::size_t>::max();
