A chunk of a relayed stream is bounded

evhttp holds a chunk until it is complete, up to the limit of a whole body: an event in one chunk could hold 16 MB of the entry's memory where an event may have 256 KiB. A relayed stream may have chunks of 1 MiB, some of the longest events; a longer one is a bad response.

endless_bytes_tests eventInOneChunk*: 2 of 2 failed before (16.8 MB held), pass now; all 6 tests of events pass.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -44,6 +44,8 @@
 /// A pause of this length between two reviews shows that this process did not run.
 constexpr Duration MinOwnPause = std::chrono::milliseconds(200);
 constexpr std::size_t MaxHeaderBytes = 65'536;
+/// Of a relayed stream: some of the longest events.
+constexpr std::size_t MaxStreamChunkBytes = std::size_t{ 1024 } * 1024;
 constexpr std::size_t MaxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
 
 struct Attempt {
@@ -346,6 +348,9 @@
     }
     attempt.rejection = checkResponseHead(attempt);
     attempt.isRelayed = attempt.isStream && isSuccess(attempt.response.status) && !attempt.rejection;
+    if (attempt.isRelayed) {
+        attempt.connection->guard.maxChunkBytes = MaxStreamChunkBytes;
+    }
     recordProgress(attempt);
     if (carriesNotice(attempt)) {
         callbacks.onNotice(attempt.id, attempt.head.notice);
