The number of header lines of a response is bounded

A head of 64 KiB in lines of two bytes held up to 3.8 MB of the entry's memory: evhttp keeps each line as texts of its own.

--- a/src/wire/http/responseguard.h
+++ b/src/wire/http/responseguard.h
@@ -1,6 +1,6 @@
 /// \file
-/// Ends responses that evhttp would read without a bound. evhttp limits heads, bodies and trailers, but neither the lines between the chunks
-/// of a body nor the time for which it waits for the end of a first line that can't belong to a response.
+/// Ends responses that evhttp would read without a bound. evhttp limits the bytes of heads, bodies and trailers, but neither the number of
+/// header lines, nor the lines between the chunks of a body, nor the time for which it waits for the end of a first line that can't belong to a response.
 
 #pragma once
 
@@ -17,6 +17,7 @@
     evhttp_request *request = nullptr; ///< of the exchange that is under way; owned by evhttp, to be reset when that calls back with its end
     std::size_t maxLineBytes = 0;      ///< of what lies between two chunks of a body
     std::size_t maxChunkBytes = std::numeric_limits<std::size_t>::max(); ///< evhttp holds a chunk until it is complete
+    std::size_t headerBytes = 0;                                         ///< of the header lines that were counted last
     std::size_t lineBytes = 0;                                           ///< received since the body last grew
     std::size_t bodyBytes = 0;                                           ///< of the body then
 };
