All responses that an entry holds together are bounded

A whole body may have 16 MiB, so a few attempts could hold more than an entry may have: twelve responses of 15 MB held 183 MB, where deployments give an entry 110 MB. Beyond 32 MiB in bodies, incomplete events and unread input together, the attempts that hold most fail as bad responses until the rest fits; checked at each review, every 20 ms. Ruled out: a lower limit for each body (answers of 16 MB are served as before).

endless_bytes_tests responsesOfManyAttemptsFitIntoTheEntry: failed before (183 MB), passes now within 90 MB.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -14,6 +14,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -46,6 +47,8 @@
 constexpr std::size_t MaxHeaderBytes = 65'536;
 /// Of a relayed stream: some of the longest events.
 constexpr std::size_t MaxStreamChunkBytes = std::size_t{ 1024 } * 1024;
+/// Of all responses that are held, as an entry's memory is limited. A text that grows holds up to twice its size.
+constexpr std::size_t MaxHeldBytes = std::size_t{ 32 } * 1024 * 1024;
 constexpr std::size_t MaxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
 
 struct Attempt {
@@ -183,6 +186,12 @@
     return evhttp_connection_get_bufferevent(connection.raw.get());
 }
 
+auto heldBytes(const Attempt &attempt) -> std::size_t
+{
+    const auto unread = attempt.connection ? evbuffer_get_length(bufferevent_get_input(transportOf(*attempt.connection))) : 0;
+    return attempt.response.body.size() + attempt.splitter.pendingBytes() + unread;
+}
+
 } // namespace
 
 class Upstream::Impl
@@ -207,6 +216,7 @@
     auto failSoon(AttemptId id, Failure failure) -> void;
     auto recordProgress(Attempt &attempt) -> void;
     auto extendTimeouts(TimePoint now) -> void;
+    auto boundHeldBytes() -> void;
     auto review(Attempt &attempt, TimePoint now) -> void;
     auto reportSilence(Attempt &attempt, Failure timeout, TimePoint now) -> void;
     auto close(Attempt &attempt, bool mayKeep) -> void;
@@ -526,6 +536,31 @@
     }
 }
 
+/// Fails the attempts that hold most until the rest fits.
+auto Upstream::Impl::boundHeldBytes() -> void
+{
+    std::vector<std::pair<std::size_t, AttemptId>> held;
+    std::size_t total = 0;
+    for (const auto &[id, attempt] : attempts) {
+        held.emplace_back(heldBytes(*attempt), id);
+        total += held.back().first;
+    }
+    if (total <= MaxHeldBytes) {
+        return;
+    }
+    std::sort(held.rbegin(), held.rend());
+    for (const auto &[bytes, id] : held) {
+        if (total <= MaxHeldBytes) {
+            return;
+        }
+        total -= bytes;
+        const auto found = attempts.find(id); // a callback may end other attempts
+        if (found != attempts.end()) {
+            fail(*found->second, Failure::BadResponse);
+        }
+    }
+}
+
 auto Upstream::Impl::review(Attempt &attempt, TimePoint now) -> void
 {
     const auto isConnecting = attempt.connection && !attempt.connection->hasSent;
@@ -604,6 +639,7 @@
 auto Upstream::reviewAttempts(TimePoint now) -> void
 {
     impl_->extendTimeouts(now);
+    impl_->boundHeldBytes();
     std::vector<AttemptId> ids; // a callback may end other attempts
     for (const auto &[id, attempt] : impl_->attempts) {
         ids.push_back(id);
