Bytes after a response are not taken for the next one

A server that sends more than its response had the rest read as the response to the next request on the connection: answers of the store, of other entries and to an entry's calls at backend servers could be those to other requests. Upstream looked for such bytes itself, the client for short exchanges did not. Now the pool keeps no connection with unread bytes and hands none out.

ClientTests.bytesAfterAResponseAreNotTakenForTheNextOne: failed before ('other' for 'ok'), passes now. wire_http_tests (25): passed.

--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -34,6 +34,12 @@
     return bufferevent_getfd(evhttp_connection_get_bufferevent(connection.raw.get())) >= 0;
 }
 
+/// Whether bytes came that belong to no response. They would be taken for the next one.
+auto hasUnread(const Connection &connection) -> bool
+{
+    return evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(connection.raw.get()))) > 0;
+}
+
 /// How long it may lie idle. A peer closes its side at its own time; a request that is on its way just then is lost, and
 /// one that may run only once can't be sent again. The margin covers the way of that request.
 auto idleBound(const Connection &connection, Duration poolBound) -> Duration
@@ -93,7 +99,7 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (isOpen(*connection) && task::monotonicNow() - connection->idleSince < idleBound(*connection, options_.idleAge)) {
+        if (isOpen(*connection) && !hasUnread(*connection) && task::monotonicNow() - connection->idleSince < idleBound(*connection, options_.idleAge)) {
             prepareReuse(*connection);
             return connection;
         }
@@ -105,7 +111,7 @@
 auto ConnectionPool::keep(std::unique_ptr<Connection> connection) -> void
 {
     auto &idle = idle_[connection->peer];
-    if (!isOpen(*connection) || idle.size() >= options_.idlePerAddress) {
+    if (!isOpen(*connection) || hasUnread(*connection) || idle.size() >= options_.idlePerAddress) {
         retire(std::move(connection));
         return;
     }
--- a/src/wire/http/tests/client_tests.cpp
+++ b/src/wire/http/tests/client_tests.cpp
@@ -197,6 +197,17 @@
     EXPECT_EQ(error.text, "receive " + server_.address() + ": timeout after " + std::to_string(begun.size()) + " bytes");
 }
 
+/// Guards against a response that is taken for that to the next request: it came right behind another one.
+TEST_F(ClientTests, bytesAfterAResponseAreNotTakenForTheNextOne)
+{
+    server_.answerWith(WholeAnswer + std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"));
+    for (int i = 0; i < 3; ++i) {
+        const auto response = std::get<http::Response>(fetch(loop_, client_, { .address = server_.address(), .path = "/" }));
+        EXPECT_EQ(response.body, "ok");
+    }
+    EXPECT_EQ(client_.idleConnections(), 0U);
+}
+
 // The caller sees a closed connection that says it was reused, so it may ask again on a fresh one.
 // 1. An exchange leaves an idle connection. 2. The peer reads the next request and closes, as one that restarts does.
 // 3. No byte of an answer came, and the error says so.
