The client for short exchanges refuses interim responses

After a 100, evhttp reads without parsing or a bound, until the exchange's timeout; another interim response was taken for the response. The store, other entries and backend servers could so grow an entry's memory. Each ends the exchange as malformed, as in Upstream.

--- a/src/wire/http/internal/rawrequest.cpp
+++ b/src/wire/http/internal/rawrequest.cpp
@@ -16,7 +16,18 @@
 {
     auto &connection = *static_cast<Connection *>(context);
     connection.guard.request = nullptr;
-    connection.error = error;
+    connection.error = connection.error.value_or(error);
+}
+
+/// No request asks for an interim response, and evhttp reads behind one without a bound.
+auto onHead(evhttp_request *raw, void *context) -> int
+{
+    constexpr int FirstFinalStatus = 200;
+    if (evhttp_request_get_response_code(raw) >= FirstFinalStatus) {
+        return 0;
+    }
+    static_cast<Connection *>(context)->error = EVREQ_HTTP_INVALID_HEADER;
+    return -1; // ends the exchange
 }
 
 auto onRequestDone(evhttp_request *raw, void *context) -> void
@@ -75,6 +86,7 @@
 auto makeRaw(const Request &request, Connection &connection) -> EvhttpRequest
 {
     EvhttpRequest raw(evhttp_request_new(onRequestDone, &connection));
+    evhttp_request_set_header_cb(raw.get(), onHead);
     evhttp_request_set_error_cb(raw.get(), onError);
     auto *headers = evhttp_request_get_output_headers(raw.get());
     if (findHeader(request.headers, "Host").empty()) {
--- a/src/wire/http/tests/client_tests.cpp
+++ b/src/wire/http/tests/client_tests.cpp
@@ -208,6 +208,15 @@
     EXPECT_EQ(client_.idleConnections(), 0U);
 }
 
+/// Guards against interim responses, behind which evhttp reads without a bound.
+TEST_F(ClientTests, anInterimResponseIsMalformed)
+{
+    for (const auto *status : { "100 Continue", "103 Early Hints" }) {
+        server_.answerWith("HTTP/1.1 " + std::string(status) + "\r\n\r\n");
+        EXPECT_EQ(errorOf({ .address = server_.address(), .path = "/", .timeout = std::chrono::hours(1) }).cause, Cause::Malformed);
+    }
+}
+
 // The caller sees a closed connection that says it was reused, so it may ask again on a fresh one.
 // 1. An exchange leaves an idle connection. 2. The peer reads the next request and closes, as one that restarts does.
 // 3. No byte of an answer came, and the error says so.
