--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -26,6 +26,8 @@
 constexpr Duration KeyKnownAfter = std::chrono::seconds(4);
 /// One request in so many comes with a key that was taken away, if any was.
 constexpr std::size_t WithdrawnKeys = 10;
+/// While a part of prompts crashes servers, one request in so many has it, and all others share its first part.
+constexpr std::size_t CrashingRequests = 5;
 
 auto splitLine(const std::string &line) -> http::Header
 {
@@ -33,6 +35,15 @@
     return { line.substr(0, colon), line.substr(colon + 2) };
 }
 
+/// The lines of a prompt that begins with a part which all requests share and ends with one of its own.
+auto promptHeaders(const std::string &crashingPart, std::uint64_t number) -> http::Headers
+{
+    const auto middle = crashingPart.empty() ? "" : crashingPart + ":40,";
+    const auto lines = standins::promptLines("200,20", "5a:100," + middle + std::to_string(number) + ":60");
+    const auto end = lines.find('\n');
+    return { splitLine(lines.substr(0, end)), splitLine(lines.substr(end + 1)) };
+}
+
 /// One caller of a resumable stream in so many leaves early, when it has got an event or two.
 constexpr std::uint64_t EarlyCallers = 3;
 constexpr Duration EarlyPatience = std::chrono::milliseconds(120);
@@ -154,7 +165,16 @@
     }
     request.leavesEarly = options_.takesStreamsUp && route.kind == RequestKind::Check && lastId_ % EarlyCallers == 0;
     const auto patience = request.leavesEarly ? EarlyPatience : CallerPatience;
-    submit(std::move(request), {}, patience);
+    if (site_.crashingPart().empty()) {
+        submit(std::move(request), {}, patience);
+        return;
+    }
+    if (drawBelow(CrashingRequests) == 0) {
+        request.crashingPart = site_.crashingPart();
+        request.isAllowed = false;
+    }
+    const auto headers = promptHeaders(request.crashingPart, lastId_);
+    submit(std::move(request), headers, patience);
 }
 
 auto Callers::submit(Sent request, const http::Headers &headers, Duration patience) -> void
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -145,6 +145,16 @@
     breaks_[name].push_back({ from, to });
 }
 
+auto Ledger::brittle(TimePoint from, TimePoint to, std::size_t servers) -> void
+{
+    brittleTimes_.push_back({ .interval = { from, to }, .servers = servers });
+}
+
+auto Ledger::serverCrashed(const std::string &part, TimePoint at) -> void
+{
+    crashes_[part].push_back(at);
+}
+
 auto Ledger::disturbed(TimePoint from, TimePoint to) -> void
 {
     disturbances_.push_back({ from, to + Aftermath });
@@ -397,6 +407,50 @@
     }
 }
 
+/// Crashes count while no way is harmed and no entry is missing.
+auto Ledger::checkBrittleness(Violations &violations) const -> void
+{
+    constexpr std::size_t Allowed = 2;
+    constexpr std::size_t ServersPerCrash = 10;
+    const auto crashes = crashes_.find("");
+    if (crashes == crashes_.end()) {
+        return;
+    }
+    for (const auto &[interval, servers] : brittleTimes_) {
+        const auto counts = [&, from = interval.from, to = interval.to](TimePoint at) {
+            const auto isHarmedThen = [at](const auto &item) { return overlapsAny(item.second, at - Aftermath, at); };
+            return at > from && at < to && std::none_of(harm_.begin(), harm_.end(), isHarmedThen);
+        };
+        const auto count = static_cast<std::size_t>(std::count_if(crashes->second.begin(), crashes->second.end(), counts));
+        if (count > Allowed + servers / ServersPerCrash) {
+            violations.push_back({ Promise::BrittleKept, "", std::to_string(count) + " crashes of brittle servers" });
+        }
+    }
+}
+
+/// Only requests count that come from entries which are in touch with the others.
+auto Ledger::checkParts(Violations &violations) const -> void
+{
+    constexpr std::size_t Crashes = 5;
+    constexpr std::size_t Allowed = 3;
+    constexpr Duration KnownAfter = std::chrono::seconds(3);
+    for (const auto &[part, crashes] : crashes_) {
+        if (part.empty() || crashes.size() < Crashes) {
+            continue;
+        }
+        const auto from = crashes.at(Crashes - 1) + KnownAfter;
+        std::size_t got = 0;
+        for (const auto &[id, record] : records_) {
+            const auto counts = [&](const Execution &run) { return run.at > from && !isHarmed(record.sent.entry, run.at - KnownAfter, run.at); };
+            got += record.sent.crashingPart == part ? static_cast<std::size_t>(std::count_if(record.runs.begin(), record.runs.end(), counts)) : 0;
+        }
+        if (got > Allowed) {
+            violations.push_back(
+                { Promise::PartContained, part, "ran " + std::to_string(got) + " times more, " + std::to_string(crashes.size()) + " crashes" });
+        }
+    }
+}
+
 auto Ledger::check(const std::optional<TimeBounds> &bounds) const -> std::vector<Violation>
 {
     auto violations = unasked_;
@@ -414,6 +468,8 @@
         checkLimits(violations);
         checkBackoffs(violations);
         checkStatedLeavings(violations);
+        checkBrittleness(violations);
+        checkParts(violations);
     }
     checkVersions(violations);
     return violations;
@@ -429,6 +485,9 @@
         totals.broken += status == 0 ? 1 : 0;
         totals.runs += record.runs.size();
     }
+    for (const auto &[part, crashes] : crashes_) {
+        totals.crashes += crashes.size();
+    }
     return totals;
 }
 
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -35,6 +35,8 @@
     BackoffKept,   ///< a server that has asked an entry for a backoff gets no more than two requests from it while the backoff lasts
     LeavingKept,   ///< a server gets no requests from an entry that has passed on an answer in which it states that it is leaving
     VersionKept,   ///< a stream holds events of one software version, over all tries of its caller
+    BrittleKept,   ///< servers that state how many rejections they bear crash at most 2 + a tenth of their number of times
+    PartContained, ///< after five servers have crashed on a part of prompts, servers get at most three more requests with it
     Recovers,      ///< after the last fault everything is served again
 };
 
@@ -54,6 +56,8 @@
     { Promise::BackoffKept, "backoff-kept" },
     { Promise::LeavingKept, "leaving-kept" },
     { Promise::VersionKept, "version-kept" },
+    { Promise::BrittleKept, "brittle-kept" },
+    { Promise::PartContained, "part-contained" },
     { Promise::Recovers, "recovers" },
 });
 
@@ -71,6 +75,7 @@
     std::string expectedAnswer;                          ///< whole
     std::map<std::string, std::string> answersByVersion; ///< whole, of a stream, by the software version of its servers; empty: no stream
     std::string resumes;                                 ///< id of the request that began the stream which this one takes up; empty: none
+    std::string crashingPart;                            ///< of its prompt, which crashes servers; empty: none
     bool leavesEarly = false;                            ///< the caller may leave before the end of the answer
     bool isAllowed = true;                               ///< by every version that may be in force
     std::uint64_t onlyVersion = 0;                       ///< the configuration that has its route; 0: all have
@@ -121,6 +126,10 @@
     auto harmed(const std::string &name, TimePoint from, TimePoint to) -> void;
     /// A server reads and writes nothing between the two, and goes on.
     auto serverSilent(const std::string &server, TimePoint from, TimePoint to) -> void;
+    /// All servers, so many, are brittle between the two, and all entries know it.
+    auto brittle(TimePoint from, TimePoint to, std::size_t servers) -> void;
+    /// A server crashed by itself; \p part: of prompts, which crashes servers now, empty: none.
+    auto serverCrashed(const std::string &part, TimePoint at) -> void;
     /// The process of a server or of any entry (\c AnyEntry), or the way to a server or from callers to an entry, may end what runs there.
     auto broken(const std::string &name, TimePoint from, TimePoint to) -> void;
     static constexpr auto AnyEntry = "any entry";
@@ -138,6 +147,7 @@
         std::size_t refused = 0;
         std::size_t broken = 0;
         std::size_t runs = 0;
+        std::size_t crashes = 0; ///< of servers by themselves
     };
     [[nodiscard]] auto totals() const -> Totals;
 
@@ -166,6 +176,8 @@
     auto checkLimits(Violations &violations) const -> void;
     auto checkBackoffs(Violations &violations) const -> void;
     auto checkStatedLeavings(Violations &violations) const -> void;
+    auto checkBrittleness(Violations &violations) const -> void;
+    auto checkParts(Violations &violations) const -> void;
     auto checkVersions(Violations &violations) const -> void;
     [[nodiscard]] auto isCalm(TimePoint from, TimePoint to) const -> bool;
 
@@ -192,9 +204,15 @@
     auto checkLimit(const Limit &limit, Violations &violations) const -> void;
     [[nodiscard]] auto isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool;
     std::vector<Limit> limits_;
-    Intervals harm_;     ///< by entry or server
-    Intervals breaks_;   ///< by entry or server
-    Intervals silences_; ///< by server
+    struct BrittleTime {
+        Interval interval;
+        std::size_t servers = 0;
+    };
+    std::vector<BrittleTime> brittleTimes_;
+    std::map<std::string, std::vector<TimePoint>> crashes_; ///< by part; the empty one: for another reason
+    Intervals harm_;                                        ///< by entry or server
+    Intervals breaks_;                                      ///< by entry or server
+    Intervals silences_;                                    ///< by server
 };
 
 } // namespace auburnspread::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -35,6 +35,7 @@
 constexpr Duration RestartInterval = std::chrono::milliseconds(200);
 constexpr std::size_t ServedInRow = 100; ///< of requests on all entries: the deployment has recovered
 constexpr std::size_t MostPrinted = 20;  ///< violations
+constexpr std::uint32_t FewSlots = 4;    ///< of a server that may be brittle: callers at the usual rate fill them
 
 struct Options {
     std::uint64_t seed = 1;
@@ -47,6 +48,9 @@
     double notices = 0;
     double silences = 0;
     double restores = 0;
+    double cuts = 0;
+    double brittle = 0;
+    double parts = 0;
     bool onlyPlanned = false;
     bool versions = false;
     bool bounds = false;
@@ -54,7 +58,8 @@
 
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
                        "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--restores A_SECOND]\n"
-                       "                  [--silences A_SECOND] [--planned] [--bounds] [--versions]\n"
+                       "                  [--silences A_SECOND] [--cuts A_SECOND] [--brittle A_SECOND] [--parts A_SECOND]\n"
+                       "                  [--planned] [--bounds] [--versions]\n"
                        "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n"
                        "--versions: backend servers of two software versions, and callers that take their streams up at other entries\n";
 
@@ -62,13 +67,23 @@
 {
     Options options;
     const std::vector<option> names = {
-        { "seed", required_argument, nullptr, 's' },     { "seconds", required_argument, nullptr, 't' },
-        { "entries", required_argument, nullptr, 'e' },  { "servers", required_argument, nullptr, 'b' },
-        { "notices", required_argument, nullptr, 'n' },  { "rate", required_argument, nullptr, 'r' },
-        { "faults", required_argument, nullptr, 'f' },   { "limits", required_argument, nullptr, 'm' },
-        { "restores", required_argument, nullptr, 'o' }, { "silences", required_argument, nullptr, 'i' },
-        { "planned", no_argument, nullptr, 'p' },        { "bounds", no_argument, nullptr, 'l' },
-        { "versions", no_argument, nullptr, 'v' },       { nullptr, 0, nullptr, 0 },
+        { "seed", required_argument, nullptr, 's' },
+        { "seconds", required_argument, nullptr, 't' },
+        { "entries", required_argument, nullptr, 'e' },
+        { "servers", required_argument, nullptr, 'b' },
+        { "notices", required_argument, nullptr, 'n' },
+        { "rate", required_argument, nullptr, 'r' },
+        { "faults", required_argument, nullptr, 'f' },
+        { "limits", required_argument, nullptr, 'm' },
+        { "restores", required_argument, nullptr, 'o' },
+        { "silences", required_argument, nullptr, 'i' },
+        { "planned", no_argument, nullptr, 'p' },
+        { "bounds", no_argument, nullptr, 'l' },
+        { "cuts", required_argument, nullptr, 'c' },
+        { "brittle", required_argument, nullptr, 'k' },
+        { "parts", required_argument, nullptr, 'a' },
+        { "versions", no_argument, nullptr, 'v' },
+        { nullptr, 0, nullptr, 0 },
     };
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", names.data(), nullptr)) != -1;) {
         switch (letter) {
@@ -102,6 +117,15 @@
         case 'i':
             options.silences = std::stod(optarg);
             break;
+        case 'c':
+            options.cuts = std::stod(optarg);
+            break;
+        case 'k':
+            options.brittle = std::stod(optarg);
+            break;
+        case 'a':
+            options.parts = std::stod(optarg);
+            break;
         case 'p':
             options.onlyPlanned = true;
             break;
@@ -129,7 +153,13 @@
 public:
     Soak(const Options &options, const std::filesystem::path &folder)
         : options_(options)
-        , site_(loop_, { .entries = options.entries, .servers = options.servers, .hasVersions = options.versions, .folder = folder }, ledger_)
+        , site_(loop_,
+                { .entries = options.entries,
+                  .servers = options.servers,
+                  .hasVersions = options.versions,
+                  .serverSlots = options.brittle > 0 ? FewSlots : SiteOptions().serverSlots,
+                  .folder = folder },
+                ledger_)
         , callers_(loop_, { .seed = options.seed, .requestsPerSecond = options.rate, .takesStreamsUp = options.versions }, site_, ledger_)
         , plan_(makePlan({ .seed = options.seed,
                            .length = std::chrono::seconds(options.seconds),
@@ -140,6 +170,9 @@
                            .noticesPerSecond = options.notices,
                            .silencesPerSecond = options.silences,
                            .restoresPerSecond = options.restores,
+                           .cutsPerSecond = options.cuts,
+                           .brittlePerSecond = options.brittle,
+                           .partsPerSecond = options.parts,
                            .onlyPlannedWork = options.onlyPlanned }))
     {
     }
@@ -247,8 +280,9 @@
     const auto violations = soak.run();
     const auto totals = soak.totals();
     print(violations);
-    std::cout << nlohmann::json{ { "event", "soak" },           { "seed", options.seed },    { "sent", totals.sent }, { "served", totals.served },
-                                 { "refused", totals.refused }, { "broken", totals.broken }, { "runs", totals.runs }, { "violations", violations.size() } }
+    std::cout << nlohmann::json{ { "event", "soak" },         { "seed", options.seed },      { "sent", totals.sent },
+                                 { "served", totals.served }, { "refused", totals.refused }, { "broken", totals.broken },
+                                 { "runs", totals.runs },     { "crashes", totals.crashes }, { "violations", violations.size() } }
               << "\n";
     if (violations.empty()) {
         std::filesystem::remove_all(folder);
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -1,6 +1,7 @@
 #include "soak/plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <random>
 
@@ -33,6 +34,19 @@
 /// One silence in so many is one of all servers.
 constexpr std::size_t SilencesOfAll = 3;
 /// @}
+/// \name Cuts of an entry from all backend servers: on both sides of the time after which it forwards requests
+/// @{
+constexpr Duration ShortestCut = std::chrono::seconds(1);
+constexpr Duration LongestCut = std::chrono::seconds(8);
+constexpr Duration ShortestAgain = std::chrono::milliseconds(400);
+constexpr Duration LongestAgain = std::chrono::seconds(2);
+/// @}
+/// \name Brittle servers, and requests with a crashing part: long enough for the bounds on both
+/// @{
+constexpr Duration ShortestOfService = std::chrono::seconds(6);
+constexpr Duration LongestOfService = std::chrono::seconds(10);
+constexpr double MostRejections = 4;
+/// @}
 
 /// Number of kinds that are drawn as faults. They come first in the table.
 constexpr auto DrawnKinds = static_cast<std::size_t>(
@@ -130,6 +144,36 @@
     });
 }
 
+auto addCuts(std::vector<Fault> &plan, const PlanOptions &options) -> void
+{
+    constexpr std::uint64_t OtherSeed = 0x637574ULL;
+    constexpr auto Paths = std::to_array<PathFault>({ PathFault::Cut, PathFault::CutThere, PathFault::CutBack, PathFault::Reset });
+    addDrawn(plan, options, OtherSeed, options.cutsPerSecond, [&options, &Paths](Random &random) -> Fault {
+        const auto isRecurring = drawBelow(random, 2) == 0;
+        return {
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestCut, LongestCut),
+            .kind = FaultKind::EntryCutOff,
+            .target = drawBelow(random, options.entries),
+            .path = Paths.at(drawBelow(random, Paths.size())),
+            .again = isRecurring ? drawDuration(random, ShortestAgain, LongestAgain) : Duration::zero(),
+        };
+    });
+}
+
+/// Times in which all servers, or the requests, are of a kind.
+auto addOfService(std::vector<Fault> &plan, const PlanOptions &options, FaultKind kind, std::uint64_t otherSeed, double perSecond) -> void
+{
+    addDrawn(plan, options, otherSeed, perSecond, [&options, kind](Random &random) -> Fault {
+        return {
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestOfService, LongestOfService),
+            .kind = kind,
+            .perSecond = 1 + std::floor(std::uniform_real_distribution<double>(0, MostRejections)(random)),
+        };
+    });
+}
+
 } // namespace
 
 auto makePlan(const PlanOptions &options) -> std::vector<Fault>
@@ -148,6 +192,11 @@
     addNotices(plan, options);
     addSilences(plan, options);
     addRestores(plan, options);
+    addCuts(plan, options);
+    constexpr std::uint64_t BrittleSeed = 0x627269747465ULL;
+    constexpr std::uint64_t PartSeed = 0x70617274ULL;
+    addOfService(plan, options, FaultKind::ServersBrittle, BrittleSeed, options.brittlePerSecond);
+    addOfService(plan, options, FaultKind::CrashingPart, PartSeed, options.partsPerSecond);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -35,17 +35,25 @@
     ServerBackoff,        ///< a backend server rejects requests and asks for a backoff
     ServerSilentlyLeaves, ///< a backend server states in its answers alone that it is leaving, and is replaced
     ServerSilent,         ///< several backend servers read and write nothing for a while and then go on, their connections stay open
+    EntryCutOff,          ///< one entry from all backend servers, once or again and again
+    ServersBrittle,       ///< all backend servers state how many rejections a second they bear, and crash at more
+    CrashingPart,         ///< callers send requests with a part in their prompts that crashes each server
     StoreRestored,        ///< at its end, the store comes back as it was at its beginning; what others wrote is written again soon
 };
 
 constexpr auto FaultKinds = std::to_array<NamedValue<FaultKind>>({
-    { FaultKind::EntryKilled, "entry-killed" },   { FaultKind::EntryStopped, "entry-stopped" },   { FaultKind::EntryPaused, "entry-paused" },
-    { FaultKind::EntryReloads, "entry-reloads" }, { FaultKind::AllKilled, "all-killed" },         { FaultKind::CallerPath, "caller-path" },
-    { FaultKind::StorePath, "store-path" },       { FaultKind::ServerPath, "server-path" },       { FaultKind::ServerCrashes, "server-crashes" },
-    { FaultKind::ServerLeaves, "server-leaves" }, { FaultKind::StoreBusy, "store-busy" },         { FaultKind::StoreSilent, "store-silent" },
-    { FaultKind::StoreForgets, "store-forgets" }, { FaultKind::LeasesEnd, "leases-end" },         { FaultKind::Configuration, "configuration" },
-    { FaultKind::ServerLimit, "server-limit" },   { FaultKind::ServerBackoff, "server-backoff" }, { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
-    { FaultKind::ServerSilent, "server-silent" }, { FaultKind::StoreRestored, "store-restored" },
+    { FaultKind::EntryKilled, "entry-killed" },     { FaultKind::EntryStopped, "entry-stopped" },
+    { FaultKind::EntryPaused, "entry-paused" },     { FaultKind::EntryReloads, "entry-reloads" },
+    { FaultKind::AllKilled, "all-killed" },         { FaultKind::CallerPath, "caller-path" },
+    { FaultKind::StorePath, "store-path" },         { FaultKind::ServerPath, "server-path" },
+    { FaultKind::ServerCrashes, "server-crashes" }, { FaultKind::ServerLeaves, "server-leaves" },
+    { FaultKind::StoreBusy, "store-busy" },         { FaultKind::StoreSilent, "store-silent" },
+    { FaultKind::StoreForgets, "store-forgets" },   { FaultKind::LeasesEnd, "leases-end" },
+    { FaultKind::Configuration, "configuration" },  { FaultKind::ServerLimit, "server-limit" },
+    { FaultKind::ServerBackoff, "server-backoff" }, { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
+    { FaultKind::EntryCutOff, "entry-cut-off" },    { FaultKind::ServersBrittle, "servers-brittle" },
+    { FaultKind::CrashingPart, "crashing-part" },   { FaultKind::ServerSilent, "server-silent" },
+    { FaultKind::StoreRestored, "store-restored" },
 });
 
 /// Planned work, around which no request may be lost.
@@ -63,13 +71,14 @@
 /// Kinds that have options and random numbers of their own, so that the other faults of a seed stay the same.
 constexpr auto isDrawnSeparately(FaultKind kind) -> bool
 {
-    return isServerStatement(kind) || kind == FaultKind::ServerSilent || kind == FaultKind::StoreRestored;
+    return isServerStatement(kind) || kind == FaultKind::ServerSilent || kind == FaultKind::StoreRestored || kind == FaultKind::EntryCutOff
+        || kind == FaultKind::ServersBrittle || kind == FaultKind::CrashingPart;
 }
 
 /// Failures that may cost a request that runs.
 constexpr auto mayLoseRequests(FaultKind kind) -> bool
 {
-    return !isPlannedWork(kind) && !isServerStatement(kind) && kind != FaultKind::ServerSilent;
+    return !isPlannedWork(kind) && !isServerStatement(kind) && kind != FaultKind::ServerSilent && kind != FaultKind::ServersBrittle;
 }
 
 struct Fault {
@@ -78,8 +87,9 @@
     FaultKind kind{};
     std::size_t target = 0; ///< number of an entry or a backend server
     PathFault path = PathFault::None;
-    double perSecond = 0;    ///< requests that a limited server takes
+    double perSecond = 0;    ///< requests that a limited server takes, or rejections that a brittle one bears
     Duration backoff{};      ///< that a server asks for when it rejects a request
+    Duration again{};        ///< the entry is cut off in every other interval of this length; 0: all the time
     std::size_t servers = 1; ///< that fall silent together: the target and those after it
 };
 
@@ -93,6 +103,9 @@
     double noticesPerSecond = 0;  ///< backoffs and leavings that backend servers state in their answers, beside the faults
     double silencesPerSecond = 0; ///< silences of backend servers, beside the faults
     double restoresPerSecond = 0; ///< returns of the store from a copy, beside the faults
+    double cutsPerSecond = 0;     ///< entries that are cut off from all backend servers, beside the faults
+    double brittlePerSecond = 0;  ///< times in which all backend servers are brittle, beside the faults
+    double partsPerSecond = 0;    ///< parts of prompts that crash backend servers, beside the faults
     bool onlyPlannedWork = false;
 };
 
--- a/src/soak/proxy.cpp
+++ b/src/soak/proxy.cpp
@@ -1,15 +1,20 @@
 #include "soak/proxy.h"
 
 #include "runtime/net/endpoint.h"
+#include "soak/socketowner.h"
 #include "standins/testing/relayparts.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <deque>
+#include <iterator>
 #include <utility>
+#include <vector>
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 namespace auburnspread::soak
@@ -25,6 +30,14 @@
     ::setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
 }
 
+auto peerPortOf(bufferevent *end) -> std::uint16_t
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getpeername(bufferevent_getfd(end), reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
 } // namespace
 
 class Proxy::Impl
@@ -38,9 +51,10 @@
         std::uint64_t number = 0;
         standins::BuffereventPointer caller;
         standins::BuffereventPointer target;
-        bool forgotten = false;          ///< silent for good
-        std::deque<task::Watch> delayed; ///< bytes that are held up, in the order of their arrival
-        bool ending = false;             ///< one end has closed; the pair ends when the other has got everything
+        PathFault ownFault = PathFault::None; ///< of the process that opened it
+        bool forgotten = false;               ///< silent for good
+        std::deque<task::Watch> delayed;      ///< bytes that are held up, in the order of their arrival
+        bool ending = false;                  ///< one end has closed; the pair ends when the other has got everything
     };
 
     auto accept(evutil_socket_t descriptor) -> void;
@@ -49,13 +63,17 @@
     static auto write(Pair &pair, bool goesToTarget, const std::string &bytes) -> void;
     auto endIfDone(Pair &pair) -> void;
     auto end(Pair &pair, bufferevent *ended, bool isReset) -> void;
-    auto resetAll() -> void;
+    template <typename Condition>
+    auto resetIf(Condition isWanted) -> void;
     auto listen(Pair &pair) const -> void;
+    [[nodiscard]] auto faultOf(const Pair &pair) const -> PathFault;
+    auto findOwnFaults(const std::vector<Pair *> &wanted) const -> void;
 
     task::EventLoop &loop;
     net::SocketAddress target;
     standins::LoopbackListener listener;
     PathFault fault = PathFault::None;
+    std::map<pid_t, PathFault> processFaults;
     std::uint64_t lastPair = 0;
     std::map<std::uint64_t, std::unique_ptr<Pair>> pairs;
 };
@@ -73,7 +91,8 @@
     pair->proxy = this;
     pair->number = ++lastPair;
     pair->caller.reset(bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE));
-    if (fault == PathFault::Reset) {
+    findOwnFaults({ pair.get() });
+    if (faultOf(*pair) == PathFault::Reset) {
         makeReset(pair->caller.get());
         return;
     }
@@ -104,8 +123,27 @@
 {
     const auto set
         = [&pair](bufferevent *end, bool passes) { passes && !pair.forgotten ? bufferevent_enable(end, EV_READ) : bufferevent_disable(end, EV_READ); };
-    set(pair.caller.get(), fault != PathFault::Cut && fault != PathFault::CutThere);
-    set(pair.target.get(), fault != PathFault::Cut && fault != PathFault::CutBack);
+    const auto current = faultOf(pair);
+    set(pair.caller.get(), current != PathFault::Cut && current != PathFault::CutThere);
+    set(pair.target.get(), current != PathFault::Cut && current != PathFault::CutBack);
+}
+
+auto Proxy::Impl::faultOf(const Pair &pair) const -> PathFault
+{
+    return fault == PathFault::None ? pair.ownFault : fault;
+}
+
+auto Proxy::Impl::findOwnFaults(const std::vector<Pair *> &wanted) const -> void
+{
+    for (auto *pair : wanted) {
+        pair->ownFault = PathFault::None;
+    }
+    for (const auto &[process, ownFault] : processFaults) {
+        const auto ports = localPortsOf(process);
+        for (auto *pair : wanted) {
+            pair->ownFault = ports.contains(peerPortOf(pair->caller.get())) ? ownFault : pair->ownFault;
+        }
+    }
 }
 
 auto Proxy::Impl::pass(Pair &pair, bufferevent *from) -> void
@@ -159,13 +197,17 @@
     }
 }
 
-auto Proxy::Impl::resetAll() -> void
+template <typename Condition>
+auto Proxy::Impl::resetIf(Condition isWanted) -> void
 {
-    for (const auto &[number, pair] : pairs) {
-        makeReset(pair->caller.get());
-        makeReset(pair->target.get());
-    }
-    pairs.clear();
+    std::erase_if(pairs, [&](const auto &item) {
+        const auto &pair = *item.second;
+        if (isWanted(pair)) {
+            makeReset(pair.caller.get());
+            makeReset(pair.target.get());
+        }
+        return isWanted(pair);
+    });
 }
 
 Proxy::Proxy(task::EventLoop &loop, const std::string &target)
@@ -184,7 +226,7 @@
 {
     impl_->fault = fault;
     if (fault == PathFault::Reset) {
-        impl_->resetAll();
+        impl_->resetIf([](const Impl::Pair & /*pair*/) { return true; });
     }
     for (const auto &[number, pair] : impl_->pairs) {
         pair->forgotten = pair->forgotten || fault == PathFault::Silenced;
@@ -192,4 +234,22 @@
     }
 }
 
+auto Proxy::setFaultOf(pid_t process, PathFault fault) -> void
+{
+    if (fault == PathFault::None) {
+        impl_->processFaults.erase(process);
+    } else {
+        impl_->processFaults[process] = fault;
+    }
+    std::vector<Impl::Pair *> all;
+    std::transform(impl_->pairs.begin(), impl_->pairs.end(), std::back_inserter(all), [](const auto &item) { return item.second.get(); });
+    impl_->findOwnFaults(all);
+    for (auto *pair : all) {
+        impl_->listen(*pair);
+    }
+    if (fault == PathFault::Reset) {
+        impl_->resetIf([](const Impl::Pair &pair) { return pair.ownFault == PathFault::Reset; });
+    }
+}
+
 } // namespace auburnspread::soak
--- a/src/soak/proxy.h
+++ b/src/soak/proxy.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <sys/types.h>
 
 struct evconnlistener;
 
@@ -52,6 +53,8 @@
 
     [[nodiscard]] auto address() const -> const std::string &;
     auto setFault(PathFault fault) -> void;
+    /// Harms only the connections that \p process has opened, unless all are harmed. Only Reset, Cut and its variants.
+    auto setFaultOf(pid_t process, PathFault fault) -> void;
 
 private:
     class Impl;
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -20,7 +20,10 @@
 
 constexpr auto GatewayProgram = "auburnspread-gateway";
 constexpr auto ServiceName = "portal";
-constexpr std::uint32_t ServerSlots = 64;
+/// Until a server that has crashed is back.
+constexpr Duration CrashLength = std::chrono::seconds(2);
+/// Entries learn by then that servers are brittle.
+constexpr Duration BrittlenessKnownAfter = std::chrono::seconds(2);
 /// Of a process that is asked to end: long enough for the addresses that callers keep, short enough for many ends in a run.
 constexpr auto LeavingSeconds = "6";
 constexpr Duration ServesOn = std::chrono::seconds(4); ///< a backend server that leaves
@@ -109,6 +112,8 @@
 {
     entry.incarnation += 1;
     entry.mayEnd = false;
+    entry.cut = PathFault::None;
+    entry.cutAgain = {};
     entry.process = std::make_unique<failuretests::Process>(failuretests::ProcessOptions{
         .program = GatewayProgram,
         .arguments = { "--config", writeSettings(entry) },
@@ -149,6 +154,8 @@
                                                                    .version = server.version,
                                                                    .onExecuted = [this](const standins::Execution &run) { ledger_.ran(run); },
                                                                    .onRejected = [this](const standins::Rejection &rejection) { ledger_.rejected(rejection); },
+                                                                   .slots = options_.serverSlots,
+                                                                   .onCrashed = [this, number]() { serverCrashed(number); },
                                                                });
     server.proxy = std::make_unique<Proxy>(loop_, server.standin->address());
     server.replacement = {};
@@ -157,6 +164,11 @@
     server.isLeaving = false;
     server.isLimited = false;
     server.isOverloaded = false;
+    server.standin->setBrittleness(rejections_);
+    server.standin->crashOnPart(crashingPart_);
+    for (const auto &entry : entries_) {
+        server.proxy->setFaultOf(entry.process->pid(), entry.cut);
+    }
     putServer(server);
 }
 
@@ -165,7 +177,7 @@
     const passthrough::Server record{ .service = ServiceName,
                                       .address = server.proxy->address(),
                                       .failureDomain = "a",
-                                      .slots = ServerSlots,
+                                      .slots = options_.serverSlots,
                                       .isLeaving = server.isLeaving,
                                       .version = { server.version } };
     store_.put(standins::serverKey(server.id), standins::serverText(record));
@@ -297,6 +309,68 @@
     }
 }
 
+/// A cut ends with the process of the entry.
+auto Site::setCut(std::size_t entry, PathFault path) -> void
+{
+    entries_.at(entry).cut = path;
+    for (const auto &server : servers_) {
+        if (server.proxy) {
+            server.proxy->setFaultOf(entries_.at(entry).process->pid(), path);
+        }
+    }
+}
+
+auto Site::beginCut(const Fault &fault) -> void
+{
+    auto &entry = entries_.at(fault.target);
+    entry.cuts += 1;
+    entry.cutAgain = {};
+    setCut(fault.target, fault.path);
+    if (fault.again > Duration::zero()) {
+        entry.cutAgain = loop_.every(
+            fault.again, [this, fault]() { setCut(fault.target, entries_.at(fault.target).cut == PathFault::None ? fault.path : PathFault::None); });
+    }
+}
+
+auto Site::endCut(const Fault &fault) -> void
+{
+    auto &entry = entries_.at(fault.target);
+    entry.cuts -= 1;
+    if (entry.cuts == 0) {
+        entry.cutAgain = {};
+        setCut(fault.target, PathFault::None);
+    }
+}
+
+auto Site::setBrittleness(std::optional<double> rejections) -> void
+{
+    rejections_ = rejections;
+    for (const auto &server : servers_) {
+        if (server.standin) {
+            server.standin->setBrittleness(rejections);
+        }
+    }
+}
+
+auto Site::setCrashingPart(const std::string &part) -> void
+{
+    crashingPart_ = part;
+    for (const auto &server : servers_) {
+        if (server.standin) {
+            server.standin->crashOnPart(part);
+        }
+    }
+}
+
+auto Site::serverCrashed(std::size_t number) -> void
+{
+    const auto now = task::monotonicNow();
+    ledger_.serverCrashed(crashingPart_, now);
+    ledger_.disturbed(now, now + CrashLength);
+    stopServer(number);
+    servers_.at(number).replacement = loop_.after(CrashLength, [this, number]() { startServer(number); });
+}
+
 auto Site::noteBreak(const Fault &fault) -> void
 {
     const auto now = task::monotonicNow();
@@ -307,6 +381,9 @@
     case FaultKind::AllKilled:
         ledger_.broken(Ledger::AnyEntry, now, to);
         break;
+    case FaultKind::EntryCutOff:
+        ledger_.broken(std::to_string(fault.target), now, to + Ledger::Aftermath);
+        break;
     case FaultKind::CallerPath:
     case FaultKind::ServerPath:
         if (fault.path != PathFault::Delayed) {
@@ -328,6 +405,7 @@
     case FaultKind::EntryPaused:
     case FaultKind::CallerPath:
     case FaultKind::StorePath:
+    case FaultKind::EntryCutOff:
         ledger_.harmed(std::to_string(fault.target), now, now + fault.length);
         break;
     case FaultKind::AllKilled:
@@ -357,6 +435,17 @@
     case FaultKind::ServerSilent:
         beginSilence(fault);
         break;
+    case FaultKind::EntryCutOff:
+        beginCut(fault);
+        break;
+    case FaultKind::ServersBrittle:
+        setBrittleness(fault.perSecond);
+        ledger_.brittle(task::monotonicNow() + BrittlenessKnownAfter, task::monotonicNow() + fault.length, servers_.size());
+        break;
+    case FaultKind::CrashingPart:
+        lastPart_ += 1;
+        setCrashingPart("c" + std::to_string(lastPart_));
+        break;
     case FaultKind::EntryKilled:
     case FaultKind::EntryStopped: {
         auto &entry = entries_.at(fault.target);
@@ -443,6 +532,15 @@
     case FaultKind::ServerBackoff:
         endOverload(fault);
         break;
+    case FaultKind::EntryCutOff:
+        endCut(fault);
+        break;
+    case FaultKind::ServersBrittle:
+        setBrittleness(std::nullopt);
+        break;
+    case FaultKind::CrashingPart:
+        setCrashingPart("");
+        break;
     case FaultKind::StoreBusy:
         store_.setBusy(false);
         break;
@@ -509,4 +607,9 @@
     return withdrawnKey_;
 }
 
+auto Site::crashingPart() const -> const std::string &
+{
+    return crashingPart_;
+}
+
 } // namespace auburnspread::soak
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,7 +56,8 @@
 struct SiteOptions {
     std::size_t entries = 3;
     std::size_t servers = 4;
-    bool hasVersions = false;     ///< the backend servers have software versions, in turn
+    bool hasVersions = false; ///< the backend servers have software versions, in turn
+    std::uint32_t serverSlots = 64;
     std::filesystem::path folder; ///< for settings and logs
 };
 
@@ -89,6 +91,8 @@
     [[nodiscard]] auto key() const -> const Key &;
     /// The key that was taken away last; empty: none yet.
     [[nodiscard]] auto withdrawnKey() const -> const std::string &;
+    /// Id of the part of prompts that crashes servers now, in hexadecimal; empty: none.
+    [[nodiscard]] auto crashingPart() const -> const std::string &;
     /// @}
 
 private:
@@ -103,7 +107,10 @@
         std::unique_ptr<Proxy> storeProxy;
         std::unique_ptr<failuretests::Process> process;
         std::uint32_t incarnation = 0;
-        bool mayEnd = false; ///< it was killed or asked to end
+        bool mayEnd = false;             ///< it was killed or asked to end
+        PathFault cut = PathFault::None; ///< between it and all backend servers
+        int cuts = 0;                    ///< that last
+        task::Watch cutAgain;            ///< of a cut that comes again and again
     };
     struct Server {
         std::string id;
@@ -128,6 +135,13 @@
     auto beginOverload(const Fault &fault) -> void;
     auto endOverload(const Fault &fault) -> void;
     auto beginSilence(const Fault &fault) -> void;
+    auto beginCut(const Fault &fault) -> void;
+    auto setCut(std::size_t entry, PathFault path) -> void;
+    auto endCut(const Fault &fault) -> void;
+    auto setBrittleness(std::optional<double> rejections) -> void;
+    auto setCrashingPart(const std::string &part) -> void;
+    /// The server has crashed by itself; another one takes its place some time later.
+    auto serverCrashed(std::size_t number) -> void;
     /// Tells the ledger what the fault excuses from keeping to limits.
     auto noteHarm(const Fault &fault) -> void;
     /// Tells the ledger which running requests the fault may end.
@@ -154,6 +168,9 @@
     std::uint64_t lastKey_ = 0;
     std::deque<Key> keys_;
     std::string withdrawnKey_;
+    std::optional<double> rejections_; ///< a second that the servers bear
+    std::string crashingPart_;
+    std::uint64_t lastPart_ = 0;
     std::string configuration_; ///< as written last
     task::Watch writer_;
 };
--- a/src/soak/tests/ledger_tests.cpp
+++ b/src/soak/tests/ledger_tests.cpp
@@ -352,3 +352,38 @@
     ledger.ended({ .id = "a", .status = 504, .at = at(6600) });
     EXPECT_TRUE(breaks(ledger, Promise::Answered));
 }
+
+TEST(LedgerTests, brittleServersThatCrashTooOftenAreSeenUnlessAWayWasHarmed)
+{
+    for (const auto isHarmed : { false, true }) {
+        Served served;
+        served.ledger.brittle(at(1000), at(9000), 4);
+        for (const auto milliseconds : { 500, 2000, 3000 }) {
+            served.ledger.serverCrashed("", at(milliseconds));
+        }
+        EXPECT_FALSE(breaks(served.ledger, Promise::BrittleKept)) << "two, and one before";
+        if (isHarmed) {
+            served.ledger.harmed("0", at(4000), at(4100));
+        }
+        served.ledger.serverCrashed("", at(5000));
+        EXPECT_EQ(breaks(served.ledger, Promise::BrittleKept), !isHarmed);
+    }
+}
+
+TEST(LedgerTests, aPartThatReachesServersAfterFiveCrashesIsSeen)
+{
+    Served served;
+    for (int number = 0; number < 5; ++number) {
+        served.ledger.serverCrashed("c1", at(1000 + number));
+    }
+    for (int number = 0; number < 8; ++number) {
+        EXPECT_FALSE(breaks(served.ledger, Promise::PartContained)) << number;
+        auto sent = makeSent("c" + std::to_string(number));
+        sent.crashingPart = "c1";
+        served.ledger.sent(sent);
+        auto run = makeRun(sent);
+        run.at = at(number < 4 ? 2000 : 5000); // four of them before the entries know the part
+        served.ledger.ran(run);
+    }
+    EXPECT_TRUE(breaks(served.ledger, Promise::PartContained));
+}
--- a/src/soak/tests/plan_tests.cpp
+++ b/src/soak/tests/plan_tests.cpp
@@ -37,7 +37,12 @@
     options.noticesPerSecond = 0.3;
     options.restoresPerSecond = 0.3;
     options.silencesPerSecond = 0.3;
+    options.cutsPerSecond = 0.3;
+    options.brittlePerSecond = 0.3;
+    options.partsPerSecond = 0.3;
     std::set<std::size_t> silentServers;
+    std::set<std::size_t> cutEntries;
+    int recurringCuts = 0;
     for (const auto &fault : makePlan(options)) {
         kinds.insert(fault.kind);
         EXPECT_LT(fault.target, 4U);
@@ -51,7 +56,14 @@
             EXPECT_LE(fault.length, std::chrono::milliseconds(2500));
             continue;
         }
-        if (fault.kind == FaultKind::StoreRestored) {
+        if (fault.kind == FaultKind::StoreRestored || fault.kind == FaultKind::ServersBrittle || fault.kind == FaultKind::CrashingPart) {
+            EXPECT_TRUE(fault.kind != FaultKind::ServersBrittle || fault.perSecond >= 1);
+            continue;
+        }
+        if (fault.kind == FaultKind::EntryCutOff) {
+            cutEntries.insert(fault.target);
+            recurringCuts += fault.again > Duration::zero() ? 1 : 0;
+            EXPECT_NE(fault.path, PathFault::None);
             continue;
         }
         paths.insert(fault.path);
@@ -59,6 +71,8 @@
     }
     EXPECT_EQ(kinds.size(), FaultKinds.size());
     EXPECT_EQ(silentServers, (std::set<std::size_t>{ 1, 2, 3, 4 }));
+    EXPECT_EQ(cutEntries, (std::set<std::size_t>{ 0, 1, 2 }));
+    EXPECT_GT(recurringCuts, 0);
     EXPECT_EQ(paths.size(), PathFaults.size() - 1);
 }
 
@@ -70,6 +84,9 @@
     options.noticesPerSecond = 0.3;
     options.restoresPerSecond = 0.3;
     options.silencesPerSecond = 0.3;
+    options.cutsPerSecond = 0.3;
+    options.brittlePerSecond = 0.3;
+    options.partsPerSecond = 0.3;
     auto with = makePlan(options);
     EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return isDrawnSeparately(fault.kind); }), 0U);
     ASSERT_EQ(with.size(), without.size());
--- a/src/soak/tests/proxy_tests.cpp
+++ b/src/soak/tests/proxy_tests.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <unistd.h>
 #include <variant>
 
 using namespace auburnspread;
@@ -55,6 +56,10 @@
     {
         proxy_.setFault(fault);
     }
+    auto setFaultOf(pid_t process, PathFault fault) -> void
+    {
+        proxy_.setFaultOf(process, fault);
+    }
     [[nodiscard]] auto runs() const -> int
     {
         return runs_;
@@ -112,3 +117,18 @@
     EXPECT_FALSE(path.ask("/whole", Path::Short));
     EXPECT_EQ(path.runs(), 2) << "nothing arrives there";
 }
+
+TEST(ProxyTests, aFaultOfOneProcessHarmsItsConnectionsAlone)
+{
+    Path path;
+    path.ask("/whole");
+    for (const auto fault : { PathFault::Reset, PathFault::Cut }) {
+        path.setFaultOf(::getpid(), fault);
+        EXPECT_FALSE(path.ask("/whole", Path::Short)) << "on the connection that was open";
+        EXPECT_FALSE(path.ask("/whole", Path::Short)) << "on a new one";
+        path.setFaultOf(::getpid(), PathFault::None);
+        path.setFaultOf(::getppid(), fault);
+        EXPECT_TRUE(path.ask("/whole"));
+        path.setFaultOf(::getppid(), PathFault::None);
+    }
+}
