A refused late request does not take two turns of its split route

Cause: the service of a late request is chosen before it is judged, which takes a turn, and the delay that its refusal states takes another one. With two services of equal weight, each refused request so leads the next one to the same service again, and the other one gets none of the entry's late requests. Change: a request takes its turn once it is accepted. Ruled out: times known of the wrong service; the accepted ones are those of the service with short responses. Before: late_requests_tests accepts 0 of 100 requests of a route that is split evenly over a service with short and one with long responses. After: at least 30, the test passes. Only late_requests_tests was run.

--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -174,7 +174,7 @@
     request.route = &route;
     request.workspace = match.workspace == nullptr ? "" : match.workspace->name;
     request.rank = rankOf(route, match.workspace);
-    request.order = state.lastOrder;
+    request.order = ++state.lastOrder;
     request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
     request.service = std::move(service);
     request.lessUrgentTiers = state.table->lessUrgentTiers(route);
@@ -208,7 +208,7 @@
         refuseArrival(state, call, *reason, actions);
         return;
     }
-    auto service = chooseService(*match.route, ++state.lastOrder);
+    auto service = chooseService(*match.route, state.lastOrder + 1);
     if (mayOutlastEntry(state, call, *match.route, service, actions)) {
         refuseArrival(state, call, Reason::Draining, actions);
         return;
--- /dev/null
+++ b/src/core/passthrough/tests/laterequests_tests.cpp
@@ -0,0 +1,140 @@
+/// \file
+/// Which requests an entry that is leaving accepts shortly before it exits, by what it knows of the requests before them.
+
+#include "core/passthrough/tests/world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace auburnspread;
+using namespace auburnspread::passthrough;
+using namespace auburnspread::passthrough::tests;
+
+namespace
+{
+
+constexpr auto SlowService = "slow-engines";
+constexpr auto SlowServer = "s1";
+constexpr Duration RouteTimeout = std::chrono::seconds(15);
+constexpr Duration Short = std::chrono::milliseconds(300);
+constexpr Duration LongerThanLeft = std::chrono::seconds(6);
+
+auto configurationWith(std::uint64_t version, std::vector<Share> shares, Duration timeout = RouteTimeout) -> Configuration
+{
+    auto configuration = makeConfiguration(version);
+    configuration.services.push_back({ .name = SlowService, .batchSlots = 2000, .cacheTokens = 292'000 });
+    for (auto &route : configuration.routes) {
+        route.timeout = timeout;
+        if (route.name == "/check/") {
+            route.shares = shares;
+        }
+    }
+    return configuration;
+}
+
+class LeavingEntry
+{
+public:
+    explicit LeavingEntry(std::vector<Share> shares = { { .service = "engines" } }, Duration timeout = RouteTimeout)
+    {
+        auto servers = makeServers();
+        servers.push_back(makeServer(SlowServer, SlowService, 2000));
+        std::for_each(servers.begin(), servers.end(), [](Server &each) { each.slots = 2000; });
+        harness.apply(ConfigurationAdopted{ configurationWith(2, std::move(shares), timeout) });
+        harness.apply(ServersListed{ .servers = servers, .asOf = harness.now() });
+    }
+
+    auto request() -> RequestArrived
+    {
+        auto call = harness.request(CheckPath);
+        call.callerId = "attempt-" + std::to_string(static_cast<std::uint64_t>(call.request));
+        return call;
+    }
+
+    auto begin(const RequestArrived &call) -> std::optional<Send>
+    {
+        const auto sent = find<Send>(harness.apply(call));
+        if (sent) {
+            harness.apply(AttemptStarted{ .attempt = sent->attempt, .isForwarded = true });
+        }
+        return sent;
+    }
+
+    auto finish(const std::vector<Send> &sends) -> void
+    {
+        for (const auto &sent : sends) {
+            harness.apply(AttemptFinished{ .attempt = sent.attempt });
+        }
+    }
+
+    auto serve(std::size_t requests, Duration time) -> void
+    {
+        std::vector<Send> sends;
+        for (std::size_t i = 0; i < requests; ++i) {
+            sends.push_back(*begin(request()));
+        }
+        harness.advance(time);
+        finish(sends);
+    }
+
+    /// Serves the streams of the slow server in a longer time than the others.
+    /// \return the last of the slow streams
+    auto serveSplit(std::size_t requests) -> std::string
+    {
+        std::string lastSlow;
+        std::vector<Send> fast;
+        std::vector<Send> slow;
+        for (std::size_t i = 0; i < requests; ++i) {
+            const auto call = request();
+            const auto sent = *begin(call);
+            lastSlow = sent.server == SlowServer ? call.callerId : lastSlow;
+            (sent.server == SlowServer ? slow : fast).push_back(sent);
+        }
+        harness.advance(Short);
+        finish(fast);
+        harness.advance(LongerThanLeft - Short);
+        finish(slow);
+        return lastSlow;
+    }
+
+    /// Gets the termination signal, and comes to the time from which late requests are judged.
+    auto leave() -> void
+    {
+        harness.apply(LeavingStarted{ .lateFrom = harness.now() + std::chrono::milliseconds(2800), .exitAt = harness.now() + std::chrono::milliseconds(7700) });
+        harness.advance(std::chrono::seconds(3));
+    }
+
+    RouterHarness harness;
+};
+
+const std::vector<Share> Split = { { .service = "engines" }, { .service = SlowService } };
+
+} // namespace
+
+/// Guards against late requests that are refused although all of their route are short.
+TEST(LateRequestsTests, aRequestOfAShortRouteIsAccepted)
+{
+    LeavingEntry entry;
+    entry.serve(100, Short);
+    entry.harness.advance(LongerThanLeft);
+    entry.leave();
+    EXPECT_TRUE(entry.begin(entry.request()));
+}
+
+/// Guards against a split route of which each refused request lets the next one go to the service that refuses again.
+TEST(LateRequestsTests, refusedRequestsOfOneServiceLeaveTheShareOfTheOther)
+{
+    LeavingEntry entry(Split);
+    entry.serveSplit(400);
+    entry.leave();
+    auto accepted = 0;
+    for (auto i = 0; i < 100; ++i) {
+        accepted += entry.begin(entry.request()) ? 1 : 0;
+    }
+    EXPECT_GE(accepted, 30);
+}
