Rests of resumed streams do not show how long a whole one takes

Cause: a resumed stream that ends counts like a whole one towards the 50 requests from which the expected time of a late request is learnt. After many resumptions, as when a server failed, an entry that has seen no whole stream expects that a late one takes as short as they did, and cuts it off. Change: resumed streams do not count. Their time still counts if it is the longest one. Before: late_requests_tests accepts a whole stream with 4.7 s left after 100 rests of 0.3 s. After: it is refused. Only late_requests_tests was run.

--- a/src/core/passthrough/answertimes.cpp
+++ b/src/core/passthrough/answertimes.cpp
@@ -23,12 +23,12 @@
 
 } // namespace
 
-auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, bool isAnswered, TimePoint now) -> void
+auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, bool isWhole, TimePoint now) -> void
 {
     times.slices.erase(times.slices.begin(), times.slices.lower_bound(oldestSlice(now)));
     auto &longest = times.slices[sliceBegin(now)].longest;
     longest = std::max(longest, now - arrived);
-    if (isAnswered && sliceBegin(arrived) >= oldestSlice(now)) {
+    if (isWhole && sliceBegin(arrived) >= oldestSlice(now)) {
         times.slices[sliceBegin(arrived)].answered += 1;
     }
 }
--- a/src/core/passthrough/answertimes.h
+++ b/src/core/passthrough/answertimes.h
@@ -25,8 +25,8 @@
 };
 
 /// Records the end of a request.
-/// \p isAnswered: it got its whole response; otherwise it is known only that it would not have taken less time
-auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, bool isAnswered, TimePoint now) -> void;
+/// \p isWhole: it got its whole response; otherwise it is known only that it would not have taken less time
+auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, bool isWhole, TimePoint now) -> void;
 
 struct KnownAnswerTimes {
     Duration longest{};         ///< of all that have ended, also of those that arrived lately
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -87,10 +87,16 @@
     };
 }
 
+/// Whether the request took as long as others of its route do. The rest of a resumed stream is shorter.
+auto showsWholeTime(const Request &request) -> bool
+{
+    return request.isAnswered && !isResumption(request);
+}
+
 auto removeRequest(RouterState &state, Request &request) -> void
 {
     const auto id = request.call.request;
-    recordAnswerTime(state.answerTimes[{ request.route->name, request.service }], request.arrived, request.isAnswered, state.now);
+    recordAnswerTime(state.answerTimes[{ request.route->name, request.service }], request.arrived, showsWholeTime(request), state.now);
     leaveQueue(state, request);
     stopResolving(state, request);
     state.dueChecks.erase({ request.queueDeadline, id });
--- a/src/core/passthrough/tests/laterequests_tests.cpp
+++ b/src/core/passthrough/tests/laterequests_tests.cpp
@@ -152,3 +152,22 @@
         EXPECT_FALSE(entry.begin(call));
     }
 }
+
+/// Guards against streams that are cut off because only the rests of resumed ones are known.
+TEST(LateRequestsTests, resumedStreamsDoNotShowHowLongAWholeOneTakes)
+{
+    LeavingEntry entry;
+    std::vector<Send> sends;
+    for (auto i = 0; i < 100; ++i) {
+        auto call = entry.request();
+        call.lastEventId = "1";
+        call.origin = StreamOrigin{ .service = "engines" };
+        call.forwardedSends = 1;
+        sends.push_back(*entry.begin(call));
+    }
+    entry.harness.advance(Short);
+    entry.finish(sends);
+    entry.harness.advance(LongerThanLeft);
+    entry.leave();
+    EXPECT_FALSE(entry.begin(entry.request()));
+}
