Rejections by a service do not show how long its responses take

Cause: a response with a status from 400 to 499 counts towards the 50 requests from which the expected time of a late request is learnt, although a rejection takes no work. After a run of them a late stream is expected to be as short, and is cut off. Change: rejections do not count. Before: late_requests_tests accepts a stream with 4.7 s left after 100 responses with status 404. After: it is refused. Only late_requests_tests was run.

--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -415,6 +415,7 @@
     request.mayHaveRun = true;
     if (!isError) {
         noteCompletion(state, request, actions);
+        request.isAnswered = event.status < FirstRejectionStatus;
         recordSuccess(*server, state.now);
         recordOutcome(state, request, *server, std::nullopt);
     } else {
--- a/src/core/passthrough/internal/forwarding.cpp
+++ b/src/core/passthrough/internal/forwarding.cpp
@@ -261,7 +261,7 @@
     }
     const auto forwarding = closeForwarding(state, event.attempt);
     recordAble(state.peers, forwarding.peer, request.service);
-    request.isAnswered = !isError;
+    request.isAnswered = event.status < FirstRejectionStatus;
     if (isError) {
         request.mayHaveRun = true;
         useUpAttempts(request);
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -70,7 +70,7 @@
     bool mayHaveRun = false;
     bool answerBegun = false;
     bool callerGone = false;
-    bool isAnswered = false; ///< it got its whole response
+    bool isAnswered = false; ///< it got its whole response, and was not rejected
     std::string lastEventId;
     std::string lastPeer;
     std::optional<StreamOrigin> origin;    ///< set once the stream has begun: it goes on at this service and version only
--- a/src/core/passthrough/tests/laterequests_tests.cpp
+++ b/src/core/passthrough/tests/laterequests_tests.cpp
@@ -171,3 +171,16 @@
     entry.leave();
     EXPECT_FALSE(entry.begin(entry.request()));
 }
+
+/// Guards against streams that are cut off because quick rejections by their service were taken for short responses.
+TEST(LateRequestsTests, rejectionsDoNotShowHowLongStreamsTake)
+{
+    LeavingEntry entry;
+    for (auto i = 0; i < 100; ++i) {
+        const auto sent = find<Send>(entry.harness.apply(entry.request()));
+        entry.harness.apply(AttemptAnswered{ .attempt = sent->attempt, .status = 404 });
+    }
+    entry.harness.advance(LongerThanLeft);
+    entry.leave();
+    EXPECT_FALSE(entry.begin(entry.request()));
+}
