Responses that ran out of time do not show how long others take

Those of the same time that were answered are the short ones, and count as known. A late request with a longer deadline, or after the timeout of its route was raised, is so expected to end in time, and is cut off. Change: if a request ran out of time within the last minute, the longest time that the caller waits counts. Ruled out: requests that wait in the queue; they are refused by half of their deadline. Before: late_requests_tests accepts a late stream with 4.7 s left, 15 s being the timeout, after 30 requests that ended at 2 s by the timeout of the route, or by the deadline of their callers. After: it is refused. late_requests_tests (7 of 7) and short_lived_entries_tests (6 of 6, 60 cases) pass. Nothing else was run.

--- a/src/core/passthrough/answertimes.cpp
+++ b/src/core/passthrough/answertimes.cpp
@@ -23,12 +23,13 @@
 
 } // namespace
 
-auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, bool isWhole, TimePoint now) -> void
+auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, AnswerEnd end, TimePoint now) -> void
 {
     times.slices.erase(times.slices.begin(), times.slices.lower_bound(oldestSlice(now)));
-    auto &longest = times.slices[sliceBegin(now)].longest;
-    longest = std::max(longest, now - arrived);
-    if (isWhole && sliceBegin(arrived) >= oldestSlice(now)) {
+    auto &slice = times.slices[sliceBegin(now)];
+    slice.longest = std::max(slice.longest, now - arrived);
+    slice.hasRunOut = slice.hasRunOut || end == AnswerEnd::OutOfTime;
+    if (end == AnswerEnd::Whole && sliceBegin(arrived) >= oldestSlice(now)) {
         times.slices[sliceBegin(arrived)].answered += 1;
     }
 }
@@ -39,6 +40,7 @@
     for (auto each = times.slices.lower_bound(oldestSlice(now)); each != times.slices.end(); ++each) {
         const auto &[begin, slice] = *each;
         known.longest = std::max(known.longest, slice.longest);
+        known.hasRunOut = known.hasRunOut || slice.hasRunOut;
         if (slice.answered > 0 && begin + SliceLength <= now - limit) {
             known.requests += slice.answered;
             known.since = std::min(known.since, begin);
--- a/src/core/passthrough/answertimes.h
+++ b/src/core/passthrough/answertimes.h
@@ -20,18 +20,25 @@
     struct Slice {
         std::uint32_t answered = 0; ///< requests that arrived in this slice and got their whole response
         Duration longest{};         ///< from the arrival of a request to its end in this slice, whether it was answered or not
+        bool hasRunOut = false;     ///< a request ran out of time in this slice: nobody knows how much longer it would have taken
     };
     std::map<TimePoint, Slice> slices; ///< by the beginning of the slice
 };
 
+enum class AnswerEnd {
+    Whole,     ///< the request got its whole response
+    Early,     ///< it is known only that it would not have taken less time
+    OutOfTime, ///< as Early, because its time limit has passed; requests with a longer one may take any time
+};
+
 /// Records the end of a request.
-/// \p isWhole: it got its whole response; otherwise it is known only that it would not have taken less time
-auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, bool isWhole, TimePoint now) -> void;
+auto recordAnswerTime(AnswerTimes &times, TimePoint arrived, AnswerEnd end, TimePoint now) -> void;
 
 struct KnownAnswerTimes {
     Duration longest{};         ///< of all that have ended, also of those that arrived lately
     std::uint32_t requests = 0; ///< number of answered ones that arrived so long ago that longer ones would be known
     TimePoint since;            ///< arrival of the first of them
+    bool hasRunOut = false;     ///< a request ran out of time, so that there may be longer ones
 };
 
 /// \p limit: time since the arrival after which it is known of a request whether it takes longer
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -123,7 +123,7 @@
         const auto known = found == state.answerTimes.end() ? KnownAnswerTimes{ .since = state.now }
                                                             : knownAnswerTimes(found->second, scaled(remaining, 1 / Margin), state.now);
         const auto longest = std::max(known.longest, longestOpenRequest(state, route, each));
-        const auto expected = known.requests < MinRequests ? most : std::min(most, scaled(longest, Margin));
+        const auto expected = known.requests < MinRequests || known.hasRunOut ? most : std::min(most, scaled(longest, Margin));
         if (expected >= judged.expected) {
             judged.expected = expected;
             judged.knownRequests = known.requests;
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -87,16 +87,21 @@
     };
 }
 
-/// Whether the request took as long as others of its route do. The rest of a resumed stream is shorter.
-auto showsWholeTime(const Request &request) -> bool
+/// The rest of a resumed stream is shorter than a whole one. Callers measure their deadline from the sending of the request, and leave a
+/// little earlier than it passes here.
+auto answerEndOf(const Request &request, TimePoint now) -> AnswerEnd
 {
-    return request.isAnswered && !isResumption(request);
+    constexpr double UsedUpFraction = 0.95;
+    if (request.isAnswered) {
+        return isResumption(request) ? AnswerEnd::Early : AnswerEnd::Whole;
+    }
+    return now - request.arrived >= scaled(request.deadline - request.arrived, UsedUpFraction) ? AnswerEnd::OutOfTime : AnswerEnd::Early;
 }
 
 auto removeRequest(RouterState &state, Request &request) -> void
 {
     const auto id = request.call.request;
-    recordAnswerTime(state.answerTimes[{ request.route->name, request.service }], request.arrived, showsWholeTime(request), state.now);
+    recordAnswerTime(state.answerTimes[{ request.route->name, request.service }], request.arrived, answerEndOf(request, state.now), state.now);
     leaveQueue(state, request);
     stopResolving(state, request);
     state.dueChecks.erase({ request.queueDeadline, id });
--- a/src/core/passthrough/tests/laterequests_tests.cpp
+++ b/src/core/passthrough/tests/laterequests_tests.cpp
@@ -184,3 +184,32 @@
     entry.leave();
     EXPECT_FALSE(entry.begin(entry.request()));
 }
+
+/// Guards against streams that are cut off because those before them were ended at a shorter timeout of the route.
+TEST(LateRequestsTests, responsesThatRanOutOfTimeDoNotShowHowLongOnesTakeWithMoreTime)
+{
+    LeavingEntry entry({ { .service = "engines" } }, std::chrono::seconds(2));
+    for (auto i = 0; i < 30; ++i) {
+        entry.begin(entry.request()); // runs until its deadline
+    }
+    entry.serve(100, Short);
+    entry.harness.advance(LongerThanLeft);
+    entry.harness.apply(ConfigurationAdopted{ configurationWith(3, { { .service = "engines" } }) });
+    entry.leave();
+    EXPECT_FALSE(entry.begin(entry.request()));
+}
+
+/// Guards against streams that are cut off because those before them were ended at the shorter deadline of their callers.
+TEST(LateRequestsTests, shortDeadlinesOfOtherCallersDoNotShowHowLongResponsesTake)
+{
+    LeavingEntry entry;
+    for (auto i = 0; i < 30; ++i) {
+        auto call = entry.request();
+        call.deadline = std::chrono::seconds(2);
+        entry.begin(call); // runs until its deadline
+    }
+    entry.serve(100, Short);
+    entry.harness.advance(LongerThanLeft);
+    entry.leave();
+    EXPECT_FALSE(entry.begin(entry.request()));
+}
