--- a/src/core/passthrough/tests/laterequests_tests.cpp
+++ b/src/core/passthrough/tests/laterequests_tests.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace auburnspread;
@@ -24,7 +23,7 @@
 constexpr Duration Short = std::chrono::milliseconds(300);
 constexpr Duration LongerThanLeft = std::chrono::seconds(6);
 
-auto configurationWith(std::uint64_t version, std::vector<Share> shares, Duration timeout = RouteTimeout) -> Configuration
+auto configurationWith(std::uint64_t version, const std::vector<Share> &shares, Duration timeout = RouteTimeout) -> Configuration
 {
     auto configuration = makeConfiguration(version);
     configuration.services.push_back({ .name = SlowService, .batchSlots = 2000, .cacheTokens = 292'000 });
@@ -40,12 +39,12 @@
 class LeavingEntry
 {
 public:
-    explicit LeavingEntry(std::vector<Share> shares = { { .service = "engines" } }, Duration timeout = RouteTimeout)
+    explicit LeavingEntry(const std::vector<Share> &shares = { { .service = "engines" } }, Duration timeout = RouteTimeout)
     {
         auto servers = makeServers();
         servers.push_back(makeServer(SlowServer, SlowService, 2000));
         std::for_each(servers.begin(), servers.end(), [](Server &each) { each.slots = 2000; });
-        harness.apply(ConfigurationAdopted{ configurationWith(2, std::move(shares), timeout) });
+        harness.apply(ConfigurationAdopted{ configurationWith(2, shares, timeout) });
         harness.apply(ServersListed{ .servers = servers, .asOf = harness.now() });
     }
 
@@ -58,7 +57,7 @@
 
     auto begin(const RequestArrived &call) -> std::optional<Send>
     {
-        const auto sent = find<Send>(harness.apply(call));
+        auto sent = find<Send>(harness.apply(call));
         if (sent) {
             harness.apply(AttemptStarted{ .attempt = sent->attempt, .isForwarded = true });
         }
@@ -112,7 +111,10 @@
     RouterHarness harness;
 };
 
-const std::vector<Share> Split = { { .service = "engines" }, { .service = SlowService } };
+auto splitShares() -> std::vector<Share>
+{
+    return { { .service = "engines" }, { .service = SlowService } };
+}
 
 } // namespace
 
@@ -129,7 +131,7 @@
 /// Guards against a split route of which each refused request lets the next one go to the service that refuses again.
 TEST(LateRequestsTests, refusedRequestsOfOneServiceLeaveTheShareOfTheOther)
 {
-    LeavingEntry entry(Split);
+    LeavingEntry entry(splitShares());
     entry.serveSplit(400);
     entry.leave();
     auto accepted = 0;
@@ -142,7 +144,7 @@
 /// Guards against resumed streams that are cut off because they are judged by another service than the one that goes on with them.
 TEST(LateRequestsTests, aResumedStreamIsJudgedByTheServiceThatItBeganAt)
 {
-    LeavingEntry entry(Split);
+    LeavingEntry entry(splitShares());
     const auto slowStream = entry.serveSplit(400);
     entry.leave();
     for (auto i = 0; i < 10; ++i) {
