Streams may be as old as a former configuration of their route allowed

Cause: an entry that does not know where a resumed stream began infers its version from the list of servers, if a single one was listed for as long as the stream may be old. That age is reckoned from the timeout of the route and from the deadlines that callers set, which are forgotten with each configuration. After a timeout was lowered, streams that began before seem younger than they are, and may go on at servers of another version. Change: the longest time that requests of a route had holds on until all of them must have ended. Ruled out: to keep the deadlines themselves; with them, callers that set none would all seem to retry. Not covered: an entry that starts after the change does not know the former timeout. Before: aLowerTimeoutDoesNotMakeOldStreamsYounger fails; a stream of 7 s that began at v1 goes on at v2, which was listed 5 s before.

--- a/src/core/passthrough/internal/resuming.cpp
+++ b/src/core/passthrough/internal/resuming.cpp
@@ -47,13 +47,23 @@
 /// Time for which a request waits for a list of servers that is not older than itself.
 constexpr Duration ListTimeout = std::chrono::milliseconds(1500);
 
+/// Longest time that a request of the route may have had, whichever configuration it began under.
+auto longestLimit(const RouterState &state, const Route &route) -> Duration
+{
+    const auto known = state.longestDeadlines.find(route.name);
+    const auto former = state.formerLimits.find(route.name);
+    return std::max({
+        route.timeout,
+        known == state.longestDeadlines.end() ? Duration::zero() : known->second,
+        former == state.formerLimits.end() || former->second.until <= state.now ? Duration::zero() : former->second.longest,
+    });
+}
+
 /// The time that a caller's tries have taken so far is at most the longest deadline of the route less the one that is left.
 auto longestStreamAge(const RouterState &state, const Request &request) -> Duration
 {
-    const auto known = state.longestDeadlines.find(request.route->name);
-    const auto longest = std::max(request.route->timeout, known == state.longestDeadlines.end() ? Duration::zero() : known->second);
     const auto left = request.call.deadline.value_or(Duration::zero());
-    return std::max(longest - left, Duration::zero()) + StreamAgeMargin;
+    return std::max(longestLimit(state, *request.route) - left, Duration::zero()) + StreamAgeMargin;
 }
 
 /// Where the stream began if the service has had a single version for as long as the stream can be old.
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -120,6 +120,12 @@
     }; ///< moving averages of the ratio of observed to estimated time to the first byte, for long [0] and short [1] prompts
 };
 
+/// Longest time that requests of a route had under former configurations. It holds until the last of them must have ended.
+struct FormerLimit {
+    Duration longest{};
+    TimePoint until;
+};
+
 using DueCheck = std::pair<TimePoint, RequestId>;
 
 struct RouterState {
@@ -148,6 +154,7 @@
     std::unordered_map<StreamId, std::vector<RequestId>> resolving;         ///< requests in stage Resolving, by stream
     TimePoint serversConfirmedAt;                                           ///< time as of which the list of servers was last known to be current
     std::map<std::pair<std::string, std::string>, AnswerTimes> answerTimes; ///< by route and service
+    std::unordered_map<std::string, FormerLimit> formerLimits;              ///< by route
     std::unordered_map<std::string, Duration> longestDeadlines;             ///< longest deadlines that callers set, by route
     std::unordered_map<std::string, BaselineErrorRate> usualErrors;         ///< by route
     std::uint64_t seed = 0;                                                 ///< seed of this entry's tie-breaks
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -24,11 +24,27 @@
 /// use the allowance of the whole fleet.
 constexpr std::uint32_t ProvisionalEntries = 300;
 
+/// Streams that began under the configuration so far may be as old as it allows.
+auto keepLimits(RouterState &state) -> void
+{
+    std::erase_if(state.formerLimits, [&state](const auto &item) { return item.second.until <= state.now; });
+    if (!state.table) {
+        return;
+    }
+    for (const auto &route : state.table->configuration().routes) {
+        const auto known = state.longestDeadlines.find(route.name);
+        const auto longest = std::max(route.timeout, known == state.longestDeadlines.end() ? Duration::zero() : known->second);
+        auto &former = state.formerLimits[route.name];
+        former = { .longest = std::max(former.longest, longest), .until = std::max(former.until, state.now + longest) };
+    }
+}
+
 /// Ignores an older version that arrives late, from a superseded read or from another entry.
 auto adoptConfiguration(RouterState &state, const Configuration &configuration) -> void
 {
     const auto isOlder = state.table && configuration.version <= state.table->configuration().version;
     if (!isOlder) {
+        keepLimits(state);
         state.table = std::make_shared<const RouteTable>(configuration);
         state.longestDeadlines.clear(); // routes come and go with configurations
         state.usualErrors.clear();
--- a/src/core/passthrough/tests/streamversions_tests.cpp
+++ b/src/core/passthrough/tests/streamversions_tests.cpp
@@ -155,3 +155,39 @@
     EXPECT_EQ(refusal->reason, Reason::BackendBackoff);
     EXPECT_GE(refusal->retryAfter.value_or(Duration::zero()), std::chrono::seconds(3));
 }
+
+/// Guards against streams of two versions after the timeout of their route was lowered: they may be as old as the former one allowed.
+TEST(StreamVersionTests, aLowerTimeoutDoesNotMakeOldStreamsYounger)
+{
+    const auto configurationWith = [](std::uint64_t version, Duration timeout) {
+        auto configuration = makeConfiguration(version);
+        for (auto &route : configuration.routes) {
+            route.timeout = timeout;
+        }
+        return configuration;
+    };
+    const auto listedAs = [](const char *version) {
+        auto servers = makeServers();
+        for (auto &server : servers) {
+            server.version.name = version;
+        }
+        return servers;
+    };
+    constexpr Duration CallerDeadline = std::chrono::seconds(15);
+    RouterHarness harness;
+    harness.apply(ServersListed{ .servers = listedAs("v1"), .asOf = harness.now() });
+    harness.apply(ConfigurationAdopted{ configurationWith(2, CallerDeadline) });
+    auto first = harness.request(CheckPath);
+    first.deadline = CallerDeadline;
+    harness.apply(first);
+    harness.advance(std::chrono::seconds(30));
+    harness.apply(ServersConfirmed{ .asOf = harness.now() });
+    harness.apply(ServersListed{ .servers = listedAs("v2"), .asOf = harness.now() });
+    harness.advance(std::chrono::seconds(5));
+    harness.apply(ConfigurationAdopted{ configurationWith(3, std::chrono::seconds(3)) });
+    harness.apply(ServersListed{ .servers = listedAs("v2"), .asOf = harness.now() });
+    auto resumption = harness.request(CheckPath);
+    resumption.deadline = CallerDeadline - std::chrono::seconds(7); // began at the former version
+    resumption.lastEventId = "3";
+    EXPECT_FALSE(find<Send>(harness.apply(resumption)));
+}
