--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -539,15 +539,18 @@
 /// Fails the attempts that hold most until the rest fits.
 auto Upstream::Impl::boundHeldBytes() -> void
 {
-    std::vector<std::pair<std::size_t, AttemptId>> held;
     std::size_t total = 0;
     for (const auto &[id, attempt] : attempts) {
-        held.emplace_back(heldBytes(*attempt), id);
-        total += held.back().first;
+        total += heldBytes(*attempt);
     }
     if (total <= MaxHeldBytes) {
         return;
     }
+    std::vector<std::pair<std::size_t, AttemptId>> held;
+    held.reserve(attempts.size());
+    for (const auto &[id, attempt] : attempts) {
+        held.emplace_back(heldBytes(*attempt), id);
+    }
     std::sort(held.rbegin(), held.rend());
     for (const auto &[bytes, id] : held) {
         if (total <= MaxHeldBytes) {
