--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -440,7 +440,8 @@
         }
         const auto from = crashes.at(Crashes - 1) + KnownAfter;
         std::size_t got = 0;
-        for (const auto &[id, record] : records_) {
+        for (const auto &item : records_) {
+            const auto &record = item.second;
             const auto counts = [&](const Execution &run) { return run.at > from && !isHarmed(record.sent.entry, run.at - KnownAfter, run.at); };
             got += record.sent.crashingPart == part ? static_cast<std::size_t>(std::count_if(record.runs.begin(), record.runs.end(), counts)) : 0;
         }
