--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -8,6 +8,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
+#include <vector>
 
 namespace auburnspread::passthrough::detail
 {
@@ -28,22 +31,6 @@
     return isConfigurationFresh(state, state.now) && !state.outdatedSince ? reason : Reason::StaleConfiguration;
 }
 
-/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. A route of which
-/// few requests were answered counts with the longest time that its callers wait.
-auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route) -> bool
-{
-    constexpr std::uint32_t MinRequests = 50; // fewer may all have been short ones
-    constexpr double Margin = 1.25;           // requests may take longer than those before, as the load moves to fewer entries
-    if (!state.leaving || state.now < state.leaving->lateFrom) {
-        return false;
-    }
-    const auto most = std::min(route.timeout, call.deadline.value_or(route.timeout));
-    const auto found = state.answerTimes.find(route.name);
-    const auto isKnown = found != state.answerTimes.end() && found->second.requests >= MinRequests;
-    const auto expected = isKnown ? std::min(most, scaled(found->second.longest, Margin)) : most;
-    return state.now + expected > state.leaving->exitAt;
-}
-
 auto authorize(const RouterState &state, const RequestArrived &call, RouteMatch &found) -> std::optional<Reason>
 {
     if (state.closing) {
@@ -92,6 +79,62 @@
     return route.shares.back().service;
 }
 
+/// How long the requests of the route to the service that run or wait have taken so far.
+auto longestOpenRequest(const RouterState &state, const Route &route, const std::string &service) -> Duration
+{
+    Duration longest{};
+    for (const auto &[id, request] : state.requests) {
+        if (request.service == service && request.route->name == route.name) {
+            longest = std::max(longest, state.now - request.arrived);
+        }
+    }
+    return longest;
+}
+
+/// Services that may go on with the request. A resumed stream stays with the service that it began at, whichever is chosen now.
+auto servicesFor(const RouterState &state, const RequestArrived &call, const Route &route, const std::string &chosen) -> std::vector<std::string>
+{
+    if (call.lastEventId.empty() || route.repeatability != Repeatability::Stream) {
+        return { chosen };
+    }
+    const auto *known = findOrigin(state.streams, streamIdOf(call.resumedAttempt));
+    if (call.origin || known != nullptr) {
+        return { call.origin ? call.origin->service : known->service };
+    }
+    std::vector<std::string> services;
+    std::transform(route.shares.begin(), route.shares.end(), std::back_inserter(services), [](const Share &share) { return share.service; });
+    return services;
+}
+
+/// Whether a request that is accepted now may still be running when the entry exits, which would cut its response off. As long as too few
+/// requests show it, the longest time that its callers wait counts.
+auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route, const std::string &service, Actions &actions) -> bool
+{
+    constexpr std::uint32_t MinRequests = 50; // fewer may all have been short ones
+    constexpr double Margin = 1.25;           // requests may take longer than those before, as the load moves to fewer entries
+    if (!state.leaving || state.now < state.leaving->lateFrom) {
+        return false;
+    }
+    const auto remaining = state.leaving->exitAt - state.now;
+    const auto most = std::min(route.timeout, call.deadline.value_or(route.timeout));
+    LateRequestJudged judged{ .request = call.request, .route = route.name, .remaining = remaining };
+    for (const auto &each : servicesFor(state, call, route, service)) {
+        const auto found = state.answerTimes.find({ route.name, each });
+        const auto known = found == state.answerTimes.end() ? KnownAnswerTimes{ .since = state.now }
+                                                            : knownAnswerTimes(found->second, scaled(remaining, 1 / Margin), state.now);
+        const auto longest = std::max(known.longest, longestOpenRequest(state, route, each));
+        const auto expected = known.requests < MinRequests || known.hasRunOut ? most : std::min(most, scaled(longest, Margin));
+        if (expected >= judged.expected) {
+            judged.expected = expected;
+            judged.knownRequests = known.requests;
+            judged.knownFor = state.now - known.since;
+        }
+    }
+    judged.isAccepted = judged.expected <= remaining;
+    actions.emplace_back(judged);
+    return !judged.isAccepted;
+}
+
 /// Latest time until which a request is queued. Engines that can't accept a stream within a part of its target are overloaded, and
 /// its response would be late. The caller is then refused early, with the information that nothing ran, instead of waiting until it
 /// gives up.
@@ -140,7 +183,7 @@
     return route.tier * WorkspaceTiers + std::clamp(ofWorkspace, 0, WorkspaceTiers - 1);
 }
 
-auto admit(RouterState &state, const RequestArrived &call, const RouteMatch &match) -> Request &
+auto admit(RouterState &state, const RequestArrived &call, const RouteMatch &match, std::string service) -> Request &
 {
     const auto &route = *match.route;
     auto &request = state.requests[call.request];
@@ -151,7 +194,7 @@
     request.rank = rankOf(route, match.workspace);
     request.order = ++state.lastOrder;
     request.tieBreak = XXH64(&request.order, sizeof request.order, state.seed);
-    request.service = chooseService(route, request.order);
+    request.service = std::move(service);
     request.lessUrgentTiers = state.table->lessUrgentTiers(route);
     request.hasMoreUrgentTiers = state.table->hasMoreUrgentTiers(route);
     request.arrived = state.now;
@@ -183,7 +226,8 @@
         refuseArrival(state, call, *reason, actions);
         return;
     }
-    if (mayOutlastEntry(state, call, *match.route)) {
+    auto service = chooseService(*match.route, state.lastOrder + 1);
+    if (mayOutlastEntry(state, call, *match.route, service, actions)) {
         refuseArrival(state, call, Reason::Draining, actions);
         return;
     }
@@ -191,7 +235,7 @@
         refuseArrival(state, call, Reason::Quarantined, actions);
         return;
     }
-    auto &request = admit(state, call, match);
+    auto &request = admit(state, call, match, std::move(service));
     if (!isCutOff(state, request.service)) {
         recordArrival(state.pools[request.service].arrivals, state.now); // a forwarded request arrives at the other entry
     }
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -87,9 +87,21 @@
     };
 }
 
+/// The rest of a resumed stream is shorter than a whole one. Callers measure their deadline from the sending of the request, and leave a
+/// little earlier than it passes here.
+auto answerEndOf(const Request &request, TimePoint now) -> AnswerEnd
+{
+    constexpr double UsedUpFraction = 0.95;
+    if (request.isAnswered) {
+        return isResumption(request) ? AnswerEnd::Early : AnswerEnd::Whole;
+    }
+    return now - request.arrived >= scaled(request.deadline - request.arrived, UsedUpFraction) ? AnswerEnd::OutOfTime : AnswerEnd::Early;
+}
+
 auto removeRequest(RouterState &state, Request &request) -> void
 {
     const auto id = request.call.request;
+    recordAnswerTime(state.answerTimes[{ request.route->name, request.service }], request.arrived, answerEndOf(request, state.now), state.now);
     leaveQueue(state, request);
     stopResolving(state, request);
     state.dueChecks.erase({ request.queueDeadline, id });
@@ -189,13 +201,6 @@
     return findServer(state.servers, server.record.id) && !server.record.isLeaving && !server.stated.isLeaving;
 }
 
-auto recordAnswerTime(AnswerTime &known, Duration observed) -> void
-{
-    constexpr double Decay = 0.99; // remembers about the last hundred requests
-    known.longest = std::max(observed, scaled(known.longest, Decay));
-    known.requests += 1;
-}
-
 auto noteCrash(RouterState &state, const Request &request, const CrashIncident &incident, Actions &actions) -> void
 {
     const auto fingerprint = request.call.fingerprint;
@@ -208,9 +213,9 @@
     }
 }
 
-auto noteCompletion(RouterState &state, const Request &request, Actions &actions) -> void
+auto noteCompletion(RouterState &state, Request &request, Actions &actions) -> void
 {
-    recordAnswerTime(state.answerTimes[request.route->name], state.now - request.arrived);
+    request.isAnswered = true;
     if (recordCompletion(state.crashes, request.call.fingerprint)) {
         actions.emplace_back(ReportCrashes{ .fingerprint = request.call.fingerprint });
     }
@@ -415,6 +420,7 @@
     request.mayHaveRun = true;
     if (!isError) {
         noteCompletion(state, request, actions);
+        request.isAnswered = event.status < FirstRejectionStatus;
         recordSuccess(*server, state.now);
         recordOutcome(state, request, *server, std::nullopt);
     } else {
