Log the shared prompt parts of failed attempts and refused requests

Requests that crash servers may have only a part of their prompts in common, and the logs stated nothing that would show it. At most eight part ids a line, without the last part, which no other request has.

--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -6,6 +6,7 @@
 #include "runtime/metrics/prometheus.h"
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 namespace auburnspread::gateway
@@ -27,6 +28,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Numbers separated by spaces.
+auto listOf(std::span<const std::uint64_t> numbers) -> std::string
+{
+    std::string list;
+    for (const auto number : numbers) {
+        list += (list.empty() ? "" : " ") + std::to_string(number);
+    }
+    return list;
+}
+
 auto declareKeptAttempts(metrics::Registry &registry) -> metrics::EnumCounters<passthrough::KeptBecause>
 {
     constexpr metrics::Description Kept{ .name = "auburnspread_silent_attempts_kept_total",
@@ -152,6 +163,7 @@
             { "framing", failure.body ? http::framingName(failure.body->framing) : "" },
             { "partial_event_bytes", failure.body ? failure.body->partialEventBytes : 0 },
             { "fingerprint", static_cast<std::uint64_t>(context.fingerprint) },
+            { "parts", listOf(context.sharedParts) },
             { "after_ms", wholeMilliseconds(elapsed) },
             { "servers_age_ms", wholeMilliseconds(context.serversAge) } });
 }
@@ -198,6 +210,7 @@
             { "status", refusal.status },
             { "retry_after_ms", wholeMilliseconds(refusal.retryAfter.value_or(Duration::zero())) },
             { "peer", refusal.peer },
+            { "parts", listOf(context.sharedParts) },
             { "configuration", context.configurationVersion },
             { "configuration_age_ms", wholeMilliseconds(refusal.informationAge) } });
 }
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -14,6 +14,7 @@
 #include "runtime/metrics/registry.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,7 @@
 struct RequestLogContext {
     std::string_view request; ///< attempt id given by the caller
     Fingerprint fingerprint{};
+    std::span<const std::uint64_t> sharedParts; ///< first prompt parts that other requests may share, in prompt order
     std::uint64_t configurationVersion = 0;
     Duration configurationAge{};
     Duration serversAge{}; ///< age of the list of backend servers
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,7 @@
     BufferedRequestPointer message;
     std::string callerId;
     Fingerprint fingerprint{};
+    std::vector<std::uint64_t> sharedParts; ///< see RequestLogContext
     TimePoint arrivedAt;
     std::optional<TimePoint> firstByteAt;
     bool responseStarted = false; ///< a part of the response was sent to the caller
@@ -72,6 +73,16 @@
     return Fingerprint{ hash };
 }
 
+auto loggedPartsOf(const passthrough::Prompt &prompt) -> std::vector<std::uint64_t>
+{
+    constexpr std::size_t MaxLogged = 8;
+    std::vector<std::uint64_t> ids;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size() && i < MaxLogged; ++i) {
+        ids.push_back(prompt.parts[i].id);
+    }
+    return ids;
+}
+
 auto routerOptionsOf(const GatewaySettings &settings) -> passthrough::RouterOptions
 {
     return {
@@ -241,6 +252,7 @@
     return {
         .request = request.callerId,
         .fingerprint = request.fingerprint,
+        .sharedParts = request.sharedParts,
         .configurationVersion = status.configurationVersion,
         .configurationAge = status.configurationAge,
         .serversAge = fleet.serversAge(at),
@@ -419,7 +431,13 @@
     }
     adapter::decodeCallerHeaders(message->headers, arrived);
     arrived.fingerprint = fingerprintOf(*message, arrived.host, arrived.key);
-    requests[id] = { .message = std::move(message), .callerId = arrived.callerId, .fingerprint = arrived.fingerprint, .arrivedAt = now() };
+    requests[id] = {
+        .message = std::move(message),
+        .callerId = arrived.callerId,
+        .fingerprint = arrived.fingerprint,
+        .sharedParts = loggedPartsOf(arrived.prompt),
+        .arrivedAt = now(),
+    };
     apply(arrived);
 }
 
