--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -29,6 +29,7 @@
 constexpr int MisdirectedStatus = 421;
 constexpr int LimitedStatus = 429;
 constexpr int UnavailableStatus = 503;
+constexpr int FirstFinalStatus = 200;
 constexpr int FirstSuccessStatus = 200;
 constexpr int FirstRedirectStatus = 300;
 
@@ -57,6 +58,7 @@
     EventSplitter splitter;
     http::Framing framing{};
     bool headReceived = false;
+    bool isComplete = false;          ///< the response was received to its end
     bool isRelayed = false;           ///< the response is relayed event by event
     bool relayStarted = false;        ///< some of its events were relayed
     bool ignoresCallbacks = false;    ///< callbacks of libevent are ignored while the attempt starts and after it has ended
@@ -111,6 +113,9 @@
 auto checkResponseHead(const Attempt &attempt) -> std::optional<Failure>
 {
     const auto status = attempt.response.status;
+    if (status < FirstFinalStatus) {
+        return Failure::BadResponse; // none was asked for, and they could go on without end
+    }
     if (attempt.head.isOthers) {
         return Failure::WrongAttempt;
     }
@@ -197,6 +202,7 @@
     auto handleDone(AttemptId id, evhttp_request *request) -> void;
     auto completeAttempt(Attempt &attempt) -> void;
     auto fail(Attempt &attempt, Failure failure) -> void;
+    auto failSoon(AttemptId id, Failure failure) -> void;
     auto recordProgress(Attempt &attempt) -> void;
     auto extendTimeouts(TimePoint now) -> void;
     auto review(Attempt &attempt, TimePoint now) -> void;
@@ -209,8 +215,8 @@
     http::ConnectionPool pool;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts;
     std::optional<TimePoint> reviewedAt;
-    std::vector<AttemptId> failedStarts; ///< attempts that could not be started; failed in the event loop's next iteration
-    task::Watch failedStartsTimer;
+    std::vector<std::pair<AttemptId, Failure>> dueFailures; ///< for the event loop's next iteration
+    task::Watch dueFailuresTimer;
 };
 
 namespace
@@ -219,6 +225,7 @@
 /// Context of libevent's callbacks, which leads to the attempt. The connection owns it, because libevent may drop a request
 /// without a final callback.
 struct RequestContext {
+    http::ResponseGuard &guard; ///< of the connection
     std::function<void(evhttp_request *request)> onHead;
     std::function<void(evhttp_request *request)> onBody;
     std::function<void(evhttp_request *request)> onDone;
@@ -243,6 +250,7 @@
 
 auto onDoneCallback(evhttp_request *request, void *context) -> void
 {
+    contextOf(context).guard.request = nullptr;
     // copied, because the call may start the next exchange on the connection, which destroys this context
     const auto onDone = contextOf(context).onDone;
     onDone(request);
@@ -250,6 +258,7 @@
 
 auto onErrorCallback(evhttp_request_error error, void *context) -> void
 {
+    contextOf(context).guard.request = nullptr;
     contextOf(context).onError(error);
 }
 
@@ -277,15 +286,7 @@
     if (started && attempt.connection && bufferevent_getfd(transportOf(*attempt.connection)) >= 0) {
         return;
     }
-    failedStarts.push_back(id);
-    failedStartsTimer = loop.after(Duration::zero(), [this]() {
-        for (const auto failedStart : std::exchange(failedStarts, {})) {
-            const auto found = attempts.find(failedStart);
-            if (found != attempts.end()) {
-                fail(*found->second, Failure::ConnectFailed);
-            }
-        }
-    });
+    failSoon(id, Failure::ConnectFailed);
 }
 
 /// \return false if the attempt could not be started
@@ -305,6 +306,7 @@
         }
     };
     const auto context = std::make_shared<RequestContext>(RequestContext{
+        .guard = attempt.connection->guard,
         .onHead = [this, ifOpen](evhttp_request *request) { ifOpen([&](Attempt &openAttempt) { handleHead(openAttempt, request); }); },
         .onBody = [this, ifOpen](evhttp_request *request) { ifOpen([&](Attempt &openAttempt) { handleBody(openAttempt, request); }); },
         .onDone = [this, id](evhttp_request *request) { handleDone(id, request); },
@@ -319,6 +321,7 @@
     });
     attempt.connection->context = context;
     auto *request = evhttp_request_new(onDoneCallback, context.get());
+    http::beginResponse(attempt.connection->guard, request);
     evhttp_request_set_header_cb(request, onHeadCallback);
     evhttp_request_set_chunked_cb(request, onBodyCallback);
     evhttp_request_set_error_cb(request, onErrorCallback);
@@ -353,7 +356,10 @@
     if (carriesBrittleness(attempt)) {
         callbacks.onBrittleness(attempt.id, attempt.head.rejectionsPerSecond);
     }
-    if (!attempt.isRelayed && !attempt.rejection) {
+    if (attempt.rejection) {
+        // a short response ends in this iteration, so that its connection can be reused
+        failSoon(attempt.id, *attempt.rejection);
+    } else if (!attempt.isRelayed) {
         callbacks.onStarted(attempt.id, false);
     }
 }
@@ -407,6 +413,7 @@
         fail(attempt, attempt.rejection.value_or(disconnectFailure(attempt)));
         return;
     }
+    attempt.isComplete = true;
     if (attempt.rejection) {
         fail(attempt, *attempt.rejection);
         return;
@@ -446,6 +453,23 @@
     return attempt.headReceived ? Failure::BrokenStream : Failure::BrokenBeforeFirstByte;
 }
 
+/// Fails the attempt in the event loop's next iteration, unless it ends before.
+auto Upstream::Impl::failSoon(AttemptId id, Failure failure) -> void
+{
+    dueFailures.emplace_back(id, failure);
+    if (dueFailures.size() > 1) {
+        return; // a new timer each time could be replaced again and again before it expires
+    }
+    dueFailuresTimer = loop.after(Duration::zero(), [this]() {
+        for (const auto &[dueAttempt, dueFailure] : std::exchange(dueFailures, {})) {
+            const auto found = attempts.find(dueAttempt);
+            if (found != attempts.end()) {
+                fail(*found->second, dueFailure);
+            }
+        }
+    });
+}
+
 auto Upstream::Impl::fail(Attempt &attempt, Failure failure) -> void
 {
     const auto id = attempt.id;
@@ -472,7 +496,7 @@
         auto *transport = transportOf(*connection);
         const auto isClean = evbuffer_get_length(bufferevent_get_input(transport)) == 0 && evbuffer_get_length(bufferevent_get_output(transport)) == 0;
         connection->idleTime = attempt.head.idleTime;
-        if (mayKeep && isClean && !attempt.head.closes && attempt.headReceived) {
+        if (mayKeep && isClean && !attempt.head.closes && attempt.isComplete) {
             pool.keep(std::move(connection));
         } else {
             pool.retire(std::move(connection));
