--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -53,6 +53,7 @@
     std::uint32_t roomTokens = 0;     ///< prompt tokens that all engines together can still accept
     std::uint32_t waitingTokens = 0;  ///< prompt tokens that are queued at all entries
     int preference = 0;               ///< rank of the server among the preferred servers of the session, from 1; 0: not among them
+    std::uint64_t trialOf = 0;        ///< prompt part that is suspected of crashing servers and decided the choice; 0: none
     /// @}
 };
 
@@ -130,11 +131,13 @@
     RequestId request{};
 };
 
-/// Report to the other entries which backend servers dropped the connection while they ran this request.
+/// Report to the other entries which backend servers dropped the connection while they ran this suspect.
 struct ReportCrashes {
-    Fingerprint fingerprint{};
-    std::vector<CrashIncident> incidents; ///< empty: the request completed after such incidents
+    Suspect suspect;
+    std::vector<CrashIncident> incidents; ///< empty: the suspect proved sound after such incidents
+    TimePoint provenAt;                   ///< see CrashesReported
     bool isQuarantined = false;
+    Duration firstIncidentAge{}; ///< time since the first of the incidents; for logs
 };
 
 /// The rate limit that this entry applies to a backend server changed; for logs.
@@ -200,7 +203,7 @@
     AttemptsUsed,    ///< the route allows no further attempt
     DeadlineNear,    ///< no other response would arrive in time
     AccessUncertain, ///< its key is withdrawn, or may be
-    Quarantined,     ///< it crashes the servers that run it
+    Quarantined,     ///< it crashes the servers that run it, or a part of its prompt is suspected of that
     UrgentWaiting,   ///< a more urgent request waits for a server of the service
     NoServer,        ///< no other server that responds has room
     RetryBudget,     ///< the retry budget of the service is used up
--- a/src/core/passthrough/crashledger.cpp
+++ b/src/core/passthrough/crashledger.cpp
@@ -16,6 +16,16 @@
 constexpr std::size_t ExtraCrashesWithEvents = 1;
 /// So is a request that recently completed: copies of a frequent request run on many servers, and several may end at the same time.
 constexpr std::size_t ExtraCrashesAfterCompletion = 1;
+/// All parts of a prompt are accused at a crash, most of them wrongly, so a part is given more servers than a request.
+constexpr std::size_t MaxCrashesOfPart = 3;
+/// A part that was proven sound within this time is not accused. It is short, because a part may begin to crash servers when their software
+/// changes.
+constexpr Duration ProofImmunity = std::chrono::seconds(3);
+/// Reports of incidents are repeated, and may arrive after a proof that is newer than the incident.
+constexpr Duration ProofLifetime = std::chrono::seconds(30);
+/// Shortest interval between two recorded proofs of a part that is not a suspect.
+constexpr Duration ProofInterval = std::chrono::milliseconds(500);
+constexpr std::size_t MaxProofs = 16'384;
 /// Callers repeat requests within minutes; after that the fault of the servers may have been fixed.
 constexpr Duration IncidentLifetime = std::chrono::minutes(5);
 /// A crashed server sends no heartbeats and leaves the list after three missed ones.
@@ -34,15 +44,52 @@
     return last;
 }
 
-auto maxCrashesOf(const CrashLedger &ledger, Fingerprint fingerprint, const std::vector<CrashIncident> &incidents) -> std::size_t
+auto maxCrashesOfRequest(const CrashLedger &ledger, Suspect suspect, const std::vector<CrashIncident> &incidents) -> std::size_t
 {
     const auto hadEvents = std::any_of(incidents.begin(), incidents.end(), [](const CrashIncident &each) { return each.hadEvents; });
-    return MaxCrashes + (hadEvents ? ExtraCrashesWithEvents : 0) + (ledger.completed.contains(fingerprint) ? ExtraCrashesAfterCompletion : 0);
+    const auto isCompleted = ledger.completed.contains(Fingerprint{ suspect.id });
+    return MaxCrashes + (hadEvents ? ExtraCrashesWithEvents : 0) + (isCompleted ? ExtraCrashesAfterCompletion : 0);
 }
 
-auto exceedsLimit(const CrashLedger &ledger, Fingerprint fingerprint, const std::vector<CrashIncident> &incidents) -> bool
+/// Whether a request was sent after the first of the incidents. Servers that end at the same moment for another reason may all run requests
+/// with the same sound part.
+auto hasSuccessiveIncidents(const std::vector<CrashIncident> &incidents) -> bool
 {
-    return incidents.size() >= maxCrashesOf(ledger, fingerprint, incidents);
+    const auto isEarlier = [](const CrashIncident &a, const CrashIncident &b) { return a.at < b.at; };
+    const auto first = std::min_element(incidents.begin(), incidents.end(), isEarlier);
+    return std::any_of(incidents.begin(), incidents.end(), [&first](const CrashIncident &each) { return each.sentAt > first->at; });
+}
+
+auto haveDifferentRequests(std::span<const CrashIncident> incidents) -> bool
+{
+    return std::any_of(incidents.begin(), incidents.end(), [&incidents](const CrashIncident &each) { return each.request != incidents.front().request; });
+}
+
+auto exceedsLimit(const CrashLedger &ledger, Suspect suspect, const std::vector<CrashIncident> &incidents) -> bool
+{
+    if (suspect.kind == SuspectKind::PromptPart) {
+        return incidents.size() >= MaxCrashesOfPart && hasSuccessiveIncidents(incidents) && haveDifferentRequests(incidents);
+    }
+    return incidents.size() >= maxCrashesOfRequest(ledger, suspect, incidents);
+}
+
+/// When the part was last proven sound; the earliest time if it was not lately.
+auto lastProofOf(const CrashLedger &ledger, Suspect suspect) -> TimePoint
+{
+    const auto found = suspect.kind == SuspectKind::PromptPart ? ledger.provenParts.find(suspect.id) : ledger.provenParts.end();
+    return found == ledger.provenParts.end() ? TimePoint::min() : found->second;
+}
+
+auto forgetOldProofs(CrashLedger &ledger, TimePoint now) -> void
+{
+    while (!ledger.proofOrder.empty() && (ledger.proofOrder.size() > MaxProofs || now - ledger.proofOrder.front().at >= ProofLifetime)) {
+        const auto oldest = ledger.proofOrder.front();
+        ledger.proofOrder.pop_front();
+        const auto found = ledger.provenParts.find(oldest.part);
+        if (found != ledger.provenParts.end() && found->second <= oldest.at) {
+            ledger.provenParts.erase(found);
+        }
+    }
 }
 
 auto removeOldestRecord(CrashLedger &ledger) -> void
@@ -65,19 +112,31 @@
 
 } // namespace
 
-auto recordIncidents(CrashLedger &ledger, Fingerprint fingerprint, const std::vector<CrashIncident> &incidents) -> bool
+auto requestSuspect(Fingerprint fingerprint) -> Suspect
+{
+    return { .kind = SuspectKind::Request, .id = static_cast<std::uint64_t>(fingerprint) };
+}
+
+auto partSuspect(std::uint64_t part) -> Suspect
+{
+    return { .kind = SuspectKind::PromptPart, .id = part };
+}
+
+auto recordIncidents(CrashLedger &ledger, Suspect suspect, const std::vector<CrashIncident> &incidents) -> bool
 {
-    if (fingerprint == Fingerprint{} || incidents.empty()) {
+    const auto provenAt = lastProofOf(ledger, suspect);
+    const auto isObsolete = [provenAt](const CrashIncident &each) { return each.at <= provenAt; };
+    if (suspect == requestSuspect(Fingerprint{}) || std::all_of(incidents.begin(), incidents.end(), isObsolete)) {
         return false;
     }
-    if (ledger.incidents.size() >= MaxRecords && !ledger.incidents.contains(fingerprint)) {
+    if (ledger.incidents.size() >= MaxRecords && !ledger.incidents.contains(suspect)) {
         removeOldestRecord(ledger);
     }
-    auto &known = ledger.incidents[fingerprint];
+    auto &known = ledger.incidents[suspect];
     const auto before = known.size();
     for (const auto &incident : incidents) {
         const auto isKnown = std::any_of(known.begin(), known.end(), [&incident](const CrashIncident &each) { return each.server == incident.server; });
-        if (!isKnown) {
+        if (!isKnown && !isObsolete(incident)) {
             known.push_back(incident);
         }
     }
@@ -91,58 +150,109 @@
         return false;
     }
     rememberCompletion(ledger, fingerprint);
-    const auto wasSuspect = ledger.incidents.erase(fingerprint) + ledger.listed.erase(fingerprint) > 0;
+    const auto suspect = requestSuspect(fingerprint);
+    const auto wasSuspect = ledger.incidents.erase(suspect) + ledger.listed.erase(suspect) > 0;
     ledger.revision += wasSuspect ? 1 : 0;
     return wasSuspect;
 }
 
-auto setListedRequests(CrashLedger &ledger, const std::vector<QuarantinedRequest> &requests) -> void
+auto recordProof(CrashLedger &ledger, std::uint64_t part, TimePoint at) -> bool
+{
+    const auto suspect = partSuspect(part);
+    const auto last = lastProofOf(ledger, suspect);
+    const auto found = ledger.incidents.find(suspect);
+    const auto dropped = found == ledger.incidents.end() ? 0 : std::erase_if(found->second, [at](const CrashIncident &each) { return each.at <= at; });
+    if (found != ledger.incidents.end() && found->second.empty()) {
+        ledger.incidents.erase(found);
+    }
+    const auto released = std::erase_if(ledger.listed, [&](const auto &item) { return item.first == suspect && item.second <= at; });
+    const auto wasSuspect = dropped + released > 0;
+    if (wasSuspect || last == TimePoint::min() || at - last >= ProofInterval) {
+        ledger.provenParts[part] = std::max(last, at);
+        ledger.proofOrder.push_back({ .part = part, .at = at });
+        forgetOldProofs(ledger, at);
+    }
+    ledger.revision += wasSuspect ? 1 : 0;
+    return wasSuspect;
+}
+
+auto setListedSuspects(CrashLedger &ledger, const std::vector<QuarantinedSuspect> &suspects) -> void
 {
     ledger.listed.clear();
-    for (const auto &request : requests) {
-        ledger.listed[request.fingerprint] = request.at;
+    for (const auto &each : suspects) {
+        if (each.at > lastProofOf(ledger, each.suspect)) {
+            ledger.listed[each.suspect] = each.at;
+        }
     }
     ledger.revision += 1;
 }
 
-auto isQuarantined(const CrashLedger &ledger, Fingerprint fingerprint, TimePoint now) -> bool
+auto isRecentlyProven(const CrashLedger &ledger, std::uint64_t part, TimePoint now) -> bool
+{
+    const auto found = ledger.provenParts.find(part);
+    return found != ledger.provenParts.end() && now - found->second < ProofImmunity;
+}
+
+auto isQuarantined(const CrashLedger &ledger, Suspect suspect, TimePoint now) -> bool
 {
-    const auto listed = ledger.listed.find(fingerprint);
+    const auto listed = ledger.listed.find(suspect);
     if (listed != ledger.listed.end() && now - listed->second < IncidentLifetime) {
         return true;
     }
-    const auto found = ledger.incidents.find(fingerprint);
-    return found != ledger.incidents.end() && exceedsLimit(ledger, fingerprint, found->second) && now - lastIncidentAt(found->second) < IncidentLifetime;
+    const auto found = ledger.incidents.find(suspect);
+    return found != ledger.incidents.end() && exceedsLimit(ledger, suspect, found->second) && now - lastIncidentAt(found->second) < IncidentLifetime;
+}
+
+auto isPartSuspected(const CrashLedger &ledger, std::uint64_t part) -> bool
+{
+    return haveDifferentRequests(incidentsOf(ledger, partSuspect(part)));
+}
+
+auto isExplainedByOther(const CrashLedger &ledger, std::uint64_t part, const std::function<bool(std::uint64_t part)> &isContained, TimePoint now) -> bool
+{
+    const auto own = incidentsOf(ledger, partSuspect(part));
+    if (own.empty()) {
+        return false;
+    }
+    return std::any_of(ledger.incidents.begin(), ledger.incidents.end(), [&](const auto &item) {
+        const auto &[other, incidents] = item;
+        if (other.kind != SuspectKind::PromptPart || isContained(other.id) || !isQuarantined(ledger, other, now)) {
+            return false;
+        }
+        return std::all_of(own.begin(), own.end(), [&incidents](const CrashIncident &each) {
+            return std::any_of(incidents.begin(), incidents.end(), [&each](const CrashIncident &its) { return its.server == each.server; });
+        });
+    });
 }
 
-auto incidentsOf(const CrashLedger &ledger, Fingerprint fingerprint) -> std::vector<CrashIncident>
+auto incidentsOf(const CrashLedger &ledger, Suspect suspect) -> std::span<const CrashIncident>
 {
-    const auto found = ledger.incidents.find(fingerprint);
-    return found == ledger.incidents.end() ? std::vector<CrashIncident>() : found->second;
+    const auto found = ledger.incidents.find(suspect);
+    return found == ledger.incidents.end() ? std::span<const CrashIncident>() : found->second;
 }
 
-auto quarantinedRequests(const CrashLedger &ledger, TimePoint now) -> std::vector<QuarantinedRequest>
+auto quarantinedSuspects(const CrashLedger &ledger, TimePoint now) -> std::vector<QuarantinedSuspect>
 {
-    std::unordered_map<Fingerprint, TimePoint> all;
-    for (const auto &[fingerprint, at] : ledger.listed) {
+    std::map<Suspect, TimePoint> all;
+    for (const auto &[suspect, at] : ledger.listed) {
         if (now - at < IncidentLifetime) {
-            all[fingerprint] = at;
+            all[suspect] = at;
         }
     }
-    for (const auto &[fingerprint, incidents] : ledger.incidents) {
+    for (const auto &[suspect, incidents] : ledger.incidents) {
         const auto at = lastIncidentAt(incidents);
-        if (exceedsLimit(ledger, fingerprint, incidents) && now - at < IncidentLifetime) {
-            all[fingerprint] = std::max(all[fingerprint], at);
+        if (exceedsLimit(ledger, suspect, incidents) && now - at < IncidentLifetime) {
+            all[suspect] = std::max(all[suspect], at);
         }
     }
-    std::vector<QuarantinedRequest> sorted;
+    std::vector<QuarantinedSuspect> sorted;
     sorted.reserve(all.size());
-    for (const auto &[fingerprint, at] : all) {
-        sorted.push_back({ .fingerprint = fingerprint, .at = at });
+    for (const auto &[suspect, at] : all) {
+        sorted.push_back({ .suspect = suspect, .at = at });
     }
-    std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) { return std::pair(b.at, a.fingerprint) < std::pair(a.at, b.fingerprint); });
+    std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) { return std::pair(b.at, a.suspect) < std::pair(a.at, b.suspect); });
     sorted.resize(std::min(sorted.size(), MaxQuarantinedListed));
-    std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) { return a.fingerprint < b.fingerprint; });
+    std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) { return a.suspect < b.suspect; });
     return sorted;
 }
 
@@ -157,7 +267,7 @@
         return isDisproved || now - incident.at >= IncidentLifetime;
     };
     std::size_t dropped = std::erase_if(ledger.listed, [now](const auto &item) { return now - item.second >= IncidentLifetime; });
-    for (auto &[fingerprint, incidents] : ledger.incidents) {
+    for (auto &[suspect, incidents] : ledger.incidents) {
         dropped += std::erase_if(incidents, isObsolete);
     }
     std::erase_if(ledger.incidents, [](const auto &item) { return item.second.empty(); });
--- a/src/core/passthrough/crashledger.h
+++ b/src/core/passthrough/crashledger.h
@@ -1,21 +1,27 @@
 /// \file
-/// Quarantine of requests that crash backend servers, by fingerprint.
+/// Quarantine of what crashes backend servers: a request, by its fingerprint, or a part of prompts.
 ///
 /// A request that crashes every server that runs it, and that its caller repeats at any entry, would take down one server after the
-/// other. The ledger holds the servers whose connection broke while they ran a request, as seen by this entry and the others. A request
-/// with too many of them is not sent any more.
+/// other. So would requests that are all different but share a prompt part that crashes servers. The ledger holds, for each suspect, the
+/// servers whose connection broke while they ran it, as seen by this entry and the others. What has too many of them is not sent any more.
 ///
-/// Connections break for other reasons too. A completed response shows that the request is sound. A server that is still listed when a
-/// crashed one would have left the list has not crashed.
+/// Connections break for other reasons too. A completed response shows that the request is sound, and a response that went on after its
+/// first event that all parts of its prompt are. A server that is still listed when a crashed one would have left the list has not crashed.
+///
+/// All parts of a prompt whose server crashes are accused, because any of them may have done it. Sound ones are part of other prompts too,
+/// whose responses clear them.
 
 #pragma once
 
 #include "core/base/ids.h"
 #include "core/base/time.h"
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -25,44 +31,79 @@
 namespace auburnspread::passthrough
 {
 
-/// A connection that broke while its server ran a request.
+enum class SuspectKind {
+    Request,
+    PromptPart,
+};
+
+/// What may have crashed a server.
+struct Suspect {
+    SuspectKind kind = SuspectKind::Request;
+    std::uint64_t id = 0; ///< fingerprint of the request, or id of the prompt part
+
+    auto operator<=>(const Suspect &) const = default;
+};
+auto requestSuspect(Fingerprint fingerprint) -> Suspect;
+auto partSuspect(std::uint64_t part) -> Suspect;
+
+/// A connection that broke while its server ran a suspect.
 struct CrashIncident {
     std::string server; ///< server id; each start of a server has another one
     TimePoint at;
     bool hadEvents = false; ///< events of the response had arrived
+    TimePoint sentAt;       ///< when the request was sent to the server; not set: not known
+    Fingerprint request{};  ///< of the request that ran; not set: not known
 
     auto operator==(const CrashIncident &) const -> bool = default;
 };
 
-struct QuarantinedRequest {
-    Fingerprint fingerprint{};
+struct QuarantinedSuspect {
+    Suspect suspect;
     TimePoint at; ///< time of the last incident
 
-    auto operator==(const QuarantinedRequest &) const -> bool = default;
+    auto operator==(const QuarantinedSuspect &) const -> bool = default;
+};
+
+/// When a part was proven sound.
+struct PartProof {
+    std::uint64_t part = 0;
+    TimePoint at;
 };
 
 struct CrashLedger {
-    std::unordered_map<Fingerprint, std::vector<CrashIncident>> incidents; ///< one for each server
-    std::unordered_map<Fingerprint, TimePoint> listed;                     ///< quarantined according to another entry; time of the last incident
-    std::unordered_set<Fingerprint> completed;                             ///< requests that completed recently
-    std::deque<Fingerprint> completionOrder;                               ///< oldest first
-    std::uint64_t revision = 0;                                            ///< changes whenever the quarantined requests may have changed
-    TimePoint checkedAt;                                                   ///< when the incidents were last checked against the list of servers
+    std::map<Suspect, std::vector<CrashIncident>> incidents;  ///< one for each server
+    std::map<Suspect, TimePoint> listed;                      ///< quarantined according to another entry; time of the last incident
+    std::unordered_set<Fingerprint> completed;                ///< requests that completed recently
+    std::deque<Fingerprint> completionOrder;                  ///< oldest first
+    std::unordered_map<std::uint64_t, TimePoint> provenParts; ///< parts that were proven sound lately; time of the last proof
+    std::deque<PartProof> proofOrder;                         ///< oldest first; may hold several proofs of a part
+    std::uint64_t revision = 0;                               ///< changes whenever what is quarantined may have changed
+    TimePoint checkedAt;                                      ///< when the incidents were last checked against the list of servers
 };
 
-/// Records incidents of a request, of this entry or another one. Those of servers that are already recorded change nothing.
+/// Records incidents of a suspect, of this entry or another one. Those of servers that are already recorded, and those from before a proof,
+/// change nothing.
 /// \return whether any of them is new
-auto recordIncidents(CrashLedger &ledger, Fingerprint fingerprint, const std::vector<CrashIncident> &incidents) -> bool;
+auto recordIncidents(CrashLedger &ledger, Suspect suspect, const std::vector<CrashIncident> &incidents) -> bool;
 /// Records that a server completed the request. \return whether incidents of it had been recorded
 auto recordCompletion(CrashLedger &ledger, Fingerprint fingerprint) -> bool;
-/// Replaces the requests that are quarantined according to another entry.
-auto setListedRequests(CrashLedger &ledger, const std::vector<QuarantinedRequest> &requests) -> void;
-
-/// Whether a request with this fingerprint must not be sent.
-auto isQuarantined(const CrashLedger &ledger, Fingerprint fingerprint, TimePoint now) -> bool;
-auto incidentsOf(const CrashLedger &ledger, Fingerprint fingerprint) -> std::vector<CrashIncident>;
-/// The quarantined requests, sorted by fingerprint; the newest ones if there are very many.
-auto quarantinedRequests(const CrashLedger &ledger, TimePoint now) -> std::vector<QuarantinedRequest>;
+/// Records that a response went on whose prompt contains the part. \return whether incidents of the part were dropped
+auto recordProof(CrashLedger &ledger, std::uint64_t part, TimePoint at) -> bool;
+/// Replaces what is quarantined according to another entry.
+auto setListedSuspects(CrashLedger &ledger, const std::vector<QuarantinedSuspect> &suspects) -> void;
+
+/// Whether the part was proven sound so recently that it is not accused.
+auto isRecentlyProven(const CrashLedger &ledger, std::uint64_t part, TimePoint now) -> bool;
+/// Whether a request that is or contains the suspect must not be sent.
+auto isQuarantined(const CrashLedger &ledger, Suspect suspect, TimePoint now) -> bool;
+/// Whether different requests with the part crashed servers. The crashes of one request may be its own fault.
+auto isPartSuspected(const CrashLedger &ledger, std::uint64_t part) -> bool;
+/// Whether another quarantined part, one that the request does not contain, may have caused all crashes that the part is quarantined for.
+/// \param isContained whether the request contains a part
+auto isExplainedByOther(const CrashLedger &ledger, std::uint64_t part, const std::function<bool(std::uint64_t part)> &isContained, TimePoint now) -> bool;
+auto incidentsOf(const CrashLedger &ledger, Suspect suspect) -> std::span<const CrashIncident>;
+/// What is quarantined, sorted; the newest ones if there are very many.
+auto quarantinedSuspects(const CrashLedger &ledger, TimePoint now) -> std::vector<QuarantinedSuspect>;
 
 /// Drops incidents that are too old, and those of servers that did not crash. Call it periodically.
 /// \param isListed whether a server is in the list of backend servers
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -246,15 +246,16 @@
     std::vector<PromptPart> parts;
 };
 
-/// Another entry saw connections of backend servers break while they ran this request, or saw the request complete after that.
+/// Another entry saw connections of backend servers break while they ran this suspect, or saw after that that it is sound.
 struct CrashesReported {
-    Fingerprint fingerprint{};
-    std::vector<CrashIncident> incidents; ///< empty: the request completed
+    Suspect suspect;
+    std::vector<CrashIncident> incidents; ///< empty: the suspect is sound
+    TimePoint provenAt;                   ///< when a prompt part without incidents was proven sound
 };
 
-/// The requests that are quarantined according to the entry from which this one gets the directory.
+/// What is quarantined according to the entry from which this one gets the directory.
 struct QuarantineListed {
-    std::vector<QuarantinedRequest> requests;
+    std::vector<QuarantinedSuspect> suspects;
 };
 
 /// The entry got the termination signal. Late requests that may not be answered before it exits are refused.
--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -4,6 +4,7 @@
 #include "core/passthrough/internal/ending.h"
 #include "core/passthrough/internal/forwarding.h"
 #include "core/passthrough/internal/resuming.h"
+#include "core/passthrough/internal/suspicion.h"
 
 #include <xxhash.h>
 
@@ -187,7 +188,7 @@
         refuseArrival(state, call, Reason::Draining, actions);
         return;
     }
-    if (isQuarantined(state.crashes, call.fingerprint, state.now)) {
+    if (isWithheld(state, call, *match.route)) {
         refuseArrival(state, call, Reason::Quarantined, actions);
         return;
     }
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -6,6 +6,7 @@
 #include "core/passthrough/internal/enginechoice.h"
 #include "core/passthrough/internal/forwarding.h"
 #include "core/passthrough/internal/resuming.h"
+#include "core/passthrough/internal/suspicion.h"
 #include "core/passthrough/peerreports.h"
 #include "core/passthrough/placement.h"
 
@@ -240,6 +241,7 @@
         .roomTokens = static_cast<std::uint32_t>(std::min(placement.backlog.capacityTokens, 4e9)),
         .waitingTokens = static_cast<std::uint32_t>(placement.backlog.waitingTokens),
         .preference = placement.preferenceRank,
+        .trialOf = placement.trialOf,
     });
 }
 
@@ -254,6 +256,18 @@
     return isKeyValid(state, request) ? std::nullopt : std::optional(Reason::UnknownKey);
 }
 
+auto placeOnTrial(const RouterState &state, const Request &request, std::uint64_t part) -> Placement
+{
+    const auto server = findTrialServer(state, request, part);
+    if (!server) {
+        return {};
+    }
+    const auto share = 1 / static_cast<double>(state.servers.byService.at(request.service).all.size());
+    auto placement = placeAmong(state, request, { server }, share, std::nullopt);
+    placement.trialOf = part;
+    return placement;
+}
+
 auto canSendNow(const Placement &placement) -> bool
 {
     return placement.server && !placement.mustWait;
@@ -290,48 +304,57 @@
     return backoffEnd && *backoffEnd > waitingDeadline(request);
 }
 
+enum class QueueStep {
+    Left,       ///< the request was sent or ended
+    NoServer,   ///< it stays because no server has room
+    AwaitsTrial ///< it stays until another request has shown whether a part of its prompt crashes servers
+};
+
 /// Sends the request, or ends it if it must not be sent.
-/// \return false if the request stays in the queue
-auto trySend(RouterState &state, Request &request, Actions &actions) -> bool
+auto trySend(RouterState &state, Request &request, Actions &actions) -> QueueStep
 {
     if (const auto reason = reasonNotToSend(state, request)) {
         endWithoutAnswer(state, request, *reason, actions);
-        return true;
+        return QueueStep::Left;
     }
-    if (isQuarantined(state.crashes, request.call.fingerprint, state.now)) {
+    if (isWithheld(state, request.call, *request.route)) {
         endWithoutAnswer(state, request, Reason::Quarantined, actions);
-        return true;
+        return QueueStep::Left;
     }
     if (tryForward(state, request, actions)) {
-        return true;
+        return QueueStep::Left;
     }
     if (request.call.forwardedSends && isCutOff(state, request.service)) {
         endWithoutAnswer(state, request, Reason::ServersUnreachable, actions);
-        return true;
+        return QueueStep::Left;
     }
     if (request.origin && !hasServerOfVersion(state, *request.origin)) {
         endWithoutAnswer(state, request, Reason::VersionGone, actions);
-        return true;
+        return QueueStep::Left;
     }
     if (!request.isLate && request.route->hasPrompt && cannotStartOnTime(state, request)) {
         leaveQueue(state, request);
         request.isLate = true;
         enqueue(state, request);
-        return false;
+        return QueueStep::NoServer;
     }
-    const auto placement = place(state, request, std::nullopt);
+    const auto trial = findTrial(state, request);
+    if (trial && mustAwaitTrial(state, request)) {
+        return QueueStep::AwaitsTrial;
+    }
+    const auto placement = trial ? placeOnTrial(state, request, *trial) : place(state, request, std::nullopt);
     request.awaitedServer = placement.mustWait ? placement.server : nullptr;
     request.waitingTokens = placement.load.unreadTokens;
     if (!placement.server && doBackoffsOutlastWaiting(state, request)) {
         endWithoutAnswer(state, request, Reason::BackendBackoff, actions);
-        return true;
+        return QueueStep::Left;
     }
     if (!placement.server || placement.mustWait) {
-        return false;
+        return QueueStep::NoServer;
     }
     leaveQueue(state, request);
     send(state, request, placement, actions);
-    return true;
+    return QueueStep::Left;
 }
 
 } // namespace
@@ -359,9 +382,7 @@
     for (auto next = waiting.begin(); next != waiting.end() && skipped < MaxSkippedRequests;) {
         const auto id = std::get<RequestId>(*next);
         ++next; // sending the request removes it from the queue
-        if (!trySend(state, state.requests.at(id), actions)) {
-            skipped += 1;
-        }
+        skipped += trySend(state, state.requests.at(id), actions) == QueueStep::NoServer ? 1 : 0;
     }
 }
 
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -6,6 +6,7 @@
 #include "core/passthrough/internal/milliseconds.h"
 #include "core/passthrough/internal/resuming.h"
 #include "core/passthrough/internal/silence.h"
+#include "core/passthrough/internal/suspicion.h"
 
 #include <algorithm>
 #include <cmath>
@@ -196,24 +197,10 @@
     known.requests += 1;
 }
 
-auto noteCrash(RouterState &state, const Request &request, const CrashIncident &incident, Actions &actions) -> void
-{
-    const auto fingerprint = request.call.fingerprint;
-    if (recordIncidents(state.crashes, fingerprint, { incident })) {
-        actions.emplace_back(ReportCrashes{
-            .fingerprint = fingerprint,
-            .incidents = incidentsOf(state.crashes, fingerprint),
-            .isQuarantined = isQuarantined(state.crashes, fingerprint, state.now),
-        });
-    }
-}
-
 auto noteCompletion(RouterState &state, const Request &request, Actions &actions) -> void
 {
     recordAnswerTime(state.answerTimes[request.route->name], state.now - request.arrived);
-    if (recordCompletion(state.crashes, request.call.fingerprint)) {
-        actions.emplace_back(ReportCrashes{ .fingerprint = request.call.fingerprint });
-    }
+    noteSoundness(state, request, actions);
 }
 
 /// Whether the failure may be that of the network path. A connection that breaks shows nothing: the server may have crashed, and where the
@@ -390,6 +377,7 @@
         return;
     }
     preferAttempt(state, found->second, event.attempt, actions);
+    noteEvents(state, found->second, *attempt, event.events, actions);
     if (found->second.route->hasPrompt) {
         attempt->pace.events += event.events;
         recordEvents(state.pools[found->second.service].strain[attempt->load.isShort ? 1 : 0], event.events, isStrained(attempt->pace, state.now));
@@ -465,7 +453,9 @@
         return;
     }
     auto &request = state.requests.at(attempt->request);
-    const auto hadEvents = attempt->started && request.route->repeatability == Repeatability::Stream;
+    if (looksLikeCrash(event.failure) && isExpectedToRun(state, *attempt->server)) {
+        noteCrash(state, request, *attempt, actions);
+    }
     const auto server = closeAttempt(state, event.attempt);
     notePathEvidence(state, request, *server, event.failure, actions);
     if (event.failure == Failure::NotStarted) {
@@ -479,9 +469,6 @@
     if (isServerFault(event.failure)) {
         recordOutcome(state, request, *server, event.failure);
     }
-    if (looksLikeCrash(event.failure) && isExpectedToRun(state, *server)) {
-        noteCrash(state, request, { .server = server->record.id, .at = state.now, .hadEvents = hadEvents }, actions);
-    }
     if (!countsAsAttempt(event.failure)) {
         request.sends -= 1;
         request.failedConnections += 1;
--- a/src/core/passthrough/internal/silence.cpp
+++ b/src/core/passthrough/internal/silence.cpp
@@ -3,6 +3,7 @@
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/ending.h"
 #include "core/passthrough/internal/forwarding.h"
+#include "core/passthrough/internal/suspicion.h"
 
 #include <algorithm>
 #include <array>
@@ -68,7 +69,7 @@
     if (reasonNotToSend(state, request)) {
         return KeptBecause::AccessUncertain;
     }
-    if (isQuarantined(state.crashes, request.call.fingerprint, state.now)) {
+    if (isWithheld(state, request.call, *request.route) || findTrial(state, request)) {
         return KeptBecause::Quarantined;
     }
     if (!allowsRetry(state.pools[request.service].budget, state.options.retries, state.retryBudgetShares, state.now)) {
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -81,6 +81,8 @@
     RequestLoad load;
     SoftwareVersion version; ///< of the server when the attempt was sent
     bool started = false;
+    std::uint32_t events = 0;               ///< of its response that arrived
+    TimePoint provenAt;                     ///< when it last proved the parts of its prompt sound; not set: not yet
     bool isSilent = false;                  ///< see AttemptSilent
     std::optional<KeptBecause> keptBecause; ///< latest decision while it is silent
     TimePoint sentAt;
--- a/src/core/passthrough/placement.h
+++ b/src/core/passthrough/placement.h
@@ -69,9 +69,10 @@
     ServerPointer fetchFrom;         ///< engine to copy cached parts of the prompt from; null if nothing is copied
     std::uint32_t fetchedTokens = 0; ///< tokens that are copied from \c fetchFrom instead of being read
     Backlog backlog;
-    ServerLoad workAhead;   ///< work of all entries on the server at the time of the choice
-    bool mustWait = false;  ///< whether the request must wait until \c server has less prompt tokens to read
-    int preferenceRank = 0; ///< rank of the server among the session's preferred engines, from 1; 0 if it is not one of them
+    ServerLoad workAhead;      ///< work of all entries on the server at the time of the choice
+    bool mustWait = false;     ///< whether the request must wait until \c server has less prompt tokens to read
+    int preferenceRank = 0;    ///< rank of the server among the session's preferred engines, from 1; 0 if it is not one of them
+    std::uint64_t trialOf = 0; ///< see Send
 };
 
 /// \return a placement without a server if no usable server has capacity
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -7,6 +7,7 @@
 #include "core/passthrough/internal/resuming.h"
 #include "core/passthrough/internal/silence.h"
 #include "core/passthrough/internal/state.h"
+#include "core/passthrough/internal/suspicion.h"
 #include "core/passthrough/peerreports.h"
 
 #include <xxhash.h>
@@ -194,15 +195,11 @@
     }
     auto operator()(const CrashesReported &event) const -> void
     {
-        if (event.incidents.empty()) {
-            recordCompletion(state.crashes, event.fingerprint);
-        } else {
-            recordIncidents(state.crashes, event.fingerprint, event.incidents);
-        }
+        detail::handleCrashReport(state, event, actions);
     }
     auto operator()(const QuarantineListed &event) const -> void
     {
-        setListedRequests(state.crashes, event.requests);
+        setListedSuspects(state.crashes, event.suspects);
     }
     auto operator()(const LeavingStarted &event) const -> void
     {
@@ -300,9 +297,9 @@
     return load;
 }
 
-auto quarantinedRequests(const RouterState &state, TimePoint now) -> std::vector<QuarantinedRequest>
+auto quarantinedSuspects(const RouterState &state, TimePoint now) -> std::vector<QuarantinedSuspect>
 {
-    return quarantinedRequests(state.crashes, now);
+    return quarantinedSuspects(state.crashes, now);
 }
 
 auto quarantineRevision(const RouterState &state) -> std::uint64_t
--- a/src/core/passthrough/router.h
+++ b/src/core/passthrough/router.h
@@ -56,9 +56,9 @@
 };
 auto loadOfService(const RouterState &state, const std::string &service, TimePoint now) -> ServiceLoad;
 
-/// Requests that no entry may send, because they crash the servers that run them. See crashledger.h.
-auto quarantinedRequests(const RouterState &state, TimePoint now) -> std::vector<QuarantinedRequest>;
-/// Changes whenever the quarantined requests may have changed.
+/// What no entry may send, because it crashes the servers that run it. See crashledger.h.
+auto quarantinedSuspects(const RouterState &state, TimePoint now) -> std::vector<QuarantinedSuspect>;
+/// Changes whenever what is quarantined may have changed.
 auto quarantineRevision(const RouterState &state) -> std::uint64_t;
 
 /// Where the stream began, as far as this entry knows.
--- a/src/core/passthrough/tests/crashingparts_tests.cpp
+++ b/src/core/passthrough/tests/crashingparts_tests.cpp
@@ -78,7 +78,7 @@
         std::erase_if(runs_, [entry](const Run &run) { return run.entry == entry; });
         entries_[entry] = makeEntry(entry);
         const auto &other = *entries_[(entry + 1) % entries_.size()];
-        entries_[entry]->apply(QuarantineListed{ .requests = quarantinedRequests(other.router(), now_) });
+        entries_[entry]->apply(QuarantineListed{ .suspects = quarantinedSuspects(other.router(), now_) });
         list();
     }
 
@@ -219,7 +219,9 @@
             if (const auto *sent = std::get_if<Send>(&action)) {
                 recordSend(entry, *sent);
             } else if (const auto *report = std::get_if<ReportCrashes>(&action)) {
-                reports_.push_back({ .sender = entry, .report = { .fingerprint = report->fingerprint, .incidents = report->incidents }, .nextAt = now_ });
+                reports_.push_back({ .sender = entry,
+                                     .report = { .suspect = report->suspect, .incidents = report->incidents, .provenAt = report->provenAt },
+                                     .nextAt = now_ });
             } else if (const auto *refusal = std::get_if<Refuse>(&action)) {
                 quarantinedSound_ += refusal->reason == Reason::Quarantined && !calls_[refusal->request].crashes ? 1 : 0;
             }
@@ -386,7 +388,9 @@
     const auto usual = beginningShare(fleet.takeSharing());
     fleet.setCrashingRate(*rc::gen::inRange(1, 6));
     fleet.advance(std::chrono::seconds(5));
-    fleet.restart(*rc::gen::inRange<std::size_t>(0, options.entries));
+    if (options.entries > 1) { // an entry that is alone loses what it knows
+        fleet.restart(*rc::gen::inRange<std::size_t>(0, options.entries));
+    }
     fleet.advance(2 * StableTime);
     fleet.takeSharing();
     fleet.advance(std::chrono::seconds(4));
--- a/src/core/passthrough/tests/crashingrequests_tests.cpp
+++ b/src/core/passthrough/tests/crashingrequests_tests.cpp
@@ -217,6 +217,7 @@
                 entry->advance(Step);
             }
             crashDueServers();
+            writeEvents();
             repeatReports();
             list();
         }
@@ -276,7 +277,9 @@
                     runs_.push_back({ .entry = entry, .attempt = sent->attempt, .server = sent->server, .crashes = crashes, .endsAt = now_ + runTime });
                 }
             } else if (const auto *report = std::get_if<ReportCrashes>(&action)) {
-                reports_.push_back({ .sender = entry, .report = { .fingerprint = report->fingerprint, .incidents = report->incidents }, .nextAt = now_ });
+                reports_.push_back({ .sender = entry,
+                                     .report = { .suspect = report->suspect, .incidents = report->incidents, .provenAt = report->provenAt },
+                                     .nextAt = now_ });
             }
         }
     }
@@ -310,6 +313,18 @@
         }
     }
 
+    /// Sound streams go on.
+    auto writeEvents() -> void
+    {
+        for (std::size_t i = 0; i < runs_.size(); ++i) {
+            const auto run = runs_[i];
+            if (!run.crashes) {
+                record(run.entry, entries_[run.entry]->apply(AttemptStarted{ .attempt = run.attempt, .isForwarded = true }), false, {});
+                record(run.entry, entries_[run.entry]->apply(AttemptProgress{ .attempt = run.attempt, .events = 2 }), false, {});
+            }
+        }
+    }
+
     auto repeatReports() -> void
     {
         for (auto &report : reports_) {
--- a/src/core/passthrough/tests/repeats_tests.cpp
+++ b/src/core/passthrough/tests/repeats_tests.cpp
@@ -157,7 +157,7 @@
     EXPECT_EQ(find<Refuse>(harness.apply(crashingRequest))->status, 503);
 
     RouterHarness other;
-    other.apply(CrashesReported{ .fingerprint = crashingRequest.fingerprint, .incidents = reported });
+    other.apply(CrashesReported{ .suspect = requestSuspect(crashingRequest.fingerprint), .incidents = reported });
     EXPECT_EQ(find<Refuse>(other.apply(crashingRequest))->reason, Reason::Quarantined);
 }
 
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -57,6 +57,11 @@
     , retries_(metrics::declareRetries(registry_))
     , sends_(registry_.counter({ .name = "auburnspread_sends_total", .help = "Attempts sent to backend servers." }))
     , keptAttempts_(declareKeptAttempts(registry_))
+    , trials_(registry_.counter({ .name = "auburnspread_trials_total", .help = "Attempts whose server was chosen because a prompt part is suspected." }))
+    , suspectsAccused_(registry_.counter({ .name = "auburnspread_crashes_counted_total", .help = "Crashes counted against a request or prompt part." }))
+    , suspectsCleared_(registry_.counter({ .name = "auburnspread_suspects_cleared_total", .help = "Suspected requests and prompt parts that proved sound." }))
+    , suspectsQuarantined_(
+          registry_.counter({ .name = "auburnspread_suspects_quarantined_total", .help = "Crashes that put a request or prompt part into quarantine." }))
     , replacements_(registry_.counter(
           { .name = "auburnspread_silent_attempts_replaced_total", .help = "Requests that were served by another server after theirs had fallen silent." }))
     , forwards_(registry_.counter({ .name = "auburnspread_forwards_total", .help = "Requests that were forwarded to another entry." }))
@@ -89,6 +94,9 @@
 auto Accounting::attemptSent(const RequestLogContext &context, const passthrough::Send &action) -> void
 {
     sends_.add();
+    if (action.trialOf != 0) {
+        trials_.add();
+    }
     if (action.repeatedAfter) {
         retries_.add(*action.repeatedAfter);
     }
@@ -112,6 +120,7 @@
             { "room_tokens", action.roomTokens },
             { "waiting_tokens", action.waitingTokens },
             { "preference", action.preference },
+            { "trial_of", action.trialOf },
             { "remaining_ms", wholeMilliseconds(action.remaining) },
             { "configuration", context.configurationVersion },
             { "configuration_age_ms", wholeMilliseconds(context.configurationAge) },
@@ -323,12 +332,18 @@
 auto Accounting::crashCounted(const passthrough::ReportCrashes &crashes) -> void
 {
     const auto isCleared = crashes.incidents.empty();
+    const auto isPart = crashes.suspect.kind == passthrough::SuspectKind::PromptPart;
+    (isCleared ? suspectsCleared_ : suspectsAccused_).add();
+    if (crashes.isQuarantined) {
+        suspectsQuarantined_.add();
+    }
     event(Level::Warning,
           isCleared ? "crashes-cleared" : "crash-counted",
-          { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) },
+          { { isPart ? "part" : "fingerprint", crashes.suspect.id },
             { "crashes", crashes.incidents.size() },
             { "peer", isCleared ? std::string() : crashes.incidents.back().server },
-            { "quarantined", crashes.isQuarantined } });
+            { "quarantined", crashes.isQuarantined },
+            { "since_first_ms", wholeMilliseconds(crashes.firstIncidentAge) } });
 }
 
 auto Accounting::serverLimitChanged(const passthrough::RateLimitChanged &change) -> void
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -112,6 +112,10 @@
     metrics::EnumCounters<Failure> retries_;
     metrics::Counter &sends_;
     metrics::EnumCounters<passthrough::KeptBecause> keptAttempts_;
+    metrics::Counter &trials_;
+    metrics::Counter &suspectsAccused_;
+    metrics::Counter &suspectsCleared_;
+    metrics::Counter &suspectsQuarantined_;
     metrics::Counter &replacements_;
     metrics::Counter &forwards_;
     metrics::Counter &probes_;
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -232,11 +232,11 @@
         return;
     }
     receivedQuarantineTag_ = answer.quarantinedTag;
-    std::vector<passthrough::QuarantinedRequest> requests;
+    std::vector<passthrough::QuarantinedSuspect> suspects;
     for (const auto &each : *answer.quarantined) {
-        requests.push_back({ .fingerprint = each.fingerprint, .at = requestedAt - each.age });
+        suspects.push_back({ .suspect = each.suspect, .at = requestedAt - each.age });
     }
-    callbacks_.onQuarantined(requests);
+    callbacks_.onQuarantined(suspects);
 }
 
 auto DirectoryFollower::reportReachability(const std::string &reader, bool reachable, const std::string &detail) -> void
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -95,22 +95,22 @@
     return { list.size, json::binary(std::vector<std::uint8_t>(list.bytes.begin(), list.bytes.end())) };
 }
 
-auto quarantinedToJson(const std::vector<DirectoryAnswer::Quarantined> &requests) -> json
+auto quarantinedToJson(const std::vector<DirectoryAnswer::Quarantined> &suspects, passthrough::SuspectKind kind) -> json
 {
     auto list = json::array();
-    for (const auto &request : requests) {
-        list.push_back({ static_cast<std::uint64_t>(request.fingerprint), request.age.count() });
+    for (const auto &each : suspects) {
+        if (each.suspect.kind == kind) {
+            list.push_back({ each.suspect.id, each.age.count() });
+        }
     }
     return list;
 }
 
-auto quarantinedFromJson(const json &list) -> std::vector<DirectoryAnswer::Quarantined>
+auto addQuarantinedFromJson(const json &list, passthrough::SuspectKind kind, std::vector<DirectoryAnswer::Quarantined> &suspects) -> void
 {
-    std::vector<DirectoryAnswer::Quarantined> requests;
     for (const auto &item : list) {
-        requests.push_back({ .fingerprint = Fingerprint{ item.at(0).get<std::uint64_t>() }, .age = Duration(item.at(1).get<Duration::rep>()) });
+        suspects.push_back({ .suspect = { .kind = kind, .id = item.at(0).get<std::uint64_t>() }, .age = Duration(item.at(1).get<Duration::rep>()) });
     }
-    return requests;
 }
 
 auto toJson(const StoreRevision &revision) -> json
@@ -242,14 +242,14 @@
     return true;
 }
 
-auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedRequest> requests) -> void
+auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedSuspect> suspects) -> void
 {
-    state.quarantined = std::move(requests);
-    std::string fingerprints;
-    for (const auto &request : state.quarantined) {
-        fingerprints += std::to_string(static_cast<std::uint64_t>(request.fingerprint)) + ' ';
+    state.quarantined = std::move(suspects);
+    std::string names;
+    for (const auto &each : state.quarantined) {
+        names += (each.suspect.kind == passthrough::SuspectKind::PromptPart ? 'p' : 'r') + std::to_string(each.suspect.id) + ' ';
     }
-    state.tags.quarantined = fingerprints.empty() ? 0 : detail::contentTag(fingerprints);
+    state.tags.quarantined = names.empty() ? 0 : detail::contentTag(names);
 }
 
 auto confirmEntries(DirectoryState &state, TimePoint asOf) -> void
@@ -313,8 +313,8 @@
     if (state.tags.quarantined != known.quarantined) {
         answer.quarantinedTag = state.tags.quarantined;
         answer.quarantined.emplace();
-        for (const auto &request : state.quarantined) {
-            answer.quarantined->push_back({ .fingerprint = request.fingerprint, .age = now - request.at });
+        for (const auto &each : state.quarantined) {
+            answer.quarantined->push_back({ .suspect = each.suspect, .age = now - each.at });
         }
     }
     return answer;
@@ -349,7 +349,8 @@
         document["entries"] = toJson(*answer.entries);
     }
     if (answer.quarantined) {
-        document["quarantined"] = { answer.quarantinedTag, quarantinedToJson(*answer.quarantined) };
+        document["quarantined"] = { answer.quarantinedTag, quarantinedToJson(*answer.quarantined, passthrough::SuspectKind::Request) };
+        document["quarantined_parts"] = quarantinedToJson(*answer.quarantined, passthrough::SuspectKind::PromptPart);
     }
     std::string bytes;
     json::to_cbor(document, bytes);
@@ -391,7 +392,10 @@
         }
         if (document.contains("quarantined")) {
             answer.quarantinedTag = document.at("quarantined").at(0);
-            answer.quarantined = quarantinedFromJson(document.at("quarantined").at(1));
+            addQuarantinedFromJson(document.at("quarantined").at(1), passthrough::SuspectKind::Request, answer.quarantined.emplace());
+        }
+        if (answer.quarantined && document.contains("quarantined_parts")) {
+            addQuarantinedFromJson(document.at("quarantined_parts"), passthrough::SuspectKind::PromptPart, *answer.quarantined);
         }
         return answer;
     } catch (const json::exception &error) {
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -55,7 +55,7 @@
     /// The store came back from a copy, as this entry's calls or another entry show. What entries wrote there may be lost.
     std::function<void(std::uint64_t era)> onStoreRestored;
     std::function<void(const std::string &list)> onEntriesSnapshot;                                  ///< list of entries that was last saved in the store
-    std::function<void(const std::vector<passthrough::QuarantinedRequest> &requests)> onQuarantined; ///< quarantined requests that another entry knows
+    std::function<void(const std::vector<passthrough::QuarantinedSuspect> &suspects)> onQuarantined; ///< what is quarantined according to another entry
     std::function<void(const std::string &peer, bool isHealthy)> onReaderChecked; ///< whether the queried entry responded with fresh data of the store
     std::function<void(std::string_view peer, bool reachable, std::string_view call, const std::string &detail)> onReachable; ///< a peer was lost or regained
     std::function<void(std::string_view peer, const std::string &detail)> onPartFailed; ///< a part of a configuration was not received from another entry
@@ -67,7 +67,7 @@
     StoreRevision configuration; ///< of the newest document read, even if it held an older version
     std::uint64_t servers = 0;   ///< hash of the content, as for the entries
     std::uint64_t entries = 0;
-    std::uint64_t quarantined = 0; ///< 0: no quarantined requests
+    std::uint64_t quarantined = 0; ///< 0: nothing is quarantined
 };
 
 /// A list in the compressed form that is sent to other entries; it is packed once for all of them.
@@ -91,7 +91,7 @@
     std::optional<TimePoint> outageEndedAt;  ///< end of the last outage of the store; see ServersSnapshot
     std::vector<fleet::EntryRecord> entries; ///< entries that are alive
     std::optional<TimePoint> entriesAt;
-    std::vector<passthrough::QuarantinedRequest> quarantined; ///< sorted by fingerprint
+    std::vector<passthrough::QuarantinedSuspect> quarantined; ///< sorted
     mutable PackedList packedServers;                         ///< created on first request
     mutable std::uint64_t packedServersTag = 0;               ///< content tag of the list in \c packedServers
     PackedList packedEntries;
@@ -128,7 +128,7 @@
 /// \return whether the list of entries changed
 auto applyEntries(DirectoryState &state, const std::vector<fleet::EntryRecord> &alive, TimePoint asOf) -> bool;
 auto confirmEntries(DirectoryState &state, TimePoint asOf) -> void;
-auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedRequest> requests) -> void;
+auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedSuspect> suspects) -> void;
 /// @}
 
 /// Time at which this entry learned of a configuration newer than its own; nothing if it knows of none.
@@ -147,11 +147,11 @@
     std::optional<Duration> entriesAge;         ///< age of the list of entries; not set: no heartbeat was received yet
     std::optional<PackedList> entries;
     struct Quarantined {
-        Fingerprint fingerprint{};
+        passthrough::Suspect suspect;
         Duration age{}; ///< time since the last crash
     };
     std::uint64_t quarantinedTag = 0;
-    std::optional<std::vector<Quarantined>> quarantined; ///< all quarantined requests; not set: the querying entry has this list
+    std::optional<std::vector<Quarantined>> quarantined; ///< all that is quarantined; not set: the querying entry has this list
 };
 
 auto makeAnswer(const DirectoryState &state, const DirectoryTags &known, TimePoint now) -> DirectoryAnswer;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -140,6 +140,7 @@
 auto Fleet::sendCrashReport(const passthrough::CrashesReported &crashes) -> void
 {
     peers_.send(crashes);
+    std::erase_if(crashReports_, [&crashes](const RepeatedCrashReport &each) { return each.report.suspect == crashes.suspect; });
     crashReports_.push_back({ .report = crashes, .repetitionsLeft = CrashReportRepetitions });
     if (crashReports_.size() > MaxRepeatedCrashReports) {
         crashReports_.pop_front();
@@ -157,12 +158,12 @@
     std::erase_if(crashReports_, [](const RepeatedCrashReport &each) { return each.repetitionsLeft <= 0; });
 }
 
-/// The directory carries the quarantined requests to entries that received none of the reports, such as those that start later.
+/// The directory carries what is quarantined to entries that received none of the reports, such as those that start later.
 auto Fleet::publishQuarantined() -> void
 {
     const auto revision = passthrough::quarantineRevision(router_);
     if (std::exchange(publishedQuarantineRevision_, revision) != revision) {
-        gateway::applyQuarantined(known_, passthrough::quarantinedRequests(router_, now()));
+        gateway::applyQuarantined(known_, passthrough::quarantinedSuspects(router_, now()));
     }
 }
 
@@ -251,7 +252,7 @@
         .onStoreRestored = [this](std::uint64_t era) { handleStoreRestored(era); },
         .onEntriesSnapshot = [this](const std::string &list) { handleEntriesSnapshot(list); },
         .onQuarantined
-        = [this](const std::vector<passthrough::QuarantinedRequest> &requests) { callbacks_.onEvent(passthrough::QuarantineListed{ .requests = requests }); },
+        = [this](const std::vector<passthrough::QuarantinedSuspect> &suspects) { callbacks_.onEvent(passthrough::QuarantineListed{ .suspects = suspects }); },
         .onReaderChecked = [this](const std::string &peer, bool isHealthy) { handleReaderCheck(peer, isHealthy); },
         .onReachable =
             [this](std::string_view peer, bool reachable, std::string_view call, const std::string &detail) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -339,7 +339,7 @@
 auto Gateway::Impl::execute(const passthrough::ReportCrashes &action) -> void
 {
     accounting.crashCounted(action);
-    fleet.sendCrashReport({ .fingerprint = action.fingerprint, .incidents = action.incidents });
+    fleet.sendCrashReport({ .suspect = action.suspect, .incidents = action.incidents, .provenAt = action.provenAt });
 }
 
 auto Gateway::Impl::execute(const passthrough::RateLimitChanged &change) -> void
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -137,24 +137,52 @@
              { "rest", report.isContinuation },  { "uses", std::move(uses) } };
 }
 
-/// Incidents are sent with their age, as the clocks of two VMs have nothing in common.
+/// Incidents are sent with their age, as the clocks of two VMs have nothing in common. A report on a prompt part has no fingerprint, so
+/// entries of earlier builds ignore it.
 auto toJson(const passthrough::CrashesReported &report) -> json
 {
+    const auto isPart = report.suspect.kind == passthrough::SuspectKind::PromptPart;
     auto incidents = json::array();
     for (const auto &incident : report.incidents) {
         incidents.push_back({ incident.server, toMilliseconds(now() - incident.at), incident.hadEvents });
+        if (incident.sentAt != TimePoint()) {
+            incidents.back().push_back(toMilliseconds(now() - incident.sentAt));
+            incidents.back().push_back(static_cast<std::uint64_t>(incident.request));
+        }
+    }
+    json document{ { "fingerprint", isPart ? 0 : report.suspect.id }, { "incidents", std::move(incidents) } };
+    if (isPart) {
+        document["part"] = report.suspect.id;
     }
-    return { { "fingerprint", static_cast<std::uint64_t>(report.fingerprint) }, { "incidents", std::move(incidents) } };
+    if (report.provenAt != TimePoint()) {
+        document["proven"] = toMilliseconds(now() - report.provenAt);
+    }
+    return document;
+}
+
+auto timeOfAge(const json &milliseconds) -> TimePoint
+{
+    return now() - std::chrono::milliseconds(milliseconds.get<std::uint32_t>());
 }
 
 auto toCrashesReported(const json &document) -> passthrough::CrashesReported
 {
-    passthrough::CrashesReported report{ .fingerprint = Fingerprint{ document.at("fingerprint").get<std::uint64_t>() } };
+    constexpr std::size_t SentAge = 3;
+    constexpr std::size_t Request = 4;
+    passthrough::CrashesReported report{ .suspect = passthrough::requestSuspect(Fingerprint{ document.at("fingerprint").get<std::uint64_t>() }) };
+    if (document.contains("part")) {
+        report.suspect = passthrough::partSuspect(document.at("part").get<std::uint64_t>());
+    }
+    if (document.contains("proven")) {
+        report.provenAt = timeOfAge(document.at("proven"));
+    }
     for (const auto &incident : document.at("incidents")) {
         report.incidents.push_back({
             .server = incident.at(0).get<std::string>(),
-            .at = now() - std::chrono::milliseconds(incident.at(1).get<std::uint32_t>()),
+            .at = timeOfAge(incident.at(1)),
             .hadEvents = incident.at(2).get<bool>(),
+            .sentAt = incident.size() > SentAge ? timeOfAge(incident.at(SentAge)) : TimePoint(),
+            .request = incident.size() > Request ? Fingerprint{ incident.at(Request).get<std::uint64_t>() } : Fingerprint{},
         });
     }
     return report;
--- a/src/gateway/tests/messages_tests.cpp
+++ b/src/gateway/tests/messages_tests.cpp
@@ -41,14 +41,32 @@
     EXPECT_EQ(read.uses[0].heldTokens, 20'000U);
     EXPECT_EQ(read.uses[0].shortPrompts, 2U);
 
-    const passthrough::CrashesReported crashes{ .fingerprint = Fingerprint{ 77 }, .incidents = { { .server = "i-1", .at = now(), .hadEvents = true } } };
+    const passthrough::CrashesReported crashes{ .suspect = passthrough::requestSuspect(Fingerprint{ 77 }),
+                                                .incidents = { { .server = "i-1", .at = now(), .hadEvents = true } } };
     const auto readCrashes = std::get<passthrough::CrashesReported>(decodePeerMessage(encodePeerMessage(crashes)));
-    EXPECT_EQ(readCrashes.fingerprint, crashes.fingerprint);
+    EXPECT_EQ(readCrashes.suspect, crashes.suspect);
     ASSERT_EQ(readCrashes.incidents.size(), 1U);
     EXPECT_EQ(readCrashes.incidents[0].server, "i-1");
     EXPECT_TRUE(readCrashes.incidents[0].hadEvents);
 }
 
+TEST(PeerMessageTests, reportsOnPromptPartsAreDecodedAsEncoded)
+{
+    const auto at = now() - std::chrono::seconds(2);
+    const passthrough::CrashesReported crashes{ .suspect = passthrough::partSuspect(78),
+                                                .incidents = { { .server = "i-1", .at = now(), .sentAt = at, .request = Fingerprint{ 79 } } } };
+    const auto read = std::get<passthrough::CrashesReported>(decodePeerMessage(encodePeerMessage(crashes)));
+    EXPECT_EQ(read.suspect, crashes.suspect);
+    ASSERT_EQ(read.incidents.size(), 1U);
+    EXPECT_LT(read.incidents[0].sentAt, read.incidents[0].at);
+    EXPECT_EQ(read.incidents[0].request, Fingerprint{ 79 });
+
+    const passthrough::CrashesReported proof{ .suspect = passthrough::partSuspect(78), .provenAt = at };
+    const auto readProof = std::get<passthrough::CrashesReported>(decodePeerMessage(encodePeerMessage(proof)));
+    EXPECT_TRUE(readProof.incidents.empty());
+    EXPECT_LT(readProof.provenAt, now() - std::chrono::seconds(1));
+}
+
 TEST(PeerMessageTests, limitsAreDecodedAsEncoded)
 {
     using Limit = passthrough::PeerReported::Limit;
--- a/src/gateway/tests/quarantinelist_tests.cpp
+++ b/src/gateway/tests/quarantinelist_tests.cpp
@@ -19,7 +19,7 @@
         return refused && refused->reason == Reason::Quarantined;
     };
     EXPECT_FALSE(isWithheld());
-    applyQuarantined(entry.reader.state, { { .fingerprint = Crashing, .at = now() } });
+    applyQuarantined(entry.reader.state, { { .suspect = passthrough::requestSuspect(Crashing), .at = now() } });
     EXPECT_TRUE(runUntil(entry.loop, isWithheld));
     applyQuarantined(entry.reader.state, {});
     EXPECT_TRUE(runUntil(entry.loop, [&]() { return !isWithheld(); }));
