--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -75,15 +75,6 @@
     }
 }
 
-/// A stream that begins counts as a response without an error. Errors come at once, so an entry that waited for the ends of the streams
-/// would know of nothing but errors for a while.
-auto recordStreamBegin(RouterState &state, const Request &request, Attempt &attempt) -> void
-{
-    const auto before = attempt.server->errorEvidence.logOdds;
-    recordOutcome(state, request, *attempt.server, std::nullopt);
-    attempt.clearedBy = before - attempt.server->errorEvidence.logOdds;
-}
-
 auto makePace(const Request &request, TimePoint now) -> AnswerPace
 {
     const auto *service = request.table->findService(request.service);
@@ -332,7 +323,6 @@
     found->second.answerBegun = found->second.answerBegun || event.isForwarded;
     found->second.mayHaveRun = found->second.mayHaveRun || event.isForwarded;
     if (event.isForwarded) {
-        recordStreamBegin(state, found->second, *attempt);
         preferAttempt(state, found->second, event.attempt, actions);
         recordStreamStart(state, found->second, *attempt, actions);
     }
@@ -454,12 +444,9 @@
         recordShortPromptEnd(pool.split, prefillTime(attempt->load.unreadTokens, pool.speed), state.now - attempt->sentAt);
     }
     preferAttempt(state, request, event.attempt, actions);
-    const auto isRecorded = attempt->clearedBy.has_value();
     const auto server = closeAttempt(state, event.attempt);
     recordSuccess(*server, state.now);
-    if (!isRecorded) {
-        recordOutcome(state, request, *server, std::nullopt);
-    }
+    recordOutcome(state, request, *server, std::nullopt);
     noteCompletion(state, request, actions);
     actions.emplace_back(Complete{ .request = request.call.request });
     removeAndDispatch(state, request, actions);
@@ -473,7 +460,6 @@
     }
     auto &request = state.requests.at(attempt->request);
     const auto hadEvents = attempt->started && request.route->repeatability == Repeatability::Stream;
-    const auto clearedBy = attempt->clearedBy.value_or(0);
     const auto server = closeAttempt(state, event.attempt);
     notePathEvidence(state, request, *server, event.failure, actions);
     if (event.failure == Failure::NotStarted) {
@@ -485,7 +471,6 @@
         recordFailure(*server, event.failure, state.now);
     }
     if (isServerFault(event.failure)) {
-        server->errorEvidence.logOdds += clearedBy;
         recordOutcome(state, request, *server, event.failure);
     }
     if (looksLikeCrash(event.failure) && isExpectedToRun(state, *server)) {
--- a/src/core/passthrough/internal/state.h
+++ b/src/core/passthrough/internal/state.h
@@ -84,7 +84,6 @@
     RequestLoad load;
     SoftwareVersion version; ///< of the server when the attempt was sent
     bool started = false;
-    std::optional<double> clearedBy;        ///< by how much its beginning lowered the error evidence against its server; not set: no stream has begun
     bool isSilent = false;                  ///< see AttemptSilent
     std::optional<KeptBecause> keptBecause; ///< latest decision while it is silent
     TimePoint sentAt;
