--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -6,6 +6,7 @@
 #include "runtime/metrics/prometheus.h"
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 namespace auburnspread::gateway
@@ -27,6 +28,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Numbers separated by spaces.
+auto listOf(std::span<const std::uint64_t> numbers) -> std::string
+{
+    std::string list;
+    for (const auto number : numbers) {
+        list += (list.empty() ? "" : " ") + std::to_string(number);
+    }
+    return list;
+}
+
 auto declareKeptAttempts(metrics::Registry &registry) -> metrics::EnumCounters<passthrough::KeptBecause>
 {
     constexpr metrics::Description Kept{ .name = "auburnspread_silent_attempts_kept_total",
@@ -46,6 +57,11 @@
     , retries_(metrics::declareRetries(registry_))
     , sends_(registry_.counter({ .name = "auburnspread_sends_total", .help = "Attempts sent to backend servers." }))
     , keptAttempts_(declareKeptAttempts(registry_))
+    , trials_(registry_.counter({ .name = "auburnspread_trials_total", .help = "Attempts whose server was chosen because a prompt part is suspected." }))
+    , suspectsAccused_(registry_.counter({ .name = "auburnspread_crashes_counted_total", .help = "Crashes counted against a request or prompt part." }))
+    , suspectsCleared_(registry_.counter({ .name = "auburnspread_suspects_cleared_total", .help = "Suspected requests and prompt parts that proved sound." }))
+    , suspectsQuarantined_(
+          registry_.counter({ .name = "auburnspread_suspects_quarantined_total", .help = "Crashes that put a request or prompt part into quarantine." }))
     , replacements_(registry_.counter(
           { .name = "auburnspread_silent_attempts_replaced_total", .help = "Requests that were served by another server after theirs had fallen silent." }))
     , forwards_(registry_.counter({ .name = "auburnspread_forwards_total", .help = "Requests that were forwarded to another entry." }))
@@ -78,6 +94,9 @@
 auto Accounting::attemptSent(const RequestLogContext &context, const passthrough::Send &action) -> void
 {
     sends_.add();
+    if (action.trialOf != 0) {
+        trials_.add();
+    }
     if (action.repeatedAfter) {
         retries_.add(*action.repeatedAfter);
     }
@@ -101,6 +120,7 @@
             { "room_tokens", action.roomTokens },
             { "waiting_tokens", action.waitingTokens },
             { "preference", action.preference },
+            { "trial_of", action.trialOf },
             { "remaining_ms", wholeMilliseconds(action.remaining) },
             { "configuration", context.configurationVersion },
             { "configuration_age_ms", wholeMilliseconds(context.configurationAge) },
@@ -152,6 +172,7 @@
             { "framing", failure.body ? http::framingName(failure.body->framing) : "" },
             { "partial_event_bytes", failure.body ? failure.body->partialEventBytes : 0 },
             { "fingerprint", static_cast<std::uint64_t>(context.fingerprint) },
+            { "parts", listOf(context.sharedParts) },
             { "after_ms", wholeMilliseconds(elapsed) },
             { "servers_age_ms", wholeMilliseconds(context.serversAge) } });
 }
@@ -211,6 +232,7 @@
             { "status", refusal.status },
             { "retry_after_ms", wholeMilliseconds(refusal.retryAfter.value_or(Duration::zero())) },
             { "peer", refusal.peer },
+            { "parts", listOf(context.sharedParts) },
             { "configuration", context.configurationVersion },
             { "configuration_age_ms", wholeMilliseconds(refusal.informationAge) } });
 }
@@ -323,12 +345,18 @@
 auto Accounting::crashCounted(const passthrough::ReportCrashes &crashes) -> void
 {
     const auto isCleared = crashes.incidents.empty();
+    const auto isPart = crashes.suspect.kind == passthrough::SuspectKind::PromptPart;
+    (isCleared ? suspectsCleared_ : suspectsAccused_).add();
+    if (crashes.isQuarantined) {
+        suspectsQuarantined_.add();
+    }
     event(Level::Warning,
           isCleared ? "crashes-cleared" : "crash-counted",
-          { { "fingerprint", static_cast<std::uint64_t>(crashes.fingerprint) },
+          { { isPart ? "part" : "fingerprint", crashes.suspect.id },
             { "crashes", crashes.incidents.size() },
             { "peer", isCleared ? std::string() : crashes.incidents.back().server },
-            { "quarantined", crashes.isQuarantined } });
+            { "quarantined", crashes.isQuarantined },
+            { "since_first_ms", wholeMilliseconds(crashes.firstIncidentAge) } });
 }
 
 auto Accounting::serverLimitChanged(const passthrough::RateLimitChanged &change) -> void
