The chat face asks the router before it gives up a silent server

Cause: the backend task ended an attempt at its first-token or progress timeout, with its connection; only then did the router look for a retry. Class: something that still works is given up before it is known that what replaces it is allowed and to be had.

Equal requests follow the first one that leaves. - A suspect does not run beside itself: decide() and announceRetry() leave the request's own silent attempts out of account, and the suspect leaves them in the step in which another server takes it. Dispatch comes before the cancels, so what was relayed is known to the new attempt. - A silent server that crashes while its requests run elsewhere makes these suspects. Their second attempts, which have sent nothing, end and they are retried alone if a retry is left. A request that is quarantined by a crash leaves its other attempts. - A retry that was charged and not used is kept for the request; the request was charged again with each report before.

Ruled out: counting no crash of a server that was silent before (a request that crashes silent servers is never suspected); keeping suspects on silent servers until the deadline (gone servers are left later than before).

World checks two more promises: attempts never beyond the allowed, and a suspect is sent only where no equal request runs and to no server that another suspect has to itself. Requests whose key is claimed first are left out of the second one: without that, sessions without any silence break it. By reading: sendClaimed() sends without asking the quarantine again; open. keepsItsPromisesWhileServersFallSilent is new (RapidCheck over drawn silences, crashes and ends).

--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -104,13 +104,13 @@
             .acted = [&accounting](const routing::Action &action) { accounting.countAction(action); },
         },
         mailboxes);
-    entry::BackendTask backend(
-        {
-            .attemptPrefix = prefix,
-            .connectTimeout = settings.connectTimeout,
-            .failed = [&accounting](const entry::AttemptReport &report) { accounting.countFailure(report); },
-        },
-        mailboxes);
+    entry::BackendTask backend({
+                                   .attemptPrefix = prefix,
+                                   .connectTimeout = settings.connectTimeout,
+                                   .failed = [&accounting](const entry::AttemptReport &report) { accounting.countFailure(report); },
+                                   .silent = [&accounting](const entry::AttemptReport &report) { accounting.countSilence(report); },
+                               },
+                               mailboxes);
     entry::ControlTask control({
                                    .settings = settings,
                                    .incarnation = incarnation,
--- a/src/core/balancing/balancing.cpp
+++ b/src/core/balancing/balancing.cpp
@@ -150,6 +150,14 @@
     }
 }
 
+auto noteSilent(State &state, AttemptId attempt, Failure timeout, TimePoint now) -> void
+{
+    const auto *known = findAttempt(state, attempt);
+    if (known != nullptr) {
+        detail::judgeFailure(state, known->server, known->pool, timeout, now);
+    }
+}
+
 auto noteCancelled(State &state, AttemptId attempt, TimePoint now) -> void
 {
     endAttempt(state, attempt, now);
--- a/src/core/balancing/balancing.h
+++ b/src/core/balancing/balancing.h
@@ -89,6 +89,8 @@
 auto noteProgress(State &state, AttemptId attempt, std::uint32_t tokens, TimePoint now) -> void;
 auto noteFinished(State &state, AttemptId attempt, std::uint32_t tokens, TimePoint now) -> void;
 auto noteFailed(State &state, AttemptId attempt, Failure failure, TimePoint now) -> void;
+/// The attempt goes on, but its server sends nothing. \p timeout: the one that it has met.
+auto noteSilent(State &state, AttemptId attempt, Failure timeout, TimePoint now) -> void;
 /// We gave it up: says nothing about the server.
 auto noteCancelled(State &state, AttemptId attempt, TimePoint now) -> void;
 /// @}
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -40,9 +40,13 @@
     return record.retryAnnouncedSince && now - record.retryAnnouncedAt < AnnouncementLifetime;
 }
 
-auto isRunning(const State &state, Fingerprint fingerprint) -> bool
+/// \param without attempts that do not count
+auto isRunning(const State &state, Fingerprint fingerprint, std::span<const AttemptId> without = {}) -> bool
 {
-    return state.running.contains(fingerprint);
+    const auto running = state.running.find(fingerprint);
+    return running != state.running.end() && std::any_of(running->second.begin(), running->second.end(), [&](const Copy &copy) {
+               return std::find(without.begin(), without.end(), copy.attempt) == without.end();
+           });
 }
 
 /// The record to evict when the table is full: the oldest suspect, otherwise the oldest quarantined one. A forgotten
@@ -123,8 +127,8 @@
         return std::nullopt;
     }
     const auto running = state.running.find(node.mapped().fingerprint);
-    running->second.attempts -= 1;
-    if (running->second.attempts == 0) {
+    std::erase_if(running->second, [&](const Copy &copy) { return copy.attempt == id; });
+    if (running->second.empty()) {
         state.running.erase(running);
     }
     return std::move(node.mapped());
@@ -148,7 +152,7 @@
     if (running == state.running.end()) {
         return {};
     }
-    return { makeNotice(state, fingerprint, Mark::Retrying, running->second.server) };
+    return { makeNotice(state, fingerprint, Mark::Retrying, running->second.back().server) };
 }
 
 auto applySuspect(State &state, const Notice &notice, TimePoint now) -> void
@@ -206,10 +210,10 @@
     return !record.peerRetrying.empty() && now < record.peerRetryUntil;
 }
 
-/// Whether the record is a suspect that no peer retries and of which no copy is running.
-auto mayBeRetried(const State &state, Fingerprint fingerprint, const Record &record, TimePoint now) -> bool
+/// Whether the record is a suspect that no peer retries and of which no copy but \p own is running.
+auto mayBeRetried(const State &state, Fingerprint fingerprint, const Record &record, TimePoint now, std::span<const AttemptId> own) -> bool
 {
-    return !record.quarantined && !isRetriedByPeer(record, now) && !isRunning(state, fingerprint);
+    return !record.quarantined && !isRetriedByPeer(record, now) && !isRunning(state, fingerprint, own);
 }
 
 auto decideUnsuspected(const State &state, Fingerprint fingerprint) -> Decision
@@ -218,7 +222,12 @@
     if (running == state.running.end() || state.proven.contains(fingerprint)) {
         return { .verdict = Verdict::Run };
     }
-    return { .verdict = Verdict::RunOnServer, .server = running->second.server };
+    const auto &copies = running->second;
+    const auto latest = std::find_if(copies.rbegin(), copies.rend(), [](const Copy &copy) { return !copy.isSilent; });
+    if (latest == copies.rend()) {
+        return { .verdict = Verdict::Run };
+    }
+    return { .verdict = Verdict::RunOnServer, .server = latest->server };
 }
 
 } // namespace
@@ -237,7 +246,7 @@
     }
 }
 
-auto decide(const State &state, Fingerprint fingerprint, TimePoint now) -> Decision
+auto decide(const State &state, Fingerprint fingerprint, TimePoint now, std::span<const AttemptId> own) -> Decision
 {
     const Record *record = findRecord(state, fingerprint, now);
     if (record == nullptr) {
@@ -246,20 +255,20 @@
     if (record->quarantined) {
         return { .verdict = Verdict::Refuse };
     }
-    if (!mayBeRetried(state, fingerprint, *record, now) || !hasAnnouncedRetry(*record, now)) {
+    if (!mayBeRetried(state, fingerprint, *record, now, own) || !hasAnnouncedRetry(*record, now)) {
         return { .verdict = Verdict::Wait };
     }
     const bool settled = now - *record->retryAnnouncedSince >= state.options.settleTime;
     return { .verdict = settled ? Verdict::RunAlone : Verdict::Wait };
 }
 
-auto announceRetry(State &state, Fingerprint fingerprint, TimePoint now) -> std::vector<Notice>
+auto announceRetry(State &state, Fingerprint fingerprint, TimePoint now, std::span<const AttemptId> own) -> std::vector<Notice>
 {
     if (findRecord(state, fingerprint, now) == nullptr) {
         return {};
     }
     auto &record = state.records.at(fingerprint);
-    if (!mayBeRetried(state, fingerprint, record, now)) {
+    if (!mayBeRetried(state, fingerprint, record, now, own)) {
         return {};
     }
     if (!hasAnnouncedRetry(record, now)) {
@@ -274,9 +283,7 @@
 auto recordDispatch(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, TimePoint now) -> std::vector<Notice>
 {
     state.attempts[attempt] = { .fingerprint = fingerprint, .server = std::string(server), .sequence = state.nextSequence++ };
-    auto &running = state.running[fingerprint];
-    running.server = server;
-    running.attempts += 1;
+    state.running[fingerprint].push_back({ .attempt = attempt, .server = std::string(server) });
     if (findRecord(state, fingerprint, now) == nullptr) {
         return {};
     }
@@ -284,6 +291,19 @@
     return makeRetryingNotice(state, fingerprint);
 }
 
+auto recordSilence(State &state, AttemptId attempt, bool isSilent) -> void
+{
+    const auto place = state.attempts.find(attempt);
+    if (place == state.attempts.end()) {
+        return;
+    }
+    for (auto &copy : state.running.at(place->second.fingerprint)) {
+        if (copy.attempt == attempt) {
+            copy.isSilent = isSilent;
+        }
+    }
+}
+
 auto recordCompletion(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>
 {
     const auto ended = takeAttempt(state, attempt);
--- a/src/core/quarantine/quarantine.h
+++ b/src/core/quarantine/quarantine.h
@@ -3,7 +3,8 @@
 ///
 /// One crash makes every fingerprint that was running on the server a suspect. A suspect is retried alone, at most
 /// once, and only while no other copy of it runs. A second crash quarantines it; a complete answer clears it. Copies
-/// of a fingerprint that never completed run on one backend server at a time, so that they can crash only that one.
+/// of a fingerprint that never completed run on one backend server at a time, so that they can crash only that one; those
+/// on a server that has stopped sending are left out of account.
 /// See docs/design/quarantine.md.
 
 #pragma once
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -88,9 +90,11 @@
     std::uint64_t sequence = 0; ///< sequence number of the dispatch
 };
 
-struct Running {
-    std::string server;       ///< backend server of the latest attempt
-    std::size_t attempts = 0; ///< attempts in flight
+/// An attempt in flight.
+struct Copy {
+    AttemptId attempt{};
+    std::string server;
+    bool isSilent = false; ///< its server has stopped sending
 };
 
 struct Crash {
@@ -103,8 +107,8 @@
     std::uint64_t nextSequence = 1; ///< next sequence number; orders dispatches and crashes
     std::unordered_map<Fingerprint, Record> records;
     std::unordered_map<AttemptId, Attempt> attempts;
-    std::unordered_map<Fingerprint, Running> running;
-    std::unordered_map<std::string, Crash> lastCrash; ///< last crash of each backend server
+    std::unordered_map<Fingerprint, std::vector<Copy>> running; ///< in order of dispatch; never empty
+    std::unordered_map<std::string, Crash> lastCrash;           ///< last crash of each backend server
     std::unordered_set<Fingerprint> proven;
     std::deque<Fingerprint> provenOrder; ///< oldest first
 };
@@ -116,16 +120,21 @@
 auto setLimits(State &state, Duration expiry, std::size_t capacity) -> void;
 
 /// Decides whether and how a request with this fingerprint may be dispatched now. Call it right before each dispatch.
-auto decide(const State &state, Fingerprint fingerprint, TimePoint now) -> Decision;
+/// \param own silent attempts of the request itself. The caller ends them before it dispatches the request with RunAlone;
+///            with another verdict they may go on.
+auto decide(const State &state, Fingerprint fingerprint, TimePoint now, std::span<const AttemptId> own = {}) -> Decision;
 
 /// Announces the retry of a suspect for which a request waits at this entry. If no other entry retries the suspect, this
 /// entry claims the retry, and decide() returns RunAlone once peers have had time to object. Call it whenever the
 /// verdict is Wait, and again on each tick; it returns notices only when peers must be informed. The entry that saw the
 /// crash announces its retry together with the crash, so only later copies of a suspect and long waits need this call.
-auto announceRetry(State &state, Fingerprint fingerprint, TimePoint now) -> std::vector<Notice>;
+/// \param own as for decide()
+auto announceRetry(State &state, Fingerprint fingerprint, TimePoint now, std::span<const AttemptId> own = {}) -> std::vector<Notice>;
 
 /// Records that an attempt was sent to \p server.
 auto recordDispatch(State &state, AttemptId attempt, Fingerprint fingerprint, std::string_view server, TimePoint now) -> std::vector<Notice>;
+/// Records whether the attempt's server has stopped sending. Until it goes on, other copies need not run on its server.
+auto recordSilence(State &state, AttemptId attempt, bool isSilent) -> void;
 /// Records that the response is complete, which proves the fingerprint harmless.
 auto recordCompletion(State &state, AttemptId attempt, TimePoint now) -> std::vector<Notice>;
 /// Records that the attempt was cancelled, or failed in a way that does not look like a crash. This proves nothing.
--- a/src/core/routing/actions.h
+++ b/src/core/routing/actions.h
@@ -34,10 +34,12 @@
     Duration progressTimeout{};
 };
 
-/// Relay what this attempt sends, from now on and what was held; no other attempt of the request may relay.
+/// Relay what this attempt sends, from now on and what was held; no other attempt of the request may relay. Tokens that another attempt
+/// has relayed already are left out.
 struct CommitAttempt {
     RequestId request{};
     AttemptId attempt{};
+    std::uint32_t relayedTokens = 0; ///< of the whole request, as far as the router knows
 };
 
 /// Close the attempt's connection; whatever still arrives from it is discarded and counted as waste.
--- a/src/core/routing/events.h
+++ b/src/core/routing/events.h
@@ -74,6 +74,14 @@
     std::uint32_t wastedTokens = 0;  ///< received from this attempt and not relayed
 };
 
+/// A backend server has sent nothing of an answer for as long as the attempt's timeouts allow. The attempt goes on; the event is repeated
+/// while the silence lasts, and AttemptStarted or AttemptProgress follows once the server sends again.
+struct AttemptSilent {
+    AttemptId attempt{};
+    Failure timeout{};               ///< FirstTokenTimeout or ProgressTimeout
+    std::uint32_t relayedTokens = 0; ///< of the whole request: where another attempt begins
+};
+
 /// A backend server's own load report; it lags.
 struct LoadReported {
     std::string backend;
@@ -167,6 +175,7 @@
                            AttemptProgress,
                            AttemptFinished,
                            AttemptFailed,
+                           AttemptSilent,
                            LoadReported,
                            ProbeSettled,
                            BackendLeaving,
--- a/src/core/routing/internal/attempts.cpp
+++ b/src/core/routing/internal/attempts.cpp
@@ -5,10 +5,12 @@
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/naive.h"
 #include "core/routing/internal/placing.h"
+#include "core/routing/internal/silence.h"
 #include "core/routing/internal/suspects.h"
 #include "core/routing/internal/waiting.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnspread::routing
 {
@@ -27,20 +29,6 @@
     return !request.attempts.empty() && !state.attempts.at(request.attempts.front()).sent;
 }
 
-auto describe(const Request &request, Failure failure, bool wasCommitted) -> retry::FailedRequest
-{
-    const auto isChat = request.call.kind == CallKind::Chat;
-    return {
-        .failure = failure,
-        .repeatable = request.repeatable,
-        .resumable = isChat,
-        // A service's answer has no offsets: once committed, an unknown part of it is out.
-        .answerBegun = request.call.stream && (isChat ? request.relayed > 0 : wasCommitted),
-        .retriesMade = request.retries,
-        .deadline = request.deadline,
-    };
-}
-
 /// An answer of which the caller has seen nothing yet begins anew if no backend server can go on with it.
 auto restartIfNeeded(RouterState &state, Request &request) -> void
 {
@@ -51,30 +39,53 @@
     }
 }
 
-auto retryElsewhere(RouterState &state, Request &request, Failure failure, bool wasCommitted, Actions &actions) -> void
+/// \param isCounted whether the retry was counted already, when it began to wait beside the attempt
+auto retryElsewhere(RouterState &state, Request &request, const FailedAttempt &failed, bool isCounted, Actions &actions) -> void
 {
+    const auto failure = failed.failure;
+    request.restarts = false;
     const auto peer = request.tried.back().name;
     if (decideSuspect(state, request).verdict == quarantine::Verdict::Refuse) {
         refuse(state, request, { .reason = Reason::Quarantined, .step = "quarantine", .peer = peer }, actions);
         return;
     }
-    if (const auto reason = retry::findRetryObstacle(describe(request, failure, wasCommitted), state.now)) {
+    if (const auto reason = retry::findRetryObstacle(describeFailure(request, failed), state.now)) {
         refuse(state, request, { .reason = *reason, .step = "relay", .peer = peer }, actions);
         return;
     }
     restartIfNeeded(state, request);
     if (canEverRun(state, request)) {
         // What did not start loaded no backend server, so trying it elsewhere cannot multiply the load.
-        if (!provesNotStarted(failure) && !retry::takeRetry(request.requestClass->retryBudget, state.now)) {
+        if (!provesNotStarted(failure) && !payRetry(state, request)) {
             refuse(state, request, { .reason = Reason::RetryBudget, .step = "relay", .peer = peer }, actions);
             return;
         }
         request.retries += 1;
-        actions.emplace_back(Retried{ .request = request.call.request, .failure = failure, .resumed = request.relayed > 0 });
+        if (!isCounted) {
+            actions.emplace_back(Retried{ .request = request.call.request, .failure = failure, .resumed = request.relayed > 0 });
+        }
     }
     waitForSlot(state, request, actions);
 }
 
+/// Whether the attempts that are left after a crash must end too, because the request is a suspect now and runs beside others.
+///
+/// Failure: a server is silent and then crashes, its requests run elsewhere meanwhile. Symptom: a request that crashes servers takes
+/// another one down, and those that ran beside it on both are quarantined with it. Where no retry is left, the attempts go on.
+auto mustEndOthers(RouterState &state, Request &request, const FailedAttempt &crashed) -> bool
+{
+    const auto verdict = decideSuspect(state, request).verdict;
+    if (verdict == quarantine::Verdict::Run || verdict == quarantine::Verdict::RunOnServer) {
+        return false;
+    }
+    if (verdict == quarantine::Verdict::Refuse) {
+        return true;
+    }
+    const auto runsBesideOthers = [&](AttemptId id) { return !state.attempts.at(id).isSilent && !state.attempts.at(id).alone; };
+    return crashed.wasSilent && std::any_of(request.attempts.begin(), request.attempts.end(), runsBesideOthers)
+        && !retry::findRetryObstacle(describeFailure(request, crashed), state.now) && canEverRun(state, request) && payRetry(state, request);
+}
+
 } // namespace
 
 auto onStarted(RouterState &state, const AttemptStarted &event, Actions &actions) -> void
@@ -84,24 +95,22 @@
         return;
     }
     auto &request = state.requests.at(attempt->request);
-    attempt->committed = true;
+    noteActivity(state, *attempt);
+    beginAnewIfRestarted(state, request, *attempt);
     balancing::noteFirstToken(*state.balancing, event.attempt, state.now);
     if (attempt->resumeOffset == 0) {
         admission::recordFirstToken(estimatesOf(request), state.now - attempt->sentAt);
     }
     request.firstTokenAt = request.firstTokenAt.value_or(state.now);
-    actions.emplace_back(CommitAttempt{ .request = attempt->request, .attempt = attempt->id });
-    const auto live = request.attempts;
-    for (const auto other : live) {
-        if (other != event.attempt) {
-            cancelAttempt(state, other, actions);
-        }
-    }
+    cancelCommitted(state, request, actions);
+    attempt->committed = true;
+    actions.emplace_back(CommitAttempt{ .request = attempt->request, .attempt = attempt->id, .relayedTokens = request.relayed });
+    preferAttempt(state, request, event.attempt, actions);
 }
 
-auto onProgress(RouterState &state, const AttemptProgress &event) -> void
+auto onProgress(RouterState &state, const AttemptProgress &event, Actions &actions) -> void
 {
-    const auto *attempt = findLive(state, event.attempt);
+    auto *attempt = findLive(state, event.attempt);
     if (attempt == nullptr) {
         return;
     }
@@ -109,6 +118,9 @@
     request.relayed = std::max(request.relayed, event.relayedTokens);
     const auto own = event.relayedTokens - std::min(event.relayedTokens, attempt->resumeOffset);
     balancing::noteProgress(*state.balancing, event.attempt, own, state.now);
+    if (attempt->committed && noteActivity(state, *attempt)) {
+        preferAttempt(state, request, event.attempt, actions);
+    }
 }
 
 auto onFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void
@@ -125,18 +137,20 @@
     if (attempt == nullptr) {
         return;
     }
-    const auto wasCommitted = attempt->committed;
+    const FailedAttempt failed{ .failure = event.failure, .wasCommitted = attempt->committed, .wasSilent = attempt->isSilent };
     auto &request = state.requests.at(attempt->request);
     request.relayed = std::max(request.relayed, event.relayedTokens);
+    const auto isCounted = request.attempts.size() == 1 && stayWithAttempts(state, request);
     failAttempt(state, event.attempt, event.failure, actions);
-    if (!request.attempts.empty()) {
+    if (!request.attempts.empty() && !(looksLikeCrash(event.failure) && mustEndOthers(state, request, failed))) {
         return;
     }
+    cancelAttempts(state, request, actions);
     if (state.options.policy == Policy::Naive) {
         retryNaively(state, request, event.failure, actions);
         return;
     }
-    retryElsewhere(state, request, event.failure, wasCommitted, actions);
+    retryElsewhere(state, request, failed, isCounted, actions);
 }
 
 auto onClaimSettled(RouterState &state, const ClaimSettled &event, Actions &actions) -> void
--- a/src/core/routing/internal/attempts.h
+++ b/src/core/routing/internal/attempts.h
@@ -10,7 +10,7 @@
 {
 
 auto onStarted(RouterState &state, const AttemptStarted &event, Actions &actions) -> void;
-auto onProgress(RouterState &state, const AttemptProgress &event) -> void;
+auto onProgress(RouterState &state, const AttemptProgress &event, Actions &actions) -> void;
 auto onFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void;
 auto onFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void;
 auto onClaimSettled(RouterState &state, const ClaimSettled &event, Actions &actions) -> void;
--- a/src/core/routing/internal/catalog.cpp
+++ b/src/core/routing/internal/catalog.cpp
@@ -149,8 +149,8 @@
 auto takeOutWaiting(RouterState &state) -> std::vector<RequestId>
 {
     std::vector<std::pair<std::uint64_t, RequestId>> waiting;
-    for (const auto &[id, request] : state.requests) {
-        if (request.stage != Stage::Placed) {
+    for (auto &[id, request] : state.requests) {
+        if (request.stage != Stage::Placed && !stayWithAttempts(state, request)) {
             waiting.emplace_back(request.order, id);
         }
     }
--- a/src/core/routing/internal/choosing.cpp
+++ b/src/core/routing/internal/choosing.cpp
@@ -25,10 +25,14 @@
         }
         avoided.failureDomains.emplace_back(tried.failureDomain);
     }
-    for (const auto attempt : request.attempts) {
-        avoided.servers.push_back(state.attempts.at(attempt).server);
+    for (const auto id : request.attempts) {
+        const auto &attempt = state.attempts.at(id);
+        avoided.servers.push_back(attempt.server);
+        if (attempt.isSilent) {
+            avoided.failureDomains.emplace_back(attempt.failureDomain);
+        }
     }
-    if (request.relayed > 0) {
+    if (resumeOffsetOf(request) > 0) {
         const auto &cannotResume = routeOf(state, request.route).cannotResume;
         avoided.servers.insert(avoided.servers.end(), cannotResume.begin(), cannotResume.end());
     }
@@ -92,7 +96,7 @@
 {
     const auto &route = routeOf(state, request.route);
     const auto usable = balancing::countServers(*state.balancing, queryOf(route));
-    if (request.tried.empty() && request.relayed == 0) {
+    if (request.tried.empty() && request.attempts.empty() && request.relayed == 0) {
         return usable > 0;
     }
     const auto avoided = avoidedBy(state, request).servers;
--- a/src/core/routing/internal/dispatching.cpp
+++ b/src/core/routing/internal/dispatching.cpp
@@ -82,15 +82,25 @@
     const auto server = chooseServer(state, request, { .quietOnly = quietOnly, .onlyServer = decision.server });
     if (server) {
         place(state, request, { .server = *server, .alone = alone, .onFloor = onFloor }, actions);
+        if (alone) {
+            cancelOtherAttempts(state, request, request.attempts.back(), actions);
+        }
         return Result::Placed;
     }
-    if (decision.verdict == Verdict::Run) {
+    if (decision.verdict == Verdict::Run || !request.attempts.empty()) {
         return Result::NoSlot;
     }
     setAside(state, request, decision, actions);
     return Result::SetAside;
 }
 
+/// Whether a request that waits beside its silent attempts may not be sent again now, for the sake of equal ones.
+auto mustStay(const RouterState &state, const Request &request) -> bool
+{
+    const auto verdict = decideSuspect(state, request).verdict;
+    return verdict == Verdict::Wait || verdict == Verdict::Refuse;
+}
+
 /// Places the first parked request for which a slot is free on a server that it may use, if it is of \p tier or higher.
 auto placeParked(RouterState &state, RouteId route, int tier, Actions &actions) -> bool
 {
@@ -103,6 +113,10 @@
         }
         ++next;
         auto &request = state.requests.at(id);
+        if (!request.attempts.empty() && mustStay(state, request)) {
+            stayWithAttempts(state, request);
+            continue;
+        }
         leaveWaiting(state, request);
         const auto result = tryPlace(state, request, false, actions);
         if (result == Result::Placed) {
--- a/src/core/routing/internal/ending.cpp
+++ b/src/core/routing/internal/ending.cpp
@@ -106,9 +106,7 @@
 
 auto refuse(RouterState &state, Request &request, const Refusal &refusal, Actions &actions) -> void
 {
-    while (!request.attempts.empty()) {
-        cancelAttempt(state, request.attempts.back(), actions);
-    }
+    cancelAttempts(state, request, actions);
     state.wastedTokens += request.relayed;
     request.requestClass->refused += 1;
     if (request.mayHaveRun && request.call.fingerprint != Fingerprint{}) {
@@ -131,9 +129,7 @@
     balancing::noteFinished(*state.balancing, id, tokens - std::min(tokens, attempt.resumeOffset), state.now);
     tellCell(quarantine::recordCompletion(state.quarantine, id, state.now), actions);
     releaseAttempt(state, id);
-    while (!request.attempts.empty()) {
-        cancelAttempt(state, request.attempts.back(), actions);
-    }
+    cancelAttempts(state, request, actions);
     const auto completed = makeCompleted(request, tokens, state.now);
     request.requestClass->completed += 1;
     request.requestClass->onTime += completed.onTime ? 1 : 0;
@@ -170,4 +166,21 @@
     releaseHeld(state, request.call.fingerprint, actions);
 }
 
+auto cancelAttempts(RouterState &state, Request &request, Actions &actions) -> void
+{
+    while (!request.attempts.empty()) {
+        cancelAttempt(state, request.attempts.back(), actions);
+    }
+}
+
+auto cancelOtherAttempts(RouterState &state, Request &request, AttemptId kept, Actions &actions) -> void
+{
+    const auto live = request.attempts;
+    for (const auto attempt : live) {
+        if (attempt != kept) {
+            cancelAttempt(state, attempt, actions);
+        }
+    }
+}
+
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/ending.h
+++ b/src/core/routing/internal/ending.h
@@ -30,4 +30,8 @@
 /// The attempt is not wanted any more: its slot is free and its connection is closed.
 auto cancelAttempt(RouterState &state, AttemptId attempt, Actions &actions) -> void;
 
+auto cancelAttempts(RouterState &state, Request &request, Actions &actions) -> void;
+
+auto cancelOtherAttempts(RouterState &state, Request &request, AttemptId kept, Actions &actions) -> void;
+
 } // namespace auburnspread::routing
--- a/src/core/routing/internal/hedging.cpp
+++ b/src/core/routing/internal/hedging.cpp
@@ -46,7 +46,8 @@
 
 auto onHedgeDue(RouterState &state, Request &request, Actions &actions) -> void
 {
-    if (request.attempts.size() != 1 || request.firstTokenAt || !hasSpareCapacity(state, request.route) || !isUnsuspected(state, request)) {
+    if (request.stage != Stage::Placed || request.attempts.size() != 1 || request.firstTokenAt || !hasSpareCapacity(state, request.route)
+        || !isUnsuspected(state, request)) {
         return;
     }
     const auto server = chooseServer(state, request, {});
--- a/src/core/routing/internal/placing.cpp
+++ b/src/core/routing/internal/placing.cpp
@@ -59,15 +59,18 @@
     state.lastAttempt += 1;
     const auto id = static_cast<AttemptId>(state.lastAttempt);
     auto &attempt = state.attempts[id];
+    const auto view = balancing::viewServer(*state.balancing, placement.server);
     attempt = { .id = id,
                 .request = request.call.request,
                 .server = placement.server,
-                .serverName = balancing::viewServer(*state.balancing, placement.server).name,
+                .serverName = view.name,
+                .failureDomain = view.failureDomain,
                 .alone = placement.alone,
                 .onFloor = placement.onFloor,
-                .resumeOffset = request.relayed };
+                .resumeOffset = resumeOffsetOf(request) };
     request.attempts.push_back(id);
     request.stage = Stage::Placed;
+    request.isRetryPaid = false;
     request.requestClass->inFlight += 1;
     request.requestClass->floorInFlight += placement.onFloor ? 1 : 0;
     balancing::noteDispatched(*state.balancing, id, placement.server, attemptQuery(state, request, placement.alone), state.now);
--- a/src/core/routing/internal/state.h
+++ b/src/core/routing/internal/state.h
@@ -83,7 +83,7 @@
 
 enum class Stage {
     Queued,
-    Parked, ///< a retry: waits outside the queue, since not every server of its route will do
+    Parked, ///< a retry: waits outside the queue, since not every server of its route will do; silent attempts may go on meanwhile
     Held,   ///< waits for an equal request: see suspects.h
     Placed, ///< holds a slot of a backend server
 };
@@ -122,6 +122,8 @@
     std::uint32_t retries = 0;
     std::vector<AttemptId> attempts; ///< live ones
     std::vector<TriedServer> tried;
+    bool isRetryPaid = false; ///< the retry budget was charged for an attempt that is not sent yet
+    bool restarts = false;    ///< the next attempt begins a whole answer anew beside a silent one that has begun it
 };
 
 struct Attempt {
@@ -129,8 +131,10 @@
     RequestId request{};
     ServerIndex server{};
     std::string serverName;
-    bool sent = false; ///< false: the slot is held while the idempotency key is claimed
+    std::string failureDomain; ///< of the server
+    bool sent = false;         ///< false: the slot is held while the idempotency key is claimed
     bool committed = false;
+    bool isSilent = false; ///< its timeout has passed, and nothing has come since
     bool alone = false;
     bool onFloor = false;
     std::uint32_t resumeOffset = 0;
@@ -207,6 +211,12 @@
     return request.call.stream ? std::min(request.requestClass->definition.firstTokenTarget, answer) : answer;
 }
 
+/// At which token a new attempt of the request begins.
+inline auto resumeOffsetOf(const Request &request) -> std::uint32_t
+{
+    return request.restarts ? 0 : request.relayed;
+}
+
 inline auto estimatesOf(Request &request) -> admission::Estimates &
 {
     return request.requestClass->estimates[request.route];
--- a/src/core/routing/internal/suspects.cpp
+++ b/src/core/routing/internal/suspects.cpp
@@ -3,6 +3,9 @@
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/waiting.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace auburnspread::routing
 {
 
@@ -46,12 +49,24 @@
 
 } // namespace
 
+auto silentAttemptsOf(const RouterState &state, const Request &request) -> std::vector<AttemptId>
+{
+    std::vector<AttemptId> silent;
+    std::copy_if(request.attempts.begin(), request.attempts.end(), std::back_inserter(silent), [&](AttemptId id) { return state.attempts.at(id).isSilent; });
+    return silent;
+}
+
 auto decideSuspect(const RouterState &state, const Request &request) -> quarantine::Decision
 {
     if (request.call.fingerprint == Fingerprint{}) {
         return {};
     }
-    return quarantine::decide(state.quarantine, request.call.fingerprint, state.now);
+    return quarantine::decide(state.quarantine, request.call.fingerprint, state.now, silentAttemptsOf(state, request));
+}
+
+auto announceOwnRetry(RouterState &state, const Request &request, Actions &actions) -> void
+{
+    tellCell(quarantine::announceRetry(state.quarantine, request.call.fingerprint, state.now, silentAttemptsOf(state, request)), actions);
 }
 
 auto mayHold(const RouterState &state, const Request &request) -> bool
@@ -65,7 +80,7 @@
     request.stage = Stage::Held;
     request.heldSince = request.heldSince.value_or(state.now);
     state.held[request.call.fingerprint].insert({ request.order, request.call.request });
-    tellCell(quarantine::announceRetry(state.quarantine, request.call.fingerprint, state.now), actions);
+    announceOwnRetry(state, request, actions);
 }
 
 auto releaseHeld(RouterState &state, Fingerprint fingerprint, Actions &actions) -> void
--- a/src/core/routing/internal/suspects.h
+++ b/src/core/routing/internal/suspects.h
@@ -8,9 +8,14 @@
 namespace auburnspread::routing
 {
 
-/// Whether and how the request may be dispatched now. A request without a fingerprint always may.
+auto silentAttemptsOf(const RouterState &state, const Request &request) -> std::vector<AttemptId>;
+
+/// Whether and how the request may be dispatched now. A request without a fingerprint always may. Its silent attempts are no other copies.
 auto decideSuspect(const RouterState &state, const Request &request) -> quarantine::Decision;
 
+/// Announces to the cell that the request, if it is a suspect, is to be sent again.
+auto announceOwnRetry(RouterState &state, const Request &request, Actions &actions) -> void;
+
 /// Whether few enough equal requests are held back already.
 auto mayHold(const RouterState &state, const Request &request) -> bool;
 
--- a/src/core/routing/internal/waiting.cpp
+++ b/src/core/routing/internal/waiting.cpp
@@ -65,10 +65,14 @@
     const auto parked = route.parked;
     for (const auto &[tier, deadline, id] : parked) {
         auto &request = state.requests.at(id);
-        if (!canEverRun(state, request)) {
-            leaveWaiting(state, request);
-            waitForSlot(state, request, actions);
+        if (canEverRun(state, request)) {
+            continue;
         }
+        if (stayWithAttempts(state, request)) {
+            continue;
+        }
+        leaveWaiting(state, request);
+        waitForSlot(state, request, actions);
     }
 }
 
@@ -110,6 +114,18 @@
     routeOf(state, request.route).parked.insert(parkedKey(request));
 }
 
+auto stayWithAttempts(RouterState &state, Request &request) -> bool
+{
+    if (request.stage != Stage::Parked || request.attempts.empty()) {
+        return false;
+    }
+    leaveWaiting(state, request);
+    request.stage = Stage::Placed;
+    request.retries -= 1;
+    request.restarts = false;
+    return true;
+}
+
 auto leaveWaiting(RouterState &state, Request &request) -> void
 {
     switch (request.stage) {
--- a/src/core/routing/internal/waiting.h
+++ b/src/core/routing/internal/waiting.h
@@ -15,6 +15,9 @@
 /// Lets a request that was taken out of its waiting place wait outside the queue for whatever slot fits it.
 auto park(RouterState &state, Request &request) -> void;
 
+/// A request that waits for another attempt beside its silent ones waits no longer. \return whether it did
+auto stayWithAttempts(RouterState &state, Request &request) -> bool;
+
 /// Takes the request out of wherever it waits.
 auto leaveWaiting(RouterState &state, Request &request) -> void;
 
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -7,6 +7,7 @@
 #include "core/routing/internal/dispatching.h"
 #include "core/routing/internal/ending.h"
 #include "core/routing/internal/reporting.h"
+#include "core/routing/internal/silence.h"
 #include "core/routing/internal/state.h"
 #include "core/routing/internal/suspects.h"
 #include "core/routing/internal/waiting.h"
@@ -54,7 +55,7 @@
     }
     auto operator()(const AttemptProgress &event) const -> void
     {
-        onProgress(state, event);
+        onProgress(state, event, actions);
     }
     auto operator()(const AttemptFinished &event) const -> void
     {
@@ -64,6 +65,10 @@
     {
         onFailed(state, event, actions);
     }
+    auto operator()(const AttemptSilent &event) const -> void
+    {
+        onSilent(state, event, actions);
+    }
     auto operator()(const LoadReported &event) const -> void
     {
         const balancing::LoadReport report{ .running = event.running, .waiting = event.waiting, .age = event.age };
--- a/src/core/routing/tests/world.h
+++ b/src/core/routing/tests/world.h
@@ -27,6 +27,8 @@
     OneAnswer,        ///< two attempts of a request were committed at a time, or a resumed one at the wrong offset
     WorkConserving,   ///< a slot was idle while a request waited that fits it
     RetriedElsewhere, ///< a retry went to a backend server that had failed the request
+    AttemptsBounded,  ///< a request was sent more often than its retries and its hedge allow
+    SuspectsApart,    ///< a suspect ran beside an equal request or on a server that another suspect has to itself
 };
 
 enum class Happening {
@@ -43,6 +45,7 @@
     ServerReturns,
     ChangeDocument,
     PeerReports,
+    FallSilent, ///< not among the events that other tests draw
 };
 
 /// One random event: what happens, and numbers that choose to whom and how.
@@ -61,6 +64,7 @@
     RequestId request{};
     std::string server;
     bool committed = false;
+    bool ofSuspect = false; ///< sent as the only copy of a suspect
 };
 
 struct WorldRequest {
@@ -70,6 +74,9 @@
     bool claimed = false;
     bool mayHaveRun = false; ///< the truth
     bool final = false;
+    bool hedges = false;
+    Fingerprint fingerprint{};
+    std::uint32_t sent = 0; ///< attempts
     std::uint32_t relayed = 0;
     std::set<AttemptId> live;
     std::optional<AttemptId> committed;
@@ -89,6 +96,7 @@
     std::map<AttemptId, WorldAttempt> attempts; ///< live ones
     std::vector<AttemptId> dead;
     std::set<RequestId> claiming;
+    std::vector<AttemptId> suspectsSent; ///< during this event
     std::set<Broken> broken;
 };
 
--- a/src/entry/accounting/accounting.cpp
+++ b/src/entry/accounting/accounting.cpp
@@ -102,6 +102,20 @@
                    });
 }
 
+auto Accounting::countSilence(const AttemptReport &report) -> void
+{
+    failures_.add(report.failure);
+    logging::event(logging::Level::Warning,
+                   "attempt-silent",
+                   {
+                       { "request", report.request },
+                       { "attempt", report.attempt },
+                       { "step", "relay" },
+                       { "peer", report.backend },
+                       { "reason", failureName(report.failure) },
+                   });
+}
+
 auto Accounting::text() const -> std::string
 {
     return metrics::formatPrometheus(registry_.snapshot());
--- a/src/entry/accounting/accounting.h
+++ b/src/entry/accounting/accounting.h
@@ -26,6 +26,8 @@
     auto countAction(const routing::Action &action) -> void;
     /// From the backend task, for each failed attempt.
     auto countFailure(const AttemptReport &report) -> void;
+    /// A timeout counts with the failures though the attempt goes on.
+    auto countSilence(const AttemptReport &report) -> void;
 
     /// Prometheus text, from any thread.
     [[nodiscard]] auto text() const -> std::string;
--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -160,6 +160,20 @@
     }
 }
 
+auto setBlocked(Attempt &attempt, bool blocked) -> void
+{
+    if (std::exchange(attempt.blocked, blocked) == blocked) {
+        return;
+    }
+    auto *bev = evhttp_connection_get_bufferevent(attempt.pooled.connection);
+    if (blocked) {
+        bufferevent_disable(bev, EV_READ);
+        return;
+    }
+    bufferevent_enable(bev, EV_READ);
+    extendDeadline(attempt);
+}
+
 struct Probe {
     std::string backend;
     PooledConnection pooled;
@@ -204,6 +218,7 @@
     auto sweep() -> void;
     auto forgivePause(TimePoint now) -> void;
     auto sweepAttempts(TimePoint now) -> void;
+    auto noteSilence(Attempt &attempt, TimePoint now) const -> void;
     auto sweepProbes(TimePoint now) -> void;
     auto closeEnded() -> void;
 
@@ -213,8 +228,8 @@
     ConnectionPool pool;
     AttemptContext context;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts;
-    std::unordered_map<RequestId, AttemptId> latest;              ///< the attempt that back-pressure concerns
-    std::vector<std::pair<std::unique_ptr<Attempt>, bool>> ended; ///< with whether the connection may be kept
+    std::unordered_map<RequestId, std::shared_ptr<RequestRelay>> relays; ///< of requests with live attempts
+    std::vector<std::pair<std::unique_ptr<Attempt>, bool>> ended;        ///< with whether the connection may be kept
     std::vector<std::unique_ptr<Probe>> probes;
     task::Watch closing;
     TimePoint lastSweep = task::monotonicNow();
@@ -241,7 +256,7 @@
     } else if (const auto *committed = std::get_if<routing::CommitAttempt>(&message)) {
         const auto found = attempts.find(committed->attempt);
         if (found != attempts.end()) {
-            commit(*found->second);
+            commit(*found->second, committed->relayedTokens);
         }
     } else if (const auto *cancelled = std::get_if<routing::CancelAttempt>(&message)) {
         cancel(cancelled->attempt);
@@ -256,8 +271,12 @@
 {
     const auto id = order.dispatch.attempt;
     auto wireId = options.attemptPrefix + "-" + std::to_string(static_cast<std::uint64_t>(id));
-    latest[order.dispatch.request] = id;
-    auto &attempt = *(attempts[id] = std::make_unique<Attempt>(std::move(order.dispatch), std::move(order.payload), std::move(wireId), context));
+    auto &relay = relays[order.dispatch.request];
+    if (relay == nullptr) {
+        relay = std::make_shared<RequestRelay>();
+    }
+    relay->attempts.push_back(id);
+    auto &attempt = *(attempts[id] = std::make_unique<Attempt>(std::move(order.dispatch), std::move(order.payload), std::move(wireId), relay, context));
     send(attempt);
 }
 
@@ -327,9 +346,10 @@
     if (found == attempts.end()) {
         return;
     }
-    const auto newest = latest.find(found->second->dispatch.request);
-    if (newest != latest.end() && newest->second == id) {
-        latest.erase(newest);
+    const auto &attempt = *found->second;
+    std::erase(attempt.shared->attempts, id);
+    if (attempt.shared->attempts.empty()) {
+        relays.erase(attempt.dispatch.request);
     }
     ended.emplace_back(std::move(found->second), reusable);
     attempts.erase(found);
@@ -361,25 +381,25 @@
     if (found == attempts.end()) {
         return;
     }
-    found->second->over = true;
+    auto &attempt = *found->second;
+    if (attempt.committed && attempt.complete) {
+        attempt.broken = true;
+        finish(attempt); // the caller has the whole answer but its end
+        return;
+    }
+    attempt.over = true;
     end(id, false);
 }
 
 auto BackendTask::State::block(const CallerBlocked &message) -> void
 {
-    const auto newest = latest.find(message.request);
-    if (newest == latest.end()) {
+    const auto relay = relays.find(message.request);
+    if (relay == relays.end()) {
         return;
     }
-    auto &attempt = *attempts.at(newest->second);
-    attempt.blocked = message.blocked;
-    auto *bev = evhttp_connection_get_bufferevent(attempt.pooled.connection);
-    if (message.blocked) {
-        bufferevent_disable(bev, EV_READ);
-        return;
+    for (const auto id : relay->second->attempts) {
+        setBlocked(*attempts.at(id), message.blocked);
     }
-    bufferevent_enable(bev, EV_READ);
-    extendDeadline(attempt);
 }
 
 auto BackendTask::State::startProbe(const routing::ProbeBackend &order) -> void
@@ -424,6 +444,7 @@
     pool.expire(now);
 }
 
+/// A timeout ends no attempt: whether another one may be had is the router's to find out first.
 auto BackendTask::State::sweepAttempts(TimePoint now) -> void
 {
     std::vector<std::pair<AttemptId, Failure>> late;
@@ -436,13 +457,31 @@
         if (attempt->blocked || awaitsCommit || now < attempt->deadline) {
             continue;
         }
-        late.emplace_back(id, attempt->started ? Failure::ProgressTimeout : Failure::FirstTokenTimeout);
+        if (attempt->complete) {
+            late.emplace_back(id, Failure::ProgressTimeout); // nothing of the answer is missing: it finishes
+        } else {
+            noteSilence(*attempt, now);
+        }
     }
     for (const auto &[id, failure] : late) {
         fail(*attempts.at(id), failure);
     }
 }
 
+auto BackendTask::State::noteSilence(Attempt &attempt, TimePoint now) const -> void
+{
+    const auto isNew = !attempt.silent;
+    reportSilence(attempt, now);
+    if (isNew && options.silent) {
+        options.silent({
+            .request = attempt.payload->publicId,
+            .attempt = attempt.stream.attemptId,
+            .backend = attempt.dispatch.backend,
+            .failure = timeoutOf(attempt),
+        });
+    }
+}
+
 auto BackendTask::State::sweepProbes(TimePoint now) -> void
 {
     std::erase_if(probes, [&](const std::unique_ptr<Probe> &probe) {
--- a/src/entry/backend/backendtask.h
+++ b/src/entry/backend/backendtask.h
@@ -15,7 +15,7 @@
 namespace auburnspread::entry
 {
 
-/// A failed attempt, for counting and logging.
+/// A failed or silent attempt, for counting and logging.
 struct AttemptReport {
     std::string request; ///< public id
     std::string attempt;
@@ -31,6 +31,8 @@
     Duration idleAge = std::chrono::seconds(5); ///< an idle connection older than this is not used again
     /// Called in the task's thread for each failed attempt.
     std::function<void(const AttemptReport &report)> failed;
+    /// Called in the task's thread when an attempt meets a timeout. It goes on.
+    std::function<void(const AttemptReport &report)> silent;
 };
 
 class BackendTask
--- a/src/entry/backend/internal/attempt.h
+++ b/src/entry/backend/internal/attempt.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -32,11 +33,19 @@
     std::function<void(AttemptId attempt, bool reusable)> ended;
 };
 
+/// What the attempts of one request share.
+struct RequestRelay {
+    std::vector<AttemptId> attempts; ///< live ones
+    std::uint32_t relayed = 0;       ///< tokens that the caller has got, from any of them
+    bool answered = false;           ///< the caller has got the whole answer
+};
+
 struct Attempt {
-    Attempt(routing::Dispatch order, PayloadPointer bytes, std::string wireId, AttemptContext &owner);
+    Attempt(routing::Dispatch order, PayloadPointer bytes, std::string wireId, std::shared_ptr<RequestRelay> sharedRelay, AttemptContext &owner);
 
     routing::Dispatch dispatch;
     PayloadPointer payload;
+    std::shared_ptr<RequestRelay> shared;
     AttemptContext &context;
     relay::RelayStream stream;
     chat::EventReader reader;
@@ -50,12 +59,14 @@
     bool broken = false;    ///< the connection failed after the answer was whole, and must not be used again
     bool over = false;      ///< finished, failed or cancelled: later callbacks change nothing
     bool blocked = false;   ///< the caller reads too slowly
+    bool silent = false;    ///< AttemptSilent was reported, and nothing has come since
     int status = 0;
     bool mustEndWithEvent = false; ///< only the last event shows that the answer is whole: its end is the end of the connection
     text::EventScanner events;     ///< of such an answer
     TimePoint connectDeadline;     ///< by then the connection stands
     TimePoint deadline;            ///< by then the first or the next token arrives
     TimePoint lastReport;
+    std::uint32_t relayFrom = 0;     ///< once committed: tokens before this one were relayed by another attempt
     std::vector<CallerMessage> held; ///< relayed at commit
 };
 
@@ -73,10 +84,20 @@
 auto reportStarted(Attempt &attempt) -> void;
 /// Reports progress, at intervals.
 auto reportProgress(Attempt &attempt) -> void;
-/// Relays what was held.
-auto commit(Attempt &attempt) -> void;
-/// Takes note of time: something arrived.
+/// Relays what was held, without the tokens that another attempt has relayed. \p relayedTokens: of the request, as the router knows.
+///
+/// Failure: a silent attempt goes on while another one starts. Symptom: the caller gets the same tokens from both. The tokens of the
+/// request have one numbering, and each is relayed once. If the other attempt has ended the whole answer, this one ends with it.
+auto commit(Attempt &attempt, std::uint32_t relayedTokens) -> void;
+/// Reports that nothing has come since the deadline, which is set to the next report.
+auto reportSilence(Attempt &attempt, TimePoint now) -> void;
+/// Takes note that something arrived. Reports at once that a silent attempt goes on.
+auto noteArrival(Attempt &attempt) -> void;
 auto extendDeadline(Attempt &attempt) -> void;
+/// The timeout that the attempt meets if nothing comes.
+auto timeoutOf(const Attempt &attempt) -> Failure;
+/// Of the whole request so far.
+auto relayedTokensOf(const Attempt &attempt) -> std::uint32_t;
 
 /// Answer of an engine.
 auto receiveChatBytes(Attempt &attempt, std::string_view bytes) -> void;
--- a/src/entry/backend/internal/chatattempt.cpp
+++ b/src/entry/backend/internal/chatattempt.cpp
@@ -23,7 +23,10 @@
         return;
     }
     reportStarted(attempt);
-    extendDeadline(attempt);
+    noteArrival(attempt);
+    if (attempt.committed && chunk.offset < attempt.relayFrom) {
+        return;
+    }
     AnswerPart part{ .request = attempt.dispatch.request };
     if (attempt.payload->stream) {
         part.event = chat::makeCallerEvent(std::move(chunk), attempt.payload->publicId);
@@ -31,6 +34,9 @@
         part.content = std::move(chunk.content);
     }
     relayPart(attempt, std::move(part));
+    if (attempt.committed) {
+        attempt.shared->relayed = relayedTokensOf(attempt);
+    }
     reportProgress(attempt);
 }
 
--- a/src/entry/backend/internal/serviceattempt.cpp
+++ b/src/entry/backend/internal/serviceattempt.cpp
@@ -11,12 +11,12 @@
     attempt.mustEndWithEvent = http::isEventStream(contentType) && http::framingOf(attempt.status, headers) == http::Framing::ConnectionEnd;
     relayPart(attempt, ServiceAnswer{ .request = attempt.dispatch.request, .status = attempt.status, .contentType = std::string(contentType) });
     reportStarted(attempt);
-    extendDeadline(attempt);
+    noteArrival(attempt);
 }
 
 auto receiveServiceBytes(Attempt &attempt, std::string_view bytes) -> void
 {
-    extendDeadline(attempt);
+    noteArrival(attempt);
     if (attempt.mustEndWithEvent) {
         text::scanEvents(attempt.events, bytes);
     }
--- a/src/entry/backend/tests/backendfixture.h
+++ b/src/entry/backend/tests/backendfixture.h
@@ -110,6 +110,13 @@
         return std::holds_alternative<routing::AttemptStarted>(event) ? nextFailure() : std::get<routing::AttemptFailed>(event);
     }
 
+    /// The next report of a silent attempt; a start before it is passed over.
+    auto nextSilence() -> routing::AttemptSilent
+    {
+        const auto event = std::get<routing::Event>(next(mailboxes.router, toRouter));
+        return std::holds_alternative<routing::AttemptStarted>(event) ? nextSilence() : std::get<routing::AttemptSilent>(event);
+    }
+
     template <typename Wanted>
     auto nextToCaller() -> Wanted
     {
