Suspects compile with clang

A structured binding was captured by a lambda, and lint rejects the defaulted three-way comparison. The gateway's tests were not rebuilt after this.

--- a/src/core/passthrough/crashledger.cpp
+++ b/src/core/passthrough/crashledger.cpp
@@ -215,7 +215,8 @@
         return false;
     }
     return std::any_of(ledger.incidents.begin(), ledger.incidents.end(), [&](const auto &item) {
-        const auto &[other, incidents] = item;
+        const auto other = item.first;
+        const auto &incidents = item.second;
         if (other.kind != SuspectKind::PromptPart || isContained(other.id) || !isQuarantined(ledger, other, now)) {
             return false;
         }
--- a/src/core/passthrough/crashledger.h
+++ b/src/core/passthrough/crashledger.h
@@ -16,7 +16,6 @@
 #include "core/base/ids.h"
 #include "core/base/time.h"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -41,7 +40,11 @@
     SuspectKind kind = SuspectKind::Request;
     std::uint64_t id = 0; ///< fingerprint of the request, or id of the prompt part
 
-    auto operator<=>(const Suspect &) const = default;
+    auto operator==(const Suspect &) const -> bool = default;
+    auto operator<(const Suspect &other) const -> bool
+    {
+        return kind != other.kind ? kind < other.kind : id < other.id;
+    }
 };
 auto requestSuspect(Fingerprint fingerprint) -> Suspect;
 auto partSuspect(std::uint64_t part) -> Suspect;
