--- a/src/core/routing/tests/silence_tests.cpp
+++ b/src/core/routing/tests/silence_tests.cpp
@@ -324,7 +324,9 @@
     const auto first = find<Dispatch>(site.arrive(1))->backend;
     EXPECT_EQ(find<Dispatch>(site.arrive(2))->backend, first);
     EXPECT_EQ(find<Dispatch>(site.fallSilent(1)), nullptr);
-    const auto second = find<Dispatch>(site.fallSilent(2))->backend;
+    const auto moved = site.fallSilent(2);
+    ASSERT_NE(find<Dispatch>(moved), nullptr);
+    const auto second = find<Dispatch>(moved)->backend;
     EXPECT_EQ(site.sent, 4);
     EXPECT_EQ(site.servers, (std::set{ first, second }));
     EXPECT_EQ(find<Dispatch>(site.arrive(3))->backend, second);
