--- a/src/core/passthrough/tests/crashingparts_tests.cpp
+++ b/src/core/passthrough/tests/crashingparts_tests.cpp
@@ -177,8 +177,9 @@
     auto arrive() -> void
     {
         const auto seconds = std::chrono::duration<double>(Step).count();
-        for (auto expected = options_.soundPerSecond * seconds; expected > 0; expected -= 1) {
-            if (happens(std::min(expected, 1.0))) {
+        const auto expected = options_.soundPerSecond * seconds;
+        for (auto i = 0; i < expected; ++i) {
+            if (happens(std::min(expected - i, 1.0))) {
                 send(false);
             }
         }
