--- a/src/gateway/tests/endlessbytes_tests.cpp
+++ b/src/gateway/tests/endlessbytes_tests.cpp
@@ -1,6 +1,7 @@
 #include "gateway/clock.h"
 #include "gateway/tests/site.h"
 #include "gateway/upstream.h"
+#include "platform/standins/rejectionline.h"
 #include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
@@ -68,7 +69,7 @@
 
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
 const std::string chunkedEvents = "Content-Type: text/event-stream\r\n" + chunked;
-const std::string notStarted = "Not-Executed: 1\r\n";
+const std::string notStarted = standins::notStartedLine() + "\r\n";
 
 auto makeResponses() -> std::vector<Endless>
 {
