Timeouts of attempts are judged once, and a proof looks its part up

Upstream copied the ids of all attempts at each review, every 20 ms; it lists those whose timeout has passed. Which one has passed is one function now, for the choice and for the review itself. A proof of a prompt part searched the whole list of what other entries quarantine, at each proof of each stream; it looks the part up. No change of behaviour, no test changed.

--- a/src/core/passthrough/crashledger.cpp
+++ b/src/core/passthrough/crashledger.cpp
@@ -165,8 +165,12 @@
     if (found != ledger.incidents.end() && found->second.empty()) {
         ledger.incidents.erase(found);
     }
-    const auto released = std::erase_if(ledger.listed, [&](const auto &item) { return item.first == suspect && item.second <= at; });
-    const auto wasSuspect = dropped + released > 0;
+    const auto listed = ledger.listed.find(suspect);
+    const auto isReleased = listed != ledger.listed.end() && listed->second <= at;
+    if (isReleased) {
+        ledger.listed.erase(listed);
+    }
+    const auto wasSuspect = dropped > 0 || isReleased;
     if (wasSuspect || last == TimePoint::min() || at - last >= ProofInterval) {
         ledger.provenParts[part] = std::max(last, at);
         ledger.proofOrder.push_back({ .part = part, .at = at });
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -186,6 +186,19 @@
     return evhttp_connection_get_bufferevent(connection.raw.get());
 }
 
+/// \return the timeout of the attempt that has passed, if any
+auto passedTimeout(const Attempt &attempt, TimePoint now) -> std::optional<Failure>
+{
+    const auto isConnecting = attempt.connection && !attempt.connection->hasSent;
+    if (isConnecting && hasPassed(attempt.connectDeadline, now)) {
+        return Failure::ConnectFailed;
+    }
+    if (attempt.headReceived) {
+        return hasPassed(attempt.progressDeadline, now) ? std::optional(Failure::ProgressTimeout) : std::nullopt;
+    }
+    return hasPassed(attempt.firstByteDeadline, now) ? std::optional(Failure::FirstTokenTimeout) : std::nullopt;
+}
+
 auto heldBytes(const Attempt &attempt) -> std::size_t
 {
     const auto unread = attempt.connection ? evbuffer_get_length(bufferevent_get_input(transportOf(*attempt.connection))) : 0;
@@ -566,17 +579,18 @@
 
 auto Upstream::Impl::review(Attempt &attempt, TimePoint now) -> void
 {
-    const auto isConnecting = attempt.connection && !attempt.connection->hasSent;
-    if (isConnecting && hasPassed(attempt.connectDeadline, now)) {
+    const auto timeout = passedTimeout(attempt, now);
+    if (!timeout) {
+        return;
+    }
+    if (*timeout == Failure::ConnectFailed) {
         pool.closeIdle(attempt.server);
-        fail(attempt, Failure::ConnectFailed);
-    } else if (!attempt.headReceived && hasPassed(attempt.firstByteDeadline, now)) {
-        attempt.firstByteDeadline = now + SilenceReportInterval;
-        reportSilence(attempt, Failure::FirstTokenTimeout, now);
-    } else if (attempt.headReceived && hasPassed(attempt.progressDeadline, now)) {
-        attempt.progressDeadline = now + SilenceReportInterval;
-        reportSilence(attempt, Failure::ProgressTimeout, now);
+        fail(attempt, *timeout);
+        return;
     }
+    auto &deadline = *timeout == Failure::FirstTokenTimeout ? attempt.firstByteDeadline : attempt.progressDeadline;
+    deadline = now + SilenceReportInterval;
+    reportSilence(attempt, *timeout, now);
 }
 
 auto Upstream::Impl::reportSilence(Attempt &attempt, Failure timeout, TimePoint now) -> void
@@ -643,11 +657,13 @@
 {
     impl_->extendTimeouts(now);
     impl_->boundHeldBytes();
-    std::vector<AttemptId> ids; // a callback may end other attempts
+    std::vector<AttemptId> due; // a callback may end other attempts
     for (const auto &[id, attempt] : impl_->attempts) {
-        ids.push_back(id);
+        if (passedTimeout(*attempt, now)) {
+            due.push_back(id);
+        }
     }
-    for (const auto id : ids) {
+    for (const auto id : due) {
         const auto found = impl_->attempts.find(id);
         if (found != impl_->attempts.end()) {
             impl_->review(*found->second, now);
