Tests share the callbacks that they ignore and the opening of a silent stream

Three tests of Upstream each spelled ten callbacks, most of them empty; ignoringCallbacks() has them once, and each test sets those that it looks at. Two tests of silent streams at the chat face began with the same five lines. All assertions are as they were.

--- a/src/entry/backend/tests/silence_tests.cpp
+++ b/src/entry/backend/tests/silence_tests.cpp
@@ -159,6 +159,16 @@
     return { site.second, site.first };
 }
 
+/// A stream whose first token was relayed. \return the connection of its server
+auto relayFirstToken(Fixture &fixture) -> TcpConnection
+{
+    auto first = fixture.answer(StreamHead + makeToken(0, "a"), { .progressTimeout = ShortTimeout });
+    fixture.commit();
+    fixture.nextToCaller<AnswerRestarted>();
+    EXPECT_EQ(fixture.nextToCaller<AnswerPart>().content, "a");
+    return first;
+}
+
 } // namespace
 
 /// Guards against a sound server that is given up: it pauses for longer than the timeout before its first token.
@@ -238,10 +248,7 @@
 TEST(BackendSilenceTests, tokensThatTheFirstAttemptRelaysMeanwhileAreLeftOutOfTheSecond)
 {
     Fixture fixture;
-    const auto first = fixture.answer(StreamHead + makeToken(0, "a"), { .progressTimeout = ShortTimeout });
-    fixture.commit();
-    fixture.nextToCaller<AnswerRestarted>();
-    EXPECT_EQ(fixture.nextToCaller<AnswerPart>().content, "a");
+    const auto first = relayFirstToken(fixture);
     const auto second = orderSecond(fixture, 1);
     first.send(makeToken(1, "b") + makeToken(2, "c"));
     EXPECT_EQ(fixture.nextToCaller<AnswerPart>().content, "b");
@@ -262,10 +269,7 @@
 TEST(BackendSilenceTests, anAnswerThatTheFirstAttemptCompletesMeanwhileIsNotRelayedAgain)
 {
     Fixture fixture;
-    const auto first = fixture.answer(StreamHead + makeToken(0, "a"), { .progressTimeout = ShortTimeout });
-    fixture.commit();
-    fixture.nextToCaller<AnswerRestarted>();
-    EXPECT_EQ(fixture.nextToCaller<AnswerPart>().content, "a");
+    const auto first = relayFirstToken(fixture);
     const auto second = orderSecond(fixture, 1);
     first.send(makeToken(1, "b") + makeLast(2));
     EXPECT_EQ(fixture.nextToCaller<AnswerPart>().content, "b");
--- a/src/gateway/tests/endlessbytes_tests.cpp
+++ b/src/gateway/tests/endlessbytes_tests.cpp
@@ -1,5 +1,6 @@
 #include "gateway/clock.h"
 #include "gateway/tests/site.h"
+#include "gateway/tests/upstreamcallbacks.h"
 #include "gateway/upstream.h"
 #include "platform/standins/rejectionline.h"
 #include "platform/standins/wiretext.h"
@@ -210,23 +211,20 @@
     }
 
 private:
+    auto callbacks() -> UpstreamCallbacks
+    {
+        auto callbacks = ignoringCallbacks();
+        callbacks.onStreamEnded = [this](AttemptId, const BodyEnd &) { outcome_.ends.emplace_back(std::nullopt); };
+        callbacks.onResponse = [this](AttemptId, const BufferedResponse &, const BodyEnd &) { outcome_.ends.emplace_back(std::nullopt); };
+        callbacks.onFailed = [this](AttemptId, const AttemptFailure &failure) { outcome_.ends.emplace_back(failure.failure); };
+        return callbacks;
+    }
+
     task::EventLoop loop_;
     std::uint64_t attempts_ = 0;
     TimePoint startedAt_ = now();
     Outcome outcome_;
-    Upstream upstream_{ loop_,
-                        {
-                            .onStarted = [](AttemptId, bool) {},
-                            .onRateLimit = [](AttemptId, std::optional<double>) {},
-                            .onBrittleness = [](AttemptId, std::optional<double>) {},
-                            .onNotice = [](AttemptId, const passthrough::ServerNotice &) {},
-                            .onStreamStarted = [](AttemptId, int, const http::Headers &) {},
-                            .onEvents = [](AttemptId, std::string_view) {},
-                            .onStreamEnded = [this](AttemptId, const BodyEnd &) { outcome_.ends.emplace_back(std::nullopt); },
-                            .onResponse = [this](AttemptId, const BufferedResponse &, const BodyEnd &) { outcome_.ends.emplace_back(std::nullopt); },
-                            .onFailed = [this](AttemptId, const AttemptFailure &failure) { outcome_.ends.emplace_back(failure.failure); },
-                            .onSilent = [](AttemptId, const AttemptSilence &) {},
-                        } };
+    Upstream upstream_{ loop_, callbacks() };
 };
 
 class EndlessResponseTests : public testing::TestWithParam<std::tuple<Endless, Pace>>
--- a/src/gateway/tests/responseends_tests.cpp
+++ b/src/gateway/tests/responseends_tests.cpp
@@ -1,5 +1,6 @@
 #include "gateway/clock.h"
 #include "gateway/tests/site.h"
+#include "gateway/tests/upstreamcallbacks.h"
 #include "gateway/upstream.h"
 #include "platform/standins/wiretext.h"
 
@@ -132,6 +133,26 @@
     }
 
 private:
+    auto callbacks() -> UpstreamCallbacks
+    {
+        auto callbacks = ignoringCallbacks();
+        callbacks.onEvents = [this](AttemptId, std::string_view events) { outcome_.body += events; };
+        callbacks.onStreamEnded = [this](AttemptId, const BodyEnd &) { finish(true); };
+        callbacks.onResponse = [this](AttemptId, const BufferedResponse &response, const BodyEnd &) {
+            outcome_.body += response.body;
+            finish(true);
+        };
+        callbacks.onFailed = [this](AttemptId, const AttemptFailure &failure) {
+            outcome_.failure = failure.failure;
+            finish(false);
+        };
+        callbacks.onSilent = [this](AttemptId, const AttemptSilence &silence) {
+            outcome_.failure = silence.timeout;
+            finish(false);
+        };
+        return callbacks;
+    }
+
     auto finish(bool isComplete) -> void
     {
         outcome_.isComplete = isComplete;
@@ -140,31 +161,7 @@
 
     task::EventLoop loop_;
     Outcome outcome_;
-    Upstream upstream_{ loop_,
-                        {
-                            .onStarted = [](AttemptId, bool) {},
-                            .onRateLimit = [](AttemptId, std::optional<double>) {},
-                            .onBrittleness = [](AttemptId, std::optional<double>) {},
-                            .onNotice = [](AttemptId, const passthrough::ServerNotice &) {},
-                            .onStreamStarted = [](AttemptId, int, const http::Headers &) {},
-                            .onEvents = [this](AttemptId, std::string_view events) { outcome_.body += events; },
-                            .onStreamEnded = [this](AttemptId, const BodyEnd &) { finish(true); },
-                            .onResponse =
-                                [this](AttemptId, const BufferedResponse &response, const BodyEnd &) {
-                                    outcome_.body += response.body;
-                                    finish(true);
-                                },
-                            .onFailed =
-                                [this](AttemptId, const AttemptFailure &failure) {
-                                    outcome_.failure = failure.failure;
-                                    finish(false);
-                                },
-                            .onSilent =
-                                [this](AttemptId, const AttemptSilence &silence) {
-                                    outcome_.failure = silence.timeout;
-                                    finish(false);
-                                },
-                        } };
+    Upstream upstream_{ loop_, callbacks() };
 };
 
 auto play(const Response &response) -> Outcome
--- a/src/gateway/tests/silentservers_tests.cpp
+++ b/src/gateway/tests/silentservers_tests.cpp
@@ -1,6 +1,7 @@
 #include "gateway/clock.h"
 #include "gateway/tests/site.h"
 #include "gateway/tests/standinserver.h"
+#include "gateway/tests/upstreamcallbacks.h"
 #include "gateway/upstream.h"
 
 #include <gtest/gtest.h>
@@ -81,25 +82,23 @@
     std::vector<AttemptSilence> silences;
 
 private:
+    auto callbacks() -> UpstreamCallbacks
+    {
+        auto callbacks = ignoringCallbacks();
+        callbacks.onEvents = [this](AttemptId, std::string_view events) { body += events; };
+        callbacks.onStreamEnded = [this](AttemptId, const BodyEnd &) { isComplete = true; };
+        callbacks.onResponse = [this](AttemptId, const BufferedResponse &response, const BodyEnd &) {
+            body += response.body;
+            isComplete = true;
+        };
+        callbacks.onFailed = [this](AttemptId, const AttemptFailure &report) { failure = report.failure; };
+        callbacks.onSilent = [this](AttemptId, const AttemptSilence &silence) { silences.push_back(silence); };
+        return callbacks;
+    }
+
     std::string address_;
     task::EventLoop loop_;
-    Upstream upstream_{ loop_,
-                        {
-                            .onStarted = [](AttemptId, bool) {},
-                            .onRateLimit = [](AttemptId, std::optional<double>) {},
-                            .onBrittleness = [](AttemptId, std::optional<double>) {},
-                            .onNotice = [](AttemptId, const passthrough::ServerNotice &) {},
-                            .onStreamStarted = [](AttemptId, int, const http::Headers &) {},
-                            .onEvents = [this](AttemptId, std::string_view events) { body += events; },
-                            .onStreamEnded = [this](AttemptId, const BodyEnd &) { isComplete = true; },
-                            .onResponse =
-                                [this](AttemptId, const BufferedResponse &response, const BodyEnd &) {
-                                    body += response.body;
-                                    isComplete = true;
-                                },
-                            .onFailed = [this](AttemptId, const AttemptFailure &report) { failure = report.failure; },
-                            .onSilent = [this](AttemptId, const AttemptSilence &silence) { silences.push_back(silence); },
-                        } };
+    Upstream upstream_{ loop_, callbacks() };
 };
 
 auto isAttemptKept(const Site &site) -> bool
