--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -336,15 +336,17 @@
                 + "[vm]\ncore_part = 0.25\nlink_mbps = 1000\n[bounds]\n"
                 + "".join("%s = %s\n" % each for each in self.bounds.items()))
 
-    def start(self):
+    def start(self, output=None):
+        """output: a file or pipe that takes the log instead of a file in the folder."""
         self.starts += 1
         path = os.path.join(self.folder, self.name + ".ini")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings())
         self.log_path = os.path.join(self.folder, "%s.%d.log" % (self.name, self.starts))
         with open(self.log_path, "wb") as log:
+            taker = log if output is None else output
             self.process = subprocess.Popen([os.path.join(REPO, "target/bin/auburnspread-gateway"), "--config", path],
-                                            cwd=REPO, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                                            cwd=REPO, stdout=taker, stderr=taker, stdin=subprocess.DEVNULL)
 
     def signal(self, number):
         self.process.send_signal(number)
