--- a/src/core/passthrough/internal/resuming.cpp
+++ b/src/core/passthrough/internal/resuming.cpp
@@ -161,11 +161,15 @@
     return request.askedAt == request.arrived;
 }
 
+auto mayAskAgain(const Request &request) -> bool
+{
+    return namesAttempt(request) && isFirstQuestion(request);
+}
+
 /// Whether all asked entries have answered that they don't know the origin, or have had the time to answer.
 auto isUnknownToAll(const RouterState &state, const Request &request) -> bool
 {
-    const auto mayBeRepeated = namesAttempt(request) && isFirstQuestion(request);
-    return state.now - request.arrived >= QuestionTimeout || (request.askedEntries.empty() && !mayBeRepeated);
+    return state.now - request.arrived >= QuestionTimeout || (request.askedEntries.empty() && !mayAskAgain(request));
 }
 
 /// Whether the list of servers decides about the request, because no other entry will.
@@ -237,7 +241,7 @@
         auto &request = state.requests.at(id);
         if (isLeftToList(state, request)) {
             decideByList(state, request, actions);
-        } else if (namesAttempt(request) && isFirstQuestion(request) && state.now - request.askedAt >= RepeatQuestionAfter) {
+        } else if (mayAskAgain(request) && state.now - request.askedAt >= RepeatQuestionAfter) {
             ask(state, request, actions);
         }
     }
@@ -313,9 +317,7 @@
 auto keepListedVersions(RouterState &state) -> void
 {
     for (const auto &[service, group] : state.servers.byService) {
-        for (const auto &version : group.versions) {
-            state.versionHistories[service].lastSeen[version.name] = state.now;
-        }
+        keepVersions(state.versionHistories[service], group.versions, state.now);
     }
 }
 
--- a/src/core/passthrough/streamversions.cpp
+++ b/src/core/passthrough/streamversions.cpp
@@ -54,15 +54,20 @@
     }
 }
 
+auto keepVersions(VersionHistory &history, const std::vector<SoftwareVersion> &versions, TimePoint now) -> void
+{
+    for (const auto &version : versions) {
+        history.lastSeen[version.name] = now;
+    }
+}
+
 auto recordListedVersions(VersionHistory &history, const std::vector<SoftwareVersion> &listed, TimePoint asOf, TimePoint now) -> void
 {
     if (history.lastSeen.empty() || asOf - history.confirmedAt > MaxListGap) {
         history.since = now;
     }
     history.confirmedAt = std::max(history.confirmedAt, asOf);
-    for (const auto &version : listed) {
-        history.lastSeen[version.name] = now;
-    }
+    keepVersions(history, listed, now);
 }
 
 auto forgetOldVersions(VersionHistory &history, TimePoint now) -> void
--- a/src/core/passthrough/streamversions.h
+++ b/src/core/passthrough/streamversions.h
@@ -81,6 +81,8 @@
     std::vector<Seen> seen;
 };
 
+/// Records that servers of these versions may have served until now.
+auto keepVersions(VersionHistory &history, const std::vector<SoftwareVersion> &versions, TimePoint now) -> void;
 /// Records the versions of a list that was current as of \p asOf.
 auto recordListedVersions(VersionHistory &history, const std::vector<SoftwareVersion> &listed, TimePoint asOf, TimePoint now) -> void;
 auto forgetOldVersions(VersionHistory &history, TimePoint now) -> void;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -59,7 +59,7 @@
     auto sendCrashReport(const passthrough::CrashesReported &crashes) -> void;
     /// Tells the entries of these names where a stream began.
     auto sendOrigin(const std::vector<std::string> &entries, const passthrough::OriginReported &origin) -> void;
-    /// Asks the entries of these names where a stream began.
+    /// Asks other entries where a stream began, and which versions its service has had.
     auto askOrigin(const passthrough::AskOrigin &question) -> void;
     /// Records that a request of the workspace started to run on a backend server.
     auto recordStart(const std::string &workspace, TimePoint at) -> void;
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -3,6 +3,7 @@
 #include "runtime/net/endpoint.h"
 #include "wire/http/disconnectwatch.h"
 #include "wire/http/evhttpheaders.h"
+#include "wire/http/framing.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -28,8 +29,6 @@
 
 constexpr int BadRequestStatus = 400;
 constexpr int NotImplementedStatus = 501;
-constexpr int FirstBodilessStatus = 100;
-constexpr int LastBodilessStatus = 199;
 
 /// Added to the configured idle timeout, so that the caller's own timeout expires first and no request meets a connection that
 /// is being closed.
@@ -113,10 +112,9 @@
 }
 
 /// libevent would write a body after any head. The caller would take it for the response to its next request.
-auto allowsBody(evhttp_request *request, int status) -> bool
+auto mayAnswerWithBody(evhttp_request *request, int status) -> bool
 {
-    const auto isInterim = status >= FirstBodilessStatus && status <= LastBodilessStatus;
-    return !isInterim && evhttp_request_get_command(request) != EVHTTP_REQ_HEAD;
+    return http::allowsBody(status) && evhttp_request_get_command(request) != EVHTTP_REQ_HEAD;
 }
 
 auto addHeaders(evhttp_request *request, const http::Headers &headers) -> void
@@ -138,8 +136,7 @@
     auto operator=(const Impl &) -> Impl & = delete;
 
     auto handle(evhttp_request *request) -> void;
-    auto rejectInput(evhttp_request *request, std::string_view detail) -> void;
-    auto rejectConnect(evhttp_request *request) -> void;
+    auto rejectInput(evhttp_request *request, std::string_view detail, int status = BadRequestStatus) -> void;
     auto watchForDisconnect(Exchange &exchange) -> void;
     auto handleClosedConnection(evhttp_connection *connection) -> void;
     auto find(RequestId id) -> Exchange *;
@@ -182,7 +179,9 @@
     evhttp_connection_set_closecb(
         connection, [](evhttp_connection *closed, void *context) { static_cast<Impl *>(context)->handleClosedConnection(closed); }, this);
     if (evhttp_request_get_command(request) == EVHTTP_REQ_CONNECT) {
-        rejectConnect(request);
+        //! NOTE libevent keeps the connection of a CONNECT open whatever its response states, and would read what follows as requests
+        request->type = EVHTTP_REQ_GET;
+        rejectInput(request, "method CONNECT", NotImplementedStatus);
         return;
     }
     auto headers = http::readHeaders(evhttp_request_get_input_headers(request));
@@ -214,20 +213,11 @@
     callbacks.onRequest(id, readRequest(request, std::move(headers)));
 }
 
-auto Frontend::Impl::rejectInput(evhttp_request *request, std::string_view detail) -> void
+auto Frontend::Impl::rejectInput(evhttp_request *request, std::string_view detail, int status) -> void
 {
     callbacks.onBadRequest("read", detail);
     addHeaders(request, { { "Connection", "close" } });
-    evhttp_send_reply(request, BadRequestStatus, "Bad Request", nullptr);
-}
-
-//! NOTE libevent keeps the connection of a CONNECT open whatever its response states, and would read what follows as requests
-auto Frontend::Impl::rejectConnect(evhttp_request *request) -> void
-{
-    callbacks.onBadRequest("read", "method CONNECT");
-    request->type = EVHTTP_REQ_GET;
-    addHeaders(request, { { "Connection", "close" } });
-    evhttp_send_reply(request, NotImplementedStatus, "Not Implemented", nullptr);
+    evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
 //! NOTE while a request is being answered, libevent does not read from its connection and so does not notice that the caller
@@ -329,7 +319,7 @@
     impl_->removeExchange(request);
     addHeaders(raw, response.headers);
     impl_->addConnectionHeader(raw);
-    const auto body = makeBuffer(allowsBody(raw, response.status) ? response.body : std::string_view());
+    const auto body = makeBuffer(mayAnswerWithBody(raw, response.status) ? response.body : std::string_view());
     evhttp_send_reply(raw, response.status, nullptr, body.get());
 }
 
--- a/src/gateway/tests/forwarding_tests.cpp
+++ b/src/gateway/tests/forwarding_tests.cpp
@@ -20,15 +20,6 @@
         + "\r\nRetry-After: 0.700\r\nContent-Length: 2\r\n\r\nno";
 }
 
-/// \return an address at which connections are refused
-auto makeRefusingAddress() -> std::string
-{
-    Server refusing;
-    auto address = refusing.address();
-    refusing.close();
-    return address;
-}
-
 /// A gateway that can't connect to any of its backend servers, and another entry, which the test plays.
 struct CutSite {
     CutSite()
--- a/src/gateway/tests/requestbodies_tests.cpp
+++ b/src/gateway/tests/requestbodies_tests.cpp
@@ -139,10 +139,7 @@
     for (const auto *method : { "PATCH", "DELETE", "GET", "OPTIONS" }) {
         Site site;
         const Server other;
-        Server refusing;
-        const auto address = refusing.address();
-        refusing.close();
-        site.addServer("i-1", "portal", address);
+        site.addServer("i-1", "portal", makeRefusingAddress());
         site.addEntry("entry-2", other.address());
         Caller caller(site.callerAddress());
         caller.send(makeCall({ .method = method, .body = EndOfBody }, "id-1"));
--- a/src/gateway/tests/site.cpp
+++ b/src/gateway/tests/site.cpp
@@ -238,6 +238,14 @@
     return text.find(part) != std::string::npos;
 }
 
+auto makeRefusingAddress() -> std::string
+{
+    Server refusing;
+    auto address = refusing.address();
+    refusing.close();
+    return address;
+}
+
 auto waitUntil(const std::function<bool()> &isTrue) -> bool
 {
     const auto deadline = std::chrono::steady_clock::now() + WaitTimeout;
--- a/src/gateway/tests/site.h
+++ b/src/gateway/tests/site.h
@@ -80,6 +80,9 @@
 
 auto contains(const std::string &text, std::string_view part) -> bool;
 
+/// \return an address at which connections are refused
+auto makeRefusingAddress() -> std::string;
+
 /// Polls \p isTrue until it returns true. \return false if it did not within 30 s
 auto waitUntil(const std::function<bool()> &isTrue) -> bool;
 
--- a/src/load/httpclient.cpp
+++ b/src/load/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "load/httpclient.h"
 
+#include "wire/http/sendrequest.h"
+
 #include <algorithm>
 #include <cctype>
 #include <event2/buffer.h>
@@ -170,7 +172,6 @@
     for (const auto &[name, value] : request.headers) {
         evhttp_add_header(fields, name.c_str(), value.c_str());
     }
-    evbuffer_add(evhttp_request_get_output_buffer(made), request.body.data(), request.body.size());
     return made;
 }
 
@@ -200,7 +201,7 @@
         graveyard->graves.push_back({ .state = std::move(over), .connection = connection });
     };
     state->self = state;
-    if (evhttp_make_request(state->connection, makeRequest(request, state.get()), method, request.path.c_str()) != 0) {
+    if (!http::sendRequest(state->connection, makeRequest(request, state.get()), method, request.path, request.body)) {
         graveyard_->unconnected.push_back(state);
     }
     return std::make_unique<HttpCall>(state);
--- a/src/runtime/logging/logging.cpp
+++ b/src/runtime/logging/logging.cpp
@@ -144,7 +144,6 @@
     }
 
     auto writeSuppressed(const std::vector<Suppressed> &suppressed) -> void;
-    auto reportDropped() -> void;
     auto output() -> std::shared_ptr<detail::LineOutput>;
     auto writeLine(Level level, std::string_view name, std::initializer_list<Field> fields) -> void;
 
@@ -167,7 +166,6 @@
         suppressed = limit_.takeEnded(now);
     }
     writeSuppressed(suppressed);
-    reportDropped();
     if (isAdmitted) {
         writeLine(level, name, fields);
     }
@@ -194,10 +192,14 @@
 
 auto Log::writePending() -> void
 {
-    if (const auto open = output()) {
-        open->writePending();
+    const auto open = output();
+    if (!open) {
+        return;
+    }
+    open->writePending();
+    if (const auto count = open->takeDropped(); count > 0) {
+        writeLine(Level::Error, DroppedEvent, { { "count", count } });
     }
-    reportDropped();
 }
 
 auto Log::droppedLines() -> std::uint64_t
@@ -206,15 +208,6 @@
     return open ? open->dropped() : 0;
 }
 
-auto Log::reportDropped() -> void
-{
-    const auto open = output();
-    const auto count = open ? open->takeDropped() : 0;
-    if (count > 0) {
-        writeLine(Level::Error, DroppedEvent, { { "count", count } });
-    }
-}
-
 auto Log::writeSuppressed(const std::vector<Suppressed> &suppressed) -> void
 {
     for (const auto &item : suppressed) {
--- a/src/runtime/logging/logging.h
+++ b/src/runtime/logging/logging.h
@@ -123,7 +123,7 @@
 
 /// Interval at which writePending() is to be called.
 constexpr Duration PendingInterval = std::chrono::milliseconds(100);
-/// Writes the lines for which the reader of the log had no room so far. Without it they wait for the next event.
+/// Writes the lines for which the reader of the log had no room so far, and states how many were dropped once it has read them.
 auto writePending() -> void;
 /// Lines dropped since the start because the reader of the log stood still. Their count is logged once it reads again.
 auto droppedLines() -> std::uint64_t;
--- a/src/wire/http/evhttpheaders.cpp
+++ b/src/wire/http/evhttpheaders.cpp
@@ -15,11 +15,16 @@
     return headers;
 }
 
+auto removeHeaders(evkeyvalq *list, const char *name) -> void
+{
+    while (evhttp_remove_header(list, name) == 0) {}
+}
+
 auto readBodyToConnectionEnd(evhttp_request *request) -> void
 {
     constexpr auto Name = "Connection";
     auto *headers = evhttp_request_get_input_headers(request);
-    while (evhttp_remove_header(headers, Name) == 0) {}
+    removeHeaders(headers, Name);
     evhttp_add_header(headers, Name, "close");
 }
 
--- a/src/wire/http/framing.cpp
+++ b/src/wire/http/framing.cpp
@@ -16,6 +16,13 @@
     { Framing::ConnectionEnd, "connection-end" },
 });
 
+} // namespace
+
+auto framingName(Framing framing) -> std::string_view
+{
+    return findName(Framings, framing);
+}
+
 auto allowsBody(int status) -> bool
 {
     constexpr int FirstSuccessStatus = 200;
@@ -24,13 +31,6 @@
     return status >= FirstSuccessStatus && status != NoContentStatus && status != NotModifiedStatus;
 }
 
-} // namespace
-
-auto framingName(Framing framing) -> std::string_view
-{
-    return findName(Framings, framing);
-}
-
 auto framingOf(int status, const Headers &headers) -> Framing
 {
     if (isSameWord(findHeader(headers, "Transfer-Encoding"), "chunked")) {
--- a/src/wire/http/framing.h
+++ b/src/wire/http/framing.h
@@ -18,6 +18,9 @@
 
 auto framingName(Framing framing) -> std::string_view;
 
+/// Whether a response with this status may have a body.
+auto allowsBody(int status) -> bool;
+
 /// Framing of a response with this head.
 auto framingOf(int status, const Headers &headers) -> Framing;
 
--- a/src/wire/http/sendrequest.cpp
+++ b/src/wire/http/sendrequest.cpp
@@ -1,5 +1,7 @@
 #include "wire/http/sendrequest.h"
 
+#include "wire/http/evhttpheaders.h"
+
 #include <event2/buffer.h>
 
 namespace auburnspread::http
@@ -14,11 +16,6 @@
     return method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT || method == EVHTTP_REQ_PATCH;
 }
 
-auto removeHeaders(evkeyvalq *headers, const char *name) -> void
-{
-    while (evhttp_remove_header(headers, name) == 0) {}
-}
-
 } // namespace
 
 auto sendRequest(evhttp_connection *connection, evhttp_request *request, evhttp_cmd_type method, const std::string &target, std::string_view body) -> bool
