An entry stays until its responses are in the sockets

Cause: an entry counted as busy until a response was handed to the library, not until the library had written it. 3 s after the signal it took itself for unused, and exited with what was not yet written.

Change: the frontend counts complete responses until libevent reports that the last byte is in the socket, or that the connection is closed; an entry with such responses is busy. Slow readers end at the exit by the drain time, as before; the exit logs how many (responses-cut).

--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -289,6 +289,11 @@
             { "after_signal_ms", wholeMilliseconds(cut.arrivedAfterSignal) } });
 }
 
+auto Accounting::responsesCut(std::size_t count) -> void
+{
+    event(Level::Warning, "responses-cut", { { "count", count } });
+}
+
 auto Accounting::leavingStarted(std::string_view entry, Duration signalAge) -> void
 {
     event(Level::Info, "leaving", { { "entry", entry }, { "signal_age_ms", wholeMilliseconds(signalAge) } });
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -78,6 +78,8 @@
     auto requestCut(const RequestLogContext &context, const CutRequest &cut) -> void;
     /// @}
 
+    /// The entry exits before the callers of so many complete responses have read them.
+    auto responsesCut(std::size_t count) -> void;
     /// The entry has got the termination signal. \p signalAge: time since the signal at the most, as this process may not have run
     auto leavingStarted(std::string_view entry, Duration signalAge) -> void;
 
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -19,6 +19,7 @@
 #include <cstring>
 #include <stdexcept>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace auburnspread::gateway
@@ -142,6 +143,7 @@
     auto find(RequestId id) -> Exchange *;
     auto addConnectionHeader(evhttp_request *request) const -> void;
     auto removeExchange(RequestId id) -> void;
+    auto watchWriting(evhttp_request *request) -> void;
 
     task::EventLoop &loop;
     FrontendCallbacks callbacks;
@@ -151,6 +153,7 @@
     std::uint64_t lastId = 0;
     std::unordered_map<RequestId, Exchange> exchanges;
     std::unordered_map<evhttp_connection *, RequestId> byConnection; ///< the request in flight on each connection
+    std::unordered_set<evhttp_connection *> writing;                 ///< whose complete response is not yet in the socket
     bool isDestroying = false;
 };
 
@@ -234,8 +237,12 @@
 /// In some cases libevent has detached a request with an incomplete response from its connection. It must then be freed here.
 auto Frontend::Impl::handleClosedConnection(evhttp_connection *connection) -> void
 {
+    if (isDestroying) {
+        return;
+    }
+    writing.erase(connection);
     const auto found = byConnection.find(connection);
-    if (isDestroying || found == byConnection.end()) {
+    if (found == byConnection.end()) {
         return;
     }
     const auto id = found->second;
@@ -268,6 +275,14 @@
     }
 }
 
+/// To be called before the response is handed to libevent, which may write it at once.
+auto Frontend::Impl::watchWriting(evhttp_request *request) -> void
+{
+    writing.insert(evhttp_request_get_connection(request));
+    evhttp_request_set_on_complete_cb(
+        request, [](evhttp_request *written, void *context) { static_cast<Impl *>(context)->writing.erase(evhttp_request_get_connection(written)); }, this);
+}
+
 Frontend::Frontend(task::EventLoop &loop, FrontendCallbacks callbacks)
     : impl_(std::make_unique<Impl>(loop, std::move(callbacks)))
 {
@@ -319,6 +334,7 @@
     impl_->removeExchange(request);
     addHeaders(raw, response.headers);
     impl_->addConnectionHeader(raw);
+    impl_->watchWriting(raw);
     const auto body = makeBuffer(mayAnswerWithBody(raw, response.status) ? response.body : std::string_view());
     evhttp_send_reply(raw, response.status, nullptr, body.get());
 }
@@ -352,6 +368,7 @@
     if (auto *exchange = impl_->find(request)) {
         auto *raw = exchange->request;
         impl_->removeExchange(request);
+        impl_->watchWriting(raw);
         evhttp_send_reply_end(raw);
     }
 }
@@ -370,4 +387,9 @@
     return impl_->exchanges.size();
 }
 
+auto Frontend::unwrittenResponses() const -> std::size_t
+{
+    return impl_->writing.size();
+}
+
 } // namespace auburnspread::gateway
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -53,6 +53,8 @@
 
     /// Number of requests whose response is not complete.
     [[nodiscard]] auto openRequests() const -> std::size_t;
+    /// Number of complete responses that callers have not read so far that the socket takes the rest.
+    [[nodiscard]] auto unwrittenResponses() const -> std::size_t;
 
 private:
     class Impl;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -163,7 +163,7 @@
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::unordered_map<AttemptId, BufferedResponse> pendingResponses; ///< complete responses until the routing core has decided on them
     bool isReady = false;
-    TimePoint reviewedAt; ///< when the event loop last served the timer, and so had no signal pending
+    TimePoint reviewedAt;                 ///< when the event loop last served the timer, and so had no signal pending
     std::optional<DrainState> drainState; ///< set once the shutdown has started
     std::function<void()> onDrained;
     task::Watch timeoutTimer;
@@ -658,7 +658,7 @@
 
 auto Gateway::Impl::checkDrain() -> void
 {
-    const auto isBusy = frontend.openRequests() > 0 || upstream.openAttempts() > 0;
+    const auto isBusy = frontend.openRequests() > 0 || frontend.unwrittenResponses() > 0 || upstream.openAttempts() > 0;
     switch (advanceDrain(*drainState, isBusy, settings.leavingTime, now())) {
     case DrainStep::KeepServing:
         break;
@@ -676,6 +676,9 @@
 auto Gateway::Impl::reportCutRequests() -> void
 {
     const auto at = now();
+    if (const auto count = frontend.unwrittenResponses(); count > 0) {
+        accounting.responsesCut(count);
+    }
     for (const auto &[id, request] : requests) {
         const auto isOfRequest = [id = id](const auto &item) { return item.second.request == id; };
         accounting.requestCut(logContextOf(request),
