Requests without a response get one before the exit of their entry

Cause: nothing ended what an entry still had when it exited. A request that waited for a server, or whose server had not begun to answer, lost its connection, which promises nothing to its caller, although the entry knew whether it ran.

Begun streams go on until the exit and are logged as request-cut.

LeavingTests.aBusyEntryEndsItsRequestsBeforeItExits for the order of the steps.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -272,10 +272,14 @@
     TimePoint exitAt;   ///< when it exits at the latest, whatever is still running
 };
 
-/// The entry is about to stop and refuses every request that arrives from now on.
+/// The entry is about to stop and refuses every request that arrives from now on, and those that wait and may not be answered in time.
 struct ClosingStarted {
 };
 
+/// The entry exits right away. Requests whose response has not begun get their last one; streams go on until the exit.
+struct ExitStarted {
+};
+
 /// A periodic timer fired.
 struct Tick {
 };
@@ -309,6 +313,7 @@
                            QuarantineListed,
                            LeavingStarted,
                            ClosingStarted,
+                           ExitStarted,
                            Tick>;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -3,6 +3,7 @@
 #include "core/passthrough/internal/arriving.h"
 #include "core/passthrough/internal/dispatching.h"
 #include "core/passthrough/internal/ending.h"
+#include "core/passthrough/internal/exiting.h"
 #include "core/passthrough/internal/forwarding.h"
 #include "core/passthrough/internal/resuming.h"
 #include "core/passthrough/internal/silence.h"
@@ -108,6 +109,9 @@
     detail::reviewReachability(state, actions);
     detail::endExpiredRequests(state, actions);
     detail::dispatchAll(state, actions);
+    if (state.closing) {
+        detail::refuseWaitingRequests(state, actions);
+    }
 }
 
 /// Visitor with one overload for each event type.
@@ -263,6 +267,11 @@
     auto operator()(const ClosingStarted & /*event*/) const -> void
     {
         state.closing = true;
+        detail::refuseWaitingRequests(state, actions);
+    }
+    auto operator()(const ExitStarted & /*event*/) const -> void
+    {
+        detail::endUnansweredRequests(state, actions);
     }
     auto operator()(const Tick & /*event*/) const -> void
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -665,6 +665,9 @@
     case DrainStep::RefuseNewRequests:
         apply(passthrough::ClosingStarted{});
         break;
+    case DrainStep::EndRequests:
+        apply(passthrough::ExitStarted{});
+        break;
     case DrainStep::Exit:
         drainTimer = {};
         reportCutRequests();
--- a/src/gateway/leaving.cpp
+++ b/src/gateway/leaving.cpp
@@ -13,6 +13,8 @@
 constexpr Duration RefusalPeriod = std::chrono::milliseconds(2500);
 /// The process exits this much before the end of the drain time, after which it is killed.
 constexpr Duration ExitMargin = std::chrono::milliseconds(300);
+/// Time before the exit in which the last responses are written.
+constexpr Duration LastResponsesPeriod = std::chrono::milliseconds(100);
 /// Once the callers' cached addresses have expired, an entry that had no request for this long is no longer in use.
 constexpr Duration IdleTime = std::chrono::milliseconds(300);
 
@@ -35,17 +37,21 @@
 
 auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep
 {
-    const auto elapsed = now - drain.startedAt;
+    const auto exitAt = exitDeadlineOf(drain, drainTime);
     drain.lastBusyAt = isBusy ? now : drain.lastBusyAt;
-    const auto isUnused = elapsed > AddressCacheTime * MaxCacheTimeFactor && now - drain.lastBusyAt > IdleTime;
-    if (isUnused || now >= exitDeadlineOf(drain, drainTime)) {
+    const auto isUnused = now - drain.startedAt > AddressCacheTime * MaxCacheTimeFactor && now - drain.lastBusyAt > IdleTime;
+    if (isUnused) {
         return DrainStep::Exit;
     }
-    if (!drain.refusesNewRequests && elapsed >= drainTime - RefusalPeriod) {
+    if (!drain.refusesNewRequests && now - drain.startedAt >= drainTime - RefusalPeriod) {
         drain.refusesNewRequests = true;
         return DrainStep::RefuseNewRequests;
     }
-    return DrainStep::KeepServing;
+    if (!drain.endsRequests && now >= exitAt - LastResponsesPeriod) {
+        drain.endsRequests = true;
+        return DrainStep::EndRequests;
+    }
+    return now >= exitAt ? DrainStep::Exit : DrainStep::KeepServing;
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/leaving.h
+++ b/src/gateway/leaving.h
@@ -20,11 +20,13 @@
     TimePoint startedAt;
     TimePoint lastBusyAt;
     bool refusesNewRequests = false;
+    bool endsRequests = false;
 };
 
 enum class DrainStep {
     KeepServing,
     RefuseNewRequests, ///< from now on; returned once
+    EndRequests,       ///< whose responses have not begun; returned once
     Exit,
 };
 
@@ -35,7 +37,8 @@
 /// When the entry exits at the latest.
 auto exitDeadlineOf(const DrainState &drain, Duration drainTime) -> TimePoint;
 
-/// Called periodically. \p isBusy: requests or attempts are in flight; \p drainTime: maximum time from beginDrain() to the exit.
+/// Called periodically. \p isBusy: requests or attempts are in flight, or responses unwritten; \p drainTime: maximum time
+/// from beginDrain() to the exit.
 auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep;
 
 } // namespace auburnspread::gateway
--- a/src/gateway/tests/leaving_tests.cpp
+++ b/src/gateway/tests/leaving_tests.cpp
@@ -15,6 +15,7 @@
 
 struct DrainTimeline {
     std::optional<Duration> refusedAfter;
+    std::optional<Duration> requestsEndedAfter;
     std::optional<Duration> endedAfter;
 };
 
@@ -28,6 +29,9 @@
         if (step == DrainStep::RefuseNewRequests) {
             EXPECT_FALSE(timeline.refusedAfter) << "returned twice";
             timeline.refusedAfter = elapsed;
+        } else if (step == DrainStep::EndRequests) {
+            EXPECT_FALSE(timeline.requestsEndedAfter) << "returned twice";
+            timeline.requestsEndedAfter = elapsed;
         } else if (step == DrainStep::Exit) {
             timeline.endedAfter = elapsed;
         }
@@ -63,3 +67,12 @@
     EXPECT_GT(timeline.endedAfter, std::chrono::seconds(5));
     EXPECT_LT(timeline.endedAfter, std::chrono::milliseconds(5500));
 }
+
+/// Guards against closed connections without a response: what has not begun to be answered is answered before the exit.
+TEST(LeavingTests, aBusyEntryEndsItsRequestsBeforeItExits)
+{
+    const auto timeline = runDrain(std::chrono::hours(1));
+    ASSERT_TRUE(timeline.requestsEndedAfter);
+    EXPECT_LT(timeline.requestsEndedAfter, timeline.endedAfter);
+    EXPECT_FALSE(runDrain(std::chrono::seconds(5)).requestsEndedAfter);
+}
--- a/src/gateway/tests/plannedrestart_tests.cpp
+++ b/src/gateway/tests/plannedrestart_tests.cpp
@@ -92,6 +92,9 @@
         case DrainStep::RefuseNewRequests:
             harness_.apply(ClosingStarted{});
             return false;
+        case DrainStep::EndRequests:
+            harness_.apply(ExitStarted{});
+            return false;
         case DrainStep::Exit:
             return true;
         }
