An entry that notices the termination signal late keeps its promises by the signal

Cause: all times of an entry that leaves counted from when it noticed the signal. A process that does not run for a while (a busy VM, a core's quota used up, a pause) notices it late, but the kill comes 8 s after the signal, and callers' addresses expire by the signal.

Change: what is promised counts from the earliest time at which the signal may have been sent: from when on late requests are judged, when requests are refused, when the last responses are given. That is the last but one service of a 20 ms timer or, if the loop has just paused, the beginning of the pause: after it the timer may be served twice before the signal. The exit counts from the notice, as the signal may also have come at the end of the pause; begun streams are not cut off earlier than the kill would. signal_age_ms of `leaving` states the difference.

Tests: LeavingTests.anEntryThatNoticesTheSignalLateEndsItsRequestsBeforeItIsKilled fails if the promises count from the notice, anEntryThatPausedBeforeTheSignalServesBegunStreamsIntoTheLastSixth if the exit counts from the signal, and theSignalMayHaveComeAtTheBeginningOfAPauseThatHasJustEnded without the record of pauses.

--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -269,7 +269,7 @@
 /// The entry got the termination signal. Late requests that may not be answered before it exits are refused.
 struct LeavingStarted {
     TimePoint lateFrom; ///< until then, callers may still have this entry's address from a list that was valid
-    TimePoint exitAt;   ///< when it exits at the latest, whatever is still running
+    TimePoint exitAt;   ///< from then on, whatever is still running may be cut off by the exit
 };
 
 /// The entry is about to stop and refuses every request that arrives from now on, and those that wait and may not be answered in time.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -163,7 +163,7 @@
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::unordered_map<AttemptId, BufferedResponse> pendingResponses; ///< complete responses until the routing core has decided on them
     bool isReady = false;
-    TimePoint reviewedAt;                 ///< when the event loop last served the timer, and so had no signal pending
+    LoopTimes loopTimes;
     std::optional<DrainState> drainState; ///< set once the shutdown has started
     std::function<void()> onDrained;
     task::Watch timeoutTimer;
@@ -239,7 +239,7 @@
 auto Gateway::Impl::start() -> void
 {
     fleet.start();
-    reviewedAt = now();
+    loopTimes = beginLoopTimes(now());
     timeoutTimer = loop.every(ReviewInterval, [this]() { checkTimeouts(); });
 }
 
@@ -590,7 +590,7 @@
 auto Gateway::Impl::checkTimeouts() -> void
 {
     const auto at = now();
-    reviewedAt = at;
+    recordService(loopTimes, at);
     upstream.reviewAttempts(at);
     apply(passthrough::Tick{});
 }
@@ -644,11 +644,12 @@
         return;
     }
     onDrained = std::move(whenDrained);
-    drainState = beginDrain(now());
-    accounting.leavingStarted(settings.name, now() - reviewedAt);
+    const auto at = now();
+    drainState = beginDrain(earliestSignalTime(loopTimes, at), at);
+    accounting.leavingStarted(settings.name, at - drainState->signalAt);
     apply(passthrough::LeavingStarted{
         .lateFrom = cachedAddressesExpireAt(*drainState),
-        .exitAt = exitDeadlineOf(*drainState, settings.leavingTime),
+        .exitAt = promisesEndAt(*drainState, settings.leavingTime),
     });
     checkReadiness();
     fleet.leave();
@@ -690,7 +691,7 @@
                                   .attempts = static_cast<std::size_t>(std::count_if(attempts.begin(), attempts.end(), isOfRequest)),
                                   .responseStarted = request.responseStarted,
                                   .age = at - request.arrivedAt,
-                                  .arrivedAfterSignal = request.arrivedAt - drainState->startedAt,
+                                  .arrivedAfterSignal = request.arrivedAt - drainState->signalAt,
                               });
     }
 }
--- a/src/gateway/leaving.cpp
+++ b/src/gateway/leaving.cpp
@@ -1,5 +1,8 @@
 #include "gateway/leaving.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace auburnspread::gateway
 {
 
@@ -7,7 +10,7 @@
 {
 
 constexpr int MaxCacheTimeFactor = 3;
-/// On a busy VM the process notices the signal this much later.
+/// Between the sending of the signal and its delivery, on a busy VM.
 constexpr Duration SignalDelay = std::chrono::milliseconds(200);
 /// Requests that arrive in this period before the exit may not complete in time and are refused.
 constexpr Duration RefusalPeriod = std::chrono::milliseconds(2500);
@@ -18,40 +21,67 @@
 /// Once the callers' cached addresses have expired, an entry that had no request for this long is no longer in use.
 constexpr Duration IdleTime = std::chrono::milliseconds(300);
 
+/// A longer time between two services of the timer is a pause.
+constexpr Duration MinPause = std::chrono::milliseconds(100);
+/// A signal that came in a pause is noticed within this time after it: other events may be served first.
+constexpr Duration PauseAftermath = std::chrono::seconds(1);
+
 } // namespace
 
-auto beginDrain(TimePoint now) -> DrainState
+auto beginLoopTimes(TimePoint now) -> LoopTimes
+{
+    return { .servedAt = now, .servedBeforeAt = now };
+}
+
+//! NOTE after a pause the loop may serve the timer in the same round as other events, and again, before it gets to the signal
+auto recordService(LoopTimes &times, TimePoint now) -> void
+{
+    if (now - times.servedAt >= MinPause) {
+        const auto isSamePause = times.servedAt - times.pauseEndedAt < PauseAftermath;
+        times.pauseBeganAt = isSamePause ? times.pauseBeganAt : times.servedBeforeAt;
+        times.pauseEndedAt = now;
+    }
+    times.servedBeforeAt = std::exchange(times.servedAt, now);
+}
+
+auto earliestSignalTime(const LoopTimes &times, TimePoint now) -> TimePoint
+{
+    const auto hasJustPaused = now - times.pauseEndedAt < PauseAftermath;
+    return hasJustPaused ? std::min(times.pauseBeganAt, times.servedBeforeAt) : times.servedBeforeAt;
+}
+
+auto beginDrain(TimePoint signalAt, TimePoint noticedAt) -> DrainState
 {
-    return { .startedAt = now, .lastBusyAt = now };
+    return { .signalAt = signalAt, .noticedAt = noticedAt, .lastBusyAt = noticedAt };
 }
 
 auto cachedAddressesExpireAt(const DrainState &drain) -> TimePoint
 {
-    return drain.startedAt + AddressCacheTime * MaxCacheTimeFactor - SignalDelay;
+    return drain.signalAt + AddressCacheTime * MaxCacheTimeFactor - SignalDelay;
 }
 
-auto exitDeadlineOf(const DrainState &drain, Duration drainTime) -> TimePoint
+auto promisesEndAt(const DrainState &drain, Duration drainTime) -> TimePoint
 {
-    return drain.startedAt + drainTime - ExitMargin;
+    return drain.signalAt + drainTime - ExitMargin;
 }
 
 auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep
 {
-    const auto exitAt = exitDeadlineOf(drain, drainTime);
     drain.lastBusyAt = isBusy ? now : drain.lastBusyAt;
-    const auto isUnused = now - drain.startedAt > AddressCacheTime * MaxCacheTimeFactor && now - drain.lastBusyAt > IdleTime;
+    const auto isUnused = now - drain.noticedAt > AddressCacheTime * MaxCacheTimeFactor && now - drain.lastBusyAt > IdleTime;
     if (isUnused) {
         return DrainStep::Exit;
     }
-    if (!drain.refusesNewRequests && now - drain.startedAt >= drainTime - RefusalPeriod) {
+    if (!drain.refusesNewRequests && now - drain.signalAt >= drainTime - RefusalPeriod) {
         drain.refusesNewRequests = true;
         return DrainStep::RefuseNewRequests;
     }
-    if (!drain.endsRequests && now >= exitAt - LastResponsesPeriod) {
+    if (!drain.endsRequests && now >= promisesEndAt(drain, drainTime) - LastResponsesPeriod) {
         drain.endsRequests = true;
         return DrainStep::EndRequests;
     }
-    return now >= exitAt ? DrainStep::Exit : DrainStep::KeepServing;
+    // the signal may have been sent right before it was noticed: begun streams go on, at the risk of the kill
+    return now >= drain.noticedAt + drainTime - ExitMargin ? DrainStep::Exit : DrainStep::KeepServing;
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/leaving.h
+++ b/src/gateway/leaving.h
@@ -16,8 +16,23 @@
 /// Time for which callers may cache the addresses of the entries. Some callers keep them three times as long.
 constexpr Duration AddressCacheTime = std::chrono::seconds(1);
 
+/// When the event loop served a periodic timer, and its last pause. A process that does not run notices a signal late.
+struct LoopTimes {
+    TimePoint servedAt;
+    TimePoint servedBeforeAt;
+    TimePoint pauseBeganAt;
+    TimePoint pauseEndedAt;
+};
+
+/// For an event loop that starts now.
+auto beginLoopTimes(TimePoint now) -> LoopTimes;
+auto recordService(LoopTimes &times, TimePoint now) -> void;
+/// Earliest time at which a signal that is noticed now may have been sent.
+auto earliestSignalTime(const LoopTimes &times, TimePoint now) -> TimePoint;
+
 struct DrainState {
-    TimePoint startedAt;
+    TimePoint signalAt; ///< earliest time at which the termination signal may have been sent; the kill counts from the signal
+    TimePoint noticedAt;
     TimePoint lastBusyAt;
     bool refusesNewRequests = false;
     bool endsRequests = false;
@@ -30,15 +45,15 @@
     Exit,
 };
 
-auto beginDrain(TimePoint now) -> DrainState;
+auto beginDrain(TimePoint signalAt, TimePoint noticedAt) -> DrainState;
 
-/// When the addresses that callers had cached before the drain have expired.
+/// When the addresses that callers had cached before the signal have expired.
 auto cachedAddressesExpireAt(const DrainState &drain) -> TimePoint;
-/// When the entry exits at the latest.
-auto exitDeadlineOf(const DrainState &drain, Duration drainTime) -> TimePoint;
+/// When responses that are promised have ended: the process may be killed soon after.
+auto promisesEndAt(const DrainState &drain, Duration drainTime) -> TimePoint;
 
-/// Called periodically. \p isBusy: requests or attempts are in flight, or responses unwritten; \p drainTime: maximum time
-/// from beginDrain() to the exit.
+/// Called periodically. \p isBusy: requests or attempts are in flight, or responses unwritten; \p drainTime: from the signal until the process
+/// is killed.
 auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep;
 
 } // namespace auburnspread::gateway
--- a/src/gateway/tests/leaving_tests.cpp
+++ b/src/gateway/tests/leaving_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 
 using namespace auburnspread;
@@ -20,11 +21,12 @@
 };
 
 /// Runs the drain of an entry that has requests in flight until \p busyTime.
-auto runDrain(Duration busyTime) -> DrainTimeline
+/// \param notice: time from the signal until the entry notices it
+auto runDrain(Duration busyTime, Duration notice = {}) -> DrainTimeline
 {
     DrainTimeline timeline;
-    auto drain = beginDrain(Start);
-    for (Duration elapsed{}; !timeline.endedAfter; elapsed += std::chrono::milliseconds(50)) {
+    auto drain = beginDrain(Start, Start + notice);
+    for (auto elapsed = notice; !timeline.endedAfter; elapsed += std::chrono::milliseconds(50)) {
         const auto step = advanceDrain(drain, elapsed < busyTime, DrainTime, Start + elapsed);
         if (step == DrainStep::RefuseNewRequests) {
             EXPECT_FALSE(timeline.refusedAfter) << "returned twice";
@@ -76,3 +78,52 @@
     EXPECT_LT(timeline.requestsEndedAfter, timeline.endedAfter);
     EXPECT_FALSE(runDrain(std::chrono::seconds(5)).requestsEndedAfter);
 }
+
+/// Guards against requests that are cut off by the kill, because the entry was not running when the signal came and counts from when it
+/// noticed it.
+TEST(LeavingTests, anEntryThatNoticesTheSignalLateEndsItsRequestsBeforeItIsKilled)
+{
+    for (const auto notice : { std::chrono::milliseconds(500), std::chrono::milliseconds(3000), std::chrono::milliseconds(7000) }) {
+        const auto timeline = runDrain(std::chrono::hours(1), notice);
+        EXPECT_LE(timeline.refusedAfter, std::max(notice, std::chrono::milliseconds(5500)));
+        EXPECT_LT(timeline.requestsEndedAfter, DrainTime);
+    }
+    const auto drain = beginDrain(Start, Start + std::chrono::milliseconds(700));
+    EXPECT_LT(cachedAddressesExpireAt(drain), Start + 3 * AddressCacheTime);
+    EXPECT_LT(promisesEndAt(drain, DrainTime), Start + DrainTime);
+}
+
+/// Guards against begun streams that are cut off early: the signal may have been sent at the end of a pause, not at its beginning.
+TEST(LeavingTests, anEntryThatPausedBeforeTheSignalServesBegunStreamsIntoTheLastSixth)
+{
+    for (const auto pause : { std::chrono::milliseconds(700), std::chrono::milliseconds(1600), std::chrono::milliseconds(3000) }) {
+        const auto timeline = runDrain(std::chrono::hours(1), pause);
+        EXPECT_GE(*timeline.endedAfter - pause, DrainTime * 5 / 6) << pause.count();
+    }
+}
+
+/// Guards against a signal that seems to be new: after a pause the event loop serves the timer twice before the signal.
+TEST(LeavingTests, theSignalMayHaveComeAtTheBeginningOfAPauseThatHasJustEnded)
+{
+    auto at = Start;
+    auto times = beginLoopTimes(at);
+    EXPECT_EQ(earliestSignalTime(times, at), at) << "right after the start";
+    for (auto i = 0; i < 100; ++i, at += std::chrono::milliseconds(20)) {
+        recordService(times, at);
+    }
+    const auto pauseBegan = at;
+    EXPECT_GE(earliestSignalTime(times, at), at - std::chrono::milliseconds(50)) << "no pause";
+    at += std::chrono::milliseconds(700);
+    EXPECT_LE(earliestSignalTime(times, at), pauseBegan) << "the signal before the timer";
+    for (auto i = 0; i < 5; ++i, at += std::chrono::milliseconds(5)) {
+        recordService(times, at);
+        EXPECT_LE(earliestSignalTime(times, at), pauseBegan) << "the timer before the signal";
+    }
+    at += std::chrono::milliseconds(400);
+    recordService(times, at);
+    EXPECT_LE(earliestSignalTime(times, at), pauseBegan) << "a second pause";
+    for (auto i = 0; i < 100; ++i, at += std::chrono::milliseconds(20)) {
+        recordService(times, at);
+    }
+    EXPECT_GE(earliestSignalTime(times, at), at - std::chrono::milliseconds(50)) << "long after the pause";
+}
--- a/src/gateway/tests/plannedrestart_tests.cpp
+++ b/src/gateway/tests/plannedrestart_tests.cpp
@@ -40,12 +40,12 @@
     auto run(Duration arrivalInterval) -> void
     {
         const auto signalAt = harness_.now() + warmUp_;
-        auto drain = beginDrain(signalAt);
+        auto drain = beginDrain(signalAt, signalAt);
         auto nextArrival = harness_.now();
         while (true) {
             const auto isLeaving = harness_.now() >= signalAt;
             if (isLeaving) {
-                harness_.apply(LeavingStarted{ .lateFrom = cachedAddressesExpireAt(drain), .exitAt = exitDeadlineOf(drain, DrainTime) });
+                harness_.apply(LeavingStarted{ .lateFrom = cachedAddressesExpireAt(drain), .exitAt = promisesEndAt(drain, DrainTime) });
             }
             if (isLeaving && advanceAndCheckExit(drain)) {
                 break;
