A changed drain time holds from the next signal on

Cause: each check of the drain took the drain time from the settings in force, while the core was told the end of its promises once, at the signal.

Change: the drain keeps the time with which it began. No test of its own: the functions of the drain don't take the time any more, so that it can't change. The tests of the drain state it at the beginning instead of at each step, with the same values and checks.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -645,11 +645,11 @@
     }
     onDrained = std::move(whenDrained);
     const auto at = now();
-    drainState = beginDrain(earliestSignalTime(loopTimes, at), at);
+    drainState = beginDrain(earliestSignalTime(loopTimes, at), at, settings.leavingTime);
     accounting.leavingStarted(settings.name, at - drainState->signalAt);
     apply(passthrough::LeavingStarted{
         .lateFrom = cachedAddressesExpireAt(*drainState),
-        .exitAt = promisesEndAt(*drainState, settings.leavingTime),
+        .exitAt = promisesEndAt(*drainState),
     });
     checkReadiness();
     fleet.leave();
@@ -660,7 +660,7 @@
 auto Gateway::Impl::checkDrain() -> void
 {
     const auto isBusy = frontend.openRequests() > 0 || frontend.unwrittenResponses() > 0 || upstream.openAttempts() > 0;
-    switch (advanceDrain(*drainState, isBusy, settings.leavingTime, now())) {
+    switch (advanceDrain(*drainState, isBusy, now())) {
     case DrainStep::KeepServing:
         break;
     case DrainStep::RefuseNewRequests:
--- a/src/gateway/leaving.cpp
+++ b/src/gateway/leaving.cpp
@@ -50,9 +50,9 @@
     return hasJustPaused ? std::min(times.pauseBeganAt, times.servedBeforeAt) : times.servedBeforeAt;
 }
 
-auto beginDrain(TimePoint signalAt, TimePoint noticedAt) -> DrainState
+auto beginDrain(TimePoint signalAt, TimePoint noticedAt, Duration drainTime) -> DrainState
 {
-    return { .signalAt = signalAt, .noticedAt = noticedAt, .lastBusyAt = noticedAt };
+    return { .signalAt = signalAt, .noticedAt = noticedAt, .drainTime = drainTime, .lastBusyAt = noticedAt };
 }
 
 auto cachedAddressesExpireAt(const DrainState &drain) -> TimePoint
@@ -60,28 +60,28 @@
     return drain.signalAt + AddressCacheTime * MaxCacheTimeFactor - SignalDelay;
 }
 
-auto promisesEndAt(const DrainState &drain, Duration drainTime) -> TimePoint
+auto promisesEndAt(const DrainState &drain) -> TimePoint
 {
-    return drain.signalAt + drainTime - ExitMargin;
+    return drain.signalAt + drain.drainTime - ExitMargin;
 }
 
-auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep
+auto advanceDrain(DrainState &drain, bool isBusy, TimePoint now) -> DrainStep
 {
     drain.lastBusyAt = isBusy ? now : drain.lastBusyAt;
     const auto isUnused = now - drain.noticedAt > AddressCacheTime * MaxCacheTimeFactor && now - drain.lastBusyAt > IdleTime;
     if (isUnused) {
         return DrainStep::Exit;
     }
-    if (!drain.refusesNewRequests && now - drain.signalAt >= drainTime - RefusalPeriod) {
+    if (!drain.refusesNewRequests && now - drain.signalAt >= drain.drainTime - RefusalPeriod) {
         drain.refusesNewRequests = true;
         return DrainStep::RefuseNewRequests;
     }
-    if (!drain.endsRequests && now >= promisesEndAt(drain, drainTime) - LastResponsesPeriod) {
+    if (!drain.endsRequests && now >= promisesEndAt(drain) - LastResponsesPeriod) {
         drain.endsRequests = true;
         return DrainStep::EndRequests;
     }
     // the signal may have been sent right before it was noticed: begun streams go on, at the risk of the kill
-    return now >= drain.noticedAt + drainTime - ExitMargin ? DrainStep::Exit : DrainStep::KeepServing;
+    return now >= drain.noticedAt + drain.drainTime - ExitMargin ? DrainStep::Exit : DrainStep::KeepServing;
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/leaving.h
+++ b/src/gateway/leaving.h
@@ -33,6 +33,7 @@
 struct DrainState {
     TimePoint signalAt; ///< earliest time at which the termination signal may have been sent; the kill counts from the signal
     TimePoint noticedAt;
+    Duration drainTime{}; ///< from the signal until the process is killed
     TimePoint lastBusyAt;
     bool refusesNewRequests = false;
     bool endsRequests = false;
@@ -45,15 +46,14 @@
     Exit,
 };
 
-auto beginDrain(TimePoint signalAt, TimePoint noticedAt) -> DrainState;
+auto beginDrain(TimePoint signalAt, TimePoint noticedAt, Duration drainTime) -> DrainState;
 
 /// When the addresses that callers had cached before the signal have expired.
 auto cachedAddressesExpireAt(const DrainState &drain) -> TimePoint;
 /// When responses that are promised have ended: the process may be killed soon after.
-auto promisesEndAt(const DrainState &drain, Duration drainTime) -> TimePoint;
+auto promisesEndAt(const DrainState &drain) -> TimePoint;
 
-/// Called periodically. \p isBusy: requests or attempts are in flight, or responses unwritten; \p drainTime: from the signal until the process
-/// is killed.
-auto advanceDrain(DrainState &drain, bool isBusy, Duration drainTime, TimePoint now) -> DrainStep;
+/// Called periodically. \p isBusy: requests or attempts are in flight, or responses unwritten
+auto advanceDrain(DrainState &drain, bool isBusy, TimePoint now) -> DrainStep;
 
 } // namespace auburnspread::gateway
--- a/src/gateway/tests/leaving_tests.cpp
+++ b/src/gateway/tests/leaving_tests.cpp
@@ -25,9 +25,9 @@
 auto runDrain(Duration busyTime, Duration notice = {}) -> DrainTimeline
 {
     DrainTimeline timeline;
-    auto drain = beginDrain(Start, Start + notice);
+    auto drain = beginDrain(Start, Start + notice, DrainTime);
     for (auto elapsed = notice; !timeline.endedAfter; elapsed += std::chrono::milliseconds(50)) {
-        const auto step = advanceDrain(drain, elapsed < busyTime, DrainTime, Start + elapsed);
+        const auto step = advanceDrain(drain, elapsed < busyTime, Start + elapsed);
         if (step == DrainStep::RefuseNewRequests) {
             EXPECT_FALSE(timeline.refusedAfter) << "returned twice";
             timeline.refusedAfter = elapsed;
@@ -88,9 +88,9 @@
         EXPECT_LE(timeline.refusedAfter, std::max(notice, std::chrono::milliseconds(5500)));
         EXPECT_LT(timeline.requestsEndedAfter, DrainTime);
     }
-    const auto drain = beginDrain(Start, Start + std::chrono::milliseconds(700));
+    const auto drain = beginDrain(Start, Start + std::chrono::milliseconds(700), DrainTime);
     EXPECT_LT(cachedAddressesExpireAt(drain), Start + 3 * AddressCacheTime);
-    EXPECT_LT(promisesEndAt(drain, DrainTime), Start + DrainTime);
+    EXPECT_LT(promisesEndAt(drain), Start + DrainTime);
 }
 
 /// Guards against begun streams that are cut off early: the signal may have been sent at the end of a pause, not at its beginning.
--- a/src/gateway/tests/plannedrestart_tests.cpp
+++ b/src/gateway/tests/plannedrestart_tests.cpp
@@ -40,12 +40,12 @@
     auto run(Duration arrivalInterval) -> void
     {
         const auto signalAt = harness_.now() + warmUp_;
-        auto drain = beginDrain(signalAt, signalAt);
+        auto drain = beginDrain(signalAt, signalAt, DrainTime);
         auto nextArrival = harness_.now();
         while (true) {
             const auto isLeaving = harness_.now() >= signalAt;
             if (isLeaving) {
-                harness_.apply(LeavingStarted{ .lateFrom = cachedAddressesExpireAt(drain), .exitAt = promisesEndAt(drain, DrainTime) });
+                harness_.apply(LeavingStarted{ .lateFrom = cachedAddressesExpireAt(drain), .exitAt = promisesEndAt(drain) });
             }
             if (isLeaving && advanceAndCheckExit(drain)) {
                 break;
@@ -86,7 +86,7 @@
 
     auto advanceAndCheckExit(DrainState &drain) -> bool
     {
-        switch (advanceDrain(drain, !runs_.empty(), DrainTime, harness_.now())) {
+        switch (advanceDrain(drain, !runs_.empty(), harness_.now())) {
         case DrainStep::KeepServing:
             return false;
         case DrainStep::RefuseNewRequests:
