A leaving entry takes forwarded requests by their time limit from the signal on

Callers would see: a stream cut off although their own entry is not leaving.

Cause: what reaches a leaving entry in the first 2.8 s was accepted without a question, because callers hold its address that long. Entries that forward do not: they hear within 0.3 s that it is leaving.

Change: a forwarded request is accepted from the signal on only if its time limit ends before the exit. The refusal states that it did not run and why (draining), so that the other entry asks a third one or serves the request itself.

Test: LateRequestsTests.aForwardedRequestIsRefusedFromTheSignalOnUnlessItsTimeEndsBeforeTheExit failed before; a caller with a cached address is still served.

--- a/src/core/passthrough/internal/arriving.cpp
+++ b/src/core/passthrough/internal/arriving.cpp
@@ -84,7 +84,11 @@
 /// how long it runs: servers may slow down after any shorter responses before it.
 auto mayOutlastEntry(const RouterState &state, const RequestArrived &call, const Route &route, Actions &actions) -> bool
 {
-    if (!state.leaving || state.now < state.leaving->lateFrom) {
+    if (!state.leaving) {
+        return false;
+    }
+    const auto mayUseCachedAddress = !call.forwardedSends; // other entries hear of the leaving at once
+    if (mayUseCachedAddress && state.now < state.leaving->lateFrom) {
         return false;
     }
     const LateRequestJudged judged{
--- a/src/core/passthrough/tests/laterequests_tests.cpp
+++ b/src/core/passthrough/tests/laterequests_tests.cpp
@@ -104,10 +104,15 @@
         return lastSlow;
     }
 
+    auto receiveSignal() -> void
+    {
+        harness.apply(LeavingStarted{ .lateFrom = harness.now() + std::chrono::milliseconds(2800), .exitAt = harness.now() + ExitAfter });
+    }
+
     /// Gets the termination signal, and comes to the time from which late requests are judged.
     auto leave() -> void
     {
-        harness.apply(LeavingStarted{ .lateFrom = harness.now() + std::chrono::milliseconds(2800), .exitAt = harness.now() + ExitAfter });
+        receiveSignal();
         harness.advance(JudgedAfter);
     }
 
@@ -143,6 +148,24 @@
     EXPECT_FALSE(entry.begin(call));
 }
 
+/// Guards against responses that are cut off at callers whose own entry is not leaving: it forwards the request to an entry that is.
+TEST(LateRequestsTests, aForwardedRequestIsRefusedFromTheSignalOnUnlessItsTimeEndsBeforeTheExit)
+{
+    LeavingEntry entry;
+    entry.receiveSignal();
+    auto call = entry.request();
+    call.forwardedSends = 0;
+    const auto refused = find<Refuse>(entry.harness.apply(call));
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->reason, Reason::Draining);
+    EXPECT_EQ(refused->outcome, Outcome::NotRun);
+    auto shortCall = entry.request();
+    shortCall.forwardedSends = 0;
+    shortCall.deadline = ExitAfter;
+    EXPECT_TRUE(entry.begin(shortCall));
+    EXPECT_TRUE(entry.begin(entry.request())) << "a caller that holds the address of the entry";
+}
+
 /// Guards against a split route of which one service refuses what arrives late, although its time limit ends before the exit.
 TEST(LateRequestsTests, lateRequestsOfASplitRouteKeepTheSharesOfItsServices)
 {
