--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -201,11 +201,6 @@
     return findServer(state.servers, server.record.id) && !server.record.isLeaving && !server.stated.isLeaving;
 }
 
-auto noteCompletion(RouterState &state, Request &request, Actions &actions) -> void
-{
-    noteSoundness(state, request, actions);
-}
-
 /// Whether the failure may be that of the network path. A connection that breaks shows nothing: the server may have crashed, and where the
 /// path is lost, the next connections fail.
 auto mayBePathFailure(Failure failure) -> bool
@@ -411,7 +406,7 @@
     notePathSuccess(state, request.service, actions);
     request.mayHaveRun = true;
     if (!isError) {
-        noteCompletion(state, request, actions);
+        noteSoundness(state, request, actions);
         recordSuccess(*server, state.now);
         recordOutcome(state, request, *server, hasBegun, std::nullopt);
     } else {
@@ -454,7 +449,7 @@
     const auto server = closeAttempt(state, event.attempt);
     recordSuccess(*server, state.now);
     recordOutcome(state, request, *server, hasBegun, std::nullopt);
-    noteCompletion(state, request, actions);
+    noteSoundness(state, request, actions);
     actions.emplace_back(Complete{ .request = request.call.request });
     removeAndDispatch(state, request, actions);
 }
