The end of a long answer of the chat face is not cut off as idle

What callers saw: the answer of a request that had lasted longer than the idle timeout (60 s by default) broke off at its end, if its caller read so slowly that the last bytes did not fit into the socket at once. Found by reading, in the search for relatives of the streams cut around SIGTERM: an entry that is leaving loses such answers too, with no request counted as open.

Between the end of the answer and that moment the connection is no longer "answering", and its age is that of the request.

Ruled out: the exit itself. An entry that is to end waits for its output buffers (new test, passes before and after); requests that arrive while it drains are redirected without exception, so nothing is accepted by a forecast; it has no exit time that a late signal could shift.

Change: the time counts from the end of the answer. A caller that does not read its rest is cut after the idle timeout, as before.

Before: theEndOfALongAnswerIsNotCutOffAsIdle fails (1 run). After: all 18 tests of entry_caller_tests pass (1 run). Real time, 7 s for the new test; its margin is the idle timeout of 6 s.

Conclusion: the chat face loses no complete answer of a caller that reads within the idle timeout.

--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -521,6 +521,7 @@
     auto *request = exchange.request;
     auto &connection = connections.at(request->conn);
     connection.answering = false;
+    connection.since = task::monotonicNow();
     evbuffer_remove_cb_entry(bufferevent_get_output(request->conn->bev), exchange.drainWatch);
     exchanges.erase(exchange.id);
     evhtp_request_resume(request);
--- a/src/entry/caller/tests/callertask_tests.cpp
+++ b/src/entry/caller/tests/callertask_tests.cpp
@@ -1,9 +1,11 @@
 #include "entry/caller/callertask.h"
 
 #include "entry/caller/tests/wirecaller.h"
+#include "runtime/task/eventloop.h"
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -297,6 +299,43 @@
     EXPECT_FALSE(contains(caller.readToEnd(), "0\r\n\r\n"));
 }
 
+/// Guards against answers that are cut off although they are complete: the idle timeout counted from the request's arrival, so that the
+/// next sweep closed the connection of a request that had lasted longer, with the end of its answer not yet in the socket.
+TEST(CallerTaskTests, theEndOfALongAnswerIsNotCutOffAsIdle)
+{
+    constexpr auto Idle = std::chrono::seconds(6);
+    constexpr auto Read = std::chrono::milliseconds(500);
+    constexpr std::size_t Large = std::size_t{ 24 } * 1024 * 1024; // more than the kernel's buffers take
+    Fixture fixture({ .readTimeout = Read, .idleTimeout = Idle });
+    // A connection that sends nothing is closed by the first sweep after the read timeout.
+    const auto waitForSweep = [&]() { WireCaller(fixture.task.address()).readToEnd(); };
+    WireCaller caller(fixture.task.address());
+    caller.send(makePost(GoodBody));
+    const auto id = fixture.nextSubmission().arrived.request;
+    const auto begun = task::monotonicNow();
+    while (task::monotonicNow() - begun <= Idle) {
+        waitForSweep();
+    }
+    fixture.mailboxes.caller.post(AnswerPart{ .request = id, .event = std::string(Large, 'x') });
+    fixture.mailboxes.caller.post(AnswerEnded{ .request = id });
+    waitForSweep();
+    EXPECT_TRUE(contains(caller.readUntil("data: [DONE]"), "data: [DONE]"));
+}
+
+/// Guards against an entry that ends while the end of an answer still waits for its caller to read.
+TEST(CallerTaskTests, anEntryThatIsToEndWritesItsAnswersFirst)
+{
+    constexpr std::size_t Large = std::size_t{ 24 } * 1024 * 1024; // more than the kernel's buffers take
+    Fixture fixture;
+    WireCaller caller(fixture.task.address());
+    caller.send(makePost(GoodBody));
+    const auto id = fixture.nextSubmission().arrived.request;
+    fixture.mailboxes.caller.post(AnswerPart{ .request = id, .event = std::string(Large, 'x') });
+    fixture.mailboxes.caller.post(AnswerEnded{ .request = id });
+    fixture.task.stopWhenIdle();
+    EXPECT_TRUE(contains(caller.readUntil("data: [DONE]"), "data: [DONE]"));
+}
+
 // A caller with an old address comes to an entry that leaves. It is sent to a peer and told that nothing was run.
 TEST(CallerTaskTests, aLeavingEntryRedirectsNewRequests)
 {
