A response reaches a caller that is still sending when its connection closes

Cause: the kernel resets a connection that is closed with unread bytes, or on which bytes arrive after the close, and discards what it has not delivered. libevent closes as soon as the response is in the socket.

Change: after such a response the sending side is shut down and the connection read on until the caller closes, for 2 s at most (LingeringClose). It counts as an unwritten response meanwhile, so that an entry does not exit before. Rejected input is closed in the same way. Not covered: requests of HTTP/1.0 without Connection, and rejections that libevent answers itself (a body over the limit).

--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -4,6 +4,7 @@
 #include "wire/http/disconnectwatch.h"
 #include "wire/http/evhttpheaders.h"
 #include "wire/http/framing.h"
+#include "wire/http/lingeringclose.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -144,6 +145,7 @@
     auto addConnectionHeader(evhttp_request *request) const -> void;
     auto removeExchange(RequestId id) -> void;
     auto watchWriting(evhttp_request *request) -> void;
+    auto handleWritten(evhttp_request *request) -> void;
 
     task::EventLoop &loop;
     FrontendCallbacks callbacks;
@@ -154,6 +156,7 @@
     std::unordered_map<RequestId, Exchange> exchanges;
     std::unordered_map<evhttp_connection *, RequestId> byConnection; ///< the request in flight on each connection
     std::unordered_set<evhttp_connection *> writing;                 ///< whose complete response is not yet in the socket
+    http::LingeringClose lingering;
     bool isDestroying = false;
 };
 
@@ -161,6 +164,7 @@
     : loop(eventLoop)
     , callbacks(std::move(frontendCallbacks))
     , server(evhttp_new(eventLoop.base()))
+    , lingering(eventLoop)
 {
     constexpr auto Methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH
         | EVHTTP_REQ_CONNECT; // which handle() rejects
@@ -220,6 +224,7 @@
 {
     callbacks.onBadRequest("read", detail);
     addHeaders(request, { { "Connection", "close" } });
+    watchWriting(request);
     evhttp_send_reply(request, status, nullptr, nullptr);
 }
 
@@ -280,7 +285,18 @@
 {
     writing.insert(evhttp_request_get_connection(request));
     evhttp_request_set_on_complete_cb(
-        request, [](evhttp_request *written, void *context) { static_cast<Impl *>(context)->writing.erase(evhttp_request_get_connection(written)); }, this);
+        request, [](evhttp_request *written, void *context) { static_cast<Impl *>(context)->handleWritten(written); }, this);
+}
+
+/// libevent closes the connection next if a header of the response says so.
+auto Frontend::Impl::handleWritten(evhttp_request *request) -> void
+{
+    auto *connection = evhttp_request_get_connection(request);
+    writing.erase(connection);
+    const auto *option = evhttp_find_header(evhttp_request_get_output_headers(request), "Connection");
+    if (option != nullptr && http::isSameWord(option, "close")) {
+        lingering.add(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
+    }
 }
 
 Frontend::Frontend(task::EventLoop &loop, FrontendCallbacks callbacks)
@@ -389,7 +405,7 @@
 
 auto Frontend::unwrittenResponses() const -> std::size_t
 {
-    return impl_->writing.size();
+    return impl_->writing.size() + impl_->lingering.size();
 }
 
 } // namespace auburnspread::gateway
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -53,7 +53,7 @@
 
     /// Number of requests whose response is not complete.
     [[nodiscard]] auto openRequests() const -> std::size_t;
-    /// Number of complete responses that callers have not read so far that the socket takes the rest.
+    /// Number of complete responses that callers have not read so far that the socket takes the rest, or whose connection is being closed.
     [[nodiscard]] auto unwrittenResponses() const -> std::size_t;
 
 private:
