An interim head is not the answer of a service of the chat face

What callers saw: nothing was reported of this system. In the search for answers whose head is cut, a service that sends an interim head (100, 102, 103), which nobody asks for, and closes its connection inside the head of its answer started the caller's answer: the attempt counted as started, with the status of the interim head. For a status other than 100 the library takes the interim head for a complete response (by reading).

Cause: the client of the chat face takes each head for that of the answer. That of the pass-through entry and that of the store reject interim heads.

Ruled out: heads that are cut without an interim one. An attempt fails at each byte, closed and reset, first and later answers on a connection, chat and service, with a length, chunks, without framing and with bare LF; these passed before the change.

Change: a head with a status below 200 fails the attempt as a bad response.

Conclusion: no part of an answer's head starts an attempt of the chat face.

--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -85,6 +85,10 @@
         return 0;
     }
     attempt.status = evhttp_request_get_response_code(request);
+    if (attempt.status < OkStatus) {
+        fail(attempt, Failure::BadResponse); // an interim head was not asked for, and is not the answer's
+        return 0;
+    }
     const auto headers = http::readHeaders(evhttp_request_get_input_headers(request));
     if (http::framingOf(attempt.status, headers) == http::Framing::ConnectionEnd) {
         http::readBodyToConnectionEnd(request);
