The small HTTP server lets a caller that has sent its next request read its answer to the end

What callers saw: a caller of the console or of the pages for operators that had sent its next request while it waited lost the end of a large answer after which the connection is closed (it was asked for, the program is stopping, or the next request was forgotten).

Cause: a connection that waits for its answer is not read, so that the next request stays in the kernel; a close with unread bytes resets the connection and discards what is not delivered. A program that is stopping ended as soon as its connections were closed.

Ruled out: bytes left in the library at the close: it waits until its output is in the socket.

Change: such connections end by LingeringClose, and the server has stopped when their callers have closed them (2 s at most).

Conclusion: neither the close nor the stop of the server cuts an answer whose caller reads it within 2 s of its last byte being in the socket.

--- a/src/wire/http/lingeringclose.cpp
+++ b/src/wire/http/lingeringclose.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <utility>
 
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -19,13 +20,15 @@
 
 } // namespace
 
-LingeringClose::LingeringClose(task::EventLoop &loop)
+LingeringClose::LingeringClose(task::EventLoop &loop, std::function<void()> onClosed)
     : loop_(loop)
+    , onClosed_(std::move(onClosed))
 {
 }
 
 LingeringClose::~LingeringClose()
 {
+    onClosed_ = {}; // its owner is ending
     while (!connections_.empty()) {
         remove(connections_.begin()->first);
     }
@@ -63,6 +66,9 @@
 {
     connections_.erase(descriptor);
     ::close(descriptor);
+    if (onClosed_) {
+        onClosed_();
+    }
 }
 
 } // namespace auburnspread::http
--- a/src/wire/http/lingeringclose.h
+++ b/src/wire/http/lingeringclose.h
@@ -6,6 +6,7 @@
 #include "runtime/task/eventloop.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 
 namespace auburnspread::http
@@ -16,7 +17,8 @@
 class LingeringClose
 {
 public:
-    explicit LingeringClose(task::EventLoop &loop);
+    /// Calls \p onClosed after each connection that has ended.
+    explicit LingeringClose(task::EventLoop &loop, std::function<void()> onClosed = {});
     ~LingeringClose();
     LingeringClose(const LingeringClose &) = delete;
     auto operator=(const LingeringClose &) -> LingeringClose & = delete;
@@ -36,6 +38,7 @@
     auto remove(int descriptor) -> void;
 
     task::EventLoop &loop_;
+    std::function<void()> onClosed_;
     std::map<int, Connection> connections_; ///< by a duplicate of the descriptor, which keeps the connection open
 };
 
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -3,6 +3,7 @@
 #include "runtime/net/endpoint.h"
 #include "wire/http/internal/pendingreply.h"
 #include "wire/http/internal/requestreader.h"
+#include "wire/http/lingeringclose.h"
 #include "wire/http/wholefirstline.h"
 
 #include <event2/buffer.h>
@@ -49,7 +50,8 @@
     Phase phase = Phase::Idle;
     std::size_t headerBytes = 0; ///< of the request that is being read
     bool closesAfterAnswer = false;
-    task::Watch timer; ///< ends the connection if it stays idle or its request is not read in time
+    bool isAnswered = false; ///< and to be closed
+    task::Watch timer;       ///< ends the connection if it stays idle or its request is not read in time
     std::weak_ptr<detail::PendingReply> pending;
 };
 
@@ -101,6 +103,7 @@
     std::map<evhtp_connection_t *, Caller> callers_;
     std::set<evhtp_connection_t *> marked_; ///< to be closed on the loop's next turn
     task::Watch closing_;
+    LingeringClose lingering_; ///< answered connections whose callers have not closed them
     bool isListening_ = false;
     bool isStopping_ = false;
     std::function<void()> onStopped_;
@@ -111,6 +114,7 @@
     : loop_(loop)
     , options_(options)
     , raw_(evhtp_new(loop.base(), nullptr))
+    , lingering_(loop, [this]() { reportIfStopped(); })
 {
     // an answer in several segments would wait for the acknowledgement of the first, which the other end delays by 40 ms
     evhtp_enable_flag(raw_.get(), EVHTP_FLAG_ENABLE_NODELAY);
@@ -209,6 +213,9 @@
         if (const auto pending = found->second.pending.lock()) {
             pending->raw = nullptr;
         }
+        if (found->second.isAnswered) {
+            self.lingering_.add(bufferevent_getfd(raw->bev));
+        }
         self.callers_.erase(found);
     }
     self.marked_.erase(raw);
@@ -271,6 +278,7 @@
     // in silence; the end of the connection tells it that they were not run.
     const auto hasForgotten = evbuffer_get_length(bufferevent_get_input(raw->bev)) > 0;
     if (caller.closesAfterAnswer || hasForgotten) {
+        caller.isAnswered = true;
         self.closeLater(raw);
     }
     return EVHTP_RES_OK;
@@ -359,7 +367,7 @@
 
 auto Server::Impl::reportIfStopped() -> void
 {
-    if (isStopping_ && callers_.empty() && onStopped_) {
+    if (isStopping_ && callers_.empty() && lingering_.size() == 0 && onStopped_) {
         stopped_ = loop_.after(Duration(0), [onStopped = std::exchange(onStopped_, nullptr)]() { onStopped(); });
     }
 }
--- a/src/wire/http/tests/server_tests.cpp
+++ b/src/wire/http/tests/server_tests.cpp
@@ -267,6 +267,39 @@
     EXPECT_TRUE(third == std::string::npos || second < third) << caller.received();
 }
 
+/// Guards against an answer whose end is lost: the kernel resets a connection that is closed with unread bytes, here those of the caller's
+/// next request, and discards what is not yet delivered.
+TEST_F(ServerTests, aCallerThatHasSentItsNextRequestGetsTheWholeAnswer)
+{
+    constexpr std::size_t Large = std::size_t{ 24 } * 1024 * 1024; // more than the kernel's buffers take
+    const RawCaller caller(loop_, address_);
+    caller.send("GET /later HTTP/1.1\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil(loop_, [&]() { return waiting_.size() == 1; }));
+    caller.send("GET /echo/2 HTTP/1.1\r\n\r\n");
+    waiting_.front().reply(200, "text/plain", std::string(Large, 'x'));
+    ASSERT_TRUE(runUntil(loop_, [&]() { return caller.isEnded(); }));
+    EXPECT_GE(caller.received().size(), Large);
+}
+
+/// Guards against a program that ends while the end of its last answer is not yet delivered to a caller that has sent its next request.
+TEST_F(ServerTests, aStoppedServerWaitsForTheCallersOfItsLastAnswers)
+{
+    constexpr std::size_t Large = std::size_t{ 24 } * 1024 * 1024; // more than the kernel's buffers take
+    const RawCaller caller(loop_, address_);
+    caller.send("GET /later HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(runUntil(loop_, [&]() { return waiting_.size() == 1; }));
+    caller.send("GET /echo/2 HTTP/1.1\r\n\r\n");
+    waiting_.front().reply(200, "text/plain", std::string(Large, 'x'));
+    std::size_t receivedAtStop = 0;
+    auto isStopped = false;
+    server_.stop([&]() {
+        isStopped = true;
+        receivedAtStop = caller.received().size();
+    });
+    ASSERT_TRUE(runUntil(loop_, [&]() { return isStopped && caller.isEnded(); }));
+    EXPECT_GE(receivedAtStop, Large);
+}
+
 TEST_F(ServerTests, anAnswersHeaderCannotForgeAnother)
 {
     server_.route("/header", [](const http::IncomingRequest &, const http::Replier &replier) {
