--- a/src/failuretests/process.cpp
+++ b/src/failuretests/process.cpp
@@ -41,7 +41,7 @@
 Process::Process(const ProcessOptions &options)
     : output_(options.output)
 {
-    const auto path = std::string(AUBURNSPREAD_BINARY_DIR) + "/" + options.program;
+    const auto path = (std::filesystem::path(AUBURNSPREAD_BINARY_DIR) / options.program).string();
     std::vector<std::string> words{ path };
     words.insert(words.end(), options.arguments.begin(), options.arguments.end());
     std::vector<char *> arguments;
--- a/src/failuretests/process.h
+++ b/src/failuretests/process.h
@@ -13,7 +13,7 @@
 {
 
 struct ProcessOptions {
-    std::string program; ///< name of a binary of the build
+    std::string program; ///< name of a binary of the build, or the full path of another one
     std::vector<std::string> arguments;
     std::filesystem::path output; ///< file for standard output and error
 };
--- a/src/soak/callers.cpp
+++ b/src/soak/callers.cpp
@@ -17,7 +17,7 @@
 namespace standins = adapter::standins;
 
 constexpr Duration AskInterval = std::chrono::seconds(1); ///< callers keep an answer for this long
-constexpr Duration CallerPatience = std::chrono::seconds(7);
+constexpr Duration PatienceAfterLimit = std::chrono::seconds(2);
 constexpr int OkStatus = 200;
 constexpr int FirstRedirectStatus = 300;
 /// One caller in so many keeps to an entry whatever the addresses say, as one that can't get a new answer does.
@@ -48,15 +48,20 @@
 constexpr std::uint64_t EarlyCallers = 3;
 constexpr Duration EarlyPatience = std::chrono::milliseconds(120);
 
-auto streamAnswers(const std::string &id, int first) -> std::map<std::string, std::string>
+auto streamAnswers(const std::string &id, int events, int first) -> std::map<std::string, std::string>
 {
     std::map<std::string, std::string> answers;
     for (const auto *version : ServerVersions) {
-        answers[version] = standins::streamAnswerOf(id, StreamEvents, version, first);
+        answers[version] = standins::streamAnswerOf(id, events, version, first);
     }
     return answers;
 }
 
+auto eventsOf(const KindRoute &route) -> int
+{
+    return route.kind == RequestKind::Draft ? standins::LongStreamEvents : StreamEvents;
+}
+
 auto makeBody(const std::string &id) -> std::string
 {
     constexpr std::size_t Filling = 200;
@@ -135,6 +140,11 @@
 
 auto Callers::send() -> void
 {
+    if (site_.hasDrafts() && drawBelow(2) == 0) {
+        // to any entry, on connections that stand, also while it is leaving
+        sendKind(DraftRoute, drawBelow(site_.entries()));
+        return;
+    }
     sendKind(KindRoutes.at(drawBelow(KindRoutes.size())), chooseEntry());
 }
 
@@ -152,6 +162,7 @@
         .key = takesWithdrawn ? site_.withdrawnKey() : site_.key().name,
         .workspace = SiteWorkspace,
         .mostRuns = route.attempts,
+        .timeLimit = route.timeLimit,
         .isAllowed = !isMarker && !takesWithdrawn && isKeyKnown,
         .onlyVersion = isMarker ? version : 0,
         .at = task::monotonicNow(),
@@ -159,12 +170,12 @@
     request.target = std::string(route.prefix) + (isMarker ? std::to_string(version) + "/" : "") + request.id;
     request.body = request.method == "POST" ? makeBody(request.id) : "";
     request.expectedAnswer
-        = request.target.starts_with(StreamPrefix) ? standins::streamAnswerOf(request.id, StreamEvents) : standins::wholeAnswerOf(request.id);
+        = request.target.starts_with(StreamPrefix) ? standins::streamAnswerOf(request.id, eventsOf(route)) : standins::wholeAnswerOf(request.id);
     if (options_.takesStreamsUp && request.target.starts_with(StreamPrefix)) {
-        request.answersByVersion = streamAnswers(request.id, 1);
+        request.answersByVersion = streamAnswers(request.id, eventsOf(route), 1);
     }
     request.leavesEarly = options_.takesStreamsUp && route.kind == RequestKind::Check && lastId_ % EarlyCallers == 0;
-    const auto patience = request.leavesEarly ? EarlyPatience : CallerPatience;
+    const auto patience = request.leavesEarly ? EarlyPatience : request.timeLimit + PatienceAfterLimit;
     if (site_.crashingPart().empty()) {
         submit(std::move(request), {}, patience);
         return;
@@ -182,7 +193,7 @@
     request.isAllowed = request.isAllowed && !request.leavesEarly;
     ledger_.sent(request);
     open_ += 1;
-    constexpr int DeadlineMs = 5000;
+    const auto deadlineMs = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeLimit).count();
     http::Request call{
         .method = http::methodFromName(request.method).value(),
         .address = site_.callerAddress(std::stoul(request.entry)),
@@ -190,7 +201,7 @@
         .headers = { { "Host", SiteHost },
                      splitLine(standins::attemptIdLine(request.id)),
                      splitLine(standins::keyLine(request.key)),
-                     splitLine(standins::deadlineLine(DeadlineMs)) },
+                     splitLine(standins::deadlineLine(static_cast<int>(deadlineMs))) },
         .body = request.body,
         .timeout = patience,
     };
@@ -209,9 +220,11 @@
     request.leavesEarly = false;
     request.entry = std::to_string(entry);
     request.incarnation = site_.incarnation(entry);
-    request.answersByVersion = streamAnswers(first.id, LastEvent + 1);
+    request.answersByVersion = streamAnswers(first.id, StreamEvents, LastEvent + 1);
     request.at = task::monotonicNow();
-    submit(std::move(request), { splitLine(standins::lastEventLine(std::to_string(LastEvent))), splitLine(standins::resumesLine(first.id)) }, CallerPatience);
+    submit(std::move(request),
+           { splitLine(standins::lastEventLine(std::to_string(LastEvent))), splitLine(standins::resumesLine(first.id)) },
+           first.timeLimit + PatienceAfterLimit);
 }
 
 auto Callers::takeResult(const Sent &request, const http::Result &result) -> void
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -77,6 +77,19 @@
     found->second.runs.push_back(run);
 }
 
+auto Ledger::finished(const std::string &id, const std::string &server, TimePoint at) -> void
+{
+    const auto found = records_.find(id);
+    if (found != records_.end()) {
+        found->second.finished[server] = at;
+    }
+}
+
+auto Ledger::stopped(const std::string &entry, std::uint32_t incarnation, TimePoint at) -> void
+{
+    stops_.try_emplace({ entry, incarnation }, at);
+}
+
 auto Ledger::keyWithdrawn(const std::string &key, TimePoint at) -> void
 {
     withdrawnKeys_[key] = at;
@@ -245,6 +258,44 @@
     violations.push_back({ Promise::NothingLost, record.sent.id, "ran and got no answer: " + record.ended->cause });
 }
 
+/// A request that no server ran may have found the connection closed; an entry has read it if the connection lasted longer.
+auto Ledger::checkStop(const Record &record, Violations &violations) const -> void
+{
+    constexpr Duration MayBeUnread = std::chrono::milliseconds(200);
+    constexpr Duration HeldFor = std::chrono::seconds(3); // an address, by callers
+    constexpr Duration AtWork = std::chrono::milliseconds(6670);
+    constexpr Duration BeforeLimit = std::chrono::milliseconds(500);
+    const auto &sent = record.sent;
+    const auto stop = stops_.find({ sent.entry, sent.incarnation });
+    const auto isLost = record.ended && record.ended->status == 0 && !sent.leavesEarly;
+    if (!isLost || stop == stops_.end() || record.ended->at < stop->second) {
+        return;
+    }
+    const auto signal = stop->second;
+    const auto to = record.ended->at;
+    const auto from = std::min(signal, sent.at);
+    const auto isUnread = record.runs.empty() && to - sent.at <= MayBeUnread;
+    const auto isBroken = [&](const Execution &run) { return overlapsAnyOf(breaks_, run.server, run.at, to); };
+    const auto isHarmedAnyhow = overlapsAnyOf(breaks_, AnyEntry, from, to) || overlapsAnyOf(breaks_, sent.entry, from, to)
+        || std::any_of(record.runs.begin(), record.runs.end(), isBroken);
+    if (isUnread || isHarmedAnyhow || to - sent.at >= sent.timeLimit - BeforeLimit) {
+        return;
+    }
+    const auto wasAtWork = [&](const Execution &run) {
+        const auto finished = record.finished.find(run.server);
+        return run.at < signal + AtWork && (finished == record.finished.end() || finished->second > signal + AtWork);
+    };
+    if (sent.at <= signal + HeldFor && std::any_of(record.runs.begin(), record.runs.end(), wasAtWork)) {
+        return;
+    }
+    const auto sentAfter = std::chrono::duration_cast<std::chrono::milliseconds>(sent.at - signal).count();
+    const auto endedAfter = std::chrono::duration_cast<std::chrono::milliseconds>(to - signal).count();
+    violations.push_back({ Promise::WholeAtStop,
+                           sent.id,
+                           "sent " + std::to_string(sentAfter) + " ms after SIGTERM to entry " + sent.entry + ", ended without a whole answer at "
+                               + std::to_string(endedAfter) + " ms, ran " + std::to_string(record.runs.size()) + " times: " + record.ended->cause });
+}
+
 auto Ledger::metSilence(const Record &record) const -> bool
 {
     const auto isSilent = [&](const Execution &run) { return overlapsAnyOf(silences_, run.server, run.at, record.ended->at); };
@@ -460,6 +511,7 @@
         checkAnswer(record, violations);
         checkPlannedWork(record, violations);
         checkSilences(record, violations);
+        checkStop(record, violations);
         checkResumption(record, violations);
         if (bounds) {
             checkBounds(record, *bounds, violations);
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -37,6 +37,7 @@
     VersionKept,   ///< a stream holds events of one software version, over all tries of its caller
     BrittleKept,   ///< servers that state how many rejections they bear crash at most 2 + a tenth of their number of times
     PartContained, ///< after five servers have crashed on a part of prompts, servers get at most three more requests with it
+    WholeAtStop,   ///< a request that meets the stop of the entry which its caller asked gets a whole answer, however slow its server becomes
     Recovers,      ///< after the last fault everything is served again
 };
 
@@ -58,6 +59,7 @@
     { Promise::VersionKept, "version-kept" },
     { Promise::BrittleKept, "brittle-kept" },
     { Promise::PartContained, "part-contained" },
+    { Promise::WholeAtStop, "whole-at-stop" },
     { Promise::Recovers, "recovers" },
 });
 
@@ -76,6 +78,7 @@
     std::map<std::string, std::string> answersByVersion; ///< whole, of a stream, by the software version of its servers; empty: no stream
     std::string resumes;                                 ///< id of the request that began the stream which this one takes up; empty: none
     std::string crashingPart;                            ///< of its prompt, which crashes servers; empty: none
+    Duration timeLimit = std::chrono::seconds(5);        ///< the shorter one of its deadline and its route's timeout
     bool leavesEarly = false;                            ///< the caller may leave before the end of the answer
     bool isAllowed = true;                               ///< by every version that may be in force
     std::uint64_t onlyVersion = 0;                       ///< the configuration that has its route; 0: all have
@@ -111,6 +114,8 @@
     auto sent(const Sent &request) -> void;
     auto ended(const Ended &end) -> void;
     auto ran(const adapter::standins::Execution &run) -> void;
+    /// The server does no more work on the request.
+    auto finished(const std::string &id, const std::string &server, TimePoint at) -> void;
     auto rejected(const adapter::standins::Rejection &rejection) -> void;
     auto keyWithdrawn(const std::string &key, TimePoint at) -> void;
     auto serverStarts(const std::string &server, const std::string &version) -> void;
@@ -132,6 +137,8 @@
     auto serverCrashed(const std::string &part, TimePoint at) -> void;
     /// The process of a server or of any entry (\c AnyEntry), or the way to a server or from callers to an entry, may end what runs there.
     auto broken(const std::string &name, TimePoint from, TimePoint to) -> void;
+    /// A process of an entry has got SIGTERM.
+    auto stopped(const std::string &entry, std::uint32_t incarnation, TimePoint at) -> void;
     static constexpr auto AnyEntry = "any entry";
     /// A fault may show this long after its end: connections that it harmed are found out, servers are tried again.
     static constexpr Duration Aftermath = std::chrono::seconds(4);
@@ -156,6 +163,7 @@
         Sent sent;
         std::optional<Ended> ended;
         std::vector<adapter::standins::Execution> runs;
+        std::map<std::string, TimePoint> finished; ///< by server
         std::vector<adapter::standins::Rejection> rejections;
     };
     /// A process of an entry and a server.
@@ -168,6 +176,7 @@
     auto checkRuns(const Record &record, Violations &violations) const -> void;
     auto checkAnswer(const Record &record, Violations &violations) const -> void;
     auto checkPlannedWork(const Record &record, Violations &violations) const -> void;
+    auto checkStop(const Record &record, Violations &violations) const -> void;
     auto checkSilences(const Record &record, Violations &violations) const -> void;
     /// Whether a server of the request fell silent while it ran there.
     [[nodiscard]] auto metSilence(const Record &record) const -> bool;
@@ -204,6 +213,7 @@
     auto checkLimit(const Limit &limit, Violations &violations) const -> void;
     [[nodiscard]] auto isHarmed(const std::string &name, TimePoint from, TimePoint to) const -> bool;
     std::vector<Limit> limits_;
+    std::map<std::pair<std::string, std::uint32_t>, TimePoint> stops_; ///< by process of an entry
     struct BrittleTime {
         Interval interval;
         std::size_t servers = 0;
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -51,6 +51,8 @@
     double cuts = 0;
     double brittle = 0;
     double parts = 0;
+    double slowdowns = 0;
+    std::string gateway = SiteOptions().gateway;
     bool onlyPlanned = false;
     bool versions = false;
     bool bounds = false;
@@ -59,6 +61,7 @@
 constexpr auto Usage = "auburnspread-soak [--seed N] [--seconds N] [--entries N] [--servers N] [--rate REQUESTS_A_SECOND]\n"
                        "                  [--faults A_SECOND] [--limits A_SECOND] [--notices A_SECOND] [--restores A_SECOND]\n"
                        "                  [--silences A_SECOND] [--cuts A_SECOND] [--brittle A_SECOND] [--parts A_SECOND]\n"
+                       "                  [--slowdowns A_SECOND] [--gateway PROGRAM]\n"
                        "                  [--planned] [--bounds] [--versions]\n"
                        "--planned: planned work alone, no failures; --bounds: checks also what must hold within a time\n"
                        "--versions: backend servers of two software versions, and callers that take their streams up at other entries\n";
@@ -82,6 +85,8 @@
         { "cuts", required_argument, nullptr, 'c' },
         { "brittle", required_argument, nullptr, 'k' },
         { "parts", required_argument, nullptr, 'a' },
+        { "slowdowns", required_argument, nullptr, 'w' },
+        { "gateway", required_argument, nullptr, 'g' },
         { "versions", no_argument, nullptr, 'v' },
         { nullptr, 0, nullptr, 0 },
     };
@@ -126,6 +131,12 @@
         case 'a':
             options.parts = std::stod(optarg);
             break;
+        case 'w':
+            options.slowdowns = std::stod(optarg);
+            break;
+        case 'g':
+            options.gateway = optarg;
+            break;
         case 'p':
             options.onlyPlanned = true;
             break;
@@ -158,6 +169,8 @@
                   .servers = options.servers,
                   .hasVersions = options.versions,
                   .serverSlots = options.brittle > 0 ? FewSlots : SiteOptions().serverSlots,
+                  .hasDrafts = options.slowdowns > 0,
+                  .gateway = options.gateway,
                   .folder = folder },
                 ledger_)
         , callers_(loop_, { .seed = options.seed, .requestsPerSecond = options.rate, .takesStreamsUp = options.versions }, site_, ledger_)
@@ -173,6 +186,7 @@
                            .cutsPerSecond = options.cuts,
                            .brittlePerSecond = options.brittle,
                            .partsPerSecond = options.parts,
+                           .slowdownsPerSecond = options.slowdowns,
                            .onlyPlannedWork = options.onlyPlanned }))
     {
     }
@@ -244,7 +258,7 @@
         callers_.stop();
         const auto from = task::monotonicNow();
         recovery_ = loop_.every(RestartInterval, [this, from]() {
-            if (callers_.isIdle() || task::monotonicNow() - from > DrainTime) {
+            if (callers_.isIdle() || task::monotonicNow() - from > DrainTime + (site_.hasDrafts() ? DraftRoute.timeLimit : Duration::zero())) {
                 loop_.stop();
             }
         });
--- a/src/soak/plan.cpp
+++ b/src/soak/plan.cpp
@@ -48,6 +48,16 @@
 constexpr double MostRejections = 4;
 /// @}
 
+/// \name Slow backend servers: the exit of an entry that is leaving falls into it
+/// @{
+constexpr Duration ShortestSlowdown = std::chrono::seconds(3);
+constexpr Duration LongestSlowdown = std::chrono::seconds(8);
+constexpr double LeastSlowness = 2;
+constexpr double MostSlowness = 10;
+/// One slowdown in so many is one of all servers.
+constexpr std::size_t SlowdownsOfAll = 2;
+/// @}
+
 /// Number of kinds that are drawn as faults. They come first in the table.
 constexpr auto DrawnKinds = static_cast<std::size_t>(
     std::count_if(FaultKinds.begin(), FaultKinds.end(), [](const NamedValue<FaultKind> &each) { return !isDrawnSeparately(each.value); }));
@@ -161,6 +171,22 @@
     });
 }
 
+auto addSlowdowns(std::vector<Fault> &plan, const PlanOptions &options) -> void
+{
+    constexpr std::uint64_t OtherSeed = 0x736c6f77ULL;
+    addDrawn(plan, options, OtherSeed, options.slowdownsPerSecond, [&options](Random &random) -> Fault {
+        const auto isOfAll = drawBelow(random, SlowdownsOfAll) == 0;
+        return {
+            .at = drawDuration(random, Duration::zero(), options.length),
+            .length = drawDuration(random, ShortestSlowdown, LongestSlowdown),
+            .kind = FaultKind::ServersSlow,
+            .target = drawBelow(random, options.servers),
+            .servers = isOfAll ? options.servers : 1 + drawBelow(random, options.servers),
+            .slowness = std::uniform_real_distribution<double>(LeastSlowness, MostSlowness)(random),
+        };
+    });
+}
+
 /// Times in which all servers, or the requests, are of a kind.
 auto addOfService(std::vector<Fault> &plan, const PlanOptions &options, FaultKind kind, std::uint64_t otherSeed, double perSecond) -> void
 {
@@ -197,6 +223,7 @@
     constexpr std::uint64_t PartSeed = 0x70617274ULL;
     addOfService(plan, options, FaultKind::ServersBrittle, BrittleSeed, options.brittlePerSecond);
     addOfService(plan, options, FaultKind::CrashingPart, PartSeed, options.partsPerSecond);
+    addSlowdowns(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -38,6 +38,7 @@
     EntryCutOff,          ///< one entry from all backend servers, once or again and again
     ServersBrittle,       ///< all backend servers state how many rejections a second they bear, and crash at more
     CrashingPart,         ///< callers send requests with a part in their prompts that crashes each server
+    ServersSlow,          ///< several backend servers take longer for everything, also for what they run
     StoreRestored,        ///< at its end, the store comes back as it was at its beginning; what others wrote is written again soon
 };
 
@@ -53,7 +54,7 @@
     { FaultKind::ServerBackoff, "server-backoff" }, { FaultKind::ServerSilentlyLeaves, "server-silently-leaves" },
     { FaultKind::EntryCutOff, "entry-cut-off" },    { FaultKind::ServersBrittle, "servers-brittle" },
     { FaultKind::CrashingPart, "crashing-part" },   { FaultKind::ServerSilent, "server-silent" },
-    { FaultKind::StoreRestored, "store-restored" },
+    { FaultKind::StoreRestored, "store-restored" }, { FaultKind::ServersSlow, "servers-slow" },
 });
 
 /// Planned work, around which no request may be lost.
@@ -72,7 +73,7 @@
 constexpr auto isDrawnSeparately(FaultKind kind) -> bool
 {
     return isServerStatement(kind) || kind == FaultKind::ServerSilent || kind == FaultKind::StoreRestored || kind == FaultKind::EntryCutOff
-        || kind == FaultKind::ServersBrittle || kind == FaultKind::CrashingPart;
+        || kind == FaultKind::ServersBrittle || kind == FaultKind::CrashingPart || kind == FaultKind::ServersSlow;
 }
 
 /// Failures that may cost a request that runs.
@@ -90,7 +91,8 @@
     double perSecond = 0;    ///< requests that a limited server takes, or rejections that a brittle one bears
     Duration backoff{};      ///< that a server asks for when it rejects a request
     Duration again{};        ///< the entry is cut off in every other interval of this length; 0: all the time
-    std::size_t servers = 1; ///< that fall silent together: the target and those after it
+    std::size_t servers = 1; ///< that fall silent or slow down together: the target and those after it
+    double slowness = 1;     ///< how many times as long a slow server takes
 };
 
 struct PlanOptions {
@@ -99,13 +101,14 @@
     std::size_t entries = 0;
     std::size_t servers = 0;
     double faultsPerSecond = 1;
-    double limitsPerSecond = 0;   ///< rate limits of backend servers, beside the faults
-    double noticesPerSecond = 0;  ///< backoffs and leavings that backend servers state in their answers, beside the faults
-    double silencesPerSecond = 0; ///< silences of backend servers, beside the faults
-    double restoresPerSecond = 0; ///< returns of the store from a copy, beside the faults
-    double cutsPerSecond = 0;     ///< entries that are cut off from all backend servers, beside the faults
-    double brittlePerSecond = 0;  ///< times in which all backend servers are brittle, beside the faults
-    double partsPerSecond = 0;    ///< parts of prompts that crash backend servers, beside the faults
+    double limitsPerSecond = 0;    ///< rate limits of backend servers, beside the faults
+    double noticesPerSecond = 0;   ///< backoffs and leavings that backend servers state in their answers, beside the faults
+    double silencesPerSecond = 0;  ///< silences of backend servers, beside the faults
+    double restoresPerSecond = 0;  ///< returns of the store from a copy, beside the faults
+    double cutsPerSecond = 0;      ///< entries that are cut off from all backend servers, beside the faults
+    double brittlePerSecond = 0;   ///< times in which all backend servers are brittle, beside the faults
+    double partsPerSecond = 0;     ///< parts of prompts that crash backend servers, beside the faults
+    double slowdownsPerSecond = 0; ///< times in which backend servers are slow, beside the faults
     bool onlyPlannedWork = false;
 };
 
--- a/src/soak/site.cpp
+++ b/src/soak/site.cpp
@@ -18,7 +18,6 @@
 namespace standins = adapter::standins;
 using passthrough::Repeatability;
 
-constexpr auto GatewayProgram = "auburnspread-gateway";
 constexpr auto ServiceName = "portal";
 /// Until a server that has crashed is back.
 constexpr Duration CrashLength = std::chrono::seconds(2);
@@ -26,6 +25,7 @@
 constexpr Duration BrittlenessKnownAfter = std::chrono::seconds(2);
 /// Of a process that is asked to end: long enough for the addresses that callers keep, short enough for many ends in a run.
 constexpr auto LeavingSeconds = "6";
+constexpr auto LeavingSecondsWithDrafts = "8";
 constexpr Duration ServesOn = std::chrono::seconds(4); ///< a backend server that leaves
 constexpr std::size_t KeysInForce = 3;
 constexpr std::uint64_t VersionStep = 3; ///< versions grow unevenly
@@ -35,6 +35,7 @@
     switch (kind) {
     case RequestKind::Quote:
     case RequestKind::Check:
+    case RequestKind::Draft:
         return Repeatability::Stream;
     case RequestKind::Notice:
         return Repeatability::AtMostOnce;
@@ -45,17 +46,21 @@
     return Repeatability::AtMostOnce;
 }
 
-auto makeRoutes(std::uint64_t version) -> std::vector<passthrough::Route>
+auto makeRoutes(std::uint64_t version, bool hasDrafts) -> std::vector<passthrough::Route>
 {
+    std::vector<KindRoute> kinds(KindRoutes.begin(), KindRoutes.end());
+    if (hasDrafts) {
+        kinds.push_back(DraftRoute);
+    }
     std::vector<passthrough::Route> routes;
-    for (const auto &each : KindRoutes) {
+    for (const auto &each : kinds) {
         const std::string prefix = each.prefix;
         passthrough::Route route{
             .name = prefix,
             .host = SiteHost,
             .prefix = each.kind == RequestKind::Marker ? prefix + std::to_string(version) + "/" : prefix,
             .repeatability = repeatabilityOf(each.kind),
-            .timeout = std::chrono::seconds(5),
+            .timeout = each.timeLimit,
             .target = std::chrono::milliseconds(300),
             .attempts = each.attempts,
         };
@@ -104,7 +109,8 @@
     std::ofstream file(path);
     file << "[gateway]\nname = " << entry.name << "\nfailure_domain = a\n"
          << "[listen]\ncaller = " << entry.caller << "\nreadiness = " << entry.readiness << "\naddresses = " << entry.addresses << "\npeer = " << entry.peer
-         << "\nmetrics = " << entry.metrics << "\n[platform]\nstore = " << entry.storeProxy->address() << "\n[bounds]\nleaving_s = " << LeavingSeconds << "\n";
+         << "\nmetrics = " << entry.metrics << "\n[platform]\nstore = " << entry.storeProxy->address()
+         << "\n[bounds]\nleaving_s = " << (options_.hasDrafts ? LeavingSecondsWithDrafts : LeavingSeconds) << "\n";
     return path;
 }
 
@@ -115,7 +121,7 @@
     entry.cut = PathFault::None;
     entry.cutAgain = {};
     entry.process = std::make_unique<failuretests::Process>(failuretests::ProcessOptions{
-        .program = GatewayProgram,
+        .program = options_.gateway,
         .arguments = { "--config", writeSettings(entry) },
         .output = options_.folder / (entry.name + "." + std::to_string(entry.incarnation) + ".log"),
     });
@@ -146,20 +152,24 @@
     server.id = "i-" + std::to_string(++lastServer_);
     server.version = options_.hasVersions ? ServerVersions.at(lastServer_ % ServerVersions.size()) : "";
     ledger_.serverStarts(server.id, server.version);
-    server.standin = std::make_unique<standins::ServerStandin>(loop_,
-                                                               standins::ServerStandinOptions{
-                                                                   .id = server.id,
-                                                                   .streamPrefix = StreamPrefix,
-                                                                   .events = StreamEvents,
-                                                                   .version = server.version,
-                                                                   .onExecuted = [this](const standins::Execution &run) { ledger_.ran(run); },
-                                                                   .onRejected = [this](const standins::Rejection &rejection) { ledger_.rejected(rejection); },
-                                                                   .slots = options_.serverSlots,
-                                                                   .onCrashed = [this, number]() { serverCrashed(number); },
-                                                               });
+    server.standin = std::make_unique<standins::ServerStandin>(
+        loop_,
+        standins::ServerStandinOptions{
+            .id = server.id,
+            .streamPrefix = StreamPrefix,
+            .longPrefix = DraftRoute.prefix,
+            .events = StreamEvents,
+            .version = server.version,
+            .onExecuted = [this](const standins::Execution &run) { ledger_.ran(run); },
+            .onRejected = [this](const standins::Rejection &rejection) { ledger_.rejected(rejection); },
+            .slots = options_.serverSlots,
+            .onCrashed = [this, number]() { serverCrashed(number); },
+            .onFinished = [this, id = server.id](const std::string &request) { ledger_.finished(request, id, task::monotonicNow()); },
+        });
     server.proxy = std::make_unique<Proxy>(loop_, server.standin->address());
     server.replacement = {};
     server.silence = {};
+    server.slowness = {};
     server.silentUntil = {};
     server.isLeaving = false;
     server.isLimited = false;
@@ -188,6 +198,7 @@
     auto &server = servers_.at(number);
     server.replacement = {};
     server.silence = {};
+    server.slowness = {};
     ledger_.broken(server.id, task::monotonicNow(), TimePoint::max());
     server.standin.reset();
     server.proxy.reset();
@@ -231,7 +242,7 @@
     version_ += VersionStep;
     std::vector<std::string> names;
     std::transform(keys_.begin(), keys_.end(), std::back_inserter(names), [](const Key &key) { return key.name; });
-    configuration_ = standins::configurationText(version_, makeRoutes(version_), ServiceName, SiteWorkspace, names);
+    configuration_ = standins::configurationText(version_, makeRoutes(version_, options_.hasDrafts), ServiceName, SiteWorkspace, names);
     store_.put(std::string(standins::ConfigurationKey), configuration_);
 }
 
@@ -309,6 +320,18 @@
     }
 }
 
+/// The slowdown that began last counts.
+auto Site::beginSlowdown(const Fault &fault) -> void
+{
+    for (std::size_t i = 0; i < fault.servers; ++i) {
+        auto &server = servers_.at((fault.target + i) % servers_.size());
+        if (server.standin) {
+            server.standin->setSlowness(fault.slowness);
+            server.slowness = loop_.after(fault.length, [&server]() { server.standin->setSlowness(1); });
+        }
+    }
+}
+
 /// A cut ends with the process of the entry.
 auto Site::setCut(std::size_t entry, PathFault path) -> void
 {
@@ -435,6 +458,9 @@
     case FaultKind::ServerSilent:
         beginSilence(fault);
         break;
+    case FaultKind::ServersSlow:
+        beginSlowdown(fault);
+        break;
     case FaultKind::EntryCutOff:
         beginCut(fault);
         break;
@@ -450,6 +476,9 @@
     case FaultKind::EntryStopped: {
         auto &entry = entries_.at(fault.target);
         entry.mayEnd = true;
+        if (fault.kind == FaultKind::EntryStopped) {
+            ledger_.stopped(std::to_string(fault.target), entry.incarnation, task::monotonicNow());
+        }
         signal(entry, fault.kind == FaultKind::EntryKilled ? SIGKILL : SIGTERM);
         break;
     }
@@ -558,6 +587,11 @@
     }
 }
 
+auto Site::hasDrafts() const -> bool
+{
+    return options_.hasDrafts;
+}
+
 auto Site::entries() const -> std::size_t
 {
     return entries_.size();
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -35,6 +35,7 @@
     Check,  ///< a stream that may be resumed
     Notice, ///< at most once
     Fetch,  ///< idempotent
+    Draft,  ///< a long stream that runs once, beside slow servers alone
     Marker, ///< idempotent, on a route that one version of the configuration has
 };
 
@@ -43,6 +44,7 @@
     const char *prefix;
     const char *method;
     std::uint32_t attempts;
+    Duration timeLimit = std::chrono::seconds(5);
 };
 constexpr auto KindRoutes = std::to_array<KindRoute>({
     { RequestKind::Quote, "/stream/quote/", "POST", 1 },
@@ -51,6 +53,8 @@
     { RequestKind::Fetch, "/fetch/", "GET", 2 },
     { RequestKind::Marker, "/version-", "GET", 1 },
 });
+/// Sent only where servers slow down.
+constexpr KindRoute DraftRoute{ RequestKind::Draft, "/stream/draft/", "POST", 1, std::chrono::seconds(15) };
 constexpr auto StreamPrefix = "/stream/"; ///< of all routes whose answers are streams
 
 struct SiteOptions {
@@ -58,7 +62,9 @@
     std::size_t servers = 4;
     bool hasVersions = false; ///< the backend servers have software versions, in turn
     std::uint32_t serverSlots = 64;
-    std::filesystem::path folder; ///< for settings and logs
+    bool hasDrafts = false;                       ///< a route of drafts, and entries that have the time for them when they are stopped
+    std::string gateway = "auburnspread-gateway"; ///< program of the entries
+    std::filesystem::path folder;                 ///< for settings and logs
 };
 
 class Site
@@ -73,6 +79,7 @@
 
     /// \name For callers
     /// @{
+    [[nodiscard]] auto hasDrafts() const -> bool;
     [[nodiscard]] auto entries() const -> std::size_t;
     [[nodiscard]] auto addressesPage(std::size_t entry) const -> const std::string &;
     /// Where a caller connects for an entry's address.
@@ -122,7 +129,8 @@
         bool isOverloaded = false; ///< it rejects requests and asks for a backoff
         task::Watch replacement;   ///< of a server that leaves
         TimePoint silentUntil;
-        task::Watch silence; ///< ends it
+        task::Watch silence;  ///< ends it
+        task::Watch slowness; ///< ends it
     };
 
     auto addEntry(std::size_t number) -> void;
@@ -135,6 +143,7 @@
     auto beginOverload(const Fault &fault) -> void;
     auto endOverload(const Fault &fault) -> void;
     auto beginSilence(const Fault &fault) -> void;
+    auto beginSlowdown(const Fault &fault) -> void;
     auto beginCut(const Fault &fault) -> void;
     auto setCut(std::size_t entry, PathFault path) -> void;
     auto endCut(const Fault &fault) -> void;
--- a/src/soak/tests/ledger_tests.cpp
+++ b/src/soak/tests/ledger_tests.cpp
@@ -387,3 +387,80 @@
     }
     EXPECT_TRUE(breaks(served.ledger, Promise::PartContained));
 }
+
+namespace
+{
+
+/// A draft that was sent so many milliseconds after SIGTERM to its entry, ran, and lost its connection at 7.7 s; its server worked until \p workEnds.
+struct CutDraft {
+    CutDraft(int sentAt, int workEnds)
+    {
+        sent.at = at(sentAt);
+        sent.timeLimit = std::chrono::seconds(15);
+        auto run = makeRun(sent);
+        run.at = at(sentAt + 10);
+        ledger.disturbed(at(0), at(8000)); // servers are slow
+        ledger.stopped("0", 1, at(0));
+        ledger.sent(sent);
+        ledger.ran(run);
+        ledger.finished("a", "i-1", at(workEnds));
+        ledger.ended({ .id = "a", .status = 0, .cause = "closed", .at = at(7700) });
+    }
+
+    Sent sent = makeSent("a");
+    Ledger ledger;
+};
+
+} // namespace
+
+// Guards against the incident of 4 December: an entry that was leaving took streams, its servers slowed down, and its exit cut the streams off.
+TEST(LedgerTests, aLateStreamThatTheExitCutsOffIsSeen)
+{
+    const CutDraft late(3100, 7700);
+    EXPECT_TRUE(breaks(late.ledger, Promise::WholeAtStop));
+    EXPECT_FALSE(late.ledger.check(std::nullopt).empty()) << "also without bounds";
+}
+
+// Guards against a check that excuses every stream which was sent before callers had to know of the stop.
+TEST(LedgerTests, anEarlyStreamIsExcusedOnlyByAServerThatIsStillAtWork)
+{
+    for (const auto sentAt : { -500, 2900 }) {
+        EXPECT_FALSE(breaks(CutDraft(sentAt, 7700).ledger, Promise::WholeAtStop)) << sentAt;
+        EXPECT_TRUE(breaks(CutDraft(sentAt, 6600).ledger, Promise::WholeAtStop)) << sentAt;
+    }
+}
+
+// Guards against a promise that blames the stop for what a crash, a harmed way, a kill or the time limit ended.
+TEST(LedgerTests, otherReasonsExcuseAStreamThatMeetsAStop)
+{
+    for (const std::string name : { "i-1", "0", Ledger::AnyEntry }) {
+        CutDraft cut(3100, 7700);
+        cut.ledger.broken(name, at(5000), at(5100));
+        EXPECT_FALSE(breaks(cut.ledger, Promise::WholeAtStop)) << name;
+    }
+    CutDraft atItsLimit(3100, 7700);
+    atItsLimit.sent.timeLimit = std::chrono::milliseconds(4700);
+    atItsLimit.ledger.sent(atItsLimit.sent);
+    EXPECT_FALSE(breaks(atItsLimit.ledger, Promise::WholeAtStop));
+    CutDraft refused(3100, 7700);
+    refused.ledger.ended({ .id = "a", .status = 502, .at = at(7600) });
+    EXPECT_FALSE(breaks(refused.ledger, Promise::WholeAtStop)) << "an answer with a status";
+    CutDraft atNextProcess(3100, 7700);
+    atNextProcess.sent.incarnation = 2;
+    atNextProcess.ledger.sent(atNextProcess.sent);
+    EXPECT_FALSE(breaks(atNextProcess.ledger, Promise::WholeAtStop));
+}
+
+// Guards against a check that misses requests which an entry read and dropped before any server ran them.
+TEST(LedgerTests, aRequestThatAStoppedEntryHoldsAndDropsIsSeen)
+{
+    for (const auto endsAt : { 4150, 4300 }) {
+        auto sent = makeSent("a");
+        sent.at = at(4000);
+        Ledger ledger;
+        ledger.stopped("0", 1, at(0));
+        ledger.sent(sent);
+        ledger.ended({ .id = "a", .status = 0, .cause = "closed", .at = at(endsAt) });
+        EXPECT_EQ(breaks(ledger, Promise::WholeAtStop), endsAt == 4300) << "the connection may have been closed before the request came";
+    }
+}
--- a/src/soak/tests/plan_tests.cpp
+++ b/src/soak/tests/plan_tests.cpp
@@ -40,7 +40,9 @@
     options.cutsPerSecond = 0.3;
     options.brittlePerSecond = 0.3;
     options.partsPerSecond = 0.3;
+    options.slowdownsPerSecond = 0.3;
     std::set<std::size_t> silentServers;
+    std::set<std::size_t> slowServers;
     std::set<std::size_t> cutEntries;
     int recurringCuts = 0;
     for (const auto &fault : makePlan(options)) {
@@ -56,6 +58,13 @@
             EXPECT_LE(fault.length, std::chrono::milliseconds(2500));
             continue;
         }
+        if (fault.kind == FaultKind::ServersSlow) {
+            slowServers.insert(fault.servers);
+            EXPECT_GE(fault.slowness, 2);
+            EXPECT_LE(fault.slowness, 10);
+            EXPECT_GE(fault.length, std::chrono::seconds(3));
+            continue;
+        }
         if (fault.kind == FaultKind::StoreRestored || fault.kind == FaultKind::ServersBrittle || fault.kind == FaultKind::CrashingPart) {
             EXPECT_TRUE(fault.kind != FaultKind::ServersBrittle || fault.perSecond >= 1);
             continue;
@@ -71,6 +80,7 @@
     }
     EXPECT_EQ(kinds.size(), FaultKinds.size());
     EXPECT_EQ(silentServers, (std::set<std::size_t>{ 1, 2, 3, 4 }));
+    EXPECT_EQ(slowServers, silentServers);
     EXPECT_EQ(cutEntries, (std::set<std::size_t>{ 0, 1, 2 }));
     EXPECT_GT(recurringCuts, 0);
     EXPECT_EQ(paths.size(), PathFaults.size() - 1);
@@ -87,6 +97,7 @@
     options.cutsPerSecond = 0.3;
     options.brittlePerSecond = 0.3;
     options.partsPerSecond = 0.3;
+    options.slowdownsPerSecond = 0.3;
     auto with = makePlan(options);
     EXPECT_GT(std::erase_if(with, [](const Fault &fault) { return isDrawnSeparately(fault.kind); }), 0U);
     ASSERT_EQ(with.size(), without.size());
