The test of callers' cut requests keeps their connections open

Now the callers of cut requests close only after the entry has answered a whole request that came later, and another one follows. The reset case is kept.

An unused name is gone.

--- a/src/gateway/tests/cutheads_tests.cpp
+++ b/src/gateway/tests/cutheads_tests.cpp
@@ -8,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
 #include <future>
 #include <optional>
 #include <string>
@@ -344,28 +346,30 @@
     }
 }
 
-/// Guards against a request that runs although its caller has not sent it: the connection ends inside the head, or the body.
+/// Guards against a request that runs although its caller has not sent it: the caller stops inside the head, or the body, and closes its
+/// connection later. A request that is taken up by mistake runs before that, as nothing cancels it.
 TEST(CutHeadTests, aRequestThatIsCutAtAnyByteDoesNotRun)
 {
     const SiteWithServer served;
     const auto request = makeRequest("/notice/cut", "id-cut", "body");
     for (const auto end : { End::Closed, End::Reset }) {
+        std::deque<Caller> cut;
         for (std::size_t bytes = 0; bytes < request.size(); ++bytes) {
-            Caller cut(served.site.callerAddress());
-            cut.send(request.substr(0, bytes));
-            if (end == End::Closed) {
-                cut.close();
-            } else {
-                cut.reset();
+            cut.emplace_back(served.site.callerAddress()).send(request.substr(0, bytes));
+        }
+        // two whole requests after them, so that the entry has read the cut ones, and their ends
+        for (const auto isEnded : { false, true }) {
+            Caller caller(served.site.callerAddress());
+            caller.send(makeRequest("/notice/whole", "id-1", "x", "Connection: close\r\n"));
+            const auto connection = served.server.accept();
+            const auto head = connection.readUntil(EndOfHead);
+            EXPECT_TRUE(contains(head, "/notice/whole")) << head;
+            connection.send(makeAnswerHead("id-1") + "Connection: close\r\nContent-Length: 5\r\n\r\nwhole");
+            EXPECT_TRUE(contains(caller.readUntil("whole"), "HTTP/1.1 200 "));
+            EXPECT_FALSE(served.server.hasConnection());
+            if (!isEnded) {
+                std::for_each(cut.begin(), cut.end(), [&](Caller &ended) { end == End::Closed ? ended.close() : ended.reset(); });
             }
         }
     }
-    Caller caller(served.site.callerAddress());
-    caller.send(makeRequest("/notice/whole", "id-1", "x"));
-    const auto connection = served.server.accept();
-    const auto head = connection.readUntil(EndOfHead);
-    EXPECT_TRUE(contains(head, "/notice/whole")) << head;
-    connection.send(makeAnswer("id-1", "whole"));
-    EXPECT_TRUE(contains(caller.readUntil("whole"), "HTTP/1.1 200 "));
-    EXPECT_FALSE(served.server.hasConnection());
 }
--- a/src/wire/http/tests/cutheads_tests.cpp
+++ b/src/wire/http/tests/cutheads_tests.cpp
@@ -18,7 +18,6 @@
 
 using namespace auburnspread;
 using http::tests::fetch;
-using http::tests::runUntil;
 
 namespace
 {
