An entry that pauses again and again serves on after the termination signal

A VM whose core is always short pauses several times a second; all these pauses were taken for one, so that a new signal seemed to be as old as the first of them. The entry would have refused everything at once and ended what was not begun.

Change: only pauses within a second after the end of the first one are a series.

Test: LeavingTests.anEntryThatPausesAgainAndAgainServesAfterTheSignal failed before; the test for a second pause within the series passes as before.

--- a/src/gateway/leaving.cpp
+++ b/src/gateway/leaving.cpp
@@ -23,7 +23,7 @@
 
 /// A longer time between two services of the timer is a pause.
 constexpr Duration MinPause = std::chrono::milliseconds(100);
-/// A signal that came in a pause is noticed within this time after it: other events may be served first.
+/// A signal that came in a pause is noticed within this time after it: other events may be served first. Pauses within it are a series.
 constexpr Duration PauseAftermath = std::chrono::seconds(1);
 
 } // namespace
@@ -37,16 +37,18 @@
 auto recordService(LoopTimes &times, TimePoint now) -> void
 {
     if (now - times.servedAt >= MinPause) {
-        const auto isSamePause = times.servedAt - times.pauseEndedAt < PauseAftermath;
-        times.pauseBeganAt = isSamePause ? times.pauseBeganAt : times.servedBeforeAt;
-        times.pauseEndedAt = now;
+        if (times.servedAt - times.firstPauseEndedAt >= PauseAftermath) {
+            times.pauseBeganAt = times.servedBeforeAt;
+            times.firstPauseEndedAt = now;
+        }
+        times.lastPauseEndedAt = now;
     }
     times.servedBeforeAt = std::exchange(times.servedAt, now);
 }
 
 auto earliestSignalTime(const LoopTimes &times, TimePoint now) -> TimePoint
 {
-    const auto hasJustPaused = now - times.pauseEndedAt < PauseAftermath;
+    const auto hasJustPaused = now - times.lastPauseEndedAt < PauseAftermath;
     return hasJustPaused ? std::min(times.pauseBeganAt, times.servedBeforeAt) : times.servedBeforeAt;
 }
 
--- a/src/gateway/leaving.h
+++ b/src/gateway/leaving.h
@@ -16,12 +16,13 @@
 /// Time for which callers may cache the addresses of the entries. Some callers keep them three times as long.
 constexpr Duration AddressCacheTime = std::chrono::seconds(1);
 
-/// When the event loop served a periodic timer, and its last pause. A process that does not run notices a signal late.
+/// When the event loop served a periodic timer, and its last pauses. A process that does not run notices a signal late.
 struct LoopTimes {
     TimePoint servedAt;
     TimePoint servedBeforeAt;
-    TimePoint pauseBeganAt;
-    TimePoint pauseEndedAt;
+    TimePoint pauseBeganAt;      ///< of the first pause of the last series
+    TimePoint firstPauseEndedAt; ///< of the same series
+    TimePoint lastPauseEndedAt;
 };
 
 /// For an event loop that starts now.
--- a/src/gateway/tests/leaving_tests.cpp
+++ b/src/gateway/tests/leaving_tests.cpp
@@ -127,3 +127,16 @@
     }
     EXPECT_GE(earliestSignalTime(times, at), at - std::chrono::milliseconds(50)) << "long after the pause";
 }
+
+/// Guards against a new signal that seems to be old: an entry that always pauses would refuse and end everything at once.
+TEST(LeavingTests, anEntryThatPausesAgainAndAgainServesAfterTheSignal)
+{
+    auto at = Start;
+    auto times = beginLoopTimes(at);
+    for (auto i = 0; i < 100; ++i, at += std::chrono::milliseconds(i % 2 == 0 ? 20 : 180)) {
+        recordService(times, at);
+    }
+    const auto drain = beginDrain(earliestSignalTime(times, at), at, DrainTime);
+    EXPECT_GT(cachedAddressesExpireAt(drain), at + AddressCacheTime);
+    EXPECT_LT(drain.signalAt, at - std::chrono::milliseconds(180)) << "the signal may have come in a pause";
+}
