--- /dev/null
+++ b/src/failuretests/crowd/processusage.h
@@ -0,0 +1,24 @@
+/// \file
+/// What a process uses of its VM, as the kernel reports it.
+
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <sys/types.h>
+
+namespace auburnspread::failuretests
+{
+
+/// Resident memory in bytes; 0 if the process has ended.
+auto residentBytes(pid_t process) -> std::size_t;
+/// The most that it ever was.
+auto peakResidentBytes(pid_t process) -> std::size_t;
+/// Number of open descriptors; 0 if the process has ended.
+auto openDescriptors(pid_t process) -> std::size_t;
+/// Whether the process waits for events instead of running.
+auto isAsleep(pid_t process) -> bool;
+/// Bytes that the connections of the IPv4 address \p host have received and nobody has read.
+auto unreadBytes(const std::string &host) -> std::size_t;
+
+} // namespace auburnspread::failuretests
--- a/src/failuretests/process.cpp
+++ b/src/failuretests/process.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -20,18 +21,22 @@
 constexpr int ExecFailedExit = 127;
 
 /// In the child. The kernel kills it if the test program dies, so that an aborted test leaves nothing behind.
-[[noreturn]] auto runChild(const std::string &path, std::vector<char *> &arguments, const std::string &output, pid_t parent) -> void
+[[noreturn]] auto runChild(const std::string &path, std::vector<char *> &arguments, const ProcessOptions &options, pid_t parent) -> void
 {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent) {
         ::_exit(ExecFailedExit);
     }
     constexpr int FileMode = 0600;
-    const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+    const int file = ::open(options.output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
     if (file >= 0) {
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
     }
+    if (options.descriptors) {
+        const rlimit limit{ .rlim_cur = *options.descriptors, .rlim_max = *options.descriptors };
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
     ::execv(path.c_str(), arguments.data());
     ::_exit(ExecFailedExit);
 }
@@ -50,14 +55,13 @@
         arguments.push_back(word.data());
     }
     arguments.push_back(nullptr);
-    const auto output = output_.string();
     const auto parent = ::getpid();
     pid_ = ::fork();
     if (pid_ < 0) {
         throw std::system_error(errno, std::generic_category(), "process: fork for " + options.program);
     }
     if (pid_ == 0) {
-        runChild(path, arguments, output, parent);
+        runChild(path, arguments, options, parent);
     }
 }
 
--- a/src/failuretests/process.h
+++ b/src/failuretests/process.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -15,7 +16,8 @@
 struct ProcessOptions {
     std::string program; ///< name of a binary of the build, or the full path of another one
     std::vector<std::string> arguments;
-    std::filesystem::path output; ///< file for standard output and error
+    std::filesystem::path output;                ///< file for standard output and error
+    std::optional<std::size_t> descriptors = {}; ///< that it may have open; not set: as many as the test
 };
 
 class Process
