Tests: crowds before the chat face and the placer; memory by the kernel's own peak

Cause: samples 50 ms apart miss the peak of a crowd, and what sockets to backend servers hold unread did not count.

Change: the peak resident memory is the kernel's, and the unread bytes are those of all sockets of the process and of connections that it has not accepted. Both are stricter. The crowds and the bound are as they were. Six crowds before auburnspread-entry (callers, admin) and auburnspread-placer.

--- a/src/failuretests/crowd/processusage.cpp
+++ b/src/failuretests/crowd/processusage.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <iterator>
 #include <limits>
+#include <set>
+#include <string_view>
 #include <system_error>
 
 #include <arpa/inet.h>
@@ -24,6 +26,20 @@
     return "/proc/" + std::to_string(process) + "/" + file;
 }
 
+auto socketInodes(pid_t process) -> std::set<std::string>
+{
+    constexpr std::string_view Prefix = "socket:[";
+    std::set<std::string> inodes;
+    std::error_code error;
+    for (const auto &entry : std::filesystem::directory_iterator(pathOf(process, "fd"), error)) {
+        const auto target = std::filesystem::read_symlink(entry.path(), error).string(); // the process may close it meanwhile
+        if (target.starts_with(Prefix)) {
+            inodes.insert(target.substr(Prefix.size(), target.size() - Prefix.size() - 1));
+        }
+    }
+    return inodes;
+}
+
 /// A line of the process's status, which is in kilobytes; 0 if there is none.
 auto statusBytes(pid_t process, const std::string &name) -> std::size_t
 {
@@ -64,8 +80,9 @@
     return state == 'S';
 }
 
-auto unreadBytes(const std::string &host) -> std::size_t
+auto unreadBytes(pid_t process, const std::string &host) -> std::size_t
 {
+    const auto own = socketInodes(process);
     std::array<char, sizeof "00000000:"> address{};
     std::snprintf(address.data(), address.size(), "%08X:", ::inet_addr(host.c_str()));
     std::ifstream file("/proc/net/tcp");
@@ -77,9 +94,14 @@
     std::string remote;
     std::string state;
     std::string queues;
-    while (file >> number >> local >> remote >> state >> queues && std::getline(file, line)) {
+    std::string timer;
+    std::string retransmits;
+    std::string user;
+    std::string timeout;
+    std::string inode;
+    while (file >> number >> local >> remote >> state >> queues >> timer >> retransmits >> user >> timeout >> inode && std::getline(file, line)) {
         constexpr auto Listening = "0A"; // its queue counts connections
-        if (local.starts_with(address.data()) && state != Listening) {
+        if ((local.starts_with(address.data()) || own.contains(inode)) && state != Listening) {
             total += std::stoul(queues.substr(queues.find(':') + 1), nullptr, HexBase);
         }
     }
--- a/src/failuretests/crowd/processusage.h
+++ b/src/failuretests/crowd/processusage.h
@@ -18,7 +18,7 @@
 auto openDescriptors(pid_t process) -> std::size_t;
 /// Whether the process waits for events instead of running.
 auto isAsleep(pid_t process) -> bool;
-/// Bytes that the connections of the IPv4 address \p host have received and nobody has read.
-auto unreadBytes(const std::string &host) -> std::size_t;
+/// Bytes that the process's connections have received and it has not read, with those that it has not accepted at the IPv4 address \p host.
+auto unreadBytes(pid_t process, const std::string &host) -> std::size_t;
 
 } // namespace auburnspread::failuretests
--- a/src/failuretests/crowd/tests/crowd_tests.cpp
+++ b/src/failuretests/crowd/tests/crowd_tests.cpp
@@ -2,13 +2,13 @@
 /// Clients that don't behave: the process lives, stays within the memory and the descriptors of its VM, and serves afterwards.
 
 #include "failuretests/crowd/crowd.h"
+#include "failuretests/crowd/crowdplay.h"
 #include "failuretests/crowd/crowdsite.h"
 #include "failuretests/crowd/processusage.h"
 #include "platform/standins/wiretext.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <string>
@@ -47,23 +47,12 @@
 /// Plays \p crowd and checks what must hold whatever it does.
 auto check(CrowdSite &site, const CrowdOptions &crowd) -> void
 {
-    const auto pid = site.gateway().pid();
-    const auto descriptorsBefore = openDescriptors(pid);
-    std::size_t peak = 0;
-    std::size_t descriptors = 0;
-    {
-        Crowd clients(crowd);
-        clients.run([&]() {
-            peak = std::max(peak, residentBytes(pid) + unreadBytes(site.addresses().host));
-            descriptors = std::max(descriptors, openDescriptors(pid));
-        });
-        peak = std::max(peak, peakResidentBytes(pid));
-    }
+    const auto usage = playCrowd(site.gateway(), crowd);
     EXPECT_FALSE(site.gateway().exitCode()) << site.gateway().output();
-    EXPECT_LE(peak, VmBytes);
+    EXPECT_LE(usage.peakBytes, VmBytes);
     // one for each client, and one to a backend server for its request, with some for the gateway's own calls
     constexpr std::size_t OwnDescriptors = 50;
-    EXPECT_LE(descriptors, descriptorsBefore + 2 * crowd.connections + OwnDescriptors);
+    EXPECT_LE(usage.descriptors, usage.descriptorsBefore + 2 * crowd.connections + OwnDescriptors);
     EXPECT_TRUE(site.serves());
 }
 
