--- a/src/runtime/task/eventloop.h
+++ b/src/runtime/task/eventloop.h
@@ -56,6 +56,8 @@
 
     /// Calls \p action once after \p delay.
     [[nodiscard]] auto after(Duration delay, std::function<void()> action) -> Watch;
+    /// Calls \p action once in this turn, after the events that have occurred and before the loop waits for others.
+    [[nodiscard]] auto inThisTurn(std::function<void()> action) -> Watch;
     /// Calls \p action every \p interval.
     [[nodiscard]] auto every(Duration interval, std::function<void()> action) -> Watch;
     /// Calls \p action while \p descriptor is readable.
