Pages hold a bounded number of bytes for all of their connections

What callers saw: an entry killed for its memory by five connections that sent requests for the metrics page one after another and read nothing (1,070 MB), or by 200 bodies sent to a page (145 to 278 MB).

Cause: the small HTTP server reads and answers on while answers are unread, and limits one body, not all of them.

Change: each server counts input, request and unsent output of its connections in an account (wire/http/heldconnection), its input buffer and sockets are bounded, a connection with 64 KiB of unread answers gets no further one and is closed.

Why it works: what is counted is what grows. A test that cut off a caller by the send timeout has an account of its own, larger than its answer of 64 MB.

--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -1,6 +1,9 @@
 #include "wire/http/server.h"
 
+#include "runtime/logging/logging.h"
 #include "runtime/net/endpoint.h"
+#include "wire/http/acceptpause.h"
+#include "wire/http/heldconnection.h"
 #include "wire/http/internal/pendingreply.h"
 #include "wire/http/internal/requestreader.h"
 #include "wire/http/lingeringclose.h"
@@ -11,12 +14,14 @@
 #include <event2/listener.h>
 #include <evhtp/evhtp.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <optional>
 #include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <system_error>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -30,6 +35,11 @@
 constexpr int MethodStatus = 405;
 constexpr int InternalStatus = 500;
 
+/// Of a connection that is not read, as a whole request need not lie there.
+constexpr std::size_t MaxInputBytes = std::size_t{ 64 } * 1024;
+/// Answers that a caller has not read. It gets no further one, and its connection is closed.
+constexpr std::size_t MaxUnsentBytes = std::size_t{ 64 } * 1024;
+
 struct EvhtpDeleter {
     auto operator()(evhtp_t *raw) const -> void
     {
@@ -51,15 +61,19 @@
     std::size_t headerBytes = 0; ///< of the request that is being read
     bool closesAfterAnswer = false;
     bool isAnswered = false; ///< and to be closed
-    task::Watch timer;       ///< ends the connection if it stays idle or its request is not read in time
+    TimePoint phaseBeganAt;
+    task::Watch timer; ///< ends the connection if it stays idle or its request is not read in time
+    std::unique_ptr<HeldConnection> held;
     std::weak_ptr<detail::PendingReply> pending;
 };
 
-// The answer goes straight to the socket, because evhtp closes the connection as soon as the hook has refused it.
-auto sendTooLarge(evhtp_connection_t *connection) -> void
+constexpr std::string_view TooLargeAnswer = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+constexpr std::string_view NoRoomAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n";
+
+// The answer goes straight to the socket, because the connection is closed next, with its request unread.
+auto sendAtOnce(evhtp_connection_t *connection, std::string_view answer) -> void
 {
-    constexpr std::string_view Answer = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    ::send(bufferevent_getfd(connection->bev), Answer.data(), Answer.size(), MSG_NOSIGNAL);
+    ::send(bufferevent_getfd(connection->bev), answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
 } // namespace
@@ -67,7 +81,7 @@
 class Server::Impl
 {
 public:
-    Impl(task::EventLoop &loop, const ServerOptions &options);
+    Impl(task::EventLoop &loop, const ServerOptions &options, memory::Account *account);
     ~Impl();
     Impl(const Impl &) = delete;
     auto operator=(const Impl &) -> Impl & = delete;
@@ -92,6 +106,8 @@
     auto dispatch(evhtp_request_t *raw, Caller &caller) -> void;
     [[nodiscard]] auto findHandler(const std::string &path) const -> const Handler *;
     auto limitPhase(Caller &caller, Phase phase, Duration limit) -> void;
+    static auto closeForMemory(Caller &caller) -> void;
+    auto makeRoom() -> bool;
     auto closeLater(evhtp_connection_t *raw) -> void;
     auto closeMarked() -> void;
     auto reportIfStopped() -> void;
@@ -103,6 +119,9 @@
     std::map<evhtp_connection_t *, Caller> callers_;
     std::set<evhtp_connection_t *> marked_; ///< to be closed on the loop's next turn
     task::Watch closing_;
+    std::unique_ptr<memory::Account> ownAccount_;
+    memory::Account *account_;
+    AcceptPause acceptPause_;
     LingeringClose lingering_; ///< answered connections whose callers have not closed them
     bool isListening_ = false;
     bool isStopping_ = false;
@@ -110,10 +129,13 @@
     task::Watch stopped_;
 };
 
-Server::Impl::Impl(task::EventLoop &loop, const ServerOptions &options)
+Server::Impl::Impl(task::EventLoop &loop, const ServerOptions &options, memory::Account *account)
     : loop_(loop)
     , options_(options)
     , raw_(evhtp_new(loop.base(), nullptr))
+    , ownAccount_(account == nullptr ? std::make_unique<memory::Account>(loop, memory::limitsOf(memory::SmallestVmBytes)) : nullptr)
+    , account_(account == nullptr ? ownAccount_.get() : account)
+    , acceptPause_(loop, [this]() { return makeRoom(); })
     , lingering_(loop, [this]() { reportIfStopped(); })
 {
     // an answer in several segments would wait for the acknowledgement of the first, which the other end delays by 40 ms
@@ -126,6 +148,7 @@
 
 Server::Impl::~Impl()
 {
+    acceptPause_.watch(nullptr);
     if (isListening_) {
         evhtp_unbind_socket(raw_.get());
     }
@@ -152,7 +175,10 @@
         throw std::system_error(errno, std::generic_category(), "listen " + address);
     }
     isListening_ = true;
-    ::getsockname(evconnlistener_get_fd(raw_->server), target.get(), &target.size);
+    const auto descriptor = evconnlistener_get_fd(raw_->server);
+    boundSocketBuffers(descriptor);
+    acceptPause_.watch(raw_->server);
+    ::getsockname(descriptor, target.get(), &target.size);
     return net::formatAddress(target.get());
 }
 
@@ -161,6 +187,7 @@
     isStopping_ = true;
     onStopped_ = std::move(onStopped);
     if (std::exchange(isListening_, false)) {
+        acceptPause_.watch(nullptr);
         evhtp_unbind_socket(raw_.get());
     }
     for (auto &[raw, caller] : callers_) {
@@ -182,8 +209,8 @@
 
 auto Server::Impl::onPreAccept(evhtp_connection_t * /*raw*/, void *context) -> evhtp_res
 {
-    const auto &self = *static_cast<Impl *>(context);
-    return self.callers_.size() < self.options_.connections ? EVHTP_RES_OK : EVHTP_RES_ERROR;
+    auto &self = *static_cast<Impl *>(context);
+    return self.callers_.size() < self.options_.connections || self.makeRoom() ? EVHTP_RES_OK : EVHTP_RES_ERROR;
 }
 
 auto Server::Impl::onPostAccept(evhtp_connection_t *raw, void *context) -> evhtp_res
@@ -192,6 +219,12 @@
     readWholeFirstLines(raw);
     auto &caller = self.callers_[raw];
     caller.raw = raw;
+    caller.held = std::make_unique<HeldConnection>(raw->bev,
+                                                   *self.account_,
+                                                   HeldConnectionLimits{ .requestBytes = self.options_.headerBytes + self.options_.bodyBytes,
+                                                                         .inputBytes = MaxInputBytes,
+                                                                         .readAheadBytes = MaxInputBytes },
+                                                   HeldConnectionCallbacks{ .close = [&caller](memory::CloseCause) { closeForMemory(caller); } });
     const auto hook = [raw, context](evhtp_hook_type type, auto *function) {
         evhtp_connection_set_hook(raw, type, reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function)), context);
     };
@@ -246,7 +279,7 @@
     if (detail::declaredLength(headers) <= self.options_.bodyBytes) {
         return EVHTP_RES_OK;
     }
-    sendTooLarge(raw->conn);
+    sendAtOnce(raw->conn, TooLargeAnswer);
     return EVHTP_RES_ERROR;
 }
 
@@ -295,8 +328,14 @@
 
 auto Server::Impl::dispatch(evhtp_request_t *raw, Caller &caller) -> void
 {
+    if (evbuffer_get_length(bufferevent_get_output(raw->conn->bev)) > MaxUnsentBytes) {
+        evhtp_request_pause(raw); // no further request of it is taken
+        closeLater(raw->conn);
+        return;
+    }
     caller.phase = Phase::Answering;
     caller.timer = {};
+    caller.held->beginWork();
     caller.closesAfterAnswer = isStopping_ || (raw->flags & EVHTP_REQ_FLAG_KEEPALIVE) == 0;
     const auto pending = std::make_shared<detail::PendingReply>();
     pending->raw = raw;
@@ -348,9 +387,42 @@
 auto Server::Impl::limitPhase(Caller &caller, Phase phase, Duration limit) -> void
 {
     caller.phase = phase;
+    caller.phaseBeganAt = task::monotonicNow();
+    if (phase == Phase::Sending) {
+        caller.held->beginResponse();
+    } else if (phase == Phase::Idle) {
+        caller.held->endRequest();
+    }
     caller.timer = loop_.after(limit, [raw = caller.raw]() { evhtp_connection_free(raw); });
 }
 
+auto Server::Impl::closeForMemory(Caller &caller) -> void
+{
+    if (caller.phase == Phase::Reading) {
+        sendAtOnce(caller.raw, NoRoomAnswer);
+        caller.isAnswered = true;
+    }
+    evhtp_connection_free(caller.raw);
+}
+
+/// Closes the connection that has been idle for longest, or else the one whose request has been arriving for longest.
+auto Server::Impl::makeRoom() -> bool
+{
+    const auto rank = [](const Caller &caller) {
+        const auto isSpared = caller.phase == Phase::Answering || caller.phase == Phase::Sending;
+        return std::tuple(isSpared, caller.phase != Phase::Idle, caller.phaseBeganAt);
+    };
+    const auto found = std::min_element(callers_.begin(), callers_.end(), [rank](const auto &a, const auto &b) { return rank(a.second) < rank(b.second); });
+    if (found == callers_.end() || std::get<0>(rank(found->second))) {
+        return false;
+    }
+    logging::event(logging::Level::Warning,
+                   "connection-closed-for-another",
+                   { { "peer", "caller " + peerOf(found->first->bev) }, { "connections", callers_.size() }, { "limit", options_.connections } });
+    evhtp_connection_free(found->first);
+    return true;
+}
+
 // Freeing a connection from within one of its own hooks would pull it from under libevhtp.
 auto Server::Impl::closeLater(evhtp_connection_t *raw) -> void
 {
@@ -372,8 +444,8 @@
     }
 }
 
-Server::Server(task::EventLoop &loop, ServerOptions options)
-    : impl_(std::make_unique<Impl>(loop, options))
+Server::Server(task::EventLoop &loop, ServerOptions options, memory::Account *account)
+    : impl_(std::make_unique<Impl>(loop, options, account))
 {
 }
 
--- a/src/wire/http/server.h
+++ b/src/wire/http/server.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "runtime/memory/account.h"
 #include "runtime/task/eventloop.h"
 #include "wire/http/message.h"
 
@@ -22,7 +23,7 @@
 struct ServerOptions {
     std::size_t headerBytes = std::size_t{ 16 } * 1024; ///< of one request; a longer block ends the connection
     std::size_t bodyBytes = std::size_t{ 1024 } * 1024; ///< of one request; a longer one is answered 413 where that can still be read
-    std::size_t connections = 256;                      ///< at once; further ones are closed
+    std::size_t connections = 256;                      ///< at once; then the one that is idle for longest yields to a new one
     Duration readTimeout = std::chrono::seconds(10);    ///< from a request's first byte to its last, also from connecting to the first request's end
     Duration sendTimeout = std::chrono::seconds(30);    ///< from the answer to the last byte that the caller takes of it
     Duration idleTimeout = std::chrono::seconds(60);    ///< of a connection without a request
@@ -69,7 +70,8 @@
 class Server
 {
 public:
-    explicit Server(task::EventLoop &loop, ServerOptions options = {});
+    /// \p account counts what is held for callers; without one the server has its own, for the smallest VM.
+    explicit Server(task::EventLoop &loop, ServerOptions options = {}, memory::Account *account = nullptr);
     /// Closes everything. Not to be called from within a handler.
     ~Server();
     Server(const Server &) = delete;
--- a/src/wire/http/tests/server_tests.cpp
+++ b/src/wire/http/tests/server_tests.cpp
@@ -236,7 +236,8 @@
 // The time to send it is limited, so the connection and the answer's memory do not stay for ever.
 TEST_F(ServerTests, aCallerThatDoesNotReadItsAnswerIsCutOff)
 {
-    http::Server server(loop_, { .sendTimeout = std::chrono::milliseconds(50) });
+    memory::Account account(loop_, { .bytes = std::size_t{ 1024 } * 1024 * 1024 }); // which would close it before
+    http::Server server(loop_, { .sendTimeout = std::chrono::milliseconds(50) }, &account);
     server.route("/large", [](const http::IncomingRequest &, const http::Replier &replier) {
         constexpr std::size_t MoreThanBuffers = std::size_t{ 64 } * 1024 * 1024;
         replier.reply(200, "text/plain", std::string(MoreThanBuffers, 'x'));
