A slow caller slows its own backend server down; responses that arrive count in the account

What callers saw: 500 streams, read slowly, took the entry's memory (106 MB before any change); a stream whose caller was 1 MiB behind was broken off.

Cause: the entry read from the server as fast as it could, whatever the caller took; responses had a bound of their own, which failed attempts as if their servers were bad and was not derived from the VM.

Responses that arrive are in the process's account; one without room gives its caller 502 memory-full, as its server has worked on it, and counts as no failure of the server. A large request is sent from where it lies, without a copy. Tests of the upstream have an account of 32 MiB, the bound that was a constant before.

Why it works: what is not read stays with the server, whose own socket then waits.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,7 @@
 {
 
 constexpr int OkStatus = 200;
+constexpr int BadGatewayStatus = 502;
 constexpr int FirstRedirectStatus = 300;
 
 /// The configuration counts as confirmed for the key withdrawal time less this margin: a watch of the store may miss changes
@@ -49,6 +50,7 @@
     TimePoint arrivedAt;
     std::optional<TimePoint> firstByteAt;
     bool responseStarted = false; ///< a part of the response was sent to the caller
+    bool isCallerBehind = false;  ///< the caller has not read what was sent
     std::string server;           ///< backend server of the last attempt
     BodyEnd body;                 ///< of the response that the caller receives
 };
@@ -136,6 +138,8 @@
 
     auto handleRequest(RequestId id, BufferedRequestPointer message) -> void;
     auto handleCallerGone(RequestId id) -> void;
+    auto handleCallerBehind(RequestId id, bool isBehind) -> void;
+    auto handleNoRoom(AttemptId attempt) -> void;
     auto handleAbandonedRequest(const http::Headers &headers) -> void;
     auto beginStream(AttemptId attempt, int status, const http::Headers &headers) -> void;
     auto relayEvents(AttemptId attempt, std::string_view events) -> void;
@@ -192,9 +196,11 @@
                    .onCallerGone = [this](RequestId id) { handleCallerGone(id); },
                    .onAbandonedRequest = [this](const http::Headers &headers) { handleAbandonedRequest(headers); },
                    .onBadRequest = [this](std::string_view step, std::string_view detail) { accounting.badRequestRefused(step, detail); },
+                   .onCallerBehind = [this](RequestId id, bool isBehind) { handleCallerBehind(id, isBehind); },
                })
     , upstream(
           loop,
+          memoryAccount,
           {
               .onStarted = [this](AttemptId attempt, bool isForwarded) { handleAttemptStarted(attempt, isForwarded); },
               .onRateLimit = [this](AttemptId attempt,
@@ -211,6 +217,7 @@
               .onResponse = [this](AttemptId attempt, BufferedResponse response, const BodyEnd &body) { handleResponse(attempt, std::move(response), body); },
               .onFailed = [this](AttemptId attempt, const AttemptFailure &failure) { handleAttemptFailure(attempt, failure); },
               .onSilent = [this](AttemptId attempt, const AttemptSilence &silence) { handleAttemptSilence(attempt, silence); },
+              .onNoRoom = [this](AttemptId attempt) { handleNoRoom(attempt); },
           })
     , connectProbe(loop,
                    [this](const std::string &server, bool isReachable) { apply(passthrough::ServerProbed{ .server = server, .isReachable = isReachable }); })
@@ -481,6 +488,44 @@
     apply(passthrough::CallerGone{ .request = id });
 }
 
+/// A slow caller slows down the backend server that works for it.
+auto Gateway::Impl::handleCallerBehind(RequestId id, bool isBehind) -> void
+{
+    const auto found = requests.find(id);
+    if (found == requests.end()) {
+        return;
+    }
+    found->second.isCallerBehind = isBehind;
+    for (const auto &[attempt, open] : attempts) {
+        if (open.request == id) {
+            upstream.setPaused(attempt, isBehind);
+        }
+    }
+}
+
+/// The backend server has executed the request, completely or in part.
+auto Gateway::Impl::handleNoRoom(AttemptId attempt) -> void
+{
+    const auto found = attempts.find(attempt);
+    const auto node = found == attempts.end() ? decltype(requests)::node_type() : requests.extract(found->second.request);
+    if (!node) {
+        upstream.cancel(attempt);
+        return;
+    }
+    const auto &request = node.mapped();
+    if (request.responseStarted) {
+        accounting.responseAborted(logContextOf(request), { .request = node.key(), .reason = Reason::MemoryFull, .peer = request.server });
+        frontend.abortResponse(node.key());
+    } else {
+        const passthrough::Refuse refusal{
+            .request = node.key(), .reason = Reason::MemoryFull, .outcome = Outcome::MayHaveRun, .status = BadGatewayStatus, .peer = request.server
+        };
+        accounting.requestRefused(logContextOf(request), refusal);
+        frontend.respond(node.key(), makeRefusalResponse(refusal));
+    }
+    apply(passthrough::CallerGone{ .request = node.key() });
+}
+
 auto Gateway::Impl::handleAbandonedRequest(const http::Headers &headers) -> void
 {
     passthrough::RequestArrived arrived;
@@ -524,6 +569,10 @@
     const auto found = attempts.find(attempt);
     if (found != attempts.end()) {
         frontend.writeStream(found->second.request, events);
+        const auto request = requests.find(found->second.request);
+        if (request != requests.end() && request->second.isCallerBehind) {
+            upstream.setPaused(attempt, true); // this attempt may have begun since
+        }
         apply(passthrough::AttemptProgress{ .attempt = attempt, .events = countEvents(events) });
     }
 }
--- a/src/gateway/tests/cutheads_tests.cpp
+++ b/src/gateway/tests/cutheads_tests.cpp
@@ -135,7 +135,8 @@
     CutAnswer answer_;
     Outcome outcome_;
     task::Watch next_;
-    Upstream upstream_{ loop_, callbacks() };
+    memory::Account account_{ loop_, { .bytes = std::size_t{ 32 } * 1024 * 1024 } };
+    Upstream upstream_{ loop_, account_, callbacks() };
 };
 
 auto withBareLineFeeds(const std::string &head) -> std::string
--- a/src/gateway/tests/endlessbytes_tests.cpp
+++ b/src/gateway/tests/endlessbytes_tests.cpp
@@ -217,6 +217,10 @@
         callbacks.onStreamEnded = [this](AttemptId, const BodyEnd &) { outcome_.ends.emplace_back(std::nullopt); };
         callbacks.onResponse = [this](AttemptId, const BufferedResponse &, const BodyEnd &) { outcome_.ends.emplace_back(std::nullopt); };
         callbacks.onFailed = [this](AttemptId, const AttemptFailure &failure) { outcome_.ends.emplace_back(failure.failure); };
+        callbacks.onNoRoom = [this](AttemptId attempt) {
+            outcome_.ends.emplace_back(Failure::BadResponse);
+            upstream_.cancel(attempt);
+        };
         return callbacks;
     }
 
@@ -224,7 +228,8 @@
     std::uint64_t attempts_ = 0;
     TimePoint startedAt_ = now();
     Outcome outcome_;
-    Upstream upstream_{ loop_, callbacks() };
+    memory::Account account_{ loop_, { .bytes = std::size_t{ 32 } * 1024 * 1024 } };
+    Upstream upstream_{ loop_, account_, callbacks() };
 };
 
 class EndlessResponseTests : public testing::TestWithParam<std::tuple<Endless, Pace>>
--- a/src/gateway/tests/responseends_tests.cpp
+++ b/src/gateway/tests/responseends_tests.cpp
@@ -161,7 +161,8 @@
 
     task::EventLoop loop_;
     Outcome outcome_;
-    Upstream upstream_{ loop_, callbacks() };
+    memory::Account account_{ loop_, { .bytes = std::size_t{ 32 } * 1024 * 1024 } };
+    Upstream upstream_{ loop_, account_, callbacks() };
 };
 
 auto play(const Response &response) -> Outcome
--- a/src/gateway/tests/silentservers_tests.cpp
+++ b/src/gateway/tests/silentservers_tests.cpp
@@ -98,7 +98,8 @@
 
     std::string address_;
     task::EventLoop loop_;
-    Upstream upstream_{ loop_, callbacks() };
+    memory::Account account_{ loop_, { .bytes = std::size_t{ 32 } * 1024 * 1024 } };
+    Upstream upstream_{ loop_, account_, callbacks() };
 };
 
 auto isAttemptKept(const Site &site) -> bool
--- a/src/gateway/tests/upstreamcallbacks.h
+++ b/src/gateway/tests/upstreamcallbacks.h
@@ -25,6 +25,7 @@
         .onResponse = [](AttemptId, const BufferedResponse &, const BodyEnd &) {},
         .onFailed = [](AttemptId, const AttemptFailure &) {},
         .onSilent = [](AttemptId, const AttemptSilence &) {},
+        .onNoRoom = [](AttemptId) {},
     };
 }
 
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -8,14 +8,19 @@
 #include "runtime/net/endpoint.h"
 #include "wire/http/connectionpool.h"
 #include "wire/http/evhttpheaders.h"
+#include "wire/http/heldconnection.h"
 #include "wire/http/sendrequest.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include <sys/ioctl.h>
+
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -48,8 +53,6 @@
 constexpr std::size_t MaxHeaderBytes = 65'536;
 /// Of a relayed stream: some of the longest events.
 constexpr std::size_t MaxStreamChunkBytes = std::size_t{ 1024 } * 1024;
-/// Of all responses that are held, as an entry's memory is limited. A text that grows holds up to twice its size.
-constexpr std::size_t MaxHeldBytes = std::size_t{ 32 } * 1024 * 1024;
 constexpr std::size_t MaxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
 
 struct Attempt {
@@ -75,8 +78,17 @@
     Duration progressTimeout{};
     TimePoint lastProgressAt; ///< when it was sent, or its response went on
     bool isSilent = false;    ///< its silence was reported
+    memory::Share share;
+    std::size_t bodyLimit = 0;      ///< bytes of the response's body at the most
+    bool isPausedForCaller = false; ///< the caller has not read what was relayed
+    bool isPausedForMemory = false;
 };
 
+auto isPaused(const Attempt &attempt) -> bool
+{
+    return attempt.isPausedForCaller || attempt.isPausedForMemory;
+}
+
 /// \return the default value, which means no deadline, for a timeout of 0
 auto deadlineAfter(Duration timeout) -> TimePoint
 {
@@ -194,16 +206,40 @@
     if (isConnecting && hasPassed(attempt.connectDeadline, now)) {
         return Failure::ConnectFailed;
     }
+    if (isPaused(attempt)) {
+        return std::nullopt;
+    }
     if (attempt.headReceived) {
         return hasPassed(attempt.progressDeadline, now) ? std::optional(Failure::ProgressTimeout) : std::nullopt;
     }
     return hasPassed(attempt.firstByteDeadline, now) ? std::optional(Failure::FirstTokenTimeout) : std::nullopt;
 }
 
+/// A body that grows by itself holds up to twice its size.
+auto appendBody(Attempt &attempt, const std::string &bytes) -> void
+{
+    auto &body = attempt.response.body;
+    constexpr std::size_t LargeBytes = std::size_t{ 64 } * 1024;
+    if (body.empty() && attempt.bodyLimit > LargeBytes && attempt.framing == http::Framing::Length) {
+        body.reserve(attempt.bodyLimit);
+    }
+    body += bytes;
+}
+
+/// Bytes that the kernel holds.
+auto unreadBytes(const Attempt &attempt) -> std::size_t
+{
+    int unread = 0;
+    const auto isKnown = attempt.connection && ::ioctl(bufferevent_getfd(transportOf(*attempt.connection)), FIONREAD, &unread) == 0;
+    return isKnown ? static_cast<std::size_t>(unread) : 0;
+}
+
 auto heldBytes(const Attempt &attempt) -> std::size_t
 {
     const auto unread = attempt.connection ? evbuffer_get_length(bufferevent_get_input(transportOf(*attempt.connection))) : 0;
-    return attempt.response.body.size() + attempt.splitter.pendingBytes() + unread;
+    const auto &body = attempt.response.body;
+    const auto bodyBytes = attempt.framing == http::Framing::Length ? body.size() : body.capacity();
+    return bodyBytes + attempt.splitter.pendingBytes() + unread;
 }
 
 } // namespace
@@ -211,16 +247,18 @@
 class Upstream::Impl
 {
 public:
-    Impl(task::EventLoop &eventLoop, UpstreamCallbacks upstreamCallbacks)
+    Impl(task::EventLoop &eventLoop, memory::Account &memoryAccount, UpstreamCallbacks upstreamCallbacks)
         : loop(eventLoop)
+        , account(memoryAccount)
         , callbacks(std::move(upstreamCallbacks))
-        , pool(eventLoop, { .idleAge = MaxIdleAge, .idlePerAddress = MaxIdlePerServer, .headerBytes = MaxHeaderBytes, .bodyBytes = MaxBodyBytes })
+        , maxBodyBytes(std::min(MaxBodyBytes, memoryAccount.limits().bytes / 2))
+        , pool(eventLoop, { .idleAge = MaxIdleAge, .idlePerAddress = MaxIdlePerServer, .headerBytes = MaxHeaderBytes, .bodyBytes = maxBodyBytes })
     {
     }
 
     auto open(AttemptId id, const std::string &callerId, const std::string &server) -> Attempt &;
-    auto begin(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequest &message) -> void;
-    auto start(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequest &message) -> bool;
+    auto begin(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequestPointer &message) -> void;
+    auto start(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequestPointer &message) -> bool;
     auto handleHead(Attempt &attempt, evhttp_request *request) -> void;
     auto handleBody(Attempt &attempt, evhttp_request *request) -> void;
     auto relay(Attempt &attempt, const std::string &events) -> void;
@@ -230,19 +268,25 @@
     auto failSoon(AttemptId id, Failure failure) -> void;
     auto recordProgress(Attempt &attempt) -> void;
     auto extendTimeouts(TimePoint now) -> void;
-    auto boundHeldBytes() -> void;
+    auto holdBytes(Attempt &attempt) const -> void;
+    auto setPaused(AttemptId id, bool Attempt::*cause, bool isPaused) -> void;
+    auto applyPauses() -> void;
     auto review(Attempt &attempt, TimePoint now) -> void;
     auto reportSilence(Attempt &attempt, Failure timeout, TimePoint now) -> void;
     auto close(Attempt &attempt, bool mayKeep) -> void;
     auto disconnectFailure(const Attempt &attempt) const -> Failure;
 
     task::EventLoop &loop;
+    memory::Account &account;
     UpstreamCallbacks callbacks;
+    std::size_t maxBodyBytes;
     http::ConnectionPool pool;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> attempts;
     std::optional<TimePoint> reviewedAt;
     std::vector<std::pair<AttemptId, Failure>> dueFailures; ///< for the event loop's next iteration
     task::Watch dueFailuresTimer;
+    std::vector<AttemptId> duePauses; ///< attempts whose pause has begun or ended in this iteration
+    task::Watch duePausesTimer;
 };
 
 namespace
@@ -299,24 +343,33 @@
     slot->server = server;
     slot->connectDeadline = now() + ConnectTimeout;
     slot->lastProgressAt = now();
+    slot->share = account.open({
+        .setPaused = [this, id](bool isPaused) { setPaused(id, &Attempt::isPausedForMemory, isPaused); },
+        .close = [this, id](memory::CloseCause) { callbacks.onNoRoom(id); },
+        .describe = [server]() { return "server " + server; },
+    });
     return *slot;
 }
 
 /// Starts the attempt; a failure to start it is reported in the event loop's next iteration.
-auto Upstream::Impl::begin(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequest &message) -> void
+auto Upstream::Impl::begin(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequestPointer &message) -> void
 {
     const auto id = attempt.id;
     attempt.ignoresCallbacks = true; // while it starts: a connect that fails immediately calls back from within start()
     const auto started = start(attempt, address, headers, message);
     attempt.ignoresCallbacks = false;
-    if (started && attempt.connection && bufferevent_getfd(transportOf(*attempt.connection)) >= 0) {
+    const auto descriptor = started && attempt.connection ? bufferevent_getfd(transportOf(*attempt.connection)) : -1;
+    if (descriptor >= 0) {
+        if (!attempt.connection->wasUsedBefore) {
+            http::boundSocketBuffers(descriptor);
+        }
         return;
     }
     failSoon(id, Failure::ConnectFailed);
 }
 
 /// \return false if the attempt could not be started
-auto Upstream::Impl::start(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequest &message) -> bool
+auto Upstream::Impl::start(Attempt &attempt, const std::string &address, const http::Headers &headers, const BufferedRequestPointer &message) -> bool
 {
     const auto endpoint = net::parseEndpoint(address);
     if (!endpoint) {
@@ -355,7 +408,8 @@
     for (const auto &header : headers) {
         evhttp_add_header(output, header.name.c_str(), header.value.c_str());
     }
-    return http::sendRequest(attempt.connection->raw.get(), request, message.method, message.target, message.body);
+    const std::shared_ptr<const std::string> body(message, &message->body);
+    return http::sendRequest(attempt.connection->raw.get(), request, message->method, message->target, body);
 }
 
 auto Upstream::Impl::handleHead(Attempt &attempt, evhttp_request *request) -> void
@@ -375,6 +429,8 @@
         attempt.connection->guard.maxChunkBytes = MaxStreamChunkBytes;
     }
     recordProgress(attempt);
+    attempt.share.begin(memory::Purpose::Receive);
+    attempt.bodyLimit = std::min(http::contentLength(attempt.response.headers).value_or(maxBodyBytes), maxBodyBytes);
     if (carriesNotice(attempt)) {
         callbacks.onNotice(attempt.id, attempt.head.notice);
     }
@@ -392,14 +448,52 @@
     }
 }
 
+auto Upstream::Impl::holdBytes(Attempt &attempt) const -> void
+{
+    const auto held = heldBytes(attempt) + (isPaused(attempt) ? unreadBytes(attempt) : 0);
+    attempt.share.hold(held, attempt.headReceived && !attempt.isRelayed ? attempt.bodyLimit - std::min(attempt.response.body.size(), attempt.bodyLimit) : 0);
+}
+
+/// libevent is reading while it calls back and would read on, so the change follows at the end of this iteration.
+auto Upstream::Impl::setPaused(AttemptId id, bool Attempt::*cause, bool isPaused) -> void
+{
+    const auto found = attempts.find(id);
+    if (found == attempts.end() || std::exchange((*found->second).*cause, isPaused) == isPaused) {
+        return;
+    }
+    duePauses.push_back(id);
+    if (duePauses.size() == 1) {
+        duePausesTimer = loop.inThisTurn([this]() { applyPauses(); });
+    }
+}
+
+auto Upstream::Impl::applyPauses() -> void
+{
+    for (const auto id : std::exchange(duePauses, {})) {
+        const auto found = attempts.find(id);
+        if (found == attempts.end() || !found->second->headReceived) {
+            continue;
+        }
+        auto &attempt = *found->second;
+        if (isPaused(attempt)) {
+            bufferevent_disable(transportOf(*attempt.connection), EV_READ);
+        } else {
+            recordProgress(attempt);
+            bufferevent_enable(transportOf(*attempt.connection), EV_READ);
+        }
+    }
+}
+
 auto Upstream::Impl::handleBody(Attempt &attempt, evhttp_request *request) -> void
 {
     auto bytes = drainBuffer(evhttp_request_get_input_buffer(request));
     if (attempt.rejection) {
         return;
     }
+    attempt.share.move(bytes.size());
     if (!attempt.isRelayed) {
-        attempt.response.body += bytes;
+        appendBody(attempt, bytes);
+        holdBytes(attempt);
         return;
     }
     const auto id = attempt.id;
@@ -549,34 +643,6 @@
     }
 }
 
-/// Fails the attempts that hold most until the rest fits.
-auto Upstream::Impl::boundHeldBytes() -> void
-{
-    std::size_t total = 0;
-    for (const auto &[id, attempt] : attempts) {
-        total += heldBytes(*attempt);
-    }
-    if (total <= MaxHeldBytes) {
-        return;
-    }
-    std::vector<std::pair<std::size_t, AttemptId>> held;
-    held.reserve(attempts.size());
-    for (const auto &[id, attempt] : attempts) {
-        held.emplace_back(heldBytes(*attempt), id);
-    }
-    std::sort(held.rbegin(), held.rend());
-    for (const auto &[bytes, id] : held) {
-        if (total <= MaxHeldBytes) {
-            return;
-        }
-        total -= bytes;
-        const auto found = attempts.find(id); // a callback may end other attempts
-        if (found != attempts.end()) {
-            fail(*found->second, Failure::BadResponse);
-        }
-    }
-}
-
 auto Upstream::Impl::review(Attempt &attempt, TimePoint now) -> void
 {
     const auto timeout = passedTimeout(attempt, now);
@@ -602,8 +668,8 @@
     callbacks.onSilent(attempt.id, { .timeout = timeout, .silentFor = now - attempt.lastProgressAt, .lastEventId = attempt.splitter.lastEventId() });
 }
 
-Upstream::Upstream(task::EventLoop &loop, UpstreamCallbacks callbacks)
-    : impl_(std::make_unique<Impl>(loop, std::move(callbacks)))
+Upstream::Upstream(task::EventLoop &loop, memory::Account &account, UpstreamCallbacks callbacks)
+    : impl_(std::make_unique<Impl>(loop, account, std::move(callbacks)))
 {
 }
 
@@ -629,7 +695,7 @@
                                                            .lastEventId = action.lastEventId,
                                                            .fetchFrom = action.fetchFrom,
                                                        });
-    impl_->begin(attempt, action.address, headers, *message);
+    impl_->begin(attempt, action.address, headers, message);
 }
 
 auto Upstream::forward(const passthrough::Forward &action, const BufferedRequestPointer &message, const std::string &callerId) -> void
@@ -642,7 +708,7 @@
     if (action.origin) {
         headers.push_back(makeOriginHeader(*action.origin));
     }
-    impl_->begin(attempt, action.peer, headers, *message);
+    impl_->begin(attempt, action.peer, headers, message);
 }
 
 auto Upstream::cancel(AttemptId attempt) -> void
@@ -656,7 +722,9 @@
 auto Upstream::reviewAttempts(TimePoint now) -> void
 {
     impl_->extendTimeouts(now);
-    impl_->boundHeldBytes();
+    for (const auto &[id, attempt] : impl_->attempts) {
+        impl_->holdBytes(*attempt);
+    }
     std::vector<AttemptId> due; // a callback may end other attempts
     for (const auto &[id, attempt] : impl_->attempts) {
         if (passedTimeout(*attempt, now)) {
@@ -671,6 +739,11 @@
     }
 }
 
+auto Upstream::setPaused(AttemptId attempt, bool isPaused) -> void
+{
+    impl_->setPaused(attempt, &Attempt::isPausedForCaller, isPaused);
+}
+
 auto Upstream::closeIdleConnections(const std::string &server) -> void
 {
     impl_->pool.closeIdle(server);
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -7,6 +7,7 @@
 #include "core/base/ids.h"
 #include "core/passthrough/actions.h"
 #include "gateway/payload.h"
+#include "runtime/memory/account.h"
 #include "runtime/task/eventloop.h"
 #include "wire/http/framing.h"
 
@@ -67,12 +68,15 @@
     std::function<void(AttemptId attempt, const AttemptFailure &failure)> onFailed;
     /// Called again and again while the silence lasts. The attempt goes on unless it is cancelled.
     std::function<void(AttemptId attempt, const AttemptSilence &silence)> onSilent;
+    /// There is no room for the response, or it is too slow while others wait for room. The attempt goes on unless it is cancelled.
+    std::function<void(AttemptId attempt)> onNoRoom;
 };
 
 class Upstream
 {
 public:
-    Upstream(task::EventLoop &loop, UpstreamCallbacks callbacks);
+    /// \p account counts what is held of responses.
+    Upstream(task::EventLoop &loop, memory::Account &account, UpstreamCallbacks callbacks);
     ~Upstream();
     Upstream(const Upstream &) = delete;
     auto operator=(const Upstream &) -> Upstream & = delete;
@@ -84,6 +88,8 @@
     auto forward(const passthrough::Forward &action, const BufferedRequestPointer &message, const std::string &callerId) -> void;
     /// Closes the attempt's connection. No further callback is called for the attempt.
     auto cancel(AttemptId attempt) -> void;
+    /// Reads nothing of the attempt's response for the time being. It does not count as silent meanwhile.
+    auto setPaused(AttemptId attempt, bool isPaused) -> void;
     /// Fails the attempts that have exceeded their connect timeout, and reports those that have exceeded their first byte or progress
     /// timeout as silent. Must be called every ReviewInterval: a longer pause means that this process did not run, and extends all timeouts.
     auto reviewAttempts(TimePoint now) -> void;
--- a/src/wire/http/framing.cpp
+++ b/src/wire/http/framing.cpp
@@ -3,6 +3,8 @@
 #include "core/base/nametable.h"
 
 #include <array>
+#include <charconv>
+#include <system_error>
 
 namespace auburnspread::http
 {
@@ -42,4 +44,12 @@
     return Framing::ConnectionEnd;
 }
 
+auto contentLength(const Headers &headers) -> std::optional<std::size_t>
+{
+    const auto text = findHeader(headers, "Content-Length");
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    return error == std::errc() && end == text.data() + text.size() ? std::optional(length) : std::nullopt;
+}
+
 } // namespace auburnspread::http
--- a/src/wire/http/framing.h
+++ b/src/wire/http/framing.h
@@ -5,6 +5,8 @@
 
 #include "wire/http/message.h"
 
+#include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace auburnspread::http
@@ -24,4 +26,7 @@
 /// Framing of a response with this head.
 auto framingOf(int status, const Headers &headers) -> Framing;
 
+/// Length of the body as the head states it; nothing if it states none that is valid.
+auto contentLength(const Headers &headers) -> std::optional<std::size_t>;
+
 } // namespace auburnspread::http
