The chat face, placer and console hold a bounded number of bytes for all callers

What callers saw: 200 bodies without their last byte, each within the limit, took 413 MB of an entry, at its callers' and its admin address, and 412 MB of a placer.

Besides, libevhtp holds up to four times the bytes of a request: it copies them piece by piece into larger blocks.

Change: the caller task counts its connections in an account (limits.memory_mb), refuses what has no room as not run, closes a connection that has more than limits.stream_buffer_bytes of unread answers and sends on, and lets an idle connection yield at twice limits.connections. Servers on libevhtp count a byte of a request fourfold. The end of a request whose connection has ended before it no longer uses that connection's freed state: libevhtp calls the hooks in that order.

--- a/src/apps/console/main.cpp
+++ b/src/apps/console/main.cpp
@@ -3,6 +3,7 @@
 
 #include "apps/console/consolesettings.h"
 #include "runtime/logging/logging.h"
+#include "runtime/memory/allocator.h"
 #include "runtime/settings/commandline.h"
 
 #include <csignal>
@@ -57,6 +58,7 @@
 
 auto main(int argc, char **argv) -> int
 {
+    memory::returnLargeBlocksAtOnce();
     try {
         const auto parsed = settings::readCommandLine(argc, argv, console::consoleSchema(), "auburnspread-console", AUBURNSPREAD_VERSION);
         if (const auto *const exit = std::get_if<settings::ExitCode>(&parsed)) {
--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -8,6 +8,7 @@
 #include "entry/router/routertask.h"
 #include "entry/settings/entrysettings.h"
 #include "runtime/logging/logging.h"
+#include "runtime/memory/allocator.h"
 #include "runtime/settings/commandline.h"
 
 #include <array>
@@ -88,6 +89,7 @@
             .bodyBytes = settings.bodyBytes,
             .connections = settings.connections,
             .streamBufferBytes = settings.streamBufferBytes,
+            .memoryBytes = settings.memoryBytes,
             .readTimeout = settings.readTimeout,
             .idleTimeout = settings.idleTimeout,
             .refused = [&accounting](const routing::Refuse &refusal, const std::string &detail) { accounting.countRefusal(refusal, detail); },
@@ -141,6 +143,7 @@
 
 auto main(int argc, char **argv) -> int
 {
+    memory::returnLargeBlocksAtOnce();
     try {
         const auto read = settings::readCommandLine(argc, argv, entry::entrySchema(), ProgramName, AUBURNSPREAD_VERSION);
         if (const auto *code = std::get_if<settings::ExitCode>(&read)) {
--- a/src/apps/placer/main.cpp
+++ b/src/apps/placer/main.cpp
@@ -4,6 +4,7 @@
 #include "apps/placer/placersettings.h"
 #include "apps/placer/placertask.h"
 #include "runtime/logging/logging.h"
+#include "runtime/memory/allocator.h"
 #include "runtime/settings/commandline.h"
 
 #include <csignal>
@@ -45,6 +46,7 @@
 
 auto main(int argc, char **argv) -> int
 {
+    memory::returnLargeBlocksAtOnce();
     try {
         const auto read = settings::readCommandLine(argc, argv, placer::placerSchema(), ProgramName, AUBURNSPREAD_VERSION);
         if (const auto *code = std::get_if<settings::ExitCode>(&read)) {
--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -2,7 +2,11 @@
 
 #include "entry/caller/internal/exchange.h"
 #include "entry/caller/internal/requestreader.h"
+#include "runtime/logging/logging.h"
+#include "runtime/memory/account.h"
 #include "runtime/task/eventloop.h"
+#include "wire/http/acceptpause.h"
+#include "wire/http/heldconnection.h"
 #include "wire/http/wholefirstline.h"
 
 #include <event2/event.h>
@@ -36,8 +40,11 @@
 
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
 constexpr int ListenBacklog = 1024;
+/// Of a connection that is not read, as a whole request need not lie there.
+constexpr std::size_t MaxInputBytes = std::size_t{ 64 } * 1024;
 constexpr int RedirectStatus = 307;
-constexpr std::size_t HeaderCutFactor = 4; // beyond the answerable bound by this much the connection is cut
+constexpr std::size_t HeaderCutFactor = 4;      // beyond the answerable bound by this much the connection is cut
+constexpr std::size_t ConnectionsCutFactor = 2; // up to here a connection too many is answered; beyond, the oldest idle one is cut
 constexpr auto ChatPath = "/v1/chat/completions";
 constexpr auto EntriesPath = "/v1/entries";
 constexpr auto TicketsPath = "/v1/tickets";
@@ -79,16 +86,22 @@
         std::size_t headerBytes = 0;
         std::size_t bodyBytes = 0;
         RequestId exchange{}; ///< while answering
+        std::unique_ptr<http::HeldConnection> held;
     };
 
     State(CallerTaskOptions taskOptions, Mailboxes &all)
         : options(std::move(taskOptions))
         , mailboxes(all)
+        , account(loop, memory::limitsOf(options.memoryBytes))
+        , acceptPause(loop, [this]() { return makeRoom(); })
         , server(evhtp_new(loop.base(), nullptr))
     {
     }
 
     auto accept(evhtp_connection *handle) -> evhtp_res;
+    auto closeForMemory(const Connection &connection) const -> void;
+    auto makeRoom() -> bool;
+    auto closeSoon(evhtp_connection *handle) -> void;
     auto setHooks(Connection &connection) -> void;
     auto takeHeader(Connection &connection, std::size_t bytes) const -> evhtp_res;
     auto takeBody(Connection &connection, evbuffer *bytes) const -> void;
@@ -125,6 +138,10 @@
     CallerTaskOptions options;
     Mailboxes &mailboxes;
     task::EventLoop loop;
+    memory::Account account;
+    http::AcceptPause acceptPause;
+    std::vector<evhtp_connection *> dueCloses; ///< outside of the library's calls
+    task::Watch closing;
     std::unordered_map<evhtp_connection *, Connection> connections;
     std::unordered_map<RequestId, std::unique_ptr<Exchange>> exchanges;
     std::shared_ptr<const EntriesView> entries = std::make_shared<EntriesView>();
@@ -137,16 +154,71 @@
 auto CallerTask::State::accept(evhtp_connection *handle) -> evhtp_res
 {
     http::readWholeFirstLines(handle);
+    if (connections.size() >= ConnectionsCutFactor * options.connections) {
+        makeRoom();
+    }
     auto &connection = connections[handle];
     connection.owner = this;
     connection.handle = handle;
     connection.since = task::monotonicNow();
     setHooks(connection);
+    connection.held = std::make_unique<http::HeldConnection>(
+        handle->bev,
+        account,
+        http::HeldConnectionLimits{ .requestBytes = HeaderCutFactor * options.headerBytes + options.bodyBytes,
+                                    .inputBytes = MaxInputBytes,
+                                    .readAheadBytes = MaxInputBytes,
+                                    .memoryPerByte = http::EvhtpMemoryPerByte },
+        http::HeldConnectionCallbacks{ .close = [this, &connection](memory::CloseCause) { closeForMemory(connection); } });
     const auto noDelay = 1;
     ::setsockopt(bufferevent_getfd(handle->bev), IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
     return EVHTP_RES_OK;
 }
 
+auto CallerTask::State::closeForMemory(const Connection &connection) const -> void
+{
+    if (connection.held->isReceiving()) {
+        const auto answer
+            = chat::makeRefusalBody({ .reason = Reason::MemoryFull, .outcome = Outcome::NotRun, .retryAfter = RedirectRetryAfter, .step = "read" });
+        const auto text = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nAuburnspread-Reason: memory-full\r\nRetry-After: 1\r\n"
+                          "Connection: close\r\nContent-Length: "
+            + std::to_string(answer.size()) + "\r\n\r\n" + answer;
+        ::send(bufferevent_getfd(connection.handle->bev), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    evhtp_connection_free(connection.handle);
+}
+
+/// Closes the connection that has been without a complete request for longest.
+auto CallerTask::State::makeRoom() -> bool
+{
+    const Connection *oldest = nullptr;
+    for (const auto &[handle, connection] : connections) {
+        if (!connection.answering && (oldest == nullptr || connection.since < oldest->since)) {
+            oldest = &connection;
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    logging::event(logging::Level::Warning,
+                   "connection-closed-for-another",
+                   { { "peer", "caller " + http::peerOf(oldest->handle->bev) }, { "connections", connections.size() }, { "limit", options.connections } });
+    evhtp_connection_free(oldest->handle);
+    return true;
+}
+
+auto CallerTask::State::closeSoon(evhtp_connection *handle) -> void
+{
+    dueCloses.push_back(handle);
+    closing = loop.after(Duration::zero(), [this]() {
+        for (auto *due : std::exchange(dueCloses, {})) {
+            if (connections.contains(due)) {
+                evhtp_connection_free(due);
+            }
+        }
+    });
+}
+
 auto CallerTask::State::setHooks(Connection &connection) -> void
 {
     auto *handle = connection.handle;
@@ -167,19 +239,27 @@
         known.owner->takeBody(known, bytes);
         return EVHTP_RES_OK;
     };
-    const auto onRequestFini = [](evhtp_request * /*request*/, void *context) -> evhtp_res {
-        auto &known = *static_cast<Connection *>(context);
-        known.owner->finiRequest(known);
+    const auto onRequestFini = [](evhtp_request *request, void *context) -> evhtp_res {
+        auto &self = *static_cast<State *>(context);
+        const auto found = self.connections.find(request->conn); //!< NOTE the connection may have ended before its request
+        if (found != self.connections.end()) {
+            self.finiRequest(found->second);
+        }
         return EVHTP_RES_OK;
     };
     const auto onFini = [](evhtp_connection *ended, void *context) -> evhtp_res {
-        static_cast<Connection *>(context)->owner->connections.erase(ended);
+        const auto &known = *static_cast<Connection *>(context);
+        auto &self = *known.owner;
+        if (known.answering) {
+            self.callerGone(known.exchange);
+        }
+        self.connections.erase(ended);
         return EVHTP_RES_OK;
     };
     evhtp_connection_set_hook(handle, evhtp_hook_on_headers_start, asHook(+onStart), &connection);
     evhtp_connection_set_hook(handle, evhtp_hook_on_header, asHook(+onHeader), &connection);
     evhtp_connection_set_hook(handle, evhtp_hook_on_read, asHook(+onRead), &connection);
-    evhtp_connection_set_hook(handle, evhtp_hook_on_request_fini, asHook(+onRequestFini), &connection);
+    evhtp_connection_set_hook(handle, evhtp_hook_on_request_fini, asHook(+onRequestFini), this);
     evhtp_connection_set_hook(handle, evhtp_hook_on_connection_fini, asHook(+onFini), &connection);
 }
 
@@ -209,6 +289,7 @@
     connection.answering = false;
     connection.reading = false;
     connection.since = task::monotonicNow();
+    connection.held->endRequest();
 }
 
 auto CallerTask::State::handle(evhtp_request *request) -> void
@@ -218,6 +299,12 @@
         return;
     }
     found->second.reading = false;
+    if (evbuffer_get_length(bufferevent_get_output(request->conn->bev)) > options.streamBufferBytes) {
+        evhtp_request_pause(request); // its caller does not read the answers that it has
+        closeSoon(request->conn);
+        return;
+    }
+    found->second.held->beginWork();
     prepareReply(request);
     try {
         checkBounds(found->second);
@@ -608,6 +695,8 @@
     if (evhtp_bind_socket(state.server.get(), address.substr(0, colon).c_str(), port, ListenBacklog) != 0) {
         throw std::runtime_error("listen: cannot bind " + address + ": " + std::strerror(errno));
     }
+    http::boundSocketBuffers(evconnlistener_get_fd(state.server->server));
+    state.acceptPause.watch(state.server->server);
 }
 
 auto CallerTask::address() const -> std::string
--- a/src/entry/caller/callertask.h
+++ b/src/entry/caller/callertask.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include "entry/messages/messages.h"
+#include "runtime/memory/account.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,9 +21,10 @@
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 1048576;
     std::size_t connections = 4096;
-    std::size_t streamBufferBytes = 262144;          ///< unsent bytes of one answer before its backend server is held back
-    Duration readTimeout = std::chrono::seconds(10); ///< a request must be complete within
-    Duration idleTimeout = std::chrono::seconds(60); ///< a connection without a request is closed after
+    std::size_t streamBufferBytes = 262144;            ///< unsent bytes of one answer before its backend server is held back
+    std::size_t memoryBytes = memory::SmallestVmBytes; ///< of the VM, a part of which may be held for callers
+    Duration readTimeout = std::chrono::seconds(10);   ///< a request must be complete within
+    Duration idleTimeout = std::chrono::seconds(60);   ///< a connection without a request is closed after
     /// Called in the task's thread for each refusal sent, for counting and logging.
     std::function<void(const routing::Refuse &refusal, const std::string &detail)> refused;
 };
--- a/src/entry/settings/entrysettings.h
+++ b/src/entry/settings/entrysettings.h
@@ -38,6 +38,7 @@
     std::size_t bodyBytes = 0;
     std::size_t connections = 0;
     std::size_t streamBufferBytes = 0;
+    std::size_t memoryBytes = 0; ///< of the VM
     Duration readTimeout{};
     Duration idleTimeout{};
     Duration connectTimeout{};
--- a/src/wire/http/heldconnection.cpp
+++ b/src/wire/http/heldconnection.cpp
@@ -124,12 +124,13 @@
 {
     const auto unsent = evbuffer_get_length(bufferevent_get_output(transport_));
     if (stage_ == Stage::Idle || stage_ == Stage::Receive) {
-        share_.hold(received_ + unsent, limits_.requestBytes - std::min(received_, limits_.requestBytes));
+        const auto mayGrowBy = limits_.requestBytes - std::min(received_, limits_.requestBytes);
+        share_.hold(limits_.memoryPerByte * received_ + unsent, limits_.memoryPerByte * mayGrowBy);
         return;
     }
     const auto readAhead = evbuffer_get_length(bufferevent_get_input(transport_));
     const auto unread = readAhead >= limits_.readAheadBytes ? std::size_t{ 2 } * SocketReceiveBytes : unread_;
-    share_.hold(received_ + readAhead + unread + unsent);
+    share_.hold(limits_.memoryPerByte * received_ + readAhead + unread + unsent);
 }
 
 auto HeldConnection::beginWork() -> void
--- a/src/wire/http/heldconnection.h
+++ b/src/wire/http/heldconnection.h
@@ -27,6 +27,7 @@
     std::size_t requestBytes = 0;   ///< of a request with its head and framing
     std::size_t inputBytes = 0;     ///< that the server's library needs to have in the buffer while it reads a request
     std::size_t readAheadBytes = 0; ///< of input while a request is in work or its response is being sent
+    std::size_t memoryPerByte = 1;  ///< of a request, in the buffers of the server's library
 };
 
 struct HeldConnectionCallbacks {
@@ -35,6 +36,9 @@
     std::function<void(std::size_t bytes)> onUnsent = {}; ///< the unsent output is now so long
 };
 
+/// libevhtp copies a request piece by piece into blocks of up to twice the size of a piece, beside the buffer that it reads from.
+constexpr std::size_t EvhtpMemoryPerByte = 4;
+
 /// To be destroyed before its transport.
 class HeldConnection
 {
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -223,7 +223,8 @@
                                                    *self.account_,
                                                    HeldConnectionLimits{ .requestBytes = self.options_.headerBytes + self.options_.bodyBytes,
                                                                          .inputBytes = MaxInputBytes,
-                                                                         .readAheadBytes = MaxInputBytes },
+                                                                         .readAheadBytes = MaxInputBytes,
+                                                                         .memoryPerByte = EvhtpMemoryPerByte },
                                                    HeldConnectionCallbacks{ .close = [&caller](memory::CloseCause) { closeForMemory(caller); } });
     const auto hook = [raw, context](evhtp_hook_type type, auto *function) {
         evhtp_connection_set_hook(raw, type, reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function)), context);
