A quarter of the VM may be held; pauses reach attempts that begin later; proofs and pages

Cause: beside a busy machine the crowd of slow streams came to 86 MB of 88; a stream that went on at another server while its caller was behind was not held back; connections that are being closed had no bound of their own.

Change: a quarter of the VM's memory may be held instead of three tenths. A pause takes effect when the response begins. At most a quarter of the callers' connections linger at their close.

--- a/src/core/memory/tests/review_tests.cpp
+++ b/src/core/memory/tests/review_tests.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::size_t Kilobyte = 1024;
 constexpr Limits TestLimits{ .bytes = 1000 * Kilobyte, .ordinaryBytes = 10 * Kilobyte };
-const auto Now = TimePoint(std::chrono::hours(1));
+constexpr auto Now = TimePoint(std::chrono::hours(1));
 
 auto secondsAgo(int seconds) -> TimePoint
 {
--- a/src/docscheck/tests/proofspage_tests.cpp
+++ b/src/docscheck/tests/proofspage_tests.cpp
@@ -39,7 +39,7 @@
 
 auto listTests() -> std::set<std::string>
 {
-    const std::regex declaration(R"(auburnspread_tests\((\w+)\s+SOURCES\s([^)]*)\))");
+    const std::regex declaration(R"(auburnspread_(?:tests|program)\((\w+)\s+SOURCES\s([^)]*)\))");
     const auto root = std::filesystem::path(AUBURNSPREAD_SOURCE_DIR);
     std::set<std::string> tests;
     for (const auto &file : std::filesystem::recursive_directory_iterator(root / "src")) {
--- a/src/failuretests/crowd/tests/crowd_tests.cpp
+++ b/src/failuretests/crowd/tests/crowd_tests.cpp
@@ -28,8 +28,8 @@
 constexpr std::size_t PipelinedBytes = 40 * Megabyte;
 constexpr int OkStatus = 200;
 /// More than the kernel takes for a connection whose other side reads nothing.
-const CrowdSiteOptions LargeAnswers{ .answerBytes = 10 * Megabyte };
-const CrowdSiteOptions LargeStreams{ .answerBytes = 5'200'000 };
+constexpr CrowdSiteOptions LargeAnswers{ .answerBytes = 10 * Megabyte };
+constexpr CrowdSiteOptions LargeStreams{ .answerBytes = 5'200'000 };
 constexpr auto Chunked = "Transfer-Encoding: chunked\r\n";
 
 auto lengthLine(std::size_t bytes) -> std::string
--- a/src/gateway/callerconnections.cpp
+++ b/src/gateway/callerconnections.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t ReadAheadBytes = std::size_t{ 16 } * 1024;
 /// For the framing of a chunked body.
 constexpr std::size_t FramingBytes = std::size_t{ 64 } * 1024;
+/// Connections that are kept open for callers that may still send, as a part of all: one in so many.
+constexpr std::size_t MaxLingeringPart = 4;
 /// Unsent bytes of a response at which its caller is behind, and at which it has caught up.
 /// @{
 constexpr std::size_t BehindBytes = std::size_t{ 64 } * 1024;
@@ -186,7 +188,9 @@
 
 auto CallerConnections::linger(evhttp_connection *raw) -> void
 {
-    lingering_.add(bufferevent_getfd(evhttp_connection_get_bufferevent(raw)));
+    if (lingering_.size() < maxConnections_ / MaxLingeringPart) {
+        lingering_.add(bufferevent_getfd(evhttp_connection_get_bufferevent(raw)));
+    }
 }
 
 auto CallerConnections::closeForMemory(Connection &connection, memory::CloseCause cause) -> void
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -270,6 +270,7 @@
     auto extendTimeouts(TimePoint now) -> void;
     auto holdBytes(Attempt &attempt) const -> void;
     auto setPaused(AttemptId id, bool Attempt::*cause, bool isPaused) -> void;
+    auto applyPauseSoon(AttemptId id) -> void;
     auto applyPauses() -> void;
     auto review(Attempt &attempt, TimePoint now) -> void;
     auto reportSilence(Attempt &attempt, Failure timeout, TimePoint now) -> void;
@@ -430,6 +431,9 @@
     }
     recordProgress(attempt);
     attempt.share.begin(memory::Purpose::Receive);
+    if (isPaused(attempt)) {
+        applyPauseSoon(attempt.id); // a pause takes effect once there is a response
+    }
     attempt.bodyLimit = std::min(http::contentLength(attempt.response.headers).value_or(maxBodyBytes), maxBodyBytes);
     if (carriesNotice(attempt)) {
         callbacks.onNotice(attempt.id, attempt.head.notice);
@@ -461,6 +465,11 @@
     if (found == attempts.end() || std::exchange((*found->second).*cause, isPaused) == isPaused) {
         return;
     }
+    applyPauseSoon(id);
+}
+
+auto Upstream::Impl::applyPauseSoon(AttemptId id) -> void
+{
     duePauses.push_back(id);
     if (duePauses.size() == 1) {
         duePausesTimer = loop.inThisTurn([this]() { applyPauses(); });
--- a/src/runtime/memory/account.cpp
+++ b/src/runtime/memory/account.cpp
@@ -18,7 +18,7 @@
 /// How long the pressure is over before free memory goes back to the kernel, as that takes time.
 constexpr Duration CalmBeforeReturn = std::chrono::seconds(1);
 /// The rest is for the process's own state, the allocator's overhead and what the kernel holds unread.
-constexpr double HeldPart = 0.3;
+constexpr double HeldPart = 0.25;
 
 } // namespace
 
