Tests of an answer above the limit have a larger account

Cause: with a quarter of 88 MiB, answers of 24 MiB on one connection exceed what may be held, and are closed for that instead of for what these four tests are about (the whole run beside load, and alone).

Change: their account is larger.

--- a/src/entry/caller/tests/callertask_tests.cpp
+++ b/src/entry/caller/tests/callertask_tests.cpp
@@ -31,6 +31,9 @@
     return options;
 }
 
+/// Whose limit is not what a test is about.
+constexpr std::size_t LargeVmBytes = std::size_t{ 4 } * 1024 * 1024 * 1024;
+
 /// A caller task in its own thread; the test plays the router, the backend and the control task.
 struct Fixture {
     Mailboxes mailboxes;
@@ -306,7 +309,7 @@
     constexpr auto Idle = std::chrono::seconds(6);
     constexpr auto Read = std::chrono::milliseconds(500);
     constexpr std::size_t Large = std::size_t{ 24 } * 1024 * 1024; // more than the kernel's buffers take
-    Fixture fixture({ .readTimeout = Read, .idleTimeout = Idle });
+    Fixture fixture({ .memoryBytes = LargeVmBytes, .readTimeout = Read, .idleTimeout = Idle });
     // A connection that sends nothing is closed by the first sweep after the read timeout.
     const auto waitForSweep = [&]() { WireCaller(fixture.task.address()).readToEnd(); };
     WireCaller caller(fixture.task.address());
@@ -326,7 +329,7 @@
 TEST(CallerTaskTests, anEntryThatIsToEndWritesItsAnswersFirst)
 {
     constexpr std::size_t Large = std::size_t{ 24 } * 1024 * 1024; // more than the kernel's buffers take
-    Fixture fixture;
+    Fixture fixture({ .memoryBytes = LargeVmBytes });
     WireCaller caller(fixture.task.address());
     caller.send(makePost(GoodBody));
     const auto id = fixture.nextSubmission().arrived.request;
--- a/src/wire/http/tests/server_tests.cpp
+++ b/src/wire/http/tests/server_tests.cpp
@@ -112,7 +112,8 @@
     }
 
     task::EventLoop loop_;
-    http::Server server_{ loop_, { .headerBytes = 1024, .bodyBytes = 4096, .connections = 4 } };
+    memory::Account account_{ loop_, { .bytes = std::size_t{ 1024 } * 1024 * 1024 } }; ///< of answers larger than the kernel's buffers
+    http::Server server_{ loop_, { .headerBytes = 1024, .bodyBytes = 4096, .connections = 4 }, &account_ };
     http::Client client_{ loop_ };
     std::vector<http::Replier> waiting_;
     std::string address_;
