The close of a caller is handled before a backlog of other events

Callers saw nothing; backend servers worked on for callers who had left, up to 4 s, while an entry was behind (GONE). Cause: libevent handles all events of a poll in turn and polls again after that, so the close waits in the kernel behind requests that arrived before it. Ruled out: a watch that is lost (every close was logged as caller-gone). Change: the loop has two priorities; the watch for closes is urgent, and after 8 usual events the loop looks for urgent ones. Evidence: wire_disconnect_watch_tests failed before (handled after all 400 others), passes.

--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -40,13 +40,23 @@
     return timeval{ .tv_sec = duration.count() / MicrosPerSecond, .tv_usec = duration.count() % MicrosPerSecond };
 }
 
+/// Priority of all events that are not given another one.
+constexpr int UsualPriority = 1;
+constexpr int Priorities = 2;
+/// After so many events, the loop looks for urgent ones.
+constexpr int MaxEventsBetweenLooks = 8;
+
 //! NOTE the library's default clock ticks only every few milliseconds, which would add up over timers that follow each other
-auto makePreciseBase() -> event_base *
+auto makeBase() -> event_base *
 {
     auto *configuration = event_config_new();
     event_config_set_flag(configuration, EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_config_set_max_dispatch_interval(configuration, nullptr, MaxEventsBetweenLooks, UsualPriority);
     auto *base = event_base_new_with_config(configuration);
     event_config_free(configuration);
+    if (base != nullptr) {
+        event_base_priority_init(base, Priorities);
+    }
     return base;
 }
 
@@ -72,7 +82,7 @@
 EventLoop::EventLoop()
 {
     prepareProcess();
-    base_.reset(makePreciseBase());
+    base_.reset(makeBase());
     if (!base_) {
         throw std::runtime_error("event loop: event_base_new failed");
     }
@@ -118,6 +128,17 @@
     return watch;
 }
 
+auto EventLoop::afterThisEvent(std::function<void()> action) -> Watch
+{
+    Watch watch;
+    watch.state_ = std::make_shared<Watch::State>();
+    watch.state_->action = std::move(action);
+    watch.state_->item.reset(event_new(base(), -1, 0, callAction, &watch.state_->action));
+    event_priority_set(watch.state_->item.get(), UrgentPriority);
+    event_active(watch.state_->item.get(), EV_TIMEOUT, 1);
+    return watch;
+}
+
 auto EventLoop::every(Duration interval, std::function<void()> action) -> Watch
 {
     Watch watch;
--- a/src/runtime/task/eventloop.h
+++ b/src/runtime/task/eventloop.h
@@ -29,6 +29,9 @@
 
 using EventPointer = std::unique_ptr<event, detail::EventDeleter>;
 
+/// Priority of libevent's events that are handled before all others, also before those that occurred earlier.
+constexpr int UrgentPriority = 0;
+
 /// The daemon's monotonic clock in the core's terms.
 auto monotonicNow() -> TimePoint;
 
@@ -58,6 +61,8 @@
     [[nodiscard]] auto after(Duration delay, std::function<void()> action) -> Watch;
     /// Calls \p action once in this turn, after the events that have occurred and before the loop waits for others.
     [[nodiscard]] auto inThisTurn(std::function<void()> action) -> Watch;
+    /// Calls \p action right after the event that is being handled, before all others.
+    [[nodiscard]] auto afterThisEvent(std::function<void()> action) -> Watch;
     /// Calls \p action every \p interval.
     [[nodiscard]] auto every(Duration interval, std::function<void()> action) -> Watch;
     /// Calls \p action while \p descriptor is readable.
--- a/src/wire/http/disconnectwatch.cpp
+++ b/src/wire/http/disconnectwatch.cpp
@@ -13,6 +13,13 @@
 namespace
 {
 
+auto makeUrgentEvent(event_base *base, int descriptor, short what, event_callback_fn handle, void *context) -> task::EventPointer
+{
+    task::EventPointer made(event_new(base, descriptor, what, handle, context));
+    event_priority_set(made.get(), task::UrgentPriority);
+    return made;
+}
+
 /// Interval at which a connection with unread bytes is checked for a reset. It is readable all the time, so an event would not show it.
 constexpr timeval ResetCheckInterval{ .tv_sec = 0, .tv_usec = 100'000 };
 
@@ -37,7 +44,7 @@
     state_->onDisconnected = std::move(onDisconnected);
     state_->onUnread = std::move(onUnread);
     //! NOTE libevent reports a reset as readable only, not as closed
-    state_->event.reset(event_new(loop.base(), descriptor, EV_READ | EV_CLOSED, handle, state_.get()));
+    state_->event = makeUrgentEvent(loop.base(), descriptor, EV_READ | EV_CLOSED, handle, state_.get());
     event_add(state_->event.get(), nullptr);
 }
 
@@ -49,7 +56,7 @@
         onDisconnected();
         return;
     }
-    state.event.reset(event_new(event_get_base(state.event.get()), descriptor, EV_CLOSED, handle, &state));
+    state.event = makeUrgentEvent(event_get_base(state.event.get()), descriptor, EV_CLOSED, handle, &state);
     event_add(state.event.get(), &ResetCheckInterval);
     if (state.onUnread) {
         state.onUnread();
--- a/src/wire/http/disconnectwatch.h
+++ b/src/wire/http/disconnectwatch.h
@@ -14,6 +14,7 @@
 /// Whether the peer has closed or reset the connection, even if bytes of it are still unread.
 auto isDisconnected(int descriptor) -> bool;
 
+/// Handled before other events, so that the work for a caller who has left ends soon also in a process that is behind.
 class DisconnectWatch
 {
 public:
