Lists of caches without end do not exceed the memory of an entry

Reported by operators of systems like this one: a faulty replica sends bytes without end, and the process that called it runs out of memory.

--- a/src/gateway/cachereader.h
+++ b/src/gateway/cachereader.h
@@ -3,7 +3,7 @@
 ///
 /// After a simultaneous restart of all entries, none of them knows which engine caches which prompt prefix. Without the query,
 /// sessions would be sent to engines that have to process their whole prompts again, all at the same time. Each engine is
-/// queried by a few entries, which report the result to the others.
+/// queried by a few entries, which report the result to the others. What is held of their answers at once is bounded.
 
 #pragma once
 
@@ -12,6 +12,8 @@
 #include "runtime/task/eventloop.h"
 #include "wire/http/client.h"
 
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -37,11 +39,16 @@
     [[nodiscard]] auto hasRead() const -> bool;
 
 private:
+    /// Queries further engines while fewer than the allowed number are being queried.
+    auto askNext() -> void;
     auto ask(const passthrough::Server &server) -> void;
+    auto handle(const passthrough::Server &server, const http::Result &result) const -> void;
 
     http::Client client_;
     CacheReaderCallbacks callbacks_;
     bool hasRead_ = false;
+    std::deque<passthrough::Server> waiting_;
+    std::size_t open_ = 0; ///< engines that have not answered
 };
 
 } // namespace auburnspread::gateway
--- a/src/gateway/tests/endlessbytes_tests.cpp
+++ b/src/gateway/tests/endlessbytes_tests.cpp
@@ -1,3 +1,4 @@
+#include "gateway/cachereader.h"
 #include "gateway/clock.h"
 #include "gateway/tests/site.h"
 #include "gateway/tests/upstreamcallbacks.h"
@@ -299,6 +300,41 @@
     EXPECT_LE(Client().play(servers, false).mostHeld, EntryBytes);
 }
 
+/// Guards against an entry that ends for want of memory right after its start, as engines send lists of their caches without end.
+TEST(EndlessBytesTests, listsOfCachesWithoutEndFitIntoTheEntry)
+{
+    constexpr std::size_t Engines = 24;
+    const Endless response{ "", makeBodyHead(""), "a", Failure::BadResponse };
+    std::deque<EndlessServer> engines;
+    std::vector<passthrough::Server> servers;
+    for (std::size_t i = 0; i < Engines; ++i) {
+        engines.emplace_back(response, Pace::Fast);
+        servers.push_back({ .id = "i-" + std::to_string(i), .address = engines.back().address() });
+    }
+    task::EventLoop loop;
+    std::size_t failed = 0;
+    CacheReader reader(loop,
+                       {
+                           .onListed = [](const passthrough::CacheListed &) { FAIL(); },
+                           .onFailed = [&](std::string_view, const std::string &) { failed += 1; },
+                           .onNotice = [](const passthrough::CallNoticed &) {},
+                       });
+    const auto before = heapInUse();
+    const auto end = now() + HangTimeout;
+    std::size_t mostHeld = 0;
+    const auto observer = loop.every(std::chrono::milliseconds(1), [&]() {
+        const auto inUse = heapInUse();
+        mostHeld = std::max(mostHeld, inUse - std::min(before, inUse));
+        if (failed == Engines || now() > end || mostHeld > MostEver) {
+            loop.stop();
+        }
+    });
+    reader.readOnce(servers, { "entry-1" }, "entry-1");
+    loop.run();
+    EXPECT_EQ(failed, Engines);
+    EXPECT_LE(mostHeld, EntryBytes);
+}
+
 /// Guards against requests that wait for the end of a response that can't be used, until their deadline.
 TEST(EndlessBytesTests, aRequestGoesToAnotherServerWhenTheResponseIsKnownToBeBad)
 {
