A request that is given up is taken back from the kernel

Callers saw nothing; backend servers ran requests seconds after their callers had left, or after the entry had sent them elsewhere (GONE). Cause: closing a connection in the ordinary way leaves what was written to the kernel, which delivers it when the path or the peer is free again. The class: a decision that is taken here, but not carried out where the bytes are. Change: what the peer has not confirmed is taken back by a reset when an attempt, a short exchange (store, orders, other entries) or an attempt of the chat face is given up, and at the exit. Where all is confirmed, the close stays an ordinary one, which is repeated until it arrives. Connections are closed right after the event that is being handled.

--- a/src/core/passthrough/actions.h
+++ b/src/core/passthrough/actions.h
@@ -34,6 +34,7 @@
     Duration remaining{};                 ///< time left until the request's deadline
     std::string lastEventId;              ///< resume after this event; empty: from the beginning
     bool isStream = false;                ///< forward each event as it arrives
+    bool isAtMostOnce = false;            ///< the server must not be interrupted while it executes the request
     bool isRepeat = false;                ///< the request was sent before
     std::optional<Failure> repeatedAfter; ///< failure of the previous attempt; not set: this is the first attempt
     SoftwareVersion version;              ///< of the server
@@ -73,6 +74,7 @@
     std::uint32_t sends = 0;            ///< attempts on backend servers that this entry has used up
     std::string lastEventId;            ///< resume after this event; empty: from the beginning
     bool isStream = false;              ///< relay each event as it arrives
+    bool isAtMostOnce = false;          ///< see Send
     std::optional<StreamOrigin> origin; ///< where the stream that is resumed began, if it is known
     std::string service;                ///< for logs, as are all below
     ForwardCause cause{};
@@ -101,6 +103,13 @@
     AttemptId attempt{};
 };
 
+/// The caller of a request that may run once has left: cancel the attempt if its server can't have the whole request, and report it by
+/// RequestTakenBack. Otherwise the attempt goes on.
+struct TakeBack {
+    RequestId request{};
+    AttemptId attempt{};
+};
+
 /// Send the caller the buffered response of this attempt.
 struct Deliver {
     RequestId request{};
@@ -247,6 +256,7 @@
 
 using Action = std::variant<Send,
                             Cancel,
+                            TakeBack,
                             Deliver,
                             Refuse,
                             AbortAnswer,
--- a/src/core/passthrough/events.h
+++ b/src/core/passthrough/events.h
@@ -57,6 +57,11 @@
     RequestId request{};
 };
 
+/// An attempt of the request was cancelled before its server could begin, see TakeBack.
+struct RequestTakenBack {
+    RequestId request{};
+};
+
 /// The response head, or the first event of a stream, arrived from the backend server.
 struct AttemptStarted {
     AttemptId attempt{};
@@ -286,6 +291,7 @@
 
 using Event = std::variant<RequestArrived,
                            CallerGone,
+                           RequestTakenBack,
                            AttemptStarted,
                            AttemptProgress,
                            RateLimitReported,
--- a/src/core/passthrough/internal/dispatching.cpp
+++ b/src/core/passthrough/internal/dispatching.cpp
@@ -243,6 +243,7 @@
         .remaining = request.deadline - state.now,
         .lastEventId = request.lastEventId,
         .isStream = request.route->repeatability == Repeatability::Stream,
+        .isAtMostOnce = request.route->repeatability == Repeatability::AtMostOnce,
         .isRepeat = isRepeat,
         .repeatedAfter = request.repeatedAfter,
         .version = server.record.version,
--- a/src/core/passthrough/internal/ending.cpp
+++ b/src/core/passthrough/internal/ending.cpp
@@ -512,6 +512,9 @@
         // a request that may run only once is not cancelled: it would be left in an undefined state if it were interrupted
         if (request.route->repeatability == Repeatability::AtMostOnce) {
             request.callerGone = true;
+            for (const auto id : request.attempts) {
+                actions.emplace_back(TakeBack{ .request = event.request, .attempt = id });
+            }
             return;
         }
         cancelAttempts(state, request, actions);
@@ -519,6 +522,16 @@
     removeAndDispatch(state, request, actions);
 }
 
+auto handleTakenBack(RouterState &state, const RequestTakenBack &event, Actions &actions) -> void
+{
+    const auto found = state.requests.find(event.request);
+    if (found == state.requests.end()) {
+        return;
+    }
+    cancelAttempts(state, found->second, actions);
+    removeAndDispatch(state, found->second, actions);
+}
+
 auto endExpiredRequests(RouterState &state, Actions &actions) -> void
 {
     while (!state.dueChecks.empty() && state.dueChecks.begin()->first <= state.now) {
--- a/src/core/passthrough/internal/ending.h
+++ b/src/core/passthrough/internal/ending.h
@@ -24,6 +24,7 @@
 auto handleFinished(RouterState &state, const AttemptFinished &event, Actions &actions) -> void;
 auto handleFailed(RouterState &state, const AttemptFailed &event, Actions &actions) -> void;
 auto handleCallerGone(RouterState &state, const CallerGone &event, Actions &actions) -> void;
+auto handleTakenBack(RouterState &state, const RequestTakenBack &event, Actions &actions) -> void;
 /// Ends requests whose deadline, or time in the queue, has passed.
 auto endExpiredRequests(RouterState &state, Actions &actions) -> void;
 
--- a/src/core/passthrough/internal/forwarding.cpp
+++ b/src/core/passthrough/internal/forwarding.cpp
@@ -211,6 +211,7 @@
         .sends = request.sends,
         .lastEventId = request.lastEventId,
         .isStream = request.route->repeatability == Repeatability::Stream,
+        .isAtMostOnce = request.route->repeatability == Repeatability::AtMostOnce,
         .origin = request.origin,
         .service = request.service,
         .cause = *cause,
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -127,6 +127,10 @@
     {
         detail::handleCallerGone(state, event, actions);
     }
+    auto operator()(const RequestTakenBack &event) const -> void
+    {
+        detail::handleTakenBack(state, event, actions);
+    }
     auto operator()(const AttemptStarted &event) const -> void
     {
         if (detail::isForwarding(state, event.attempt)) {
--- a/src/core/passthrough/tests/ending_tests.cpp
+++ b/src/core/passthrough/tests/ending_tests.cpp
@@ -55,6 +55,21 @@
     EXPECT_EQ(count<Refuse>(harness.apply(AttemptFailed{ .attempt = call->attempt, .failure = Failure::ConnectFailed })), 1U);
 }
 
+/// Guards against a request that runs once, long after its caller has left, since its connection is held up. Where nothing of it ran, the
+/// request ends, and the place at its server is free.
+TEST(EndingTests, aDisconnectTakesBackARequestThatMayRunOnceAndHasNotBegun)
+{
+    RouterHarness harness;
+    auto notice = harness.request(NoticePath);
+    const auto call = find<Send>(harness.apply(notice));
+    EXPECT_TRUE(call->isAtMostOnce);
+    const auto actions = harness.apply(CallerGone{ .request = notice.request });
+    ASSERT_EQ(count<TakeBack>(actions), 1U);
+    EXPECT_EQ(find<TakeBack>(actions)->attempt, call->attempt);
+    EXPECT_EQ(count<Refuse>(harness.apply(RequestTakenBack{ .request = notice.request })), 0U);
+    EXPECT_EQ(harness.apply(AttemptAnswered{ .attempt = call->attempt, .status = 200 }).size(), 0U);
+}
+
 TEST(EndingTests, aClosingEntryRefusesNewRequestsAndCompletesRunningOnes)
 {
     RouterHarness harness;
--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -354,10 +354,14 @@
     if (attempt.shared->attempts.empty()) {
         relays.erase(attempt.dispatch.request);
     }
+    if (!reusable && attempt.pooled.connection != nullptr) {
+        //! NOTE calls of services may be such that run once
+        ConnectionPool::giveUp(attempt.pooled, isChat(attempt) ? http::Interruption::Allowed : http::Interruption::Harmful);
+    }
     ended.emplace_back(std::move(found->second), reusable);
     attempts.erase(found);
-    //! NOTE a connection must not be closed from within its own callback, so closing waits for the loop
-    closing = loop.after(Duration::zero(), [this]() { closeEnded(); });
+    //! NOTE a connection must not be closed from within its own callback
+    closing = loop.afterThisEvent([this]() { closeEnded(); });
 }
 
 auto BackendTask::State::closeEnded() -> void
--- a/src/entry/backend/internal/connectionpool.h
+++ b/src/entry/backend/internal/connectionpool.h
@@ -5,6 +5,7 @@
 
 #include "core/base/time.h"
 #include "runtime/task/eventloop.h"
+#include "wire/http/sendqueue.h"
 
 #include <string>
 #include <unordered_map>
@@ -36,6 +37,9 @@
     auto acquire(const std::string &address, bool fresh) -> PooledConnection;
     /// Keeps a connection whose last exchange ended well.
     auto release(const PooledConnection &connection) -> void;
+    /// Detaches the connection of an attempt that was given up, and takes back what is under way of its request, see
+    /// http::takeBackUnconfirmed(). It must be closed next.
+    static auto giveUp(const PooledConnection &connection, http::Interruption interruption) -> void;
     /// Closes the connection; not from within one of its own callbacks.
     auto close(const PooledConnection &connection) -> void;
     /// Closes connections that have been idle too long.
--- a/src/entry/backend/tests/stillserver.cpp
+++ b/src/entry/backend/tests/stillserver.cpp
@@ -1,4 +1,4 @@
-#include "gateway/tests/stillserver.h"
+#include "entry/backend/tests/stillserver.h"
 
 #include "runtime/net/endpoint.h"
 #include "standins/testing/loopback.h"
@@ -12,7 +12,7 @@
 #include <cerrno>
 #include <stdexcept>
 
-namespace auburnspread::gateway::tests
+namespace auburnspread::entry
 {
 
 namespace
@@ -82,4 +82,4 @@
     return wasReset_;
 }
 
-} // namespace auburnspread::gateway::tests
+} // namespace auburnspread::entry
--- a/src/entry/backend/tests/stillserver.h
+++ b/src/entry/backend/tests/stillserver.h
@@ -3,14 +3,15 @@
 
 #pragma once
 
+#include <cstddef>
 #include <string>
 
-namespace auburnspread::gateway::tests
+namespace auburnspread::entry
 {
 
 /// Larger than the server's receive window, smaller than the send buffer of an entry's connection.
 constexpr std::size_t HeldBytes = 60'000;
-/// The end of a request that stillServer's tests send.
+/// With which the body of a request ends, so that a test can tell whether it was received whole.
 constexpr auto EndOfRequest = "the end of the request";
 
 /// A body of HeldBytes that ends with EndOfRequest.
@@ -39,4 +40,4 @@
     std::string address_;
 };
 
-} // namespace auburnspread::gateway::tests
+} // namespace auburnspread::entry
--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -75,7 +75,8 @@
     , deliveredResponses_(registry_.counter({ .name = "auburnspread_answers_total", .help = "Answers of backend servers that were passed on whole." }))
     , abortedResponses_(registry_.counter({ .name = "auburnspread_broken_answers_total", .help = "Answers that were begun and broken off." }))
     , callersGone_(registry_.counter({ .name = "auburnspread_callers_gone_total", .help = "Callers that left before their answer was complete." }))
-    , cancelledAttempts_(registry_.counter({ .name = "auburnspread_cancelled_attempts_total", .help = "Attempts given up, as nobody waited for their result." }))
+    , cancelledAttempts_(
+          registry_.counter({ .name = "auburnspread_cancelled_attempts_total", .help = "Attempts given up, as nobody waited for their result." }))
     , unconfirmedCancellations_(registry_.counter(
           { .name = "auburnspread_unconfirmed_cancellations_total", .help = "Attempts given up before their server had confirmed the whole request." }))
     , firstByte_(registry_.histogram({ .name = "auburnspread_first_byte_seconds", .help = "From arrival to the first byte of the answer." }))
@@ -309,9 +310,8 @@
 auto Accounting::callerGone(const RequestLogContext &context, Duration elapsed, Duration behind) -> void
 {
     callersGone_.add();
-    event(Level::Info,
-          "caller-gone",
-          { { "request", context.request }, { "after_ms", wholeMilliseconds(elapsed) }, { "behind_ms", wholeMilliseconds(behind) } });
+    event(
+        Level::Info, "caller-gone", { { "request", context.request }, { "after_ms", wholeMilliseconds(elapsed) }, { "behind_ms", wholeMilliseconds(behind) } });
 }
 
 auto Accounting::requestAbandoned(std::string_view request) -> void
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,6 +118,7 @@
     auto apply(const passthrough::Event &event) -> void;
     auto execute(const passthrough::Send &action) -> void;
     auto execute(const passthrough::Cancel &action) -> void;
+    auto execute(const passthrough::TakeBack &action) -> void;
     auto execute(const passthrough::Deliver &action) -> void;
     auto execute(const passthrough::Refuse &action) -> void;
     auto execute(const passthrough::AbortAnswer &action) -> void;
@@ -317,6 +318,16 @@
     }
 }
 
+auto Gateway::Impl::execute(const passthrough::TakeBack &action) -> void
+{
+    const auto cancelled = upstream.cancelIncomplete(action.attempt);
+    const auto node = cancelled ? attempts.extract(action.attempt) : decltype(attempts)::node_type();
+    if (node) {
+        accounting.attemptCancelled(*cancelled, now() - node.mapped().sentAt);
+        apply(passthrough::RequestTakenBack{ .request = action.request });
+    }
+}
+
 auto Gateway::Impl::completeRequest(RequestId id, int status) -> void
 {
     const auto node = requests.extract(id);
--- a/src/gateway/tests/givenuprequests_tests.cpp
+++ b/src/gateway/tests/givenuprequests_tests.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Requests that are given up while the kernel holds a part of them, as their server stands still or the path to it is cut.
 
+#include "entry/backend/tests/stillserver.h"
 #include "gateway/tests/site.h"
-#include "gateway/tests/stillserver.h"
 #include "gateway/tests/upstreamcallbacks.h"
 #include "gateway/upstream.h"
 #include "wire/http/client.h"
@@ -21,6 +21,10 @@
 namespace
 {
 
+using entry::EndOfRequest;
+using entry::makeHeldBody;
+using entry::StillServer;
+
 constexpr std::size_t AccountBytes = std::size_t{ 32 } * 1024 * 1024;
 constexpr Duration AttemptTimeout = std::chrono::minutes(10);
 constexpr auto EndOfTurns = 100; ///< more turns of the loop than it takes to write a request to its socket
@@ -52,15 +56,17 @@
     {
     }
 
-    auto send() -> void
+    auto send(const std::string &body = makeHeldBody(), bool isAtMostOnce = false) -> void
     {
-        upstream_->send({ .attempt = Id, .server = "i-1", .address = server_.address(), .remaining = AttemptTimeout }, makeMessage(), "id-1");
+        upstream_->send({ .attempt = Id, .server = "i-1", .address = server_.address(), .remaining = AttemptTimeout, .isAtMostOnce = isAtMostOnce },
+                        makeMessage(body),
+                        "id-1");
         runUntil(loop_, [this]() { return server_.hasReceived(); });
     }
     /// Sends the request to the server as if it were another entry.
     auto forward() -> void
     {
-        upstream_->forward({ .attempt = Id, .peer = server_.address(), .remaining = AttemptTimeout }, makeMessage(), "id-1");
+        upstream_->forward({ .attempt = Id, .peer = server_.address(), .remaining = AttemptTimeout }, makeMessage(makeHeldBody()), "id-1");
         runUntil(loop_, [this]() { return server_.hasReceived(); });
     }
     auto cancel() -> std::optional<CancelledAttempt>
@@ -69,6 +75,12 @@
         runTurns(loop_);
         return cancelled;
     }
+    auto cancelIncomplete() -> std::optional<CancelledAttempt>
+    {
+        auto cancelled = upstream_->cancelIncomplete(Id);
+        runTurns(loop_);
+        return cancelled;
+    }
     /// As when the process exits.
     auto exit() -> void
     {
@@ -78,9 +90,9 @@
 private:
     static constexpr AttemptId Id{ 1 };
 
-    static auto makeMessage() -> BufferedRequestPointer
+    static auto makeMessage(const std::string &body) -> BufferedRequestPointer
     {
-        return std::make_shared<const BufferedRequest>(BufferedRequest{ .method = EVHTTP_REQ_POST, .target = "/fetch/1", .body = makeHeldBody() });
+        return std::make_shared<const BufferedRequest>(BufferedRequest{ .method = EVHTTP_REQ_POST, .target = "/fetch/1", .body = body });
     }
 
     StillServer &server_;
@@ -118,6 +130,40 @@
     EXPECT_FALSE(isWhole(server.readToEnd()));
 }
 
+/// Guards against a request that may run once and is interrupted at work: its server has all of it.
+TEST(GivenUpRequestsTests, aRequestThatMayRunOnceIsNotInterruptedOnceItsServerHasIt)
+{
+    StillServer server;
+    HeldExchange exchange(server);
+    exchange.send(EndOfRequest, true);
+    EXPECT_FALSE(exchange.cancelIncomplete());
+    EXPECT_TRUE(exchange.cancel());
+    EXPECT_TRUE(isWhole(server.readToEnd()));
+    EXPECT_FALSE(server.wasReset());
+}
+
+/// Guards against a request that runs once long after it was given up.
+TEST(GivenUpRequestsTests, aRequestThatMayRunOnceIsTakenBackWhileItsServerHasAPartOfIt)
+{
+    StillServer server;
+    HeldExchange exchange(server);
+    exchange.send(makeHeldBody(), true);
+    EXPECT_TRUE(exchange.cancelIncomplete());
+    EXPECT_FALSE(isWhole(server.readToEnd()));
+}
+
+/// Guards against a reset that is lost on the way, so that a server works on: nothing is left to take back, and an ordinary close is repeated
+/// until it arrives.
+TEST(GivenUpRequestsTests, theConnectionOfARequestThatItsServerHasIsClosedInOrder)
+{
+    StillServer server;
+    HeldExchange exchange(server);
+    exchange.send(EndOfRequest);
+    exchange.cancel();
+    EXPECT_TRUE(isWhole(server.readToEnd()));
+    EXPECT_FALSE(server.wasReset());
+}
+
 /// Guards against the same at another entry, to which the request was forwarded.
 TEST(GivenUpRequestsTests, aForwardedRequestThatTheKernelHoldsIsTakenBack)
 {
@@ -160,8 +206,8 @@
     StillServer server;
     task::EventLoop loop;
     http::Client client(loop);
-    const auto call =
-        client.fetch({ .method = http::Method::Put, .address = server.address(), .path = "/key", .body = makeHeldBody() }, [](const http::Result &) {});
+    const auto call
+        = client.fetch({ .method = http::Method::Put, .address = server.address(), .path = "/key", .body = makeHeldBody() }, [](const http::Result &) {});
     runUntil(loop, [&]() { return server.hasReceived(); });
     client.cancel(call);
     runTurns(loop);
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -61,6 +61,7 @@
     std::string server;
     bool isStream = false;
     bool isForwarded = false; ///< goes to another entry instead of a backend server
+    bool isAtMostOnce = false;
     std::unique_ptr<http::Connection> connection;
     adapter::AnswerHead head;
     BufferedResponse response; ///< head of the response, and its body if it is not relayed as a stream
@@ -245,6 +246,14 @@
     return cancelled;
 }
 
+/// Whether the server can't have the whole request.
+auto isIncompleteAtServer(const Attempt &attempt) -> bool
+{
+    const auto hasSent = attempt.connection && attempt.connection->hasSent;
+    const auto state = describeCancelled(attempt);
+    return !hasSent || state.unwrittenBytes > 0 || (state.sendQueue && state.sendQueue->unsent > 0);
+}
+
 auto heldBytes(const Attempt &attempt) -> std::size_t
 {
     const auto unread = attempt.connection ? evbuffer_get_length(bufferevent_get_input(transportOf(*attempt.connection))) : 0;
@@ -638,7 +647,9 @@
         auto *transport = transportOf(*connection);
         const auto isClean = evbuffer_get_length(bufferevent_get_input(transport)) == 0 && evbuffer_get_length(bufferevent_get_output(transport)) == 0;
         connection->idleTime = attempt.head.idleTime;
-        if (mayKeep && isClean && !attempt.head.closes && attempt.isComplete) {
+        if (!attempt.isComplete) {
+            pool.giveUp(std::move(connection), attempt.isAtMostOnce ? http::Interruption::Harmful : http::Interruption::Allowed);
+        } else if (mayKeep && isClean && !attempt.head.closes) {
             pool.keep(std::move(connection));
         } else {
             pool.retire(std::move(connection));
@@ -695,8 +706,8 @@
 
 Upstream::~Upstream()
 {
-    for (auto &[id, attempt] : impl_->attempts) {
-        attempt->ignoresCallbacks = true;
+    while (!impl_->attempts.empty()) {
+        impl_->close(*impl_->attempts.begin()->second, false);
     }
 }
 
@@ -704,6 +715,7 @@
 {
     auto &attempt = impl_->open(action.attempt, callerId, action.server);
     attempt.isStream = action.isStream;
+    attempt.isAtMostOnce = action.isAtMostOnce;
     attempt.firstByteDeadline = deadlineAfter(action.startTimeout);
     attempt.progressTimeout = action.silenceTimeout;
     const auto headers = adapter::encodeAttemptHeaders(message->headers,
@@ -722,6 +734,7 @@
 {
     auto &attempt = impl_->open(action.attempt, callerId, action.peer);
     attempt.isStream = action.isStream;
+    attempt.isAtMostOnce = action.isAtMostOnce;
     attempt.isForwarded = true;
     auto headers = adapter::encodeForwardHeaders(message->headers, action.remaining, action.lastEventId);
     headers.push_back(makeForwardMark(action.sends));
@@ -742,6 +755,12 @@
     return cancelled;
 }
 
+auto Upstream::cancelIncomplete(AttemptId attempt) -> std::optional<CancelledAttempt>
+{
+    const auto found = impl_->attempts.find(attempt);
+    return found != impl_->attempts.end() && isIncompleteAtServer(*found->second) ? cancel(attempt) : std::nullopt;
+}
+
 auto Upstream::reviewAttempts(TimePoint now) -> void
 {
     impl_->extendTimeouts(now);
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -99,6 +99,9 @@
     /// Closes the attempt's connection. No further callback is called for the attempt.
     /// \return nothing if the attempt has ended
     auto cancel(AttemptId attempt) -> std::optional<CancelledAttempt>;
+    /// The same if the server can't have the whole request yet, so that it has not begun and never will.
+    /// \return nothing if it may have begun, or if the attempt has ended
+    auto cancelIncomplete(AttemptId attempt) -> std::optional<CancelledAttempt>;
     /// Reads nothing of the attempt's response for the time being. It does not count as silent meanwhile.
     auto setPaused(AttemptId attempt, bool isPaused) -> void;
     /// Fails the attempts that have exceeded their connect timeout, and reports those that have exceeded their first byte or progress
--- a/src/wire/http/client.cpp
+++ b/src/wire/http/client.cpp
@@ -227,7 +227,7 @@
     auto connection = std::move(exchanges_.at(handle).connection);
     auto error = makeError(*connection, Cause::Timeout);
     pool_.closeIdle(connection->peer);
-    pool_.retire(std::move(connection));
+    pool_.giveUp(std::move(connection), Interruption::Allowed);
     finish(handle, std::move(error));
 }
 
@@ -244,7 +244,7 @@
         return;
     }
     if (found->second.connection) {
-        pool_.retire(std::move(found->second.connection));
+        pool_.giveUp(std::move(found->second.connection), Interruption::Allowed);
     }
     exchanges_.erase(found);
 }
--- a/src/wire/http/client.h
+++ b/src/wire/http/client.h
@@ -92,7 +92,8 @@
 
     /// Calls \p onDone once, later, in the loop's thread, unless cancelled before.
     auto fetch(const Request &request, OnDone onDone) -> Handle;
-    /// Closes the exchange's connection; its onDone will not be called. Does nothing if it has ended.
+    /// Closes the exchange's connection; its onDone will not be called. Does nothing if it has ended. What the peer has not got of the request
+    /// does not reach it any more, as after a timeout.
     auto cancel(Handle handle) -> void;
 
     /// Connections that wait for use, for status pages and tests.
--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 
 #include <algorithm>
 #include <limits>
@@ -121,15 +122,23 @@
     idle.push_back(std::move(connection));
 }
 
-// evhttp still works with the connection while it calls back, so it is freed on the loop's next turn. It must not hear of anything until
-// then: when a connection is established, it sends the request, which may have gone to another server meanwhile.
+auto ConnectionPool::giveUp(std::unique_ptr<Connection> connection, Interruption interruption) -> void
+{
+    takeBackUnconfirmed(bufferevent_getfd(evhttp_connection_get_bufferevent(connection->raw.get())), interruption);
+    retire(std::move(connection));
+}
+
+// evhttp still works with the connection while it calls back, so it is freed right after that. It must not hear of anything until then: when
+// a connection is established, it sends the request, which may have gone to another server meanwhile.
 auto ConnectionPool::retire(std::unique_ptr<Connection> connection) -> void
 {
     connection->onDone = nullptr;
     connection->guard.request = nullptr;
-    bufferevent_setcb(evhttp_connection_get_bufferevent(connection->raw.get()), nullptr, nullptr, nullptr, nullptr);
+    auto *transport = evhttp_connection_get_bufferevent(connection->raw.get());
+    bufferevent_setcb(transport, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(transport, EV_READ | EV_WRITE); // what is not in the socket stays there
     retired_.push_back(std::move(connection));
-    retirement_ = loop_.after(Duration(0), [this]() { retired_.clear(); });
+    retirement_ = loop_.afterThisEvent([this]() { retired_.clear(); });
 }
 
 auto ConnectionPool::closeIdle(const std::string &peer) -> void
--- a/src/wire/http/connectionpool.h
+++ b/src/wire/http/connectionpool.h
@@ -7,6 +7,7 @@
 #include "runtime/task/eventloop.h"
 #include "wire/http/client.h"
 #include "wire/http/responseguard.h"
+#include "wire/http/sendqueue.h"
 
 #include <event2/http.h>
 
@@ -50,7 +51,9 @@
     auto take(const std::string &peer, const net::Endpoint &endpoint, bool isFresh) -> std::unique_ptr<Connection>;
     /// Takes back a connection whose exchange went well.
     auto keep(std::unique_ptr<Connection> connection) -> void;
-    /// Closes a connection, also from within one of evhttp's calls.
+    /// Closes a connection whose request was given up, see takeBackUnconfirmed(); also from within one of evhttp's calls.
+    auto giveUp(std::unique_ptr<Connection> connection, Interruption interruption) -> void;
+    /// Closes a connection whose exchange has ended, also from within one of evhttp's calls.
     auto retire(std::unique_ptr<Connection> connection) -> void;
     /// Closes the idle connections to \p peer.
     auto closeIdle(const std::string &peer) -> void;
--- a/src/wire/http/sendqueue.h
+++ b/src/wire/http/sendqueue.h
@@ -1,5 +1,5 @@
 /// \file
-/// What the kernel holds of the bytes that were written to a connection.
+/// What the kernel holds of the bytes that were written to a connection, and how they are taken back when the connection is given up.
 
 #pragma once
 
@@ -17,4 +17,12 @@
 /// \return nothing if the kernel does not tell
 auto sendQueueOf(int descriptor) -> std::optional<SendQueue>;
 
+/// Whether a request may be interrupted while the peer works on it.
+enum class Interruption { Allowed, Harmful };
+
+/// To be called right before a connection is closed whose request was given up. A close alone leaves what was written to the kernel, which
+/// delivers it when the path or the peer is free again. Takes back what the peer has not confirmed: by a reset, or, if the peer may be at
+/// work and \p interruption is harmful, by a bound on the time for which the kernel goes on trying.
+auto takeBackUnconfirmed(int descriptor, Interruption interruption) -> void;
+
 } // namespace auburnspread::http
