Answers without end do not fill the memory of the chat face

Cause: the chat face has a pool of its own, without the guard of the others; evhttp holds a chunk until it is complete, and bounds neither the lines between chunks nor, by default, the body of a health probe's answer. Change: the guard watches the answers there too, with 64 KiB between two chunks and 1 MiB a chunk; the answer of a probe has 64 KiB at the most.

--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -29,6 +29,10 @@
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
 constexpr Duration LongestRegularGap = std::chrono::milliseconds(300); // between sweeps; beyond it the process was paused
 constexpr Duration ProbeTimeout = std::chrono::seconds(1);
+constexpr std::size_t MaxProbeAnswerBytes = 64 * 1024;
+/// Between two chunks of an answer.
+constexpr std::size_t MaxChunkLineBytes = 64 * 1024;
+constexpr std::size_t MaxChunkBytes = std::size_t{ 1024 } * 1024;
 constexpr int OkStatus = 200;
 constexpr int UnavailableStatus = 503;
 
@@ -78,6 +82,13 @@
     }
 }
 
+auto onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *context) -> void
+{
+    if (info->n_added > 0) {
+        http::guardResponse(static_cast<Attempt *>(context)->guard, buffer, info->n_added);
+    }
+}
+
 auto onHeaders(evhttp_request *request, void *context) -> int
 {
     auto &attempt = *static_cast<Attempt *>(context);
@@ -134,6 +145,7 @@
 {
     auto &attempt = *static_cast<Attempt *>(context);
     attempt.request = nullptr;
+    attempt.guard.request = nullptr;
     if (attempt.over) {
         return;
     }
@@ -153,8 +165,10 @@
 /// this cause apart before it calls onDone, so a BadResponse is reported first.
 auto onError(evhttp_request_error error, void *context) -> void
 {
+    auto &attempt = *static_cast<Attempt *>(context);
+    attempt.guard.request = nullptr;
     if (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG) {
-        fail(*static_cast<Attempt *>(context), Failure::BadResponse);
+        fail(attempt, Failure::BadResponse);
     }
 }
 
@@ -298,6 +312,9 @@
     attempt.deadline = now + attempt.dispatch.firstTokenTimeout;
     auto *bev = evhttp_connection_get_bufferevent(attempt.pooled.connection);
     attempt.outputWatch = evbuffer_add_cb(bufferevent_get_output(bev), onOutput, &attempt);
+    attempt.inputWatch = evbuffer_add_cb(bufferevent_get_input(bev), onInput, &attempt);
+    attempt.guard.maxLineBytes = MaxChunkLineBytes;
+    attempt.guard.maxChunkBytes = MaxChunkBytes;
     if (isChat(attempt)) {
         sendChat(attempt);
     } else {
@@ -337,8 +354,10 @@
     evhttp_request_set_header_cb(attempt.request, onHeaders);
     evhttp_request_set_chunked_cb(attempt.request, onBody);
     evhttp_request_set_error_cb(attempt.request, onError);
+    http::beginResponse(attempt.guard, attempt.request);
     if (!http::sendRequest(attempt.pooled.connection, attempt.request, command, path, body)) {
         attempt.request = nullptr;
+        attempt.guard.request = nullptr;
         fail(attempt, failureOfBreak(attempt));
     }
 }
@@ -373,6 +392,7 @@
         if (attempt->outputWatch != nullptr) {
             auto *bev = evhttp_connection_get_bufferevent(attempt->pooled.connection);
             evbuffer_remove_cb_entry(bufferevent_get_output(bev), attempt->outputWatch);
+            evbuffer_remove_cb_entry(bufferevent_get_input(bev), attempt->inputWatch);
         }
         if (reusable && attempt->request == nullptr) {
             pool.release(attempt->pooled);
@@ -420,6 +440,7 @@
         probe.over = true;
         return;
     }
+    evhttp_connection_set_max_body_size(probe.pooled.connection, MaxProbeAnswerBytes);
     auto *request = evhttp_request_new(onProbeDone, &probe);
     addHeader(evhttp_request_get_output_headers(request), "Host", order.address);
     if (evhttp_make_request(probe.pooled.connection, request, EVHTTP_REQ_GET, "/health") != 0) {
--- a/src/entry/backend/internal/attempt.h
+++ b/src/entry/backend/internal/attempt.h
@@ -9,6 +9,7 @@
 #include "entry/messages/messages.h"
 #include "wire/chat/eventreader.h"
 #include "wire/http/message.h"
+#include "wire/http/responseguard.h"
 #include "wire/text/eventscanner.h"
 
 #include <event2/buffer.h>
@@ -52,14 +53,16 @@
     PooledConnection pooled;
     evhttp_request *request = nullptr; ///< owned by the library while under way
     evbuffer_cb_entry *outputWatch = nullptr;
-    bool sent = false;      ///< a byte of the request may have left
-    bool started = false;   ///< AttemptStarted was reported
-    bool committed = false; ///< may relay
-    bool complete = false;  ///< the answer is whole: its last chunk, or the end of a service's answer, was seen
-    bool broken = false;    ///< the connection failed after the answer was whole, and must not be used again
-    bool over = false;      ///< finished, failed or cancelled: later callbacks change nothing
-    bool blocked = false;   ///< the caller reads too slowly
-    bool silent = false;    ///< AttemptSilent was reported, and nothing has come since
+    evbuffer_cb_entry *inputWatch = nullptr;
+    http::ResponseGuard guard; ///< over the answer
+    bool sent = false;         ///< a byte of the request may have left
+    bool started = false;      ///< AttemptStarted was reported
+    bool committed = false;    ///< may relay
+    bool complete = false;     ///< the answer is whole: its last chunk, or the end of a service's answer, was seen
+    bool broken = false;       ///< the connection failed after the answer was whole, and must not be used again
+    bool over = false;         ///< finished, failed or cancelled: later callbacks change nothing
+    bool blocked = false;      ///< the caller reads too slowly
+    bool silent = false;       ///< AttemptSilent was reported, and nothing has come since
     int status = 0;
     bool mustEndWithEvent = false; ///< only the last event shows that the answer is whole: its end is the end of the connection
     text::EventScanner events;     ///< of such an answer
--- a/src/entry/backend/internal/connectionpool.cpp
+++ b/src/entry/backend/internal/connectionpool.cpp
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 
 #include <charconv>
+#include <limits>
 #include <stdexcept>
 
 namespace auburnspread::entry
@@ -34,6 +35,8 @@
     }
     evhttp_connection_set_timeout(connection, LibraryTimeoutSeconds);
     evhttp_connection_set_max_headers_size(connection, MostHeaderBytes);
+    //! NOTE without any limit, evhttp does not fail the responses that http::guardResponse() ends
+    evhttp_connection_set_max_body_size(connection, std::numeric_limits<ev_ssize_t>::max());
     return connection;
 }
 
