Test: a request is not sent anew for a caller who has left

It passes before the changes as well by reading, as a send takes two turns of the loop; it was not run on the older code.

--- a/src/gateway/tests/givenuprequests_tests.cpp
+++ b/src/gateway/tests/givenuprequests_tests.cpp
@@ -200,6 +200,29 @@
     }
 }
 
+/// Guards against a request that is sent anew for a caller who has left: its server breaks off, and the close of the caller lies in the kernel
+/// when the entry decides on a retry.
+TEST(GivenUpRequestsTests, aRequestIsNotSentAnewForACallerWhoHasLeft)
+{
+    Site site;
+    const Server first;
+    site.addServer("i-1", "portal", first.address());
+    Caller caller(site.callerAddress());
+    caller.send(makeRequest("/fetch/1", "id-1"));
+    auto connection = first.accept();
+    connection.readUntil(EndOfHead);
+    const Server second;
+    site.addServer("i-2", "portal", second.address());
+    site.runOnLoop([&](adapter::standins::StoreStandin &) {
+        connection.close();
+        caller.close();
+    });
+    ASSERT_TRUE(waitUntil([&]() { return countCallersGone(site) == 1; }));
+    if (second.hasConnection()) {
+        EXPECT_TRUE(second.accept().seesEndOrReset());
+    }
+}
+
 /// Guards against a write to the store, or an order, that takes effect long after it was given up.
 TEST(GivenUpRequestsTests, aCancelledCallThatTheKernelHoldsIsTakenBack)
 {
