--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -89,6 +89,14 @@
     }
 }
 
+auto giveUp(const Attempt &attempt) -> void
+{
+    if (attempt.pooled.connection != nullptr) {
+        const auto mayRunOnce = !isChat(attempt);
+        ConnectionPool::giveUp(attempt.pooled, mayRunOnce ? http::Interruption::Harmful : http::Interruption::Allowed);
+    }
+}
+
 auto onHeaders(evhttp_request *request, void *context) -> int
 {
     auto &attempt = *static_cast<Attempt *>(context);
@@ -258,6 +266,7 @@
 BackendTask::State::~State()
 {
     for (auto &[id, attempt] : attempts) {
+        giveUp(*attempt);
         ended.emplace_back(std::move(attempt), false);
     }
     closeEnded();
@@ -373,9 +382,8 @@
     if (attempt.shared->attempts.empty()) {
         relays.erase(attempt.dispatch.request);
     }
-    if (!reusable && attempt.pooled.connection != nullptr) {
-        //! NOTE calls of services may be such that run once
-        ConnectionPool::giveUp(attempt.pooled, isChat(attempt) ? http::Interruption::Allowed : http::Interruption::Harmful);
+    if (!reusable) {
+        giveUp(attempt);
     }
     ended.emplace_back(std::move(found->second), reusable);
     attempts.erase(found);
--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -118,25 +118,25 @@
     return watch;
 }
 
-auto EventLoop::inThisTurn(std::function<void()> action) -> Watch
+auto EventLoop::callWithoutWaiting(std::function<void()> action, int priority) -> Watch
 {
     Watch watch;
     watch.state_ = std::make_shared<Watch::State>();
     watch.state_->action = std::move(action);
     watch.state_->item.reset(event_new(base(), -1, 0, callAction, &watch.state_->action));
+    event_priority_set(watch.state_->item.get(), priority);
     event_active(watch.state_->item.get(), EV_TIMEOUT, 1);
     return watch;
 }
 
+auto EventLoop::inThisTurn(std::function<void()> action) -> Watch
+{
+    return callWithoutWaiting(std::move(action), UsualPriority);
+}
+
 auto EventLoop::afterThisEvent(std::function<void()> action) -> Watch
 {
-    Watch watch;
-    watch.state_ = std::make_shared<Watch::State>();
-    watch.state_->action = std::move(action);
-    watch.state_->item.reset(event_new(base(), -1, 0, callAction, &watch.state_->action));
-    event_priority_set(watch.state_->item.get(), UrgentPriority);
-    event_active(watch.state_->item.get(), EV_TIMEOUT, 1);
-    return watch;
+    return callWithoutWaiting(std::move(action), UrgentPriority);
 }
 
 auto EventLoop::every(Duration interval, std::function<void()> action) -> Watch
--- a/src/runtime/task/eventloop.h
+++ b/src/runtime/task/eventloop.h
@@ -85,6 +85,8 @@
     auto stop() -> void;
 
 private:
+    auto callWithoutWaiting(std::function<void()> action, int priority) -> Watch;
+
     std::unique_ptr<event_base, detail::BaseDeleter> base_;
 };
 
--- a/src/runtime/task/tests/eventloop_tests.cpp
+++ b/src/runtime/task/tests/eventloop_tests.cpp
@@ -62,3 +62,21 @@
     EXPECT_EQ(errno, EPIPE);
     ::close(ends[0]);
 }
+
+/// Guards against a connection that is given up and written to by an event that had already occurred.
+TEST(EventLoopTests, anActionAfterAnEventIsCalledBeforeOtherEvents)
+{
+    task::EventLoop loop;
+    std::vector<int> calls;
+    std::vector<task::Watch> watches;
+    watches.push_back(loop.inThisTurn([&]() {
+        calls.push_back(1);
+        watches.push_back(loop.afterThisEvent([&]() { calls.push_back(2); }));
+    }));
+    watches.push_back(loop.inThisTurn([&]() {
+        calls.push_back(3);
+        loop.stop();
+    }));
+    loop.run();
+    EXPECT_EQ(calls, (std::vector<int>{ 1, 2, 3 }));
+}
