--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -29,9 +29,9 @@
 constexpr Duration SweepInterval = std::chrono::milliseconds(20);
 constexpr Duration LongestRegularGap = std::chrono::milliseconds(300); // between sweeps; beyond it the process was paused
 constexpr Duration ProbeTimeout = std::chrono::seconds(1);
-constexpr std::size_t MaxProbeAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxProbeAnswerBytes = std::size_t{ 64 } * 1024;
 /// Between two chunks of an answer.
-constexpr std::size_t MaxChunkLineBytes = 64 * 1024;
+constexpr std::size_t MaxChunkLineBytes = std::size_t{ 64 } * 1024;
 constexpr std::size_t MaxChunkBytes = std::size_t{ 1024 } * 1024;
 constexpr int OkStatus = 200;
 constexpr int UnavailableStatus = 503;
--- a/src/entry/backend/tests/endlessanswers_tests.cpp
+++ b/src/entry/backend/tests/endlessanswers_tests.cpp
@@ -47,7 +47,7 @@
 
 auto repeat(const std::string &piece) -> std::string
 {
-    constexpr std::size_t BlockBytes = 64 * 1024;
+    constexpr std::size_t BlockBytes = std::size_t{ 64 } * 1024;
     std::string block;
     while (block.size() < BlockBytes) {
         block += piece;
--- a/src/wire/http/tests/disconnectwatch_tests.cpp
+++ b/src/wire/http/tests/disconnectwatch_tests.cpp
@@ -69,6 +69,7 @@
     std::optional<std::size_t> handledAtNotice;
     const http::DisconnectWatch watch(loop, caller.descriptor(), [&]() { handledAtNotice = handled; });
     std::vector<task::Watch> watches;
+    watches.reserve(Connections);
     const auto beginRound = [&]() {
         handled = 0;
         for (const auto &each : others) {
