One way to detach a connection, and to log a cancelled attempt

Read once more: the chat face's pool repeated how a connection is detached, two actions of the gateway how a cancelled attempt is logged, sendqueue and Upstream how they tell that a request can't have begun; the decision whether to take a request back copied two texts. Tests repeated the sending without end and the measuring of the heap. Each stands once now; behaviour and assertions are as they were. Ran: given_up_request, backend_given_up, endless_answer, endless_bytes, wire_http, entry_backend, wire_disconnect_watch, docscheck, core_passthrough tests pass; lint of the changed files clean.

--- a/src/entry/backend/internal/connectionpool.cpp
+++ b/src/entry/backend/internal/connectionpool.cpp
@@ -1,7 +1,8 @@
 #include "entry/backend/internal/connectionpool.h"
 
+#include "wire/http/connectionpool.h"
+
 #include <event2/bufferevent.h>
-#include <event2/event.h>
 #include <event2/http.h>
 
 #include <charconv>
@@ -73,13 +74,10 @@
     idle_[connection.address].push_back({ .connection = connection.connection, .since = task::monotonicNow() });
 }
 
-//! NOTE evhttp would send the request if the connection were established before it is closed
 auto ConnectionPool::giveUp(const PooledConnection &connection, http::Interruption interruption) -> void
 {
-    auto *transport = evhttp_connection_get_bufferevent(connection.connection);
-    http::takeBackUnconfirmed(bufferevent_getfd(transport), interruption);
-    bufferevent_setcb(transport, nullptr, nullptr, nullptr, nullptr);
-    bufferevent_disable(transport, EV_READ | EV_WRITE);
+    http::takeBackUnconfirmed(bufferevent_getfd(evhttp_connection_get_bufferevent(connection.connection)), interruption);
+    http::detachConnection(connection.connection);
 }
 
 auto ConnectionPool::close(const PooledConnection &connection) -> void
--- a/src/entry/backend/tests/endlessanswers_tests.cpp
+++ b/src/entry/backend/tests/endlessanswers_tests.cpp
@@ -55,6 +55,17 @@
     return block;
 }
 
+/// \return bytes sent until the connection ended, or MostBytes
+auto sendWithoutEnd(const TcpConnection &connection, const std::string &piece) -> std::size_t
+{
+    const auto block = repeat(piece);
+    std::size_t sent = 0;
+    while (sent < MostBytes && connection.trySend(block)) {
+        sent += block.size();
+    }
+    return sent;
+}
+
 class EndlessAnswerTests : public testing::TestWithParam<std::tuple<Endless, routing::CallKind>>
 {
 };
@@ -75,12 +86,7 @@
     const auto connection = fixture.server.accept();
     connection.readUntil(kind == routing::CallKind::Chat ? "}" : "\r\n\r\n");
     connection.send(answer.start);
-    const auto block = repeat(answer.piece);
-    std::size_t sent = 0;
-    while (sent < MostBytes && connection.trySend(block)) {
-        sent += block.size();
-    }
-    EXPECT_LT(sent, MostBytes);
+    EXPECT_LT(sendWithoutEnd(connection, answer.piece), MostBytes);
 }
 
 INSTANTIATE_TEST_SUITE_P(Answers,
@@ -99,10 +105,5 @@
     const auto connection = fixture.server.accept();
     connection.readUntil("\r\n\r\n");
     connection.send("HTTP/1.1 200 OK\r\n\r\n");
-    const auto block = repeat("a");
-    std::size_t sent = 0;
-    while (sent < MostBytes && connection.trySend(block)) {
-        sent += block.size();
-    }
-    EXPECT_LT(sent, MostBytes);
+    EXPECT_LT(sendWithoutEnd(connection, "a"), MostBytes);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -160,6 +160,8 @@
     auto pagesCallbacks() -> PagesCallbacks;
     auto logContextOf(const OpenRequest &request) const -> RequestLogContext;
     [[nodiscard]] auto memoryStatus() const -> MemoryStatus;
+    /// \p cancelled: what Upstream tells of the attempt; not set: it had ended there
+    auto endCancelled(AttemptId attempt, const std::optional<CancelledAttempt> &cancelled) -> void;
     auto completeRequest(RequestId id, int status) -> void;
 
     task::EventLoop &loop;
@@ -311,23 +313,25 @@
 
 auto Gateway::Impl::execute(const passthrough::Cancel &action) -> void
 {
-    const auto cancelled = upstream.cancel(action.attempt);
-    const auto node = attempts.extract(action.attempt);
-    if (cancelled && node) {
-        accounting.attemptCancelled(*cancelled, now() - node.mapped().sentAt);
-    }
+    endCancelled(action.attempt, upstream.cancel(action.attempt));
 }
 
 auto Gateway::Impl::execute(const passthrough::TakeBack &action) -> void
 {
-    const auto cancelled = upstream.cancelIncomplete(action.attempt);
-    const auto node = cancelled ? attempts.extract(action.attempt) : decltype(attempts)::node_type();
-    if (node) {
-        accounting.attemptCancelled(*cancelled, now() - node.mapped().sentAt);
+    if (const auto cancelled = upstream.cancelIncomplete(action.attempt)) {
+        endCancelled(action.attempt, cancelled);
         apply(passthrough::RequestTakenBack{ .request = action.request });
     }
 }
 
+auto Gateway::Impl::endCancelled(AttemptId attempt, const std::optional<CancelledAttempt> &cancelled) -> void
+{
+    const auto node = attempts.extract(attempt);
+    if (cancelled && node) {
+        accounting.attemptCancelled(*cancelled, now() - node.mapped().sentAt);
+    }
+}
+
 auto Gateway::Impl::completeRequest(RequestId id, int status) -> void
 {
     const auto node = requests.extract(id);
--- a/src/gateway/tests/endlessbytes_tests.cpp
+++ b/src/gateway/tests/endlessbytes_tests.cpp
@@ -175,6 +175,25 @@
     return heap.uordblks + heap.hblkhd;
 }
 
+/// How much more of the heap is in use than at the construction.
+class HeapGrowth
+{
+public:
+    auto measure() -> void
+    {
+        const auto inUse = heapInUse();
+        most_ = std::max(most_, inUse - std::min(before_, inUse));
+    }
+    [[nodiscard]] auto most() const -> std::size_t
+    {
+        return most_;
+    }
+
+private:
+    std::size_t before_ = heapInUse();
+    std::size_t most_ = 0;
+};
+
 /// A client for backend servers, on its own event loop. No time passes for its attempts.
 class Client
 {
@@ -195,11 +214,11 @@
                 std::make_shared<const BufferedRequest>(BufferedRequest{ .target = "/check/1" }),
                 "id-1");
         }
-        const auto before = heapInUse();
+        HeapGrowth growth;
         const auto end = now() + HangTimeout;
         const auto observer = loop_.every(std::chrono::milliseconds(1), [&]() {
-            const auto inUse = heapInUse();
-            outcome_.mostHeld = std::max(outcome_.mostHeld, inUse - std::min(before, inUse));
+            growth.measure();
+            outcome_.mostHeld = growth.most();
             const auto isOver = outcome_.ends.size() == servers.size() && std::all_of(servers.begin(), servers.end(), std::mem_fn(&EndlessServer::sawEnd));
             outcome_.isOver = isOver;
             if (isOver || now() > end || outcome_.mostHeld > MostEver) {
@@ -319,20 +338,18 @@
                            .onFailed = [&](std::string_view, const std::string &) { failed += 1; },
                            .onNotice = [](const passthrough::CallNoticed &) {},
                        });
-    const auto before = heapInUse();
+    HeapGrowth growth;
     const auto end = now() + HangTimeout;
-    std::size_t mostHeld = 0;
     const auto observer = loop.every(std::chrono::milliseconds(1), [&]() {
-        const auto inUse = heapInUse();
-        mostHeld = std::max(mostHeld, inUse - std::min(before, inUse));
-        if (failed == Engines || now() > end || mostHeld > MostEver) {
+        growth.measure();
+        if (failed == Engines || now() > end || growth.most() > MostEver) {
             loop.stop();
         }
     });
     reader.readOnce(servers, { "entry-1" }, "entry-1");
     loop.run();
     EXPECT_EQ(failed, Engines);
-    EXPECT_LE(mostHeld, EntryBytes);
+    EXPECT_LE(growth.most(), EntryBytes);
 }
 
 /// Guards against requests that wait for the end of a response that can't be used, until their deadline.
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -235,23 +235,26 @@
     return isKnown ? static_cast<std::size_t>(unread) : 0;
 }
 
-auto describeCancelled(const Attempt &attempt) -> CancelledAttempt
+/// Of the request, not in the socket.
+auto unwrittenBytes(const Attempt &attempt) -> std::size_t
 {
-    CancelledAttempt cancelled{ .callerId = attempt.callerId, .server = attempt.server, .isAnswerBegun = attempt.headReceived };
-    if (attempt.connection) {
-        auto *transport = transportOf(*attempt.connection);
-        cancelled.unwrittenBytes = evbuffer_get_length(bufferevent_get_output(transport));
-        cancelled.sendQueue = http::sendQueueOf(bufferevent_getfd(transport));
-    }
-    return cancelled;
+    return attempt.connection ? evbuffer_get_length(bufferevent_get_output(transportOf(*attempt.connection))) : 0;
+}
+
+auto sendQueueOf(const Attempt &attempt) -> std::optional<http::SendQueue>
+{
+    return attempt.connection ? http::sendQueueOf(bufferevent_getfd(transportOf(*attempt.connection))) : std::nullopt;
 }
 
 /// Whether the server can't have the whole request.
 auto isIncompleteAtServer(const Attempt &attempt) -> bool
 {
     const auto hasSent = attempt.connection && attempt.connection->hasSent;
-    const auto state = describeCancelled(attempt);
-    return !hasSent || state.unwrittenBytes > 0 || (state.sendQueue && state.sendQueue->unsent > 0);
+    if (!hasSent || unwrittenBytes(attempt) > 0) {
+        return true;
+    }
+    const auto queue = sendQueueOf(attempt);
+    return queue && http::isIncompleteAtPeer(*queue);
 }
 
 auto heldBytes(const Attempt &attempt) -> std::size_t
@@ -750,8 +753,15 @@
     if (found == impl_->attempts.end()) {
         return std::nullopt;
     }
-    auto cancelled = describeCancelled(*found->second);
-    impl_->close(*found->second, false);
+    auto &cancelledAttempt = *found->second;
+    CancelledAttempt cancelled{
+        .callerId = cancelledAttempt.callerId,
+        .server = cancelledAttempt.server,
+        .isAnswerBegun = cancelledAttempt.headReceived,
+        .unwrittenBytes = unwrittenBytes(cancelledAttempt),
+        .sendQueue = sendQueueOf(cancelledAttempt),
+    };
+    impl_->close(cancelledAttempt, false);
     return cancelled;
 }
 
--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -66,6 +66,13 @@
     evhttp_connection_free(connection);
 }
 
+auto detachConnection(evhttp_connection *connection) -> void
+{
+    auto *transport = evhttp_connection_get_bufferevent(connection);
+    bufferevent_setcb(transport, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(transport, EV_READ | EV_WRITE);
+}
+
 ConnectionPool::ConnectionPool(task::EventLoop &loop, const ClientOptions &options)
     : loop_(loop)
     , options_(options)
@@ -128,15 +135,12 @@
     retire(std::move(connection));
 }
 
-// evhttp still works with the connection while it calls back, so it is freed right after that. It must not hear of anything until then: when
-// a connection is established, it sends the request, which may have gone to another server meanwhile.
+// evhttp still works with the connection while it calls back, so it is freed right after that.
 auto ConnectionPool::retire(std::unique_ptr<Connection> connection) -> void
 {
     connection->onDone = nullptr;
     connection->guard.request = nullptr;
-    auto *transport = evhttp_connection_get_bufferevent(connection->raw.get());
-    bufferevent_setcb(transport, nullptr, nullptr, nullptr, nullptr);
-    bufferevent_disable(transport, EV_READ | EV_WRITE); // what is not in the socket stays there
+    detachConnection(connection->raw.get());
     retired_.push_back(std::move(connection));
     retirement_ = loop_.afterThisEvent([this]() { retired_.clear(); });
 }
--- a/src/wire/http/sendqueue.cpp
+++ b/src/wire/http/sendqueue.cpp
@@ -38,6 +38,11 @@
     return SendQueue{ .unsent = static_cast<std::size_t>(unsent), .unconfirmed = static_cast<std::size_t>(unconfirmed) };
 }
 
+auto isIncompleteAtPeer(const SendQueue &queue) -> bool
+{
+    return queue.unsent > 0;
+}
+
 //! NOTE a reset is sent once and may be lost; where there is nothing to take back, the ordinary close reaches the peer more surely
 auto takeBackUnconfirmed(int descriptor, Interruption interruption) -> void
 {
@@ -45,8 +50,7 @@
     if (queue && queue->unconfirmed == 0) {
         return;
     }
-    const auto isIncomplete = queue && queue->unsent > 0; // at the peer, which can't have begun
-    if (isIncomplete || interruption == Interruption::Allowed) {
+    if ((queue && isIncompleteAtPeer(*queue)) || interruption == Interruption::Allowed) {
         resetOnClose(descriptor);
     } else {
         boundDelivery(descriptor);
--- a/src/wire/http/sendqueue.h
+++ b/src/wire/http/sendqueue.h
@@ -17,6 +17,9 @@
 /// \return nothing if the kernel does not tell
 auto sendQueueOf(int descriptor) -> std::optional<SendQueue>;
 
+/// Whether the end of what was written has not left this VM, so that the peer can't have begun a request that ends there.
+auto isIncompleteAtPeer(const SendQueue &queue) -> bool;
+
 /// Whether a request may be interrupted while the peer works on it.
 enum class Interruption { Allowed, Harmful };
 
