The limit of the account is kept within a turn of the event loop

Cause: the review ran at the end of the turn in which the pressure began, and then every 50 ms.

Change: the review follows the event with which the pressure begins, and each event after which the limit is exceeded.

Test: AccountTests.theLimitIsKeptWithinATurnOfTheLoop, 100 connections that grow in one turn: fails on the older code (20,000 bytes of 1,000), passes now.

--- a/src/runtime/memory/account.cpp
+++ b/src/runtime/memory/account.cpp
@@ -38,7 +38,7 @@
     }
 
     auto set(Entry &entry, std::size_t bytes) -> void;
-    auto reviewSoon() -> void;
+    auto reviewAfterThisEvent() -> void;
     auto reviewNow() -> void;
     auto apply(const Decision &decision) -> void;
     auto logClosed(const Entry &entry, CloseCause cause) const -> void;
@@ -50,7 +50,8 @@
     std::uint64_t pauses = 0;
     std::array<std::uint64_t, CloseCauseNames.size()> closed{};
     std::unordered_map<HoldingId, Entry *> entries;
-    bool isReviewing = false; ///< a review is due
+    bool isReviewing = false; ///< reviews go on until the pressure is over
+    bool isDue = false;       ///< a review follows the event that is being handled, or is under way
     task::Watch timer;
 };
 
@@ -59,18 +60,22 @@
     total += bytes - entry.holding.bytes;
     entry.holding.bytes = bytes;
     if (!isReviewing && isUnderPressure(total, limits)) {
-        reviewSoon();
+        isReviewing = true;
+        reviewAfterThisEvent();
+    } else if (!isDue && total > limits.bytes) {
+        reviewAfterThisEvent(); // many connections may grow before the next regular review
     }
 }
 
-auto State::reviewSoon() -> void
+auto State::reviewAfterThisEvent() -> void
 {
-    isReviewing = true;
-    timer = loop.inThisTurn([this]() { reviewNow(); });
+    isDue = true;
+    timer = loop.afterThisEvent([this]() { reviewNow(); });
 }
 
 auto State::reviewNow() -> void
 {
+    isDue = true; // connections that are closed below may change what others hold
     std::vector<Holding> holdings;
     holdings.reserve(entries.size());
     for (const auto &[id, entry] : entries) {
@@ -79,6 +84,7 @@
     for (const auto &decision : review(holdings, limits, task::monotonicNow())) {
         apply(decision);
     }
+    isDue = false;
     if (isUnderPressure(total, limits)) {
         timer = loop.after(ReviewInterval, [this]() { reviewNow(); });
         return;
--- a/src/runtime/memory/tests/account_tests.cpp
+++ b/src/runtime/memory/tests/account_tests.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -85,6 +87,28 @@
     EXPECT_EQ(account.closed(CloseCause::TooLarge), 1U);
 }
 
+/// Guards against a crowd whose connections all fill their sockets at once, and grow far beyond the limit within one turn of the loop.
+TEST(AccountTests, theLimitIsKeptWithinATurnOfTheLoop)
+{
+    constexpr std::size_t Members = 100;
+    constexpr std::size_t Each = 200;
+    task::EventLoop loop;
+    Account account(loop, TestLimits);
+    std::deque<Member> members;
+    std::vector<task::Watch> arrivals;
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < Members; ++i) {
+        auto &member = members.emplace_back(account);
+        arrivals.push_back(loop.inThisTurn([&]() {
+            member.share.begin(Purpose::Receive);
+            member.share.hold(Each, Each);
+            most = std::max(most, account.heldBytes());
+        }));
+    }
+    EXPECT_TRUE(standins::runUntil(loop, [&]() { return members.back().isPaused || members.back().cause; }));
+    EXPECT_LE(most, TestLimits.bytes + Each);
+}
+
 /// Guards against a share that outlives its account, as connections of a server may.
 TEST(AccountTests, aShareMayOutliveItsAccount)
 {
