Sockets of a crowd hold a bounded number of bytes

Cause: each accepted connection has a receive buffer of 64 KiB, and the kernel fills all of them as fast as the callers send, before the process reads. The account knows nothing of these bytes and could not act in time. Ruled out by a trial: counting the sockets of paused connections in the review and refusing the youngest (113, 115 MB: the sockets are full before the first review); fewer looks for urgent events (64 in place of 8: 115, 116 MB). Change: beyond 128 open connections a listener of callers accepts with buffers of 16 KiB.

--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -5,6 +5,7 @@
 #include "runtime/logging/logging.h"
 #include "runtime/memory/account.h"
 #include "runtime/task/eventloop.h"
+#include "wire/http/acceptedsockets.h"
 #include "wire/http/acceptpause.h"
 #include "wire/http/heldconnection.h"
 #include "wire/http/wholefirstline.h"
@@ -98,6 +99,14 @@
     {
     }
 
+    ~State()
+    {
+        sockets.release(); // the server closes its listener before its connections
+    }
+
+    State(const State &) = delete;
+    auto operator=(const State &) -> State & = delete;
+
     auto accept(evhtp_connection *handle) -> evhtp_res;
     auto closeForMemory(const Connection &connection) const -> void;
     auto makeRoom() -> bool;
@@ -140,6 +149,7 @@
     task::EventLoop loop;
     memory::Account account;
     http::AcceptPause acceptPause;
+    http::AcceptedSockets sockets;
     std::vector<evhtp_connection *> dueCloses; ///< outside of the library's calls
     task::Watch closing;
     std::unordered_map<evhtp_connection *, Connection> connections;
@@ -158,6 +168,7 @@
         makeRoom();
     }
     auto &connection = connections[handle];
+    sockets.setOpen(connections.size());
     connection.owner = this;
     connection.handle = handle;
     connection.since = task::monotonicNow();
@@ -254,6 +265,7 @@
             self.callerGone(known.exchange);
         }
         self.connections.erase(ended);
+        self.sockets.setOpen(self.connections.size());
         return EVHTP_RES_OK;
     };
     evhtp_connection_set_hook(handle, evhtp_hook_on_headers_start, asHook(+onStart), &connection);
@@ -695,7 +707,7 @@
     if (evhtp_bind_socket(state.server.get(), address.substr(0, colon).c_str(), port, ListenBacklog) != 0) {
         throw std::runtime_error("listen: cannot bind " + address + ": " + std::strerror(errno));
     }
-    http::boundSocketBuffers(evconnlistener_get_fd(state.server->server));
+    state.sockets.watch(evconnlistener_get_fd(state.server->server));
     state.acceptPause.watch(state.server->server);
 }
 
--- a/src/failuretests/crowd/tests/crowd_tests.cpp
+++ b/src/failuretests/crowd/tests/crowd_tests.cpp
@@ -164,6 +164,13 @@
     checkAtCallers({ .connections = 40, .beginning = head, .repeated = std::string(ChunkBytes, 'x'), .bytesEach = head.size() + BodyBytes - HeadBytes - 1 });
 }
 
+/// Guards against bodies that wait for room in the sockets of so many connections that the kernel holds more than the process.
+TEST(CrowdTests, bodiesThatWaitInSockets)
+{
+    const auto head = CrowdSite::makeRequest("POST", PlainPath + std::string("1"), lengthLine(BodyBytes - HeadBytes));
+    checkAtCallers({ .connections = 1900, .beginning = head, .repeated = std::string(ChunkBytes, 'x'), .bytesEach = head.size() + BodyBytes - HeadBytes });
+}
+
 /// Guards against bodies that are read at listeners whose requests have none.
 TEST(CrowdTests, bodiesForReadiness)
 {
--- a/src/gateway/callerconnections.cpp
+++ b/src/gateway/callerconnections.cpp
@@ -65,7 +65,7 @@
 
 auto CallerConnections::watchListener(evconnlistener *listener) -> void
 {
-    http::boundSocketBuffers(evconnlistener_get_fd(listener));
+    sockets_.watch(evconnlistener_get_fd(listener));
     acceptPause_.watch(listener);
 }
 
@@ -97,6 +97,7 @@
     for (auto *transport : std::exchange(accepted_, {})) {
         adopt(transport);
     }
+    sockets_.setOpen(connections_.size());
     keepToLimit();
 }
 
@@ -130,6 +131,7 @@
     callbacks_.onClosed(raw);
     byPhase_.at(static_cast<std::size_t>(found->second->phase)).erase(found->second);
     connections_.erase(found);
+    sockets_.setOpen(connections_.size());
 }
 
 auto CallerConnections::find(evhttp_connection *raw) -> Connection *
--- a/src/gateway/callerconnections.h
+++ b/src/gateway/callerconnections.h
@@ -8,6 +8,7 @@
 #include "gateway/payload.h"
 #include "runtime/memory/account.h"
 #include "runtime/task/eventloop.h"
+#include "wire/http/acceptedsockets.h"
 #include "wire/http/acceptpause.h"
 #include "wire/http/heldconnection.h"
 #include "wire/http/lingeringclose.h"
@@ -103,6 +104,7 @@
     http::HeldConnectionLimits limits_;
     CallerConnectionCounts counts_;
     http::AcceptPause acceptPause_;
+    http::AcceptedSockets sockets_;
     http::LingeringClose lingering_;
     std::array<Connections, Phases> byPhase_; ///< each in the order in which the phase began
     std::unordered_map<evhttp_connection *, Connections::iterator> connections_;
--- a/src/wire/http/heldconnection.cpp
+++ b/src/wire/http/heldconnection.cpp
@@ -21,14 +21,16 @@
 /// What the kernel is asked to hold at the most; Linux doubles it. Unread bytes count as memory of the VM.
 /// @{
 constexpr int SocketReceiveBytes = 32 * 1024;
+constexpr int SmallSocketReceiveBytes = 8 * 1024;
 constexpr int SocketSendBytes = 64 * 1024;
 /// @}
 
 } // namespace
 
-auto boundSocketBuffers(int descriptor) -> void
+auto boundSocketBuffers(int descriptor, SocketSize size) -> void
 {
-    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &SocketReceiveBytes, sizeof SocketReceiveBytes);
+    const auto &receiveBytes = size == SocketSize::Small ? SmallSocketReceiveBytes : SocketReceiveBytes;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
     ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &SocketSendBytes, sizeof SocketSendBytes);
 }
 
--- a/src/wire/http/heldconnection.h
+++ b/src/wire/http/heldconnection.h
@@ -17,8 +17,10 @@
 namespace auburnspread::http
 {
 
+enum class SocketSize { Usual, Small };
+
 /// Bounds what the kernel holds for the connections of a listener, which inherit it, or of a connection.
-auto boundSocketBuffers(int descriptor) -> void;
+auto boundSocketBuffers(int descriptor, SocketSize size = SocketSize::Usual) -> void;
 
 /// Address of the other end, for logs.
 auto peerOf(bufferevent *transport) -> std::string;
