--- a/src/failuretests/crowd/tests/chatcrowd_tests.cpp
+++ b/src/failuretests/crowd/tests/chatcrowd_tests.cpp
@@ -47,6 +47,36 @@
     return placer;
 }
 
+auto startConsole(SmallSite &site) -> Console &
+{
+    auto &console = site.startConsole();
+    if (!site.caller.waitUntil([&]() { return console.process->output().find("\"listening\"") != std::string::npos; })) {
+        throw std::runtime_error("the console did not start: " + site.logs());
+    }
+    return console;
+}
+
+/// A console answers nobody without a token, but it answers.
+auto checkConsole(SmallSite &site, const CrowdOptions &crowd) -> void
+{
+    constexpr int UnauthorizedStatus = 401;
+    check(site, *site.console.process, crowd);
+    EXPECT_EQ(site.caller.fetch({ .address = site.console.address, .path = "/" })->head.status, UnauthorizedStatus);
+}
+
+constexpr auto LinkHead = "GET / HTTP/1.1\r\nHost: entry\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                          "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n";
+
+/// Connections of strangers to the address at which an entry expects the others.
+auto checkLinks(const std::string &beginning, std::size_t bytesEach) -> void
+{
+    SmallSite site({});
+    check(
+        site,
+        *site.entry(1).process,
+        { .address = site.entry(1).peerAddress, .connections = 300, .beginning = beginning, .repeated = std::string(PartBytes, 'x'), .bytesEach = bytesEach });
+}
+
 /// Bodies within the limit, whose last byte never comes.
 auto makeBodies(const std::string &address, const std::string &path) -> CrowdOptions
 {
@@ -95,3 +125,34 @@
     auto &placer = startPlacer(site);
     check(site, *placer.process, makeBodies(placer.adminAddress, "/v1/status"));
 }
+
+TEST(ChatCrowdTests, pipelinedRequestsForTheConsole)
+{
+    SmallSite site({});
+    checkConsole(site, makePipelined(startConsole(site).address, "/"));
+}
+
+TEST(ChatCrowdTests, stalledBodiesForTheConsole)
+{
+    SmallSite site({});
+    checkConsole(site, makeBodies(startConsole(site).address, "/"));
+}
+
+/// Guards against strangers who take all places of the links between entries.
+TEST(ChatCrowdTests, silentLinks)
+{
+    checkLinks({}, 0);
+}
+
+/// Guards against an opening handshake that is buffered without a limit.
+TEST(ChatCrowdTests, headsOfLinksWithoutEnd)
+{
+    checkLinks(std::string(LinkHead) + "X-Filler: ", PipelinedBytes);
+}
+
+/// Guards against a message that is buffered without a limit before its sender has proved the secret.
+TEST(ChatCrowdTests, messagesOfLinksWithoutEnd)
+{
+    const std::string frameOfOneGigabyte("\x82\xff\0\0\0\0\x40\0\0\0mask", 14);
+    checkLinks(std::string(LinkHead) + "\r\n" + frameOfOneGigabyte, PipelinedBytes);
+}
--- a/src/failuretests/crowd/tests/crowd_tests.cpp
+++ b/src/failuretests/crowd/tests/crowd_tests.cpp
@@ -164,6 +164,14 @@
     checkAtCallers({ .connections = 40, .beginning = head, .repeated = std::string(ChunkBytes, 'x'), .bytesEach = head.size() + BodyBytes - HeadBytes - 1 });
 }
 
+/// Guards against the same for requests that another entry has forwarded, or that pretend to be such.
+TEST(CrowdTests, forwardedBodies)
+{
+    const auto framing = "Auburnspread-Forwarded: 0\r\n" + lengthLine(BodyBytes - HeadBytes);
+    const auto head = CrowdSite::makeRequest("POST", PlainPath + std::string("1"), framing);
+    checkAtCallers({ .connections = 40, .beginning = head, .repeated = std::string(ChunkBytes, 'x'), .bytesEach = head.size() + BodyBytes - HeadBytes });
+}
+
 /// Guards against bodies that wait for room in the sockets of so many connections that the kernel holds more than the process.
 TEST(CrowdTests, bodiesThatWaitInSockets)
 {
--- a/src/failuretests/site.cpp
+++ b/src/failuretests/site.cpp
@@ -145,6 +145,17 @@
     return placer;
 }
 
+auto Site::startConsole() -> Console &
+{
+    console.address = standins::takeLoopbackAddress();
+    const auto settings = writeFile("console.ini",
+                                    "[listen]\naddress = " + console.address + "\n[platform]\naddress = " + platform->address
+                                        + "\n[operators]\ntokens = ana:a-token-of-the-tests\n");
+    console.process = std::make_unique<Process>(
+        ProcessOptions{ .program = "auburnspread-console", .arguments = { "--config", settings.string() }, .output = folder_ / "console.log" });
+    return console;
+}
+
 auto Site::writeFile(const std::string &name, const std::string &text) -> std::filesystem::path
 {
     auto path = folder_ / name;
--- a/src/failuretests/site.h
+++ b/src/failuretests/site.h
@@ -39,6 +39,11 @@
     std::string adminAddress;
 };
 
+struct Console {
+    std::unique_ptr<Process> process;
+    std::string address;
+};
+
 class Site
 {
 public:
@@ -65,6 +70,8 @@
     /// Starts a placer with a short lease.
     auto startPlacer(const std::string &name) -> Placer &;
 
+    auto startConsole() -> Console &;
+
     /// Writes a file into the site's folder.
     auto writeFile(const std::string &name, const std::string &text) -> std::filesystem::path;
     [[nodiscard]] auto folder() const -> const std::filesystem::path &;
@@ -82,6 +89,7 @@
     std::map<std::string, std::unique_ptr<StandIn>> standIns;
     std::map<std::string, std::unique_ptr<Entry>> entries;
     std::map<std::string, std::unique_ptr<Placer>> placers;
+    Console console; ///< without a process until startConsole()
 
 private:
     auto launch(StandIn &standIn) -> void;
