The chat face counts its refusals for want of memory, and reads on after them; one writer of last responses

Cause: a refusal before a request was read was written at three places; that of the chat face was neither counted nor logged as a refusal, and its connection was closed at once, so that bytes that still arrived could reset it before its caller had read the 503. Change: http::sendLastResponse serves the callers' listeners of both faces and the pages; the chat face reports the refusal and keeps the connection for what its caller still sends, bounded as at the gateway.

--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -8,6 +8,8 @@
 #include "wire/http/acceptedsockets.h"
 #include "wire/http/acceptpause.h"
 #include "wire/http/heldconnection.h"
+#include "wire/http/lastresponse.h"
+#include "wire/http/lingeringclose.h"
 #include "wire/http/wholefirstline.h"
 
 #include <event2/event.h>
@@ -46,6 +48,8 @@
 constexpr int RedirectStatus = 307;
 constexpr std::size_t HeaderCutFactor = 4;      // beyond the answerable bound by this much the connection is cut
 constexpr std::size_t ConnectionsCutFactor = 2; // up to here a connection too many is answered; beyond, the oldest idle one is cut
+/// Refused connections that are kept open for callers that may still send, as a part of all: one in so many.
+constexpr std::size_t MaxLingeringPart = 4;
 constexpr auto ChatPath = "/v1/chat/completions";
 constexpr auto EntriesPath = "/v1/entries";
 constexpr auto TicketsPath = "/v1/tickets";
@@ -95,6 +99,7 @@
         , mailboxes(all)
         , account(loop, memory::limitsOf(options.memoryBytes))
         , acceptPause(loop, [this]() { return makeRoom(); })
+        , lingering(loop)
         , server(evhtp_new(loop.base(), nullptr))
     {
     }
@@ -108,7 +113,8 @@
     auto operator=(const State &) -> State & = delete;
 
     auto accept(evhtp_connection *handle) -> evhtp_res;
-    auto closeForMemory(const Connection &connection) const -> void;
+    auto closeForMemory(const Connection &connection) -> void;
+    auto refuseForMemory(const Connection &connection) -> void;
     auto makeRoom() -> bool;
     auto closeSoon(evhtp_connection *handle) -> void;
     auto setHooks(Connection &connection) -> void;
@@ -150,6 +156,7 @@
     memory::Account account;
     http::AcceptPause acceptPause;
     http::AcceptedSockets sockets;
+    http::LingeringClose lingering;            ///< refused connections whose callers may still send
     std::vector<evhtp_connection *> dueCloses; ///< outside of the library's calls
     task::Watch closing;
     std::unordered_map<evhtp_connection *, Connection> connections;
@@ -186,19 +193,31 @@
     return EVHTP_RES_OK;
 }
 
-auto CallerTask::State::closeForMemory(const Connection &connection) const -> void
+auto CallerTask::State::closeForMemory(const Connection &connection) -> void
 {
     if (connection.held->isReceiving()) {
-        const auto answer
-            = chat::makeRefusalBody({ .reason = Reason::MemoryFull, .outcome = Outcome::NotRun, .retryAfter = RedirectRetryAfter, .step = "read" });
-        const auto text = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nAuburnspread-Reason: memory-full\r\nRetry-After: 1\r\n"
-                          "Connection: close\r\nContent-Length: "
-            + std::to_string(answer.size()) + "\r\n\r\n" + answer;
-        ::send(bufferevent_getfd(connection.handle->bev), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        refuseForMemory(connection);
     }
     evhtp_connection_free(connection.handle);
 }
 
+auto CallerTask::State::refuseForMemory(const Connection &connection) -> void
+{
+    const routing::Refuse refuse{ .reason = Reason::MemoryFull, .outcome = Outcome::NotRun, .retryAfter = RedirectRetryAfter, .step = "read" };
+    const auto peer = "caller " + http::peerOf(connection.handle->bev);
+    if (options.refused) {
+        options.refused(refuse, peer);
+    }
+    const chat::Refusal refusal{ .reason = refuse.reason, .outcome = refuse.outcome, .retryAfter = refuse.retryAfter, .step = refuse.step };
+    auto headers = refusalHeaders(refusal);
+    headers.push_back({ .name = "Content-Type", .value = "application/json" });
+    const auto descriptor = bufferevent_getfd(connection.handle->bev);
+    const http::LastResponse response{ .status = reasonInfo(refusal.reason).status, .headers = std::move(headers), .body = chat::makeRefusalBody(refusal) };
+    if (http::sendLastResponse(descriptor, response) && lingering.size() < options.connections / MaxLingeringPart) {
+        lingering.add(descriptor);
+    }
+}
+
 /// Closes the connection that has been without a complete request for longest.
 auto CallerTask::State::makeRoom() -> bool
 {
--- a/src/entry/caller/internal/exchange.cpp
+++ b/src/entry/caller/internal/exchange.cpp
@@ -132,12 +132,22 @@
     evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), Copied, Copied));
 }
 
-auto addRefusalHeaders(evhtp_request *request, const chat::Refusal &refusal) -> void
+auto refusalHeaders(const chat::Refusal &refusal) -> http::Headers
 {
-    addReplyHeader(request, "Auburnspread-Outcome", std::string(outcomeName(refusal.outcome)));
-    addReplyHeader(request, "Auburnspread-Reason", std::string(reasonInfo(refusal.reason).name));
+    http::Headers headers = {
+        { .name = "Auburnspread-Outcome", .value = std::string(outcomeName(refusal.outcome)) },
+        { .name = "Auburnspread-Reason", .value = std::string(reasonInfo(refusal.reason).name) },
+    };
     if (refusal.retryAfter) {
-        addReplyHeader(request, "Retry-After", retryAfterSeconds(*refusal.retryAfter));
+        headers.push_back({ .name = "Retry-After", .value = retryAfterSeconds(*refusal.retryAfter) });
+    }
+    return headers;
+}
+
+auto addRefusalHeaders(evhtp_request *request, const chat::Refusal &refusal) -> void
+{
+    for (const auto &header : refusalHeaders(refusal)) {
+        addReplyHeader(request, header.name, header.value);
     }
 }
 
--- a/src/entry/caller/internal/exchange.h
+++ b/src/entry/caller/internal/exchange.h
@@ -6,6 +6,7 @@
 #include "entry/messages/messages.h"
 #include "wire/chat/chatanswer.h"
 #include "wire/http/disconnectwatch.h"
+#include "wire/http/message.h"
 
 #include <event2/buffer.h>
 
@@ -46,7 +47,8 @@
 /// Writes a complete answer outside any exchange.
 auto writeDocument(evhtp_request *request, int status, const std::string &contentType, const std::string &body) -> void;
 auto addReplyHeader(evhtp_request *request, const std::string &name, const std::string &value) -> void;
-/// Adds the two headers that every refusal carries, and Retry-After where a retry can help.
+/// The two headers that every refusal carries, and Retry-After where a retry can help.
+auto refusalHeaders(const chat::Refusal &refusal) -> http::Headers;
 auto addRefusalHeaders(evhtp_request *request, const chat::Refusal &refusal) -> void;
 
 } // namespace auburnspread::entry
--- a/src/entry/caller/tests/callertask_tests.cpp
+++ b/src/entry/caller/tests/callertask_tests.cpp
@@ -132,6 +132,21 @@
     EXPECT_TRUE(contains(answer, "Auburnspread-Reason: body-too-large"));
 }
 
+/// Guards against a refusal for want of memory that nobody counts, or that its caller does not get, as it still sends.
+TEST(CallerTaskTests, aRefusalForWantOfMemoryReachesACallerWhoStillSends)
+{
+    constexpr std::size_t BodyBytes = 900'000;
+    Fixture fixture({ .memoryBytes = BodyBytes });
+    WireCaller caller(fixture.task.address());
+    caller.send(makePost(std::string(BodyBytes, 'x')));
+    const auto answer = caller.readToEnd();
+    EXPECT_TRUE(contains(answer, "HTTP/1.1 503")) << answer;
+    EXPECT_TRUE(contains(answer, "Auburnspread-Reason: memory-full"));
+    EXPECT_TRUE(contains(answer, "Retry-After: 1"));
+    const std::lock_guard lock(fixture.mutex);
+    EXPECT_EQ(fixture.refusals, std::vector{ Reason::MemoryFull });
+}
+
 // The caller's headers exceed the bound: a clear answer. Far beyond it the connection is cut: no memory for it.
 TEST(CallerTaskTests, oversizeHeadersAreAnsweredAndFarBeyondTheBoundCut)
 {
--- a/src/gateway/callerconnections.cpp
+++ b/src/gateway/callerconnections.cpp
@@ -1,14 +1,12 @@
 #include "gateway/callerconnections.h"
 
 #include "runtime/logging/logging.h"
+#include "wire/http/lastresponse.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
-#include <sys/socket.h>
-
-#include <string>
 #include <utility>
 
 namespace auburnspread::gateway
@@ -29,16 +27,6 @@
 constexpr std::size_t CaughtUpBytes = std::size_t{ 16 } * 1024;
 /// @}
 
-/// libevent can't answer a request that it has not read completely, unless it rejects it itself.
-auto formatResponse(const BufferedResponse &response) -> std::string
-{
-    auto text = "HTTP/1.1 " + std::to_string(response.status) + " Refused\r\nConnection: close\r\n";
-    for (const auto &header : response.headers) {
-        text += header.name + ": " + header.value + "\r\n";
-    }
-    return text + "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
-}
-
 } // namespace
 
 CallerConnections::CallerConnections(task::EventLoop &loop,
@@ -205,9 +193,9 @@
 
 auto CallerConnections::refuse(Connection &connection, memory::CloseCause cause) -> void
 {
-    const auto text = formatResponse(callbacks_.makeRefusal(cause));
-    const auto sent = ::send(bufferevent_getfd(connection.transport), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent == static_cast<ssize_t>(text.size())) {
+    auto refusal = callbacks_.makeRefusal(cause);
+    const http::LastResponse response{ .status = refusal.status, .headers = std::move(refusal.headers), .body = std::move(refusal.body) };
+    if (http::sendLastResponse(bufferevent_getfd(connection.transport), response)) {
         linger(connection.raw);
     }
 }
--- a/src/wire/http/server.cpp
+++ b/src/wire/http/server.cpp
@@ -6,6 +6,7 @@
 #include "wire/http/heldconnection.h"
 #include "wire/http/internal/pendingreply.h"
 #include "wire/http/internal/requestreader.h"
+#include "wire/http/lastresponse.h"
 #include "wire/http/lingeringclose.h"
 #include "wire/http/wholefirstline.h"
 
@@ -67,13 +68,16 @@
     std::weak_ptr<detail::PendingReply> pending;
 };
 
-constexpr std::string_view TooLargeAnswer = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-constexpr std::string_view NoRoomAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n";
+auto makeTooLargeAnswer() -> LastResponse
+{
+    constexpr int Status = 413;
+    return { .status = Status, .phrase = "Content Too Large" };
+}
 
-// The answer goes straight to the socket, because the connection is closed next, with its request unread.
-auto sendAtOnce(evhtp_connection_t *connection, std::string_view answer) -> void
+auto makeNoRoomAnswer() -> LastResponse
 {
-    ::send(bufferevent_getfd(connection->bev), answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    constexpr int Status = 503;
+    return { .status = Status, .phrase = "Service Unavailable", .headers = { { .name = "Retry-After", .value = "1" } } };
 }
 
 } // namespace
@@ -280,7 +284,7 @@
     if (detail::declaredLength(headers) <= self.options_.bodyBytes) {
         return EVHTP_RES_OK;
     }
-    sendAtOnce(raw->conn, TooLargeAnswer);
+    sendLastResponse(bufferevent_getfd(raw->conn->bev), makeTooLargeAnswer());
     return EVHTP_RES_ERROR;
 }
 
@@ -400,8 +404,7 @@
 auto Server::Impl::closeForMemory(Caller &caller) -> void
 {
     if (caller.phase == Phase::Reading) {
-        sendAtOnce(caller.raw, NoRoomAnswer);
-        caller.isAnswered = true;
+        caller.isAnswered = sendLastResponse(bufferevent_getfd(caller.raw->bev), makeNoRoomAnswer());
     }
     evhtp_connection_free(caller.raw);
 }
