A timer counts from when it is set, not from the beginning of the loop's turn

Cause: libevent adds the interval to the time that it noted when the turn began. A timer set late in a long turn ends early by as much, if another event wakes the loop before. So did all timeouts of an entry that is behind: calls of the store, renewals, probes. Change: EventLoop updates the noted time when it starts a timer.

--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -107,14 +107,26 @@
 
 } // namespace
 
+namespace
+{
+
+//! NOTE the library counts from the beginning of the loop's turn, which may be long ago
+auto startTimer(event_base *base, event *timer, Duration interval) -> void
+{
+    event_base_update_cache_time(base);
+    const auto time = toTimeval(interval);
+    event_add(timer, &time);
+}
+
+} // namespace
+
 auto EventLoop::after(Duration delay, std::function<void()> action) -> Watch
 {
     Watch watch;
     watch.state_ = std::make_shared<Watch::State>();
     watch.state_->action = std::move(action);
     watch.state_->item.reset(event_new(base(), -1, 0, callAction, &watch.state_->action));
-    const auto interval = toTimeval(delay);
-    event_add(watch.state_->item.get(), &interval);
+    startTimer(base(), watch.state_->item.get(), delay);
     return watch;
 }
 
@@ -145,8 +157,7 @@
     watch.state_ = std::make_shared<Watch::State>();
     watch.state_->action = std::move(action);
     watch.state_->item.reset(event_new(base(), -1, EV_PERSIST, callAction, &watch.state_->action));
-    const auto period = toTimeval(interval);
-    event_add(watch.state_->item.get(), &period);
+    startTimer(base(), watch.state_->item.get(), interval);
     return watch;
 }
 
--- a/src/runtime/task/tests/eventloop_tests.cpp
+++ b/src/runtime/task/tests/eventloop_tests.cpp
@@ -50,6 +50,28 @@
     EXPECT_EQ(calls, 1);
 }
 
+/// Guards against a timer that ends early by what the loop is behind when it is set: the library counts from the beginning of the loop's turn,
+/// and shows it when another event wakes the loop before. A lease lapsed while it was held.
+TEST(EventLoopTests, aTimerCountsFromWhenItIsSet)
+{
+    constexpr auto Delay = std::chrono::milliseconds(20);
+    task::EventLoop loop;
+    const auto others = loop.every(std::chrono::milliseconds(1), []() {});
+    task::Watch timer;
+    TimePoint due;
+    TimePoint calledAt;
+    const auto busy = loop.inThisTurn([&]() {
+        std::this_thread::sleep_for(2 * Delay);
+        due = task::monotonicNow() + Delay;
+        timer = loop.after(Delay, [&]() {
+            calledAt = task::monotonicNow();
+            loop.stop();
+        });
+    });
+    loop.run();
+    EXPECT_GE(calledAt, due);
+}
+
 /// Guards against a process that ends by SIGPIPE because a peer closed its connection at the moment of a write.
 TEST(EventLoopTests, aWriteToAClosedConnectionFailsWithoutASignal)
 {
