An idle connection whose close lies in the kernel is not used again

What callers saw: a 502 for a request that may run once, when a server closed an idle connection just before. The longer an entry is behind, the more closes wait in its kernel. Change: an idle connection is taken only if the kernel has neither a close nor bytes of it; the pools of both faces. One more system call for each request on a kept connection. The pool of the chat face has no test of its own.

--- a/src/entry/backend/internal/connectionpool.cpp
+++ b/src/entry/backend/internal/connectionpool.cpp
@@ -61,12 +61,15 @@
 auto ConnectionPool::acquire(const std::string &address, bool fresh) -> PooledConnection
 {
     auto &connections = idle_[address];
-    if (fresh || connections.empty()) {
-        return { .connection = openConnection(loop_, address), .address = address, .reused = false };
+    while (!fresh && !connections.empty()) {
+        auto *connection = connections.back().connection;
+        connections.pop_back();
+        if (http::isQuiet(connection)) {
+            return { .connection = connection, .address = address, .reused = true };
+        }
+        evhttp_connection_free(connection);
     }
-    auto *connection = connections.back().connection;
-    connections.pop_back();
-    return { .connection = connection, .address = address, .reused = true };
+    return { .connection = openConnection(loop_, address), .address = address, .reused = false };
 }
 
 auto ConnectionPool::release(const PooledConnection &connection) -> void
--- a/src/wire/http/connectionpool.cpp
+++ b/src/wire/http/connectionpool.cpp
@@ -4,7 +4,10 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <limits>
 #include <utility>
 
@@ -66,6 +69,13 @@
     evhttp_connection_free(connection);
 }
 
+auto isQuiet(evhttp_connection *connection) -> bool
+{
+    char byte = 0;
+    const auto got = ::recv(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && errno == EAGAIN;
+}
+
 auto detachConnection(evhttp_connection *connection) -> void
 {
     auto *transport = evhttp_connection_get_bufferevent(connection);
@@ -107,7 +117,8 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (isOpen(*connection) && !hasUnread(*connection) && task::monotonicNow() - connection->idleSince < idleBound(*connection, options_.idleAge)) {
+        if (isOpen(*connection) && !hasUnread(*connection) && isQuiet(connection->raw.get())
+            && task::monotonicNow() - connection->idleSince < idleBound(*connection, options_.idleAge)) {
             prepareReuse(*connection);
             return connection;
         }
--- a/src/wire/http/connectionpool.h
+++ b/src/wire/http/connectionpool.h
@@ -42,6 +42,10 @@
     std::shared_ptr<void> context;                   ///< what evhttp's callbacks of the current exchange use; lives as long as they may come
 };
 
+/// Whether the kernel has neither a close of the peer nor bytes of it. An idle connection that is not quiet can't take a request, though the loop
+/// may not have handled its close yet.
+auto isQuiet(evhttp_connection *connection) -> bool;
+
 /// Makes a connection that is closed next, also from within one of evhttp's calls, write nothing more. evhttp does not hear of anything any
 /// more: when a connection is established, it sends the request, which may have gone to another server meanwhile.
 auto detachConnection(evhttp_connection *connection) -> void;
--- a/src/wire/http/tests/client_tests.cpp
+++ b/src/wire/http/tests/client_tests.cpp
@@ -301,6 +301,17 @@
     EXPECT_EQ(server_.accepted(), 2);
 }
 
+/// Guards against a request that is sent on a connection whose close lies in the kernel and has not been handled. One that may run once is lost.
+TEST_F(ClientTests, anIdleConnectionWhoseCloseIsNotYetHandledIsNotUsedAgain)
+{
+    server_.answerWith(WholeAnswer);
+    fetch(loop_, client_, { .address = server_.address(), .path = "/" });
+    server_.closeConnections();
+    const auto result = fetch(loop_, client_, { .address = server_.address(), .path = "/" });
+    EXPECT_TRUE(std::holds_alternative<http::Response>(result)) << std::get<http::Error>(result).text;
+    EXPECT_EQ(server_.accepted(), 2);
+}
+
 TEST_F(ClientTests, aCutAnswerIsAnErrorAndNeverAShortBody)
 {
     server_.answerWith("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
