--- a/src/entry/caller/callertask.cpp
+++ b/src/entry/caller/callertask.cpp
@@ -48,8 +48,6 @@
 constexpr int RedirectStatus = 307;
 constexpr std::size_t HeaderCutFactor = 4;      // beyond the answerable bound by this much the connection is cut
 constexpr std::size_t ConnectionsCutFactor = 2; // up to here a connection too many is answered; beyond, the oldest idle one is cut
-/// Refused connections that are kept open for callers that may still send, as a part of all: one in so many.
-constexpr std::size_t MaxLingeringPart = 4;
 constexpr auto ChatPath = "/v1/chat/completions";
 constexpr auto EntriesPath = "/v1/entries";
 constexpr auto TicketsPath = "/v1/tickets";
@@ -213,7 +211,7 @@
     headers.push_back({ .name = "Content-Type", .value = "application/json" });
     const auto descriptor = bufferevent_getfd(connection.handle->bev);
     const http::LastResponse response{ .status = reasonInfo(refusal.reason).status, .headers = std::move(headers), .body = chat::makeRefusalBody(refusal) };
-    if (http::sendLastResponse(descriptor, response) && lingering.size() < options.connections / MaxLingeringPart) {
+    if (http::sendLastResponse(descriptor, response) && lingering.size() < options.connections / http::MaxLingeringPart) {
         lingering.add(descriptor);
     }
 }
--- a/src/gateway/callerconnections.cpp
+++ b/src/gateway/callerconnections.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t ReadAheadBytes = std::size_t{ 16 } * 1024;
 /// For the framing of a chunked body.
 constexpr std::size_t FramingBytes = std::size_t{ 64 } * 1024;
-/// Connections that are kept open for callers that may still send, as a part of all: one in so many.
-constexpr std::size_t MaxLingeringPart = 4;
 /// Unsent bytes of a response at which its caller is behind, and at which it has caught up.
 /// @{
 constexpr std::size_t BehindBytes = std::size_t{ 64 } * 1024;
@@ -178,7 +176,7 @@
 
 auto CallerConnections::linger(evhttp_connection *raw) -> void
 {
-    if (lingering_.size() < maxConnections_ / MaxLingeringPart) {
+    if (lingering_.size() < maxConnections_ / http::MaxLingeringPart) {
         lingering_.add(bufferevent_getfd(evhttp_connection_get_bufferevent(raw)));
     }
 }
--- a/src/runtime/task/eventloop.cpp
+++ b/src/runtime/task/eventloop.cpp
@@ -105,11 +105,6 @@
     action();
 }
 
-} // namespace
-
-namespace
-{
-
 //! NOTE the library counts from the beginning of the loop's turn, which may be long ago
 auto startTimer(event_base *base, event *timer, Duration interval) -> void
 {
--- a/src/wire/http/lingeringclose.h
+++ b/src/wire/http/lingeringclose.h
@@ -12,6 +12,9 @@
 namespace auburnspread::http
 {
 
+/// How many of a listener's connections may linger, as a part of all: one in so many.
+constexpr std::size_t MaxLingeringPart = 4;
+
 /// The kernel resets a connection that is closed with unread bytes, or on which bytes arrive after its close, and discards what it has not
 /// delivered. Connections given to this class are read on until the peer closes them, for a bounded time.
 class LingeringClose
