--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,8 +8,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins2"))
 
-from sitestandins import STABLE_MS, Channel, Entries, Replica, Store, configuration, conduct, draw_ip, has_trouble  # noqa: E402
+from sitestandins import STABLE_MS, Channel, Entries, Replica, Store, configuration, conduct, draw_ip  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # 0: the same without the disruption
 LENGTH_S = 60
 DOWN_S = 2.0  # "the replica is back after some seconds"
 REPLICAS = 6
@@ -24,7 +25,7 @@
     crashes = []  # (seconds, attempt id), of all replicas
 
     async def run(self, writer, attempt, method, target, headers, body):
-        if target != DEADLY or not has_trouble():
+        if target != DEADLY or not TROUBLE:
             return await super().run(writer, attempt, method, target, headers, body)
         Brittle.crashes.append((self.record.now(), attempt))
         self.crash()
@@ -85,4 +86,4 @@
     return len(late) <= RETRIES_ALLOWED
 
 
-conduct(HERE, test)
+conduct(HERE, test, TROUBLE)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,8 +10,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins2"))
 
-from sitestandins import Channel, Entries, Replica, Store, configuration, conduct, draw_ip, has_trouble  # noqa: E402
+from sitestandins import Channel, Entries, Replica, Store, configuration, conduct, draw_ip  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # 0: the same without the disruption
 ENTRIES = 7
 EPISODES = 8
 STEADY_S = 5.0  # more than stableMs, after all entries are ready again
@@ -60,7 +61,7 @@
             await asyncio.sleep(STEADY_S)
             readers = watchers(doors)
             survivor = next(n for n in range(ENTRIES) if n not in readers)
-            dark = [n for n in range(ENTRIES) if n != survivor] if has_trouble() else []
+            dark = [n for n in range(ENTRIES) if n != survivor] if TROUBLE else []
             record.line("entries that read the store: %s; entry-%d goes on" % (readers, survivor))
             leaving = replicas.pop(0)
             successor = Replica(store, record, ip, "i-%d" % (10 + episode), "service-a")
@@ -98,4 +99,4 @@
     return not late
 
 
-conduct(HERE, test)
+conduct(HERE, test, TROUBLE)
--- a/review/standins2/sitestandins.py
+++ b/review/standins2/sitestandins.py
@@ -501,17 +501,13 @@
         outcome.whole = True
 
 
-def has_trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
-def conduct(folder, test):
+def conduct(folder, test, trouble):
     """Runs the coroutine function `test(record)`, which returns whether the rule held. Exits as a case must."""
     record = Record(os.path.join(folder, "record.txt"))
     if not os.access(GATEWAY, os.X_OK):
         print("no program at " + GATEWAY)
         raise SystemExit(2)
-    record.line("trouble: %s" % ("yes" if has_trouble() else "no"))
+    record.line("trouble: %s" % ("yes" if trouble else "no"))
     try:
         held = asyncio.run(asyncio.wait_for(test(record), 115))
     except Exception as error:  # the case could not run
