An entry reads the store itself when the data that it gets from others is too old

Cause: an entry that does not read the store asks one reader after the other. Each lost one cost 350 ms of silence and 300 ms until the next question, and the entry read the store itself only 2.2 s after the last answer, looked at every 250 ms. Nothing measured the age of the data: answers with old data counted as answers, and an entry that nobody answered read the store every 0.8 to 3.2 s.

Ruled out: a late answer of the store, and a change that is known but not applied (it is applied within 2 ms of the read).

Change: core/fleet/freshness decides by the age of the data, 1.6 s, whoever is being asked at that moment; failed reads are repeated after 0.8 to 3.2 s, with one call while the store does not answer. The next reader is asked as soon as the last one was silent. Log line old-data-read, counter auburnspread_old_data_reads_total.

--- a/src/gateway/accounting.cpp
+++ b/src/gateway/accounting.cpp
@@ -95,6 +95,8 @@
     , invalidInputs_(registry_.counter({ .name = "auburnspread_invalid_inputs_total", .help = "Documents, registrations and messages that made no sense." }))
     , documentPartFailures_(registry_.counter(
           { .name = "auburnspread_configuration_part_failures_total", .help = "Parts of a configuration that did not come from another entry." }))
+    , oldDataReads_(
+          registry_.counter({ .name = "auburnspread_old_data_reads_total", .help = "Reads of the store because no other entry had recent data of it." }))
     , storeCalls_(registry_.gauge({ .name = "auburnspread_store_calls", .help = "Calls to the platform's store since the start." }))
     , heldBytes_(registry_.gauge({ .name = "auburnspread_held_bytes", .help = "Bytes held for callers, backend servers and other entries." }))
     , heldBytesLimit_(registry_.gauge({ .name = "auburnspread_held_bytes_limit", .help = "Bytes that may be held, from the memory of the VM." }))
@@ -387,6 +389,14 @@
     event(Level::Info, "role-changed", { { "reads_store", readsStore }, { "readers", readers } });
 }
 
+auto Accounting::oldDataRead(Duration configurationAge, Duration serversAge) -> void
+{
+    oldDataReads_.add();
+    event(Level::Info,
+          "old-data-read",
+          { { "step", "read-store" }, { "configuration_age_ms", wholeMilliseconds(configurationAge) }, { "servers_age_ms", wholeMilliseconds(serversAge) } });
+}
+
 auto Accounting::inputInvalid(std::string_view source, std::string_view detail) -> void
 {
     invalidInputs_.add();
--- a/src/gateway/accounting.h
+++ b/src/gateway/accounting.h
@@ -112,6 +112,8 @@
     auto entriesChanged(std::size_t entries) -> void;
     auto dependencyStateChanged(std::string_view peer, bool reachable, std::string_view step, std::string_view detail) -> void;
     auto roleChanged(bool readsStore, std::size_t readers) -> void;
+    /// No other entry had recent data of the store, so this one reads it.
+    auto oldDataRead(Duration configurationAge, Duration serversAge) -> void;
     auto inputInvalid(std::string_view source, std::string_view detail) -> void;
     auto cacheListed(const passthrough::CacheListed &listed) -> void;
     auto cacheNotListed(std::string_view server, std::string_view detail) -> void;
@@ -176,6 +178,7 @@
     metrics::Gauge &configurationAge_;
     metrics::Counter &invalidInputs_;
     metrics::Counter &documentPartFailures_;
+    metrics::Counter &oldDataReads_;
     metrics::Gauge &storeCalls_;
     metrics::Gauge &heldBytes_;
     metrics::Gauge &heldBytesLimit_;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -109,6 +109,15 @@
     }
 }
 
+auto Directory::refreshOnce() -> void
+{
+    confirmConfiguration();
+    serversAndEntriesPending_ = serversAndEntriesPending_ || lastReachable_ == false;
+    if (!serversAndEntriesPending_ && !serversPoll_.isInFlight) {
+        refreshServers();
+    }
+}
+
 /// Failure: the store is unavailable. Symptom: every entry that retries requests everything at once, repeatedly. After a failed call a
 /// single read of the configuration therefore probes the store, and the other reads follow when it succeeds.
 auto Directory::readServersAndEntries() -> void
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -45,6 +45,8 @@
     auto setReadsForPeers(bool readsForPeers) -> void;
     /// Reads everything once, for an entry that has no other entry to ask.
     auto readOnce() -> void;
+    /// Reads the changes of the configuration and the servers once, for an entry whose data is too old.
+    auto refreshOnce() -> void;
     /// Reads the configuration, the servers and the saved list of entries once, with results that may be seconds stale, at a tenth
     /// of the cost of a consistent read. Does not confirm the configuration.
     auto readStale() -> void;
--- a/src/gateway/directoryfollower.cpp
+++ b/src/gateway/directoryfollower.cpp
@@ -1,5 +1,6 @@
 #include "gateway/directoryfollower.h"
 
+#include "core/fleet/freshness.h"
 #include "core/fleet/membership.h"
 #include "gateway/clock.h"
 #include "gateway/directory.h"
@@ -25,10 +26,9 @@
 /// Timeout of a response whose bytes keep arriving. Lists of 600 servers and 330 entries are 100 KB, which a third of the entries
 /// receive over one link of 25 MB/s in 0.44 s when all of them start at once.
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(1500);
-/// A reader whose own confirmation is older is cut off from the store, or the store is unavailable, and the next reader is queried.
-/// In normal operation the confirmation is up to 1 s old.
-constexpr Duration MaxConfirmationAge = std::chrono::milliseconds(1600);
-static_assert(2 * ConfigurationWatchTimeout < MaxConfirmationAge, "healthy readers would be considered unhealthy, one after the other");
+/// A reader whose own confirmation is older than MaxDataAge is cut off from the store, or the store is unavailable, and the next reader is
+/// queried. In normal operation the confirmation is up to 1 s old.
+static_assert(2 * ConfigurationWatchTimeout < fleet::MaxDataAge, "healthy readers would be considered unhealthy, one after the other");
 
 /// An entry without any confirmation queries more often, because the first responses determine how soon it can serve.
 constexpr Duration StartupQueryInterval = std::chrono::milliseconds(30);
@@ -121,7 +121,8 @@
     query_ = client_.fetch(request, [this, requestedAt = now()](const http::Result &result) { handleResult(requestedAt, result); });
 }
 
-/// The interval is the same after healthy and unhealthy responses: if all readers are unhealthy, the search must not flood them.
+/// The interval is the same after healthy and unhealthy responses: if all readers are unhealthy, the search must not flood them. It counts from
+/// the last query, so that the time lost on a silent reader is not followed by a pause.
 auto DirectoryFollower::handleResult(TimePoint requestedAt, const http::Result &result) -> void
 {
     isInFlight_ = false;
@@ -133,7 +134,8 @@
     }
     if (!readers_.empty()) {
         isScheduled_ = true;
-        timer_ = loop_.after(hasNoConfirmation() ? StartupQueryInterval : QueryInterval, [this]() { sendQuery(); });
+        const auto nextQueryAt = requestedAt + (hasNoConfirmation() ? StartupQueryInterval : QueryInterval);
+        timer_ = loop_.after(std::max(nextQueryAt - now(), Duration::zero()), [this]() { sendQuery(); });
     }
     // the callback may change the readers
     if (health != ReaderHealth::Starting) {
@@ -181,7 +183,7 @@
     if (!answer.confirmedAge || !answer.serversAge) {
         return ReaderHealth::Starting;
     }
-    return std::max(*answer.confirmedAge, *answer.serversAge) < MaxConfirmationAge ? ReaderHealth::Healthy : ReaderHealth::Unhealthy;
+    return std::max(*answer.confirmedAge, *answer.serversAge) < fleet::MaxDataAge ? ReaderHealth::Healthy : ReaderHealth::Unhealthy;
 }
 
 auto DirectoryFollower::applyServers(const DirectoryAnswer &answer, TimePoint requestedAt) -> void
--- a/src/gateway/directorystate.cpp
+++ b/src/gateway/directorystate.cpp
@@ -192,6 +192,15 @@
     return state.offeredAt.try_emplace(revision, now).second;
 }
 
+auto configurationKnownAt(const DirectoryState &state) -> std::optional<TimePoint>
+{
+    auto knownAt = state.confirmedAt;
+    for (const auto &[revision, asOf] : state.pendingConfirmations) {
+        knownAt = std::max(knownAt.value_or(asOf), asOf);
+    }
+    return knownAt;
+}
+
 auto outdatedSince(const DirectoryState &state) -> std::optional<TimePoint>
 {
     return state.offeredAt.empty() ? std::nullopt : std::optional(state.offeredAt.begin()->second);
--- a/src/gateway/directorystate.h
+++ b/src/gateway/directorystate.h
@@ -131,6 +131,8 @@
 auto applyQuarantined(DirectoryState &state, std::vector<passthrough::QuarantinedSuspect> suspects) -> void;
 /// @}
 
+/// Latest time as of which it is known which configuration is the newest, even if that one has not been received yet.
+auto configurationKnownAt(const DirectoryState &state) -> std::optional<TimePoint>;
 /// Time at which this entry learned of a configuration newer than its own; nothing if it knows of none.
 auto outdatedSince(const DirectoryState &state) -> std::optional<TimePoint>;
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -36,6 +36,8 @@
 constexpr Duration IsolationTimeout = std::chrono::milliseconds(2200);
 constexpr Duration MinOwnReadInterval = std::chrono::milliseconds(800);
 constexpr Duration MaxOwnReadInterval = std::chrono::milliseconds(3200);
+/// Shortest pause between two looks at the age of the data, for an entry that reads the store and whose data is too old.
+constexpr Duration MinFreshnessInterval = std::chrono::milliseconds(50);
 /// An entry that reads the store for others hands over to the next one when its last confirmation is older than this. In normal
 /// operation the confirmation is up to two watches old.
 constexpr Duration MaxOwnConfirmationAge = std::chrono::milliseconds(1500);
@@ -98,6 +100,7 @@
     , reports_(loop, router, peers_, known_, self_)
     , duties_(loop, settings, self_.incarnation, router, known_, accounting)
     , role_(fleet::makeRole({ .self = self_, .seeds = settings.seeds }, now()))
+    , freshness_(fleet::makeFreshness(role_.startedAt))
 {
     directoryPage_.listen(settings.peerAddress);
 }
@@ -498,6 +501,7 @@
     follower_.follow(assignment_.readsStore ? std::vector<std::string>() : assignment_.queryAddresses);
     publishEntries(at);
     readStoreIfIsolated(at);
+    refreshOldData(at);
     readCaches();
 }
 
@@ -545,6 +549,22 @@
     }
 }
 
+/// Failure: the entries that this one asks are lost together with those that would replace them. Symptom: a server that is leaving gets requests, and
+/// a withdrawn key is accepted, until each of them has been asked in vain.
+auto Fleet::refreshOldData(TimePoint now) -> void
+{
+    const auto configurationAt = configurationKnownAt(known_).value_or(TimePoint());
+    const auto serversAt = known_.serversAt.value_or(TimePoint());
+    const auto asOf = std::min(configurationAt, serversAt);
+    if (!assignment_.readsStore && fleet::takeDueRead(freshness_, asOf, now)) {
+        accounting_.oldDataRead(now - configurationAt, now - serversAt);
+        directory_.adoptServers(known_);
+        directory_.refreshOnce();
+    }
+    const auto nextAt = std::max(fleet::nextReadAt(freshness_, asOf), now + MinFreshnessInterval);
+    freshnessTimer_ = loop_.after(nextAt - now, [this]() { refreshOldData(gateway::now()); });
+}
+
 /// Publishes the entries from which this one receives heartbeats, for entries that query it.
 auto Fleet::publishEntries(TimePoint now) -> void
 {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/base/time.h"
+#include "core/fleet/freshness.h"
 #include "core/fleet/membership.h"
 #include "core/fleet/role.h"
 #include "core/passthrough/configuration.h"
@@ -104,6 +105,7 @@
     [[nodiscard]] auto isEligibleLeader(TimePoint now) const -> bool;
     auto checkOwnStoreAccess(TimePoint now) -> void;
     auto readStoreIfIsolated(TimePoint now) -> void;
+    auto refreshOldData(TimePoint now) -> void;
     auto saveEntriesSnapshot(TimePoint now) -> void;
     auto publishEntries(TimePoint now) -> void;
     auto sendHeartbeat() -> void;
@@ -146,6 +148,8 @@
     TimePoint snapshotSavedAt_;
     std::uint64_t savedSnapshotTag_ = 0;
     Duration ownReadInterval_{};
+    fleet::Freshness freshness_;
+    task::Watch freshnessTimer_;
     task::Watch heartbeats_;
     task::Watch roleTimer_;
     task::Watch startupConfirmationTimer_;
