A crash counts against the run of a server, not against its id

Cause: an incident kept the id of its server and not the run. The review of incidents takes a server that is listed 6 s after the crash for one that has not crashed, so the next run disproved the crash of the one before. A second crash under the same id was not counted.

Ruled out: a completion that clears the count (the request never completes); reports of other entries.

Change: CrashIncident names the run (Server::startedAt), also between entries. Only the same run disproves an incident, and each run counts once. Reports of earlier builds, without the run, count as before.

--- a/src/core/passthrough/crashledger.cpp
+++ b/src/core/passthrough/crashledger.cpp
@@ -65,6 +65,17 @@
     return std::any_of(incidents.begin(), incidents.end(), [&incidents](const CrashIncident &each) { return each.request != incidents.front().request; });
 }
 
+/// Reports of earlier builds do not tell the run.
+auto isSameRun(std::int64_t a, std::int64_t b) -> bool
+{
+    return a == b || a == 0 || b == 0;
+}
+
+auto haveSameRun(const CrashIncident &a, const CrashIncident &b) -> bool
+{
+    return a.server == b.server && isSameRun(a.startedAt, b.startedAt);
+}
+
 auto exceedsLimit(const CrashLedger &ledger, Suspect suspect, const std::vector<CrashIncident> &incidents) -> bool
 {
     if (suspect.kind == SuspectKind::PromptPart) {
@@ -135,7 +146,7 @@
     auto &known = ledger.incidents[suspect];
     const auto before = known.size();
     for (const auto &incident : incidents) {
-        const auto isKnown = std::any_of(known.begin(), known.end(), [&incident](const CrashIncident &each) { return each.server == incident.server; });
+        const auto isKnown = std::any_of(known.begin(), known.end(), [&incident](const CrashIncident &each) { return haveSameRun(each, incident); });
         if (!isKnown && !isObsolete(incident)) {
             known.push_back(incident);
         }
@@ -225,7 +236,7 @@
             return false;
         }
         return std::all_of(own.begin(), own.end(), [&incidents](const CrashIncident &each) {
-            return std::any_of(incidents.begin(), incidents.end(), [&each](const CrashIncident &its) { return its.server == each.server; });
+            return std::any_of(incidents.begin(), incidents.end(), [&each](const CrashIncident &its) { return haveSameRun(its, each); });
         });
     });
 }
@@ -261,16 +272,18 @@
     return sorted;
 }
 
-auto reviewIncidents(CrashLedger &ledger, const std::function<bool(std::string_view server)> &isListed, TimePoint listAsOf, TimePoint now) -> void
+auto reviewIncidents(CrashLedger &ledger, const std::function<std::optional<std::int64_t>(std::string_view server)> &startOf, TimePoint listAsOf, TimePoint now)
+    -> void
 {
     if (now - ledger.checkedAt < ReviewInterval) {
         return;
     }
     ledger.checkedAt = now;
-    const auto isObsolete = [&](const CrashIncident &incident) {
-        const auto isDisproved = listAsOf - incident.at >= MaxListedAfterCrash && isListed(incident.server);
-        return isDisproved || now - incident.at >= IncidentLifetime;
+    const auto isDisproved = [&](const CrashIncident &incident) {
+        const auto start = listAsOf - incident.at >= MaxListedAfterCrash ? startOf(incident.server) : std::nullopt;
+        return start && isSameRun(*start, incident.startedAt);
     };
+    const auto isObsolete = [&](const CrashIncident &incident) { return now - incident.at >= IncidentLifetime || isDisproved(incident); };
     std::size_t dropped = std::erase_if(ledger.listed, [now](const auto &item) { return now - item.second >= IncidentLifetime; });
     for (auto &[suspect, incidents] : ledger.incidents) {
         dropped += std::erase_if(incidents, isObsolete);
--- a/src/core/passthrough/crashledger.h
+++ b/src/core/passthrough/crashledger.h
@@ -6,7 +6,8 @@
 /// servers whose connection broke while they ran it, as seen by this entry and the others. What has too many of them is not sent any more.
 ///
 /// Connections break for other reasons too. A completed response shows that the request is sound, and a response that went on after its
-/// first event that all parts of its prompt are. A server that is still listed when a crashed one would have left the list has not crashed.
+/// first event that all parts of its prompt are. If the same run of a server is still listed when a crashed one would have left the list, the server has
+/// not crashed.
 ///
 /// All parts of a prompt whose server crashes are accused, because any of them may have done it. Sound ones are part of other prompts too,
 /// whose responses clear them.
@@ -20,6 +21,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -51,7 +53,8 @@
 
 /// A connection that broke while its server ran a suspect.
 struct CrashIncident {
-    std::string server; ///< server id; each start of a server has another one
+    std::string server;         ///< server id, which a server may keep when it starts again
+    std::int64_t startedAt = 0; ///< run of the server, see Server::startedAt; 0: not known
     TimePoint at;
     bool hadEvents = false; ///< events of the response had arrived
     TimePoint sentAt;       ///< when the request was sent to the server; not set: not known
@@ -74,7 +77,7 @@
 };
 
 struct CrashLedger {
-    std::map<Suspect, std::vector<CrashIncident>> incidents;  ///< one for each server
+    std::map<Suspect, std::vector<CrashIncident>> incidents;  ///< one for each run of a server
     std::map<Suspect, TimePoint> listed;                      ///< quarantined according to another entry; time of the last incident
     std::unordered_set<Fingerprint> completed;                ///< requests that completed recently
     std::deque<Fingerprint> completionOrder;                  ///< oldest first
@@ -84,7 +87,7 @@
     TimePoint checkedAt;                                      ///< when the incidents were last checked against the list of servers
 };
 
-/// Records incidents of a suspect, of this entry or another one. Those of servers that are already recorded, and those from before a proof,
+/// Records incidents of a suspect, of this entry or another one. Those of runs that are already recorded, and those from before a proof,
 /// change nothing.
 /// \return whether any of them is new
 auto recordIncidents(CrashLedger &ledger, Suspect suspect, const std::vector<CrashIncident> &incidents) -> bool;
@@ -109,8 +112,9 @@
 auto quarantinedSuspects(const CrashLedger &ledger, TimePoint now) -> std::vector<QuarantinedSuspect>;
 
 /// Drops incidents that are too old, and those of servers that did not crash. Call it periodically.
-/// \param isListed whether a server is in the list of backend servers
+/// \param startOf Server::startedAt of a server in the list of backend servers; nothing if it is not listed
 /// \param listAsOf time as of which that list is current
-auto reviewIncidents(CrashLedger &ledger, const std::function<bool(std::string_view server)> &isListed, TimePoint listAsOf, TimePoint now) -> void;
+auto reviewIncidents(CrashLedger &ledger, const std::function<std::optional<std::int64_t>(std::string_view server)> &startOf, TimePoint listAsOf, TimePoint now)
+    -> void;
 
 } // namespace auburnspread::passthrough
--- a/src/core/passthrough/internal/suspicion.cpp
+++ b/src/core/passthrough/internal/suspicion.cpp
@@ -135,6 +135,7 @@
 {
     const CrashIncident incident{
         .server = attempt.server->record.id,
+        .startedAt = attempt.server->record.startedAt,
         .at = state.now,
         .hadEvents = attempt.started && request.route->repeatability == Repeatability::Stream,
         .sentAt = attempt.sentAt,
--- a/src/core/passthrough/router.cpp
+++ b/src/core/passthrough/router.cpp
@@ -98,8 +98,11 @@
 {
     removeLapsedServers(state.servers, state.now);
     expirePeerReports(state.servers, state.now);
-    reviewIncidents(
-        state.crashes, [&state](std::string_view server) { return findServer(state.servers, server) != nullptr; }, state.serversConfirmedAt, state.now);
+    const auto startOf = [&state](std::string_view id) {
+        const auto server = findServer(state.servers, id);
+        return server ? std::optional(server->record.startedAt) : std::nullopt;
+    };
+    reviewIncidents(state.crashes, startOf, state.serversConfirmedAt, state.now);
     forgetOldOrigins(state.streams, state.now);
     detail::reviewResolving(state, actions);
     if (!state.modelledServices.empty()) {
--- a/src/core/passthrough/tests/crashingrequests_tests.cpp
+++ b/src/core/passthrough/tests/crashingrequests_tests.cpp
@@ -185,14 +185,21 @@
 namespace
 {
 
+/// How crashed servers come back.
+struct Restart {
+    bool keepsId = false; ///< under the id that they had; otherwise a server with another id replaces them
+    Duration listDelay{}; ///< until the entries know of it
+};
+
 /// Several entries before the same servers, in virtual time. One request crashes each server that runs it; reports between the entries
 /// get lost.
 class CrashingFleet
 {
 public:
-    CrashingFleet(std::size_t entries, Part part, int lossPercent)
+    CrashingFleet(std::size_t entries, Part part, int lossPercent, Restart restart = {})
         : part_(part)
         , lossPercent_(lossPercent)
+        , restart_(restart)
     {
         for (std::size_t i = 0; i < entries; ++i) {
             entries_.push_back(std::make_unique<RouterHarness>(RouterOptions{ .entry = "entry-" + std::to_string(i), .failureDomain = "a" }));
@@ -236,6 +243,9 @@
 
 private:
     static constexpr Fingerprint Crashing{ 1ULL << 40U };
+    static constexpr std::int64_t FirstStart = 1;
+    /// Until a crashed server that keeps its id runs again.
+    static constexpr Duration DownTime = std::chrono::seconds(2);
 
     struct Run {
         std::size_t entry = 0;
@@ -251,8 +261,36 @@
         TimePoint nextAt;
     };
 
+    /// A server that keeps its id is listed all the while.
+    auto listRestarted() -> void
+    {
+        std::vector<Server> servers;
+        for (std::size_t i = 0; i < Engines; ++i) {
+            auto server = makeServer("e" + std::to_string(i), "engines", 32);
+            server.startedAt = FirstStart;
+            for (const auto start : starts_[server.id]) {
+                const auto isKnown = now_ - start >= restart_.listDelay;
+                server.startedAt = isKnown ? start.time_since_epoch() / std::chrono::milliseconds(1) : server.startedAt;
+            }
+            servers.push_back(server);
+        }
+        for (auto &entry : entries_) {
+            entry->apply(ServersListed{ .servers = servers, .asOf = now_ });
+        }
+    }
+
+    /// Whether the server has crashed and is not back yet.
+    auto isDown(const std::string &server) -> bool
+    {
+        return crashed_.contains(server) && (!restart_.keepsId || now_ < starts_[server].back());
+    }
+
     auto list() -> void
     {
+        if (restart_.keepsId) {
+            listRestarted();
+            return;
+        }
         std::vector<Server> servers;
         for (std::size_t i = 0; i < 8 + crashed_.size(); ++i) { // each crashed server is replaced
             const auto id = "e" + std::to_string(i);
@@ -271,7 +309,7 @@
         for (const auto &action : actions) {
             if (const auto *sent = std::get_if<Send>(&action)) {
                 lateSends_ += crashes && thirdCrashAt_ && now_ - *thirdCrashAt_ > std::chrono::seconds(3) ? 1 : 0;
-                if (crashed_.contains(sent->server)) {
+                if (isDown(sent->server)) {
                     record(entry, entries_[entry]->apply(AttemptFailed{ .attempt = sent->attempt, .failure = Failure::ConnectFailed }), crashes, runTime);
                 } else {
                     runs_.push_back({ .entry = entry, .attempt = sent->attempt, .server = sent->server, .crashes = crashes, .endsAt = now_ + runTime });
@@ -294,6 +332,7 @@
         }
         for (const auto &server : due) {
             crashed_[server] = now_;
+            starts_[server].push_back(now_ + DownTime);
             crashes_ += 1;
             if (crashes_ == 3) {
                 thirdCrashAt_ = now_;
@@ -343,11 +382,13 @@
 
     Part part_;
     int lossPercent_;
+    Restart restart_;
     std::vector<std::unique_ptr<RouterHarness>> entries_;
     TimePoint now_ = TimePoint(std::chrono::hours(1));
     std::vector<Run> runs_;
     std::vector<Report> reports_;
     std::map<std::string, TimePoint> crashed_;
+    std::map<std::string, std::vector<TimePoint>> starts_; ///< of servers that keep their id, after the first one
     std::size_t crashes_ = 0;
     std::optional<TimePoint> thirdCrashAt_;
     std::size_t lateSends_ = 0;
@@ -375,3 +416,22 @@
         RC_ASSERT(fleet.acceptsSoundRequest(i));
     }
 }
+
+/// Guards against a request that is let through again every 6 s because its servers start again under the ids that they had: the list then holds the
+/// ids long after the crashes, which was taken for a proof that the servers had not crashed.
+RC_GTEST_PROP(CrashingRequestTests, allEntriesWithholdARequestWhoseCrashedServersKeepTheirIds, ())
+{
+    constexpr int Repetitions = 60;
+    const auto entries = *rc::gen::inRange<std::size_t>(1, 7);
+    const auto *path = *rc::gen::element(CheckPath, QuotePath);
+    const Restart restart{ .keepsId = true, .listDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 800)) };
+    CrashingFleet fleet(entries, *rc::gen::element(Part::Nothing, Part::Head, Part::Events), *rc::gen::inRange(0, 40), restart);
+    for (int i = 0; i < Repetitions; ++i) {
+        fleet.send(*rc::gen::inRange<std::size_t>(0, entries), path, true, std::chrono::milliseconds(*rc::gen::inRange(10, 300)));
+        fleet.advance(std::chrono::milliseconds(*rc::gen::inRange(20, 900)));
+    }
+    RC_ASSERT(fleet.lateSends() <= 3U);
+    for (std::size_t i = 0; i < entries; ++i) {
+        RC_ASSERT(fleet.acceptsSoundRequest(i));
+    }
+}
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -183,6 +183,7 @@
         if (incident.sentAt != TimePoint()) {
             incidents.back().push_back(toMilliseconds(now() - incident.sentAt));
             incidents.back().push_back(static_cast<std::uint64_t>(incident.request));
+            incidents.back().push_back(incident.startedAt);
         }
     }
     json document{ { "fingerprint", isPart ? 0 : report.suspect.id }, { "incidents", std::move(incidents) } };
@@ -204,6 +205,7 @@
 {
     constexpr std::size_t SentAge = 3;
     constexpr std::size_t Request = 4;
+    constexpr std::size_t StartedAt = 5;
     passthrough::CrashesReported report{ .suspect = passthrough::requestSuspect(Fingerprint{ document.at("fingerprint").get<std::uint64_t>() }) };
     if (document.contains("part")) {
         report.suspect = passthrough::partSuspect(document.at("part").get<std::uint64_t>());
@@ -214,6 +216,7 @@
     for (const auto &incident : document.at("incidents")) {
         report.incidents.push_back({
             .server = incident.at(0).get<std::string>(),
+            .startedAt = incident.size() > StartedAt ? incident.at(StartedAt).get<std::int64_t>() : 0,
             .at = timeOfAge(incident.at(1)),
             .hadEvents = incident.at(2).get<bool>(),
             .sentAt = incident.size() > SentAge ? timeOfAge(incident.at(SentAge)) : TimePoint(),
--- a/src/gateway/tests/messages_tests.cpp
+++ b/src/gateway/tests/messages_tests.cpp
@@ -74,11 +74,14 @@
 TEST(PeerMessageTests, reportsOnPromptPartsAreDecodedAsEncoded)
 {
     const auto at = now() - std::chrono::seconds(2);
-    const passthrough::CrashesReported crashes{ .suspect = passthrough::partSuspect(78),
-                                                .incidents = { { .server = "i-1", .at = now(), .sentAt = at, .request = Fingerprint{ 79 } } } };
+    const passthrough::CrashesReported crashes{
+        .suspect = passthrough::partSuspect(78),
+        .incidents = { { .server = "i-1", .startedAt = 1'796'613'811'742, .at = now(), .sentAt = at, .request = Fingerprint{ 79 } } }
+    };
     const auto read = std::get<passthrough::CrashesReported>(decodePeerMessage(encodePeerMessage(crashes)));
     EXPECT_EQ(read.suspect, crashes.suspect);
     ASSERT_EQ(read.incidents.size(), 1U);
+    EXPECT_EQ(read.incidents[0].startedAt, 1'796'613'811'742);
     EXPECT_LT(read.incidents[0].sentAt, read.incidents[0].at);
     EXPECT_EQ(read.incidents[0].request, Fingerprint{ 79 });
 
