An item that can't be read leaves the others of a list or watch readable

What callers saw: one key in the store whose JSON text has half of a surrogate pair stopped every entry from following the list of servers for good. New servers got no requests, and one that drained still did 4 s later.

Cause: decodeItems parsed a response as one text, so one item that is no valid text cost all others. The watch was repeated from the same revision, whose history holds the item, and nobody read the list anew.

Change: text::splitJsonObject and splitJsonArray find the items without decoding them; each is decoded on its own. A response none of whose items can be decoded is refused as before, and so is a page without a readable key. A watch that can't be decoded is followed by a read of the list.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -180,8 +180,8 @@
 auto Directory::readStaleRange(std::string_view name, std::string_view prefix, const std::string &after, OnItems onItems) -> void
 {
     const auto request = adapter::makeOutdatedRange(options_.store, prefix, after);
-    callStore(name, request, [onItems = std::move(onItems)](StoreOutcome outcome, const http::Result &result) {
-        const auto items = outcome == StoreOutcome::Done ? adapter::decodeItems(std::get<http::Response>(result)) : std::nullopt;
+    callStore(name, request, [this, name, onItems = std::move(onItems)](StoreOutcome outcome, const http::Result &result) {
+        const auto items = outcome == StoreOutcome::Done ? decodeItems(name, std::get<http::Response>(result)) : std::nullopt;
         if (items) {
             onItems(*items);
         }
@@ -347,17 +347,18 @@
                       onFailure(outcome);
                       return;
                   }
-                  poll.consecutiveFailures = 0;
                   if (continuity == Continuity::Required && era != era_) {
+                      poll.consecutiveFailures = 0;
                       onFailure(StoreOutcome::HistoryGone);
                       return;
                   }
-                  const auto items = adapter::decodeItems(std::get<http::Response>(result));
+                  const auto items = decodeItems(name, std::get<http::Response>(result));
+                  poll.mustReadAnew = !items;
                   if (!items) {
-                      callbacks_.onInvalid(name, "response of the store cannot be decoded");
                       onFailure(StoreOutcome::Unknown);
                       return;
                   }
+                  poll.consecutiveFailures = 0;
                   if (restore_ && !restore_->copyRevision) {
                       restore_->copyRevision = items->revision.number;
                   }
@@ -365,6 +366,21 @@
               });
 }
 
+/// Failure: a page of the list has items, but the key of none can be read, so that it is not known where the next page begins. Symptom: the servers on
+/// the other pages are taken for gone.
+auto Directory::decodeItems(std::string_view name, const http::Response &response) -> std::optional<adapter::StoreItems>
+{
+    auto items = adapter::decodeItems(response);
+    if (!items || (items->hasMore && items->items.empty())) {
+        callbacks_.onInvalid(name, "response of the store cannot be decoded");
+        return std::nullopt;
+    }
+    for (const auto &detail : items->unreadable) {
+        callbacks_.onInvalid(name, detail);
+    }
+    return items;
+}
+
 auto Directory::readConfiguration() -> void
 {
     const auto requestedAt = now();
@@ -395,7 +411,7 @@
 
 auto Directory::fetchConfigurationChange(Duration watchTimeout) -> void
 {
-    if (!canContinueFrom(configurationRevision_)) {
+    if (configurationPoll_.mustReadAnew || !canContinueFrom(configurationRevision_)) {
         readConfiguration();
         return;
     }
@@ -492,7 +508,7 @@
 
 auto Directory::fetchServerChanges(Duration watchTimeout) -> void
 {
-    if (!canContinueFrom(servers_.revision)) {
+    if (serversPoll_.mustReadAnew || !canContinueFrom(servers_.revision)) {
         readServers();
         return;
     }
@@ -616,7 +632,7 @@
 
 auto Directory::watchEntries() -> void
 {
-    if (!canContinueFrom(entriesRevision_)) {
+    if (entriesPoll_.mustReadAnew || !canContinueFrom(entriesRevision_)) {
         readEntries();
         return;
     }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -81,6 +81,7 @@
     struct Poll {
         task::Watch timer; ///< starts the next call
         bool isInFlight = false;
+        bool mustReadAnew = false;   ///< a watch brought a response that cannot be decoded, and would again
         int consecutiveFailures = 0; ///< calls that failed since the last response
         TimePoint lastFailureAt;
     };
@@ -108,6 +109,7 @@
     using OnFailure = std::function<void(adapter::StoreOutcome outcome)>;
     using ReadMethod = void (Directory::*)();
 
+    auto decodeItems(std::string_view name, const http::Response &response) -> std::optional<adapter::StoreItems>;
     auto callStore(std::string_view name, const http::Request &request, std::function<void(adapter::StoreOutcome, const http::Result &)> onDone) -> void;
     auto fetchItems(Poll &poll, std::string_view name, const http::Request &request, Continuity continuity, OnItems onItems, OnFailure onFailure) -> void;
     /// \return whether the response belongs to the store's newest era that is known
--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -211,7 +211,7 @@
 auto Election::handleClaimChange(std::uint64_t call, const http::Response &response) -> void
 {
     const auto items = adapter::decodeItems(response);
-    if (!items || !items->items.empty() || items->revision.era != lastRead_.storeRevision.era) {
+    if (!items || !items->items.empty() || !items->unreadable.empty() || items->revision.era != lastRead_.storeRevision.era) {
         execute(leadership::ReadClaim{ .call = call });
         return;
     }
--- a/src/wire/text/tests/text_tests.cpp
+++ b/src/wire/text/tests/text_tests.cpp
@@ -1,4 +1,5 @@
 #include "wire/text/base64.h"
+#include "wire/text/jsonparts.h"
 #include "wire/text/uripath.h"
 
 #include <gtest/gtest.h>
@@ -34,3 +35,32 @@
     EXPECT_EQ(text::encodeUriPath("/x=1/"), "/x%3D1/");
     EXPECT_EQ(text::encodeUriPath(""), "");
 }
+
+TEST(JsonPartsTests, partsAreSplitAsTheyAreWritten)
+{
+    const auto object = text::splitJsonObject(R"( { "a" : [1, {"b":"]}"}], "c\"d":"x\\", "e":-1.5e3 , "f":{} } )");
+    ASSERT_TRUE(object);
+    ASSERT_EQ(object->size(), 4U);
+    EXPECT_EQ((*object)[0].name, "a");
+    EXPECT_EQ((*object)[0].value, R"([1, {"b":"]}"}])");
+    EXPECT_EQ((*object)[1].name, R"(c\"d)");
+    EXPECT_EQ((*object)[1].value, R"("x\\")");
+    EXPECT_EQ((*object)[2].value, "-1.5e3");
+    const auto array = text::splitJsonArray((*object)[0].value);
+    ASSERT_TRUE(array);
+    EXPECT_EQ(*array, (std::vector<std::string_view>{ "1", R"({"b":"]}"})" }));
+    EXPECT_TRUE(text::splitJsonArray("[]")->empty());
+    EXPECT_TRUE(text::splitJsonObject("{ }")->empty());
+}
+
+TEST(JsonPartsTests, aTextThatEndsEarlyHasNoParts)
+{
+    const std::string whole = R"({"a":["x\"y",{"b":[1]}],"c":"d"})";
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        EXPECT_FALSE(text::splitJsonObject(whole.substr(0, length))) << length;
+    }
+    EXPECT_FALSE(text::splitJsonObject(whole + "}"));
+    EXPECT_FALSE(text::splitJsonArray("[1,]"));
+    EXPECT_FALSE(text::splitJsonArray("[1"));
+    EXPECT_FALSE(text::splitJsonObject(R"({"a"})"));
+}
