An entry whose read for old data fails leaves the store alone for 6.4 s

Cause: the first form of these reads made two calls at once and repeated them after 0.8, 1.6 and 3.2 s, at every entry.

Change: one call, for the configuration; the servers are read once it has succeeded. A read that brings nothing is repeated after 6.4 s: the store is away then, and the readers, which retry every 1.2 s, hand on what they read as soon as it is back. Entries that nobody answers go on to read by themselves as before.

--- a/src/core/fleet/freshness.h
+++ b/src/core/fleet/freshness.h
@@ -3,7 +3,8 @@
 ///
 /// Such an entry asks one reader after the other, and each that is silent, cut off or behind costs a timeout. The sum of these timeouts grows with
 /// the number of lost entries, so the age of the data itself is watched: data that is too old is read from the store, whoever is being asked at that
-/// moment. Failed reads are repeated at growing intervals, because every entry may be doing the same during an outage of the store.
+/// moment. A read that brings nothing is repeated late, because every entry may be doing the same during an outage of the store, whose end the readers
+/// notice first.
 
 #pragma once
 
@@ -20,13 +21,8 @@
 
 /// Reads that an entry makes because its data is too old.
 struct Freshness {
-    struct Read {
-        TimePoint at;
-        Duration retryDelay{}; ///< until the next read if this one brings nothing
-    };
-
-    TimePoint startedAt;          ///< of this entry; while it has older data, it asks the others first
-    std::optional<Read> lastRead; ///< not set: none yet
+    TimePoint startedAt;                 ///< of this entry; while it has older data, it asks the others first
+    std::optional<TimePoint> lastReadAt; ///< not set: none yet
 };
 
 auto makeFreshness(TimePoint startedAt) -> Freshness;
--- a/src/core/fleet/tests/freshness_tests.cpp
+++ b/src/core/fleet/tests/freshness_tests.cpp
@@ -76,11 +76,11 @@
 }
 
 /// Guards against a store that is down and receives the reads of all entries again and again.
-TEST(FreshnessTests, readsThatBringNothingBecomeRare)
+TEST(FreshnessTests, readsThatBringNothingAreRare)
 {
     auto freshness = makeRunning();
-    EXPECT_EQ(countReads(freshness, at(-2000), std::chrono::seconds(2)), 2);
-    EXPECT_LE(countReads(freshness, at(-2000), std::chrono::seconds(60)), 60 / 3 + 1);
+    EXPECT_EQ(countReads(freshness, at(-2000), std::chrono::seconds(6)), 1);
+    EXPECT_LE(countReads(freshness, at(-2000), std::chrono::seconds(60)), 60 / 6);
 }
 
 /// Guards against an entry that learns of a change late because its reads failed during an outage that has ended.
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -109,13 +109,11 @@
     }
 }
 
+/// The servers follow the configuration, so that a store that is unavailable gets one call of each entry and not two.
 auto Directory::refreshOnce() -> void
 {
+    serversPending_ = true;
     confirmConfiguration();
-    serversAndEntriesPending_ = serversAndEntriesPending_ || lastReachable_ == false;
-    if (!serversAndEntriesPending_ && !serversPoll_.isInFlight) {
-        refreshServers();
-    }
 }
 
 /// Failure: the store is unavailable. Symptom: every entry that retries requests everything at once, repeatedly. After a failed call a
@@ -447,8 +445,11 @@
     if (isConfigurationSettled(requestedAt)) {
         callbacks_.onConfigurationConfirmed(documentRevision_, requestedAt);
     }
+    const auto areServersPending = std::exchange(serversPending_, false);
     if (serversAndEntriesPending_) {
         readServersAndEntries();
+    } else if (areServersPending && !serversPoll_.isInFlight) {
+        refreshServers();
     }
 }
 
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -170,6 +170,7 @@
     std::optional<bool> lastReachable_; ///< as last reported
     bool readsForPeers_ = false;
     bool serversAndEntriesPending_ = false; ///< the servers and entries are read once the store has responded to a read of the configuration
+    bool serversPending_ = false;           ///< so are the servers alone
     std::uint64_t era_ = 0;                 ///< newest era of the store that is known, from this entry's calls or another entry
     std::optional<Restore> restore_;
     std::uint64_t generation_ = 0; ///< incremented when this entry stops reading for others; responses to calls of an earlier generation are dropped
