A head with a status that is none, or with unclear lengths, is a bad response

A body that was cut at the smaller of two stated lengths looked complete.

Cause: libevent reads the status by atoi and takes the first of several lengths, and its clients asked it alone.

Change: http::ResponseGuard looks at the status line before libevent does; http::isFramingClear refuses several lengths, lengths with a sign and codings other than chunked.

--- a/src/entry/backend/backendtask.cpp
+++ b/src/entry/backend/backendtask.cpp
@@ -109,6 +109,10 @@
         return 0;
     }
     const auto headers = http::readHeaders(evhttp_request_get_input_headers(request));
+    if (!http::isFramingClear(headers)) {
+        fail(attempt, Failure::BadResponse);
+        return 0;
+    }
     if (http::framingOf(attempt.status, headers) == http::Framing::ConnectionEnd) {
         http::readBodyToConnectionEnd(request);
     }
--- a/src/entry/backend/tests/cutheads_tests.cpp
+++ b/src/entry/backend/tests/cutheads_tests.cpp
@@ -103,6 +103,26 @@
     }
 }
 
+/// Guards against an answer that starts although its head states no status of the protocol, or several lengths.
+TEST(CutHeadTests, anAnswerWithAnOddHeadIsAFailure)
+{
+    for (const auto *start : { "HTTP/1.1 4294967496 OK\r\n",
+                               "HTTP/1.1 +200 OK\r\n",
+                               "HTTP/1.1 200x OK\r\n",
+                               "HTTP/1.1 600 Odd\r\n",
+                               "HTTP/1.1 000 None\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" }) {
+        for (const auto &payload : { makeChatPayload(), makeServicePayload() }) {
+            Fixture fixture;
+            const auto bytes = start + std::string("Content-Type: text/event-stream\r\nContent-Length: 2\r\n\r\nok");
+            const auto event = firstEventAfter(fixture, payload, bytes, End::Closed);
+            EXPECT_TRUE(std::holds_alternative<routing::AttemptFailed>(event)) << start;
+            EXPECT_TRUE(fixture.callerGotNothing()) << start;
+        }
+    }
+}
+
 /// Guards against what is left of an earlier answer being taken for the one that is cut: both use one connection.
 TEST(CutHeadTests, aLaterAnswerWhoseHeadIsCutAtAnyByteIsAFailure)
 {
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -135,6 +135,9 @@
     if (status < FirstFinalStatus) {
         return Failure::BadResponse; // none was asked for, and they could go on without end
     }
+    if (!http::isFramingClear(attempt.response.headers)) {
+        return Failure::BadResponse;
+    }
     if (attempt.head.isOthers) {
         return Failure::WrongAttempt;
     }
--- a/src/wire/http/framing.cpp
+++ b/src/wire/http/framing.cpp
@@ -2,6 +2,7 @@
 
 #include "core/base/nametable.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <system_error>
@@ -44,6 +45,16 @@
     return Framing::ConnectionEnd;
 }
 
+auto isFramingClear(const Headers &headers) -> bool
+{
+    return std::all_of(headers.begin(), headers.end(), [&headers](const Header &header) {
+        if (isSameWord(header.name, "Transfer-Encoding")) {
+            return isSameWord(header.value, "chunked");
+        }
+        return !isSameWord(header.name, "Content-Length") || (contentLength(headers) && header.value == findHeader(headers, "Content-Length"));
+    });
+}
+
 auto contentLength(const Headers &headers) -> std::optional<std::size_t>
 {
     const auto text = findHeader(headers, "Content-Length");
--- a/src/wire/http/framing.h
+++ b/src/wire/http/framing.h
@@ -26,6 +26,11 @@
 /// Framing of a response with this head.
 auto framingOf(int status, const Headers &headers) -> Framing;
 
+/// Whether the head is clear about the length of the body: a single length that is a plain number, and no transfer coding but chunks.
+///
+/// Failure: a head states two lengths, or one that libevent reads differently. Symptom: a body that is cut off at the smaller one looks complete.
+auto isFramingClear(const Headers &headers) -> bool;
+
 /// Length of the body as the head states it; nothing if it states none that is valid.
 auto contentLength(const Headers &headers) -> std::optional<std::size_t>;
 
--- a/src/wire/http/internal/rawrequest.cpp
+++ b/src/wire/http/internal/rawrequest.cpp
@@ -1,6 +1,7 @@
 #include "wire/http/internal/rawrequest.h"
 
 #include "wire/http/evhttpheaders.h"
+#include "wire/http/framing.h"
 
 #include <event2/buffer.h>
 
@@ -19,11 +20,11 @@
     connection.error = connection.error.value_or(error);
 }
 
-/// No request asks for an interim response, and evhttp reads behind one without a bound.
+/// No request asks for an interim response, and evhttp reads behind one without a bound. A body of unclear length may be cut.
 auto onHead(evhttp_request *raw, void *context) -> int
 {
     constexpr int FirstFinalStatus = 200;
-    if (evhttp_request_get_response_code(raw) >= FirstFinalStatus) {
+    if (evhttp_request_get_response_code(raw) >= FirstFinalStatus && isFramingClear(readHeaders(evhttp_request_get_input_headers(raw)))) {
         return 0;
     }
     static_cast<Connection *>(context)->error = EVREQ_HTTP_INVALID_HEADER;
--- a/src/wire/http/responseguard.cpp
+++ b/src/wire/http/responseguard.cpp
@@ -24,6 +24,30 @@
     return Start.starts_with(std::string_view(bytes.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(count, 0))));
 }
 
+/// Whether the first line, if it has arrived, states a version of HTTP/1 and a status from 100 to 599.
+auto mayBeStatusLine(evbuffer *input) -> bool
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    constexpr std::size_t StatusAt = Version.size() + 2; // behind a digit and a space
+    constexpr std::size_t StatusSize = 3;
+    constexpr std::size_t ReasonAt = StatusAt + StatusSize;
+    const auto end = evbuffer_search_eol(input, nullptr, nullptr, EVBUFFER_EOL_CRLF).pos;
+    if (end < 0) {
+        return true;
+    }
+    std::array<char, ReasonAt + 1> bytes{};
+    const auto size = std::min(bytes.size(), static_cast<std::size_t>(end));
+    evbuffer_copyout(input, bytes.data(), size);
+    const std::string_view line(bytes.data(), size);
+    if (!line.starts_with(Version) || line.size() < ReasonAt || (line.size() > ReasonAt && line[ReasonAt] != ' ')) {
+        return false;
+    }
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    const auto status = line.substr(StatusAt, StatusSize);
+    return isDigit(line[Version.size()]) && line[StatusAt - 1] == ' ' && std::all_of(status.begin(), status.end(), isDigit) && status[0] >= '1'
+        && status[0] <= '5';
+}
+
 /// Whether there are too many header lines. Each holds some hundred bytes, however short it is.
 auto hasTooManyHeaders(ResponseGuard &guard) -> bool
 {
@@ -72,9 +96,10 @@
         return;
     }
     if (request->response_code == 0) {
-        if (!mayBeginResponse(input)) {
+        if (!mayBeginResponse(input) || !mayBeStatusLine(input)) {
             guard.request = nullptr;
-            evbuffer_add(input, "\n", 1); // ends the line, which evhttp then rejects
+            evbuffer_drain(input, evbuffer_get_length(input));
+            evbuffer_add(input, "\n", 1); // an empty line, which evhttp rejects
         }
         return;
     }
--- a/src/wire/http/responseguard.h
+++ b/src/wire/http/responseguard.h
@@ -1,6 +1,7 @@
 /// \file
-/// Ends responses that evhttp would read without a bound. evhttp limits the bytes of heads, bodies and trailers, but neither the number of
-/// header lines, nor the lines between the chunks of a body, nor the time for which it waits for the end of a first line that can't belong to a response.
+/// Ends responses that evhttp would read without a bound, or more kindly than the protocol allows. evhttp limits the bytes of heads, bodies and trailers,
+/// but neither the number of header lines, nor the lines between the chunks of a body, nor the time for which it waits for the end of a first line that
+/// can't belong to a response. It takes any number for a status, and 4294967496, +200 or 200x for 200.
 
 #pragma once
 
--- a/src/wire/http/tests/cutheads_tests.cpp
+++ b/src/wire/http/tests/cutheads_tests.cpp
@@ -205,14 +205,42 @@
 TEST(CutHeadTests, anAnswerThatIsNotCutIsWhole)
 {
     task::EventLoop loop;
-    for (const auto *answer :
-         { WholeAnswer, "HTTP/1.1 200 OK\nContent-Length: 2\n\nok", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" }) {
+    for (const auto *answer : { WholeAnswer,
+                                "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
+                                "HTTP/1.0 200 OK\r\n\r\nok",
+                                "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" }) {
         const CuttingServer server(loop, { answer }, End::Closed);
         http::Client client(loop);
         EXPECT_TRUE(isWholeAnswer(fetch(loop, client, { .address = server.address(), .path = "/" }))) << answer;
     }
 }
 
+/// Guards against a document that stands for one although its head states no status of the protocol, or several lengths.
+TEST(CutHeadTests, anAnswerWithAnOddHeadIsAnError)
+{
+    task::EventLoop loop;
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    for (const auto &answer : { "HTTP/1.1 4294967496 OK" + rest,
+                                "HTTP/1.1 +200 OK" + rest,
+                                "HTTP/1.1 200x OK" + rest,
+                                "HTTP/1.1 600 Odd" + rest,
+                                "HTTP/1.1 000" + rest,
+                                "HTTP/1.1  200 OK" + rest,
+                                "HTTP/1.x 200 OK" + rest,
+                                "HTTP/1.1 200 OK\r\nContent-Length: 8" + rest,
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip" + rest,
+                                std::string("HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok") }) {
+        for (const auto isLater : { false, true }) {
+            const CuttingServer server(loop, isLater ? std::vector<std::string>{ WholeAnswer, answer } : std::vector<std::string>{ answer }, End::Closed);
+            http::Client client(loop);
+            const http::Request request{ .address = server.address(), .path = "/" };
+            EXPECT_EQ(isWholeAnswer(fetch(loop, client, request)), isLater) << answer;
+            EXPECT_TRUE(isError(fetch(loop, client, request))) << answer;
+        }
+    }
+}
+
 /// Guards against a change that nobody has asked for: the connection ends inside the head of a request, or inside its body.
 TEST(CutHeadTests, aRequestThatIsCutAtAnyByteIsNotHandled)
 {
