A request or response with a header name that is no token is refused

Cause: libevent takes what stands before the colon for the name, as it is. The entry looks headers up by their exact names, also in its checks against smuggling.

Change: http::hasValidNames. Such a request gets 400 and its connection is closed; such a response is a bad response at all clients, since its length may stand under the name.

Test: PassThroughTests.anInvalidHeaderNameIsRejectedAndTheConnectionClosed.

--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -215,6 +215,10 @@
         return;
     }
     auto headers = http::readHeaders(evhttp_request_get_input_headers(request));
+    if (!http::hasValidNames(headers)) {
+        rejectInput(request, "invalid header name");
+        return;
+    }
     if (hasAmbiguousLength(headers)) {
         rejectInput(request, "ambiguous body length: repeated or unsupported Content-Length or Transfer-Encoding");
         return;
--- a/src/gateway/tests/oddanswers_tests.cpp
+++ b/src/gateway/tests/oddanswers_tests.cpp
@@ -119,6 +119,7 @@
     for (const auto *framing : { "Content-Length: 2\r\nContent-Length: 6\r\n",
                                  "Content-Length: 6\r\nContent-Length: 2\r\n",
                                  "Content-Length: +2\r\n",
+                                 "Content-Length : 100\r\n",
                                  "Transfer-Encoding: gzip, chunked\r\n",
                                  "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n" }) {
         SiteWithServer served;
--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -196,6 +196,30 @@
     EXPECT_TRUE(contains(site.metrics(), "auburnspread_sends_total 0"));
 }
 
+/// Guards against request smuggling through a header name that other programs read as one that states a length: what stands in the body of a request
+/// would run as a request of its own (review/8).
+TEST(PassThroughTests, anInvalidHeaderNameIsRejectedAndTheConnectionClosed)
+{
+    Site site;
+    const Server server;
+    site.addServer("i-1", "portal", server.address());
+    const auto inner = makeHead("GET /fetch/smuggled", "id-2") + "\r\n";
+    const auto length = std::to_string(inner.size());
+    for (const auto &header : { "Content-Length : " + length,
+                                "Content-Length\t: " + length,
+                                std::string("Transfer-Encoding : chunked"),
+                                std::string("Odd Name: x"),
+                                std::string("Odd(Name): x"),
+                                std::string(": x") }) {
+        Caller caller(site.callerAddress());
+        caller.send(makeHead("POST /notice/1", "id-1") + header + "\r\n\r\n" + inner);
+        const auto answer = caller.readToEnd();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << header << answer;
+        EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+    }
+    EXPECT_TRUE(contains(site.metrics(), "auburnspread_sends_total 0"));
+}
+
 /// Guards against a harmless request that is quarantined. Two callers send equal requests with different keys; the connections
 /// of the first caller's attempts break at two servers. The other caller's request must count as a different one.
 TEST(PassThroughTests, aRequestIsNotQuarantinedForTheFailuresOfAnotherCaller)
--- a/src/wire/http/framing.cpp
+++ b/src/wire/http/framing.cpp
@@ -47,12 +47,12 @@
 
 auto isFramingClear(const Headers &headers) -> bool
 {
-    return std::all_of(headers.begin(), headers.end(), [&headers](const Header &header) {
-        if (isSameWord(header.name, "Transfer-Encoding")) {
-            return isSameWord(header.value, "chunked");
-        }
-        return !isSameWord(header.name, "Content-Length") || (contentLength(headers) && header.value == findHeader(headers, "Content-Length"));
-    });
+    return hasValidNames(headers) && std::all_of(headers.begin(), headers.end(), [&headers](const Header &header) {
+               if (isSameWord(header.name, "Transfer-Encoding")) {
+                   return isSameWord(header.value, "chunked");
+               }
+               return !isSameWord(header.name, "Content-Length") || (contentLength(headers) && header.value == findHeader(headers, "Content-Length"));
+           });
 }
 
 auto contentLength(const Headers &headers) -> std::optional<std::size_t>
--- a/src/wire/http/framing.h
+++ b/src/wire/http/framing.h
@@ -26,7 +26,8 @@
 /// Framing of a response with this head.
 auto framingOf(int status, const Headers &headers) -> Framing;
 
-/// Whether the head is clear about the length of the body: a single length that is a plain number, and no transfer coding but chunks.
+/// Whether the head is clear about the length of the body: a single length that is a plain number, no transfer coding but chunks, and only
+/// valid names.
 ///
 /// Failure: a head states two lengths, or one that libevent reads differently. Symptom: a body that is cut off at the smaller one looks complete.
 auto isFramingClear(const Headers &headers) -> bool;
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -20,6 +20,8 @@
     { Method::Delete, "DELETE" },
 });
 
+constexpr std::string_view TokenCharacters = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+
 } // namespace
 
 auto methodName(Method method) -> std::string_view
@@ -43,6 +45,13 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+auto hasValidNames(const Headers &headers) -> bool
+{
+    return std::all_of(headers.begin(), headers.end(), [](const Header &header) {
+        return !header.name.empty() && header.name.find_first_not_of(TokenCharacters) == std::string::npos;
+    });
+}
+
 auto isEventStream(std::string_view contentType) -> bool
 {
     constexpr std::string_view Blanks = " \t";
