--- a/src/gateway/tests/passthrough_tests.cpp
+++ b/src/gateway/tests/passthrough_tests.cpp
@@ -212,7 +212,9 @@
                                 std::string("Odd(Name): x"),
                                 std::string(": x") }) {
         Caller caller(site.callerAddress());
-        caller.send(makeHead("POST /notice/1", "id-1") + header + "\r\n\r\n" + inner);
+        auto request = makeHead("POST /notice/1", "id-1");
+        request.append(header).append(EndOfHead).append(inner);
+        caller.send(request);
         const auto answer = caller.readToEnd();
         EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << header << answer;
         EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
